--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,129 @@
+#!/usr/bin/env bash
+# Runs one user's installation as separate processes on loopback addresses,
+# drives load, switches faults, and ends by itself with a table.
+# Usage: scripts/demo.sh PROFILE
+set -eu
+profile=${1:-kilima}
+cd "$(dirname "$0")/.."
+run=run/$profile
+rm -rf "$run"
+mkdir -p "$run/log"
+declare -A pid
+
+start() { # start NAME PROGRAM ARGUMENTS...
+  local name=$1
+  shift
+  "$@" >"$run/log/$name.out" 2>&1 &
+  pid[$name]=$!
+}
+stop_all() {
+  for name in "${!pid[@]}"; do kill -9 "${pid[$name]}" 2>/dev/null || true; done
+}
+trap stop_all EXIT
+say() { printf '%5.1fs  %s\n' "$(echo "$(date +%s%N) $began" | awk '{print ($1-$2)/1e9}')" "$*"; }
+setting() { awk -v key="$2:" '$1 == key {print $2; exit}' "$run/$1.yaml"; }
+control() { setting "$1" control; }
+prefix() { control "$1" | cut -d. -f1-3; }
+
+began=$(date +%s%N)
+bin/moorspool-standin settings --profile "$profile" --examples "examples/$profile" --folder "$run"
+for file in "$run"/outside-*.yaml "$run"/standin-*.yaml; do
+  name=$(basename "$file" .yaml)
+  start "$name" bin/moorspool-standin run "$file"
+done
+keepers=()
+for file in "$run"/keeper-*.yaml; do
+  name=$(basename "$file" .yaml)
+  start "$name" bin/moorspool-keeper -c "$file" --found
+  keepers+=("$(setting "$name" admin)")
+done
+MOORSPOOL_KEEPERS=$(IFS=,; echo "${keepers[*]}")
+export MOORSPOOL_KEEPERS
+zones=()
+for file in "$run"/planner-*.yaml; do
+  name=$(basename "$file" .yaml)
+  zones+=("${name#planner-}")
+  start "$name" bin/moorspool-planner -c "$file"
+done
+for file in "$run"/entry-*.yaml; do
+  name=$(basename "$file" .yaml)
+  start "$name" bin/moorspool-entry -c "$file"
+done
+say "started ${#pid[@]} processes of $profile"
+
+bin/moorspool apply -f "examples/$profile" --by demo
+say "configuration applied"
+bin/moorspool-standin load "$run/load.yaml" >"$run/table.txt" 2>&1 &
+load=$!
+sleep 10
+say "load is running; faults begin"
+
+first=${zones[0]} second=${zones[1]} third=${zones[2]}
+kill -9 "${pid[keeper-$first]}"
+say "killed keeper-$first"
+sleep 4
+start "keeper-$first" bin/moorspool-keeper -c "$run/keeper-$first.yaml" --found
+say "started keeper-$first again"
+sleep 2
+
+change=$run/change
+mkdir -p "$change"
+cat >"$change/label.yaml" <<YAML
+kind: label
+name: demo-latest
+pointsTo: $(awk '$1 == "name:" {print $2; exit}' "examples/$profile/models.yaml")
+YAML
+bin/moorspool apply -f "$change" --wait --by demo | tee "$run/force.txt"
+say "a configuration change landed"
+
+host=$(awk '$1 == "host:" {print $2; exit}' "$(ls "$run"/standin-*"$second"-1.yaml | head -1)")
+leaving=$(ls "$run"/standin-*"$second"-1.yaml | grep -v -e field-desk -e claimledger | head -1)
+host=$(basename "$leaving" .yaml)
+host=${host#standin-}
+bin/moorspool-standin post "http://$(setting "standin-$host" listen)/standin/fault" '{"leaving":true}'
+bin/moorspool-standin post "http://$(setting outside-platform listen)/standin/leave?host=$host" '{}'
+say "backend server host $host is leaving"
+sleep 5
+
+others=("$(prefix "planner-$first")." "$(prefix "planner-$second").")
+for name in "${!pid[@]}"; do
+  case $name in
+    keeper-$third | planner-$third | entry-$third-*)
+      bin/moorspool cut --address "$(control "$name")" "${others[@]}" ;;
+    keeper-* | planner-* | entry-*)
+      bin/moorspool cut --address "$(control "$name")" "$(prefix "planner-$third")." ;;
+  esac
+done
+say "availability zone $third is cut off"
+sleep 8
+for name in "${!pid[@]}"; do
+  case $name in
+    keeper-* | planner-* | entry-*) bin/moorspool cut --address "$(control "$name")" ;;
+  esac
+done
+say "availability zone $third is back"
+sleep 4
+
+kill -TERM "${pid[entry-$first-1]}"
+say "entry-$first-1 was told to stop with streams in flight"
+set +e
+wait "${pid[entry-$first-1]}"
+stopped=$?
+set -e
+say "entry-$first-1 has stopped with exit code $stopped"
+unset "pid[entry-$first-1]"
+
+status=0
+wait "$load" || status=$?
+say "load has ended"
+bin/moorspool status || true
+echo
+cat "$run/table.txt"
+force=$(awk '/in force in/ {print $NF}' "$run/force.txt")
+printf '%-44s %s\n' "time until the change was in force" "$force"
+if ! echo "$force" | awk '{ms = $1 ~ /ms$/; v = $1 + 0; exit !(ms || v < 4)}'; then
+  echo "broken promise: the change took $force"
+  status=1
+fi
+[ "$stopped" -eq 0 ] || status=1
+exit $status
--- /dev/null
+++ b/src/cli/main.go
@@ -0,0 +1,96 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/process"
+)
+
+// The exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitConflict    = 3
+	ExitRefused     = 4
+	ExitUnavailable = 5
+)
+
+// exitError carries an exit code with its message.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error returns the message.
+func (e *exitError) Error() string { return e.message }
+
+func exitWith(code int, format string, args ...any) error {
+	return &exitError{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+// globals are the options that every command has.
+type globals struct {
+	Keepers string `long:"keepers" env:"MOORSPOOL_KEEPERS" default:"127.0.0.1:7101" description:"administration addresses of the keepers, with commas between"`
+	Output  string `short:"o" long:"output" default:"table" choice:"table" choice:"json" choice:"yaml" description:"form of the output"`
+}
+
+var options globals
+
+// context returns what a command works with.
+func commandContext() (context.Context, context.CancelFunc, *client) {
+	ctx, cancel := process.UntilSignal()
+	return ctx, cancel, newClient(options.Keepers)
+}
+
+// Main runs moorspool and returns its exit code.
+func Main(arguments []string) int {
+	p := flags.NewNamedParser("moorspool", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Global options", "", &options); err != nil {
+		panic(err)
+	}
+	add := func(name, short, long string, command any) {
+		if _, err := p.AddCommand(name, short, long, command); err != nil {
+			panic(err)
+		}
+	}
+	add("apply", "change the configuration", "Checks the files of a folder, asks the keepers for the change that they make, and can wait until it is in force everywhere. Exit codes: 3 for a conflict, 4 for findings, 5 when no keeper can accept changes now.", &applyCommand{})
+	add("diff", "show what apply would change", "Shows what apply would change, without doing it. Exits with 1 if there is a difference.", &diffCommand{})
+	add("get", "show the configuration in force", "Shows objects: all, those of a KIND, or one KIND NAME.", &getCommand{})
+	add("status", "show every process and the revision in force there", "Shows keepers, planners and entry hosts with the revision in force, its age, and what each spends on control.", &statusCommand{})
+	add("watch", "follow the events of all processes", "Streams events of all processes as they happen; a WORD keeps those about one request, model, host, availability zone or kind of event.", &watchCommand{})
+	add("explain", "tell what happened to a request, model or host", "Strings together the kept events of all processes about a request, model or host.", &explainCommand{})
+	add("drain", "move everything off a backend server", "Tells the planner of the host's availability zone to move all models off it; --undo takes that back.", &drainCommand{})
+	add("plan", "show what planners would do for changed files", "Asks every planner what it would load and drop if the files were applied, without doing it.", &planCommand{})
+	add("check", "check configuration files", "Checks the files of a folder as a whole, without asking anybody.", &checkCommand{})
+	add("cut", "cut a process off from addresses (tests only)", "Makes a process that was started with faults: true lose all traffic to addresses with the given prefixes; none heals the cut.", &cutCommand{})
+	add("version", "print the version", "Prints the version.", &versionCommand{})
+	_, err := p.ParseArgs(arguments)
+	return report(err)
+}
+
+func report(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) {
+		if flagErr.Type == flags.ErrHelp {
+			fmt.Println(err)
+			return ExitOK
+		}
+		fmt.Fprintln(os.Stderr, "moorspool:", err)
+		return ExitUsage
+	}
+	fmt.Fprintln(os.Stderr, "moorspool:", err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/src/cli/show.go
@@ -0,0 +1,287 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// show writes a value in the form that was asked for; text writes it for people.
+func show(value any, text func()) error {
+	switch options.Output {
+	case "json":
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	case "yaml":
+		// By way of JSON, so that names and units are the same in both.
+		data, err := json.Marshal(value)
+		if err != nil {
+			return errors.Wrap(err, "encoding the output")
+		}
+		out, err := yaml.JSONToYAML(data)
+		if err != nil {
+			return errors.Wrap(err, "encoding the output")
+		}
+		_, err = os.Stdout.Write(out)
+		return err
+	}
+	text()
+	return nil
+}
+
+func table(write func(w *tabwriter.Writer)) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	write(w)
+	_ = w.Flush()
+}
+
+type getCommand struct {
+	Args struct {
+		Kind string `positional-arg-name:"KIND"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
+}
+
+// Execute shows objects.
+func (c *getCommand) Execute([]string) error {
+	ctx, cancel, cl := commandContext()
+	defer cancel()
+	set, err := cl.configuration(ctx)
+	if err != nil {
+		return err
+	}
+	objects := []config.Object{}
+	for _, object := range set.Objects() {
+		if c.Args.Kind != "" && string(object.Key.Kind) != c.Args.Kind {
+			continue
+		}
+		if c.Args.Name != "" && object.Key.Name != c.Args.Name {
+			continue
+		}
+		objects = append(objects, object)
+	}
+	if c.Args.Name != "" && len(objects) == 0 {
+		return exitWith(ExitFailed, "there is no %s %s; see moorspool get %s", c.Args.Kind, c.Args.Name, c.Args.Kind)
+	}
+	return show(objects, func() {
+		table(func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "OBJECT\tREVISION\tBY")
+			for _, object := range objects {
+				fmt.Fprintf(w, "%s\t%s\t%s\n", object.Key, revisionText(object.Revision), object.By)
+			}
+		})
+	})
+}
+
+type statusCommand struct{}
+
+// fleetStatus is what status shows.
+type fleetStatus struct {
+	Keepers []wire.Status     `json:"keepers"`
+	Nodes   []wire.NodeStatus `json:"nodes"`
+}
+
+// Execute shows every process.
+func (c *statusCommand) Execute([]string) error {
+	ctx, cancel, cl := commandContext()
+	defer cancel()
+	nodes, err := cl.nodes(ctx)
+	if err != nil {
+		return err
+	}
+	all := fleetStatus{Keepers: cl.keeperStatuses(ctx), Nodes: nodes}
+	return show(all, func() { table(all.write) })
+}
+
+func (s fleetStatus) write(w *tabwriter.Writer) {
+	fmt.Fprintln(w, "PROCESS\tROLE\tZONE\tREVISION\tHEARD\tSTATE\tCPU\tRESIDENT\tANONYMOUS\tCONTROL B/S")
+	for _, keeper := range s.Keepers {
+		state := keeper.Keeper.Role
+		if !keeper.Keeper.CaughtUp {
+			state += ", not caught up"
+		}
+		fmt.Fprintf(w, "%s\tkeeper\t%s\t%s\tnow\t%s\t%s\n", keeper.Node, keeper.Zone, revisionText(keeper.Revision), state, costText(keeper.Control))
+	}
+	for _, node := range s.Nodes {
+		state := "live"
+		if node.Leaving {
+			state = "leaving"
+		}
+		heard := time.Since(node.SeenAt).Round(100*time.Millisecond).String() + " ago"
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", node.Node, node.Role, node.Zone, revisionText(node.Revision), heard, state, costText(node.Control))
+	}
+}
+
+func costText(cost wire.ControlCost) string {
+	uptime := max(cost.Uptime.Std().Seconds(), 1)
+	share := 100 * cost.CPU.Std().Seconds() / uptime
+	rate := float64(cost.BytesIn+cost.BytesOut) / uptime
+	return fmt.Sprintf("%.2f %%\t%.1f MiB\t%.1f MiB\t%.0f", share, mebibytes(cost.Resident), mebibytes(cost.Anonymous), rate)
+}
+
+func mebibytes(b config.Bytes) float64 { return float64(b) / float64(config.MiB) }
+
+type watchCommand struct {
+	Args struct {
+		Word string `positional-arg-name:"WORD"`
+	} `positional-args:"yes"`
+}
+
+// eventWait is how long one question for events may wait.
+const eventWait = time.Second
+
+// Execute streams the events of all processes until a signal.
+func (c *watchCommand) Execute([]string) error {
+	ctx, cancel, cl := commandContext()
+	defer cancel()
+	sources, err := eventSources(ctx, cl)
+	if err != nil {
+		return err
+	}
+	out := make(chan event.Event)
+	for _, source := range sources {
+		go follow(ctx, source, c.Args.Word, out)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-out:
+			if err := showEvent(e); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// eventSource asks one process for events.
+type eventSource func(ctx context.Context, request wire.EventsRequest) (wire.EventsReply, error)
+
+func eventSources(ctx context.Context, cl *client) ([]eventSource, error) {
+	nodes, err := cl.nodes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var sources []eventSource
+	for _, address := range cl.keepers {
+		sources = append(sources, func(ctx context.Context, request wire.EventsRequest) (wire.EventsReply, error) {
+			var reply wire.EventsReply
+			err := cl.post(ctx, address, wire.MethodEvents, request, &reply)
+			return reply, err
+		})
+	}
+	for _, node := range nodes {
+		own := newClient(options.Keepers)
+		sources = append(sources, func(ctx context.Context, request wire.EventsRequest) (wire.EventsReply, error) {
+			var reply wire.EventsReply
+			err := own.process(ctx, node.Address, wire.MethodEvents, request, &reply)
+			return reply, err
+		})
+	}
+	return sources, nil
+}
+
+func follow(ctx context.Context, ask eventSource, word string, out chan<- event.Event) {
+	request := wire.EventsRequest{About: word, Wait: config.Duration(eventWait), Newest: true}
+	for ctx.Err() == nil {
+		reply, err := ask(ctx, request)
+		if err != nil {
+			time.Sleep(eventWait)
+			continue
+		}
+		request.Newest = false
+		request.After = reply.Last
+		for _, e := range reply.Events {
+			select {
+			case out <- e:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func showEvent(e event.Event) error {
+	return show(e, func() { fmt.Println(eventLine(e)) })
+}
+
+func eventLine(e event.Event) string {
+	line := fmt.Sprintf("%s %-22s %3d %s", e.At.Format("15:04:05.000"), e.Node, uint16(e.Kind), e.Name)
+	for _, part := range []struct{ name, value string }{
+		{"request", e.Request}, {"model", e.Model}, {"host", e.Host}, {"zone", e.Zone}, {"reason", e.Reason}, {"rejected", e.Rejected},
+	} {
+		if part.value != "" {
+			line += fmt.Sprintf(" %s=%q", part.name, part.value)
+		}
+	}
+	return line
+}
+
+type explainCommand struct {
+	Args struct {
+		Word string `positional-arg-name:"REQUEST|MODEL|HOST"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute strings the kept events about one thing together.
+func (c *explainCommand) Execute([]string) error {
+	ctx, cancel, cl := commandContext()
+	defer cancel()
+	sources, err := eventSources(ctx, cl)
+	if err != nil {
+		return err
+	}
+	events := collect(ctx, sources, c.Args.Word)
+	if len(events) == 0 {
+		return exitWith(ExitFailed, "no process remembers anything about %s; events are kept for a while only", c.Args.Word)
+	}
+	return show(events, func() {
+		for _, e := range events {
+			fmt.Println(eventLine(e))
+		}
+	})
+}
+
+func collect(ctx context.Context, sources []eventSource, word string) []event.Event {
+	var mu sync.Mutex
+	var all []event.Event
+	var wait sync.WaitGroup
+	for _, ask := range sources {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			reply, err := ask(ctx, wire.EventsRequest{About: word})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, reply.Events...)
+		}()
+	}
+	wait.Wait()
+	sort.SliceStable(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
+	return all
+}
+
+type versionCommand struct{}
+
+// Execute prints the version.
+func (c *versionCommand) Execute([]string) error {
+	fmt.Println("moorspool", option.Version)
+	return nil
+}
--- /dev/null
+++ b/src/dial/dialer.go
@@ -0,0 +1,151 @@
+package dial
+
+import (
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/fault"
+)
+
+// Error is a failure to connect: not a byte was sent.
+type Error struct {
+	address string
+	cause   error
+}
+
+// Error returns what failed.
+func (e *Error) Error() string { return "connecting to " + e.address + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// IsDial reports whether an error means that no connection was made.
+func IsDial(err error) bool {
+	var dialErr *Error
+	return errors.As(err, &dialErr)
+}
+
+// Options are a client's times and limits.
+type Options struct {
+	Dial time.Duration
+	// Read bounds each wait for bytes, not the whole answer.
+	Read  time.Duration
+	Write time.Duration
+	// Conns bounds the connections to one backend server.
+	Conns int
+	// Reuse keeps connections for later requests.
+	Reuse bool
+	// Stream hands answers out as they come.
+	Stream bool
+}
+
+// Client is an HTTP client whose answers can be aborted; it is safe for concurrent use.
+type Client struct {
+	*client.Client
+	dialer *dialer
+}
+
+// idleLimit is how long an unused connection is kept: less than backend servers keep it.
+const idleLimit = 20 * time.Second
+
+// New returns a client.
+func New(cut *fault.Cut, options Options) (*Client, error) {
+	d := &dialer{Dialer: cut.NewDialer(), conns: map[string]network.Conn{}}
+	c, err := client.NewClient(
+		client.WithDialer(d),
+		client.WithDialTimeout(options.Dial),
+		client.WithClientReadTimeout(options.Read),
+		client.WithWriteTimeout(options.Write),
+		client.WithMaxConnsPerHost(options.Conns),
+		client.WithMaxIdleConnDuration(idleLimit),
+		client.WithKeepAlive(options.Reuse),
+		client.WithResponseBodyStream(options.Stream),
+		client.WithNoDefaultUserAgentHeader(true),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "making an HTTP client")
+	}
+	return &Client{Client: c, dialer: d}, nil
+}
+
+// Abort closes the connection that an answer comes on, so that reading it ends
+// at once and the connection is never used again.
+func (c *Client) Abort(response *protocol.Response) {
+	if address := response.LocalAddr(); address != nil {
+		c.dialer.abort(address.String())
+	}
+}
+
+type dialer struct {
+	network.Dialer
+	mu    sync.Mutex
+	conns map[string]network.Conn
+}
+
+// DialConnection connects and remembers the connection by its local address.
+func (d *dialer) DialConnection(n, address string, timeout time.Duration, tlsConfig *tls.Config) (network.Conn, error) {
+	conn, err := d.Dialer.DialConnection(n, address, timeout, tlsConfig)
+	if err != nil {
+		return nil, &Error{address: address, cause: err}
+	}
+	local := conn.LocalAddr().String()
+	tracked := &trackedConn{Conn: conn, dialer: d, local: local}
+	d.mu.Lock()
+	d.conns[local] = tracked
+	d.mu.Unlock()
+	return tracked, nil
+}
+
+func (d *dialer) abort(local string) {
+	d.mu.Lock()
+	conn := d.conns[local]
+	d.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+func (d *dialer) forget(local string, conn network.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conns[local] == conn {
+		delete(d.conns, local)
+	}
+}
+
+type trackedConn struct {
+	network.Conn
+	dialer *dialer
+	local  string
+	once   sync.Once
+	err    error
+}
+
+// Close closes the connection once.
+func (c *trackedConn) Close() error {
+	c.once.Do(func() {
+		c.dialer.forget(c.local, c)
+		c.err = c.Conn.Close()
+	})
+	return c.err
+}
+
+// SetReadTimeout passes the timeout on.
+func (c *trackedConn) SetReadTimeout(t time.Duration) error { return c.Conn.SetReadTimeout(t) }
+
+// ToHertzError keeps hertz's own names for network errors.
+func (c *trackedConn) ToHertzError(err error) error {
+	if normal, ok := c.Conn.(network.ErrorNormalization); ok {
+		return normal.ToHertzError(err)
+	}
+	return err
+}
+
+var _ net.Conn = (*trackedConn)(nil)
--- /dev/null
+++ b/src/engine/client.go
@@ -0,0 +1,76 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/fault"
+)
+
+// The control calls' times.
+const (
+	dialTimeout    = 500 * time.Millisecond
+	controlTimeout = time.Second
+)
+
+// Control asks engines for reports and sends them orders; it is safe for concurrent use.
+type Control struct {
+	client *client.Client
+}
+
+// NewControl returns a client of the engines' control interface.
+func NewControl(cut *fault.Cut) (*Control, error) {
+	c, err := client.NewClient(
+		client.WithDialer(cut.NewDialer()),
+		client.WithDialTimeout(dialTimeout),
+		client.WithClientReadTimeout(controlTimeout),
+		client.WithWriteTimeout(controlTimeout),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "making the engines' client")
+	}
+	return &Control{client: c}, nil
+}
+
+// Report asks an engine for its report.
+func (c *Control) Report(ctx context.Context, address string) (Report, error) {
+	var report Report
+	err := c.exchange(ctx, consts.MethodGet, "http://"+address+PathReport, nil, &report)
+	return report, err
+}
+
+// Order sends an order. After an error the order may or may not have been taken.
+func (c *Control) Order(ctx context.Context, address string, order Order) (OrderReply, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return OrderReply{}, errors.Wrap(err, "encoding an order")
+	}
+	var reply OrderReply
+	err = c.exchange(ctx, consts.MethodPost, "http://"+address+PathOrders, body, &reply)
+	return reply, err
+}
+
+func (c *Control) exchange(ctx context.Context, method, url string, body []byte, reply any) error {
+	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(request)
+	defer protocol.ReleaseResponse(response)
+	request.SetMethod(method)
+	request.SetRequestURI(url)
+	if body != nil {
+		request.Header.SetContentTypeBytes([]byte("application/json"))
+		request.SetBody(body)
+	}
+	if err := c.client.Do(ctx, request, response); err != nil {
+		return errors.Wrap(err, "asking an engine")
+	}
+	if status := response.StatusCode(); status != consts.StatusOK {
+		return errors.Errorf("the engine answered %d", status)
+	}
+	return errors.Wrap(json.Unmarshal(response.Body(), reply), "decoding an engine's answer")
+}
--- /dev/null
+++ b/src/entry/main.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/engine"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/follow"
+	"github.com/moorspool/moorspool/src/limit"
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/process"
+	"github.com/moorspool/moorspool/src/service"
+	"github.com/moorspool/moorspool/src/trace"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// The times of start and stop.
+const (
+	routesWait = 3 * time.Second
+	pollEvery  = 20 * time.Millisecond
+	closeWait  = time.Second
+	// idlePolls is how many polls in a row must see nothing in flight.
+	idlePolls = 10
+)
+
+// Main runs moorspool-entry and returns its exit code.
+func Main(arguments []string) int {
+	flags, err := option.Parse("moorspool-entry", arguments)
+	if err != nil {
+		return fail(err)
+	}
+	if flags.Version {
+		fmt.Println("moorspool-entry", option.Version)
+		return 0
+	}
+	settings, err := option.LoadEntry(flags.Settings)
+	if err != nil {
+		return fail(err)
+	}
+	if flags.Check {
+		fmt.Println(flags.Settings, "is sound")
+		return 0
+	}
+	if err := run(settings); err != nil {
+		return fail(err)
+	}
+	return 0
+}
+
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, "moorspool-entry:", err)
+	return 1
+}
+
+// run is an entry host's life from its settings to its stop.
+func run(settings option.Entry) error {
+	ctx, cancel := process.UntilSignal()
+	defer cancel()
+	var s *Server
+	proc, err := process.New("entry", settings.Common, func(status *wire.Status) {
+		status.Entry = s.Status()
+		status.Revision = s.follower.Set().Revision()
+	})
+	if err != nil {
+		return err
+	}
+	s, err = assemble(settings, proc)
+	if err != nil {
+		return err
+	}
+	defer s.tracer.Close(context.Background())
+	s.follower.Register(proc.Mux())
+	s.routes.Register(proc.Mux())
+	if err := proc.Serve(); err != nil {
+		return err
+	}
+	defer proc.Close()
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := s.start(ctx, background, proc); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	s.stop(proc)
+	return nil
+}
+
+func assemble(settings option.Entry, proc *process.Process) (*Server, error) {
+	streams, err := engine.NewStreams(proc.Cut(), settings.Limits.TokenWait.Std())
+	if err != nil {
+		return nil, err
+	}
+	services, err := service.New(proc.Cut(), settings.Limits.HeaderWait.Std())
+	if err != nil {
+		return nil, err
+	}
+	tracer, err := trace.New(settings.Node, settings.Trace)
+	if err != nil {
+		return nil, err
+	}
+	queues := limit.NewQueues(settings.Limits.Queue)
+	follower := follow.New(settings.Keepers, settings.Zone, proc.Meter(), proc.Cut(), proc.Ring(), proc.Heartbeat)
+	routes := NewRoutes(settings.Node, settings.Zone, follower, proc.Meter(), proc.Cut(), time.Now, queues.ReleaseAll)
+	return New(settings, Dependencies{
+		Follower: follower,
+		Routes:   routes,
+		Streams:  streams,
+		Services: services,
+		Queues:   queues,
+		Tracer:   tracer,
+		Ring:     proc.Ring(),
+		Metrics:  proc.Metrics(),
+		Now:      time.Now,
+	}), nil
+}
+
+// start gets configuration and routes, then takes requests.
+func (s *Server) start(ctx, background context.Context, proc *process.Process) error {
+	go s.follower.Run(background)
+	if !s.follower.Await(ctx, s.settings.ConfigWait.Std()) {
+		proc.Ring().Add(event.Event{Kind: event.ProcessDegraded, Reason: "no keeper or peer gave a configuration in time"})
+	}
+	go s.routes.Run(background)
+	s.awaitRoutes(ctx)
+	if err := s.Listen(); err != nil {
+		return err
+	}
+	proc.SetReady(true)
+	return nil
+}
+
+// awaitRoutes waits until every zone's planner, or peers, have given routes.
+func (s *Server) awaitRoutes(ctx context.Context) {
+	until := s.now().Add(routesWait)
+	asked := false
+	for s.now().Before(until) && ctx.Err() == nil {
+		zones := len(s.follower.Set().OfKind(config.KindAuthority))
+		if zones > 0 && s.routes.Zones() >= zones {
+			return
+		}
+		if !asked && until.Sub(s.now()) < routesWait/2 {
+			asked = true
+			s.routes.AskPeers(ctx)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// stop is a planned stop: unready, wait out the balancer's lag while serving as
+// before, then take no new connections and finish what is in flight.
+func (s *Server) stop(proc *process.Process) {
+	proc.SetLeaving()
+	s.leaving.Store(true)
+	time.Sleep(s.settings.BalancerLag.Std())
+	until := s.now().Add(s.settings.DrainLimit.Std())
+	for idle := 0; idle < idlePolls && s.now().Before(until); idle++ {
+		if s.InFlight() > 0 {
+			idle = 0
+		}
+		time.Sleep(pollEvery)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	s.CloseListener(ctx)
+}
--- /dev/null
+++ b/src/entry/plain.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/route"
+	"github.com/moorspool/moorspool/src/service"
+	"github.com/moorspool/moorspool/src/trace"
+)
+
+// plainCall serves one call to a plain service.
+func (s *Server) plainCall(ctx context.Context, c *app.RequestContext) {
+	r, refusal := readHeaders(c, s.now())
+	if refusal == nil {
+		refusal = s.readCall(r, c)
+	}
+	c.Response.Header.Set(headerRequestID, r.id)
+	if refusal != nil {
+		s.refuse(c, refusal)
+		return
+	}
+	span := s.tracer.Start(trace.Extract(ctx, r.trace), "client request", r.id, r.want.Pool, "")
+	defer span.End(nil)
+	claim, refusal := s.claimFor(ctx, r)
+	if refusal != nil {
+		s.refuse(c, refusal)
+		return
+	}
+	call := plainExchange{server: s, r: r, method: string(c.Method()), contentType: string(c.ContentType())}
+	answer, refusal := call.run(span.Context())
+	claim.settle(refusal)
+	if refusal != nil {
+		s.refuse(c, refusal)
+		return
+	}
+	c.Response.Header.SetContentType(answer.ContentType)
+	c.Response.SetStatusCode(answer.Status)
+	c.Response.SetBody(answer.Body)
+}
+
+// readCall resolves the service and whether the call may be repeated.
+func (s *Server) readCall(r *request, c *app.RequestContext) *Refusal {
+	name := c.Param("name")
+	known := s.follower.Set().Service(name)
+	if known == nil {
+		return r.refuse(consts.StatusNotFound, ReasonUnknownModel, DidNotRun, "there is no service "+name)
+	}
+	r.want = route.Want{Pool: name}
+	r.path = "/" + strings.TrimPrefix(c.Param("path"), "/")
+	r.once = r.once || marked(known, string(c.Method()), r.path)
+	if query := string(c.URI().QueryString()); query != "" {
+		r.path += "?" + query
+	}
+	r.body = append([]byte(nil), c.Request.Body()...)
+	return nil
+}
+
+// marked reports whether the configuration forbids to repeat a call.
+func marked(known *config.Service, method, path string) bool {
+	for _, call := range known.Calls {
+		if call.Once && call.Method == method && strings.HasPrefix(path, call.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+// plainExchange is one call with its attempts.
+type plainExchange struct {
+	server      *Server
+	r           *request
+	method      string
+	contentType string
+	reached     bool
+}
+
+func (x *plainExchange) run(ctx context.Context) (service.Answer, *Refusal) {
+	s := x.server
+	for attempt := 1; ; attempt++ {
+		host, refusal := s.admit(ctx, x.r)
+		if refusal != nil {
+			if x.reached {
+				refusal.NotRun = RunUnknown
+			}
+			return service.Answer{}, refusal
+		}
+		answer, err := x.attempt(ctx, host)
+		if err == nil {
+			s.budget.Succeeded()
+			s.metrics.finished.Inc(1)
+			s.ring.Add(event.Event{Kind: event.RequestFinished, Request: x.r.id, Model: x.r.want.Pool, Host: host.Name()})
+			return answer, nil
+		}
+		if refusal := x.afterFailure(ctx, host, attempt, err); refusal != nil {
+			return service.Answer{}, refusal
+		}
+	}
+}
+
+func (x *plainExchange) attempt(ctx context.Context, host *route.Host) (service.Answer, error) {
+	s, r := x.server, x.r
+	began := s.now()
+	span := s.tracer.Start(ctx, "backend attempt", r.id, r.want.Pool, host.Name())
+	host.Begin()
+	r.tried.Add(host)
+	s.ring.Add(event.Event{Kind: event.RequestRouted, Request: r.id, Model: r.want.Pool, Host: host.Name(), Zone: host.Zone()})
+	call := service.Call{Method: x.method, Path: r.path, ContentType: x.contentType, Body: r.body, ID: r.id, Key: r.key, Once: r.once, Trace: span.Traceparent()}
+	answer, err := s.services.Do(ctx, host.Address(), call)
+	took := s.now().Sub(began)
+	if err != nil {
+		took = 0
+	}
+	host.End(took)
+	if err == nil && answer.Load.Known {
+		host.Reported(answer.Load.Running, answer.Load.Waiting, s.now())
+	}
+	s.queues.Release(r.queueName())
+	span.End(err)
+	return answer, err
+}
+
+// afterFailure decides what follows a failed attempt: nil means another one.
+func (x *plainExchange) afterFailure(ctx context.Context, host *route.Host, attempt int, err error) *Refusal {
+	s, r := x.server, x.r
+	var failure *service.Failure
+	notRun := errors.As(err, &failure) && failure.NotRun
+	x.reached = x.reached || !notRun
+	s.judge(host, serviceFault(err))
+	outcome := RunUnknown
+	if !x.reached {
+		outcome = DidNotRun
+	}
+	switch {
+	case ctx.Err() != nil:
+		return r.refuse(statusClientGone, ReasonBroken, outcome, "the client has gone")
+	case r.once && !notRun:
+		return r.refuse(consts.StatusBadGateway, ReasonOutcome, RunUnknown, "the call may not be repeated and its answer was lost")
+	case attempt >= s.settings.Limits.Attempts:
+		return r.refuse(consts.StatusBadGateway, ReasonExhausted, outcome, "every attempt failed: "+err.Error()).retryAfter(comeBack)
+	case !s.budget.Take():
+		return r.refuse(consts.StatusServiceUnavailable, ReasonExhausted, outcome, "too many requests fail; no retry is left").retryAfter(comeBack)
+	}
+	r.retries++
+	s.counts.retried.Add(1)
+	s.metrics.retried.Inc(1)
+	s.ring.Add(event.Event{Kind: event.RequestRetried, Request: r.id, Model: r.want.Pool, Host: host.Name(), Reason: err.Error()})
+	select {
+	case <-time.After(s.backoff(attempt)):
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+func serviceFault(err error) blame {
+	f := blame{reason: err.Error()}
+	var failure *service.Failure
+	if errors.As(err, &failure) {
+		f.leaving = failure.Leaving
+		f.sound = failure.NotRun && failure.Status != 0
+	}
+	return f
+}
--- /dev/null
+++ b/src/entry/server.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/engine"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/follow"
+	"github.com/moorspool/moorspool/src/limit"
+	"github.com/moorspool/moorspool/src/metric"
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/process"
+	"github.com/moorspool/moorspool/src/route"
+	"github.com/moorspool/moorspool/src/service"
+	"github.com/moorspool/moorspool/src/trace"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// Server takes clients' requests; it is safe for concurrent use.
+type Server struct {
+	node     string
+	settings option.Entry
+	follower *follow.Follower
+	routes   *Routes
+	streams  *engine.Streams
+	services *service.Client
+	queues   *limit.Queues
+	budget   *limit.Budget
+	prefixes *route.Prefixes
+	tracer   *trace.Tracer
+	ring     *event.Ring
+	metrics  serverMetrics
+	now      func() time.Time
+
+	hertz    *server.Hertz
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	counts   counters
+	random   sync.Pool
+}
+
+// counters count since the start.
+type counters struct {
+	requests atomic.Uint64
+	refused  atomic.Uint64
+	retried  atomic.Uint64
+	resumed  atomic.Uint64
+}
+
+// Dependencies are what a server works with.
+type Dependencies struct {
+	Follower *follow.Follower
+	Routes   *Routes
+	Streams  *engine.Streams
+	Services *service.Client
+	Queues   *limit.Queues
+	Tracer   *trace.Tracer
+	Ring     *event.Ring
+	Metrics  *metric.Registry
+	Now      func() time.Time
+}
+
+// New returns a server that does not listen yet.
+func New(settings option.Entry, d Dependencies) *Server {
+	s := &Server{
+		node:     settings.Node,
+		settings: settings,
+		follower: d.Follower,
+		routes:   d.Routes,
+		streams:  d.Streams,
+		services: d.Services,
+		queues:   d.Queues,
+		budget:   limit.NewBudget(settings.Limits.RetryShare),
+		prefixes: &route.Prefixes{},
+		tracer:   d.Tracer,
+		ring:     d.Ring,
+		metrics:  newServerMetrics(d.Metrics),
+		now:      d.Now,
+	}
+	s.random.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	return s
+}
+
+// Listen starts to take clients' requests.
+func (s *Server) Listen() error {
+	ln, err := net.Listen("tcp", s.settings.Clients)
+	if err != nil {
+		return errors.Wrap(err, "listening for clients")
+	}
+	s.Serve(ln)
+	return nil
+}
+
+// Serve starts to take clients' requests on a listener.
+func (s *Server) Serve(ln net.Listener) {
+	h := process.NewServer(ln, int(s.settings.Limits.Body))
+	h.Use(s.count)
+	h.POST(engine.PathChat, s.completion)
+	h.POST(engine.PathCompletions, s.completion)
+	h.GET("/v1/models", s.models)
+	h.Any("/services/:name/*path", s.plainCall)
+	h.Any("/services/:name", s.plainCall)
+	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		s.refuse(c, refuse(consts.StatusNotFound, ReasonBadRequest, DidNotRun, "there is no such path; see docs/CLIENTS.md"))
+	})
+	s.hertz = h
+	go func() { _ = h.Run() }()
+}
+
+func (s *Server) count(ctx context.Context, c *app.RequestContext) {
+	s.inFlight.Add(1)
+	s.counts.requests.Add(1)
+	if s.leaving.Load() {
+		// The client's next request has to come on a connection to another entry host.
+		c.SetConnectionClose()
+	}
+	c.Next(ctx)
+	s.inFlight.Add(-1)
+}
+
+// InFlight returns the number of requests being served.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// CloseListener stops taking connections; requests in flight go on.
+func (s *Server) CloseListener(ctx context.Context) {
+	_ = s.hertz.Shutdown(ctx)
+}
+
+// Status returns the entry host's part of a status.
+func (s *Server) Status() *wire.EntryStatus {
+	table := s.routes.Table()
+	return &wire.EntryStatus{
+		Requests:  s.counts.requests.Load(),
+		InFlight:  s.inFlight.Load(),
+		Refused:   s.counts.refused.Load(),
+		Retried:   s.counts.retried.Load(),
+		Resumed:   s.counts.resumed.Load(),
+		Hosts:     table.Hosts(),
+		Reachable: table.Models(),
+	}
+}
+
+func (s *Server) refuse(c *app.RequestContext, refusal *Refusal) {
+	s.counts.refused.Add(1)
+	s.metrics.refused.Inc(1)
+	s.ring.Add(event.Event{Kind: event.RequestRefused, Request: refusal.Request, Reason: refusal.Error() + ", not run: " + string(refusal.NotRun)})
+	refusal.write(c)
+}
+
+// pick chooses a host; a random source is never shared while in use.
+func (s *Server) pick(r *request) (*route.Host, route.Verdict) {
+	random := s.random.Get().(*rand.Rand)
+	defer s.random.Put(random)
+	return s.routes.Table().Pick(s.now(), route.Request{Want: r.want, Tried: &r.tried, Prefix: r.prefix}, s.prefixes, random)
+}
+
+func (s *Server) backoff(n int) time.Duration {
+	random := s.random.Get().(*rand.Rand)
+	defer s.random.Put(random)
+	return limit.Backoff(n, random)
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelLine `json:"data"`
+}
+
+type modelLine struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+	Parent  string `json:"parent,omitempty"`
+	Ready   bool   `json:"ready"`
+}
+
+// models lists every name that requests may use, and whether it is ready.
+func (s *Server) models(_ context.Context, c *app.RequestContext) {
+	set, table := s.follower.Set(), s.routes.Table()
+	list := modelList{Object: "list"}
+	for _, name := range set.ModelNames() {
+		list.Data = append(list.Data, modelLine{ID: name, Object: "model", OwnedBy: "moorspool", Ready: table.Has(route.Want{Model: name})})
+		for _, adapter := range set.AdapterNames(name) {
+			ready := table.Has(route.Want{Model: name, Adapter: adapter})
+			list.Data = append(list.Data, modelLine{ID: adapter, Object: "model", OwnedBy: "moorspool", Parent: name, Ready: ready})
+		}
+	}
+	c.JSON(consts.StatusOK, list)
+}
--- /dev/null
+++ b/src/event/kind.go
@@ -0,0 +1,120 @@
+package event
+
+import "fmt"
+
+// Kind is an event's number; numbers are never reused.
+type Kind uint16
+
+// The kinds of event, grouped by the part that emits them.
+const (
+	ProcessStarted   Kind = 100
+	ProcessReady     Kind = 101
+	ProcessDraining  Kind = 102
+	ProcessStopped   Kind = 103
+	ProcessDegraded  Kind = 104
+	ConfigAccepted   Kind = 200
+	ConfigRefused    Kind = 201
+	ConfigConflict   Kind = 202
+	ConfigInForce    Kind = 203
+	LeaderElected    Kind = 300
+	LeaderLost       Kind = 301
+	VoterChanged     Kind = 302
+	SnapshotSaved    Kind = 303
+	SnapshotReceived Kind = 304
+	StorageFailed    Kind = 305
+	AuthorityGranted Kind = 400
+	AuthorityRefused Kind = 401
+	AuthorityLost    Kind = 402
+	ClaimGranted     Kind = 410
+	ClaimRefused     Kind = 411
+	OrderSent        Kind = 500
+	OrderInDoubt     Kind = 501
+	OrderSettled     Kind = 502
+	OrderRefused     Kind = 503
+	ModelReady       Kind = 510
+	ModelUnplaced    Kind = 511
+	CopyPlanned      Kind = 512
+	CopyDropped      Kind = 513
+	HostLive         Kind = 600
+	HostSuspect      Kind = 601
+	HostLeaving      Kind = 602
+	HostGone         Kind = 603
+	RequestRouted    Kind = 700
+	RequestRetried   Kind = 701
+	RequestRefused   Kind = 702
+	RequestResumed   Kind = 703
+	RequestFinished  Kind = 704
+	HostEjected      Kind = 710
+	FaultSwitched    Kind = 900
+)
+
+// Entry is a kind's line in the catalogue.
+type Entry struct {
+	kind    Kind
+	name    string
+	meaning string
+}
+
+// Kind returns the event's number.
+func (e Entry) Kind() Kind { return e.kind }
+
+// Name returns the event's short name.
+func (e Entry) Name() string { return e.name }
+
+// Meaning returns one sentence for the catalogue.
+func (e Entry) Meaning() string { return e.meaning }
+
+var catalogue = []Entry{
+	{ProcessStarted, "process-started", "A process has read its settings and begins to run."},
+	{ProcessReady, "process-ready", "A process accepts work from now on."},
+	{ProcessDraining, "process-draining", "A process was told to stop and takes no new connections after the balancer's lag."},
+	{ProcessStopped, "process-stopped", "A process finished its last request and exits."},
+	{ProcessDegraded, "process-degraded", "A process started without the newest configuration, because no keeper or peer answered in time."},
+	{ConfigAccepted, "config-accepted", "The keepers accepted a change of configuration."},
+	{ConfigRefused, "config-refused", "A change of configuration had findings and was refused whole."},
+	{ConfigConflict, "config-conflict", "A change was based on a revision older than an object it touches."},
+	{ConfigInForce, "config-in-force", "A process now acts on a newer revision."},
+	{LeaderElected, "leader-elected", "A keeper became leader of a term."},
+	{LeaderLost, "leader-lost", "A keeper stopped being leader, or lost sight of one."},
+	{VoterChanged, "voter-changed", "The set of voting keepers or learners changed."},
+	{SnapshotSaved, "snapshot-saved", "A keeper saved a snapshot and cut its log."},
+	{SnapshotReceived, "snapshot-received", "A keeper took over its state from the leader's snapshot."},
+	{StorageFailed, "storage-failed", "A keeper could not make its state durable and stops."},
+	{AuthorityGranted, "authority-granted", "A planner holds an availability zone's authority at an epoch."},
+	{AuthorityRefused, "authority-refused", "Another planner's lease on the availability zone may still run."},
+	{AuthorityLost, "authority-lost", "A planner's lease ran out or a newer epoch was seen."},
+	{ClaimGranted, "claim-granted", "A key of a not-to-be-repeated call was claimed for one run."},
+	{ClaimRefused, "claim-refused", "The key was claimed before; the call is not run again."},
+	{OrderSent, "order-sent", "A planner sent a fenced order to an engine."},
+	{OrderInDoubt, "order-in-doubt", "An order got no answer; its memory stays counted."},
+	{OrderSettled, "order-settled", "An engine's report proved what became of an order."},
+	{OrderRefused, "order-refused", "An engine refused an order."},
+	{ModelReady, "model-ready", "A copy of a model or adapter is ready to serve."},
+	{ModelUnplaced, "model-unplaced", "No accelerator has room for a model that needs a copy."},
+	{CopyPlanned, "copy-planned", "The planner decided to load a copy."},
+	{CopyDropped, "copy-dropped", "The planner decided to unload a copy."},
+	{HostLive, "host-live", "A host takes new work."},
+	{HostSuspect, "host-suspect", "A host stopped answering and gets work only as a last resort."},
+	{HostLeaving, "host-leaving", "A host is leaving and gets no new work."},
+	{HostGone, "host-gone", "A host left the platform's list and answers no more."},
+	{RequestRouted, "request-routed", "A request was sent to a backend server."},
+	{RequestRetried, "request-retried", "A request that did not run, or may be repeated, goes to another backend server."},
+	{RequestRefused, "request-refused", "A request was refused; the reason and whether it ran are given."},
+	{RequestResumed, "request-resumed", "A broken stream goes on from the last token passed on."},
+	{RequestFinished, "request-finished", "A client got its whole answer."},
+	{HostEjected, "host-ejected", "An entry host avoids a backend server after failures in a row."},
+	{FaultSwitched, "fault-switched", "A test switched a fault on or off; never seen in production."},
+}
+
+// Catalogue returns every kind in the order of its number.
+func Catalogue() []Entry { return append([]Entry(nil), catalogue...) }
+
+// String returns the kind's short name.
+func (k Kind) String() string {
+	for _, entry := range catalogue {
+		if entry.kind == k {
+			return entry.name
+		}
+	}
+	return fmt.Sprintf("event-%d", uint16(k))
+}
--- /dev/null
+++ b/src/event/ring.go
@@ -0,0 +1,142 @@
+package event
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Event is one decision as it was taken.
+type Event struct {
+	Seq      uint64    `json:"seq"`
+	At       time.Time `json:"at"`
+	Node     string    `json:"node"`
+	Kind     Kind      `json:"kind"`
+	Name     string    `json:"name"`
+	Request  string    `json:"request,omitempty"`
+	Model    string    `json:"model,omitempty"`
+	Host     string    `json:"host,omitempty"`
+	Zone     string    `json:"zone,omitempty"`
+	Reason   string    `json:"reason,omitempty"`
+	Rejected string    `json:"rejected,omitempty"`
+	Cause    uint64    `json:"cause,omitempty"`
+}
+
+// About reports whether the event concerns the request, model, host or zone named word.
+func (e Event) About(word string) bool {
+	if word == "" {
+		return true
+	}
+	return e.Request == word || e.Model == word || e.Host == word || e.Zone == word || e.Name == word || e.Node == word
+}
+
+// quiet kinds happen per request; they are kept in the ring but logged only at debug level.
+func (k Kind) quiet() bool {
+	return k >= RequestRouted && k < HostEjected
+}
+
+// Ring keeps a process's latest events and logs each of them; it is safe for concurrent use.
+type Ring struct {
+	mu     sync.Mutex
+	node   string
+	events []Event
+	next   uint64
+	notify chan struct{}
+	logger *log.Logger
+	now    func() time.Time
+}
+
+// NewRing returns a ring of size events for the process named node; logger may be nil.
+func NewRing(node string, size int, logger *log.Logger, now func() time.Time) *Ring {
+	return &Ring{
+		node:   node,
+		events: make([]Event, size),
+		next:   1,
+		notify: make(chan struct{}),
+		logger: logger,
+		now:    now,
+	}
+}
+
+// NewLogger returns the structured logger of a process.
+func NewLogger(w io.Writer, node string) *log.Logger {
+	return log.NewWithOptions(w, log.Options{
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		Formatter:       log.LogfmtFormatter,
+		Fields:          []any{"node", node},
+	})
+}
+
+// Add stamps the event with its number, time and process, keeps it and returns its number.
+func (r *Ring) Add(e Event) uint64 {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	e.Seq = r.next
+	e.At = r.now()
+	e.Node = r.node
+	e.Name = e.Kind.String()
+	r.events[r.next%uint64(len(r.events))] = e
+	r.next++
+	close(r.notify)
+	r.notify = make(chan struct{})
+	r.mu.Unlock()
+	r.write(e)
+	return e.Seq
+}
+
+func (r *Ring) write(e Event) {
+	if r.logger == nil {
+		return
+	}
+	level := log.InfoLevel
+	if e.Kind.quiet() {
+		level = log.DebugLevel
+	}
+	fields := []any{"event", uint16(e.Kind), "seq", e.Seq}
+	fields = appendField(fields, "request", e.Request)
+	fields = appendField(fields, "model", e.Model)
+	fields = appendField(fields, "host", e.Host)
+	fields = appendField(fields, "zone", e.Zone)
+	fields = appendField(fields, "reason", e.Reason)
+	fields = appendField(fields, "rejected", e.Rejected)
+	r.logger.Log(level, e.Name, fields...)
+}
+
+func appendField(fields []any, key, value string) []any {
+	if value == "" {
+		return fields
+	}
+	return append(fields, key, value)
+}
+
+// Since returns the kept events numbered after seq that are about word, oldest
+// first, and a channel that is closed when another event is added.
+func (r *Ring) Since(seq uint64, word string) ([]Event, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	size := uint64(len(r.events))
+	first := seq + 1
+	if r.next > size && first < r.next-size {
+		first = r.next - size
+	}
+	var found []Event
+	for n := first; n < r.next; n++ {
+		e := r.events[n%size]
+		if e.Seq == n && e.About(word) {
+			found = append(found, e)
+		}
+	}
+	return found, r.notify
+}
+
+// Last returns the number of the newest event, 0 if there is none.
+func (r *Ring) Last() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.next - 1
+}
--- /dev/null
+++ b/src/keeper/claim.go
@@ -0,0 +1,138 @@
+package keeper
+
+import (
+	"crypto/sha256"
+	"time"
+
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// digest stands for a key or token, so that a claim takes the same little
+// memory whatever clients use as keys.
+type digest [16]byte
+
+func digestOf(word string) digest {
+	sum := sha256.Sum256([]byte(word))
+	var d digest
+	copy(d[:], sum[:])
+	return d
+}
+
+type claimPhase uint8
+
+const (
+	phaseRunning claimPhase = iota
+	phaseDone
+	phaseUnknown
+)
+
+// claim is what is remembered of one key.
+type claim struct {
+	Token  digest     `cbor:"1,keyasint"`
+	Holder uint32     `cbor:"2,keyasint"`
+	Phase  claimPhase `cbor:"3,keyasint"`
+	// Expires is in seconds since 1970, by the leaders' clocks.
+	Expires int64 `cbor:"4,keyasint"`
+}
+
+// claims remembers which keys were claimed, until they expire.
+type claims struct {
+	Keys    map[digest]claim  `cbor:"1,keyasint"`
+	Holders []string          `cbor:"2,keyasint"`
+	byName  map[string]uint32 `cbor:"-"`
+	// Swept is the minute up to which expired claims were dropped.
+	Swept int64 `cbor:"3,keyasint"`
+}
+
+// sweepEvery is how often expired claims are looked for.
+const sweepEvery = time.Minute
+
+// defaultClaimExpiry applies where no service gives one.
+const defaultClaimExpiry = 24 * time.Hour
+
+func newClaims() *claims {
+	return &claims{Keys: map[digest]claim{}, byName: map[string]uint32{}}
+}
+
+func (c *claims) restore() {
+	if c.Keys == nil {
+		c.Keys = map[digest]claim{}
+	}
+	c.byName = make(map[string]uint32, len(c.Holders))
+	for i, name := range c.Holders {
+		c.byName[name] = uint32(i)
+	}
+}
+
+func (c *claims) holder(name string) uint32 {
+	if number, found := c.byName[name]; found {
+		return number
+	}
+	number := uint32(len(c.Holders))
+	c.Holders = append(c.Holders, name)
+	c.byName[name] = number
+	return number
+}
+
+func (c *claims) apply(at time.Time, cmd *claimCommand) result {
+	key, token := digestOf(cmd.Key), digestOf(cmd.Token)
+	if known, found := c.Keys[key]; found {
+		return result{outcome: wire.Accepted, claim: known.answer(token)}
+	}
+	expiry := cmd.Expiry
+	if expiry <= 0 {
+		expiry = defaultClaimExpiry
+	}
+	c.Keys[key] = claim{Token: token, Holder: c.holder(cmd.Holder), Expires: at.Add(expiry).Unix()}
+	return result{outcome: wire.Accepted, claim: wire.ClaimYours}
+}
+
+// answer tells an asker what became of the claim; the attempt that holds it is
+// told so again, because its first answer may have been lost.
+func (c claim) answer(token digest) wire.ClaimState {
+	switch {
+	case c.Phase == phaseDone:
+		return wire.ClaimDone
+	case c.Phase == phaseUnknown:
+		return wire.ClaimLost
+	case c.Token == token:
+		return wire.ClaimYours
+	}
+	return wire.ClaimRunning
+}
+
+func (c *claims) settle(cmd *settleCommand) result {
+	key := digestOf(cmd.Key)
+	known, found := c.Keys[key]
+	if !found || known.Token != digestOf(cmd.Token) {
+		return result{outcome: wire.Refused, reason: "the key is not claimed by this attempt"}
+	}
+	if known.Phase != phaseRunning {
+		// Settled before: what was settled first stands.
+		return result{outcome: wire.Accepted}
+	}
+	if cmd.Released {
+		delete(c.Keys, key)
+		return result{outcome: wire.Accepted}
+	}
+	known.Phase = phaseDone
+	if cmd.State == wire.ClaimLost {
+		known.Phase = phaseUnknown
+	}
+	c.Keys[key] = known
+	return result{outcome: wire.Accepted}
+}
+
+// sweep drops expired claims, at most once a minute of log time.
+func (c *claims) sweep(at time.Time) {
+	minute := at.Unix() / int64(sweepEvery/time.Second)
+	if minute <= c.Swept {
+		return
+	}
+	c.Swept = minute
+	for key, known := range c.Keys {
+		if known.Expires < at.Unix() {
+			delete(c.Keys, key)
+		}
+	}
+}
--- /dev/null
+++ b/src/keeper/command.go
@@ -0,0 +1,74 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// command is one entry of the log; exactly one of its parts is set. Time is the
+// leader's, so that every keeper applies the same one.
+type command struct {
+	At     time.Time      `cbor:"1,keyasint"`
+	Change *changeCommand `cbor:"2,keyasint,omitempty"`
+	Grant  *grantCommand  `cbor:"3,keyasint,omitempty"`
+	Claim  *claimCommand  `cbor:"4,keyasint,omitempty"`
+	Settle *settleCommand `cbor:"5,keyasint,omitempty"`
+}
+
+// changeCommand is a change that the leader has checked against the
+// configuration at Checked. The state machine itself checks only that nothing
+// came between, so that keepers of different versions can't disagree.
+type changeCommand struct {
+	Change  config.Change
+	Checked config.Revision
+	// Assign holds the availability zones of the models that need new ones.
+	Assign []config.Object
+	// Unassign names models that are gone.
+	Unassign []config.Key
+}
+
+// grantCommand gives or renews authority over a zone.
+type grantCommand struct {
+	Zone    string
+	Holder  string
+	Address string
+	Epoch   uint64
+	// Renewed is the log index of the last renewal that the leader knew of: a
+	// renewal that came between makes a take-over void.
+	Renewed uint64
+}
+
+type claimCommand struct {
+	Key    string
+	Token  string
+	Holder string
+	Expiry time.Duration
+}
+
+type settleCommand struct {
+	Key      string
+	Token    string
+	State    wire.ClaimState
+	Released bool
+}
+
+func (c command) encode() ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, errors.Wrap(err, "encoding a command")
+}
+
+// result is what applying a command came to.
+type result struct {
+	outcome   wire.Outcome
+	revision  config.Revision
+	conflicts []wire.Conflict
+	raced     bool
+	claim     wire.ClaimState
+	epoch     uint64
+	reason    string
+}
--- /dev/null
+++ b/src/keeper/node.go
@@ -0,0 +1,194 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/raft"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// The loop's bounds.
+const (
+	inboxSize  = 4096
+	batchLimit = 1024
+	// tickEvery is how often the core is shown the time.
+	tickEvery = 20 * time.Millisecond
+	// proposeTimeout is how long a caller waits for a quorum before it is told unknown.
+	proposeTimeout = 3 * time.Second
+)
+
+// Node runs a replica in one goroutine and gives others safe access to it.
+type Node struct {
+	replica *Replica
+	send    func(raft.Message)
+	ring    *event.Ring
+	now     func() time.Time
+
+	inbox chan raft.Message
+	work  chan func(now time.Time)
+	ended chan struct{}
+
+	mu      sync.Mutex
+	changed chan struct{}
+	seen    uint64
+}
+
+// NewNode returns a node around a replica; send must not block.
+func NewNode(replica *Replica, send func(raft.Message), ring *event.Ring, now func() time.Time) *Node {
+	return &Node{
+		replica: replica,
+		send:    send,
+		ring:    ring,
+		now:     now,
+		inbox:   make(chan raft.Message, inboxSize),
+		work:    make(chan func(time.Time), inboxSize),
+		ended:   make(chan struct{}),
+		changed: make(chan struct{}),
+	}
+}
+
+// Run drives the replica until the context ends or its disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.ended)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-n.inbox:
+			n.replica.core.Step(n.now(), m)
+		case f := <-n.work:
+			f(n.now())
+		case <-ticker.C:
+		}
+		n.drain()
+		n.replica.core.Tick(n.now())
+		if err := n.flush(); err != nil {
+			n.ring.Add(event.Event{Kind: event.StorageFailed, Reason: err.Error()})
+			return err
+		}
+	}
+}
+
+// drain takes what else is waiting, so that one sync covers all of it.
+func (n *Node) drain() {
+	for i := 0; i < batchLimit; i++ {
+		select {
+		case m := <-n.inbox:
+			n.replica.core.Step(n.now(), m)
+		case f := <-n.work:
+			f(n.now())
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) flush() error {
+	messages, err := n.replica.Flush(n.now())
+	if err != nil {
+		return err
+	}
+	for _, m := range messages {
+		n.send(m)
+	}
+	n.announce()
+	return nil
+}
+
+// announce wakes subscribers when the configuration has moved.
+func (n *Node) announce() {
+	index := n.replica.state.Set().Revision().Index
+	if index == n.seen {
+		return
+	}
+	n.seen = index
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed when the configuration next moves.
+func (n *Node) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+// Deliver takes in a message from another keeper; when it is flooded the message is lost.
+func (n *Node) Deliver(m raft.Message) {
+	select {
+	case n.inbox <- m:
+	default:
+	}
+}
+
+// Do runs f in the node's goroutine and waits for it; it returns false if the node has ended.
+func (n *Node) Do(f func(now time.Time)) bool {
+	done := make(chan struct{})
+	run := func(now time.Time) {
+		f(now)
+		close(done)
+	}
+	select {
+	case n.work <- run:
+	case <-n.ended:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-n.ended:
+		return false
+	}
+}
+
+// answer is a result on its way to the caller.
+type answer struct {
+	result result
+	err    error
+}
+
+// propose hands a command to consensus and waits for its result. The outcome
+// is unknown when the wait ends before that.
+func (n *Node) propose(ctx context.Context, cmd command) (result, error) {
+	data, err := cmd.encode()
+	if err != nil {
+		return result{}, err
+	}
+	return n.await(ctx, func(now time.Time, done func(result, error)) {
+		n.replica.Propose(now, data, done)
+	})
+}
+
+func (n *Node) await(ctx context.Context, start func(now time.Time, done func(result, error))) (result, error) {
+	answers := make(chan answer, 1)
+	run := func(now time.Time) {
+		start(now, func(r result, err error) { answers <- answer{r, err} })
+	}
+	select {
+	case n.work <- run:
+	case <-n.ended:
+		return result{}, raft.ErrNotLeader
+	}
+	timer := time.NewTimer(proposeTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-answers:
+		if errors.Is(a.err, errOvertaken) {
+			return result{outcome: wire.Unavailable, reason: a.err.Error()}, nil
+		}
+		return a.result, a.err
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-n.ended:
+	}
+	return result{outcome: wire.Unknown, reason: "no quorum answered in time"}, nil
+}
--- /dev/null
+++ b/src/option/option.go
@@ -0,0 +1,325 @@
+package option
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/config"
+)
+
+// Version is the release that this source makes.
+const Version = "0.1.0"
+
+// Flags are the command-line options of the servers.
+type Flags struct {
+	Settings string `short:"c" long:"settings" description:"YAML settings file" value-name:"FILE"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+	Found    bool   `long:"found" description:"keepers only: let an empty data folder found a new installation"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+	Args     struct {
+		Words []string `positional-arg-name:"COMMAND"`
+	} `positional-args:"yes"`
+}
+
+// Common is what every server needs.
+type Common struct {
+	// Cluster names the installation; processes of another one are refused.
+	Cluster string `yaml:"cluster"`
+	// Node names this process.
+	Node string `yaml:"node"`
+	// Zone is the availability zone that this process stands in.
+	Zone string `yaml:"zone"`
+	// Control is where other processes of the system reach this one.
+	Control string `yaml:"control"`
+	// Admin is where operators and metrics collectors reach this one.
+	Admin  string     `yaml:"admin"`
+	Log    LogSetting `yaml:"log"`
+	Trace  Trace      `yaml:"trace"`
+	Events int        `yaml:"events"`
+	// Faults allows tests to cut this process off; never set it in production.
+	Faults bool `yaml:"faults"`
+}
+
+// LogSetting says what is logged.
+type LogSetting struct {
+	Level string `yaml:"level"`
+}
+
+// Trace says where spans go; they go nowhere without a file.
+type Trace struct {
+	File string `yaml:"file"`
+	// Share is the part of requests that is traced.
+	Share float64 `yaml:"share"`
+}
+
+// Peer is another process by name and control address.
+type Peer struct {
+	Name    string `yaml:"name"`
+	Address string `yaml:"address"`
+	Zone    string `yaml:"zone"`
+}
+
+// Entry are the settings of moorspool-entry.
+type Entry struct {
+	Common `yaml:",inline"`
+	// Clients is where clients' requests come in.
+	Clients  string `yaml:"clients"`
+	Keepers  []Peer `yaml:"keepers"`
+	Platform string `yaml:"platform"`
+	// BalancerLag is how long the balancer may still send after /readyz fails.
+	BalancerLag config.Duration `yaml:"balancerLag"`
+	// DrainLimit bounds a planned stop; requests still running then are cut off.
+	DrainLimit config.Duration `yaml:"drainLimit"`
+	// ConfigWait is how long a start waits for the newest configuration.
+	ConfigWait config.Duration `yaml:"configWait"`
+	Limits     Limits          `yaml:"limits"`
+}
+
+// Limits bound what one entry host takes on.
+type Limits struct {
+	Body config.Bytes `yaml:"body"`
+	// Queue is how many requests may wait for one model.
+	Queue int `yaml:"queue"`
+	// QueueWait is the longest wait for a place.
+	QueueWait config.Duration `yaml:"queueWait"`
+	// RetryShare is the part of successful requests that retries may add.
+	RetryShare float64 `yaml:"retryShare"`
+	// Attempts is how often one request is tried in all.
+	Attempts int `yaml:"attempts"`
+	// HeaderWait is the longest wait for a backend server's first byte.
+	HeaderWait config.Duration `yaml:"headerWait"`
+	// TokenWait is the longest silence inside a stream.
+	TokenWait config.Duration `yaml:"tokenWait"`
+}
+
+// Keeper are the settings of moorspool-keeper.
+type Keeper struct {
+	Common `yaml:",inline"`
+	Folder string `yaml:"folder"`
+	// Keepers lists all keepers, this one included.
+	Keepers []Peer `yaml:"keepers"`
+	// DiskCheck is how long a start waits for the others to say what this disk held.
+	DiskCheck config.Duration `yaml:"diskCheck"`
+}
+
+// Planner are the settings of moorspool-planner.
+type Planner struct {
+	Common     `yaml:",inline"`
+	Keepers    []Peer          `yaml:"keepers"`
+	Platform   string          `yaml:"platform"`
+	ConfigWait config.Duration `yaml:"configWait"`
+	// StoreShare is this availability zone's part of the weight store's limits.
+	StoreShare float64 `yaml:"storeShare"`
+}
+
+// The defaults of settings that need not be written.
+const (
+	DefaultEvents      = 4096
+	DefaultBalancerLag = 2 * time.Second
+	DefaultDrainLimit  = 10 * time.Minute
+	DefaultConfigWait  = 3 * time.Second
+	DefaultBody        = 4 * config.MiB
+	DefaultQueue       = 64
+	DefaultQueueWait   = 2 * time.Second
+	DefaultRetryShare  = 0.1
+	DefaultAttempts    = 3
+	DefaultHeaderWait  = 10 * time.Second
+	DefaultTokenWait   = 10 * time.Second
+	DefaultDiskCheck   = 1500 * time.Millisecond
+	DefaultStoreShare  = 1.0 / 3
+)
+
+// Usage is printed by --help above the options.
+const Usage = "-c FILE [--check]"
+
+// Parse reads a server's command line. It prints and exits for --help, and
+// returns an error that says what to do for bad options.
+func Parse(name string, arguments []string) (Flags, error) {
+	var options Flags
+	p := flags.NewParser(&options, flags.HelpFlag|flags.PassDoubleDash)
+	p.Name = name
+	p.Usage = Usage
+	if _, err := p.ParseArgs(arguments); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			fmt.Println(err)
+			os.Exit(0)
+		}
+		return options, errors.Errorf("%s; see %s --help", err, name)
+	}
+	if options.Settings == "" && !options.Version && len(options.Args.Words) == 0 {
+		return options, errors.Errorf("no settings file; use -c FILE, see %s --help", name)
+	}
+	return options, nil
+}
+
+// LoadEntry reads and checks an entry host's settings; its error is config.Findings for bad ones.
+func LoadEntry(file string) (Entry, error) {
+	s := Entry{
+		Common:      defaultCommon(),
+		BalancerLag: config.Duration(DefaultBalancerLag),
+		DrainLimit:  config.Duration(DefaultDrainLimit),
+		ConfigWait:  config.Duration(DefaultConfigWait),
+		Limits: Limits{
+			Body:       DefaultBody,
+			Queue:      DefaultQueue,
+			QueueWait:  config.Duration(DefaultQueueWait),
+			RetryShare: DefaultRetryShare,
+			Attempts:   DefaultAttempts,
+			HeaderWait: config.Duration(DefaultHeaderWait),
+			TokenWait:  config.Duration(DefaultTokenWait),
+		},
+	}
+	return s, load(file, &s, func(c *checks) {
+		c.common(s.Common)
+		c.address("clients", s.Clients)
+		c.keepers(s.Keepers)
+		c.optionalAddress("platform", s.Platform)
+		c.positive("limits.queue", s.Limits.Queue)
+		c.positive("limits.attempts", s.Limits.Attempts)
+		c.positive("limits.body", int(s.Limits.Body))
+		if s.Limits.RetryShare < 0 || s.Limits.RetryShare > 1 {
+			c.add("limits.retryShare", "must be between 0 and 1")
+		}
+	})
+}
+
+// LoadKeeper reads and checks a keeper's settings; its error is config.Findings for bad ones.
+func LoadKeeper(file string) (Keeper, error) {
+	s := Keeper{Common: defaultCommon(), DiskCheck: config.Duration(DefaultDiskCheck)}
+	return s, load(file, &s, func(c *checks) {
+		c.common(s.Common)
+		c.keepers(s.Keepers)
+		if s.Folder == "" {
+			c.add("folder", "must name the data folder")
+		}
+		listed := false
+		for _, keeper := range s.Keepers {
+			listed = listed || keeper.Name == s.Node
+		}
+		if !listed {
+			c.add("keepers", fmt.Sprintf("must list this keeper, %q, too", s.Node))
+		}
+	})
+}
+
+// LoadPlanner reads and checks a planner's settings; its error is config.Findings for bad ones.
+func LoadPlanner(file string) (Planner, error) {
+	s := Planner{
+		Common:     defaultCommon(),
+		ConfigWait: config.Duration(DefaultConfigWait),
+		StoreShare: DefaultStoreShare,
+	}
+	return s, load(file, &s, func(c *checks) {
+		c.common(s.Common)
+		c.keepers(s.Keepers)
+		c.optionalAddress("platform", s.Platform)
+		if s.StoreShare <= 0 || s.StoreShare > 1 {
+			c.add("storeShare", "must be above 0 and at most 1")
+		}
+	})
+}
+
+func defaultCommon() Common {
+	return Common{Events: DefaultEvents, Log: LogSetting{Level: "info"}, Trace: Trace{Share: 1}}
+}
+
+// load decodes a file strictly, then checks it; findings of both kinds carry their place.
+func load(file string, into any, check func(*checks)) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "reading the settings")
+	}
+	c := &checks{file: file}
+	parsed, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		c.findings = append(c.findings, config.YAMLFinding(file, err))
+		return c.findings
+	}
+	if len(parsed.Docs) > 0 {
+		c.root = parsed.Docs[0].Body
+	}
+	if err := yaml.UnmarshalWithOptions(text, into, yaml.Strict()); err != nil {
+		c.findings = append(c.findings, config.YAMLFinding(file, err))
+		return c.findings
+	}
+	check(c)
+	return c.findings.Err()
+}
+
+type checks struct {
+	file     string
+	root     ast.Node
+	findings config.Findings
+}
+
+func (c *checks) add(path, message string) {
+	place := config.NewPlace(c.file, c.root)
+	c.findings = append(c.findings, place.At(path, path+" "+message))
+}
+
+func (c *checks) common(s Common) {
+	if s.Cluster == "" {
+		c.add("cluster", "must name the installation")
+	}
+	if s.Node == "" || strings.ContainsAny(s.Node, "#/ ") {
+		c.add("node", "must name this process, without '#', '/' and spaces")
+	}
+	if s.Zone == "" {
+		c.add("zone", "must name the availability zone")
+	}
+	c.address("control", s.Control)
+	c.address("admin", s.Admin)
+	c.positive("events", s.Events)
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		c.add("log.level", "must be debug, info, warn or error")
+	}
+	if s.Trace.Share < 0 || s.Trace.Share > 1 {
+		c.add("trace.share", "must be between 0 and 1")
+	}
+}
+
+func (c *checks) address(path, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		c.add(path, fmt.Sprintf("is %q, which is not an IP number with a port, such as 10.0.0.7:7100", value))
+	}
+}
+
+func (c *checks) optionalAddress(path, value string) {
+	if value != "" {
+		c.address(path, value)
+	}
+}
+
+func (c *checks) positive(path string, value int) {
+	if value < 1 {
+		c.add(path, "must be at least 1")
+	}
+}
+
+func (c *checks) keepers(keepers []Peer) {
+	if len(keepers) == 0 {
+		c.add("keepers", "must list at least one keeper")
+	}
+	seen := map[string]bool{}
+	for i, keeper := range keepers {
+		path := fmt.Sprintf("keepers[%d]", i)
+		c.address(path+".address", keeper.Address)
+		if keeper.Name == "" || seen[keeper.Name] {
+			c.add(path+".name", "must be there and differ from the others")
+		}
+		seen[keeper.Name] = true
+	}
+}
--- /dev/null
+++ b/src/planner/main.go
@@ -0,0 +1,87 @@
+package planner
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/moorspool/moorspool/src/engine"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/follow"
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/platform"
+	"github.com/moorspool/moorspool/src/process"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// Main runs moorspool-planner and returns its exit code.
+func Main(arguments []string) int {
+	flags, err := option.Parse("moorspool-planner", arguments)
+	if err != nil {
+		return fail(err)
+	}
+	if flags.Version {
+		fmt.Println("moorspool-planner", option.Version)
+		return 0
+	}
+	settings, err := option.LoadPlanner(flags.Settings)
+	if err != nil {
+		return fail(err)
+	}
+	if flags.Check {
+		fmt.Println(flags.Settings, "is sound")
+		return 0
+	}
+	if err := run(settings); err != nil {
+		return fail(err)
+	}
+	return 0
+}
+
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, "moorspool-planner:", err)
+	return 1
+}
+
+// run is a planner's life from its settings to its stop.
+func run(settings option.Planner) error {
+	ctx, cancel := process.UntilSignal()
+	defer cancel()
+	var runner *Runner
+	proc, err := process.New("planner", settings.Common, func(status *wire.Status) {
+		status.Planner = runner.Status()
+		status.Revision = runner.Revision()
+	})
+	if err != nil {
+		return err
+	}
+	control, err := engine.NewControl(proc.Cut())
+	if err != nil {
+		return err
+	}
+	list, err := platform.NewReader(settings.Platform, proc.Cut())
+	if err != nil {
+		return err
+	}
+	follower := follow.New(settings.Keepers, settings.Zone, proc.Meter(), proc.Cut(), proc.Ring(), proc.Heartbeat)
+	zone := NewZone(settings.Zone, settings.StoreShare, proc.Ring())
+	// A process that starts again is another holder: it knows nothing of the orders before.
+	holder := settings.Node + "/" + uuid.NewString()[:8]
+	runner = NewRunner(zone, settings.Zone, holder, settings.Control, follower, control, list, proc.Ring(), time.Now)
+	follower.Register(proc.Mux())
+	runner.Register(proc.Mux())
+	if err := proc.Serve(); err != nil {
+		return err
+	}
+	defer proc.Close()
+	go follower.Run(ctx)
+	if !follower.Await(ctx, settings.ConfigWait.Std()) {
+		proc.Ring().Add(event.Event{Kind: event.ProcessDegraded, Reason: "no keeper or peer gave a configuration in time"})
+	}
+	proc.SetReady(true)
+	runner.Run(ctx)
+	proc.SetLeaving()
+	return nil
+}
--- /dev/null
+++ b/src/planner/routes.go
@@ -0,0 +1,181 @@
+package planner
+
+import (
+	"sort"
+
+	"github.com/moorspool/moorspool/src/engine"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/member"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// routeTable is what entry hosts are told; every change has a sequence.
+type routeTable struct {
+	zone  string
+	epoch uint64
+	seq   uint64
+	hosts map[string]routeEntry
+}
+
+type routeEntry struct {
+	route wire.HostRoute
+	load  wire.HostLoad
+	// seq is the sequence at which the route last changed.
+	seq uint64
+}
+
+func newRouteTable(zone string) *routeTable {
+	return &routeTable{zone: zone, hosts: map[string]routeEntry{}}
+}
+
+func (t *routeTable) setEpoch(epoch uint64) { t.epoch = epoch }
+
+// nextSeq is the sequence that a change made now will have.
+func (t *routeTable) nextSeq() uint64 { return t.seq + 1 }
+
+// since returns the routes that changed after a sequence, all for sequence 0,
+// with every host's load.
+func (t *routeTable) since(seq uint64, withLoads bool) wire.RoutesUpdate {
+	update := wire.RoutesUpdate{Zone: t.zone, Epoch: t.epoch, Seq: t.seq, Full: seq == 0}
+	names := make([]string, 0, len(t.hosts))
+	for name := range t.hosts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		entry := t.hosts[name]
+		if entry.seq > seq {
+			update.Hosts = append(update.Hosts, entry.route)
+		}
+		if withLoads && (entry.load.Running > 0 || entry.load.Waiting > 0) {
+			update.Loads = append(update.Loads, entry.load)
+		}
+	}
+	return update
+}
+
+// updateRoutes brings the table up to date with members, reports and drains.
+func (z *Zone) updateRoutes() {
+	changed := false
+	next := z.routes.nextSeq()
+	for name, entry := range z.members {
+		route := z.hostRoute(name, entry)
+		known, found := z.routes.hosts[name]
+		load := wire.HostLoad{Host: name}
+		if account := z.ledger.Host(name); account != nil {
+			load.Running = account.Report().Running
+			load.Waiting = account.Report().Waiting
+		}
+		if found && sameRoute(known.route, route) {
+			known.load = load
+			z.routes.hosts[name] = known
+			continue
+		}
+		z.noteReady(known.route, route)
+		z.routes.hosts[name] = routeEntry{route: route, load: load, seq: next}
+		changed = true
+	}
+	for name, known := range z.routes.hosts {
+		if z.members[name] == nil && known.route.State != wire.HostGone {
+			known.route.State = wire.HostGone
+			known.route.Models = nil
+			known.seq = next
+			z.routes.hosts[name] = known
+			changed = true
+		}
+	}
+	if changed {
+		z.routes.seq = next
+	}
+}
+
+func (z *Zone) noteReady(before, after wire.HostRoute) {
+	had := map[string]bool{}
+	for _, model := range before.Models {
+		had[model.Model] = true
+	}
+	for _, model := range after.Models {
+		if !had[model.Model] {
+			z.ring.Add(event.Event{Kind: event.ModelReady, Model: model.Model, Host: after.Host, Zone: z.name})
+		}
+	}
+}
+
+func sameRoute(a, b wire.HostRoute) bool {
+	if a.State != b.State || a.Slots != b.Slots || a.Address != b.Address || len(a.Models) != len(b.Models) {
+		return false
+	}
+	for i := range a.Models {
+		if a.Models[i].Model != b.Models[i].Model || a.Models[i].Version != b.Models[i].Version {
+			return false
+		}
+		if len(a.Models[i].Adapters) != len(b.Models[i].Adapters) {
+			return false
+		}
+		for j := range a.Models[i].Adapters {
+			if a.Models[i].Adapters[j] != b.Models[i].Adapters[j] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+var routeStates = map[member.State]wire.HostState{
+	member.Joining: wire.HostSuspect,
+	member.Live:    wire.HostLive,
+	member.Suspect: wire.HostSuspect,
+	member.Leaving: wire.HostLeaving,
+	member.Gone:    wire.HostGone,
+}
+
+func (z *Zone) hostRoute(name string, entry *hostEntry) wire.HostRoute {
+	route := wire.HostRoute{
+		Host:    name,
+		Pool:    entry.listed.Pool,
+		Address: entry.listed.Address,
+		Zone:    z.name,
+		State:   routeStates[entry.member.State()],
+	}
+	account := z.ledger.Host(name)
+	if account == nil {
+		return route
+	}
+	route.Slots = account.Report().Slots * max(account.Accelerators(), 1)
+	for i := 0; i < account.Accelerators(); i++ {
+		for _, held := range z.copiesAt(name, i) {
+			if held.ready && z.drains[held.key] == nil {
+				route.Models = append(route.Models, modelRoute(held))
+			}
+		}
+	}
+	sort.SliceStable(route.Models, func(i, j int) bool { return route.Models[i].Model < route.Models[j].Model })
+	return route
+}
+
+func modelRoute(held heldCopy) wire.ModelRoute {
+	route := wire.ModelRoute{Model: held.key.model, Version: held.key.version}
+	for name, state := range held.adapters {
+		if state == engine.CopyReady {
+			route.Adapters = append(route.Adapters, name)
+		}
+	}
+	sort.Strings(route.Adapters)
+	return route
+}
+
+// Status returns the zone's part of a status.
+func (z *Zone) Status() *wire.PlannerStatus {
+	status := &wire.PlannerStatus{
+		Epoch:    z.epoch,
+		Hosts:    len(z.members),
+		Unplaced: len(z.unplaced),
+		InDoubt:  z.ledger.InDoubt(),
+		Loads:    z.loads,
+		Unloads:  z.unloads,
+	}
+	for _, entry := range z.routes.hosts {
+		status.Copies += len(entry.route.Models)
+	}
+	return status
+}
--- /dev/null
+++ b/src/platform/list.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/fault"
+)
+
+// PathHosts is where the list is read.
+const PathHosts = "/hosts"
+
+// HeaderVersion carries the list's version; a reader that sends the one it has
+// gets an empty 304 if nothing changed.
+const HeaderVersion = "X-List-Version"
+
+// The list reader's times.
+const (
+	dialTimeout = time.Second
+	readTimeout = 2 * time.Second
+)
+
+// Host is a line of the platform's list.
+type Host struct {
+	Name    string `json:"name"`
+	Pool    string `json:"pool"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// List is the platform's list of hosts.
+type List struct {
+	Version uint64 `json:"version"`
+	Hosts   []Host `json:"hosts"`
+}
+
+// Reader reads the list; it is used by one goroutine.
+type Reader struct {
+	client *client.Client
+	url    string
+	last   List
+}
+
+// NewReader returns a reader of the list at an address.
+func NewReader(address string, cut *fault.Cut) (*Reader, error) {
+	c, err := client.NewClient(
+		client.WithDialer(cut.NewDialer()),
+		client.WithDialTimeout(dialTimeout),
+		client.WithClientReadTimeout(readTimeout),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "making the platform's client")
+	}
+	return &Reader{client: c, url: "http://" + address + PathHosts}, nil
+}
+
+// Read returns the newest list, and whether it differs from the one before.
+func (r *Reader) Read(ctx context.Context) (List, bool, error) {
+	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(request)
+	defer protocol.ReleaseResponse(response)
+	request.SetRequestURI(r.url)
+	request.SetHeader(HeaderVersion, strconv.FormatUint(r.last.Version, 10))
+	if err := r.client.Do(ctx, request, response); err != nil {
+		return r.last, false, errors.Wrap(err, "reading the platform's list")
+	}
+	if response.StatusCode() == consts.StatusNotModified {
+		return r.last, false, nil
+	}
+	var list List
+	if err := json.Unmarshal(response.Body(), &list); err != nil {
+		return r.last, false, errors.Wrap(err, "decoding the platform's list")
+	}
+	changed := list.Version != r.last.Version
+	r.last = list
+	return list, changed, nil
+}
--- /dev/null
+++ b/src/process/process.go
@@ -0,0 +1,197 @@
+package process
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/fault"
+	"github.com/moorspool/moorspool/src/metric"
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// maxEventWait bounds how long a caller may wait for events.
+const maxEventWait = 20 * time.Second
+
+// Process is a running server's common part; it is safe for concurrent use.
+type Process struct {
+	role     string
+	settings option.Common
+	ring     *event.Ring
+	meter    *rpc.Meter
+	metrics  *metric.Registry
+	mux      *rpc.Mux
+	cut      *fault.Cut
+	server   *rpc.Server
+	admin    *admin
+	started  time.Time
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	status   func(*wire.Status)
+}
+
+// New returns the common part of a server; status fills in the role's own part.
+func New(role string, settings option.Common, status func(*wire.Status)) (*Process, error) {
+	logger := event.NewLogger(os.Stderr, settings.Node)
+	level, err := log.ParseLevel(settings.Log.Level)
+	if err != nil {
+		return nil, errors.Wrap(err, "setting the log level")
+	}
+	logger.SetLevel(level)
+	p := &Process{
+		role:     role,
+		settings: settings,
+		ring:     event.NewRing(settings.Node, settings.Events, logger, time.Now),
+		meter:    &rpc.Meter{},
+		metrics:  metric.New(role),
+		mux:      rpc.NewMux(),
+		started:  time.Now(),
+		status:   status,
+	}
+	if settings.Faults {
+		p.cut = &fault.Cut{}
+		p.mux.Handle(wire.MethodCut, rpc.Typed(p.setCut))
+	}
+	p.mux.Handle(wire.MethodStatus, rpc.Typed(p.answerStatus))
+	p.mux.Handle(wire.MethodEvents, rpc.Typed(p.answerEvents))
+	return p, nil
+}
+
+// Ring returns the process's events.
+func (p *Process) Ring() *event.Ring { return p.ring }
+
+// Meter returns what the process spends on control.
+func (p *Process) Meter() *rpc.Meter { return p.meter }
+
+// Metrics returns the process's metrics.
+func (p *Process) Metrics() *metric.Registry { return p.metrics }
+
+// Mux returns the control protocol's methods.
+func (p *Process) Mux() *rpc.Mux { return p.mux }
+
+// Cut returns the cut that tests may switch, nil in production.
+func (p *Process) Cut() *fault.Cut { return p.cut }
+
+// SetReady says whether the process wants work.
+func (p *Process) SetReady(ready bool) {
+	if p.ready.Swap(ready) != ready && ready {
+		p.ring.Add(event.Event{Kind: event.ProcessReady})
+	}
+}
+
+// SetLeaving says that the process is stopping; it wants no new work.
+func (p *Process) SetLeaving() {
+	p.leaving.Store(true)
+	p.ready.Store(false)
+	p.ring.Add(event.Event{Kind: event.ProcessDraining})
+}
+
+// Leaving reports whether the process is stopping.
+func (p *Process) Leaving() bool { return p.leaving.Load() }
+
+// Serve starts the control protocol and the administration API.
+func (p *Process) Serve() error {
+	server, err := rpc.Listen(p.settings.Control, p.mux, p.meter)
+	if err != nil {
+		return errors.Wrap(err, "listening for control")
+	}
+	p.server = server
+	p.admin, err = serveAdmin(p.settings.Admin, p)
+	if err != nil {
+		return errors.Wrap(err, "listening for administration")
+	}
+	p.ring.Add(event.Event{Kind: event.ProcessStarted, Reason: p.role + " " + option.Version})
+	return nil
+}
+
+// Close ends both listeners.
+func (p *Process) Close() {
+	p.ring.Add(event.Event{Kind: event.ProcessStopped})
+	p.server.Close()
+	p.admin.close()
+}
+
+// UntilSignal returns a context that ends with SIGTERM or SIGINT.
+func UntilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Heartbeat returns what the keepers are told of this process.
+func (p *Process) Heartbeat(revision config.Revision) wire.Heartbeat {
+	return wire.Heartbeat{
+		Node:     p.settings.Node,
+		Role:     p.role,
+		Zone:     p.settings.Zone,
+		Address:  p.settings.Control,
+		Revision: revision,
+		Leaving:  p.leaving.Load(),
+		Control:  p.cost(),
+	}
+}
+
+func (p *Process) setCut(_ context.Context, _ *rpc.Peer, request wire.CutRequest) (wire.Empty, error) {
+	p.cut.Set(request.Prefixes)
+	p.ring.Add(event.Event{Kind: event.FaultSwitched, Reason: "cut"})
+	return wire.Empty{}, nil
+}
+
+func (p *Process) answerStatus(context.Context, *rpc.Peer, wire.Empty) (wire.Status, error) {
+	status := wire.Status{
+		Node:    p.settings.Node,
+		Role:    p.role,
+		Zone:    p.settings.Zone,
+		Version: option.Version,
+		Now:     time.Now(),
+		Ready:   p.ready.Load(),
+		Leaving: p.leaving.Load(),
+		Control: p.cost(),
+	}
+	p.status(&status)
+	return status, nil
+}
+
+func (p *Process) answerEvents(ctx context.Context, _ *rpc.Peer, request wire.EventsRequest) (wire.EventsReply, error) {
+	after := request.After
+	if request.Newest {
+		after = p.ring.Last()
+	}
+	wait := min(request.Wait.Std(), maxEventWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		events, more := p.ring.Since(after, request.About)
+		if len(events) > 0 || wait <= 0 {
+			return wire.EventsReply{Last: p.ring.Last(), Events: events}, nil
+		}
+		select {
+		case <-more:
+		case <-timer.C:
+			return wire.EventsReply{Last: p.ring.Last()}, nil
+		case <-ctx.Done():
+			return wire.EventsReply{Last: p.ring.Last()}, nil
+		}
+	}
+}
+
+func (p *Process) cost() wire.ControlCost {
+	usage := readUsage()
+	return wire.ControlCost{
+		BytesIn:   p.meter.BytesIn(),
+		BytesOut:  p.meter.BytesOut(),
+		Messages:  p.meter.Messages(),
+		CPU:       config.Duration(usage.cpu),
+		Resident:  usage.resident,
+		Anonymous: usage.anonymous,
+		Uptime:    config.Duration(time.Since(p.started).Round(time.Millisecond)),
+	}
+}
--- /dev/null
+++ b/src/raft/core.go
@@ -0,0 +1,371 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Role is what a keeper does in the present term.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+var roleNames = []string{"follower", "pre-candidate", "candidate", "leader"}
+
+// String returns the role's name.
+func (r Role) String() string { return roleNames[r] }
+
+// The errors of Propose and ProposeMembers.
+var (
+	ErrNotLeader      = errors.New("not the leader")
+	ErrMembersPending = errors.New("a change of members is not committed yet")
+	ErrMembersStep    = errors.New("at most one voter may change at a time")
+	ErrNotCaughtUp    = errors.New("the learner has not caught up")
+)
+
+// Options are the core's times and limits.
+type Options struct {
+	// Heartbeat is how often a leader sends to each member.
+	Heartbeat time.Duration
+	// Election is the least time without a leader before an election; the
+	// actual one is drawn from [Election, 2*Election).
+	Election time.Duration
+	// Lease is how long a leader trusts its last contact with a quorum; it is
+	// below Election by a margin for clocks that run at different rates.
+	Lease time.Duration
+	// MaxEntries bounds the entries of one message.
+	MaxEntries int
+}
+
+// DefaultOptions returns times that fit availability zones a few milliseconds apart.
+func DefaultOptions() Options {
+	return Options{
+		Heartbeat:  60 * time.Millisecond,
+		Election:   500 * time.Millisecond,
+		Lease:      400 * time.Millisecond,
+		MaxEntries: 512,
+	}
+}
+
+// progress is what a leader knows of one member.
+type progress struct {
+	match uint64
+	next  uint64
+	// rejected is set until an append is accepted: sends go one at a time.
+	probing bool
+	sentAt  time.Time
+	ackedAt time.Time
+}
+
+// round remembers when a numbered send went out.
+type round struct {
+	number uint64
+	sentAt time.Time
+}
+
+// maxRounds bounds the sends whose times a leader remembers.
+const maxRounds = 64
+
+// Core is the consensus of one keeper; it is not safe for concurrent use.
+type Core struct {
+	id      ID
+	options Options
+	rand    *rand.Rand
+
+	term   uint64
+	vote   ID
+	role   Role
+	leader ID
+	log    memoryLog
+
+	commit  uint64
+	applied uint64
+	stable  uint64
+
+	savedState   HardState
+	newSnapshot  *Snapshot
+	messages     []Message
+	votes        map[ID]bool
+	progress     map[ID]*progress
+	rounds       []round
+	nextRound    uint64
+	electionAt   time.Time
+	heartbeatAt  time.Time
+	leaderSeenAt time.Time
+	// quietUntil keeps a keeper that restarted from voting while a lease that
+	// it confirmed before may still run.
+	quietUntil   time.Time
+	transferTo   ID
+	transferEnds time.Time
+}
+
+// Start is what a keeper's data folder held.
+type Start struct {
+	HardState HardState
+	Snapshot  Snapshot
+	Entries   []Entry
+}
+
+// New returns the core of keeper id, going on from what its disk held; rand
+// draws the election times.
+func New(id ID, start Start, options Options, random *rand.Rand, now time.Time) *Core {
+	c := &Core{
+		id:         id,
+		options:    options,
+		rand:       random,
+		term:       start.HardState.Term,
+		vote:       start.HardState.Vote,
+		savedState: start.HardState,
+		log:        memoryLog{snapshot: start.Snapshot, entries: start.Entries},
+		commit:     start.Snapshot.Index,
+		applied:    start.Snapshot.Index,
+	}
+	c.stable = c.log.lastIndex()
+	if start.HardState.Term > 0 {
+		c.quietUntil = now.Add(options.Election)
+	}
+	c.resetElection(now)
+	return c
+}
+
+// ID returns the keeper's own id.
+func (c *Core) ID() ID { return c.id }
+
+// Term returns the present term.
+func (c *Core) Term() uint64 { return c.term }
+
+// Role returns what the keeper does in the present term.
+func (c *Core) Role() Role { return c.role }
+
+// Leader returns the leader of the present term, "" if none is known.
+func (c *Core) Leader() ID { return c.leader }
+
+// Commit returns the last index known to be committed.
+func (c *Core) Commit() uint64 { return c.commit }
+
+// LastIndex returns the last index of the log.
+func (c *Core) LastIndex() uint64 { return c.log.lastIndex() }
+
+// FirstIndex returns the first index that the log still holds.
+func (c *Core) FirstIndex() uint64 { return c.log.firstIndex() }
+
+// Members returns the membership in force.
+func (c *Core) Members() Members {
+	members, _ := c.log.members()
+	return members
+}
+
+// Match returns the last index that a leader knows a member to hold.
+func (c *Core) Match(id ID) uint64 {
+	if p := c.progress[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// LeaseValid reports whether this leader has heard from a quorum so lately that
+// no other leader can have been elected.
+func (c *Core) LeaseValid(now time.Time) bool {
+	return c.role == Leader && c.transferTo == "" && now.Before(c.quorumContact().Add(c.options.Lease))
+}
+
+// quorumContact returns the latest time at which a quorum is known to have
+// followed this leader: the send time of what it answered, not the answer's.
+func (c *Core) quorumContact() time.Time {
+	members := c.Members()
+	var times []time.Time
+	for _, id := range members.Voters {
+		if id == c.id {
+			times = append(times, c.latestSend())
+			continue
+		}
+		if p := c.progress[id]; p != nil {
+			times = append(times, p.ackedAt)
+		}
+	}
+	if len(times) < members.quorum() {
+		return time.Time{}
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i].After(times[j]) })
+	return times[members.quorum()-1]
+}
+
+func (c *Core) latestSend() time.Time {
+	if len(c.rounds) == 0 {
+		return time.Time{}
+	}
+	return c.rounds[len(c.rounds)-1].sentAt
+}
+
+// Propose appends data to the leader's log and returns the place it will have
+// if it is committed.
+func (c *Core) Propose(now time.Time, data []byte) (term, index uint64, err error) {
+	if c.role != Leader || c.transferTo != "" {
+		return 0, 0, ErrNotLeader
+	}
+	return c.appendOwn(now, Entry{Kind: EntryCommand, Data: data})
+}
+
+// ProposeMembers appends a change of members; one voter may change at a time,
+// and a learner may vote only once it holds all that is committed.
+func (c *Core) ProposeMembers(now time.Time, members Members) (term, index uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	current, at := c.log.members()
+	if at > c.commit || !c.committedInTerm() {
+		return 0, 0, ErrMembersPending
+	}
+	if current.votersChanged(members) > 1 || len(members.Voters) == 0 {
+		return 0, 0, ErrMembersStep
+	}
+	for _, id := range members.Voters {
+		if !current.IsVoter(id) && c.Match(id) < c.commit {
+			return 0, 0, ErrNotCaughtUp
+		}
+	}
+	return c.appendOwn(now, Entry{Kind: EntryMembers, Members: &members})
+}
+
+// committedInTerm reports whether an entry of the leader's own term is
+// committed; before that the membership in the log may still be overruled.
+func (c *Core) committedInTerm() bool {
+	term, found := c.log.term(c.commit)
+	return found && term == c.term
+}
+
+func (c *Core) appendOwn(now time.Time, entry Entry) (term, index uint64, err error) {
+	entry.Term = c.term
+	entry.Index = c.log.lastIndex() + 1
+	c.log.append([]Entry{entry})
+	c.trackMembers(now)
+	c.broadcast(now)
+	return entry.Term, entry.Index, nil
+}
+
+// Transfer hands leadership to the voter that holds the most, for a planned stop.
+func (c *Core) Transfer(now time.Time) bool {
+	if c.role != Leader {
+		return false
+	}
+	var best ID
+	for _, id := range c.Members().Voters {
+		if id == c.id || c.progress[id] == nil || now.Sub(c.progress[id].ackedAt) > c.options.Election {
+			continue
+		}
+		if best == "" || c.Match(id) > c.Match(best) {
+			best = id
+		}
+	}
+	if best == "" {
+		return false
+	}
+	c.transferTo = best
+	c.transferEnds = now.Add(c.options.Election)
+	c.continueTransfer()
+	return true
+}
+
+func (c *Core) continueTransfer() {
+	if c.transferTo == "" || c.Match(c.transferTo) < c.log.lastIndex() {
+		return
+	}
+	c.send(Message{Kind: MsgTimeoutNow, To: c.transferTo})
+}
+
+// Compact drops the log up to the snapshot, which the caller has saved.
+func (c *Core) Compact(snapshot Snapshot) {
+	if snapshot.Index > c.log.snapshot.Index && snapshot.Index <= c.applied {
+		c.log.compact(snapshot)
+	}
+}
+
+// MembersAt returns the membership at an applied index, for a snapshot there.
+func (c *Core) MembersAt(index uint64) Members { return c.log.membersAt(index) }
+
+// TermAt returns the term of an index that the log holds.
+func (c *Core) TermAt(index uint64) uint64 {
+	term, _ := c.log.term(index)
+	return term
+}
+
+// Ready returns what is to be done; the caller does it and calls Persisted.
+func (c *Core) Ready() Ready {
+	var r Ready
+	if state := (HardState{Term: c.term, Vote: c.vote}); state != c.savedState {
+		r.HardState = &state
+	}
+	r.Snapshot = c.newSnapshot
+	r.Entries = c.log.slice(c.stable+1, c.log.lastIndex(), c.log.size())
+	r.Messages = c.messages
+	c.messages = nil
+	r.Committed = c.log.slice(c.applied+1, min(c.commit, c.stable), c.log.size())
+	return r
+}
+
+func (l *memoryLog) size() int { return max(len(l.entries), 1) }
+
+// Persisted tells the core that the writes of a Ready are durable and that its
+// committed entries are being applied.
+func (c *Core) Persisted(now time.Time, r Ready) {
+	if r.HardState != nil {
+		c.savedState = *r.HardState
+	}
+	if r.Snapshot != nil && c.newSnapshot != nil && c.newSnapshot.Index == r.Snapshot.Index {
+		c.newSnapshot = nil
+	}
+	if n := len(r.Entries); n > 0 {
+		last := r.Entries[n-1]
+		if term, found := c.log.term(last.Index); found && term == last.Term {
+			c.stable = max(c.stable, last.Index)
+		}
+	}
+	if n := len(r.Committed); n > 0 {
+		c.applied = r.Committed[n-1].Index
+	}
+	if c.role == Leader {
+		c.advanceCommit(now)
+	}
+}
+
+func (c *Core) send(m Message) {
+	m.From = c.id
+	if m.Term == 0 {
+		m.Term = c.term
+	}
+	c.messages = append(c.messages, m)
+}
+
+func (c *Core) resetElection(now time.Time) {
+	spread := time.Duration(c.rand.Int64N(int64(c.options.Election)))
+	c.electionAt = now.Add(c.options.Election + spread)
+}
+
+// EntriesAfter returns the entries after an index that are already durable.
+func (c *Core) EntriesAfter(index uint64) []Entry {
+	return c.log.slice(index+1, c.stable, c.log.size())
+}
+
+// LastIndex returns the last index that the disk held.
+func (s Start) LastIndex() uint64 {
+	if n := len(s.Entries); n > 0 {
+		return s.Entries[n-1].Index
+	}
+	return s.Snapshot.Index
+}
+
+// Members returns the membership that the disk held.
+func (s Start) Members() Members {
+	log := memoryLog{snapshot: s.Snapshot, entries: s.Entries}
+	members, _ := log.members()
+	return members
+}
--- /dev/null
+++ b/src/rpc/client.go
@@ -0,0 +1,169 @@
+package rpc
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/moorspool/moorspool/src/fault"
+)
+
+// redialAfter bounds how often a client dials a peer that doesn't answer.
+const redialAfter = 200 * time.Millisecond
+
+// ErrUnreachable is what a call ends with when there is no connection.
+var ErrUnreachable = errors.New("the peer can't be reached")
+
+// Client is a connection to one address that is made when needed and made
+// again after it was lost; it is safe for concurrent use.
+type Client struct {
+	address string
+	mux     *Mux
+	meter   *Meter
+	cut     *fault.Cut
+	silence time.Duration
+
+	mu       sync.Mutex
+	conn     *jsonrpc2.Conn
+	dialing  chan struct{}
+	failedAt time.Time
+	closed   bool
+}
+
+// NewClient returns a client of an address; mux takes what the peer sends on
+// its own. A connection on which a ping is not answered within silence is ended.
+func NewClient(address string, mux *Mux, meter *Meter, cut *fault.Cut, silence time.Duration) *Client {
+	return &Client{address: address, mux: mux, meter: meter, cut: cut, silence: silence}
+}
+
+// Address returns the peer's address.
+func (c *Client) Address() string { return c.address }
+
+// Call sends a request and waits for its answer.
+func (c *Client) Call(ctx context.Context, method string, params, result any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	c.meter.messages.Add(1)
+	return conn.Call(ctx, method, params, result)
+}
+
+// Notify sends a message that wants no answer.
+func (c *Client) Notify(ctx context.Context, method string, params any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	c.meter.messages.Add(1)
+	return conn.Notify(ctx, method, params)
+}
+
+// Done returns a channel that is closed when the present connection ends; it
+// is closed already if there is none.
+func (c *Client) Done() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn.DisconnectNotify()
+	}
+	ended := make(chan struct{})
+	close(ended)
+	return ended
+}
+
+// Close ends the connection for good.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
+
+// connect returns the live connection, or waits for the one dial under way.
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, ErrUnreachable
+	}
+	if c.conn != nil && !ended(c.conn) {
+		conn := c.conn
+		c.mu.Unlock()
+		return conn, nil
+	}
+	if c.dialing == nil {
+		if time.Since(c.failedAt) < redialAfter {
+			c.mu.Unlock()
+			return nil, errors.Wrap(ErrUnreachable, c.address)
+		}
+		c.dialing = make(chan struct{})
+		go c.dial(c.dialing)
+	}
+	dialing := c.dialing
+	c.mu.Unlock()
+	select {
+	case <-dialing:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil || ended(c.conn) {
+		return nil, errors.Wrap(ErrUnreachable, c.address)
+	}
+	return c.conn, nil
+}
+
+func ended(conn *jsonrpc2.Conn) bool {
+	select {
+	case <-conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Client) dial(done chan struct{}) {
+	raw, err := c.cut.Dial("tcp", c.address, dialTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(done)
+	c.dialing = nil
+	if err != nil {
+		c.failedAt = time.Now()
+		return
+	}
+	conn, _ := connect(raw, c.mux, c.meter)
+	if c.closed {
+		_ = conn.Close()
+		return
+	}
+	c.conn = conn
+	go c.watch(conn)
+}
+
+// watch ends a connection whose peer has gone silent, as after a cut.
+func (c *Client) watch(conn *jsonrpc2.Conn) {
+	ticker := time.NewTicker(c.silence)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-conn.DisconnectNotify():
+			return
+		case <-ticker.C:
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), c.silence)
+		err := conn.Call(ctx, methodPing, struct{}{}, nil)
+		cancel()
+		if err != nil {
+			_ = conn.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/src/rpc/mux.go
@@ -0,0 +1,92 @@
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Handler answers one call or takes in one notification.
+type Handler func(ctx context.Context, peer *Peer, params json.RawMessage) (any, error)
+
+// Mux finds the handler of a method; it is filled before it serves.
+type Mux struct {
+	methods map[string]Handler
+}
+
+// NewMux returns a mux that knows only the ping.
+func NewMux() *Mux {
+	m := &Mux{methods: map[string]Handler{}}
+	m.Handle(methodPing, func(context.Context, *Peer, json.RawMessage) (any, error) { return struct{}{}, nil })
+	return m
+}
+
+// Handle registers a method.
+func (m *Mux) Handle(method string, handler Handler) { m.methods[method] = handler }
+
+// Has reports whether a method is registered.
+func (m *Mux) Has(method string) bool { return m.methods[method] != nil }
+
+// Typed returns a handler that decodes its parameters into P.
+func Typed[P, R any](f func(ctx context.Context, peer *Peer, params P) (R, error)) Handler {
+	return func(ctx context.Context, peer *Peer, raw json.RawMessage) (any, error) {
+		var params P
+		if len(raw) > 0 {
+			if err := json.Unmarshal(raw, &params); err != nil {
+				return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+			}
+		}
+		return f(ctx, peer, params)
+	}
+}
+
+// Dispatch runs a method's handler, as both the TCP server and the administration API do.
+func (m *Mux) Dispatch(ctx context.Context, peer *Peer, method string, params json.RawMessage) (any, error) {
+	handler := m.methods[method]
+	if handler == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "there is no method " + method}
+	}
+	return handler(ctx, peer, params)
+}
+
+// IsUnknownMethod reports whether an error says that the other side lacks the method.
+func IsUnknownMethod(err error) bool {
+	var rpcErr *jsonrpc2.Error
+	return errors.As(err, &rpcErr) && rpcErr.Code == jsonrpc2.CodeMethodNotFound
+}
+
+// IsAnswer reports whether an error is the other side's answer rather than a failure to get one.
+func IsAnswer(err error) bool {
+	var rpcErr *jsonrpc2.Error
+	return errors.As(err, &rpcErr)
+}
+
+// handle runs notifications in order and calls beside each other.
+func (m *Mux) handle(ctx context.Context, peer *Peer, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	if req.Notif {
+		_, _ = m.Dispatch(ctx, peer, req.Method, params)
+		return
+	}
+	go func() {
+		result, err := m.Dispatch(ctx, peer, req.Method, params)
+		if err != nil {
+			_ = conn.ReplyWithError(ctx, req.ID, asError(err))
+			return
+		}
+		_ = conn.Reply(ctx, req.ID, result)
+	}()
+}
+
+func asError(err error) *jsonrpc2.Error {
+	var rpcErr *jsonrpc2.Error
+	if errors.As(err, &rpcErr) {
+		return rpcErr
+	}
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+}
--- /dev/null
+++ b/src/rpc/server.go
@@ -0,0 +1,110 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// The transport's times.
+const (
+	writeTimeout = 3 * time.Second
+	dialTimeout  = time.Second
+	methodPing   = "rpc.ping"
+)
+
+// Peer is the process at the other end of a connection; nil stands for a caller
+// over the administration API, which can't be notified.
+type Peer struct {
+	conn *jsonrpc2.Conn
+}
+
+// Notify sends a message that wants no answer.
+func (p *Peer) Notify(ctx context.Context, method string, params any) error {
+	return p.conn.Notify(ctx, method, params)
+}
+
+// Done is closed when the connection has ended.
+func (p *Peer) Done() <-chan struct{} { return p.conn.DisconnectNotify() }
+
+// Server accepts connections and runs a mux's handlers.
+type Server struct {
+	mux   *Mux
+	meter *Meter
+	ln    net.Listener
+	mu    sync.Mutex
+	conns map[*jsonrpc2.Conn]struct{}
+}
+
+// Listen starts to serve the mux at an address; it fails if the address can't be had.
+func Listen(address string, mux *Mux, meter *Meter) (*Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{mux: mux, meter: meter, ln: ln, conns: map[*jsonrpc2.Conn]struct{}{}}
+	go s.accept()
+	return s, nil
+}
+
+// Address returns the address that the server listens at.
+func (s *Server) Address() string { return s.ln.Addr().String() }
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.serve(conn)
+	}
+}
+
+func (s *Server) serve(raw net.Conn) {
+	conn, _ := connect(raw, s.mux, s.meter)
+	s.mu.Lock()
+	s.conns[conn] = struct{}{}
+	s.mu.Unlock()
+	go func() {
+		<-conn.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+	}()
+}
+
+// Close ends the listener and every connection.
+func (s *Server) Close() {
+	_ = s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// connect starts JSON-RPC on a connection.
+func connect(raw net.Conn, mux *Mux, meter *Meter) (*jsonrpc2.Conn, *Peer) {
+	peer := &Peer{}
+	ready := make(chan struct{})
+	handler := handlerFunc(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+		<-ready
+		meter.messages.Add(1)
+		mux.handle(ctx, peer, conn, req)
+	})
+	stream := jsonrpc2.NewBufferedStream(&meteredConn{Conn: raw, meter: meter}, jsonrpc2.VarintObjectCodec{})
+	conn := jsonrpc2.NewConn(context.Background(), stream, handler)
+	peer.conn = conn
+	close(ready)
+	return conn, peer
+}
+
+type handlerFunc func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request)
+
+// Handle implements jsonrpc2.Handler.
+func (f handlerFunc) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	f(ctx, conn, req)
+}
--- /dev/null
+++ b/src/standin/main.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/process"
+)
+
+type runCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute runs a stand-in until a signal.
+func (c *runCommand) Execute([]string) error {
+	settings, err := ReadSettings(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if err := settings.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := process.UntilSignal()
+	defer cancel()
+	<-ctx.Done()
+	return nil
+}
+
+type loadCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute drives an experiment's load and prints the result; it fails if a promise was broken.
+func (c *loadCommand) Execute([]string) error {
+	experiment, err := ReadExperiment(c.Args.File)
+	if err != nil {
+		return err
+	}
+	loader, err := NewLoader(experiment)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := process.UntilSignal()
+	defer cancel()
+	result, err := loader.Run(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Print(result.Table())
+	if broken := result.Broken(); len(broken) > 0 {
+		return errors.Errorf("broken promises: %v", broken)
+	}
+	fmt.Println("every promise held")
+	return nil
+}
+
+type settingsCommand struct {
+	Profile  string `long:"profile" default:"kilima" description:"which user's installation"`
+	Examples string `long:"examples" required:"yes" description:"folder of the configuration"`
+	Folder   string `long:"folder" required:"yes" description:"folder to write the settings to"`
+}
+
+// Execute writes the settings of a demo installation.
+func (c *settingsCommand) Execute([]string) error {
+	install, err := NewInstall(c.Profile, c.Examples, c.Folder)
+	if err != nil {
+		return err
+	}
+	return install.Write()
+}
+
+type postCommand struct {
+	Args struct {
+		URL  string `positional-arg-name:"URL"`
+		Body string `positional-arg-name:"JSON"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// postWait bounds a post.
+const postWait = 5 * time.Second
+
+// Execute posts JSON to a stand-in, to switch its faults.
+func (c *postCommand) Execute([]string) error {
+	client := http.Client{Timeout: postWait}
+	response, err := client.Post(c.Args.URL, "application/json", bytes.NewBufferString(c.Args.Body))
+	if err != nil {
+		return errors.Wrap(err, "posting")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("answered %s", response.Status)
+	}
+	return nil
+}
+
+type versionCommand struct{}
+
+// Execute prints the version.
+func (versionCommand) Execute([]string) error {
+	fmt.Println("moorspool-standin", option.Version)
+	return nil
+}
+
+// Main runs moorspool-standin and returns its exit code.
+func Main(arguments []string) int {
+	p := flags.NewNamedParser("moorspool-standin", flags.HelpFlag|flags.PassDoubleDash)
+	add := func(name, short string, command any) {
+		if _, err := p.AddCommand(name, short, short, command); err != nil {
+			panic(err)
+		}
+	}
+	add("run", "run the stand-in that a settings file describes", &runCommand{})
+	add("load", "drive an experiment's load and check the answers", &loadCommand{})
+	add("settings", "write the settings of a demo installation", &settingsCommand{})
+	add("post", "post JSON to a stand-in", &postCommand{})
+	add("version", "print the version", &versionCommand{})
+	if _, err := p.ParseArgs(arguments); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			fmt.Println(err)
+			return 0
+		}
+		fmt.Fprintln(os.Stderr, "moorspool-standin:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/src/standin/outside.go
@@ -0,0 +1,237 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/engine"
+	"github.com/moorspool/moorspool/src/platform"
+	"github.com/moorspool/moorspool/src/process"
+	"github.com/moorspool/moorspool/src/service"
+)
+
+// The stand-ins' paths.
+const (
+	pathLoad = "/weights/load"
+	// PathLeave marks a host as leaving in the platform's list, after its lag.
+	PathLeave = "/standin/leave"
+	// PathRemove takes a host off the platform's list, after its lag.
+	PathRemove = "/standin/remove"
+)
+
+// Store is a stand-in weight store: it starts loads at a rate, and loads past
+// its number at full speed slow each other.
+type Store struct {
+	limiter   *rate.Limiter
+	fullSpeed int
+	bandwidth float64
+	active    atomic.Int64
+	loads     atomic.Int64
+}
+
+// NewStore returns a weight store; bandwidth is bytes a second of one load at full speed.
+func NewStore(loadsPerSecond float64, fullSpeed int, bandwidth config.Bytes) *Store {
+	return &Store{limiter: rate.NewLimiter(rate.Limit(loadsPerSecond), fullSpeed), fullSpeed: fullSpeed, bandwidth: float64(bandwidth)}
+}
+
+// Serve starts the store on a listener.
+func (s *Store) Serve(ln net.Listener) {
+	h := process.NewServer(ln, 1<<20)
+	h.POST(pathLoad, s.load)
+	h.GET(PathStats, func(_ context.Context, c *app.RequestContext) {
+		c.JSON(consts.StatusOK, Stats{Host: "store", Loads: int(s.loads.Load())})
+	})
+	go func() { _ = h.Run() }()
+}
+
+func (s *Store) load(ctx context.Context, c *app.RequestContext) {
+	size, err := strconv.ParseFloat(c.Query("bytes"), 64)
+	if err != nil {
+		c.String(consts.StatusBadRequest, "bytes must be a number\n")
+		return
+	}
+	if err := s.limiter.Wait(ctx); err != nil {
+		c.String(consts.StatusServiceUnavailable, err.Error())
+		return
+	}
+	active := s.active.Add(1)
+	defer s.active.Add(-1)
+	s.loads.Add(1)
+	slower := max(1, float64(active)/float64(s.fullSpeed))
+	sleep(ctx, time.Duration(size/s.bandwidth*slower*float64(time.Second)))
+	c.String(consts.StatusOK, "loaded\n")
+}
+
+// storeWait bounds one load from the stand-in store.
+const storeWait = 5 * time.Minute
+
+// fetchWeights takes the time that a load from the store takes.
+func fetchWeights(store string, bytes config.Bytes) {
+	if store == "" {
+		return
+	}
+	c, err := client.NewClient(client.WithClientReadTimeout(storeWait), client.WithDialer(standard.NewDialer()))
+	if err != nil {
+		return
+	}
+	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(request)
+	defer protocol.ReleaseResponse(response)
+	request.SetMethod(consts.MethodPost)
+	request.SetRequestURI("http://" + store + pathLoad + "?bytes=" + strconv.FormatInt(int64(bytes), 10))
+	_ = c.Do(context.Background(), request, response)
+}
+
+// Platform is a stand-in for the platform's host list, which lags.
+type Platform struct {
+	lag     time.Duration
+	mu      sync.Mutex
+	version uint64
+	hosts   []platform.Host
+}
+
+// NewPlatform returns a list of hosts whose changes show after lag.
+func NewPlatform(hosts []platform.Host, lag time.Duration) *Platform {
+	return &Platform{lag: lag, version: 1, hosts: hosts}
+}
+
+// Serve starts the list on a listener.
+func (p *Platform) Serve(ln net.Listener) {
+	h := process.NewServer(ln, 1<<20)
+	h.GET(platform.PathHosts, p.list)
+	h.POST(PathLeave, func(_ context.Context, c *app.RequestContext) { p.later(c, p.leave) })
+	h.POST(PathRemove, func(_ context.Context, c *app.RequestContext) { p.later(c, p.remove) })
+	go func() { _ = h.Run() }()
+}
+
+func (p *Platform) list(_ context.Context, c *app.RequestContext) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if string(c.GetHeader(platform.HeaderVersion)) == strconv.FormatUint(p.version, 10) {
+		c.SetStatusCode(consts.StatusNotModified)
+		return
+	}
+	c.JSON(consts.StatusOK, platform.List{Version: p.version, Hosts: p.hosts})
+}
+
+func (p *Platform) later(c *app.RequestContext, change func(string)) {
+	name := c.Query("host")
+	time.AfterFunc(p.lag, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.version++
+		change(name)
+	})
+	c.String(consts.StatusOK, "ok\n")
+}
+
+func (p *Platform) leave(name string) {
+	hosts := append([]platform.Host(nil), p.hosts...)
+	for i := range hosts {
+		if hosts[i].Name == name {
+			hosts[i].Leaving = true
+		}
+	}
+	p.hosts = hosts
+}
+
+func (p *Platform) remove(name string) {
+	var hosts []platform.Host
+	for _, host := range p.hosts {
+		if host.Name != name {
+			hosts = append(hosts, host)
+		}
+	}
+	p.hosts = hosts
+}
+
+// Plain is a stand-in plain service that counts runs by request and key.
+type Plain struct {
+	host     string
+	start    string
+	work     time.Duration
+	switches *switches
+	runs     runs
+	keys     runs
+	running  atomic.Int64
+	seq      atomic.Uint64
+}
+
+// NewPlain returns a plain service whose calls take work.
+func NewPlain(host string, work time.Duration) *Plain {
+	return &Plain{host: host, start: uuid.NewString(), work: work, switches: newSwitches()}
+}
+
+// Serve starts the service on a listener.
+func (p *Plain) Serve(ln net.Listener) {
+	h := process.NewServer(ln, 8<<20)
+	h.GET(engine.PathReport, p.report)
+	h.GET(PathStats, p.stats)
+	h.POST(PathFault, p.switches.set)
+	h.NoRoute(p.call)
+	go func() { _ = h.Run() }()
+}
+
+func (p *Plain) report(_ context.Context, c *app.RequestContext) {
+	c.JSON(consts.StatusOK, engine.Report{Host: p.host, Incarnation: p.start, Seq: p.seq.Add(1), Leaving: p.switches.now().Leaving, Running: int(p.running.Load()), Slots: plainSlots})
+}
+
+// plainSlots is how many calls a plain service runs at once at full speed.
+const plainSlots = 16
+
+func (p *Plain) stats(_ context.Context, c *app.RequestContext) {
+	c.JSON(consts.StatusOK, Stats{Host: p.host, Runs: p.runs.list(), Keys: p.keys.list(), Late: int(p.switches.late.Load())})
+}
+
+// plainAnswer repeats what was asked, so that the load tool can check it.
+type plainAnswer struct {
+	Host    string `json:"host"`
+	Request string `json:"request"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Echo    string `json:"echo"`
+}
+
+func (p *Plain) call(ctx context.Context, c *app.RequestContext) {
+	faults := p.switches.now()
+	p.switches.arrival()
+	if faults.LoseOrders {
+		_ = c.GetConn().Close()
+		return
+	}
+	p.running.Add(1)
+	defer p.running.Add(-1)
+	id := string(c.GetHeader(engine.HeaderRequestID))
+	p.runs.add(id)
+	if key := string(c.GetHeader(service.HeaderKey)); key != "" {
+		p.keys.add(key)
+	}
+	sleep(ctx, p.work)
+	if faults.LoseAnswers {
+		_ = c.GetConn().Close()
+		return
+	}
+	c.Response.Header.Set(engine.HeaderLoad, engine.FormatLoad(int(p.running.Load()), 0))
+	body, err := json.Marshal(plainAnswer{Host: p.host, Request: id, Method: string(c.Method()), Path: string(c.Path()), Echo: string(c.Request.Body())})
+	if err != nil {
+		c.String(consts.StatusInternalServerError, err.Error())
+		return
+	}
+	c.SetStatusCode(consts.StatusOK)
+	c.Response.Header.SetContentType("application/json")
+	c.Response.SetBody(body)
+}
--- /dev/null
+++ b/src/store/backup.go
@@ -0,0 +1,83 @@
+package store
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/renameio/v2"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/raft"
+)
+
+// backup is a whole folder in one file.
+type backup struct {
+	Identity Identity       `cbor:"1,keyasint"`
+	State    raft.HardState `cbor:"2,keyasint"`
+	Snapshot raft.Snapshot  `cbor:"3,keyasint"`
+	Entries  []raft.Entry   `cbor:"4,keyasint"`
+}
+
+// Read returns what a folder holds without changing it. A torn end is an error
+// here only if records follow it.
+func Read(path string) (Identity, raft.Start, error) {
+	copied, err := os.MkdirTemp("", "moorspool-read-")
+	if err != nil {
+		return Identity{}, raft.Start{}, errors.Wrap(err, "reading the data folder")
+	}
+	defer os.RemoveAll(copied)
+	if err := os.CopyFS(copied, os.DirFS(path)); err != nil {
+		return Identity{}, raft.Start{}, errors.Wrap(err, "reading the data folder")
+	}
+	f := &Folder{path: copied}
+	if err := f.readIdentity(); err != nil {
+		return Identity{}, raft.Start{}, err
+	}
+	start, err := f.load()
+	return f.identity, start, err
+}
+
+// Backup writes a keeper's whole folder into one file; the keeper must be stopped.
+func Backup(folder, file string) error {
+	identity, start, err := Read(folder)
+	if err != nil {
+		return err
+	}
+	body, err := cbor.Marshal(backup{Identity: identity, State: start.HardState, Snapshot: start.Snapshot, Entries: start.Entries})
+	if err != nil {
+		return errors.Wrap(err, "encoding the backup")
+	}
+	return errors.Wrap(renameio.WriteFile(file, appendFrame(nil, body), fileMode), "writing the backup")
+}
+
+// Restore writes a backup into an empty folder. It is for an installation that
+// lost a majority of its keepers: the restored keeper has the backup's state,
+// and what was accepted after the backup is lost.
+func Restore(file, folder string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "reading the backup")
+	}
+	body, rest, ok := nextFrame(data)
+	var saved backup
+	if !ok || len(rest) > 0 || cbor.Unmarshal(body, &saved) != nil {
+		return errors.Wrapf(ErrDamaged, "%s", filepath.Base(file))
+	}
+	if names, err := os.ReadDir(folder); err == nil && len(names) > 0 {
+		return errors.Errorf("%s is not empty; restore writes only into an empty folder", folder)
+	}
+	f, _, err := Open(Options{Path: folder, Cluster: saved.Identity.Cluster, Name: saved.Identity.Name})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	identity, err := cbor.Marshal(saved.Identity)
+	if err != nil {
+		return errors.Wrap(err, "encoding the identity")
+	}
+	if err := f.replace(identityFile, identity); err != nil {
+		return err
+	}
+	return f.SaveSnapshot(saved.Snapshot, saved.State, saved.Entries)
+}
--- /dev/null
+++ b/src/store/folder.go
@@ -0,0 +1,197 @@
+package store
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/renameio/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/raft"
+)
+
+// formatVersion is written into every folder; a folder of another one is refused.
+const formatVersion = 1
+
+// FounderIncarnation is the first folder of a keeper that founded the installation.
+const FounderIncarnation = "0"
+
+// segmentLimit is the size at which a new log file is begun.
+const segmentLimit = 8 << 20
+
+// The names of the files.
+const (
+	identityFile  = "identity"
+	snapshotFile  = "snapshot"
+	segmentPrefix = "log-"
+	folderMode    = 0o700
+	fileMode      = 0o600
+)
+
+// The errors that an operator has to act on.
+var (
+	ErrForeign = errors.New("the data folder belongs to another keeper or installation")
+	ErrVersion = errors.New("the data folder was written by another version of the format")
+	ErrDamaged = errors.New("the data folder is damaged before its end; restore it from a backup or replace the disk")
+)
+
+// Identity says who a data folder belongs to.
+type Identity struct {
+	Version int    `cbor:"1,keyasint" json:"version"`
+	Cluster string `cbor:"2,keyasint" json:"cluster"`
+	Name    string `cbor:"3,keyasint" json:"name"`
+	// Incarnation differs for every folder a keeper has had; founders' first is "0".
+	Incarnation string `cbor:"4,keyasint" json:"incarnation"`
+}
+
+// ID returns the consensus id of the keeper with this folder.
+func (i Identity) ID() raft.ID { return raft.ID(i.Name + "#" + i.Incarnation) }
+
+// File is the part of os.File that a log needs; tests put faults in it.
+type File interface {
+	Write(p []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+// Folder is an open data folder; it is used by one goroutine.
+type Folder struct {
+	path     string
+	identity Identity
+	openFile func(name string) (File, error)
+	segment  File
+	size     int
+	segments []string
+	sequence uint64
+	failed   error
+	syncs    uint64
+}
+
+// Options tells whose folder is to be opened.
+type Options struct {
+	Path    string
+	Cluster string
+	Name    string
+	// Founder makes an empty folder one of the first voters of a new installation.
+	Founder bool
+	// OpenFile opens a log file for appending; nil means the real one.
+	OpenFile func(name string) (File, error)
+}
+
+func openAppend(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Open opens a folder, makes it if it is empty, and returns what it holds. It
+// cuts off a torn end, and fails with ErrForeign, ErrVersion or ErrDamaged.
+func Open(options Options) (*Folder, raft.Start, error) {
+	f := &Folder{path: options.Path, openFile: options.OpenFile}
+	if f.openFile == nil {
+		f.openFile = openAppend
+	}
+	if err := os.MkdirAll(options.Path, folderMode); err != nil {
+		return nil, raft.Start{}, errors.Wrap(err, "making the data folder")
+	}
+	if err := f.loadIdentity(options); err != nil {
+		return nil, raft.Start{}, err
+	}
+	start, err := f.load()
+	if err != nil {
+		return nil, raft.Start{}, err
+	}
+	if err := f.openSegment(); err != nil {
+		return nil, raft.Start{}, err
+	}
+	return f, start, nil
+}
+
+// Identity returns whom the folder belongs to.
+func (f *Folder) Identity() Identity { return f.identity }
+
+// Syncs returns how many times the log was synced.
+func (f *Folder) Syncs() uint64 { return f.syncs }
+
+func (f *Folder) loadIdentity(options Options) error {
+	err := f.readIdentity()
+	if errors.Is(err, os.ErrNotExist) {
+		return f.makeIdentity(options)
+	}
+	if err != nil {
+		return err
+	}
+	if f.identity.Cluster != options.Cluster || f.identity.Name != options.Name {
+		return errors.Wrapf(ErrForeign, "it belongs to %s of %s, the settings say %s of %s", f.identity.Name, f.identity.Cluster, options.Name, options.Cluster)
+	}
+	return nil
+}
+
+func (f *Folder) readIdentity() error {
+	data, err := os.ReadFile(filepath.Join(f.path, identityFile))
+	if err != nil {
+		return errors.Wrap(err, "reading the data folder's identity")
+	}
+	body, _, ok := nextFrame(data)
+	if !ok || cbor.Unmarshal(body, &f.identity) != nil {
+		return errors.Wrap(ErrDamaged, identityFile)
+	}
+	if f.identity.Version != formatVersion {
+		return errors.Wrapf(ErrVersion, "it has %d, this program %d", f.identity.Version, formatVersion)
+	}
+	return nil
+}
+
+func (f *Folder) makeIdentity(options Options) error {
+	if names, _ := f.segmentNames(); len(names) > 0 {
+		return errors.Wrap(ErrDamaged, "there is a log but no identity")
+	}
+	f.identity = Identity{Version: formatVersion, Cluster: options.Cluster, Name: options.Name, Incarnation: uuid.NewString()[:8]}
+	if options.Founder {
+		f.identity.Incarnation = FounderIncarnation
+	}
+	body, err := cbor.Marshal(f.identity)
+	if err != nil {
+		return errors.Wrap(err, "encoding the identity")
+	}
+	return f.replace(identityFile, body)
+}
+
+// replace writes a whole file beside the old one, syncs it, renames it and syncs the folder.
+func (f *Folder) replace(name string, body []byte) error {
+	path := filepath.Join(f.path, name)
+	if err := renameio.WriteFile(path, appendFrame(nil, body), fileMode); err != nil {
+		return errors.Wrapf(err, "writing %s", name)
+	}
+	return f.syncFolder()
+}
+
+func (f *Folder) syncFolder() error {
+	folder, err := os.Open(f.path)
+	if err != nil {
+		return errors.Wrap(err, "syncing the data folder")
+	}
+	defer folder.Close()
+	return errors.Wrap(folder.Sync(), "syncing the data folder")
+}
+
+func (f *Folder) segmentNames() ([]string, error) {
+	files, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, errors.Wrap(err, "listing the data folder")
+	}
+	var names []string
+	for _, file := range files {
+		if strings.HasPrefix(file.Name(), segmentPrefix) {
+			names = append(names, file.Name())
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// segmentName returns the name of the sequence-th log file; names sort by age.
+func segmentName(sequence uint64) string { return fmt.Sprintf("%s%020d", segmentPrefix, sequence) }
--- /dev/null
+++ b/src/store/load.go
@@ -0,0 +1,122 @@
+package store
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/raft"
+)
+
+// load reads snapshot and log files in order.
+func (f *Folder) load() (raft.Start, error) {
+	var start raft.Start
+	if err := f.loadSnapshot(&start); err != nil {
+		return start, err
+	}
+	names, err := f.segmentNames()
+	if err != nil {
+		return start, err
+	}
+	for i, name := range names {
+		if err := f.loadSegment(name, i == len(names)-1, &start); err != nil {
+			return start, err
+		}
+		if _, err := fmt.Sscanf(name, segmentPrefix+"%d", &f.sequence); err != nil {
+			return start, errors.Wrapf(ErrDamaged, "%s has no number in its name", name)
+		}
+		f.segments = append(f.segments, name)
+	}
+	return start, nil
+}
+
+func (f *Folder) loadSnapshot(start *raft.Start) error {
+	data, err := os.ReadFile(filepath.Join(f.path, snapshotFile))
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "reading the snapshot")
+	}
+	body, _, ok := nextFrame(data)
+	if !ok || cbor.Unmarshal(body, &start.Snapshot) != nil {
+		return errors.Wrap(ErrDamaged, snapshotFile)
+	}
+	return nil
+}
+
+// loadSegment reads one log file. Only the newest may end in a torn record,
+// which was never confirmed to anybody; it is cut off.
+func (f *Folder) loadSegment(name string, newest bool, start *raft.Start) error {
+	path := filepath.Join(f.path, name)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "reading the log")
+	}
+	rest := data
+	for len(rest) > 0 {
+		body, after, ok := nextFrame(rest)
+		if !ok {
+			return f.cutTail(path, rest, len(data)-len(rest), newest)
+		}
+		var r record
+		if err := cbor.Unmarshal(body, &r); err != nil {
+			return errors.Wrapf(ErrDamaged, "%s at byte %d", name, len(data)-len(rest))
+		}
+		if err := replay(start, r); err != nil {
+			return errors.Wrapf(err, "%s at byte %d", name, len(data)-len(rest))
+		}
+		rest = after
+	}
+	return nil
+}
+
+// cutTail truncates a torn end. If a sound record follows the bad one, the
+// damage is in the middle and what was confirmed may be gone: refuse.
+func (f *Folder) cutTail(path string, rest []byte, offset int, newest bool) error {
+	if !newest || soundRecordFollows(rest) {
+		return errors.Wrapf(ErrDamaged, "%s at byte %d", filepath.Base(path), offset)
+	}
+	if err := os.Truncate(path, int64(offset)); err != nil {
+		return errors.Wrap(err, "cutting off a torn record")
+	}
+	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+	if err != nil {
+		return errors.Wrap(err, "cutting off a torn record")
+	}
+	defer file.Close()
+	return errors.Wrap(file.Sync(), "cutting off a torn record")
+}
+
+func soundRecordFollows(rest []byte) bool {
+	for i := 1; i+headerSize < len(rest); i++ {
+		if body, _, ok := nextFrame(rest[i:]); ok {
+			var r record
+			if cbor.Unmarshal(body, &r) == nil && (len(r.Entries) > 0 || r.HardState != nil) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func replay(start *raft.Start, r record) error {
+	if r.HardState != nil {
+		start.HardState = *r.HardState
+	}
+	for _, entry := range r.Entries {
+		if entry.Index <= start.Snapshot.Index {
+			continue
+		}
+		next := start.LastIndex() + 1
+		if entry.Index > next {
+			return errors.Wrapf(ErrDamaged, "entry %d follows %d", entry.Index, next-1)
+		}
+		keep := entry.Index - start.Snapshot.Index - 1
+		start.Entries = append(start.Entries[:keep], entry)
+	}
+	return nil
+}
--- /dev/null
+++ b/src/wire/process.go
@@ -0,0 +1,92 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/raft"
+)
+
+// Empty is a message without content.
+type Empty struct{}
+
+// Status is what a process says of itself.
+type Status struct {
+	Node     string          `json:"node"`
+	Role     string          `json:"role"`
+	Zone     string          `json:"zone"`
+	Version  string          `json:"version"`
+	Now      time.Time       `json:"now"`
+	Ready    bool            `json:"ready"`
+	Leaving  bool            `json:"leaving,omitempty"`
+	Revision config.Revision `json:"revision"`
+	Control  ControlCost     `json:"control"`
+	Keeper   *KeeperStatus   `json:"keeper,omitempty"`
+	Planner  *PlannerStatus  `json:"planner,omitempty"`
+	Entry    *EntryStatus    `json:"entry,omitempty"`
+}
+
+// KeeperStatus is a keeper's part of Status.
+type KeeperStatus struct {
+	ID       raft.ID      `json:"id"`
+	Role     string       `json:"raftRole"`
+	Term     uint64       `json:"term"`
+	Leader   raft.ID      `json:"leader"`
+	Commit   uint64       `json:"commit"`
+	Last     uint64       `json:"last"`
+	Members  raft.Members `json:"members"`
+	CaughtUp bool         `json:"caughtUp"`
+	Claims   int          `json:"claims"`
+	Syncs    uint64       `json:"syncs"`
+	Nodes    []NodeStatus `json:"nodes,omitempty"`
+}
+
+// PlannerStatus is a planner's part of Status.
+type PlannerStatus struct {
+	Epoch     uint64 `json:"epoch"`
+	Authority string `json:"authority"`
+	Hosts     int    `json:"hosts"`
+	Copies    int    `json:"copies"`
+	Unplaced  int    `json:"unplaced"`
+	InDoubt   int    `json:"inDoubt"`
+	Loads     uint64 `json:"loads"`
+	Unloads   uint64 `json:"unloads"`
+}
+
+// EntryStatus is an entry host's part of Status.
+type EntryStatus struct {
+	Requests  uint64 `json:"requests"`
+	InFlight  int64  `json:"inFlight"`
+	Refused   uint64 `json:"refused"`
+	Retried   uint64 `json:"retried"`
+	Resumed   uint64 `json:"resumed"`
+	Hosts     int    `json:"hosts"`
+	Reachable int    `json:"reachable"`
+}
+
+// EventsRequest asks for events after a number; with Wait it waits for the next one.
+type EventsRequest struct {
+	After uint64          `json:"after"`
+	About string          `json:"about,omitempty"`
+	Wait  config.Duration `json:"wait,omitempty"`
+	// Newest starts at the end instead of at After.
+	Newest bool `json:"newest,omitempty"`
+}
+
+// EventsReply carries events and the number to go on from.
+type EventsReply struct {
+	Last   uint64        `json:"last"`
+	Events []event.Event `json:"events"`
+}
+
+// CutRequest sets the address prefixes that a process can't reach.
+type CutRequest struct {
+	Prefixes []string `json:"prefixes"`
+}
+
+// DrainRequest tells a planner to empty a host, or to take that back.
+type DrainRequest struct {
+	Host string `json:"host"`
+	Undo bool   `json:"undo,omitempty"`
+}
