--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,6 +20,7 @@
   for name in "${!pid[@]}"; do kill -9 "${pid[$name]}" 2>/dev/null || true; done
 }
 trap stop_all EXIT
+trap "exit 1" INT TERM
 say() { printf '%5.1fs  %s\n' "$(echo "$(date +%s%N) $began" | awk '{print ($1-$2)/1e9}')" "$*"; }
 setting() { awk -v key="$2:" '$1 == key {print $2; exit}' "$run/$1.yaml"; }
 control() { setting "$1" control; }
--- a/src/config/parse.go
+++ b/src/config/parse.go
@@ -157,7 +157,7 @@
 	if err := yaml.NodeToValue(node, &head); err != nil {
 		return Object{}, err
 	}
-	object := Object{Key: Key{Kind: head.Kind, Name: head.Name}}
+	object := Object{Key: Key(head)}
 	var err error
 	switch head.Kind {
 	case KindModel:
--- a/src/dial/dialer.go
+++ b/src/dial/dialer.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -125,12 +126,14 @@
 	dialer *dialer
 	local  string
 	once   sync.Once
+	closed atomic.Bool
 	err    error
 }
 
 // Close closes the connection once.
 func (c *trackedConn) Close() error {
 	c.once.Do(func() {
+		c.closed.Store(true)
 		c.dialer.forget(c.local, c)
 		c.err = c.Conn.Close()
 	})
@@ -140,6 +143,16 @@
 // SetReadTimeout passes the timeout on.
 func (c *trackedConn) SetReadTimeout(t time.Duration) error { return c.Conn.SetReadTimeout(t) }
 
+// SetWriteTimeout is what the library calls before it writes a request. On a
+// connection that was aborted and then kept for reuse it says that not a byte
+// was sent.
+func (c *trackedConn) SetWriteTimeout(t time.Duration) error {
+	if c.closed.Load() {
+		return &Error{address: c.RemoteAddr().String(), cause: net.ErrClosed}
+	}
+	return c.Conn.SetWriteTimeout(t)
+}
+
 // ToHertzError keeps hertz's own names for network errors.
 func (c *trackedConn) ToHertzError(err error) error {
 	if normal, ok := c.Conn.(network.ErrorNormalization); ok {
--- a/src/engine/stream.go
+++ b/src/engine/stream.go
@@ -64,6 +64,12 @@
 	Data []byte
 }
 
+// ErrGivenUp means that the other side ended a stream early and said so.
+var ErrGivenUp = errors.New("the stream was given up")
+
+// eventError is the type of the event that ends a stream that was given up.
+const eventError = "error"
+
 // ErrBroken means that a stream ended without its end mark.
 var ErrBroken = errors.New("the stream broke before its end")
 
@@ -95,6 +101,8 @@
 	event    *sse.Event
 	load     Load
 	whole    bool
+	// ended is set when the other side has said all it will say.
+	ended bool
 }
 
 // Open sends a request; its error is always a Failure.
@@ -144,13 +152,15 @@
 
 func refusal(response *protocol.Response) *Failure {
 	status := response.StatusCode()
+	const shown = 300
+	body := response.Body()
 	return &Failure{
 		NotRun:  response.Header.Get(HeaderNotRun) == "true",
 		Leaving: response.Header.Get(HeaderLeaving) == "true",
 		Missing: status == consts.StatusNotFound,
 		Busy:    status == consts.StatusTooManyRequests,
 		Status:  status,
-		cause:   errors.Errorf("the engine answered %d", status),
+		cause:   errors.Errorf("the engine answered %d %s", status, body[:min(len(body), shown)]),
 	}
 }
 
@@ -184,9 +194,13 @@
 		return Token{}, errors.Wrap(ErrBroken, err.Error())
 	}
 	if string(s.event.Data) == EndMark {
-		s.whole = true
+		s.whole, s.ended = true, true
 		return Token{}, io.EOF
 	}
+	if s.event.Type == eventError {
+		s.ended = true
+		return Token{}, errors.Wrap(ErrGivenUp, string(s.event.Data))
+	}
 	id, err := strconv.ParseUint(s.event.ID, 10, 64)
 	if err != nil {
 		return Token{}, errors.Wrapf(ErrBroken, "an event's id is %q", s.event.ID)
@@ -199,7 +213,7 @@
 
 // Close gives the answer's memory back. The connection is reused only after a whole answer.
 func (s *Stream) Close() {
-	if !s.whole && s.reader != nil {
+	if !s.ended && s.reader != nil {
 		s.Abort()
 	}
 	if s.event != nil {
--- a/src/entry/request.go
+++ b/src/entry/request.go
@@ -12,7 +12,6 @@
 
 	"github.com/moorspool/moorspool/src/config"
 	"github.com/moorspool/moorspool/src/engine"
-	"github.com/moorspool/moorspool/src/limit"
 	"github.com/moorspool/moorspool/src/route"
 	"github.com/moorspool/moorspool/src/service"
 	"github.com/moorspool/moorspool/src/trace"
@@ -55,7 +54,6 @@
 	target   config.Target
 	tried    route.Tried
 	retries  int
-	waited   *limit.Ticket
 }
 
 // readHeaders reads the headers that all requests may have.
--- a/src/entry/routes.go
+++ b/src/entry/routes.go
@@ -39,6 +39,7 @@
 	known    map[string]map[string]wire.HostRoute
 	position map[string]position
 	planners map[string]*rpc.Client
+	breakers map[string]*route.Breaker
 	demand   map[string]*wire.ModelDemand
 }
 
@@ -62,6 +63,7 @@
 		known:    map[string]map[string]wire.HostRoute{},
 		position: map[string]position{},
 		planners: map[string]*rpc.Client{},
+		breakers: map[string]*route.Breaker{},
 		demand:   map[string]*wire.ModelDemand{},
 	}
 	r.table.Store(route.NewTable(zone, nil, nil))
@@ -127,12 +129,23 @@
 func (r *Routes) note(described wire.HostRoute) {
 	host := r.hosts[described.Host]
 	if host == nil || host.Address() != described.Address {
-		r.hosts[described.Host] = route.NewHost(described)
+		r.hosts[described.Host] = route.NewHost(described, r.breaker(described.Zone))
 		return
 	}
 	host.SetState(described.State)
 }
 
+// breaker returns the breaker that the hosts of another zone share.
+func (r *Routes) breaker(zone string) *route.Breaker {
+	if zone == r.zone {
+		return nil
+	}
+	if r.breakers[zone] == nil {
+		r.breakers[zone] = &route.Breaker{}
+	}
+	return r.breakers[zone]
+}
+
 func (r *Routes) rebuild() {
 	var all []wire.HostRoute
 	for _, hosts := range r.known {
--- a/src/place/plan.go
+++ b/src/place/plan.go
@@ -257,13 +257,9 @@
 		if p.openCopies(model) > 0 {
 			continue
 		}
-		if p.load(model, "the model has no copy on a host that stays") {
-			continue
-		}
-		if p.makeRoom(model) {
-			continue
+		if p.load(model, "the model has no copy on a host that stays") == noRoom && !p.makeRoom(model) {
+			p.missing = append(p.missing, model.Name)
 		}
-		p.missing = append(p.missing, model.Name)
 	}
 }
 
@@ -301,11 +297,7 @@
 func (p *planner) spread() {
 	order := p.byRank()
 	for _, model := range order {
-		for p.openCopies(model) > 0 && p.openCopies(model) < p.wantedCopies(model) {
-			if !p.load(model, "demand or a selector asks for more copies") && !p.makeRoom(model) {
-				break
-			}
-		}
+		p.addWanted(model)
 	}
 	p.relieve(order)
 	for _, model := range order {
@@ -315,6 +307,19 @@
 	}
 }
 
+// addWanted adds the copies that demand and selectors ask for, as far as it can now.
+func (p *planner) addWanted(model *modelState) {
+	for p.openCopies(model) > 0 && p.openCopies(model) < p.wantedCopies(model) {
+		switch p.load(model, "demand or a selector asks for more copies") {
+		case later:
+			return
+		case noRoom:
+			p.makeRoom(model)
+			return
+		}
+	}
+}
+
 // relieve gives the busiest model of an overloaded accelerator another copy.
 func (p *planner) relieve(order []*modelState) {
 	for _, model := range order {
@@ -323,28 +328,38 @@
 			if p.accels[held.at].load <= limit || model.share() < limit*dropBelow {
 				continue
 			}
-			if p.load(model, "its accelerator is crowded") {
+			if p.load(model, "its accelerator is crowded") == loaded {
 				break
 			}
 		}
 	}
 }
 
-// load decides on another copy of a model; it reports false if no open
-// accelerator has room or no load may be started now.
-func (p *planner) load(model *modelState, reason string) bool {
+// verdict is how a wish for another copy came out.
+type verdict uint8
+
+const (
+	// loaded means that a step was added.
+	loaded verdict = iota
+	// later means that the weight store's limits allow no load now.
+	later
+	// noRoom means that no accelerator can take the copy as things are.
+	noRoom
+)
+
+// load decides on another copy of a model.
+func (p *planner) load(model *modelState, reason string) verdict {
 	if p.budget <= 0 {
-		// Not now, but not for lack of room either.
-		return true
+		return later
 	}
 	at, rejected := p.choose(model)
 	if at < 0 {
-		return false
+		return noRoom
 	}
 	p.budget--
 	p.place(model, at)
 	p.steps = append(p.steps, Step{Action: ActionLoad, Model: model.Name, Accelerator: at, Reason: reason, Rejected: rejected})
-	return true
+	return loaded
 }
 
 func (p *planner) place(model *modelState, at int) {
--- /dev/null
+++ b/src/place/plan_test.go
@@ -0,0 +1,75 @@
+package place
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/config"
+)
+
+// fleet returns so many hosts with one accelerator each.
+func fleet(hosts int, free config.Bytes) []Accelerator {
+	var all []Accelerator
+	for i := 0; i < hosts; i++ {
+		all = append(all, Accelerator{Host: "h" + strconv.Itoa(i), Free: free, Open: true, Slots: 8})
+	}
+	return all
+}
+
+func TestPlanEndsWhenNoLoadMayStart(t *testing.T) {
+	// A model that wants more copies once made spread loop for ever when the
+	// weight store's limits allowed no load.
+	out := Plan(Input{
+		Models:       []Model{{Name: "m", Footprint: 1, Demand: 100}},
+		Accelerators: fleet(4, 10),
+		Copies:       []Copy{{Model: "m", Accelerator: 0, Ready: true}},
+		Loads:        0,
+	})
+	is := is.New(t)
+	is.Equal(len(out.Steps), 0)
+	is.Equal(len(out.Unplaced), 0)
+}
+
+func TestPlanRestoresByRankFirst(t *testing.T) {
+	out := Plan(Input{
+		Models:       []Model{{Name: "low", Footprint: 6}, {Name: "high", Footprint: 6, Rank: 1}},
+		Accelerators: fleet(1, 10),
+		Loads:        9,
+	})
+	is := is.New(t)
+	is.Equal(len(out.Steps), 1)
+	is.Equal(out.Steps[0].Model, "high")
+	is.Equal(out.Unplaced, []string{"low"})
+}
+
+func TestPlanNeverDropsTheLastServingCopy(t *testing.T) {
+	// The only other copy of "a" is on a host that is leaving: it must not count.
+	in := Input{
+		Models:       []Model{{Name: "a", Footprint: 6}, {Name: "b", Footprint: 6, Rank: 1}},
+		Accelerators: fleet(2, 4),
+		Copies:       []Copy{{Model: "a", Accelerator: 0, Ready: true}, {Model: "a", Accelerator: 1, Ready: true}},
+		Loads:        9,
+	}
+	in.Accelerators[1].Open = false
+	out := Plan(in)
+	is := is.New(t)
+	for _, step := range out.Steps {
+		is.True(step.Action != ActionDrop || step.Accelerator != 0) // the copy that serves stays
+	}
+	is.Equal(out.Unplaced, []string{"b"})
+}
+
+func TestPlanMakesRoomFromSpareCopies(t *testing.T) {
+	out := Plan(Input{
+		Models:       []Model{{Name: "a", Footprint: 6}, {Name: "b", Footprint: 6}},
+		Accelerators: fleet(2, 4),
+		Copies:       []Copy{{Model: "a", Accelerator: 0, Ready: true}, {Model: "a", Accelerator: 1, Ready: true}},
+		Loads:        9,
+	})
+	is := is.New(t)
+	is.Equal(len(out.Steps), 1)
+	is.Equal(out.Steps[0].Action, ActionDrop)
+	is.Equal(len(out.Unplaced), 0)
+}
--- a/src/planner/demand.go
+++ b/src/planner/demand.go
@@ -17,7 +17,6 @@
 // estimate is a model's demand as the mean number of its requests running at once.
 type estimate struct {
 	value float64
-	at    time.Time
 	// sum is what reports of the present interval added up to, in busy time.
 	sum time.Duration
 }
--- a/src/route/host.go
+++ b/src/route/host.go
@@ -47,11 +47,13 @@
 	failures   atomic.Int64
 	ejectedTo  atomic.Int64
 	freshTo    atomic.Int64
+	breaker    *Breaker
 }
 
-// NewHost returns a host as a planner described it.
-func NewHost(route wire.HostRoute) *Host {
-	h := &Host{name: route.Host, pool: route.Pool, zone: route.Zone, address: route.Address}
+// NewHost returns a host as a planner described it; breaker is shared by the
+// hosts of an availability zone, nil for the own zone.
+func NewHost(route wire.HostRoute, breaker *Breaker) *Host {
+	h := &Host{name: route.Host, pool: route.Pool, zone: route.Zone, address: route.Address, breaker: breaker}
 	h.slots.Store(int64(max(route.Slots, 1)))
 	h.limit.Store(limitFirst)
 	h.SetState(route.State)
@@ -85,11 +87,17 @@
 
 // usable reports whether the host may get new work.
 func (h *Host) usable(now int64) bool {
+	if h.breaker.open(now) {
+		return false
+	}
 	return h.State() == wire.HostLive && !h.leaving.Load() && h.ejectedTo.Load() <= now
 }
 
 // lastResort reports whether the host may get work when no usable one is left.
-func (h *Host) lastResort() bool {
+func (h *Host) lastResort(now int64) bool {
+	if h.breaker.open(now) {
+		return false
+	}
 	state := h.State()
 	return (state == wire.HostLive || state == wire.HostSuspect) && !h.leaving.Load()
 }
@@ -118,6 +126,7 @@
 	}
 	h.failures.Store(0)
 	h.ejectedTo.Store(0)
+	h.breaker.succeeded()
 	old := h.service.Load()
 	if old == 0 {
 		h.service.Store(int64(took))
@@ -136,6 +145,7 @@
 
 // Failed counts a failure and reports whether the host is avoided because of it.
 func (h *Host) Failed(now time.Time) bool {
+	h.breaker.failed(now)
 	failures := h.failures.Add(1)
 	if failures < ejectAfter {
 		return false
--- a/src/route/pick.go
+++ b/src/route/pick.go
@@ -187,8 +187,8 @@
 }
 
 // scan looks at every candidate after the sample had none to offer: first for a
-// usable one, then for one that was only ejected or is suspect, so that caution
-// alone never makes a model unreachable.
+// usable one, then for one that was only ejected, is suspect or was tried
+// before, so that caution alone never makes a model unreachable.
 func (p *picker) scan() (*Host, Verdict) {
 	for i := 0; i < p.c.len(); i++ {
 		p.weigh(p.c.at(i), i >= len(p.c.near))
@@ -199,10 +199,10 @@
 	full := false
 	for i := 0; i < p.c.len(); i++ {
 		h := p.c.at(i)
-		if !h.lastResort() || (p.tried != nil && p.tried.Has(h)) {
+		if !h.lastResort(p.now) {
 			continue
 		}
-		if h.usable(p.now) || !h.hasRoom() {
+		if !h.hasRoom() {
 			full = true
 			continue
 		}
@@ -211,10 +211,10 @@
 		}
 	}
 	switch {
-	case full:
-		return nil, Full
 	case p.best != nil:
 		return p.best, Chosen
+	case full:
+		return nil, Full
 	}
 	return nil, Missing
 }
--- a/src/standin/load.go
+++ b/src/standin/load.go
@@ -247,6 +247,9 @@
 	if errors.As(err, &failure) && failure.NotRun {
 		return outcome{kind: refusedNotRun, reason: err.Error()}
 	}
+	if failure != nil && failure.Status != 0 {
+		return outcome{kind: refusedUnknown, reason: err.Error()}
+	}
 	return outcome{kind: lost, reason: err.Error()}
 }
 
@@ -261,6 +264,9 @@
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if errors.Is(err, engine.ErrGivenUp) {
+			return outcome{kind: brokenOff, reason: err.Error()}
+		}
 		if err != nil {
 			return outcome{kind: lost, reason: err.Error()}
 		}
--- a/src/standin/tally.go
+++ b/src/standin/tally.go
@@ -18,6 +18,7 @@
 	whole outcomeKind = iota
 	refusedNotRun
 	refusedUnknown
+	brokenOff
 	lost
 	mixed
 )
@@ -62,8 +63,10 @@
 	// NotRunAnswers counts every single refusal as not run, those tried again too.
 	NotRunAnswers  int
 	RefusedUnknown int
-	Lost           int
-	Mixed          int
+	// BrokenOff counts streams that ended early with a reason.
+	BrokenOff int
+	Lost      int
+	Mixed     int
 }
 
 // NewTally returns an empty tally.
@@ -91,10 +94,10 @@
 }
 
 func shorten(reason string) string {
-	if at := strings.Index(reason, "127."); at >= 0 {
+	if at := strings.Index(reason, `,"request"`); at >= 0 {
 		reason = reason[:at]
 	}
-	return reason[:min(len(reason), 120)]
+	return reason[:min(len(reason), 200)]
 }
 
 // finish notes a request's last outcome.
@@ -116,6 +119,8 @@
 		t.counts.RefusedNotRun++
 	case refusedUnknown:
 		t.counts.RefusedUnknown++
+	case brokenOff:
+		t.counts.BrokenOff++
 	case lost:
 		t.counts.Lost++
 	case mixed:
@@ -229,6 +234,7 @@
 	line("refused as not run, asked again", r.NotRunAnswers-r.RefusedNotRun)
 	line("  of these ran after all", r.FalseNotRun)
 	line("refused, outcome unknown", r.RefusedUnknown)
+	line("broken off with a reason", r.BrokenOff)
 	line("lost answers", r.Lost)
 	line("mixed answers", r.Mixed)
 	line("not-to-be-repeated calls that ran twice", r.DoubledOnce)
