Control traffic: pings only when idle, reports only with news, loads of the full only

Change: a ping only after silence; a report without demand only with newer routes or every 3 s; loads only of hosts on which requests wait, since answers carry the rest; heartbeats every 3 s.

--- a/src/cli/apply.go
+++ b/src/cli/apply.go
@@ -19,7 +19,7 @@
 	forcePoll    = 20 * time.Millisecond
 	forceLimit   = 30 * time.Second
 	// silentAfter is how long a process may be unheard of before it is not waited for.
-	silentAfter = 6 * time.Second
+	silentAfter = 8 * time.Second
 )
 
 type applyCommand struct {
--- a/src/entry/routes.go
+++ b/src/entry/routes.go
@@ -18,8 +18,10 @@
 const (
 	routeSilence = 2 * time.Second
 	reportEvery  = time.Second
-	resubscribe  = 500 * time.Millisecond
-	callTimeout  = 2 * time.Second
+	// tellEvery is how often a planner hears from an entry host without news.
+	tellEvery   = 3 * time.Second
+	resubscribe = 500 * time.Millisecond
+	callTimeout = 2 * time.Second
 )
 
 // Routes keeps the routing table up to date from every zone's planner and
@@ -41,6 +43,13 @@
 	planners map[string]*rpc.Client
 	breakers map[string]*route.Breaker
 	demand   map[string]*wire.ModelDemand
+	told     map[string]telling
+}
+
+// telling is what a planner was last told.
+type telling struct {
+	position position
+	at       time.Time
 }
 
 // position is how far a zone's routes are known.
@@ -65,6 +74,7 @@
 		planners: map[string]*rpc.Client{},
 		breakers: map[string]*route.Breaker{},
 		demand:   map[string]*wire.ModelDemand{},
+		told:     map[string]telling{},
 	}
 	r.table.Store(route.NewTable(zone, nil, nil))
 	return r
@@ -302,6 +312,10 @@
 				report.Models = append(report.Models, *model)
 			}
 		}
+		if len(report.Models) == 0 && !r.due(zone, report, r.now()) {
+			continue
+		}
+		r.tell(zone, report, r.now())
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
@@ -332,6 +346,24 @@
 	return wire.DemandReport{Node: r.node, Taken: at.seq, Epoch: at.epoch}
 }
 
+// due reports whether a report without demand has to go out: the planner must
+// hear of newer routes at once, and otherwise now and then that this host lives.
+func (r *Routes) due(zone string, report wire.DemandReport, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.told[zone]
+	if last.position == (position{epoch: report.Epoch, seq: report.Taken}) && now.Sub(last.at) < tellEvery {
+		return false
+	}
+	return true
+}
+
+func (r *Routes) tell(zone string, report wire.DemandReport, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.told[zone] = telling{position: position{epoch: report.Epoch, seq: report.Taken}, at: now}
+}
+
 // Zones returns the number of zones whose routes are known.
 func (r *Routes) Zones() int {
 	r.mu.Lock()
--- a/src/follow/follower.go
+++ b/src/follow/follower.go
@@ -23,7 +23,7 @@
 	silenceLimit = 2 * time.Second
 	callTimeout  = 2 * time.Second
 	// beatEvery is how often a heartbeat is sent.
-	beatEvery = 2 * time.Second
+	beatEvery = 3 * time.Second
 	// retryEvery is the pause after no keeper was in reach.
 	retryEvery = 300 * time.Millisecond
 	// peerEvery is how often peers are asked while no keeper is in reach.
--- a/src/keeper/nodes.go
+++ b/src/keeper/nodes.go
@@ -16,6 +16,8 @@
 	lostAfter = 10 * time.Second
 	// forgetAfter is how long a silent process stays in the status.
 	forgetAfter = 10 * time.Minute
+	// beatsExpected is how often processes send heartbeats.
+	beatsExpected = 3 * time.Second
 	// reportEvery is how often a keeper tells the leader whom it hears.
 	reportEvery = 2 * time.Second
 )
@@ -79,7 +81,7 @@
 			delete(t.heard, name)
 			continue
 		}
-		if age < reportEvery*2 {
+		if age < 2*beatsExpected {
 			names = append(names, name)
 		}
 	}
--- a/src/planner/publisher.go
+++ b/src/planner/publisher.go
@@ -14,9 +14,9 @@
 // The publisher's times.
 const (
 	// loadsEvery is how often subscribers in the own zone get every host's load.
-	loadsEvery = time.Second
+	loadsEvery = 2 * time.Second
 	// reachFor is how long a subscriber counts as in reach after its last report.
-	reachFor = 3 * time.Second
+	reachFor = 7 * time.Second
 )
 
 // Publisher streams a zone's routes to entry hosts and takes their reports.
@@ -94,7 +94,8 @@
 }
 
 // stream sends a subscriber changed routes as they come, and to those in the
-// own zone the loads once in a while.
+// own zone the loads of the fullest hosts once in a while: of the others they
+// learn from the answers that they relay.
 func (p *Publisher) stream(peer *rpc.Peer, request wire.RoutesRequest) {
 	var seq uint64
 	near := request.Zone == p.runner.zoneName
--- a/src/planner/routes.go
+++ b/src/planner/routes.go
@@ -33,8 +33,11 @@
 // nextSeq is the sequence that a change made now will have.
 func (t *routeTable) nextSeq() uint64 { return t.seq + 1 }
 
+// maxLoads bounds the hosts whose load is told.
+const maxLoads = 16
+
 // since returns the routes that changed after a sequence, all for sequence 0,
-// with every host's load.
+// and with loads the hosts on which requests wait, the fullest first.
 func (t *routeTable) since(seq uint64, withLoads bool) wire.RoutesUpdate {
 	update := wire.RoutesUpdate{Zone: t.zone, Epoch: t.epoch, Seq: t.seq, Full: seq == 0}
 	names := make([]string, 0, len(t.hosts))
@@ -47,10 +50,12 @@
 		if entry.seq > seq {
 			update.Hosts = append(update.Hosts, entry.route)
 		}
-		if withLoads && (entry.load.Running > 0 || entry.load.Waiting > 0) {
+		if withLoads && entry.load.Waiting > 0 {
 			update.Loads = append(update.Loads, entry.load)
 		}
 	}
+	sort.SliceStable(update.Loads, func(i, j int) bool { return update.Loads[i].Waiting > update.Loads[j].Waiting })
+	update.Loads = update.Loads[:min(len(update.Loads), maxLoads)]
 	return update
 }
 
--- a/src/rpc/client.go
+++ b/src/rpc/client.go
@@ -139,17 +139,19 @@
 		c.failedAt = time.Now()
 		return
 	}
-	conn, _ := connect(raw, c.mux, c.meter)
+	metered := &meteredConn{Conn: raw, meter: c.meter}
+	conn := connect(metered, c.mux)
 	if c.closed {
 		_ = conn.Close()
 		return
 	}
 	c.conn = conn
-	go c.watch(conn)
+	go c.watch(conn, metered)
 }
 
-// watch ends a connection whose peer has gone silent, as after a cut.
-func (c *Client) watch(conn *jsonrpc2.Conn) {
+// watch ends a connection whose peer has gone silent, as after a cut. A ping is
+// sent only when nothing else came for a while.
+func (c *Client) watch(conn *jsonrpc2.Conn, raw *meteredConn) {
 	ticker := time.NewTicker(c.silence)
 	defer ticker.Stop()
 	for {
@@ -158,6 +160,9 @@
 			return
 		case <-ticker.C:
 		}
+		if time.Since(time.Unix(0, raw.readAt.Load())) < c.silence {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), c.silence)
 		err := conn.Call(ctx, methodPing, struct{}{}, nil)
 		cancel()
--- a/src/rpc/meter.go
+++ b/src/rpc/meter.go
@@ -26,12 +26,14 @@
 // reading can't hold a sender for long.
 type meteredConn struct {
 	net.Conn
-	meter *Meter
+	meter  *Meter
+	readAt atomic.Int64
 }
 
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.meter.bytesIn.Add(int64(n))
+	c.readAt.Store(time.Now().UnixNano())
 	return n, err
 }
 
--- a/src/rpc/server.go
+++ b/src/rpc/server.go
@@ -64,7 +64,7 @@
 }
 
 func (s *Server) serve(raw net.Conn) {
-	conn, _ := connect(raw, s.mux, s.meter)
+	conn := connect(&meteredConn{Conn: raw, meter: s.meter}, s.mux)
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
 	s.mu.Unlock()
@@ -87,19 +87,19 @@
 }
 
 // connect starts JSON-RPC on a connection.
-func connect(raw net.Conn, mux *Mux, meter *Meter) (*jsonrpc2.Conn, *Peer) {
+func connect(raw *meteredConn, mux *Mux) *jsonrpc2.Conn {
 	peer := &Peer{}
 	ready := make(chan struct{})
 	handler := handlerFunc(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 		<-ready
-		meter.messages.Add(1)
+		raw.meter.messages.Add(1)
 		mux.handle(ctx, peer, conn, req)
 	})
-	stream := jsonrpc2.NewBufferedStream(&meteredConn{Conn: raw, meter: meter}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
 	conn := jsonrpc2.NewConn(context.Background(), stream, handler)
 	peer.conn = conn
 	close(ready)
-	return conn, peer
+	return conn
 }
 
 type handlerFunc func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request)
