--- a/src/engine/message.go
+++ b/src/engine/message.go
@@ -15,6 +15,7 @@
 	HeaderPriority   = "X-Priority"
 	HeaderDeadline   = "X-Deadline-Ms"
 	HeaderResumeFrom = "X-Resume-From"
+	HeaderOnce       = "X-Once"
 	HeaderNotRun     = "X-Not-Run"
 	HeaderLoad       = "X-Load"
 	HeaderLeaving    = "X-Leaving"
--- a/src/engine/stream.go
+++ b/src/engine/stream.go
@@ -27,6 +27,8 @@
 	Priority   int
 	Deadline   time.Duration
 	ResumeFrom uint64
+	// Once says that the request may not be repeated, to an entry host.
+	Once bool
 	// Trace is the traceparent header, "" for none.
 	Trace string
 }
@@ -144,6 +146,9 @@
 	if r.ResumeFrom > 0 {
 		request.Header.Set(HeaderResumeFrom, strconv.FormatUint(r.ResumeFrom, 10))
 	}
+	if r.Once {
+		request.Header.Set(HeaderOnce, "true")
+	}
 	if r.Trace != "" {
 		request.Header.Set("traceparent", r.Trace)
 	}
--- a/src/entry/claim.go
+++ b/src/entry/claim.go
@@ -34,7 +34,11 @@
 	}
 	claim := &onceClaim{server: s, key: r.queueName() + "\x00" + r.key, token: uuid.NewString()}
 	request := wire.ClaimRequest{Key: claim.key, Token: claim.token, Holder: s.node, Expiry: s.claimExpiry(r)}
-	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	wait := claimWait
+	if !r.deadline.IsZero() {
+		wait = min(wait, r.deadline.Sub(s.now()))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	reply := s.askClaim(ctx, request)
 	if reply.Outcome != wire.Accepted {
--- /dev/null
+++ b/src/entry/entry_test.go
@@ -0,0 +1,308 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/moorspool/moorspool/src/engine"
+	"github.com/moorspool/moorspool/src/limit"
+	"github.com/moorspool/moorspool/src/service"
+	"github.com/moorspool/moorspool/src/standin"
+	"github.com/moorspool/moorspool/src/testseed"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// ask sends a streamed completion and returns the text that came, and how it ended.
+func (b *bench) ask(id, model, prompt string, tokens int) (string, error) {
+	stream, err := b.streams.Open(context.Background(), b.address, engine.Request{Path: engine.PathCompletions, Body: body(model, prompt, tokens), ID: id})
+	if err != nil {
+		return "", err
+	}
+	return collect(stream)
+}
+
+// askOnce sends a completion that may be marked as not to be repeated.
+func (b *bench) askOnce(id string, once bool) (string, error) {
+	stream, err := b.streams.Open(context.Background(), b.address, engine.Request{Path: engine.PathCompletions, Body: body("m", "p", 6), ID: id, Once: once})
+	if err != nil {
+		return "", err
+	}
+	return collect(stream)
+}
+
+func collect(stream *engine.Stream) (string, error) {
+	defer stream.Close()
+	var text strings.Builder
+	last := uint64(0)
+	for {
+		token, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		if token.ID != last+1 {
+			return text.String(), errors.Errorf("token %d follows %d", token.ID, last)
+		}
+		last = token.ID
+		_, word, _ := strings.Cut(string(token.Data), `"text":"`)
+		word, _, _ = strings.Cut(word, `"`)
+		text.WriteString(word)
+	}
+}
+
+func TestAnswerIsWholeAndOnesOwn(t *testing.T) {
+	b := newBench(t)
+	b.addEngine("h1", "a")
+	b.addEngine("h2", "a")
+	is := is.New(t)
+	var wait sync.WaitGroup
+	for i := 0; i < 50; i++ {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			prompt := fmt.Sprint("prompt ", i)
+			text, err := b.ask(fmt.Sprint(i), "latest", prompt, 30)
+			is.NoErr(err)
+			is.Equal(text, standin.Answer("m-a", prompt, 30))
+		}()
+	}
+	wait.Wait()
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	b := newBench(t)
+	first := b.addEngine("h1", "a")
+	first.SetFaults(standin.Faults{BreakAfter: 3})
+	second := b.addEngine("h2", "a")
+	is := is.New(t)
+	for i := 0; i < 10; i++ {
+		id := fmt.Sprint("r", i)
+		text, err := b.ask(id, "m", "p", 12)
+		is.NoErr(err)
+		is.Equal(text, standin.Answer("m", "p", 12))
+		is.True(first.Ran(id)+second.Ran(id) >= 1)
+	}
+	is.True(b.server.Status().Resumed > 0)
+}
+
+func TestNothingInReachIsRefusedAtOnceAsNotRun(t *testing.T) {
+	b := newBench(t)
+	is := is.New(t)
+	_, err := b.ask("r", "m", "p", 3)
+	var failure *engine.Failure
+	is.True(errors.As(err, &failure))
+	is.True(failure.NotRun)
+	is.True(strings.Contains(err.Error(), string(ReasonNoCopy)))
+}
+
+func TestWrongInputIsRefusedWithItsReason(t *testing.T) {
+	b := newBench(t)
+	for _, c := range []struct{ body, reason string }{
+		{`{`, "not the JSON"},
+		{`[]`, "not the JSON"},
+		{`{}`, "names no model"},
+		{`{"model":"m"}`, "neither messages nor a prompt"},
+		{`{"model":"nobody","prompt":"p"}`, "no model, adapter or label"},
+	} {
+		_, err := b.streams.Open(context.Background(), b.address, engine.Request{Path: engine.PathCompletions, Body: []byte(c.body), ID: "r"})
+		var failure *engine.Failure
+		if !errors.As(err, &failure) || !failure.NotRun || !strings.Contains(err.Error(), c.reason) {
+			t.Errorf("%s: %v", c.body, err)
+		}
+	}
+}
+
+func TestNotRunIsNotClaimedAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	b := newBench(t)
+	b.fakeHost("h1", func(h *server.Hertz) {
+		h.POST(engine.PathCompletions, func(_ context.Context, c *app.RequestContext) {
+			// The only route goes while the request runs, and then its answer is lost.
+			b.server.routes.take(wire.RoutesUpdate{Zone: "a", Epoch: 1, Seq: 9, Full: true})
+			c.String(500, "broken")
+		})
+	})
+	_, err := b.ask("r", "m", "p", 3)
+	var failure *engine.Failure
+	is := is.New(t)
+	is.True(errors.As(err, &failure))
+	is.True(!failure.NotRun)
+	is.True(strings.Contains(err.Error(), `"not_run":"unknown"`))
+}
+
+func (b *bench) register(key string) (service.Answer, error) {
+	return b.plain.Do(context.Background(), b.address, service.Call{Method: "POST", Path: "/services/desk/register", Body: []byte("form"), ID: "r-" + key, Key: key, Once: true})
+}
+
+func TestOnceCallIsNotRunAgainAfterItsAnswerWasLost(t *testing.T) {
+	b := newBench(t)
+	var calls atomic.Int64
+	for _, name := range []string{"h1", "h2"} {
+		b.fakeHost(name, func(h *server.Hertz) {
+			h.POST("/register", counting(&calls, func(_ context.Context, c *app.RequestContext) { _ = c.GetConn().Close() }))
+		})
+	}
+	settled := make(chan wire.SettleRequest, 1)
+	b.keeper.settle = func(r wire.SettleRequest) { settled <- r }
+	answer, err := b.register("k")
+	is := is.New(t)
+	is.NoErr(err)
+	is.True(strings.Contains(string(answer.Body), string(ReasonOutcome)))
+	is.True(strings.Contains(string(answer.Body), `"not_run":"unknown"`))
+	is.Equal(calls.Load(), int64(1))
+	is.Equal((<-settled).State, wire.ClaimLost) // the key stays taken
+}
+
+func TestOnceCallGoesElsewhereWhenNoByteWasSent(t *testing.T) {
+	b := newBench(t)
+	closed := listen(t)
+	b.addRoute(wire.HostRoute{Host: "dead", Pool: "desk", Zone: "a", Address: closed.Addr().String(), State: wire.HostLive, Slots: 16})
+	_ = closed.Close()
+	_, _ = b.addPlain("alive")
+	is := is.New(t)
+	for i := 0; i < 10; i++ {
+		answer, err := b.register(fmt.Sprint("k", i))
+		is.NoErr(err)
+		is.Equal(answer.Status, 200)
+	}
+}
+
+func TestClaimedKeyIsNotRun(t *testing.T) {
+	b := newBench(t)
+	var calls atomic.Int64
+	b.fakeHost("h1", func(h *server.Hertz) {
+		h.POST("/register", counting(&calls, func(_ context.Context, c *app.RequestContext) { c.String(200, "ok") }))
+	})
+	for _, state := range []wire.ClaimState{wire.ClaimRunning, wire.ClaimDone, wire.ClaimLost} {
+		b.keeper.claim = func(wire.ClaimRequest) wire.ClaimReply {
+			return wire.ClaimReply{Outcome: wire.Accepted, State: state}
+		}
+		_, err := b.register("k")
+		var failure *service.Failure
+		if !errors.As(err, &failure) || !failure.NotRun || failure.Status != 409 {
+			t.Errorf("%s: %v", state, err)
+		}
+	}
+	if calls.Load() != 0 {
+		t.Errorf("the service was called %d times", calls.Load())
+	}
+}
+
+// behaviour is what a scripted host does with one request.
+type behaviour int
+
+const (
+	answers behaviour = iota
+	refusesNotRun
+	fails
+	closesFirst
+	breaks
+	missing
+	behaviours
+)
+
+var behaviourGen = rapid.Map(rapid.IntRange(0, int(behaviours)-1), func(n int) behaviour { return behaviour(n) })
+
+// scripted is a backend server that follows a script and counts runs.
+type scripted struct {
+	mu     sync.Mutex
+	script []behaviour
+	runs   map[string]int
+}
+
+func (s *scripted) next() behaviour {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.script) == 0 {
+		return answers
+	}
+	first := s.script[0]
+	s.script = s.script[1:]
+	return first
+}
+
+func (s *scripted) ran(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id]++
+}
+
+func (s *scripted) handle(_ context.Context, c *app.RequestContext) {
+	id := string(c.GetHeader(engine.HeaderRequestID))
+	switch s.next() {
+	case refusesNotRun:
+		c.Response.Header.Set(engine.HeaderNotRun, "true")
+		c.String(503, "busy")
+	case missing:
+		c.Response.Header.Set(engine.HeaderNotRun, "true")
+		c.String(404, "no such model")
+	case closesFirst:
+		_ = c.GetConn().Close()
+	case fails:
+		s.ran(id)
+		c.String(500, "broken")
+	case breaks:
+		s.ran(id)
+		stream(c, 2, false)
+	case answers:
+		s.ran(id)
+		stream(c, 6, true)
+	}
+}
+
+func init() { testseed.Fix() }
+
+// TestRequestPromises lets hosts do anything in any order and checks what a
+// client may rely on: not run means not run, a once request runs at most once,
+// a whole answer is the right one.
+func TestRequestPromises(t *testing.T) {
+	b := newBench(t)
+	hosts := []*scripted{}
+	for _, name := range []string{"h1", "h2"} {
+		host := &scripted{runs: map[string]int{}}
+		hosts = append(hosts, host)
+		b.fakeHost(name, func(h *server.Hertz) { h.POST(engine.PathCompletions, host.handle) })
+	}
+	number := 0
+	rapid.Check(t, func(t *rapid.T) {
+		number++
+		id := fmt.Sprint("r", number)
+		for _, host := range hosts {
+			// Drawn before the lock: a draw may end the run by a panic.
+			script := rapid.SliceOfN(behaviourGen, 0, 4).Draw(t, "script")
+			host.mu.Lock()
+			host.script = script
+			host.mu.Unlock()
+		}
+		once := rapid.Bool().Draw(t, "once")
+		text, err := b.askOnce(id, once)
+		runs := 0
+		for _, host := range hosts {
+			host.mu.Lock()
+			runs += host.runs[id]
+			host.mu.Unlock()
+		}
+		var failure *engine.Failure
+		switch {
+		case err == nil && text != strings.Repeat("w ", 6):
+			t.Fatalf("a whole answer is %q", text)
+		case errors.As(err, &failure) && failure.NotRun && runs > 0:
+			t.Fatalf("refused as not run, but ran %d times: %v", runs, err)
+		case once && runs > 1:
+			t.Fatalf("a once request ran %d times", runs)
+		}
+		b.server.budget = limit.NewBudget(1)
+	})
+}
--- a/src/entry/request.go
+++ b/src/entry/request.go
@@ -24,7 +24,7 @@
 	headerDeadline  = engine.HeaderDeadline
 	headerKey       = service.HeaderKey
 	// headerOnce marks a call that may not be repeated.
-	headerOnce = "X-Once"
+	headerOnce = engine.HeaderOnce
 )
 
 // The limits of what clients may ask for.
--- a/src/route/host.go
+++ b/src/route/host.go
@@ -55,7 +55,7 @@
 func NewHost(route wire.HostRoute, breaker *Breaker) *Host {
 	h := &Host{name: route.Host, pool: route.Pool, zone: route.Zone, address: route.Address, breaker: breaker}
 	h.slots.Store(int64(max(route.Slots, 1)))
-	h.limit.Store(limitFirst)
+	h.limit.Store(max(limitFirst, min(2*int64(route.Slots), limitMost)))
 	h.SetState(route.State)
 	return h
 }
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -372,3 +372,13 @@
 	}
 	return false
 }
+
+// SetFaults switches faults as a POST to PathFault does.
+func (e *Engine) SetFaults(f Faults) { e.switches.faults.Store(&f) }
+
+// Ran returns how often a request's id ran.
+func (e *Engine) Ran(id string) int {
+	e.runs.mu.Lock()
+	defer e.runs.mu.Unlock()
+	return e.runs.count[id]
+}
