Zone and ledger on virtual time: five faults found by a property and mended

Cause: the planner's promises had no test that breaks them. The property (orders and answers lost, late and doubled, engines restarting and falling silent, planners replaced, versions rolling) found: (1) a load that an earlier planner sent could arrive after a new one had counted its memory as free; (2) the same after an engine's restart, which forgets its epoch; (3) a model wanted again on an accelerator whose copy was draining was ordered there for ever; (4) an adapter whose load arrived after its model had gone blocked the model; (5) making room where there was room already kept it from all others. Change: no load before the engine's report shows this epoch, so that a fence comes first after a change of authority or a restart (engines that do not check: ten seconds instead); leaving copies bar their accelerator; orphaned adapters are unloaded; an outdated copy is replaced in place. Taking out the ledger's reservation, the fence, or the lease of engines that do not check fails a test.

--- a/src/ledger/ledger.go
+++ b/src/ledger/ledger.go
@@ -63,6 +63,8 @@
 	report engine.Report
 	checks bool
 	seenAt time.Time
+	// since is when the present incarnation was first seen.
+	since  time.Time
 	orders map[orderKey]*pending
 	known  bool
 }
@@ -76,6 +78,9 @@
 	if sameRun && report.Seq <= h.report.Seq {
 		return
 	}
+	if !sameRun {
+		h.since = now
+	}
 	h.report = report
 	h.checks = checks
 	h.seenAt = now
@@ -206,6 +211,17 @@
 	return count
 }
 
+// Fenced reports whether no order from before this epoch, or from before the
+// engine's last restart, can run on the host any more. Only then may memory
+// that the report shows as free be counted on: an order that an earlier planner
+// sent, or one that arrives a second time, may be under way still.
+func (h *Host) Fenced(epoch uint64, now time.Time) bool {
+	if h.checks {
+		return h.report.Epoch == epoch
+	}
+	return now.Sub(h.since) >= UncheckedDelay
+}
+
 // Pending returns the unsettled loads, for a planner that must not order them again.
 func (h *Host) Pending() []engine.Order {
 	var orders []engine.Order
--- a/src/place/plan.go
+++ b/src/place/plan.go
@@ -105,8 +105,18 @@
 type modelState struct {
 	Model
 	copies []heldCopy
-	// leaving is set while the unload of a copy is under way.
-	leaving bool
+	// leaving holds the accelerators of copies whose unload is under way.
+	leaving []int
+}
+
+// leavingAt reports whether a copy of the model is being unloaded from an accelerator.
+func (m *modelState) leavingAt(at int) bool {
+	for _, other := range m.leaving {
+		if other == at {
+			return true
+		}
+	}
+	return false
 }
 
 // heldCopy is a copy that stays as far as is decided.
@@ -164,7 +174,7 @@
 		return
 	}
 	if copied.Leaving {
-		model.leaving = true
+		model.leaving = append(model.leaving, copied.Accelerator)
 		return
 	}
 	model.copies = append(model.copies, heldCopy{at: copied.Accelerator, ready: copied.Ready, stale: copied.Stale})
@@ -387,7 +397,7 @@
 		case !p.in.Accelerators[i].Open:
 		case p.accels[i].free < model.Footprint:
 			noRoom++
-		case contains(taken, p.in.Accelerators[i].Host) || contains(p.accels[i].copies, model.Name):
+		case contains(taken, p.in.Accelerators[i].Host) || contains(p.accels[i].copies, model.Name) || model.leavingAt(i):
 			sameHost++
 		case len(model.Apart) > 0 && p.clashes(model, i):
 			apart++
@@ -480,9 +490,19 @@
 // victims returns the cheapest copies of an accelerator whose going makes room.
 func (p *planner) victims(model *modelState, at int) ([]*modelState, float64, bool) {
 	need := model.Footprint - p.accels[at].free
+	if contains(p.accels[at].copies, model.Name) {
+		// An outdated copy of its own has to go first, whatever room there is.
+		if !p.spare(model, model, at) {
+			return nil, 0, false
+		}
+		return []*modelState{model}, 1, need <= model.Footprint
+	}
+	if need <= 0 || model.leavingAt(at) {
+		return nil, 0, false
+	}
 	var candidates []*modelState
 	for _, name := range p.accels[at].copies {
-		if other := p.models[name]; p.spare(other, model, at) {
+		if other := p.models[name]; other != model && p.spare(other, model, at) {
 			candidates = append(candidates, other)
 		}
 	}
@@ -504,7 +524,7 @@
 // one of this model: never its last ready one, never below what its selectors
 // ask for, and never if it would then want the copy back.
 func (p *planner) spare(other, model *modelState, at int) bool {
-	if other.leaving || !other.readyAt(at) {
+	if len(other.leaving) > 0 || !other.readyAt(at) {
 		return false
 	}
 	if other == model {
--- a/src/place/plan_test.go
+++ b/src/place/plan_test.go
@@ -73,3 +73,21 @@
 	is.Equal(out.Steps[0].Action, ActionDrop)
 	is.Equal(len(out.Unplaced), 0)
 }
+
+func TestPlanReplacesAnOutdatedCopyInPlace(t *testing.T) {
+	// With a copy on every host, room elsewhere is of no use: one of its own has
+	// to go first, and the free memory must stay usable for others.
+	in := Input{
+		Models:       []Model{{Name: "a", Footprint: 6}, {Name: "b", Footprint: 6}},
+		Accelerators: fleet(2, 8),
+		Copies:       []Copy{{Model: "a", Accelerator: 0, Ready: true, Stale: true}, {Model: "a", Accelerator: 1, Ready: true, Stale: true}},
+		Loads:        9,
+	}
+	out := Plan(in)
+	is := is.New(t)
+	is.Equal(len(out.Unplaced), 0)
+	is.Equal(out.Steps[0].Action, ActionDrop)
+	is.Equal(out.Steps[0].Model, "a")
+	is.Equal(out.Steps[1].Action, ActionLoad)
+	is.Equal(out.Steps[1].Model, "b")
+}
--- a/src/planner/orders.go
+++ b/src/planner/orders.go
@@ -8,6 +8,7 @@
 	"github.com/moorspool/moorspool/src/config"
 	"github.com/moorspool/moorspool/src/engine"
 	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/ledger"
 	"github.com/moorspool/moorspool/src/member"
 	"github.com/moorspool/moorspool/src/place"
 )
@@ -78,6 +79,9 @@
 	if entry == nil || account == nil || !z.mayCommand(entry, now) {
 		return SendTo{}, false
 	}
+	if action == engine.ActionLoad && !account.Fenced(z.epoch, now) {
+		return SendTo{}, false
+	}
 	order := engine.Order{Epoch: z.epoch, Seq: z.seq + 1, Action: action, Weights: weights, Accelerator: accelerator, Bytes: bytes}
 	if !account.Reserve(order, now) {
 		return SendTo{}, false
@@ -116,16 +120,14 @@
 	for _, key := range z.drainKeys() {
 		d := z.drains[key]
 		account := z.ledger.Host(key.host)
-		if account == nil || !resident(account.Report(), key) {
-			if account == nil || len(account.Pending()) == 0 {
-				delete(z.drains, key)
-			}
+		weights := engine.Weights{Model: key.model, Version: key.version}
+		if account == nil || (!resident(account.Report(), key) && !account.Ordered(weights, key.accelerator)) {
+			delete(z.drains, key)
 			continue
 		}
 		if taken < d.taken && now.Sub(d.since) < drainPatience {
 			continue
 		}
-		weights := engine.Weights{Model: key.model, Version: key.version}
 		if account.Ordered(weights, key.accelerator) {
 			continue
 		}
@@ -162,6 +164,10 @@
 	budget := z.loadsNow(now)
 	for _, accelerator := range z.accelerators() {
 		for _, held := range z.copiesAt(accelerator.Host, accelerator.Index) {
+			if !held.based {
+				orders = append(orders, z.unloadOrphans(held, now)...)
+				continue
+			}
 			if !held.ready || z.drains[held.key] != nil {
 				continue
 			}
@@ -172,6 +178,18 @@
 	return orders
 }
 
+// unloadOrphans unloads adapters whose model is not there: their load arrived
+// after the model had gone.
+func (z *Zone) unloadOrphans(held heldCopy, now time.Time) []SendTo {
+	var orders []SendTo
+	for _, name := range held.adapterNames() {
+		if held.adapters[name] == engine.CopyReady {
+			orders = append(orders, z.unloadAdapter(held, name, now)...)
+		}
+	}
+	return orders
+}
+
 func (z *Zone) loadAdapters(held heldCopy, budget *int, now time.Time) []SendTo {
 	var orders []SendTo
 	for _, name := range z.set.AdapterNames(held.key.model) {
@@ -193,32 +211,41 @@
 
 func (z *Zone) unloadAdapters(held heldCopy, now time.Time) []SendTo {
 	var orders []SendTo
-	for name, state := range held.adapters {
+	for _, name := range held.adapterNames() {
+		state := held.adapters[name]
 		known := z.set.Adapter(name)
 		if state != engine.CopyReady || (known != nil && known.Model == held.key.model) || z.set.Model(held.key.model) == nil {
 			continue
 		}
-		weights := engine.Weights{Model: held.key.model, Adapter: name, Version: held.key.version}
-		if z.ledger.Host(held.key.host).Ordered(weights, held.key.accelerator) {
-			continue
-		}
-		if send, ok := z.order(engine.ActionUnload, weights, held.key.host, held.key.accelerator, 0, now); ok {
-			z.unloads++
-			orders = append(orders, send)
-		}
+		orders = append(orders, z.unloadAdapter(held, name, now)...)
 	}
 	return orders
 }
 
-// fences sends a fence to hosts with orders that stay unsettled: once the
-// engine has taken it, none of the earlier ones can run any more.
+func (z *Zone) unloadAdapter(held heldCopy, name string, now time.Time) []SendTo {
+	weights := engine.Weights{Model: held.key.model, Adapter: name, Version: held.key.version}
+	if z.ledger.Host(held.key.host).Ordered(weights, held.key.accelerator) {
+		return nil
+	}
+	send, ok := z.order(engine.ActionUnload, weights, held.key.host, held.key.accelerator, 0, now)
+	if !ok {
+		return nil
+	}
+	z.unloads++
+	return []SendTo{send}
+}
+
+// fences sends a fence to hosts that this epoch has not fenced yet, and to
+// those with orders that stay unsettled: once the engine has taken it, none of
+// the earlier orders can run any more.
 func (z *Zone) fences(now time.Time) []SendTo {
 	var orders []SendTo
-	for name, entry := range z.members {
-		account := z.ledger.Host(name)
-		if account == nil || entry.state == member.Suspect || !account.NeedsFence(now, fencePatience) {
+	for _, name := range z.hostNames() {
+		entry, account := z.members[name], z.ledger.Host(name)
+		if account == nil || entry.state == member.Suspect || !z.needsFence(entry, account, now) {
 			continue
 		}
+		z.fencedAt[name] = now
 		if send, ok := z.order(engine.ActionFence, engine.Weights{}, name, 0, 0, now); ok {
 			orders = append(orders, send)
 		}
@@ -226,6 +253,14 @@
 	return orders
 }
 
+func (z *Zone) needsFence(entry *hostEntry, account *ledger.Host, now time.Time) bool {
+	if now.Sub(z.fencedAt[entry.listed.Name]) < fencePatience || account.Accelerators() == 0 {
+		return false
+	}
+	unfenced := z.checks(entry) && !account.Fenced(z.epoch, now)
+	return unfenced || account.NeedsFence(now, fencePatience)
+}
+
 // Answer takes in what an engine said of an order.
 func (z *Zone) Answer(send SendTo, reply engine.OrderReply) {
 	kind := event.OrderSent
--- a/src/planner/routes.go
+++ b/src/planner/routes.go
@@ -160,12 +160,11 @@
 
 func modelRoute(held heldCopy) wire.ModelRoute {
 	route := wire.ModelRoute{Model: held.key.model, Version: held.key.version}
-	for name, state := range held.adapters {
-		if state == engine.CopyReady {
+	for _, name := range held.adapterNames() {
+		if held.adapters[name] == engine.CopyReady {
 			route.Adapters = append(route.Adapters, name)
 		}
 	}
-	sort.Strings(route.Adapters)
 	return route
 }
 
--- a/src/planner/zone.go
+++ b/src/planner/zone.go
@@ -38,9 +38,11 @@
 	demands *demands
 	drains  map[copyKey]*drain
 	drained map[string]bool
-	store   *rate.Limiter
-	share   float64
-	policy  config.Policy
+	// fencedAt is when each host was last sent a fence.
+	fencedAt map[string]time.Time
+	store    *rate.Limiter
+	share    float64
+	policy   config.Policy
 
 	epoch    uint64
 	seq      uint64
@@ -78,16 +80,17 @@
 // NewZone returns the decider of a zone; share is its part of the weight store.
 func NewZone(name string, share float64, ring *event.Ring) *Zone {
 	z := &Zone{
-		name:    name,
-		ring:    ring,
-		set:     config.NewSet(config.Revision{}, nil),
-		ledger:  ledger.New(),
-		members: map[string]*hostEntry{},
-		demands: newDemands(),
-		drains:  map[copyKey]*drain{},
-		drained: map[string]bool{},
-		share:   share,
-		routes:  newRouteTable(name),
+		name:     name,
+		ring:     ring,
+		set:      config.NewSet(config.Revision{}, nil),
+		ledger:   ledger.New(),
+		members:  map[string]*hostEntry{},
+		demands:  newDemands(),
+		drains:   map[copyKey]*drain{},
+		drained:  map[string]bool{},
+		fencedAt: map[string]time.Time{},
+		share:    share,
+		routes:   newRouteTable(name),
 	}
 	z.setPolicy()
 	return z
@@ -114,6 +117,7 @@
 	if epoch != z.epoch {
 		z.epoch = epoch
 		z.seq = 0
+		z.fencedAt = map[string]time.Time{}
 		z.routes.setEpoch(epoch)
 	}
 	z.leaseEnd = leaseEnd
@@ -232,7 +236,8 @@
 }
 
 func (z *Zone) tickMembers(now time.Time) {
-	for name, entry := range z.members {
+	for _, name := range z.hostNames() {
+		entry := z.members[name]
 		entry.member.Tick(now)
 		state := entry.member.State()
 		if state == entry.state {
@@ -249,15 +254,21 @@
 	}
 }
 
-// accelerators returns the zone's accelerators in a fixed order.
-func (z *Zone) accelerators() []place.Accelerator {
+// hostNames returns the known hosts in a fixed order, so that equal inputs lead
+// to equal orders.
+func (z *Zone) hostNames() []string {
 	names := make([]string, 0, len(z.members))
 	for name := range z.members {
 		names = append(names, name)
 	}
 	sort.Strings(names)
+	return names
+}
+
+// accelerators returns the zone's accelerators in a fixed order.
+func (z *Zone) accelerators() []place.Accelerator {
 	var all []place.Accelerator
-	for _, name := range names {
+	for _, name := range z.hostNames() {
 		host := z.ledger.Host(name)
 		if host == nil {
 			continue
@@ -328,6 +339,9 @@
 	for i := range in.Accelerators {
 		accelerator := &in.Accelerators[i]
 		for _, copied := range z.copiesAt(accelerator.Host, accelerator.Index) {
+			if !copied.based {
+				continue
+			}
 			known := z.set.Model(copied.key.model)
 			_, draining := z.drains[copied.key]
 			owed := copied.owed(z.set)
@@ -347,11 +361,22 @@
 
 // heldCopy is a model on an accelerator with the adapters it has there.
 type heldCopy struct {
-	key      copyKey
-	ready    bool
+	key   copyKey
+	ready bool
+	// based is false for adapters whose model is neither here nor ordered.
+	based    bool
 	adapters map[string]engine.CopyState
 }
 
+func (c heldCopy) adapterNames() []string {
+	names := make([]string, 0, len(c.adapters))
+	for name := range c.adapters {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // owed is the memory of the adapters that the copy should have and has not.
 func (c heldCopy) owed(set *config.Set) config.Bytes {
 	var sum config.Bytes
@@ -383,6 +408,7 @@
 			held.adapters[copied.Weights.Adapter] = copied.State
 			continue
 		}
+		held.based = true
 		held.ready = copied.State == engine.CopyReady
 	}
 	for _, order := range host.Pending() {
@@ -394,7 +420,9 @@
 			if _, found := held.adapters[adapter]; !found {
 				held.adapters[adapter] = engine.CopyLoading
 			}
+			continue
 		}
+		held.based = true
 	}
 	all := make([]heldCopy, 0, len(byKey))
 	for _, held := range byKey {
--- a/src/planner/zone_test.go
+++ b/src/planner/zone_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/moorspool/moorspool/src/config"
 	"github.com/moorspool/moorspool/src/engine"
+	"github.com/moorspool/moorspool/src/ledger"
+	"github.com/moorspool/moorspool/src/place"
 	"github.com/moorspool/moorspool/src/platform"
 	"github.com/moorspool/moorspool/src/testseed"
 	"github.com/moorspool/moorspool/src/wire"
@@ -127,7 +129,7 @@
 
 func testConfig(version string, adapters int) *config.Set {
 	objects := []config.Object{
-		{Key: config.Key{Kind: config.KindPool, Name: "p"}, Pool: &config.Pool{Zones: []config.PoolZone{{Zone: "z", Replicas: hosts}}, Accelerators: 1, Memory: 100, ChecksOrders: true}},
+		{Key: config.Key{Kind: config.KindPool, Name: "p"}, Pool: &config.Pool{Zones: []config.PoolZone{{Zone: "z", Replicas: hosts}}, Accelerators: 1, Memory: 72, ChecksOrders: true}},
 		{Key: config.Key{Kind: config.KindPolicy, Name: "default"}, Policy: &config.Policy{Weigh: config.WeighAttainment, Store: config.Store{LoadsPerSecond: 5, FullSpeed: 5}}},
 	}
 	for i := 0; i < 6; i++ {
@@ -146,7 +148,7 @@
 	w := &world{now: time.Unix(1_800_000_000, 0), engines: map[string]*fakeEngine{}, silent: map[string]bool{}}
 	for i := 0; i < hosts; i++ {
 		name := fmt.Sprint("h", i)
-		w.engines[name] = newFakeEngine(name, 100)
+		w.engines[name] = newFakeEngine(name, 72)
 	}
 	w.newPlanner(set)
 	return w
@@ -310,11 +312,16 @@
 	set = set.With([]config.Object{{Key: pool.Key, Pool: &unchecked}}, nil)
 	w := newWorld(set)
 	is := is.New(t)
-	w.zone.SetAuthority(w.epoch, w.now.Add(leaseMargin+400*time.Millisecond))
 	sent := 0
 	w.fate = func(SendTo) []underWay { sent++; return nil }
-	w.step()
-	w.step()
+	for at := w.now; w.now.Sub(at) < ledger.UncheckedDelay-time.Second; {
+		w.step()
+	}
+	is.Equal(sent, 0) // what an earlier planner sent may still arrive
+	w.zone.SetAuthority(w.epoch, w.now.Add(leaseMargin+2*time.Second))
+	for range 8 {
+		w.step()
+	}
 	before := sent
 	is.True(before > 0)
 	for i := 0; i < 40; i++ {
@@ -370,10 +377,31 @@
 			w.step()
 		}
 		if w.breaches() > 0 {
-			t.Fatalf("%d overcommitments", w.breaches())
+			t.Fatalf("%d overcommitments%s", w.breaches(), w.describe())
 		}
 		if ready := w.ready(version, 1); ready != 6 {
-			t.Fatalf("only %d of 6 models are ready in the end", ready)
+			t.Fatalf("only %d of 6 models are ready in the end%s", ready, w.describe())
 		}
 	})
 }
+
+// describe tells what every engine holds and what the zone knows, for failures.
+func (w *world) describe() string {
+	text := ""
+	for i := 0; i < hosts; i++ {
+		name := fmt.Sprint("h", i)
+		e := w.engines[name]
+		text += fmt.Sprintf("\n%s epoch %d order %d used %d state %s:", name, e.report.Epoch, e.report.LastOrder, e.used(), w.zone.members[name].state)
+		for _, c := range e.report.Copies {
+			text += fmt.Sprintf(" %s%s/%s:%s", c.Weights.Model, c.Weights.Adapter, c.Weights.Version, c.State)
+		}
+		for _, order := range w.zone.ledger.Host(name).Pending() {
+			text += fmt.Sprintf(" [%s]", describe(order))
+		}
+	}
+	for key := range w.zone.drains {
+		text += fmt.Sprintf("\ndraining %v", key)
+	}
+	in := w.zone.Input(w.now)
+	return text + fmt.Sprintf("\nzone epoch %d, unplaced %v, loads %d, accelerators %+v, copies %+v, steps %+v", w.zone.Epoch(), w.zone.unplaced, in.Loads, in.Accelerators, in.Copies, place.Plan(in).Steps)
+}
