Capacity: slopes measured by make capacity on separate processes

Change: src/capacity measures keepers, a planner and an entry host, each its own process that counts what it spends, before stubs at three or four sizes, fits a line and writes the page's table; samples go to docs/capacity.csv.

--- a/cmd/moorspool-standin/main.go
+++ b/cmd/moorspool-standin/main.go
@@ -1,10 +1,15 @@
-// Command moorspool-standin runs the stand-ins and the load tool of tests and the demo.
+// Command moorspool-standin runs the stand-ins, the load tool and the
+// measurements of tests and the demo.
 package main
 
 import (
 	"os"
 
+	"github.com/moorspool/moorspool/src/capacity"
 	"github.com/moorspool/moorspool/src/standin"
 )
 
-func main() { os.Exit(standin.Main(os.Args[1:])) }
+func main() {
+	measure := standin.Command{Name: "capacity", Short: "measure the slopes of docs/CAPACITY.md", Data: &capacity.Command{}}
+	os.Exit(standin.Main(os.Args[1:], measure))
+}
--- /dev/null
+++ b/src/capacity/main.go
@@ -0,0 +1,61 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// The marks in the page between which the table stands.
+const (
+	markBegin = "<!-- slopes: written by make capacity -->\n"
+	markEnd   = "<!-- end of slopes -->\n"
+)
+
+// Command is the standin tool's capacity command.
+type Command struct {
+	Folder string `long:"folder" required:"yes" description:"folder of the processes' settings"`
+	CSV    string `long:"csv" default:"docs/capacity.csv" description:"where the samples go"`
+	Page   string `long:"page" default:"docs/CAPACITY.md" description:"page whose table is brought up to date"`
+}
+
+// Execute measures the processes of a demo installation of kilima.
+func (c *Command) Execute([]string) error {
+	target := Target{
+		Keepers:  []string{"127.0.1.20:7100", "127.0.2.20:7100", "127.0.3.20:7100"},
+		Planner:  "127.0.1.30:7100",
+		Entry:    "127.0.1.10:7100",
+		Clients:  "127.0.1.10:8080",
+		Platform: "127.0.99.2:9000",
+		Zone:     "dar-a",
+		Prefix:   "127.0.",
+		Own:      "127.0.98.1:7100",
+		Zones:    []string{"dar-a", "dar-b", "dar-c"},
+	}
+	samples, err := NewMeter(target).Run(context.Background())
+	if err != nil {
+		return err
+	}
+	if err := WriteCSV(c.CSV, samples); err != nil {
+		return err
+	}
+	return UpdatePage(c.Page, samples)
+}
+
+// UpdatePage puts the table of the samples between the page's marks.
+func UpdatePage(file string, samples []Sample) error {
+	page, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "reading the page")
+	}
+	before, rest, found := strings.Cut(string(page), markBegin)
+	_, after, ended := strings.Cut(rest, markEnd)
+	if !found || !ended {
+		return errors.Errorf("%s lacks the marks %q and %q", file, strings.TrimSpace(markBegin), strings.TrimSpace(markEnd))
+	}
+	text := fmt.Sprint(before, markBegin, "\n", Render(samples), "\n", markEnd, after)
+	return errors.Wrap(os.WriteFile(file, []byte(text), 0o644), "writing the page")
+}
--- /dev/null
+++ b/src/capacity/stubs.go
@@ -0,0 +1,227 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/engine"
+	"github.com/moorspool/moorspool/src/platform"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/standin"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// The stubs' shape: a host has as many accelerators as the letter's.
+const (
+	accelerators = 8
+	modelsOnHost = 10
+	stubPort     = 9000
+	requestsEach = 1000
+	clients      = 8
+)
+
+// planner measures the planner by the hosts of its zone.
+func (m *Meter) planner(ctx context.Context) error {
+	ln, err := net.Listen("tcp", m.target.Platform)
+	if err != nil {
+		return errors.Wrap(err, "listening as the platform")
+	}
+	list := standin.NewPlatform(nil, 0)
+	list.Serve(ln)
+	var hosts []platform.Host
+	for _, size := range hostSizes {
+		for len(hosts) < size {
+			host, err := m.startEngine(len(hosts))
+			if err != nil {
+				return err
+			}
+			hosts = append(hosts, host)
+		}
+		list.SetHosts(hosts)
+		time.Sleep(2 * settleFor)
+		if err := m.measureIdle(ctx, m.target.Planner, size, "planner: processor share", "planner: anonymous memory", "planner: control traffic"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Meter) startEngine(n int) (platform.Host, error) {
+	name := fmt.Sprint("stub-host-", n)
+	address := fmt.Sprintf("%s%d.%d:%d", m.target.Prefix, 100+n/200, 1+n%200, stubPort)
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return platform.Host{}, errors.Wrap(err, "listening as an engine")
+	}
+	options := standin.EngineOptions{Host: name, Slots: 64, Checks: true}
+	for i := 0; i < accelerators; i++ {
+		options.Capacity = append(options.Capacity, 80*config.GiB)
+	}
+	standin.NewEngine(options).Serve(ln)
+	return platform.Host{Name: name, Pool: "load-pool", Zone: m.target.Zone, Address: address}, nil
+}
+
+// measureIdle measures a process over a while in which nothing is asked of it.
+func (m *Meter) measureIdle(ctx context.Context, address string, size int, cpu, memory, traffic string) error {
+	before, err := m.status(ctx, address)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	time.Sleep(idleFor)
+	after, err := m.status(ctx, address)
+	if err != nil {
+		return err
+	}
+	took := time.Since(began).Seconds()
+	m.add(cpu, size, 100*(after.Control.CPU-before.Control.CPU).Std().Seconds()/took)
+	m.add(memory, size, mib(after.Control.Anonymous))
+	bytes := after.Control.BytesIn + after.Control.BytesOut - before.Control.BytesIn - before.Control.BytesOut
+	m.add(traffic, size, float64(bytes)/took)
+	return nil
+}
+
+// stubPlanner stands in for the planners of the other zones: it tells entry
+// hosts about hosts that are not there.
+type stubPlanner struct {
+	mu    sync.Mutex
+	peers []*rpc.Peer
+	seq   uint64
+	hosts []wire.HostRoute
+	zone  string
+}
+
+func (p *stubPlanner) mux() *rpc.Mux {
+	mux := rpc.NewMux()
+	mux.Handle(wire.MethodWatchRoutes, rpc.Typed(p.watch))
+	mux.Handle(wire.MethodDemand, rpc.Typed(func(context.Context, *rpc.Peer, wire.DemandReport) (wire.Empty, error) { return wire.Empty{}, nil }))
+	return mux
+}
+
+func (p *stubPlanner) watch(ctx context.Context, peer *rpc.Peer, _ wire.RoutesRequest) (wire.Empty, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers = append(p.peers, peer)
+	return wire.Empty{}, peer.Notify(ctx, wire.MethodRoutes, p.update())
+}
+
+func (p *stubPlanner) update() wire.RoutesUpdate {
+	return wire.RoutesUpdate{Zone: p.zone, Epoch: 1, Seq: p.seq, Full: true, Hosts: p.hosts}
+}
+
+// grow tells of so many hosts, with models spread over them.
+func (p *stubPlanner) grow(ctx context.Context, size int, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seq++
+	p.hosts = nil
+	for n := 0; n < size; n++ {
+		route := wire.HostRoute{Host: fmt.Sprint("far-", n), Pool: "load-pool", Zone: p.zone, Address: address, State: wire.HostLive, Slots: 64}
+		for i := 0; i < modelsOnHost; i++ {
+			name := fmt.Sprint("load-", (n*modelsOnHost+i)%modelSizes[len(modelSizes)-1])
+			route.Models = append(route.Models, wire.ModelRoute{Model: name, Version: "v1", Adapters: []string{name + "-a"}})
+		}
+		p.hosts = append(p.hosts, route)
+	}
+	for _, peer := range p.peers {
+		_ = peer.Notify(ctx, wire.MethodRoutes, p.update())
+	}
+}
+
+// entryIdle measures an idle entry host by the hosts that it routes to.
+func (m *Meter) entryIdle(ctx context.Context) error {
+	other := m.target.Zones[len(m.target.Zones)-1]
+	m.stub = &stubPlanner{zone: other}
+	if _, err := rpc.Listen(m.target.Own, m.stub.mux(), m.cost); err != nil {
+		return errors.Wrap(err, "listening as a planner")
+	}
+	var reply wire.GrantReply
+	request := wire.GrantRequest{Zone: other, Holder: "capacity", Address: m.target.Own}
+	if err := m.keepers[0].Call(ctx, wire.MethodGrant, request, &reply); err != nil {
+		return err
+	}
+	for _, size := range routeSizes {
+		m.stub.grow(ctx, size, "127.0.0.1:1")
+		time.Sleep(2 * settleFor)
+		if err := m.measureIdle(ctx, m.target.Entry, size, "entry: processor share, idle", "entry: anonymous memory, idle", "entry: control traffic, idle"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// entryRequests measures what a request costs by its tokens: the line's base is
+// the request, its slope the token.
+func (m *Meter) entryRequests(ctx context.Context) error {
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s%d.%d:%d", m.target.Prefix, 99, 9, stubPort))
+	if err != nil {
+		return errors.Wrap(err, "listening as an engine")
+	}
+	fast := standin.NewEngine(standin.EngineOptions{Host: "far-0", Capacity: []config.Bytes{config.GiB}, Slots: 1 << 20, Warm: []engine.Copy{{Weights: engine.Weights{Model: "load-0", Version: "v1"}, Bytes: 1}}})
+	fast.Serve(ln)
+	m.stub.grow(ctx, 1, ln.Addr().String())
+	time.Sleep(settleFor)
+	streams, err := engine.NewStreams(nil, callTimeout)
+	if err != nil {
+		return err
+	}
+	for _, tokens := range tokenSizes {
+		before, err := m.status(ctx, m.target.Entry)
+		if err != nil {
+			return err
+		}
+		if err := drive(ctx, streams, m.target.Clients, tokens); err != nil {
+			return err
+		}
+		after, err := m.status(ctx, m.target.Entry)
+		if err != nil {
+			return err
+		}
+		m.add("entry: processor time of 1,000 requests", tokens, ms((after.Control.CPU-before.Control.CPU).Std())*1000/requestsEach)
+	}
+	return nil
+}
+
+func drive(ctx context.Context, streams *engine.Streams, address string, tokens int) error {
+	failed := make(chan error, clients)
+	for c := 0; c < clients; c++ {
+		go func() {
+			for n := 0; n < requestsEach/clients; n++ {
+				if err := ask(ctx, streams, address, tokens); err != nil {
+					failed <- err
+					return
+				}
+			}
+			failed <- nil
+		}()
+	}
+	for c := 0; c < clients; c++ {
+		if err := <-failed; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func ask(ctx context.Context, streams *engine.Streams, address string, tokens int) error {
+	body := fmt.Sprintf(`{"model":"load-0","prompt":"p","stream":true,"max_tokens":%d}`, tokens)
+	stream, err := streams.Open(ctx, address, engine.Request{Path: engine.PathCompletions, Body: []byte(body), ID: "capacity"})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		if _, err := stream.Next(); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
--- a/src/standin/main.go
+++ b/src/standin/main.go
@@ -112,8 +112,15 @@
 	return nil
 }
 
-// Main runs moorspool-standin and returns its exit code.
-func Main(arguments []string) int {
+// Command is a further command of the tool.
+type Command struct {
+	Name  string
+	Short string
+	Data  any
+}
+
+// Main runs moorspool-standin, with further commands, and returns its exit code.
+func Main(arguments []string, further ...Command) int {
 	p := flags.NewNamedParser("moorspool-standin", flags.HelpFlag|flags.PassDoubleDash)
 	add := func(name, short string, command any) {
 		if _, err := p.AddCommand(name, short, short, command); err != nil {
@@ -124,6 +131,9 @@
 	add("load", "drive an experiment's load and check the answers", &loadCommand{})
 	add("settings", "write the settings of a demo installation", &settingsCommand{})
 	add("post", "post JSON to a stand-in", &postCommand{})
+	for _, command := range further {
+		add(command.Name, command.Short, command.Data)
+	}
 	add("version", "print the version", &versionCommand{})
 	if _, err := p.ParseArgs(arguments); err != nil {
 		var flagErr *flags.Error
--- a/src/standin/outside.go
+++ b/src/standin/outside.go
@@ -109,6 +109,14 @@
 	return &Platform{lag: lag, version: 1, hosts: hosts}
 }
 
+// SetHosts replaces the list at once.
+func (p *Platform) SetHosts(hosts []platform.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	p.hosts = append([]platform.Host(nil), hosts...)
+}
+
 // Serve starts the list on a listener.
 func (p *Platform) Serve(ln net.Listener) {
 	h := process.NewServer(ln, 1<<20)
