--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 SECONDS ?= 60
 
-.PHONY: all build demo test matrix soak lint bench clean
+.PHONY: all build demo test matrix soak capacity events fuzz lint bench clean
 
 all: build
 
@@ -27,6 +27,16 @@
 	@end=$$(($$(date +%s) + $(SECONDS))); while [ $$(date +%s) -lt $$end ]; do \
 		MOORSPOOL_SOAK=1 $(GO) test -tags $(TAGS) -count=1 -run 'Random|Promises|Never' ./src/keeper ./src/entry ./src/planner || exit 1; done
 
+# capacity measures the slopes of docs/CAPACITY.md, in about two minutes.
+capacity: build
+	scripts/capacity.sh
+
+events:
+	UPDATE_EVENTS=1 $(GO) test -tags $(TAGS) -count=1 -run TestCatalogue ./src/event
+
+fuzz:
+	$(GO) test -tags $(TAGS) -run '^$$' -fuzz FuzzParse -fuzztime 20s ./src/config
+
 lint:
 	@test -z "$$(gofmt -l cmd src)" || { gofmt -l cmd src; echo "gofmt would change these files"; exit 1; }
 	$(GO) vet -tags $(TAGS) ./...
--- a/src/config/bytes.go
+++ b/src/config/bytes.go
@@ -1,9 +1,12 @@
 package config
 
 import (
+	"encoding"
 	"strconv"
 	"strings"
 
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/pkg/errors"
 )
 
@@ -41,6 +44,18 @@
 // MarshalText writes the amount as String does.
 func (b Bytes) MarshalText() ([]byte, error) { return []byte(b.String()), nil }
 
+// UnmarshalYAML reads an amount; its error has the place.
+func (b *Bytes) UnmarshalYAML(node ast.Node) error { return unmarshalAt(node, b) }
+
+// unmarshalAt reads a scalar as text and gives its error the scalar's place.
+func unmarshalAt(node ast.Node, into encoding.TextUnmarshaler) error {
+	text := node.GetToken().Value
+	if err := into.UnmarshalText([]byte(text)); err != nil {
+		return &yaml.SyntaxError{Message: err.Error(), Token: node.GetToken()}
+	}
+	return nil
+}
+
 // UnmarshalText reads an amount such as "14GiB"; it fails without a unit or on a negative amount.
 func (b *Bytes) UnmarshalText(text []byte) error {
 	word := strings.TrimSpace(string(text))
--- a/src/config/object.go
+++ b/src/config/object.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/pkg/errors"
 )
 
 // Kind says what an object is.
@@ -231,11 +234,14 @@
 	return []byte(time.Duration(d).String()), nil
 }
 
+// UnmarshalYAML reads a duration; its error has the place.
+func (d *Duration) UnmarshalYAML(node ast.Node) error { return unmarshalAt(node, d) }
+
 // UnmarshalText reads a duration such as "420ms"; it fails on anything else.
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil {
-		return err
+		return errors.Errorf("%q is not a time such as 420ms or 4s", text)
 	}
 	*d = Duration(parsed)
 	return nil
--- a/src/engine/client.go
+++ b/src/engine/client.go
@@ -22,10 +22,12 @@
 // Control asks engines for reports and sends them orders; it is safe for concurrent use.
 type Control struct {
 	client *client.Client
+	count  func(in, out int)
 }
 
-// NewControl returns a client of the engines' control interface.
-func NewControl(cut *fault.Cut) (*Control, error) {
+// NewControl returns a client of the engines' control interface; count is told
+// the bytes of each exchange.
+func NewControl(cut *fault.Cut, count func(in, out int)) (*Control, error) {
 	c, err := client.NewClient(
 		client.WithDialer(cut.NewDialer()),
 		client.WithDialTimeout(dialTimeout),
@@ -35,7 +37,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "making the engines' client")
 	}
-	return &Control{client: c}, nil
+	return &Control{client: c, count: count}, nil
 }
 
 // Report asks an engine for its report.
@@ -69,6 +71,7 @@
 	if err := c.client.Do(ctx, request, response); err != nil {
 		return errors.Wrap(err, "asking an engine")
 	}
+	c.count(len(response.Header.Header())+len(response.Body()), len(request.Header.Header())+len(body))
 	if status := response.StatusCode(); status != consts.StatusOK {
 		return errors.Errorf("the engine answered %d", status)
 	}
--- a/src/ledger/ledger.go
+++ b/src/ledger/ledger.go
@@ -66,7 +66,9 @@
 	// since is when the present incarnation was first seen.
 	since  time.Time
 	orders map[orderKey]*pending
-	known  bool
+	// changes counts what may alter the copies on the host.
+	changes uint64
+	known   bool
 }
 
 // UncheckedDelay is how long an order to an engine that does not check may
@@ -81,6 +83,9 @@
 	if !sameRun {
 		h.since = now
 	}
+	if !sameRun || report.Epoch != h.report.Epoch || report.Slots != h.report.Slots || !sameCopies(report.Copies, h.report.Copies) {
+		h.changes++
+	}
 	h.report = report
 	h.checks = checks
 	h.seenAt = now
@@ -88,10 +93,27 @@
 	for key, order := range h.orders {
 		if h.settled(order, now) {
 			delete(h.orders, key)
+			h.changes++
 		}
 	}
 }
 
+func sameCopies(a, b []engine.Copy) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Changes returns a number that grows whenever the copies on the host, resident
+// or ordered, may have changed.
+func (h *Host) Changes() uint64 { return h.changes }
+
 // settled reports whether the present report proves what became of an order.
 func (h *Host) settled(p *pending, now time.Time) bool {
 	if h.checks {
@@ -159,12 +181,14 @@
 		return false
 	}
 	h.orders[orderKey{order.Epoch, order.Seq}] = &pending{order: order, sentAt: now}
+	h.changes++
 	return true
 }
 
 // Refused drops an order that the engine said it did not take.
 func (h *Host) Refused(order engine.Order) {
 	delete(h.orders, orderKey{order.Epoch, order.Seq})
+	h.changes++
 }
 
 // Doubt marks an order that got no answer: it may have run, or may still.
--- a/src/place/plan.go
+++ b/src/place/plan.go
@@ -82,6 +82,9 @@
 type Output struct {
 	Steps    []Step
 	Unplaced []string
+	// Waits says that the weight store's limits kept a load back: the same input
+	// leads to more once they allow it.
+	Waits bool
 }
 
 // The watermarks of a copy's load, as a share of the slots it can count on.
@@ -100,6 +103,8 @@
 	steps   []Step
 	budget  int
 	missing []string
+	waits   bool
+	slots   float64
 }
 
 type modelState struct {
@@ -141,7 +146,7 @@
 	p.emptyClosed()
 	p.restore()
 	p.spread()
-	return Output{Steps: p.steps, Unplaced: p.missing}
+	return Output{Steps: p.steps, Unplaced: p.missing, Waits: p.waits}
 }
 
 func newPlanner(in Input) *planner {
@@ -151,6 +156,7 @@
 		accels: make([]accelState, len(in.Accelerators)),
 		budget: in.Loads,
 	}
+	p.slots = p.meanSlots()
 	for i, accelerator := range in.Accelerators {
 		p.accels[i].free = accelerator.Free
 	}
@@ -276,7 +282,7 @@
 // wantedCopies is how many copies demand and selectors ask for.
 func (p *planner) wantedCopies(m *modelState) int {
 	wanted := max(m.Copies, 1)
-	slots := p.meanSlots()
+	slots := p.slots
 	if slots == 0 || m.Demand == 0 {
 		return wanted
 	}
@@ -360,6 +366,7 @@
 // load decides on another copy of a model.
 func (p *planner) load(model *modelState, reason string) verdict {
 	if p.budget <= 0 {
+		p.waits = true
 		return later
 	}
 	at, rejected := p.choose(model)
@@ -541,7 +548,7 @@
 	if len(other.copies)-1 < max(other.Copies, 1) {
 		return false
 	}
-	return other.Demand/left < p.meanSlots()*p.addAbove()*dropBelow || other.share() < model.share()*dropBelow
+	return other.Demand/left < p.slots*p.addAbove()*dropBelow || other.share() < model.share()*dropBelow
 }
 
 func (m *modelState) readyAt(at int) bool {
--- a/src/planner/demand.go
+++ b/src/planner/demand.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -86,3 +88,20 @@
 	}
 	return 0
 }
+
+// levelStep is the factor between two levels of demand: smaller changes lead to
+// no new plan, which also keeps a steady load from moving models to and fro.
+const levelStep = 1.2
+
+// levels stands for all estimates, each rounded to its level.
+func (d *demands) levels() uint64 {
+	var sum uint64
+	for name, e := range d.models {
+		if e.value < minDemand {
+			continue
+		}
+		level := int64(math.Round(math.Log(e.value) / math.Log(levelStep)))
+		sum += xxhash.Sum64String(name) * uint64(2*level+1)
+	}
+	return sum
+}
--- a/src/planner/main.go
+++ b/src/planner/main.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	control, err := engine.NewControl(proc.Cut())
+	control, err := engine.NewControl(proc.Cut(), proc.Meter().Count)
 	if err != nil {
 		return err
 	}
--- a/src/planner/orders.go
+++ b/src/planner/orders.go
@@ -33,15 +33,19 @@
 	in := z.Input(now)
 	out := place.Plan(in)
 	z.noteUnplaced(out.Unplaced)
+	z.waits = out.Waits
 	var orders []SendTo
 	for _, step := range out.Steps {
 		host := in.Accelerators[step.Accelerator].Host
 		index := in.Accelerators[step.Accelerator].Index
 		switch step.Action {
 		case place.ActionLoad:
-			if send, ok := z.loadModel(step, host, index, now); ok {
-				orders = append(orders, send)
+			send, ok := z.loadModel(step, host, index, now)
+			if !ok {
+				z.waits = true
+				continue
 			}
+			orders = append(orders, send)
 		case place.ActionDrop:
 			z.startDrain(step, host, index, now)
 		}
@@ -95,6 +99,7 @@
 		if held.key.model != step.Model || z.drains[held.key] != nil {
 			continue
 		}
+		z.memberChanges++
 		z.drains[held.key] = &drain{since: now, taken: z.routes.nextSeq()}
 		z.ring.Add(event.Event{Kind: event.CopyDropped, Model: step.Model, Host: host, Zone: z.name, Reason: step.Reason, Rejected: step.Rejected})
 	}
@@ -123,6 +128,7 @@
 		weights := engine.Weights{Model: key.model, Version: key.version}
 		if account == nil || (!resident(account.Report(), key) && !account.Ordered(weights, key.accelerator)) {
 			delete(z.drains, key)
+			z.memberChanges++
 			continue
 		}
 		if taken < d.taken && now.Sub(d.since) < drainPatience {
@@ -193,12 +199,17 @@
 func (z *Zone) loadAdapters(held heldCopy, budget *int, now time.Time) []SendTo {
 	var orders []SendTo
 	for _, name := range z.set.AdapterNames(held.key.model) {
-		if _, found := held.adapters[name]; found || *budget <= 0 {
+		if _, found := held.adapters[name]; found {
+			continue
+		}
+		if *budget <= 0 {
+			z.waits = true
 			continue
 		}
 		weights := engine.Weights{Model: held.key.model, Adapter: name, Version: held.key.version}
 		send, ok := z.order(engine.ActionLoad, weights, held.key.host, held.key.accelerator, z.set.Adapter(name).Memory, now)
 		if !ok {
+			z.waits = true
 			continue
 		}
 		*budget--
@@ -229,6 +240,7 @@
 	}
 	send, ok := z.order(engine.ActionUnload, weights, held.key.host, held.key.accelerator, 0, now)
 	if !ok {
+		z.waits = true
 		return nil
 	}
 	z.unloads++
--- a/src/planner/routes.go
+++ b/src/planner/routes.go
@@ -22,6 +22,9 @@
 	load  wire.HostLoad
 	// seq is the sequence at which the route last changed.
 	seq uint64
+	// changes and members are the counts at which the route was worked out.
+	changes uint64
+	members uint64
 }
 
 func newRouteTable(zone string) *routeTable {
@@ -64,21 +67,22 @@
 	changed := false
 	next := z.routes.nextSeq()
 	for name, entry := range z.members {
-		route := z.hostRoute(name, entry)
 		known, found := z.routes.hosts[name]
-		load := wire.HostLoad{Host: name}
+		updated := routeEntry{route: known.route, seq: known.seq, members: z.memberChanges, load: wire.HostLoad{Host: name}}
 		if account := z.ledger.Host(name); account != nil {
-			load.Running = account.Report().Running
-			load.Waiting = account.Report().Waiting
+			updated.changes = account.Changes()
+			updated.load.Running = account.Report().Running
+			updated.load.Waiting = account.Report().Waiting
 		}
-		if found && sameRoute(known.route, route) {
-			known.load = load
-			z.routes.hosts[name] = known
-			continue
+		if !found || known.changes != updated.changes || known.members != updated.members {
+			updated.route = z.hostRoute(name, entry)
+			if !found || !sameRoute(known.route, updated.route) {
+				z.noteReady(known.route, updated.route)
+				updated.seq = next
+				changed = true
+			}
 		}
-		z.noteReady(known.route, route)
-		z.routes.hosts[name] = routeEntry{route: route, load: load, seq: next}
-		changed = true
+		z.routes.hosts[name] = updated
 	}
 	for name, known := range z.routes.hosts {
 		if z.members[name] == nil && known.route.State != wire.HostGone {
--- a/src/planner/zone.go
+++ b/src/planner/zone.go
@@ -38,6 +38,7 @@
 	demands *demands
 	drains  map[copyKey]*drain
 	drained map[string]bool
+	copies  map[string]cachedCopies
 	// fencedAt is when each host was last sent a fence.
 	fencedAt map[string]time.Time
 	store    *rate.Limiter
@@ -53,6 +54,12 @@
 	unloads  uint64
 	unplaced []string
 	doubted  int
+
+	planned planKey
+	// waits is set while the last plan wanted more than could be ordered.
+	waits bool
+	// memberChanges counts changes of standing and of drains.
+	memberChanges uint64
 }
 
 // hostEntry is a backend server as the zone knows it.
@@ -88,6 +95,7 @@
 		demands:  newDemands(),
 		drains:   map[copyKey]*drain{},
 		drained:  map[string]bool{},
+		copies:   map[string]cachedCopies{},
 		fencedAt: map[string]time.Time{},
 		share:    share,
 		routes:   newRouteTable(name),
@@ -185,6 +193,7 @@
 
 // Drain empties a host, or takes that back.
 func (z *Zone) Drain(host string, undo bool) {
+	z.memberChanges++
 	if undo {
 		delete(z.drained, host)
 		return
@@ -207,8 +216,7 @@
 	z.tickMembers(now)
 	var orders []SendTo
 	if z.epoch != 0 {
-		orders = append(orders, z.plan(now)...)
-		orders = append(orders, z.adapters(now)...)
+		orders = append(orders, z.place(now)...)
 		orders = append(orders, z.unloadDrained(now, taken)...)
 		orders = append(orders, z.fences(now)...)
 	}
@@ -217,6 +225,39 @@
 	return orders
 }
 
+// place plans, if anything has changed that a plan depends on. Most steps of a
+// zone find nothing new, so that its work grows with what changes.
+func (z *Zone) place(now time.Time) []SendTo {
+	key := z.planKey()
+	if key == z.planned && !z.waits {
+		return nil
+	}
+	z.waits = false
+	orders := append(z.plan(now), z.adapters(now)...)
+	z.waits = z.waits || len(orders) > 0
+	z.planned = key
+	return orders
+}
+
+// planKey stands for all that a plan depends on but the time.
+type planKey struct {
+	set     *config.Set
+	epoch   uint64
+	changes uint64
+	members uint64
+	demand  uint64
+}
+
+func (z *Zone) planKey() planKey {
+	key := planKey{set: z.set, epoch: z.epoch, members: z.memberChanges, demand: z.demands.levels()}
+	for name := range z.members {
+		if host := z.ledger.Host(name); host != nil {
+			key.changes += host.Changes()
+		}
+	}
+	return key
+}
+
 func (z *Zone) noteDoubt() {
 	if doubted := z.ledger.InDoubt(); doubted != z.doubted {
 		if doubted > z.doubted {
@@ -243,6 +284,7 @@
 		if state == entry.state {
 			continue
 		}
+		z.memberChanges++
 		if kind, named := memberEvents[state]; named {
 			z.ring.Add(event.Event{Kind: kind, Host: name, Zone: z.name, Reason: "was " + string(entry.state)})
 		}
@@ -388,9 +430,29 @@
 	return sum
 }
 
-// copiesAt returns the copies on an accelerator, resident and ordered, in a fixed order.
+// cachedCopies are a host's copies as they were at a count of its changes.
+type cachedCopies struct {
+	account *ledger.Host
+	changes uint64
+	copies  [][]heldCopy
+}
+
+// copiesAt returns the copies on an accelerator, resident and ordered, in a
+// fixed order. They are worked out anew only after the host's account changed.
 func (z *Zone) copiesAt(hostName string, accelerator int) []heldCopy {
 	host := z.ledger.Host(hostName)
+	cached := z.copies[hostName]
+	if cached.account != host || cached.changes != host.Changes() || len(cached.copies) != host.Accelerators() {
+		cached = cachedCopies{account: host, changes: host.Changes()}
+		for i := 0; i < host.Accelerators(); i++ {
+			cached.copies = append(cached.copies, findCopies(host, hostName, i))
+		}
+		z.copies[hostName] = cached
+	}
+	return cached.copies[accelerator]
+}
+
+func findCopies(host *ledger.Host, hostName string, accelerator int) []heldCopy {
 	byKey := map[copyKey]*heldCopy{}
 	get := func(w engine.Weights) *heldCopy {
 		key := copyKey{hostName, accelerator, w.Model, w.Version}
--- a/src/process/process.go
+++ b/src/process/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,6 +21,10 @@
 	"github.com/moorspool/moorspool/src/wire"
 )
 
+// gcPercent keeps the heap small: a process has 32 MB for control, and little
+// of its time goes to allocation.
+const gcPercent = 40
+
 // maxEventWait bounds how long a caller may wait for events.
 const maxEventWait = 20 * time.Second
 
@@ -48,6 +53,7 @@
 		return nil, errors.Wrap(err, "setting the log level")
 	}
 	logger.SetLevel(level)
+	debug.SetGCPercent(gcPercent)
 	p := &Process{
 		role:     role,
 		settings: settings,
--- /dev/null
+++ b/src/route/pick_test.go
@@ -0,0 +1,118 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+var noon = time.Unix(1_800_000_000, 0)
+
+// tableOf returns a table whose hosts all serve model m, half of them far.
+func tableOf(n int, zones ...string) (*Table, []*Host) {
+	hosts := map[string]*Host{}
+	var routes []wire.HostRoute
+	var list []*Host
+	breakers := map[string]*Breaker{"b": {}}
+	for i := 0; i < n; i++ {
+		r := wire.HostRoute{Host: fmt.Sprintf("h%04d", i), Zone: zones[i%len(zones)], State: wire.HostLive, Slots: 8, Models: []wire.ModelRoute{{Model: "m", Adapters: []string{"a"}}}}
+		h := NewHost(r, breakers[r.Zone])
+		hosts[r.Host] = h
+		list = append(list, h)
+		routes = append(routes, r)
+	}
+	return NewTable("a", routes, hosts), list
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestLeavingHostsGetNothing(t *testing.T) {
+	table, hosts := tableOf(3, "a")
+	hosts[0].SetLeaving()
+	hosts[1].SetState(wire.HostLeaving)
+	r := random()
+	for range 100 {
+		h, verdict := table.Pick(noon, Request{Want: Want{Model: "m"}}, nil, r)
+		if verdict != Chosen || h != hosts[2] {
+			t.Fatal("a leaving host was chosen")
+		}
+	}
+	hosts[2].SetLeaving()
+	_, verdict := table.Pick(noon, Request{Want: Want{Model: "m"}}, nil, r)
+	is.New(t).Equal(verdict, Missing)
+}
+
+func TestEjectionNeverMakesAModelUnreachable(t *testing.T) {
+	table, hosts := tableOf(2, "a")
+	for _, h := range hosts {
+		for range ejectAfter {
+			h.Failed(noon)
+		}
+	}
+	_, verdict := table.Pick(noon, Request{Want: Want{Model: "m"}}, nil, random())
+	is.New(t).Equal(verdict, Chosen)
+}
+
+func TestCutOffZoneIsLeftAlone(t *testing.T) {
+	table, hosts := tableOf(4, "b")
+	is := is.New(t)
+	for _, h := range hosts {
+		h.Failed(noon) // one failure each: no host is ejected, the zone is
+	}
+	_, verdict := table.Pick(noon, Request{Want: Want{Model: "m"}}, nil, random())
+	is.Equal(verdict, Missing)
+	_, verdict = table.Pick(noon.Add(breakFirst+1), Request{Want: Want{Model: "m"}}, nil, random())
+	is.Equal(verdict, Chosen)
+}
+
+func TestFullHostsMakeRequestsWait(t *testing.T) {
+	table, hosts := tableOf(2, "a")
+	for _, h := range hosts {
+		h.limit.Store(1)
+		h.Begin()
+	}
+	_, verdict := table.Pick(noon, Request{Want: Want{Model: "m"}}, nil, random())
+	is.New(t).Equal(verdict, Full)
+}
+
+// TestManyEntryHostsDoNotPileUp lets 340 entry hosts choose on one stale report.
+func TestManyEntryHostsDoNotPileUp(t *testing.T) {
+	const entries, replicas = 340, 20
+	chosen := map[string]int{}
+	for e := range entries {
+		table, hosts := tableOf(replicas, "a")
+		for i, h := range hosts {
+			h.Reported(i, 0, noon) // h0 looks idle to everybody
+		}
+		h, _ := table.Pick(noon, Request{Want: Want{Model: "m"}}, nil, rand.New(rand.NewPCG(uint64(e), 1)))
+		chosen[h.Name()]++
+	}
+	worst := 0
+	for _, n := range chosen {
+		worst = max(worst, n)
+	}
+	if worst > entries/3 {
+		t.Errorf("%d of %d entry hosts chose the same replica", worst, entries)
+	}
+}
+
+// BenchmarkRoute measures one choice by the number of candidates.
+func BenchmarkRoute(b *testing.B) {
+	for _, n := range []int{10, 100, 780} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table, _ := tableOf(n, "a", "b", "c")
+			prefixes := &Prefixes{}
+			r := random()
+			tried := &Tried{}
+			b.ReportAllocs()
+			for range b.N {
+				table.Pick(noon, Request{Want: Want{Model: "m"}, Tried: tried, Prefix: 7}, prefixes, r)
+			}
+		})
+	}
+}
--- a/src/rpc/meter.go
+++ b/src/rpc/meter.go
@@ -13,6 +13,13 @@
 	messages atomic.Int64
 }
 
+// Count adds an exchange of the given bytes that went another way than rpc.
+func (m *Meter) Count(in, out int) {
+	m.bytesIn.Add(int64(in))
+	m.bytesOut.Add(int64(out))
+	m.messages.Add(2)
+}
+
 // BytesIn returns the bytes received.
 func (m *Meter) BytesIn() int64 { return m.bytesIn.Load() }
 
