--- a/src/capacity/measure.go
+++ b/src/capacity/measure.go
@@ -62,7 +62,6 @@
 	cost    *rpc.Meter
 	keepers []*rpc.Client
 	samples []Sample
-	base    config.Revision
 	stub    *stubPlanner
 }
 
--- a/src/engine/client.go
+++ b/src/engine/client.go
@@ -40,10 +40,15 @@
 	return &Control{client: c, count: count}, nil
 }
 
-// Report asks an engine for its report.
-func (c *Control) Report(ctx context.Context, address string) (Report, error) {
+// Report asks an engine for its report. An engine that has nothing new since the
+// last one that the asker has tells only its load.
+func (c *Control) Report(ctx context.Context, address string, last Report) (Report, error) {
 	var report Report
-	err := c.exchange(ctx, consts.MethodGet, "http://"+address+PathReport, nil, &report)
+	err := c.exchange(ctx, consts.MethodGet, "http://"+address+PathReport, last.Known(), nil, &report)
+	if report.Same {
+		report.Epoch, report.LastOrder = last.Epoch, last.LastOrder
+		report.Capacity, report.Copies = last.Capacity, last.Copies
+	}
 	return report, err
 }
 
@@ -54,16 +59,19 @@
 		return OrderReply{}, errors.Wrap(err, "encoding an order")
 	}
 	var reply OrderReply
-	err = c.exchange(ctx, consts.MethodPost, "http://"+address+PathOrders, body, &reply)
+	err = c.exchange(ctx, consts.MethodPost, "http://"+address+PathOrders, "", body, &reply)
 	return reply, err
 }
 
-func (c *Control) exchange(ctx context.Context, method, url string, body []byte, reply any) error {
+func (c *Control) exchange(ctx context.Context, method, url, known string, body []byte, reply any) error {
 	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(request)
 	defer protocol.ReleaseResponse(response)
 	request.SetMethod(method)
 	request.SetRequestURI(url)
+	if known != "" {
+		request.Header.Set(HeaderKnown, known)
+	}
 	if body != nil {
 		request.Header.SetContentTypeBytes([]byte("application/json"))
 		request.SetBody(body)
--- a/src/engine/message.go
+++ b/src/engine/message.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"strconv"
+
 	"github.com/moorspool/moorspool/src/config"
 )
 
@@ -19,6 +21,8 @@
 	HeaderNotRun     = "X-Not-Run"
 	HeaderLoad       = "X-Load"
 	HeaderLeaving    = "X-Leaving"
+	// HeaderKnown names the incarnation and version of the report that the asker has.
+	HeaderKnown = "X-Report-Known"
 )
 
 // EndMark is the data of the last event of a whole stream.
@@ -89,6 +93,14 @@
 	State       CopyState    `json:"state"`
 }
 
+// Known returns the value of HeaderKnown for a report, "" for none.
+func (r Report) Known() string {
+	if r.Incarnation == "" {
+		return ""
+	}
+	return r.Incarnation + "/" + strconv.FormatUint(r.Version, 10)
+}
+
 // Report is what an engine says of itself; it may be older than it looks.
 type Report struct {
 	Host string `json:"host"`
@@ -96,12 +108,16 @@
 	Incarnation string `json:"incarnation"`
 	// Seq grows with every report of an incarnation.
 	Seq uint64 `json:"seq"`
+	// Version grows whenever something but the load may have changed.
+	Version uint64 `json:"version"`
+	// Same says that only the load is told: Version is the one that was asked with.
+	Same bool `json:"same,omitempty"`
 	// Epoch and LastOrder are the newest order that the engine took or refused as stale against.
 	Epoch     uint64         `json:"epoch"`
 	LastOrder uint64         `json:"lastOrder"`
 	Leaving   bool           `json:"leaving,omitempty"`
-	Capacity  []config.Bytes `json:"capacity"`
-	Copies    []Copy         `json:"copies"`
+	Capacity  []config.Bytes `json:"capacity,omitempty"`
+	Copies    []Copy         `json:"copies,omitempty"`
 	Running   int            `json:"running"`
 	Waiting   int            `json:"waiting"`
 	// Slots is how many requests one accelerator runs at once at full speed.
--- a/src/entry/completion.go
+++ b/src/entry/completion.go
@@ -99,11 +99,11 @@
 	r.tried.Add(host)
 	s.ring.Add(event.Event{Kind: event.RequestRouted, Request: r.id, Model: r.want.Model, Host: host.Name(), Zone: host.Zone()})
 	err := x.relay(ctx, host, span.Traceparent())
-	took := s.now().Sub(began)
 	if err != nil {
-		took = 0
+		host.Fail()
+	} else {
+		host.End(s.now().Sub(began), x.attainedOn(began))
 	}
-	host.End(took)
 	s.queues.Release(r.queueName())
 	span.End(err)
 	return err
@@ -186,12 +186,29 @@
 	s.ring.Add(event.Event{Kind: event.RequestFinished, Request: r.id, Model: r.want.Model, Host: host.Name()})
 }
 
-// attained reports whether the answer met its model's target.
+// attained reports whether the answer met its model's target, the wait in a
+// queue included.
 func (x *exchange) attained() bool {
 	target := x.r.target
 	if target.FirstToken > 0 && x.first > target.FirstToken.Std() {
 		return false
 	}
+	return x.fluent()
+}
+
+// attainedOn reports the same for the time since the request was sent to the
+// host that gave it whole: what the host itself is to be judged by.
+func (x *exchange) attainedOn(sent time.Time) bool {
+	first := x.r.started.Add(x.first).Sub(sent)
+	if target := x.r.target.FirstToken; target > 0 && first > target.Std() {
+		return false
+	}
+	return x.fluent()
+}
+
+// fluent reports whether the tokens followed each other in time.
+func (x *exchange) fluent() bool {
+	target := x.r.target
 	if target.BetweenTokens > 0 && x.last > 1 {
 		mean := x.lastAt.Sub(x.r.started.Add(x.first)) / time.Duration(x.last-1)
 		return mean <= target.BetweenTokens.Std()
--- a/src/entry/plain.go
+++ b/src/entry/plain.go
@@ -114,11 +114,11 @@
 	s.ring.Add(event.Event{Kind: event.RequestRouted, Request: r.id, Model: r.want.Pool, Host: host.Name(), Zone: host.Zone()})
 	call := service.Call{Method: x.method, Path: r.path, ContentType: x.contentType, Body: r.body, ID: r.id, Key: r.key, Once: r.once, Trace: span.Traceparent()}
 	answer, err := s.services.Do(ctx, host.Address(), call)
-	took := s.now().Sub(began)
 	if err != nil {
-		took = 0
+		host.Fail()
+	} else {
+		host.End(s.now().Sub(began), true)
 	}
-	host.End(took)
 	if err == nil && answer.Load.Known {
 		host.Reported(answer.Load.Running, answer.Load.Waiting, s.now())
 	}
--- a/src/member/host.go
+++ b/src/member/host.go
@@ -38,7 +38,7 @@
 // The times that decide.
 const (
 	// SuspectAfter is how long a host may stay silent.
-	SuspectAfter = 1500 * time.Millisecond
+	SuspectAfter = 2500 * time.Millisecond
 	// GoneAfter is how long an unlisted host is kept while silent.
 	GoneAfter = 5 * time.Second
 )
--- a/src/planner/routes.go
+++ b/src/planner/routes.go
@@ -62,6 +62,9 @@
 	return update
 }
 
+// Routes returns the routes that changed after a sequence, all for sequence 0.
+func (z *Zone) Routes(since uint64) wire.RoutesUpdate { return z.routes.since(since, false) }
+
 // updateRoutes brings the table up to date with members, reports and drains.
 func (z *Zone) updateRoutes() {
 	changed := false
--- a/src/planner/runner.go
+++ b/src/planner/runner.go
@@ -16,7 +16,7 @@
 // The runner's times.
 const (
 	stepEvery   = 250 * time.Millisecond
-	reportEvery = 500 * time.Millisecond
+	reportEvery = time.Second
 	listEvery   = time.Second
 	renewEvery  = time.Second
 	grantWait   = 3 * time.Second
@@ -113,13 +113,15 @@
 func (r *Runner) poll(ctx context.Context, name string) {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
+	var last engine.Report
 	for {
 		address, known := r.addressOf(name)
 		if !known {
 			return
 		}
-		report, err := r.control.Report(ctx, address)
+		report, err := r.control.Report(ctx, address, last)
 		if err == nil {
+			last = report
 			r.mu.Lock()
 			r.zone.Reported(name, report, r.now())
 			r.mu.Unlock()
--- a/src/route/host.go
+++ b/src/route/host.go
@@ -20,6 +20,8 @@
 	limitFirst = 32
 	limitLeast = 1
 	limitMost  = 1024
+	// missPart is the part of the limit that one miss takes away.
+	missPart = 16
 )
 
 // serviceShift weighs a new service time at 1/8 of the average.
@@ -43,11 +45,13 @@
 	reportedAt atomic.Int64
 	slots      atomic.Int64
 	limit      atomic.Int64
-	service    atomic.Int64
-	failures   atomic.Int64
-	ejectedTo  atomic.Int64
-	freshTo    atomic.Int64
-	breaker    *Breaker
+	// inTime counts the requests in time since the limit last moved.
+	inTime    atomic.Int64
+	service   atomic.Int64
+	failures  atomic.Int64
+	ejectedTo atomic.Int64
+	freshTo   atomic.Int64
+	breaker   *Breaker
 }
 
 // NewHost returns a host as a planner described it; breaker is shared by the
@@ -112,18 +116,21 @@
 	h.sent.Store(0)
 }
 
+// Seen returns the last reported load, without what this entry host knows better.
+func (h *Host) Seen() int64 { return h.reported.Load() }
+
 // Begin counts a request that is being sent.
 func (h *Host) Begin() {
 	h.inFlight.Add(1)
 	h.sent.Add(1)
 }
 
-// End counts a request's end. took is its time on the host, 0 if it failed.
-func (h *Host) End(took time.Duration) {
-	h.inFlight.Add(-1)
-	if took <= 0 {
-		return
-	}
+// End counts a request's end: its time on the host, and whether it met its
+// target there. The limit follows that: a miss lowers it by a part, as many
+// requests in time as it allows raise it by one while it is used.
+func (h *Host) End(took time.Duration, attained bool) {
+	used := h.inFlight.Add(-1) + 1
+	h.adapt(used, attained)
 	h.failures.Store(0)
 	h.ejectedTo.Store(0)
 	h.breaker.succeeded()
@@ -133,8 +140,23 @@
 	} else {
 		h.service.Store(old + (int64(took)-old)>>serviceShift)
 	}
-	if limit := h.limit.Load(); h.inFlight.Load()+1 >= limit && limit < limitMost {
+}
+
+// Fail counts the end of a request that got no answer.
+func (h *Host) Fail() { h.inFlight.Add(-1) }
+
+// adapt moves the limit. Two requests that end at once may undo each other's
+// step, which costs nothing but a little time.
+func (h *Host) adapt(used int64, attained bool) {
+	limit := h.limit.Load()
+	if !attained {
+		h.limit.Store(max(limit-max(limit/missPart, 1), limitLeast))
+		h.inTime.Store(0)
+		return
+	}
+	if used >= limit && h.inTime.Add(1) >= limit && limit < limitMost {
 		h.limit.Store(limit + 1)
+		h.inTime.Store(0)
 	}
 }
 
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -182,7 +182,7 @@
 func (e *Engine) Close() { _ = e.hertz.Close() }
 
 func (e *Engine) stats(_ context.Context, c *app.RequestContext) {
-	r := e.memory.report()
+	r := e.memory.report("")
 	c.JSON(consts.StatusOK, Stats{
 		Host:     e.options.Host,
 		Runs:     e.runs.list(),
@@ -194,7 +194,7 @@
 }
 
 func (e *Engine) report(_ context.Context, c *app.RequestContext) {
-	r := e.memory.report()
+	r := e.memory.report(string(c.GetHeader(engine.HeaderKnown)))
 	r.Leaving = e.switches.now().Leaving
 	r.Slots = e.options.Slots
 	r.Running, r.Waiting = e.load()
--- a/src/standin/memory.go
+++ b/src/standin/memory.go
@@ -22,6 +22,7 @@
 	epoch       uint64
 	lastOrder   uint64
 	seq         uint64
+	version     uint64
 	breaches    int
 	loads       int
 	unloads     int
@@ -61,6 +62,7 @@
 func (m *memory) take(order engine.Order) (engine.OrderReply, *engine.Copy) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.version++
 	if m.checks && m.stale(order) {
 		return engine.OrderReply{Outcome: engine.OrderStale}, nil
 	}
@@ -119,6 +121,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if c.State == engine.CopyLoading {
+		m.version++
 		c.State = engine.CopyReady
 	}
 }
@@ -144,6 +147,7 @@
 			kept = append(kept, other)
 		}
 	}
+	m.version++
 	m.copies = kept
 	return true
 }
@@ -171,15 +175,21 @@
 	}
 }
 
-// report returns the engine's report without its load.
-func (m *memory) report() engine.Report {
+// report returns the engine's report without its load; for an asker that has
+// the present version, only what changes all the time.
+func (m *memory) report(known string) engine.Report {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
+	same := engine.Report{Host: m.host, Incarnation: m.incarnation, Seq: m.seq, Version: m.version, Same: true, Breaches: m.breaches}
+	if known != "" && known == same.Known() {
+		return same
+	}
 	r := engine.Report{
 		Host:        m.host,
 		Incarnation: m.incarnation,
 		Seq:         m.seq,
+		Version:     m.version,
 		Epoch:       m.epoch,
 		LastOrder:   m.lastOrder,
 		Capacity:    m.capacity,
