--- /dev/null
+++ b/src/capacity/sample_test.go
@@ -0,0 +1,37 @@
+package capacity
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestFitFindsALine(t *testing.T) {
+	l := fit([]Sample{{Size: 1, Value: 5}, {Size: 2, Value: 7}, {Size: 4, Value: 11}})
+	is := is.New(t)
+	is.True(l.slope > 1.999 && l.slope < 2.001)
+	is.True(l.at(10) > 22.99 && l.at(10) < 23.01)
+}
+
+// TestPageAgreesWithItsSamples holds the page's table to docs/capacity.csv, and
+// every kind of measurement to at least three sizes.
+func TestPageAgreesWithItsSamples(t *testing.T) {
+	samples, err := ReadCSV("../../docs/capacity.csv")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Render(samples)) {
+		t.Error("the table in docs/CAPACITY.md is not that of docs/capacity.csv; run make capacity")
+	}
+	for _, kind := range allSeries {
+		if n := len(of(samples, kind.name)); n < 3 {
+			t.Errorf("%s was measured at %d sizes", kind.name, n)
+		}
+	}
+}
--- a/src/capacity/stubs.go
+++ b/src/capacity/stubs.go
@@ -25,6 +25,8 @@
 	stubPort     = 9000
 	requestsEach = 1000
 	clients      = 8
+	// settleTries bounds the wait for a planner that keeps loading.
+	settleTries = 8
 )
 
 // planner measures the planner by the hosts of its zone.
@@ -45,7 +47,9 @@
 			hosts = append(hosts, host)
 		}
 		list.SetHosts(hosts)
-		time.Sleep(2 * settleFor)
+		if err := m.settlePlanner(ctx); err != nil {
+			return err
+		}
 		if err := m.measureIdle(ctx, m.target.Planner, size, "planner: processor share", "planner: anonymous memory", "planner: control traffic"); err != nil {
 			return err
 		}
@@ -53,6 +57,23 @@
 	return nil
 }
 
+// settlePlanner waits until the planner has loaded what it wants for now.
+func (m *Meter) settlePlanner(ctx context.Context) error {
+	var loads uint64
+	for tries := 0; tries < settleTries; tries++ {
+		time.Sleep(2 * settleFor)
+		status, err := m.status(ctx, m.target.Planner)
+		if err != nil {
+			return err
+		}
+		if status.Planner.Loads == loads && loads > 0 {
+			return nil
+		}
+		loads = status.Planner.Loads
+	}
+	return nil
+}
+
 func (m *Meter) startEngine(n int) (platform.Host, error) {
 	name := fmt.Sprint("stub-host-", n)
 	address := fmt.Sprintf("%s%d.%d:%d", m.target.Prefix, 100+n/200, 1+n%200, stubPort)
--- a/src/entry/completion.go
+++ b/src/entry/completion.go
@@ -49,9 +49,7 @@
 	out    *answer
 	last   uint64
 	lastAt time.Time
-	// slowest is the longest time between two tokens.
-	slowest time.Duration
-	first   time.Duration
+	first  time.Duration
 	// reached is set once a byte of the request was written to a backend server.
 	reached bool
 }
@@ -165,9 +163,6 @@
 	if x.last == 0 {
 		x.first = now.Sub(x.r.started)
 		x.server.metrics.firstToken.RecordDuration(x.first)
-	} else {
-		gap := now.Sub(x.lastAt)
-		x.slowest = max(x.slowest, gap)
 	}
 	x.lastAt = now
 }
@@ -180,6 +175,9 @@
 	s.prefixes.Note(r.prefix, host)
 	s.routes.Served(r.want.Model, s.now().Sub(r.started))
 	s.metrics.finished.Inc(1)
+	if x.last > 1 {
+		s.metrics.between.RecordDuration(x.betweenTokens())
+	}
 	if x.attained() {
 		s.metrics.attained.Inc(1)
 	}
@@ -210,12 +208,16 @@
 func (x *exchange) fluent() bool {
 	target := x.r.target
 	if target.BetweenTokens > 0 && x.last > 1 {
-		mean := x.lastAt.Sub(x.r.started.Add(x.first)) / time.Duration(x.last-1)
-		return mean <= target.BetweenTokens.Std()
+		return x.betweenTokens() <= target.BetweenTokens.Std()
 	}
 	return true
 }
 
+// betweenTokens returns the mean time between two tokens of an answer of at least two.
+func (x *exchange) betweenTokens() time.Duration {
+	return x.lastAt.Sub(x.r.started.Add(x.first)) / time.Duration(x.last-1)
+}
+
 // afterFailure decides what follows a failed attempt: nil means another one.
 func (x *exchange) afterFailure(ctx context.Context, host *route.Host, attempt int, err error) *Refusal {
 	s, r := x.server, x.r
--- a/src/entry/refusal.go
+++ b/src/entry/refusal.go
@@ -24,7 +24,6 @@
 	ReasonClaimed      Reason = "claimed-before"
 	ReasonNoKeeper     Reason = "no-keeper-in-reach"
 	ReasonOutcome      Reason = "outcome-unknown"
-	ReasonTooLarge     Reason = "body-too-large"
 )
 
 // NotRun says whether a refused request ran.
--- a/src/option/option.go
+++ b/src/option/option.go
@@ -72,9 +72,8 @@
 type Entry struct {
 	Common `yaml:",inline"`
 	// Clients is where clients' requests come in.
-	Clients  string `yaml:"clients"`
-	Keepers  []Peer `yaml:"keepers"`
-	Platform string `yaml:"platform"`
+	Clients string `yaml:"clients"`
+	Keepers []Peer `yaml:"keepers"`
 	// BalancerLag is how long the balancer may still send after /readyz fails.
 	BalancerLag config.Duration `yaml:"balancerLag"`
 	// DrainLimit bounds a planned stop; requests still running then are cut off.
@@ -183,7 +182,6 @@
 		c.common(s.Common)
 		c.address("clients", s.Clients)
 		c.keepers(s.Keepers)
-		c.optionalAddress("platform", s.Platform)
 		c.positive("limits.queue", s.Limits.Queue)
 		c.positive("limits.attempts", s.Limits.Attempts)
 		c.positive("limits.body", int(s.Limits.Body))
@@ -222,7 +220,7 @@
 	return s, load(file, &s, func(c *checks) {
 		c.common(s.Common)
 		c.keepers(s.Keepers)
-		c.optionalAddress("platform", s.Platform)
+		c.address("platform", s.Platform)
 		if s.StoreShare <= 0 || s.StoreShare > 1 {
 			c.add("storeShare", "must be above 0 and at most 1")
 		}
@@ -297,12 +295,6 @@
 	}
 }
 
-func (c *checks) optionalAddress(path, value string) {
-	if value != "" {
-		c.address(path, value)
-	}
-}
-
 func (c *checks) positive(path string, value int) {
 	if value < 1 {
 		c.add(path, "must be at least 1")
--- /dev/null
+++ b/src/option/option_test.go
@@ -0,0 +1,53 @@
+package option
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "s.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+const sound = `cluster: c
+node: e1
+zone: a
+control: 127.0.0.1:1
+admin: 127.0.0.1:2
+clients: 127.0.0.1:3
+keepers: [{name: k1, address: "127.0.0.1:4", zone: a}]
+`
+
+func TestDefaultsFillWhatIsNotWritten(t *testing.T) {
+	is := is.New(t)
+	s, err := LoadEntry(write(t, sound))
+	is.NoErr(err)
+	is.Equal(s.Limits.Attempts, DefaultAttempts)
+	is.Equal(s.BalancerLag.Std(), DefaultBalancerLag)
+}
+
+func TestWrongSettingsAreReportedTogetherWithTheirPlaces(t *testing.T) {
+	text := strings.Replace(sound, "127.0.0.1:1", "localhost:1", 1) + "limits: {queue: 0, retryShare: 2}\nlog: {level: loud}\n"
+	_, err := LoadEntry(write(t, text))
+	if err == nil {
+		t.Fatal("wrong settings were taken")
+	}
+	for _, want := range []string{"s.yaml:4:10: control is", "s.yaml:8:17: limits.queue must", "limits.retryShare must be between", "s.yaml:9:14: log.level must"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no finding has %q in:\n%s", want, err)
+		}
+	}
+	_, err = LoadEntry(write(t, sound+"colour: red\n"))
+	if err == nil || !strings.Contains(err.Error(), `s.yaml:8:1: unknown field "colour"`) {
+		t.Errorf("an unknown key: %v", err)
+	}
+}
--- a/src/standin/install.go
+++ b/src/standin/install.go
@@ -191,7 +191,6 @@
 				Common:      i.common(node, zone, n+1, entryFirst+e),
 				Clients:     i.address(n+1, entryFirst+e, clientsPort),
 				Keepers:     i.keepers(),
-				Platform:    i.platformAddress(),
 				BalancerLag: config.Duration(demoBalancerLag),
 				DrainLimit:  config.Duration(demoDrainLimit),
 				ConfigWait:  config.Duration(option.DefaultConfigWait),
