Keepers measured: three with real syncs next to one alone

Cause: no figure for changes, claims and the loss of a leader. Change: BenchmarkKeeper with real folders, syncs and connections; the memory of claims.

--- /dev/null
+++ b/src/keeper/keeper_bench_test.go
@@ -0,0 +1,187 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/raft"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/store"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// benchKeeper is a keeper in this process with a real folder and real connections.
+type benchKeeper struct {
+	name    string
+	service *Service
+	node    *Node
+	stop    context.CancelFunc
+	server  *rpc.Server
+}
+
+// startKeepers starts n keepers that know each other; folders are synced for real.
+func startKeepers(b *testing.B, n int) []*benchKeeper {
+	b.Helper()
+	var keepers []*benchKeeper
+	muxes := map[string]*rpc.Mux{}
+	addresses := map[string]string{}
+	var members raft.Members
+	meter := &rpc.Meter{}
+	for i := 0; i < n; i++ {
+		name := fmt.Sprint("k", i)
+		muxes[name] = rpc.NewMux()
+		server, err := rpc.Listen("127.0.0.1:0", muxes[name], meter)
+		if err != nil {
+			b.Fatal(err)
+		}
+		addresses[name] = server.Address()
+		members.Voters = append(members.Voters, raft.ID(name+"#0"))
+		keepers = append(keepers, &benchKeeper{name: name, server: server})
+	}
+	for i, k := range keepers {
+		folder, start, err := store.Open(store.Options{Path: b.TempDir(), Cluster: "c", Name: k.name, Founder: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		start.Snapshot.Members = members
+		disk := Disk{Save: folder.Save, SaveSnapshot: folder.SaveSnapshot}
+		replica, err := NewReplica(folder.Identity().ID(), start, disk, raft.DefaultOptions(), rand.New(rand.NewPCG(uint64(i), 1)), nil, time.Now())
+		if err != nil {
+			b.Fatal(err)
+		}
+		var send func(raft.Message)
+		k.node = NewNode(replica, func(m raft.Message) { send(m) }, nil, time.Now)
+		peers := map[string]string{}
+		for name, address := range addresses {
+			if name != k.name {
+				peers[name] = address
+			}
+		}
+		k.service = NewService(k.node, peers, nil, meter, nil, time.Now)
+		send = k.service.Send()
+		k.service.Register(muxes[k.name])
+		ctx, cancel := context.WithCancel(context.Background())
+		k.stop = cancel
+		go func() { _ = k.node.Run(ctx) }()
+		b.Cleanup(func() { cancel(); k.server.Close() })
+	}
+	return keepers
+}
+
+func leaderOf(b *testing.B, keepers []*benchKeeper) *benchKeeper {
+	b.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		for _, k := range keepers {
+			if k.service.leading().self {
+				return k
+			}
+		}
+	}
+	b.Fatal("no leader")
+	return nil
+}
+
+func benchChange(ctx context.Context, k *benchKeeper, id string) wire.Outcome {
+	object := config.Object{Key: config.Key{Kind: config.KindModel, Name: "m"}, Model: &config.Model{Memory: 1, Version: id}}
+	pool := config.Object{Key: config.Key{Kind: config.KindPool, Name: "p"}, Pool: &config.Pool{Accelerators: 1, Memory: 9, Zones: []config.PoolZone{{Zone: "z", Replicas: 1}}}}
+	change := config.Change{ID: id, Base: config.Revision{Term: 1 << 40}, Put: []config.Object{object, pool}}
+	reply, _ := k.service.apply(ctx, nil, wire.ApplyRequest{Change: change})
+	return reply.Outcome
+}
+
+// claimAll claims n keys from so many callers and returns the time it took.
+func claimAll(b *testing.B, k *benchKeeper, n, callers int) time.Duration {
+	b.Helper()
+	var next atomic.Int64
+	var wait sync.WaitGroup
+	began := time.Now()
+	for c := 0; c < callers; c++ {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := next.Add(1); i <= int64(n); i = next.Add(1) {
+				reply, _ := k.service.claim(context.Background(), nil, wire.ClaimRequest{Key: fmt.Sprint("key", i), Token: fmt.Sprint(i), Holder: "e"})
+				if reply.State != wire.ClaimYours {
+					b.Errorf("claim %d: %s %s", i, reply.Outcome, reply.State)
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	return time.Since(began)
+}
+
+// BenchmarkKeeper measures three keepers with real syncs next to one alone in
+// the same run, and the time from the leader's loss to the next accepted change.
+func BenchmarkKeeper(b *testing.B) {
+	const changes, claims, callers = 300, 20000, 128
+	rates := map[int][2]float64{}
+	for _, n := range []int{1, 3} {
+		keepers := startKeepers(b, n)
+		leader := leaderOf(b, keepers)
+		began := time.Now()
+		for i := 0; i < changes; i++ {
+			if outcome := benchChange(context.Background(), leader, fmt.Sprint("c", i)); outcome != wire.Accepted {
+				b.Fatalf("change %d: %s", i, outcome)
+			}
+		}
+		changeRate := changes / time.Since(began).Seconds()
+		rates[n] = [2]float64{changeRate, claims / claimAll(b, leader, claims, callers).Seconds()}
+		if n == 3 {
+			b.ReportMetric(float64(lose(b, keepers, leader))/float64(time.Millisecond), "leader-loss-to-change-ms")
+		}
+	}
+	b.ReportMetric(rates[3][0], "changes/s")
+	b.ReportMetric(rates[3][1], "claims/s")
+	b.ReportMetric(rates[3][0]/rates[1][0], "changes-ratio-to-one-keeper")
+	b.ReportMetric(rates[3][1]/rates[1][1], "claims-ratio-to-one-keeper")
+	b.ReportMetric(0, "ns/op")
+}
+
+// lose kills the leader and returns how long the others take to accept a change.
+func lose(b *testing.B, keepers []*benchKeeper, leader *benchKeeper) time.Duration {
+	b.Helper()
+	began := time.Now()
+	leader.stop()
+	leader.server.Close()
+	for i := 0; time.Since(began) < 10*time.Second; i++ {
+		for _, k := range keepers {
+			if k != leader && k.service.leading().self && benchChange(context.Background(), k, fmt.Sprint("after", i)) == wire.Accepted {
+				return time.Since(began)
+			}
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	b.Fatal("no change is accepted after the leader was lost")
+	return 0
+}
+
+// BenchmarkKeeperClaims measures the memory that claims take in the state.
+func BenchmarkKeeperClaims(b *testing.B) {
+	const count = 100000
+	for range b.N {
+		before := heap()
+		c := newClaims()
+		for i := range count {
+			c.apply(time.Unix(1_800_000_000, 0), &claimCommand{Key: fmt.Sprint("a-key-of-a-usual-length-", i), Token: fmt.Sprint(i), Holder: fmt.Sprint("entry-", i%340)})
+		}
+		b.ReportMetric(float64(heap()-before)/(1<<20), "MiB/100000-claims")
+		if len(c.Keys) != count {
+			b.Fatal("claims were lost")
+		}
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
