One main for all servers, one retry decision for both kinds of request

Cause: three mains repeated the same twenty lines, and completions and plain calls decided alike whether to try again, in two places. Change: process.Main runs a Program; Server.again decides and notes a retry.

--- a/src/entry/completion.go
+++ b/src/entry/completion.go
@@ -236,18 +236,7 @@
 	if failure != nil && failure.Status >= 400 && failure.Status < 500 && !notRun {
 		return r.refuse(failure.Status, ReasonBadRequest, DidRun, failure.Error())
 	}
-	if attempt >= s.settings.Limits.Attempts {
-		return r.refuse(consts.StatusBadGateway, ReasonExhausted, x.notRun(err), "every attempt failed: "+err.Error()).retryAfter(comeBack)
-	}
-	if !s.budget.Take() {
-		return r.refuse(consts.StatusServiceUnavailable, ReasonExhausted, x.notRun(err), "too many requests fail; no retry is left").retryAfter(comeBack)
-	}
-	x.noteRetry(host, err)
-	select {
-	case <-time.After(s.backoff(attempt)):
-	case <-ctx.Done():
-	}
-	return nil
+	return s.again(ctx, r, retry{attempt: attempt, host: host, outcome: x.notRun(err), begun: x.last > 0, err: err})
 }
 
 // notRun says what is certain about the request after an error.
@@ -262,21 +251,6 @@
 	return RunUnknown
 }
 
-func (x *exchange) noteRetry(host *route.Host, err error) {
-	s, r := x.server, x.r
-	r.retries++
-	kind := event.RequestRetried
-	if x.last > 0 {
-		kind = event.RequestResumed
-		s.counts.resumed.Add(1)
-		s.metrics.resumed.Inc(1)
-	} else {
-		s.counts.retried.Add(1)
-		s.metrics.retried.Inc(1)
-	}
-	s.ring.Add(event.Event{Kind: kind, Request: r.id, Model: r.want.Model, Host: host.Name(), Reason: err.Error()})
-}
-
 // blame is what a failed attempt says of its host.
 type blame struct {
 	leaving bool
--- a/src/entry/main.go
+++ b/src/entry/main.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 	"time"
 
 	"github.com/moorspool/moorspool/src/config"
@@ -29,31 +27,10 @@
 
 // Main runs moorspool-entry and returns its exit code.
 func Main(arguments []string) int {
-	flags, err := option.Parse("moorspool-entry", arguments)
-	if err != nil {
-		return fail(err)
-	}
-	if flags.Version {
-		fmt.Println("moorspool-entry", option.Version)
-		return 0
-	}
-	settings, err := option.LoadEntry(flags.Settings)
-	if err != nil {
-		return fail(err)
-	}
-	if flags.Check {
-		fmt.Println(flags.Settings, "is sound")
-		return 0
-	}
-	if err := run(settings); err != nil {
-		return fail(err)
-	}
-	return 0
-}
-
-func fail(err error) int {
-	fmt.Fprintln(os.Stderr, "moorspool-entry:", err)
-	return 1
+	return process.Main(arguments, process.Program{Name: "moorspool-entry", Load: func(flags option.Flags) (func() error, error) {
+		settings, err := option.LoadEntry(flags.Settings)
+		return func() error { return run(settings) }, err
+	}})
 }
 
 // run is an entry host's life from its settings to its stop.
--- a/src/entry/plain.go
+++ b/src/entry/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
@@ -143,20 +142,8 @@
 		return r.refuse(statusClientGone, ReasonBroken, outcome, "the client has gone")
 	case r.once && !notRun:
 		return r.refuse(consts.StatusBadGateway, ReasonOutcome, RunUnknown, "the call may not be repeated and its answer was lost")
-	case attempt >= s.settings.Limits.Attempts:
-		return r.refuse(consts.StatusBadGateway, ReasonExhausted, outcome, "every attempt failed: "+err.Error()).retryAfter(comeBack)
-	case !s.budget.Take():
-		return r.refuse(consts.StatusServiceUnavailable, ReasonExhausted, outcome, "too many requests fail; no retry is left").retryAfter(comeBack)
 	}
-	r.retries++
-	s.counts.retried.Add(1)
-	s.metrics.retried.Inc(1)
-	s.ring.Add(event.Event{Kind: event.RequestRetried, Request: r.id, Model: r.want.Pool, Host: host.Name(), Reason: err.Error()})
-	select {
-	case <-time.After(s.backoff(attempt)):
-	case <-ctx.Done():
-	}
-	return nil
+	return s.again(ctx, r, retry{attempt: attempt, host: host, outcome: outcome, err: err})
 }
 
 func serviceFault(err error) blame {
--- a/src/keeper/main.go
+++ b/src/keeper/main.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"time"
@@ -22,53 +21,27 @@
 
 // Main runs moorspool-keeper and returns its exit code.
 func Main(arguments []string) int {
-	flags, err := option.Parse("moorspool-keeper", arguments)
-	if err != nil {
-		return fail(err)
-	}
-	if flags.Version {
-		fmt.Println("moorspool-keeper", option.Version)
-		return 0
-	}
-	if len(flags.Args.Words) > 0 {
-		return folderCommand(flags.Args.Words)
-	}
-	settings, err := option.LoadKeeper(flags.Settings)
-	if err != nil {
-		return fail(err)
-	}
-	if flags.Check {
-		fmt.Println(flags.Settings, "is sound")
-		return 0
-	}
-	if err := run(settings, flags.Found); err != nil {
-		return fail(err)
-	}
-	return 0
-}
-
-func fail(err error) int {
-	fmt.Fprintln(os.Stderr, "moorspool-keeper:", err)
-	return 1
+	return process.Main(arguments, process.Program{
+		Name: "moorspool-keeper",
+		Load: func(flags option.Flags) (func() error, error) {
+			settings, err := option.LoadKeeper(flags.Settings)
+			return func() error { return run(settings, flags.Found) }, err
+		},
+		Words: folderCommand,
+	})
 }
 
 // folderCommand runs inspect, backup and restore on a data folder.
-func folderCommand(words []string) int {
-	var err error
+func folderCommand(words []string) error {
 	switch {
 	case words[0] == "inspect" && len(words) == 2:
-		err = inspect(words[1])
+		return inspect(words[1])
 	case words[0] == "backup" && len(words) == 3:
-		err = store.Backup(words[1], words[2])
+		return store.Backup(words[1], words[2])
 	case words[0] == "restore" && len(words) == 3:
-		err = store.Restore(words[1], words[2])
-	default:
-		err = errors.New("use inspect FOLDER, backup FOLDER FILE or restore FILE FOLDER")
-	}
-	if err != nil {
-		return fail(err)
+		return store.Restore(words[1], words[2])
 	}
-	return 0
+	return errors.New("use inspect FOLDER, backup FOLDER FILE or restore FILE FOLDER")
 }
 
 // inspection is what inspect prints.
--- a/src/planner/main.go
+++ b/src/planner/main.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"fmt"
-	"os"
 	"time"
 
 	"github.com/google/uuid"
@@ -18,31 +16,10 @@
 
 // Main runs moorspool-planner and returns its exit code.
 func Main(arguments []string) int {
-	flags, err := option.Parse("moorspool-planner", arguments)
-	if err != nil {
-		return fail(err)
-	}
-	if flags.Version {
-		fmt.Println("moorspool-planner", option.Version)
-		return 0
-	}
-	settings, err := option.LoadPlanner(flags.Settings)
-	if err != nil {
-		return fail(err)
-	}
-	if flags.Check {
-		fmt.Println(flags.Settings, "is sound")
-		return 0
-	}
-	if err := run(settings); err != nil {
-		return fail(err)
-	}
-	return 0
-}
-
-func fail(err error) int {
-	fmt.Fprintln(os.Stderr, "moorspool-planner:", err)
-	return 1
+	return process.Main(arguments, process.Program{Name: "moorspool-planner", Load: func(flags option.Flags) (func() error, error) {
+		settings, err := option.LoadPlanner(flags.Settings)
+		return func() error { return run(settings) }, err
+	}})
 }
 
 // run is a planner's life from its settings to its stop.
--- /dev/null
+++ b/src/process/main.go
@@ -0,0 +1,56 @@
+package process
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/moorspool/moorspool/src/option"
+)
+
+// Program is a server's binary.
+type Program struct {
+	// Name is the binary's name.
+	Name string
+	// Load reads the settings and returns the server's life, or findings.
+	Load func(flags option.Flags) (run func() error, err error)
+	// Words runs a command given instead of settings; nil if there is none.
+	Words func(words []string) error
+}
+
+// The exit codes of servers.
+const (
+	exitOK     = 0
+	exitFailed = 1
+)
+
+// Main runs a program and returns its exit code.
+func Main(arguments []string, p Program) int {
+	if err := p.main(arguments); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func (p Program) main(arguments []string) error {
+	flags, err := option.Parse(p.Name, arguments)
+	if err != nil {
+		return err
+	}
+	if flags.Version {
+		fmt.Println(p.Name, option.Version)
+		return nil
+	}
+	if len(flags.Args.Words) > 0 && p.Words != nil {
+		return p.Words(flags.Args.Words)
+	}
+	run, err := p.Load(flags)
+	if err != nil {
+		return err
+	}
+	if flags.Check {
+		fmt.Println(flags.Settings, "is sound")
+		return nil
+	}
+	return run()
+}
