--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 SECONDS ?= 60
 
-.PHONY: all build demo test matrix soak capacity policy events fuzz lint bench clean
+.PHONY: all build demo test matrix soak capacity policy load events fuzz lint bench clean
 
 all: build
 
@@ -31,6 +31,10 @@
 capacity: build
 	scripts/capacity.sh
 
+# load drives kilima's processes up to 1.5 times their capacity, in two minutes.
+load: build
+	scripts/load.sh
+
 # policy runs the policy bench: a table here, CSV and plots under run/policy.
 policy: build
 	bin/moorspool-standin policy examples/policy/*.yaml
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -19,4 +19,4 @@
 bin/moorspool-entry -c "$run/entry-dar-a-1.yaml" >"$run/log/entry.out" 2>&1 &
 pids+=($!)
 sleep 4
-bin/moorspool-standin capacity --folder "$run"
+bin/moorspool-standin capacity
--- /dev/null
+++ b/scripts/load.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Drives kilima's installation at 0.5, 0.8, 1.0 and 1.5 times its engines'
+# capacity, with moorspool's routing and with two baselines, in one run.
+set -eu
+cd "$(dirname "$0")/.."
+run=run/load
+rm -rf "$run"
+mkdir -p "$run"
+pids=()
+stop_all() {
+  kill -9 "${pids[@]}" 2>/dev/null || true
+  wait "${pids[@]}" 2>/dev/null || true
+  pids=()
+}
+trap stop_all EXIT
+trap "exit 1" INT TERM
+export MOORSPOOL_KEEPERS=127.0.1.20:7101,127.0.2.20:7101,127.0.3.20:7101
+
+for mode in cost round-robin least-reported; do
+  dir=$run/$mode
+  mkdir -p "$dir/log"
+  bin/moorspool-standin settings --profile kilima --examples examples/kilima --folder "$dir" --routing "$mode"
+  for file in "$dir"/outside-*.yaml "$dir"/standin-*.yaml; do
+    bin/moorspool-standin run "$file" >"$dir/log/$(basename "$file").out" 2>&1 &
+    pids+=($!)
+  done
+  for role in keeper planner entry; do
+    for file in "$dir"/$role-*.yaml; do
+      found=()
+      [ $role = keeper ] && found=(--found)
+      bin/moorspool-$role -c "$file" "${found[@]}" >"$dir/log/$(basename "$file").out" 2>&1 &
+      pids+=($!)
+    done
+  done
+  bin/moorspool apply -f examples/kilima --by load >/dev/null
+  bin/moorspool-standin sweep --name "$mode" --csv "$run/sweep.csv" "$dir/load.yaml"
+  stop_all
+done
--- a/src/capacity/main.go
+++ b/src/capacity/main.go
@@ -17,13 +17,21 @@
 
 // Command is the standin tool's capacity command.
 type Command struct {
-	Folder string `long:"folder" required:"yes" description:"folder of the processes' settings"`
-	CSV    string `long:"csv" default:"docs/capacity.csv" description:"where the samples go"`
-	Page   string `long:"page" default:"docs/CAPACITY.md" description:"page whose table is brought up to date"`
+	CSV  string `long:"csv" default:"docs/capacity.csv" description:"where the samples go"`
+	Page string `long:"page" default:"docs/CAPACITY.md" description:"page whose tables are brought up to date"`
+	// Render only writes the page's tables from the samples of an earlier run.
+	Render bool `long:"render" description:"only write the page's tables from the CSV file"`
 }
 
 // Execute measures the processes of a demo installation of kilima.
 func (c *Command) Execute([]string) error {
+	if c.Render {
+		samples, err := ReadCSV(c.CSV)
+		if err != nil {
+			return err
+		}
+		return UpdatePage(c.Page, samples)
+	}
 	target := Target{
 		Keepers:  []string{"127.0.1.20:7100", "127.0.2.20:7100", "127.0.3.20:7100"},
 		Planner:  "127.0.1.30:7100",
@@ -45,7 +53,7 @@
 	return UpdatePage(c.Page, samples)
 }
 
-// UpdatePage puts the table of the samples between the page's marks.
+// UpdatePage puts the tables of the samples between the page's marks.
 func UpdatePage(file string, samples []Sample) error {
 	page, err := os.ReadFile(file)
 	if err != nil {
@@ -56,6 +64,6 @@
 	if !found || !ended {
 		return errors.Errorf("%s lacks the marks %q and %q", file, strings.TrimSpace(markBegin), strings.TrimSpace(markEnd))
 	}
-	text := fmt.Sprint(before, markBegin, "\n", Render(samples), "\n", markEnd, after)
+	text := fmt.Sprint(before, markBegin, "\n", RenderRoles(samples), "\n", Render(samples), "\n", markEnd, after)
 	return errors.Wrap(os.WriteFile(file, []byte(text), 0o644), "writing the page")
 }
--- a/src/capacity/sample_test.go
+++ b/src/capacity/sample_test.go
@@ -26,8 +26,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !strings.Contains(string(page), Render(samples)) {
-		t.Error("the table in docs/CAPACITY.md is not that of docs/capacity.csv; run make capacity")
+	for _, table := range []string{Render(samples), RenderRoles(samples)} {
+		if !strings.Contains(string(page), table) {
+			t.Error("a table in docs/CAPACITY.md is not that of docs/capacity.csv; run make capacity")
+		}
 	}
 	for _, kind := range allSeries {
 		if n := len(of(samples, kind.name)); n < 3 {
--- a/src/entry/claim.go
+++ b/src/entry/claim.go
@@ -13,7 +13,8 @@
 
 // The times of claims.
 const (
-	claimWait   = 4 * time.Second
+	// claimWait outlasts an election; after that the call is refused as not run.
+	claimWait   = 2 * time.Second
 	settleWait  = 2 * time.Second
 	settleTries = 5
 	settlePause = 300 * time.Millisecond
--- a/src/entry/server.go
+++ b/src/entry/server.go
@@ -161,7 +161,7 @@
 func (s *Server) pick(r *request) (*route.Host, route.Verdict) {
 	random := s.random.Get().(*rand.Rand)
 	defer s.random.Put(random)
-	return s.routes.Table().Pick(s.now(), route.Request{Want: r.want, Tried: &r.tried, Prefix: r.prefix}, s.prefixes, random)
+	return s.routes.Table().Pick(s.now(), route.Request{Want: r.want, Tried: &r.tried, Prefix: r.prefix, Mode: s.settings.Routing}, s.prefixes, random)
 }
 
 func (s *Server) backoff(n int) time.Duration {
--- a/src/option/option.go
+++ b/src/option/option.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/route"
 )
 
 // Version is the release that this source makes.
@@ -80,7 +82,9 @@
 	DrainLimit config.Duration `yaml:"drainLimit"`
 	// ConfigWait is how long a start waits for the newest configuration.
 	ConfigWait config.Duration `yaml:"configWait"`
-	Limits     Limits          `yaml:"limits"`
+	// Routing is cost; the other modes are baselines to measure against.
+	Routing route.Mode `yaml:"routing"`
+	Limits  Limits     `yaml:"limits"`
 }
 
 // Limits bound what one entry host takes on.
@@ -168,6 +172,7 @@
 		BalancerLag: config.Duration(DefaultBalancerLag),
 		DrainLimit:  config.Duration(DefaultDrainLimit),
 		ConfigWait:  config.Duration(DefaultConfigWait),
+		Routing:     route.ByCost,
 		Limits: Limits{
 			Body:       DefaultBody,
 			Queue:      DefaultQueue,
@@ -182,6 +187,9 @@
 		c.common(s.Common)
 		c.address("clients", s.Clients)
 		c.keepers(s.Keepers)
+		if !slices.Contains(route.Modes, s.Routing) {
+			c.add("routing", "must be cost, round-robin or least-reported")
+		}
 		c.positive("limits.queue", s.Limits.Queue)
 		c.positive("limits.attempts", s.Limits.Attempts)
 		c.positive("limits.body", int(s.Limits.Body))
--- /dev/null
+++ b/src/route/baseline.go
@@ -0,0 +1,37 @@
+package route
+
+// Mode is how hosts are chosen. All but ByCost are baselines to measure against:
+// they know neither own sends nor limits.
+type Mode string
+
+// The modes.
+const (
+	ByCost        Mode = "cost"
+	RoundRobin    Mode = "round-robin"
+	LeastReported Mode = "least-reported"
+)
+
+// Modes lists every mode, for settings.
+var Modes = []Mode{ByCost, RoundRobin, LeastReported}
+
+// pickBaseline chooses as a baseline does, turn by turn or by the last report.
+func (c *candidates) pickBaseline(mode Mode, turn uint64, now int64, tried *Tried) (*Host, Verdict) {
+	var best *Host
+	n := c.len()
+	for i := 0; i < n; i++ {
+		h := c.at((i + int(turn%uint64(n))) % n)
+		if !h.usable(now) || (tried != nil && tried.Has(h)) {
+			continue
+		}
+		if mode == RoundRobin {
+			return h, Chosen
+		}
+		if best == nil || h.reported.Load() < best.reported.Load() {
+			best = h
+		}
+	}
+	if best == nil {
+		return nil, Missing
+	}
+	return best, Chosen
+}
--- a/src/route/pick.go
+++ b/src/route/pick.go
@@ -97,6 +97,8 @@
 	Want   Want
 	Tried  *Tried
 	Prefix uint64
+	// Mode is ByCost, or "" for the same, but for measurements of a baseline.
+	Mode Mode
 }
 
 // Pick chooses the host for a request. It weighs a random sample of the
@@ -106,6 +108,9 @@
 	if c.len() == 0 {
 		return nil, Missing
 	}
+	if r.Mode != "" && r.Mode != ByCost {
+		return c.pickBaseline(r.Mode, random.Uint64(), now.UnixNano(), r.Tried)
+	}
 	p := picker{c: c, now: now.UnixNano(), tried: r.Tried, warm: prefixes.find(r.Prefix)}
 	p.weighWarm()
 	p.weighSample(random)
--- a/src/standin/install.go
+++ b/src/standin/install.go
@@ -13,6 +13,7 @@
 	"github.com/moorspool/moorspool/src/config"
 	"github.com/moorspool/moorspool/src/option"
 	"github.com/moorspool/moorspool/src/place"
+	"github.com/moorspool/moorspool/src/route"
 )
 
 // The addresses of a demo installation: the third number is the availability
@@ -62,10 +63,11 @@
 	entries []EntryAddress
 	hosts   []ListedHost
 	planned map[string][]WarmCopy
+	routing route.Mode
 }
 
 // NewInstall reads a profile's configuration.
-func NewInstall(name, examples, folder string) (*Install, error) {
+func NewInstall(name, examples, folder string, routing route.Mode) (*Install, error) {
 	sources, err := config.ReadFolder(examples)
 	if err != nil {
 		return nil, err
@@ -81,7 +83,7 @@
 	assign, _ := place.Assign(set)
 	for _, profile := range Profiles {
 		if profile.name == name {
-			i := &Install{profile: profile, folder: folder, set: set.With(assign, nil), planned: map[string][]WarmCopy{}}
+			i := &Install{profile: profile, folder: folder, set: set.With(assign, nil), planned: map[string][]WarmCopy{}, routing: routing}
 			i.findZones()
 			return i, nil
 		}
@@ -194,6 +196,7 @@
 				BalancerLag: config.Duration(demoBalancerLag),
 				DrainLimit:  config.Duration(demoDrainLimit),
 				ConfigWait:  config.Duration(option.DefaultConfigWait),
+				Routing:     i.routing,
 				Limits: option.Limits{
 					Body:       option.DefaultBody,
 					Queue:      option.DefaultQueue,
--- a/src/standin/main.go
+++ b/src/standin/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/moorspool/moorspool/src/option"
 	"github.com/moorspool/moorspool/src/process"
+	"github.com/moorspool/moorspool/src/route"
 )
 
 type runCommand struct {
@@ -69,11 +70,12 @@
 	Profile  string `long:"profile" default:"kilima" description:"which user's installation"`
 	Examples string `long:"examples" required:"yes" description:"folder of the configuration"`
 	Folder   string `long:"folder" required:"yes" description:"folder to write the settings to"`
+	Routing  string `long:"routing" default:"cost" description:"how entry hosts choose: cost, or a baseline"`
 }
 
 // Execute writes the settings of a demo installation.
 func (c *settingsCommand) Execute([]string) error {
-	install, err := NewInstall(c.Profile, c.Examples, c.Folder)
+	install, err := NewInstall(c.Profile, c.Examples, c.Folder, route.Mode(c.Routing))
 	if err != nil {
 		return err
 	}
@@ -129,6 +131,7 @@
 	}
 	add("run", "run the stand-in that a settings file describes", &runCommand{})
 	add("load", "drive an experiment's load and check the answers", &loadCommand{})
+	add("sweep", "drive an experiment at several multiples of the engines' capacity", &sweepCommand{})
 	add("settings", "write the settings of a demo installation", &settingsCommand{})
 	add("post", "post JSON to a stand-in", &postCommand{})
 	for _, command := range further {
