Past capacity: limits from what is in use, queues no longer than the target allows

Cause: at 1.5 times capacity goodput fell to 79 requests/s from 343 at 1.0. An entry host's limit started far above what six of them can use on one engine and fell by a sixteenth of itself at each miss, and requests waited up to 2 s in a queue although their first token was due after 0.42 s. Ruled out: a limit by service time, which depends on the answer's length.

--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -16,7 +16,7 @@
 trap "exit 1" INT TERM
 export MOORSPOOL_KEEPERS=127.0.1.20:7101,127.0.2.20:7101,127.0.3.20:7101
 
-for mode in cost round-robin least-reported; do
+for mode in ${MODES:-cost round-robin least-reported}; do
   dir=$run/$mode
   mkdir -p "$dir/log"
   bin/moorspool-standin settings --profile kilima --examples examples/kilima --folder "$dir" --routing "$mode"
--- a/src/entry/admit.go
+++ b/src/entry/admit.go
@@ -15,7 +15,7 @@
 	comeBack = time.Second
 	// lookAgain is how long a queued request waits before it looks by itself:
 	// places also become free by other entry hosts' doing.
-	lookAgain = 50 * time.Millisecond
+	lookAgain = 20 * time.Millisecond
 )
 
 // admit finds the host for a request's next attempt. It waits in the model's
@@ -87,7 +87,7 @@
 // wait queues a request until a host has room.
 func (s *Server) wait(ctx context.Context, r *request) (*route.Host, route.Verdict) {
 	began := s.now()
-	until := began.Add(s.settings.Limits.QueueWait.Std())
+	until := began.Add(s.queueWait(r))
 	if !r.deadline.IsZero() && r.deadline.Before(until) {
 		until = r.deadline
 	}
@@ -117,6 +117,17 @@
 	Lost() <-chan struct{}
 }
 
+// queueWait is the longest time in a queue after which an answer may still meet
+// its target: half of the time to the first token, the other half being the
+// engine's. A request without a target waits as long as the settings say.
+func (s *Server) queueWait(r *request) time.Duration {
+	most := s.settings.Limits.QueueWait.Std()
+	if target := r.target.FirstToken.Std(); target > 0 {
+		return min(most, target/2)
+	}
+	return most
+}
+
 func (s *Server) await(ctx context.Context, t ticket, until time.Time) route.Verdict {
 	left := until.Sub(s.now())
 	if left <= 0 {
--- a/src/route/host.go
+++ b/src/route/host.go
@@ -150,7 +150,9 @@
 func (h *Host) adapt(used int64, attained bool) {
 	limit := h.limit.Load()
 	if !attained {
-		h.limit.Store(max(limit-max(limit/missPart, 1), limitLeast))
+		// From what was really in use: a limit that was never reached says nothing.
+		busy := min(limit, used)
+		h.limit.Store(max(busy-max(busy/missPart, 1), limitLeast))
 		h.inTime.Store(0)
 		return
 	}
--- a/src/standin/experiment.go
+++ b/src/standin/experiment.go
@@ -24,9 +24,11 @@
 	Skew     float64         `yaml:"skew"`
 	Target   config.Target   `yaml:"target"`
 	Deadline config.Duration `yaml:"deadline"`
-	Service  ServiceLoad     `yaml:"service"`
-	Entries  []EntryAddress  `yaml:"entries"`
-	Standins []string        `yaml:"standins"`
+	// Tries is how often a client asks again after a refusal that says not run.
+	Tries    int            `yaml:"tries"`
+	Service  ServiceLoad    `yaml:"service"`
+	Entries  []EntryAddress `yaml:"entries"`
+	Standins []string       `yaml:"standins"`
 	// Accelerators is what attainment is divided by.
 	Accelerators int `yaml:"accelerators"`
 }
@@ -54,7 +56,7 @@
 
 // ReadExperiment reads an experiment; unknown keys are errors with their place.
 func ReadExperiment(file string) (Experiment, error) {
-	e := Experiment{Tokens: defaultTokens}
+	e := Experiment{Tokens: defaultTokens, Tries: clientTries}
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return e, errors.Wrap(err, "reading the experiment")
--- a/src/standin/install.go
+++ b/src/standin/install.go
@@ -354,6 +354,7 @@
 		Tokens:   defaultTokens,
 		Whole:    0.2,
 		Skew:     1,
+		Tries:    clientTries,
 		Target:   config.Target{FirstToken: config.Duration(420 * time.Millisecond), BetweenTokens: config.Duration(75 * time.Millisecond)},
 		Entries:  i.entries,
 	}
