A new planner's routes reach entry hosts; a host's own word counts with each answer

Cause, found by reading: a planner streams routes before it has its authority, entry hosts ignore what an older epoch says, and nothing was sent again when the authority came, so that a replaced planner's routes could stay out until each host next changed; and sequences of an earlier epoch counted as taken, so that a copy could be unloaded while an entry host still used its route. A leaving host's word was heard only in refusals. Change: a subscriber's position has its epoch, another epoch gets everything; routes count as taken only in their own epoch; X-Leaving is read from every answer. The demo kills a planner and starts another. Measured: the three new tests fail without the changes (position: nothing sent again; taken 99; the leaving host got half of 40 requests); make demo, authority passed on after the lease, every promise held.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -62,6 +62,9 @@
 first=${zones[0]} second=${zones[1]} third=${zones[2]}
 kill -9 "${pid[keeper-$first]}"
 say "killed keeper-$first"
+kill -9 "${pid[planner-$third]}"
+start "planner-$third" bin/moorspool-planner -c "$run/planner-$third.yaml"
+say "killed planner-$third and started another"
 sleep 4
 start "keeper-$first" bin/moorspool-keeper -c "$run/keeper-$first.yaml" --found
 say "started keeper-$first again"
--- a/src/engine/stream.go
+++ b/src/engine/stream.go
@@ -58,6 +58,8 @@
 	Running int
 	Waiting int
 	Known   bool
+	// Leaving is the host's own word that it is leaving.
+	Leaving bool
 }
 
 // Token is one event of a stream: an id that counts up from 1, and its data.
@@ -116,7 +118,7 @@
 		protocol.ReleaseResponse(response)
 		return nil, &Failure{NotRun: dial.IsDial(err), cause: err}
 	}
-	stream := &Stream{client: s.client, request: request, response: response, load: loadOf(response)}
+	stream := &Stream{client: s.client, request: request, response: response, load: LoadOf(response)}
 	if status := response.StatusCode(); status != consts.StatusOK {
 		failure := refusal(response)
 		stream.Close()
@@ -169,8 +171,11 @@
 	}
 }
 
-func loadOf(response *protocol.Response) Load {
-	return ParseLoad(response.Header.Get(HeaderLoad))
+// LoadOf returns what an answer's headers say of its host.
+func LoadOf(response *protocol.Response) Load {
+	load := ParseLoad(response.Header.Get(HeaderLoad))
+	load.Leaving = response.Header.Get(HeaderLeaving) == "true"
+	return load
 }
 
 // FormatLoad writes a load as the engines' header has it.
--- a/src/entry/completion.go
+++ b/src/entry/completion.go
@@ -107,6 +107,16 @@
 	return err
 }
 
+// heard takes in what an answer's headers say of its host.
+func (s *Server) heard(host *route.Host, load engine.Load) {
+	if load.Known {
+		host.Reported(load.Running, load.Waiting, s.now())
+	}
+	if load.Leaving {
+		host.SetLeaving()
+	}
+}
+
 // errClientGone means that the client no longer takes its answer.
 var errClientGone = errors.New("the client has gone")
 
@@ -122,9 +132,7 @@
 	}
 	x.reached = true
 	defer stream.Close()
-	if load := stream.Load(); load.Known {
-		host.Reported(load.Running, load.Waiting, s.now())
-	}
+	s.heard(host, stream.Load())
 	stop := context.AfterFunc(ctx, stream.Abort)
 	defer stop()
 	return x.pass(ctx, stream)
--- a/src/entry/entry_test.go
+++ b/src/entry/entry_test.go
@@ -97,6 +97,23 @@
 	is.Equal(b.server.Status().Resumed, uint64(1))
 }
 
+func TestHostThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	// Its own word counts at once, with no planner in reach to pass it on.
+	b := newBench(t)
+	leaving, staying := b.addEngine("h1", "a"), b.addEngine("h2", "a")
+	leaving.SetFaults(standin.Faults{Leaving: true})
+	is := is.New(t)
+	ran := 0
+	for i := range 40 {
+		id := fmt.Sprint("r", i)
+		_, err := b.ask(id, "m", fmt.Sprint("p", i), 2)
+		is.NoErr(err)
+		ran += leaving.Ran(id)
+		is.Equal(leaving.Ran(id)+staying.Ran(id), 1)
+	}
+	is.True(ran <= 1)
+}
+
 func TestGoneClientFreesItsPlace(t *testing.T) {
 	b := newBench(t)
 	e := b.addEngine("h1", "a")
--- a/src/entry/plain.go
+++ b/src/entry/plain.go
@@ -118,8 +118,8 @@
 	} else {
 		host.End(s.now().Sub(began), true)
 	}
-	if err == nil && answer.Load.Known {
-		host.Reported(answer.Load.Running, answer.Load.Waiting, s.now())
+	if err == nil {
+		s.heard(host, answer.Load)
 	}
 	s.queues.Release(r.queueName())
 	span.End(err)
--- a/src/planner/publisher.go
+++ b/src/planner/publisher.go
@@ -60,8 +60,9 @@
 	return p.changed
 }
 
-// taken returns the oldest sequence that a subscriber in reach acts on.
-func (p *Publisher) taken(now time.Time) uint64 {
+// taken returns the oldest sequence of an epoch that a subscriber in reach acts
+// on, 0 if one of them still acts on an earlier epoch's routes.
+func (p *Publisher) taken(epoch uint64, now time.Time) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	oldest := ^uint64(0)
@@ -70,6 +71,9 @@
 			delete(p.takenBy, node)
 			continue
 		}
+		if t.epoch != epoch {
+			return 0
+		}
 		oldest = min(oldest, t.seq)
 	}
 	return oldest
@@ -97,7 +101,7 @@
 // own zone the loads of the fullest hosts once in a while: of the others they
 // learn from the answers that they relay.
 func (p *Publisher) stream(peer *rpc.Peer, request wire.RoutesRequest) {
-	var seq uint64
+	var at position
 	near := request.Zone == p.runner.zoneName
 	loadsAt := p.runner.now()
 	first := true
@@ -106,14 +110,14 @@
 		now := p.runner.now()
 		withLoads := near && now.Sub(loadsAt) >= loadsEvery
 		p.runner.mu.Lock()
-		update := p.runner.zone.routes.since(seq, withLoads)
+		update := p.runner.zone.routes.since(at, withLoads)
 		p.runner.mu.Unlock()
-		if first || len(update.Hosts) > 0 || len(update.Loads) > 0 {
+		if first || update.Epoch != at.epoch || len(update.Hosts) > 0 || len(update.Loads) > 0 {
 			if err := peer.Notify(context.Background(), wire.MethodRoutes, update); err != nil {
 				return
 			}
 			first = false
-			seq = update.Seq
+			at = position{epoch: update.Epoch, seq: update.Seq}
 		}
 		if withLoads {
 			loadsAt = now
--- a/src/planner/routes.go
+++ b/src/planner/routes.go
@@ -39,9 +39,21 @@
 // maxLoads bounds the hosts whose load is told.
 const maxLoads = 16
 
-// since returns the routes that changed after a sequence, all for sequence 0,
-// and with loads the hosts on which requests wait, the fullest first.
-func (t *routeTable) since(seq uint64, withLoads bool) wire.RoutesUpdate {
+// position is how far a subscriber was told.
+type position struct {
+	epoch uint64
+	seq   uint64
+}
+
+// since returns the routes that changed after a position, and with loads the
+// hosts on which requests wait, the fullest first. A position of another epoch
+// gets everything: subscribers ignore what an older epoch says, so that what was
+// sent before this planner had its authority may not have been taken.
+func (t *routeTable) since(at position, withLoads bool) wire.RoutesUpdate {
+	seq := at.seq
+	if at.epoch != t.epoch {
+		seq = 0
+	}
 	update := wire.RoutesUpdate{Zone: t.zone, Epoch: t.epoch, Seq: t.seq, Full: seq == 0}
 	names := make([]string, 0, len(t.hosts))
 	for name := range t.hosts {
@@ -63,7 +75,9 @@
 }
 
 // Routes returns the routes that changed after a sequence, all for sequence 0.
-func (z *Zone) Routes(since uint64) wire.RoutesUpdate { return z.routes.since(since, false) }
+func (z *Zone) Routes(since uint64) wire.RoutesUpdate {
+	return z.routes.since(position{epoch: z.routes.epoch, seq: since}, false)
+}
 
 // updateRoutes brings the table up to date with members, reports and drains.
 func (z *Zone) updateRoutes() {
--- a/src/planner/runner.go
+++ b/src/planner/runner.go
@@ -180,7 +180,7 @@
 		r.mu.Unlock()
 		return
 	}
-	orders := r.zone.Step(r.now(), r.publisher.taken(r.now()))
+	orders := r.zone.Step(r.now(), r.publisher.taken(r.zone.Epoch(), r.now()))
 	r.mu.Unlock()
 	r.publisher.wake()
 	for host, list := range byHost(orders) {
--- a/src/planner/zone_test.go
+++ b/src/planner/zone_test.go
@@ -265,7 +265,7 @@
 
 // served reports whether the routes name a ready copy that is really there.
 func (w *world) served(model string) bool {
-	for _, host := range w.zone.routes.since(0, false).Hosts {
+	for _, host := range w.zone.Routes(0).Hosts {
 		if host.State != wire.HostLive {
 			continue
 		}
@@ -304,6 +304,31 @@
 	is.New(t).Equal(w.zone.Epoch(), uint64(0))
 }
 
+func TestSubscriberGetsEverythingAgainWithANewEpoch(t *testing.T) {
+	w := newWorld(testConfig("v1", 0))
+	w.zone.SetAuthority(0, w.now)
+	w.step()
+	before := w.zone.routes.since(position{}, false)
+	w.zone.SetAuthority(7, w.now.Add(time.Hour))
+	// What came under epoch 0 was ignored: the routes have to come once more.
+	after := w.zone.routes.since(position{epoch: before.Epoch, seq: before.Seq}, false)
+	is := is.New(t)
+	is.True(after.Full)
+	is.Equal(len(after.Hosts), hosts)
+	again := w.zone.routes.since(position{epoch: after.Epoch, seq: after.Seq}, false)
+	is.Equal(len(again.Hosts), 0)
+}
+
+func TestRoutesAreTakenOnlyInTheirOwnEpoch(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := &Publisher{takenBy: map[string]taken{"e1": {epoch: 2, seq: 5, at: now}, "e2": {epoch: 1, seq: 99, at: now}}}
+	is := is.New(t)
+	is.Equal(p.taken(2, now), uint64(0)) // e2 still acts on the routes of epoch 1
+	p.takenBy["e2"] = taken{epoch: 2, seq: 4, at: now}
+	is.Equal(p.taken(2, now), uint64(4))
+	is.Equal(p.taken(2, now.Add(2*reachFor)), ^uint64(0)) // nobody is in reach
+}
+
 func TestUncheckedEnginesAreCommandedOnlyInsideTheLease(t *testing.T) {
 	set := testConfig("v1", 0)
 	pool, _ := set.Get(config.Key{Kind: config.KindPool, Name: "p"})
--- a/src/service/client.go
+++ b/src/service/client.go
@@ -108,7 +108,7 @@
 		Status:      response.StatusCode(),
 		ContentType: string(response.Header.ContentType()),
 		Body:        append([]byte(nil), response.Body()...),
-		Load:        engine.ParseLoad(response.Header.Get(engine.HeaderLoad)),
+		Load:        engine.LoadOf(response),
 	}, nil
 }
 
--- a/src/standin/outside.go
+++ b/src/standin/outside.go
@@ -234,6 +234,9 @@
 		return
 	}
 	c.Response.Header.Set(engine.HeaderLoad, engine.FormatLoad(int(p.running.Load()), 0))
+	if faults.Leaving {
+		c.Response.Header.Set(engine.HeaderLeaving, "true")
+	}
 	body, err := json.Marshal(plainAnswer{Host: p.host, Request: id, Method: string(c.Method()), Path: string(c.Path()), Echo: string(c.Request.Body())})
 	if err != nil {
 		c.String(consts.StatusInternalServerError, err.Error())
