--- a/src/capacity/measure.go
+++ b/src/capacity/measure.go
@@ -207,39 +207,51 @@
 	return nil
 }
 
-func (m *Meter) changes(ctx context.Context, size int, all []*subscriber) error {
-	before, err := m.keepersSpent(ctx)
+// during returns what the keepers spent while do ran, less what they spend idle.
+func (m *Meter) during(ctx context.Context, do func() error) (spent, error) {
+	idle, err := m.idleShare(ctx)
 	if err != nil {
-		return err
+		return spent{}, err
 	}
-	idle, err := m.idleShare(ctx)
+	before, err := m.keepersSpent(ctx)
 	if err != nil {
-		return err
+		return spent{}, err
 	}
 	began := time.Now()
-	var times []time.Duration
-	for i := 0; i < changesEach; i++ {
-		sent := time.Now()
-		revision, err := m.apply(ctx, label(i+size))
-		if err != nil {
-			return err
-		}
-		for _, s := range all {
-			s.await(revision)
-		}
-		times = append(times, time.Since(sent))
-		time.Sleep(changePause)
+	if err := do(); err != nil {
+		return spent{}, err
 	}
 	after, err := m.keepersSpent(ctx)
+	after.cpu -= before.cpu + time.Duration(idle*float64(time.Since(began)))
+	after.out -= before.out
+	return after, err
+}
+
+func (m *Meter) changes(ctx context.Context, size int, all []*subscriber) error {
+	var times []time.Duration
+	cost, err := m.during(ctx, func() error {
+		for i := 0; i < changesEach; i++ {
+			sent := time.Now()
+			revision, err := m.apply(ctx, label(i+size))
+			if err != nil {
+				return err
+			}
+			for _, s := range all {
+				s.await(revision)
+			}
+			times = append(times, time.Since(sent))
+			time.Sleep(changePause)
+		}
+		return nil
+	})
 	if err != nil {
 		return err
 	}
 	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
-	cpu := after.cpu - before.cpu - time.Duration(idle*float64(time.Since(began)+settleFor))
 	m.add("keeper: time in force, p99", size, ms(times[len(times)*99/100]))
-	m.add("keeper: bytes out for one change", size, float64(after.out-before.out)/changesEach)
-	m.add("keeper: processor time for one change, all three", size, ms(cpu)/changesEach)
-	m.add("keeper: anonymous memory, largest of three", size, mib(after.anonymous))
+	m.add("keeper: bytes out for one change", size, float64(cost.out)/changesEach)
+	m.add("keeper: processor time for one change, all three", size, ms(cost.cpu)/changesEach)
+	m.add("keeper: anonymous memory, largest of three", size, mib(cost.anonymous))
 	return nil
 }
 
@@ -255,33 +267,30 @@
 }
 
 func (m *Meter) heartbeats(ctx context.Context, size int, all []*subscriber) error {
-	before, err := m.keepersSpent(ctx)
-	if err != nil {
-		return err
-	}
-	idle, err := m.idleShare(ctx)
-	if err != nil {
-		return err
-	}
-	began := time.Now()
-	for n := 0; n < beatsEach; n++ {
-		var wait sync.WaitGroup
-		for i, s := range all {
-			wait.Add(1)
-			go func() {
-				defer wait.Done()
-				beat := wire.Heartbeat{Node: fmt.Sprint("stub-", i), Role: "stub", Zone: "z", Address: "127.0.0.1:1"}
-				_ = s.client.Call(ctx, wire.MethodHeartbeat, beat, nil)
-			}()
+	cost, err := m.during(ctx, func() error {
+		for n := 0; n < beatsEach; n++ {
+			beatAll(ctx, all)
 		}
-		wait.Wait()
-	}
-	after, err := m.keepersSpent(ctx)
-	cpu := after.cpu - before.cpu - time.Duration(idle*float64(time.Since(began)+settleFor))
-	m.add("keeper: processor time for 100 heartbeats", size, ms(cpu)/float64(beatsEach*size)*100)
+		return nil
+	})
+	m.add("keeper: processor time for 100 heartbeats", size, ms(cost.cpu)/float64(beatsEach*size)*100)
 	return err
 }
 
+// beatAll sends one heartbeat of every subscriber and waits for the answers.
+func beatAll(ctx context.Context, all []*subscriber) {
+	var wait sync.WaitGroup
+	for i, s := range all {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			beat := wire.Heartbeat{Node: fmt.Sprint("stub-", i), Role: "stub", Zone: "z", Address: "127.0.0.1:1"}
+			_ = s.client.Call(ctx, wire.MethodHeartbeat, beat, nil)
+		}()
+	}
+	wait.Wait()
+}
+
 // modelObjects returns the objects of so many models, each with an adapter.
 func modelObjects(from, to int, zones []string) []config.Object {
 	pool := config.Pool{Accelerators: 8, Memory: 80 * config.GiB, ChecksOrders: true}
--- a/src/planner/zone.go
+++ b/src/planner/zone.go
@@ -12,7 +12,6 @@
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/ledger"
 	"github.com/moorspool/moorspool/src/member"
-	"github.com/moorspool/moorspool/src/place"
 	"github.com/moorspool/moorspool/src/platform"
 	"github.com/moorspool/moorspool/src/wire"
 )
@@ -69,14 +68,6 @@
 	state  member.State
 }
 
-// copyKey names a copy of a model.
-type copyKey struct {
-	host        string
-	accelerator int
-	model       string
-	version     string
-}
-
 // drain is a copy that no longer takes requests and is to be unloaded.
 type drain struct {
 	since time.Time
@@ -239,25 +230,6 @@
 	return orders
 }
 
-// planKey stands for all that a plan depends on but the time.
-type planKey struct {
-	set     *config.Set
-	epoch   uint64
-	changes uint64
-	members uint64
-	demand  uint64
-}
-
-func (z *Zone) planKey() planKey {
-	key := planKey{set: z.set, epoch: z.epoch, members: z.memberChanges, demand: z.demands.levels()}
-	for name := range z.members {
-		if host := z.ledger.Host(name); host != nil {
-			key.changes += host.Changes()
-		}
-	}
-	return key
-}
-
 func (z *Zone) noteDoubt() {
 	if doubted := z.ledger.InDoubt(); doubted != z.doubted {
 		if doubted > z.doubted {
@@ -306,196 +278,3 @@
 	sort.Strings(names)
 	return names
 }
-
-// accelerators returns the zone's accelerators in a fixed order.
-func (z *Zone) accelerators() []place.Accelerator {
-	var all []place.Accelerator
-	for _, name := range z.hostNames() {
-		host := z.ledger.Host(name)
-		if host == nil {
-			continue
-		}
-		open := z.members[name].state == member.Live && !z.drained[name]
-		for i := 0; i < host.Accelerators(); i++ {
-			all = append(all, place.Accelerator{Host: name, Index: i, Free: host.Free(i), Open: open, Slots: host.Report().Slots})
-		}
-	}
-	return all
-}
-
-// Input returns all that the next plan depends on.
-func (z *Zone) Input(now time.Time) place.Input {
-	in := place.Input{Accelerators: z.accelerators(), Weigh: z.policy.Weigh, Loads: z.loadsNow(now)}
-	for _, model := range z.set.ModelNames() {
-		if contains(z.set.AssignedZones(model), z.name) {
-			in.Models = append(in.Models, z.model(model))
-		}
-	}
-	z.addCopies(&in)
-	return in
-}
-
-func contains(words []string, word string) bool {
-	for _, other := range words {
-		if other == word {
-			return true
-		}
-	}
-	return false
-}
-
-func (z *Zone) model(name string) place.Model {
-	m := place.Model{Name: name, Footprint: z.set.Footprint(name), Demand: z.demands.of(name)}
-	for _, object := range z.set.OfKind(config.KindSelector) {
-		selector := object.Selector
-		if !selector.Matches(z.set.Model(name)) {
-			continue
-		}
-		m.Rank = max(m.Rank, selector.Rank)
-		m.Copies = max(m.Copies, selector.Copies)
-		if selector.Apart {
-			m.Apart = append(m.Apart, object.Key.Name)
-		}
-		if selector.Together {
-			m.Together = append(m.Together, object.Key.Name)
-		}
-	}
-	return m
-}
-
-// loadsNow is how many loads the weight store's limits allow to be started.
-func (z *Zone) loadsNow(now time.Time) int {
-	loading := 0
-	for name := range z.members {
-		if host := z.ledger.Host(name); host != nil {
-			loading += host.Loading()
-		}
-	}
-	atOnce := max(int(float64(z.policy.Store.FullSpeed)*z.share), 1)
-	return max(min(atOnce-loading, int(z.store.TokensAt(now))), 0)
-}
-
-// addCopies fills in the copies that are resident or ordered, and takes the
-// memory that their adapters are still owed from what is free.
-func (z *Zone) addCopies(in *place.Input) {
-	for i := range in.Accelerators {
-		accelerator := &in.Accelerators[i]
-		for _, copied := range z.copiesAt(accelerator.Host, accelerator.Index) {
-			if !copied.based {
-				continue
-			}
-			known := z.set.Model(copied.key.model)
-			_, draining := z.drains[copied.key]
-			owed := copied.owed(z.set)
-			stale := known == nil || known.Version != copied.key.version
-			if !draining && !stale && known != nil {
-				if owed > accelerator.Free {
-					// The adapters that were added since have no room here.
-					stale = true
-				} else {
-					accelerator.Free -= owed
-				}
-			}
-			in.Copies = append(in.Copies, place.Copy{Model: copied.key.model, Accelerator: i, Ready: copied.ready, Stale: stale, Leaving: draining})
-		}
-	}
-}
-
-// heldCopy is a model on an accelerator with the adapters it has there.
-type heldCopy struct {
-	key   copyKey
-	ready bool
-	// based is false for adapters whose model is neither here nor ordered.
-	based    bool
-	adapters map[string]engine.CopyState
-}
-
-func (c heldCopy) adapterNames() []string {
-	names := make([]string, 0, len(c.adapters))
-	for name := range c.adapters {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
-// owed is the memory of the adapters that the copy should have and has not.
-func (c heldCopy) owed(set *config.Set) config.Bytes {
-	var sum config.Bytes
-	for _, name := range set.AdapterNames(c.key.model) {
-		if _, found := c.adapters[name]; !found {
-			sum += set.Adapter(name).Memory
-		}
-	}
-	return sum
-}
-
-// cachedCopies are a host's copies as they were at a count of its changes.
-type cachedCopies struct {
-	account *ledger.Host
-	changes uint64
-	copies  [][]heldCopy
-}
-
-// copiesAt returns the copies on an accelerator, resident and ordered, in a
-// fixed order. They are worked out anew only after the host's account changed.
-func (z *Zone) copiesAt(hostName string, accelerator int) []heldCopy {
-	host := z.ledger.Host(hostName)
-	cached := z.copies[hostName]
-	if cached.account != host || cached.changes != host.Changes() || len(cached.copies) != host.Accelerators() {
-		cached = cachedCopies{account: host, changes: host.Changes()}
-		for i := 0; i < host.Accelerators(); i++ {
-			cached.copies = append(cached.copies, findCopies(host, hostName, i))
-		}
-		z.copies[hostName] = cached
-	}
-	return cached.copies[accelerator]
-}
-
-func findCopies(host *ledger.Host, hostName string, accelerator int) []heldCopy {
-	byKey := map[copyKey]*heldCopy{}
-	get := func(w engine.Weights) *heldCopy {
-		key := copyKey{hostName, accelerator, w.Model, w.Version}
-		if byKey[key] == nil {
-			byKey[key] = &heldCopy{key: key, adapters: map[string]engine.CopyState{}}
-		}
-		return byKey[key]
-	}
-	for _, copied := range host.Report().Copies {
-		if copied.Accelerator != accelerator || copied.State == engine.CopyFailed {
-			continue
-		}
-		held := get(copied.Weights)
-		if copied.Weights.Adapter != "" {
-			held.adapters[copied.Weights.Adapter] = copied.State
-			continue
-		}
-		held.based = true
-		held.ready = copied.State == engine.CopyReady
-	}
-	for _, order := range host.Pending() {
-		if order.Accelerator != accelerator || order.Action != engine.ActionLoad {
-			continue
-		}
-		held := get(order.Weights)
-		if adapter := order.Weights.Adapter; adapter != "" {
-			if _, found := held.adapters[adapter]; !found {
-				held.adapters[adapter] = engine.CopyLoading
-			}
-			continue
-		}
-		held.based = true
-	}
-	all := make([]heldCopy, 0, len(byKey))
-	for _, held := range byKey {
-		all = append(all, *held)
-	}
-	sort.Slice(all, func(i, j int) bool {
-		a, b := all[i].key, all[j].key
-		if a.model != b.model {
-			return a.model < b.model
-		}
-		return a.version < b.version
-	})
-	return all
-}
