Membership and equality of slices by the standard library

Cause: contains stood five times, and equality of slices twice, though the standard library has both. Change: slices.Contains and slices.Equal.

--- a/src/ledger/ledger.go
+++ b/src/ledger/ledger.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/moorspool/moorspool/src/config"
@@ -83,7 +84,7 @@
 	if !sameRun {
 		h.since = now
 	}
-	if !sameRun || report.Epoch != h.report.Epoch || report.Slots != h.report.Slots || !sameCopies(report.Copies, h.report.Copies) {
+	if !sameRun || report.Epoch != h.report.Epoch || report.Slots != h.report.Slots || !slices.Equal(report.Copies, h.report.Copies) {
 		h.changes++
 	}
 	h.report = report
@@ -98,18 +99,6 @@
 	}
 }
 
-func sameCopies(a, b []engine.Copy) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Changes returns a number that grows whenever the copies on the host, resident
 // or ordered, may have changed.
 func (h *Host) Changes() uint64 { return h.changes }
--- a/src/place/choose.go
+++ b/src/place/choose.go
@@ -1,6 +1,10 @@
 package place
 
-import "strconv"
+import (
+	"slices"
+
+	"strconv"
+)
 
 // choose returns the accelerator for another copy: among those with room, on a
 // host without a copy, the one with the least load, then the most memory left.
@@ -13,7 +17,7 @@
 		case !p.in.Accelerators[i].Open:
 		case p.accels[i].free < model.Footprint:
 			noRoom++
-		case contains(taken, p.in.Accelerators[i].Host) || contains(p.accels[i].copies, model.Name) || model.leavingAt(i):
+		case slices.Contains(taken, p.in.Accelerators[i].Host) || slices.Contains(p.accels[i].copies, model.Name) || model.leavingAt(i):
 			sameHost++
 		case len(model.Apart) > 0 && p.clashes(model, i):
 			apart++
@@ -59,7 +63,7 @@
 
 func shares(a, b []string) bool {
 	for _, word := range a {
-		if contains(b, word) {
+		if slices.Contains(b, word) {
 			return true
 		}
 	}
--- a/src/place/room.go
+++ b/src/place/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -13,7 +14,7 @@
 	var bestVictims []*modelState
 	taken := p.hostsOf(model)
 	for i, accelerator := range p.in.Accelerators {
-		if !accelerator.Open || contains(taken, accelerator.Host) || (len(model.Apart) > 0 && p.clashes(model, i)) {
+		if !accelerator.Open || slices.Contains(taken, accelerator.Host) || (len(model.Apart) > 0 && p.clashes(model, i)) {
 			continue
 		}
 		victims, cost, enough := p.victims(model, i)
@@ -35,7 +36,7 @@
 // victims returns the cheapest copies of an accelerator whose going makes room.
 func (p *planner) victims(model *modelState, at int) ([]*modelState, float64, bool) {
 	need := model.Footprint - p.accels[at].free
-	if contains(p.accels[at].copies, model.Name) {
+	if slices.Contains(p.accels[at].copies, model.Name) {
 		// An outdated copy of its own has to go first, whatever room there is.
 		if !p.spare(model, model, at) {
 			return nil, 0, false
--- a/src/place/zone.go
+++ b/src/place/zone.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/moorspool/moorspool/src/config"
@@ -122,7 +123,7 @@
 	footprint := set.Footprint(model)
 	var best *zoneRoom
 	for _, room := range rooms {
-		if contains(taken, room.name) || !room.fits(footprint, limit) || !mayLive(set, model, room.name) {
+		if slices.Contains(taken, room.name) || !room.fits(footprint, limit) || !mayLive(set, model, room.name) {
 			continue
 		}
 		if best == nil || emptier(room, best) {
@@ -141,19 +142,10 @@
 	return a.name < b.name
 }
 
-func contains(words []string, word string) bool {
-	for _, other := range words {
-		if other == word {
-			return true
-		}
-	}
-	return false
-}
-
 func changedAssignments(set *config.Set, wanted map[string][]string) []config.Object {
 	var changed []config.Object
 	for _, model := range set.ModelNames() {
-		if equal(wanted[model], set.AssignedZones(model)) {
+		if slices.Equal(wanted[model], set.AssignedZones(model)) {
 			continue
 		}
 		changed = append(changed, config.Object{
@@ -164,18 +156,6 @@
 	return changed
 }
 
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func goneAssignments(set *config.Set) []config.Key {
 	var gone []config.Key
 	for _, object := range set.OfKind(config.KindAssignment) {
--- a/src/planner/input.go
+++ b/src/planner/input.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/moorspool/moorspool/src/config"
@@ -47,7 +48,7 @@
 func (z *Zone) Input(now time.Time) place.Input {
 	in := place.Input{Accelerators: z.accelerators(), Weigh: z.policy.Weigh, Loads: z.loadsNow(now)}
 	for _, model := range z.set.ModelNames() {
-		if contains(z.set.AssignedZones(model), z.name) {
+		if slices.Contains(z.set.AssignedZones(model), z.name) {
 			in.Models = append(in.Models, z.model(model))
 		}
 	}
@@ -55,15 +56,6 @@
 	return in
 }
 
-func contains(words []string, word string) bool {
-	for _, other := range words {
-		if other == word {
-			return true
-		}
-	}
-	return false
-}
-
 func (z *Zone) model(name string) place.Model {
 	m := place.Model{Name: name, Footprint: z.set.Footprint(name), Demand: z.demands.of(name)}
 	for _, object := range z.set.OfKind(config.KindSelector) {
--- a/src/planner/orders.go
+++ b/src/planner/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -58,7 +59,7 @@
 	known := z.unplaced
 	z.unplaced = names
 	for _, name := range names {
-		if !contains(known, name) {
+		if !slices.Contains(known, name) {
 			z.ring.Add(event.Event{Kind: event.ModelUnplaced, Model: name, Zone: z.name, Reason: "no accelerator has room"})
 		}
 	}
--- a/src/policy/bench.go
+++ b/src/policy/bench.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/moorspool/moorspool/src/config"
@@ -188,7 +189,7 @@
 	for _, zone := range b.zones {
 		at := 0
 		for _, model := range b.names {
-			if !contains(b.set.AssignedZones(model), zone.name) {
+			if !slices.Contains(b.set.AssignedZones(model), zone.name) {
 				continue
 			}
 			for tried := 0; tried < len(zone.engines); tried++ {
@@ -212,15 +213,6 @@
 	}
 }
 
-func contains(words []string, word string) bool {
-	for _, other := range words {
-		if other == word {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *bench) lose() {
 	at := b.now.Sub(b.began)
 	for _, loss := range b.e.HostLosses {
--- a/src/policy/policies.go
+++ b/src/policy/policies.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -97,7 +98,7 @@
 // placedBy returns the zone whose copies serve a model's requests from a zone.
 func (b *bench) placedBy(model string, from int) int {
 	zones := b.set.AssignedZones(model)
-	if len(zones) == 0 || contains(zones, b.zones[from].name) {
+	if len(zones) == 0 || slices.Contains(zones, b.zones[from].name) {
 		return from
 	}
 	for i, zone := range b.zones {
@@ -254,7 +255,7 @@
 		total += r.b.weight(m, at)
 	}
 	for m, name := range r.b.names {
-		if contains(r.b.set.AssignedZones(name), zone.name) {
+		if slices.Contains(r.b.set.AssignedZones(name), zone.name) {
 			running := r.b.e.Demand.Rate * r.b.e.Service.Std().Seconds() * r.b.weight(m, at) / total / 2
 			in.Models = append(in.Models, place.Model{Name: name, Footprint: r.b.set.Footprint(name), Demand: running})
 		}
--- a/src/raft/message.go
+++ b/src/raft/message.go
@@ -1,5 +1,7 @@
 package raft
 
+import "slices"
+
 // ID names one keeper with the identity of its data folder. A keeper whose
 // disk came back empty has another ID, so that it never votes as the old one.
 type ID string
@@ -30,15 +32,6 @@
 	Learners []ID `json:"learners,omitempty"`
 }
 
-func contains(ids []ID, id ID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 func without(ids []ID, id ID) []ID {
 	var rest []ID
 	for _, other := range ids {
@@ -50,10 +43,10 @@
 }
 
 // IsVoter reports whether id may vote.
-func (m Members) IsVoter(id ID) bool { return contains(m.Voters, id) }
+func (m Members) IsVoter(id ID) bool { return slices.Contains(m.Voters, id) }
 
 // IsLearner reports whether id only receives.
-func (m Members) IsLearner(id ID) bool { return contains(m.Learners, id) }
+func (m Members) IsLearner(id ID) bool { return slices.Contains(m.Learners, id) }
 
 // All returns voters and learners.
 func (m Members) All() []ID {
--- a/src/standin/install.go
+++ b/src/standin/install.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"time"
 
@@ -280,7 +281,7 @@
 			}
 		}
 		for _, model := range i.set.ModelNames() {
-			if contains(i.set.AssignedZones(model), zone) {
+			if slices.Contains(i.set.AssignedZones(model), zone) {
 				in.Models = append(in.Models, place.Model{Name: model, Footprint: i.set.Footprint(model)})
 			}
 		}
@@ -320,15 +321,6 @@
 	}
 }
 
-func contains(words []string, word string) bool {
-	for _, other := range words {
-		if other == word {
-			return true
-		}
-	}
-	return false
-}
-
 func (i *Install) writeOutside() error {
 	policy := i.set.Policy()
 	store := Settings{
