A keeper notes a renewed lease from the entry itself, not from copies of all leases

Cause: applying each entry copied the map of all zones' renewals and compared it afterwards, claims included; and no test counted a take-over from the last renewal.

--- a/src/keeper/command.go
+++ b/src/keeper/command.go
@@ -70,5 +70,7 @@
 	raced     bool
 	claim     wire.ClaimState
 	epoch     uint64
-	reason    string
+	// renewed names the zone whose lease the entry granted or renewed.
+	renewed string
+	reason  string
 }
--- a/src/keeper/replica.go
+++ b/src/keeper/replica.go
@@ -156,16 +156,10 @@
 
 func (r *Replica) apply(now time.Time, entries []raft.Entry) {
 	for _, entry := range entries {
-		renewed := map[string]uint64{}
-		for zone, index := range r.state.renewed {
-			renewed[zone] = index
-		}
 		applied := r.state.Apply(entry)
 		r.applied = entry.Index
-		for zone, index := range r.state.renewed {
-			if renewed[zone] != index {
-				r.renewedAt[zone] = now
-			}
+		if applied.renewed != "" {
+			r.renewedAt[applied.renewed] = now
 		}
 		if entry.Kind == raft.EntryMembers {
 			r.ring.Add(event.Event{Kind: event.VoterChanged, Reason: membersText(*entry.Members)})
--- a/src/keeper/state.go
+++ b/src/keeper/state.go
@@ -171,7 +171,7 @@
 	}
 	if cmd.Epoch == current.Epoch && cmd.Holder == current.Holder && cmd.Epoch != 0 {
 		s.renewed[cmd.Zone] = revision.Index
-		return result{outcome: wire.Accepted, epoch: cmd.Epoch}
+		return result{outcome: wire.Accepted, epoch: cmd.Epoch, renewed: cmd.Zone}
 	}
 	if cmd.Epoch != current.Epoch+1 || cmd.Renewed != s.renewed[cmd.Zone] {
 		return result{outcome: wire.Refused, epoch: current.Epoch, reason: "held by " + current.Holder}
@@ -180,7 +180,7 @@
 	granted := config.Authority{Epoch: cmd.Epoch, Holder: cmd.Holder, Address: cmd.Address}
 	object := config.Object{Key: config.Key{Kind: config.KindAuthority, Name: cmd.Zone}, Authority: &granted}
 	s.put(revision, cmd.Holder, []config.Object{object}, nil)
-	return result{outcome: wire.Accepted, epoch: cmd.Epoch}
+	return result{outcome: wire.Accepted, epoch: cmd.Epoch, renewed: cmd.Zone}
 }
 
 // Renewed returns the log index of a zone's last grant or renewal.
