A planned stop closes its listener before it waits for the last request

Cause, found by a test of the promise: an entry host waited until nothing was in flight and only then stopped taking connections. A request that came between, on an open connection, could be cut off by the exit; and long streams kept the listener open, against our own design note. Change: after the balancer's lag the listener closes, then all in flight is finished. Measured: the test holds a stream of 1.5 s over the stop and begins another within the lag; both come whole, nothing is in flight at the end, and nothing is taken after. A request that arrives on an idle open connection at the very moment of the exit gets no answer; it has not run.

--- a/src/entry/entry_test.go
+++ b/src/entry/entry_test.go
@@ -16,8 +16,11 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"github.com/moorspool/moorspool/src/config"
 	"github.com/moorspool/moorspool/src/engine"
 	"github.com/moorspool/moorspool/src/limit"
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/process"
 	"github.com/moorspool/moorspool/src/service"
 	"github.com/moorspool/moorspool/src/standin"
 	"github.com/moorspool/moorspool/src/testseed"
@@ -133,6 +136,42 @@
 	t.Errorf("in flight %d, running on the engine %d", b.server.InFlight(), e.Running())
 }
 
+// TestPlannedStopCutsOffNoRequest stops the entry host while a stream runs and
+// another begins within the balancer's lag: both must come whole.
+func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	b := newBench(t)
+	// The stream outlasts the lag and the closing of the listener by far.
+	b.addPacedEngine("h1", "a", 5*time.Millisecond)
+	b.server.settings.BalancerLag = config.Duration(100 * time.Millisecond)
+	b.server.settings.DrainLimit = config.Duration(20 * time.Second)
+	proc, err := process.New("entry", option.Common{Node: "e1", Log: option.LogSetting{Level: "error"}, Events: 16}, nil)
+	is := is.New(t)
+	is.NoErr(err)
+	const tokens = 300
+	running, err := b.streams.Open(context.Background(), b.address, engine.Request{Path: engine.PathCompletions, Body: body("m", "first", tokens), ID: "r1"})
+	is.NoErr(err)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		b.server.stop(proc)
+		if left := b.server.InFlight(); left != 0 { // the process would end here
+			t.Errorf("the stop cut off %d requests", left)
+		}
+	}()
+	for !proc.Leaving() {
+		time.Sleep(time.Millisecond)
+	}
+	late, err := b.ask("r2", "m", "late", 20)
+	is.NoErr(err)
+	is.Equal(late, standin.Answer("m", "late", 20))
+	text, err := collect(running)
+	is.NoErr(err)
+	is.Equal(text, standin.Answer("m", "first", tokens))
+	<-stopped
+	_, err = b.ask("r3", "m", "after", 3)
+	is.True(err != nil) // nothing is taken any more
+}
+
 func TestNothingInReachIsRefusedAtOnceAsNotRun(t *testing.T) {
 	b := newBench(t)
 	is := is.New(t)
--- a/src/entry/fake_test.go
+++ b/src/entry/fake_test.go
@@ -132,7 +132,13 @@
 // addEngine starts a stand-in engine that holds the model and its adapter.
 func (b *bench) addEngine(name, zone string) *standin.Engine {
 	b.t.Helper()
-	e := standin.NewEngine(standin.EngineOptions{Host: name, Capacity: []config.Bytes{10}, Slots: 64, Checks: true, Warm: []engine.Copy{
+	return b.addPacedEngine(name, zone, 0)
+}
+
+// addPacedEngine starts one that takes its time between tokens.
+func (b *bench) addPacedEngine(name, zone string, gap time.Duration) *standin.Engine {
+	b.t.Helper()
+	e := standin.NewEngine(standin.EngineOptions{Host: name, Capacity: []config.Bytes{10}, Slots: 64, Checks: true, Gap: gap, Warm: []engine.Copy{
 		{Weights: engine.Weights{Model: "m", Version: "v1"}, Bytes: 1},
 		{Weights: engine.Weights{Model: "m", Adapter: "m-a", Version: "v1"}, Bytes: 1},
 	}})
--- a/src/entry/main.go
+++ b/src/entry/main.go
@@ -128,11 +128,15 @@
 }
 
 // stop is a planned stop: unready, wait out the balancer's lag while serving as
-// before, then take no new connections and finish what is in flight.
+// before, then take no new connections and finish what is in flight. What still
+// comes on a connection that was open is served, and the connection then closed.
 func (s *Server) stop(proc *process.Process) {
 	proc.SetLeaving()
 	s.leaving.Store(true)
 	time.Sleep(s.settings.BalancerLag.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	s.CloseListener(ctx)
 	until := s.now().Add(s.settings.DrainLimit.Std())
 	for idle := 0; idle < idlePolls && s.now().Before(until); idle++ {
 		if s.InFlight() > 0 {
@@ -140,7 +144,4 @@
 		}
 		time.Sleep(pollEvery)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
-	defer cancel()
-	s.CloseListener(ctx)
 }
