Copies are moved one by one to where they serve soonest, before demand where it can be guessed

Change: src/rebalance decides single moves; a decided move counts as a copy and keeps its room; cost is load time, work displaced, crowding, zones without a copy. Before the first request busy models are guessed from their copies.

--- a/src/placer/demand.go
+++ b/src/placer/demand.go
@@ -91,6 +91,16 @@
 	return known.get(now) / tokensPerSecond
 }
 
+// known reports whether any request for a service's models was ever told of.
+func (d *demand) known(service string) bool {
+	for key := range d.tokens {
+		if key.service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // adapter returns the requests a second for an adapter.
 func (d *demand) adapter(now time.Time, key adapterKey) float64 {
 	known := d.adapters[key]
--- a/src/placer/ledger.go
+++ b/src/placer/ledger.go
@@ -54,6 +54,9 @@
 	// sending is set while an order or a question is under way.
 	sending bool
 	copies  map[string]*copyState
+	// next is the model that copies make way for here, "" if none.
+	next      string
+	nextSince time.Time
 	// beat is the sequence of the registration that the ledger agrees with.
 	beat uint64
 }
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -28,6 +28,8 @@
 	adapterPerMB = 300 * time.Microsecond
 	// adapterLong is for adapters whose load began at an unknown time.
 	adapterLong = 100 * time.Millisecond
+	// gatherPause is how long no new replica must have come before the first plan.
+	gatherPause = 1300 * time.Millisecond
 	// missingSpan is how long a copy that requests waited for counts as missing.
 	missingSpan = 2 * time.Second
 	// maxTransit is how many adapters may be on their way to a replica.
@@ -66,16 +68,21 @@
 type Placer struct {
 	options Options
 
-	mu       sync.Mutex
-	units    map[string]*unit
-	demand   *demand
-	buckets  map[string]*bucket
-	token    uint64
-	fenced   bool
-	version  uint64
-	told     string
-	wake     chan struct{}
-	planned  time.Time
+	mu      sync.Mutex
+	units   map[string]*unit
+	demand  *demand
+	buckets map[string]*bucket
+	token   uint64
+	fenced  bool
+	version uint64
+	told    string
+	wake    chan struct{}
+	planned time.Time
+	// newest is when a replica was last heard of for the first time, eldest when the
+	// first was; gathered is set once they have been given time to come.
+	newest   time.Time
+	eldest   time.Time
+	gathered bool
 	unplaced map[string]bool
 }
 
@@ -107,6 +114,10 @@
 		if u == nil {
 			u = newUnit(e.Record)
 			p.units[e.Record.ID] = u
+			p.newest = now
+			if p.eldest.IsZero() {
+				p.eldest = now
+			}
 		}
 		u.record = e.Record
 		u.usable = e.Usable()
@@ -201,6 +212,7 @@
 	for _, u := range p.units {
 		u.known = false
 		u.busy = false
+		u.next = ""
 	}
 	p.options.Ring.Add(event.Event{Kind: event.AuthorityGranted, Host: p.options.Holder, Reason: fmt.Sprintf("orders under fencing token %d", lead.Token)})
 }
@@ -210,12 +222,21 @@
 	for _, u := range units {
 		p.settle(ctx, now, u)
 	}
-	if now.Sub(p.planned) >= planEvery/2 {
+	if p.complete(now) && now.Sub(p.planned) >= planEvery/2 {
 		p.planModels(ctx, now, s, units)
 	}
 	p.planAdapters(ctx, now, s, units)
 }
 
+// complete reports whether the replicas that exist have had the time to register.
+// Planned with half of them, models that the others hold would seem lost.
+func (p *Placer) complete(now time.Time) bool {
+	if !p.gathered && !p.eldest.IsZero() {
+		p.gathered = now.Sub(p.newest) >= gatherPause || now.Sub(p.eldest) >= p.options.Lease
+	}
+	return p.gathered
+}
+
 func (p *Placer) unitsOf(service string) []*unit {
 	var units []*unit
 	for _, id := range sortedIDs(p.units) {
--- a/src/placer/plan.go
+++ b/src/placer/plan.go
@@ -4,20 +4,19 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/moorspool/moorspool/src/catalog"
-	"github.com/moorspool/moorspool/src/config"
 	"github.com/moorspool/moorspool/src/event"
-	"github.com/moorspool/moorspool/src/place"
+	"github.com/moorspool/moorspool/src/rebalance"
 )
 
 // The scale and watermark of a replica's work.
 const (
-	// workSlots is what a replica's whole work is counted as.
-	workSlots = 100
 	// The bounds within which the work of one copy is chosen, and the step.
 	leastCopyShare = 0.15
 	mostCopyShare  = 3.0
@@ -29,10 +28,14 @@
 	forecastShare = 0.35
 	// busyShare is the part of the busiest model's work that makes another one busy.
 	busyShare = 0.2
+	// nextPatience is how long a load may wait for its room to become free.
+	nextPatience = 12 * time.Second
 	// settledFor is how long an adapter that was loaded does not make way.
 	settledFor = 500 * time.Millisecond
 	// demandFloor is the work below which a model counts as not asked for.
 	demandFloor = 0.02
+	// priorCopyShare is the work that each copy is taken to carry before any request came.
+	priorCopyShare = 0.3
 	// secondFloor is the work from which a model gets a second copy: a few requests
 	// for a rare one must not take room from busy ones.
 	secondFloor = 0.25
@@ -47,11 +50,10 @@
 		p.buckets[s.Name] = b
 	}
 	b.fill(now, s.Engine.LoadsPerSecond)
-	input := p.input(now, s, units)
-	input.Loads = b.whole()
-	plan := place.Plan(input)
-	for _, step := range plan.Steps {
-		p.carryOut(ctx, now, s, units[step.Accelerator], step, b)
+	p.loadNext(ctx, now, s, units, b)
+	plan := rebalance.Plan(p.input(now, s, units, b))
+	for _, move := range plan.Moves {
+		p.carryOut(ctx, now, s, units[move.Replica], move, b)
 	}
 	p.noteUnplaced(plan.Unplaced)
 }
@@ -68,34 +70,112 @@
 }
 
 // input is what the plan depends on.
-func (p *Placer) input(now time.Time, s *catalog.Service, units []*unit) place.Input {
-	in := place.Input{Weigh: config.WeighMoves}
-	shares := forecast(p.shares(now, s))
+func (p *Placer) input(now time.Time, s *catalog.Service, units []*unit, b *bucket) rebalance.Input {
+	in := rebalance.Input{StoreLoads: b.whole() - pendingStoreLoads(units)}
+	shares := p.shares(now, s)
+	if !p.demand.known(s.Name) {
+		shares = priorShares(s.Engine, units)
+	}
+	shares = forecast(shares)
 	target := copyShare(shares, places(s.Engine, units))
 	for i, model := range s.Engine.Models {
-		share := shares[i]
-		in.Models = append(in.Models, place.Model{
+		in.Models = append(in.Models, rebalance.Model{
 			Name:      model.Name,
-			Footprint: megabytes(model.WeightsMB),
-			Copies:    wantedCopies(share, target),
-			Demand:    share * workSlots,
+			Footprint: model.WeightsMB,
+			Work:      shares[i],
+			Wanted:    wantedCopies(shares[i], target),
 		})
 	}
-	for i, u := range units {
-		in.Accelerators = append(in.Accelerators, accelerator(s.Engine, u, p.mayOrder(u) && !u.moving() && !u.busy))
-		for _, name := range sortedCopies(u) {
-			c := u.copies[name]
-			in.Copies = append(in.Copies, place.Copy{
-				Model:       name,
-				Accelerator: i,
-				Ready:       c.phase == ready,
-				Leaving:     c.phase == closing || c.phase == unloading,
-			})
-		}
+	for _, u := range units {
+		in.Replicas = append(in.Replicas, p.replica(s.Engine, u))
 	}
 	return in
 }
 
+// replica describes a unit to the plan.
+func (p *Placer) replica(e *catalog.Engine, u *unit) rebalance.Replica {
+	r := rebalance.Replica{
+		ID:     u.record.ID,
+		Zone:   u.record.Zone,
+		Usable: u.usable,
+		Open:   p.mayOrder(u) && u.next == "" && !u.moving() && !u.busy,
+		Free:   u.freeMB(e),
+	}
+	for _, name := range sortedCopies(u) {
+		r.Copies = append(r.Copies, rebalance.Copy{Model: name, Phase: planPhase(u.copies[name].phase)})
+	}
+	if u.next != "" && u.copies[u.next] == nil {
+		r.Copies = append(r.Copies, rebalance.Copy{Model: u.next, Phase: rebalance.Coming})
+	}
+	r.LoadTime = func(model string) (time.Duration, bool) { return loadTime(e, u, model) }
+	return r
+}
+
+func planPhase(at phase) rebalance.Phase {
+	switch at {
+	case ready:
+		return rebalance.Ready
+	case loading:
+		return rebalance.Coming
+	}
+	return rebalance.Going
+}
+
+// loadTime is how long a load takes on a replica, and whether it needs the store.
+func loadTime(e *catalog.Engine, u *unit, name string) (time.Duration, bool) {
+	model := e.Model(name)
+	switch {
+	case model == nil:
+		return 0, true
+	case slices.Contains(u.record.InMemory, name):
+		return model.Warm, false
+	case slices.Contains(u.record.OnDisk, name):
+		return model.Disk, false
+	}
+	return model.Load, true
+}
+
+// pendingStoreLoads counts the loads from the store that room is being made for.
+func pendingStoreLoads(units []*unit) int {
+	count := 0
+	for _, u := range units {
+		if u.usable && u.next != "" && !cached(u, u.next) {
+			count++
+		}
+	}
+	return count
+}
+
+// loadNext orders the loads that room was made for, and gives up those whose
+// replica can't be used or that took too long.
+func (p *Placer) loadNext(ctx context.Context, now time.Time, s *catalog.Service, units []*unit, b *bucket) {
+	for _, u := range units {
+		if u.next == "" {
+			continue
+		}
+		model := s.Engine.Model(u.next)
+		if model == nil || !u.usable || u.copies[u.next] != nil || now.Sub(u.nextSince) > nextPatience {
+			u.next = ""
+			continue
+		}
+		if p.mayOrder(u) && !u.moving() && !u.busy && u.freeMB(s.Engine) >= model.WeightsMB {
+			p.load(ctx, now, u, u.next, b)
+		}
+	}
+}
+
+// load orders a model unless it needs the store and the store's bound is reached.
+func (p *Placer) load(ctx context.Context, now time.Time, u *unit, model string, b *bucket) {
+	if !cached(u, model) {
+		if b.whole() < 1 {
+			return
+		}
+		b.take()
+	}
+	u.next = ""
+	p.send(ctx, now, u, Order{Operation: Load, Model: model})
+}
+
 // shares returns the models' work as parts of a replica, in the catalog's order.
 func (p *Placer) shares(now time.Time, s *catalog.Service) []float64 {
 	shares := make([]float64, len(s.Engine.Models))
@@ -105,6 +185,24 @@
 	return shares
 }
 
+// priorShares guesses the models' work before any request came: who set the
+// replicas up put the busy models on many of them.
+func priorShares(e *catalog.Engine, units []*unit) []float64 {
+	shares := make([]float64, len(e.Models))
+	for i := range e.Models {
+		copies := 0
+		for _, u := range units {
+			if u.usable && u.copies[e.Models[i].Name] != nil {
+				copies++
+			}
+		}
+		if copies > 1 {
+			shares[i] = float64(copies) * priorCopyShare
+		}
+	}
+	return shares
+}
+
 // forecast adds the demand that is expected soon: operators list models in the
 // order in which demand moves along, so that those behind a busy run come next.
 func forecast(shares []float64) []float64 {
@@ -189,20 +287,9 @@
 	return max(1, int(math.Ceil(work/target-copySlack)))
 }
 
-// accelerator describes a replica. One that can take no order now has no room,
-// but its copies count as staying.
-func accelerator(e *catalog.Engine, u *unit, free bool) place.Accelerator {
-	a := place.Accelerator{Host: u.record.ID, Open: u.usable, Slots: workSlots, Cached: map[string]bool{}}
-	if free {
-		a.Free = megabytes(e.WeightsMB - u.usedMB(e) - adapterReserve(e, u))
-	}
-	for _, name := range u.record.InMemory {
-		a.Cached[name] = true
-	}
-	for _, name := range u.record.OnDisk {
-		a.Cached[name] = true
-	}
-	return a
+// freeMB is the room for another model, beside what free adapter places may take.
+func (u *unit) freeMB(e *catalog.Engine) float64 {
+	return e.WeightsMB - u.usedMB(e) - adapterReserve(e, u)
 }
 
 // adapterReserve is the room kept for adapter places that are still free.
@@ -214,48 +301,26 @@
 	return float64(max(e.AdapterSlots-u.adapterCount(), 0)) * largest
 }
 
-// carryOut orders one step of a plan.
-func (p *Placer) carryOut(ctx context.Context, now time.Time, s *catalog.Service, u *unit, step place.Step, b *bucket) {
-	c := u.copies[step.Model]
-	drop := step.Action == place.ActionDrop
-	// A replica that is leaving or silent is left as it is: it may be heard again.
-	if drop && (!u.usable || c == nil || c.phase != ready) || !drop && !p.mayOrder(u) {
-		return
-	}
-	p.options.Ring.Add(event.Event{Kind: planKind(step.Action), Model: step.Model, Host: u.record.ID, Reason: fmt.Sprintf("%s; work %.2f of a replica", step.Reason, p.demand.share(now, s.Name, step.Model)), Rejected: step.Rejected})
-	if drop {
+// carryOut begins a move: the copies that make way are closed, or the load is
+// ordered at once.
+func (p *Placer) carryOut(ctx context.Context, now time.Time, s *catalog.Service, u *unit, move rebalance.Move, b *bucket) {
+	p.options.Ring.Add(event.Event{Kind: event.CopyPlanned, Model: move.Model, Host: u.record.ID, Reason: move.Reason, Rejected: strings.Join(move.Drop, " ")})
+	u.next, u.nextSince = move.Model, now
+	for _, name := range move.Drop {
+		c := u.copies[name]
 		c.phase, c.since = closing, now
-		return
+		p.options.Ring.Add(event.Event{Kind: event.CopyDropped, Model: name, Host: u.record.ID, Reason: fmt.Sprintf("room for %s; work %.2f of a replica", move.Model, p.demand.share(now, s.Name, name))})
 	}
-	if !cached(u, step.Model) {
-		b.take()
+	if len(move.Drop) == 0 {
+		p.load(ctx, now, u, move.Model, b)
 	}
-	p.send(ctx, now, u, Order{Operation: Load, Model: step.Model})
-}
-
-func planKind(action place.Action) event.Kind {
-	if action == place.ActionDrop {
-		return event.CopyDropped
-	}
-	return event.CopyPlanned
 }
 
+// cached reports whether a replica can load a model without the store.
 func cached(u *unit, model string) bool {
-	for _, name := range u.record.InMemory {
-		if name == model {
-			return true
-		}
-	}
-	for _, name := range u.record.OnDisk {
-		if name == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(u.record.InMemory, model) || slices.Contains(u.record.OnDisk, model)
 }
 
-func megabytes(value float64) config.Bytes { return config.Bytes(value * 1e6) }
-
 func sortedCopies(u *unit) []string {
 	names := make([]string, 0, len(u.copies))
 	for name := range u.copies {
--- a/src/placer/plan_test.go
+++ b/src/placer/plan_test.go
@@ -72,3 +72,70 @@
 	is.True(f.models["m0"][absent]) // it stays
 	is.True(f.models["m0"][gone])   // another made way
 }
+
+// TestRoomGoesToTheModelThatItWasMadeFor: a copy that made way for a model must
+// not be replaced by one of another model that wants more copies meanwhile.
+func TestRoomGoesToTheModelThatItWasMadeFor(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	e.LoadsPerSecond = 1
+	w := newWorld(e, newFakeReplica("a", e, "m0", "m1", "m2"), newFakeReplica("b", e, "m3", "m4", "m0"), newFakeReplica("c", e, "m0", "m1", "m2"), newFakeReplica("d", e, "m0", "m1", "m2"))
+	planned := ""
+	for range 80 {
+		w.ask("m3", "", 5, 9000, 0)
+		w.ask("m4", "", 5, 8000, 0)
+		w.run(250 * time.Millisecond)
+		for _, o := range w.orders {
+			switch {
+			case o.Adapter != "":
+			case o.Operation == Unload:
+				planned = w.placer.units[o.Replica].next
+			case planned != "":
+				is.Equal(o.Model, planned)
+				planned = ""
+			}
+		}
+		w.orders = nil
+	}
+}
+
+// TestBusyModelsAreGuessedFromTheirCopies: before any request, the models on many
+// replicas count as busy, and those behind them get the room that is free.
+func TestBusyModelsAreGuessedFromTheirCopies(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	w := newWorld(e, newFakeReplica("a", e, "m0", "m1", "m2"), newFakeReplica("b", e, "m0", "m1", "m3"), newFakeReplica("c", e, "m0", "m1", "m4"), newFakeReplica("d", e, "m0", "m1"))
+	for _, f := range w.replicas {
+		w.beat(f)
+	}
+	w.run(12 * time.Second)
+	copies := map[string]int{}
+	for _, f := range w.replicas {
+		for name := range f.models {
+			copies[name]++
+		}
+	}
+	is.Equal(copies["m2"], 2)
+	is.Equal(copies["m0"], 4)
+}
+
+// TestThePlanWaitsForReplicasToRegister: with half of the replicas known, models
+// that the others hold would seem lost.
+func TestThePlanWaitsForReplicasToRegister(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	w := newWorld(e, newFakeReplica("a", e, "m0"), newFakeReplica("b", e, "m1", "m2", "m3"))
+	w.beat(w.replicas[0])
+	for range 12 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.step()
+	}
+	w.beat(w.replicas[1])
+	w.run(3 * time.Second)
+	loaded := map[string]bool{}
+	for _, o := range w.orders {
+		loaded[o.Model] = loaded[o.Model] || o.Adapter == "" && o.Operation == Load
+	}
+	is.True(loaded["m4"])
+	is.True(!loaded["m1"] && !loaded["m2"] && !loaded["m3"])
+}
--- /dev/null
+++ b/src/rebalance/input.go
@@ -0,0 +1,72 @@
+package rebalance
+
+import "time"
+
+// Model is what a plan knows of one model.
+type Model struct {
+	Name string
+	// Footprint is the room that a copy takes, in megabytes.
+	Footprint float64
+	// Work is the expected work of all its requests, in parts of one replica.
+	Work float64
+	// Wanted is the number of copies that it should have, at least one.
+	Wanted int
+}
+
+// Phase is where a copy stands.
+type Phase uint8
+
+// The phases.
+const (
+	// Ready copies serve.
+	Ready Phase = iota
+	// Coming copies are being loaded, or have room made for them.
+	Coming
+	// Going copies are being unloaded or were told to go.
+	Going
+)
+
+// Copy is one model on one replica.
+type Copy struct {
+	Model string
+	Phase Phase
+}
+
+// Replica is one place for copies.
+type Replica struct {
+	ID   string
+	Zone string
+	// Usable replicas serve; copies on others count for nothing.
+	Usable bool
+	// Open replicas can begin a move now.
+	Open bool
+	// Free is the room that nothing takes, in megabytes.
+	Free   float64
+	Copies []Copy
+	// LoadTime returns how long a model's load takes there, and whether it needs the weight store.
+	LoadTime func(model string) (time.Duration, bool)
+}
+
+// Input is all that a plan depends on.
+type Input struct {
+	Models   []Model
+	Replicas []Replica
+	// StoreLoads is how many loads from the weight store may be decided now.
+	StoreLoads int
+}
+
+// Move is a decided load, with the copies on the same replica that make way for it.
+type Move struct {
+	// Replica is the place in Input.Replicas.
+	Replica int
+	Model   string
+	Drop    []string
+	Reason  string
+}
+
+// Output is a plan.
+type Output struct {
+	Moves []Move
+	// Unplaced are models without a copy for which no replica can make room now.
+	Unplaced []string
+}
