A leader knows since when it leads from its election on

The cluster noted the beginning of leadership on a ticker; whoever asked before the next tick was told the zero time, that is, 'forever ago'. The same value decides which silent voter may lose its place. Ruled out: the lease itself (checked right before each order, it held); the settings (lease 3 s). Change: the core keeps the time of its election; both readers use it. Test: TestALeaderKnowsSinceWhenAtOnce fails before (zero time) and passes after. Conclusion: a window of up to a tick after each election is closed.

--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -53,8 +53,6 @@
 	mu sync.Mutex
 	// leaderAt is when this node last knew a leader.
 	leaderAt time.Time
-	// ledFrom is when this node began to lead, zero while it does not.
-	ledFrom time.Time
 	// met are the addresses of control nodes that were ever heard of.
 	met map[string]bool
 }
@@ -86,7 +84,7 @@
 	// Address is the leader's, "" if none is known.
 	Address string
 	Term    uint64
-	// Since is when this node began to lead.
+	// Since is when this node was elected, zero while it does not lead.
 	Since time.Time
 }
 
@@ -98,10 +96,8 @@
 		l.Self = core.ReadSafe(now)
 		l.Address = nameOf(core.Leader())
 		l.Term = core.Term()
+		l.Since = core.LedSince()
 	})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l.Since = c.ledFrom
 	return l
 }
 
--- a/src/control/cluster_test.go
+++ b/src/control/cluster_test.go
@@ -270,6 +270,17 @@
 	is.Equal(alone.cluster.Version(), uint64(5))
 }
 
+// TestALeaderKnowsSinceWhenAtOnce: whoever asks in the moment after the election,
+// before anything else ran, must not be told that the node has led forever.
+func TestALeaderKnowsSinceWhenAtOnce(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t, 1)
+	n := tc.nodes[tc.seeds[0]]
+	idle := NewCluster(n.node, NewLinks(&rpc.Meter{}, n.cut), ClusterOptions{ID: n.cluster.options.ID, Voters: 1}, nil, time.Now)
+	tc.eventually("the node leads", func() bool { return idle.Leadership().Self })
+	is.True(!idle.Leadership().Since.IsZero())
+}
+
 // TestNextVoters holds who may lose a place to whom.
 func TestNextVoters(t *testing.T) {
 	noon := time.Unix(1_800_000_000, 0)
@@ -278,19 +289,19 @@
 	core := leadingCore(noon, members)
 	answer := func(now time.Time, ids ...raft.ID) { replyFrom(core, now, ids...) }
 	answer(noon, "b#0", "c#0", "d#1")
-	is.True(nextVoters(core, noon, noon, 3) == nil) // all are alive
+	is.True(nextVoters(core, noon, 3) == nil) // all are alive
 	now := noon
 	for now.Before(noon.Add(2 * time.Second)) {
 		now = now.Add(100 * time.Millisecond)
 		answer(now, "b#0", "d#1")
-		is.True(nextVoters(core, now, noon, 3) == nil) // a short silence costs no place
+		is.True(nextVoters(core, now, 3) == nil) // a short silence costs no place
 	}
 	for now.Before(noon.Add(3 * time.Second)) {
 		now = now.Add(100 * time.Millisecond)
 		answer(now, "b#0", "d#1")
 	}
-	is.True(nextVoters(core, now.Add(2*time.Second), noon, 3) == nil) // two are silent: a majority could be lost
-	next := nextVoters(core, now, noon, 3)
+	is.True(nextVoters(core, now.Add(2*time.Second), 3) == nil) // two are silent: a majority could be lost
+	next := nextVoters(core, now, 3)
 	is.True(next != nil)
 	is.True(!next.IsVoter("c#0"))
 	is.True(next.IsVoter("b#0"))
--- a/src/control/membership.go
+++ b/src/control/membership.go
@@ -32,9 +32,9 @@
 		core := c.node.replica.core
 		led = core.Role() == raft.Leader
 		known = core.Leader() != ""
-		c.noteLeader(now, led, known)
+		c.noteLeader(now, known)
 		if led {
-			next = nextVoters(core, now, c.ledSince(), c.options.Voters)
+			next = nextVoters(core, now, c.options.Voters)
 		}
 	})
 	if next != nil {
@@ -45,24 +45,12 @@
 	}
 }
 
-func (c *Cluster) noteLeader(now time.Time, led, known bool) {
+func (c *Cluster) noteLeader(now time.Time, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if known {
 		c.leaderAt = now
 	}
-	switch {
-	case !led:
-		c.ledFrom = time.Time{}
-	case c.ledFrom.IsZero():
-		c.ledFrom = now
-	}
-}
-
-func (c *Cluster) ledSince() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ledFrom
 }
 
 // alone reports whether no leader was known for so long that this node may
@@ -75,7 +63,7 @@
 
 // nextVoters returns the next single step towards the wanted number of live
 // voters, nil if there is none to take.
-func nextVoters(core *raft.Core, now, ledFrom time.Time, wanted int) *raft.Members {
+func nextVoters(core *raft.Core, now time.Time, wanted int) *raft.Members {
 	members := core.Members()
 	learner := caughtUp(core, now)
 	if learner == "" {
@@ -85,7 +73,7 @@
 		next := members.WithVoter(learner)
 		return &next
 	}
-	gone := goneVoter(core, now, ledFrom, learner)
+	gone := goneVoter(core, now, learner)
 	if gone == "" {
 		return nil
 	}
@@ -106,7 +94,7 @@
 // goneVoter returns the voter whose place the learner may take: one whose
 // machine came back without its disk as this learner, else the one silent
 // longest, if all others follow.
-func goneVoter(core *raft.Core, now, ledFrom time.Time, learner raft.ID) raft.ID {
+func goneVoter(core *raft.Core, now time.Time, learner raft.ID) raft.ID {
 	members := core.Members()
 	var gone raft.ID
 	var goneAt time.Time
@@ -116,8 +104,8 @@
 			continue
 		}
 		at := core.Contact(id)
-		if at.Before(ledFrom) {
-			at = ledFrom
+		if since := core.LedSince(); at.Before(since) {
+			at = since
 		}
 		wiped := nameOf(id) == nameOf(learner)
 		if !wiped && now.Sub(at) < voterContact {
--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -101,6 +101,8 @@
 	electionAt   time.Time
 	heartbeatAt  time.Time
 	leaderSeenAt time.Time
+	// ledSince is when this node was last elected.
+	ledSince time.Time
 	// quietUntil keeps a control node that restarted from voting while a lease that
 	// it confirmed before may still run.
 	quietUntil   time.Time
@@ -188,6 +190,15 @@
 	return c.LeaseValid(now) && c.committedInTerm() && c.applied == c.commit
 }
 
+// LedSince returns when this node was elected in the term in which it leads, and
+// the zero time if it does not lead.
+func (c *Core) LedSince() time.Time {
+	if c.role != Leader {
+		return time.Time{}
+	}
+	return c.ledSince
+}
+
 // LeaseValid reports whether this leader has heard from a quorum so lately that
 // no other leader can have been elected.
 func (c *Core) LeaseValid(now time.Time) bool {
--- a/src/raft/election.go
+++ b/src/raft/election.go
@@ -101,6 +101,7 @@
 	c.progress = map[ID]*progress{}
 	c.rounds = nil
 	c.leaderSeenAt = now
+	c.ledSince = now
 	c.trackMembers(now)
 	// An entry of the own term: only with it can earlier ones be counted as committed.
 	_, _, _ = c.appendOwn(now, Entry{Kind: EntryCommand})
