A copy moves for what one more is worth and one less costs, and only where it comes soon

Change: a model's requests are taken to wait in proportion to work^2/copies. A lost model is worth its waiting work and more each second. A holder begins with a full bucket after the lease in which nobody ordered. Adapters that are asked for come to more replicas while places are free.

--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -84,6 +84,8 @@
 	eldest   time.Time
 	gathered bool
 	unplaced map[string]bool
+	// lost are the models without a copy, with since when.
+	lost map[string]time.Time
 }
 
 // New returns a placer that knows no replicas.
@@ -98,6 +100,7 @@
 		buckets:  map[string]*bucket{},
 		wake:     make(chan struct{}, 1),
 		unplaced: map[string]bool{},
+		lost:     map[string]time.Time{},
 	}
 }
 
@@ -209,6 +212,7 @@
 	p.version = 0
 	p.told = ""
 	p.buckets = map[string]*bucket{}
+	p.lost = map[string]time.Time{}
 	for _, u := range p.units {
 		u.known = false
 		u.busy = false
@@ -226,6 +230,7 @@
 		p.planModels(ctx, now, s, units)
 	}
 	p.planAdapters(ctx, now, s, units)
+	p.spreadAdapters(ctx, now, s, units)
 }
 
 // complete reports whether the replicas that exist have had the time to register.
--- a/src/placer/plan.go
+++ b/src/placer/plan.go
@@ -17,28 +17,23 @@
 
 // The scale and watermark of a replica's work.
 const (
-	// The bounds within which the work of one copy is chosen, and the step.
-	leastCopyShare = 0.15
-	mostCopyShare  = 3.0
-	copyShareStep  = 1.1
-	// copySlack is the part of a copy's work that asks for no copy more.
-	copySlack = 0.3
-	// forecastShare is the part of a busy model's work that is expected of each of
-	// the models that come next, which are half as many as are busy.
-	forecastShare = 0.35
+	// forecastShare is the part of a busy model's work that is expected of the models
+	// that come next.
+	forecastShare = 0.5
 	// busyShare is the part of the busiest model's work that makes another one busy.
 	busyShare = 0.2
 	// nextPatience is how long a load may wait for its room to become free.
 	nextPatience = 12 * time.Second
+	// spreadFloor is the requests a second for each holder from which an adapter is
+	// loaded onto another replica, sparePlaces are kept free for adapters that wait.
+	spreadFloor = 0.2
+	sparePlaces = 1
 	// settledFor is how long an adapter that was loaded does not make way.
 	settledFor = 500 * time.Millisecond
 	// demandFloor is the work below which a model counts as not asked for.
 	demandFloor = 0.02
 	// priorCopyShare is the work that each copy is taken to carry before any request came.
 	priorCopyShare = 0.3
-	// secondFloor is the work from which a model gets a second copy: a few requests
-	// for a rare one must not take room from busy ones.
-	secondFloor = 0.25
 )
 
 // planModels orders the next loads and unloads of models; the lock is held.
@@ -46,7 +41,7 @@
 	p.planned = now
 	b := p.buckets[s.Name]
 	if b == nil {
-		b = &bucket{}
+		b = newBucket(s.Engine.LoadsPerSecond)
 		p.buckets[s.Name] = b
 	}
 	b.fill(now, s.Engine.LoadsPerSecond)
@@ -77,13 +72,12 @@
 		shares = priorShares(s.Engine, units)
 	}
 	shares = forecast(shares)
-	target := copyShare(shares, places(s.Engine, units))
 	for i, model := range s.Engine.Models {
 		in.Models = append(in.Models, rebalance.Model{
 			Name:      model.Name,
 			Footprint: model.WeightsMB,
 			Work:      shares[i],
-			Wanted:    wantedCopies(shares[i], target),
+			LostFor:   p.lostFor(now, model.Name, units),
 		})
 	}
 	for _, u := range units {
@@ -92,6 +86,26 @@
 	return in
 }
 
+// lostFor is for how long a model has had no copy on a usable replica, coming ones
+// included.
+func (p *Placer) lostFor(now time.Time, model string, units []*unit) time.Duration {
+	for _, u := range units {
+		if !u.usable {
+			continue
+		}
+		if c := u.copies[model]; u.next == model || c != nil && (c.phase == ready || c.phase == loading) {
+			delete(p.lost, model)
+			return 0
+		}
+	}
+	since, known := p.lost[model]
+	if !known {
+		p.lost[model] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // replica describes a unit to the plan.
 func (p *Placer) replica(e *catalog.Engine, u *unit) rebalance.Replica {
 	r := rebalance.Replica{
@@ -244,49 +258,6 @@
 	return best
 }
 
-// places is how many models all usable replicas hold together.
-func places(e *catalog.Engine, units []*unit) int {
-	largest := 0.0
-	for _, model := range e.Models {
-		largest = max(largest, model.WeightsMB)
-	}
-	if largest == 0 {
-		return 0
-	}
-	count := 0
-	for _, u := range units {
-		if u.usable {
-			count += int(e.WeightsMB / largest)
-		}
-	}
-	return count
-}
-
-// copyShare returns the work that one copy should carry: the least at which the
-// copies that all models then want have a place, so that none is crowded while
-// another has copies to spare.
-func copyShare(shares []float64, places int) float64 {
-	share := leastCopyShare
-	for ; share < mostCopyShare; share *= copyShareStep {
-		wanted := 0
-		for _, work := range shares {
-			wanted += wantedCopies(work, share)
-		}
-		if wanted <= places {
-			break
-		}
-	}
-	return share
-}
-
-// wantedCopies is how many copies a model's work asks for, if each carries target.
-func wantedCopies(work, target float64) int {
-	if work < secondFloor {
-		return 1
-	}
-	return max(1, int(math.Ceil(work/target-copySlack)))
-}
-
 // freeMB is the room for another model, beside what free adapter places may take.
 func (u *unit) freeMB(e *catalog.Engine) float64 {
 	return e.WeightsMB - u.usedMB(e) - adapterReserve(e, u)
@@ -349,6 +320,68 @@
 	}
 }
 
+// spreadAdapters loads adapters that are asked for much onto more replicas with
+// their models, where places are free, so that their requests have a choice.
+func (p *Placer) spreadAdapters(ctx context.Context, now time.Time, s *catalog.Service, units []*unit) {
+	holders := adapterHolders(s.Name, units)
+	for _, u := range units {
+		if !p.mayOrder(u) || u.inTransit() > 0 || u.adapterCount() >= s.Engine.AdapterSlots-sparePlaces {
+			continue
+		}
+		key, worth := p.adapterWanted(now, s, u, holders)
+		if worth < spreadFloor || s.Engine.WeightsMB-u.usedMB(s.Engine) < s.Engine.Model(key.model).AdapterMB {
+			continue
+		}
+		holders[key]++
+		p.send(ctx, now, u, Order{Operation: Load, Model: key.model, Adapter: key.adapter})
+	}
+}
+
+// adapterWanted returns the adapter that a replica lacks and that has the most
+// requests a second for each replica that holds it.
+func (p *Placer) adapterWanted(now time.Time, s *catalog.Service, u *unit, holders map[adapterKey]int) (adapterKey, float64) {
+	var best adapterKey
+	bestWorth := 0.0
+	for _, name := range sortedCopies(u) {
+		c := u.copies[name]
+		model := s.Engine.Model(name)
+		if model == nil || c.phase != ready {
+			continue
+		}
+		for n := 1; n <= model.Adapters; n++ {
+			key := adapterKey{s.Name, name, "a" + strconv.Itoa(n)}
+			if c.adapters[key.adapter] != nil || holders[key] == 0 {
+				continue
+			}
+			if worth := p.demand.adapter(now, key) / float64(holders[key]); worth > bestWorth {
+				best, bestWorth = key, worth
+			}
+		}
+	}
+	return best, bestWorth
+}
+
+// adapterHolders counts the usable replicas that hold each adapter or get it.
+func adapterHolders(service string, units []*unit) map[adapterKey]int {
+	holders := map[adapterKey]int{}
+	for _, u := range units {
+		if !u.usable {
+			continue
+		}
+		for name, c := range u.copies {
+			if c.phase != ready {
+				continue
+			}
+			for adapter, a := range c.adapters {
+				if a.phase != unloading {
+					holders[adapterKey{service, name, adapter}]++
+				}
+			}
+		}
+	}
+	return holders
+}
+
 // held reports whether a usable replica has an adapter or is getting it.
 func held(units []*unit, key adapterKey) bool {
 	for _, u := range units {
--- a/src/rebalance/input.go
+++ b/src/rebalance/input.go
@@ -9,8 +9,8 @@
 	Footprint float64
 	// Work is the expected work of all its requests, in parts of one replica.
 	Work float64
-	// Wanted is the number of copies that it should have, at least one.
-	Wanted int
+	// LostFor is for how long it has had no copy.
+	LostFor time.Duration
 }
 
 // Phase is where a copy stands.
--- a/src/rebalance/plan.go
+++ b/src/rebalance/plan.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"math"
 	"sort"
+	"time"
 )
 
 // The costs of a move, in seconds of waiting for the copy.
@@ -18,6 +18,25 @@
 	zoneGain = 3.0
 )
 
+// The worth of copies. A model's requests wait in proportion to its work and to
+// how much of it one copy carries: work²/copies.
+const (
+	// lostGain is what the first copy of a model is worth that nobody asks for, and
+	// lostWork what it is worth for each part of a replica's work that waits for it.
+	lostGain = 0.05
+	lostWork = 1.5
+	// lostAging is what each second without a copy adds: however busy the others
+	// are, a model does not stay without one.
+	lostAging = 0.02
+	// leastGain is what a copy must be worth at least to be loaded.
+	leastGain = 0.03
+	// steadiness is by how much a copy must be worth more than the one that makes way.
+	steadiness = 1.25
+	// horizon is for how long a decision is expected to hold: a copy that takes long
+	// to come is worth less of it, while the one that makes way is gone at once.
+	horizon = 10 * time.Second
+)
+
 // state is how the copies stand while moves are being decided.
 type state struct {
 	in     Input
@@ -42,8 +61,22 @@
 // share is the work that one copy carries.
 func (m *modelState) share() float64 { return m.Work / float64(max(m.all, 1)) }
 
-// Plan returns the next moves. Models without a copy go first, then those whose
-// copies are the most crowded.
+// gain is what one more copy is worth.
+func (m *modelState) gain() float64 {
+	if m.all == 0 {
+		return lostGain + lostWork*m.Work + lostAging*m.LostFor.Seconds()
+	}
+	n := float64(m.all)
+	return m.Work * m.Work / (n * (n + 1))
+}
+
+// loss is what one copy less costs; there is more than one.
+func (m *modelState) loss() float64 {
+	n := float64(m.all)
+	return m.Work * m.Work / (n * (n - 1))
+}
+
+// Plan returns the next moves, those first to whose models a copy is worth most.
 func Plan(in Input) Output {
 	s := newState(in)
 	var out Output
@@ -108,22 +141,17 @@
 	}
 }
 
-// neediest returns the model that wants a copy most, nil if none wants one that
-// could be given.
+// neediest returns the model to which another copy is worth most, nil if none is
+// worth a load or could be given one.
 func (s *state) neediest() *modelState {
 	var best *modelState
-	bestNeed := 0.0
 	for i := range s.in.Models {
 		model := s.models[s.in.Models[i].Name]
-		if model.stuck || model.all >= max(model.Wanted, 1) {
+		if model.stuck || model.gain() < leastGain {
 			continue
 		}
-		need := model.share()
-		if model.all == 0 {
-			need = math.MaxFloat32 + model.Work
-		}
-		if best == nil || need > bestNeed {
-			best, bestNeed = model, need
+		if best == nil || model.gain() > best.gain() {
+			best = model
 		}
 	}
 	return best
@@ -140,7 +168,7 @@
 		}
 	}
 	if found {
-		best.Reason = fmt.Sprintf("%d copies of %d wanted, work %.2f of a replica, cost %.1f", model.all, max(model.Wanted, 1), model.Work, bestCost)
+		best.Reason = fmt.Sprintf("%d copies, work %.2f of a replica, another is worth %.2f, cost %.1f", model.all, model.Work, model.gain(), bestCost)
 	}
 	return best, found
 }
@@ -163,8 +191,8 @@
 	if r.Free >= model.Footprint {
 		return move, cost, true
 	}
-	drop, displaced, enough := s.victims(model, r)
-	if !enough {
+	drop, displaced, lost, enough := s.victims(model, r)
+	if !enough || model.gain()*model.lasting(wait) <= lost*steadiness {
 		return Move{}, 0, false
 	}
 	move.Drop = drop
@@ -181,36 +209,40 @@
 }
 
 // victims returns the copies of a replica whose going makes room and displaces
-// the least work.
-func (s *state) victims(model *modelState, r *Replica) ([]string, float64, bool) {
+// the least work, with what their going costs.
+func (s *state) victims(model *modelState, r *Replica) (drop []string, displaced, lost float64, enough bool) {
 	var candidates []*modelState
 	for _, held := range r.Copies {
-		if other := s.models[held.Model]; other != nil && held.Phase == Ready && s.spare(other, model) {
+		// Never the last copy that serves.
+		if other := s.models[held.Model]; other != nil && held.Phase == Ready && other.ready > 1 {
 			candidates = append(candidates, other)
 		}
 	}
-	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].share() < candidates[j].share() })
+	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].loss() < candidates[j].loss() })
 	need := model.Footprint - r.Free
-	var drop []string
-	displaced := 0.0
 	for _, other := range candidates {
 		if need <= 0 {
 			break
 		}
 		need -= other.Footprint
 		displaced += other.share()
+		lost += other.loss()
 		drop = append(drop, other.Name)
 	}
-	return drop, displaced, need <= 0
+	return drop, displaced, lost, need <= 0
 }
 
-// spare reports whether a model can do without one of its ready copies: never
-// the last, and below what is wanted only for a model that has none.
-func (s *state) spare(other, model *modelState) bool {
-	if other.ready < 2 {
-		return false
+// leastLasting is the part of the first copy's worth that remains however long it
+// takes: it has to come some time.
+const leastLasting = 0.2
+
+// lasting is the part of the horizon in which a copy serves that takes so long to come.
+func (m *modelState) lasting(wait time.Duration) float64 {
+	part := max(1-float64(wait)/float64(horizon), 0)
+	if m.all == 0 {
+		part = max(part, leastLasting)
 	}
-	return other.all > max(other.Wanted, 1) || model.all == 0
+	return part
 }
 
 // apply counts a move as done.
