Holdings travel as differences; a step of the holder looks at each adapter once

The holder published all that it knows beyond the servers' own words with each adapter that moved, to each of 88 gateways. A step also asked each of 140 servers for each of 678 adapters whether it holds it. Ruled out: requests' own bytes (4.7 KB each, a small part). Change: a stream is sent what changed since what it was told, whole at its beginning and for a new term; equality is compared, not printed. Holders of adapters are counted once a step.

--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -83,6 +83,8 @@
 	lostAt  time.Time
 	// refusedAt is when it last gave no configuration.
 	refusedAt time.Time
+	// holdings are the whole holdings that it told of last.
+	holdings *wire.Holdings
 }
 
 // NewFollower returns a follower of the control nodes that the seeds lead to.
@@ -254,6 +256,7 @@
 	}
 	if update.Full {
 		s.zone = update.Zone
+		s.holdings = nil
 	}
 	s.version = update.Version
 	s.leading = update.Leading
@@ -261,17 +264,28 @@
 		f.directory.Take(f.now(), s.address, update.Standings)
 		f.sink.Replicas(f.directory.Entries())
 	}
-	f.takeHoldings(update.Holdings)
+	f.takeHoldings(s, update.Holdings)
 	if f.sink.Gateways != nil {
 		f.sink.Gateways(update.Gateways)
 	}
 	f.fetch()
 }
 
-func (f *Follower) takeHoldings(h *wire.Holdings) {
+func (f *Follower) takeHoldings(s *source, h *wire.Holdings) {
 	if h == nil || f.sink.Holdings == nil {
 		return
 	}
+	if h.Base != 0 {
+		whole, fits := &wire.Holdings{}, false
+		if s.holdings != nil {
+			whole, fits = s.holdings.With(h)
+		}
+		if !fits {
+			return
+		}
+		h = whole
+	}
+	s.holdings = h
 	if h.Term < f.holdings.Term || h.Term == f.holdings.Term && h.Version <= f.holdings.Version {
 		return
 	}
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -50,6 +50,8 @@
 	mu       sync.Mutex
 	table    *registry.Table
 	holdings *wire.Holdings
+	// delta is the difference that was sent last.
+	delta    *wire.Holdings
 	changed  chan struct{}
 	gateways map[string]int
 	// spreadTo holds the leaving replicas that a majority knows of.
@@ -248,6 +250,19 @@
 	}
 }
 
+// holdingsSince returns the holdings for a subscriber that was told some before:
+// what changed, if they are of the same term. Most subscribers were told the same,
+// so the latest difference is kept. The lock is held.
+func (p *Publisher) holdingsSince(told *wire.Holdings) *wire.Holdings {
+	if told == nil || p.holdings == nil || told.Term != p.holdings.Term {
+		return p.holdings
+	}
+	if p.delta == nil || p.delta.Base != told.Version || p.delta.Version != p.holdings.Version || p.delta.Term != told.Term {
+		p.delta = p.holdings.Since(told)
+	}
+	return p.delta
+}
+
 // feedStream is what one subscriber was told already.
 type feedStream struct {
 	publisher *Publisher
@@ -275,7 +290,7 @@
 	update.Standings = p.table.Since(s.stamp)
 	update.Gateways = len(p.gateways)
 	if s.holdings != p.holdings {
-		update.Holdings = p.holdings
+		update.Holdings = p.holdingsSince(s.holdings)
 	}
 	s.first = false
 	s.stamp = p.table.Stamp()
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -75,7 +75,8 @@
 	token   uint64
 	fenced  bool
 	version uint64
-	told    string
+	// told are the copies that gateways were told of last.
+	told    []wire.Holding
 	wake    chan struct{}
 	planned time.Time
 	// newest is when a replica was last heard of for the first time, eldest when the
@@ -210,7 +211,7 @@
 	p.token = lead.Token
 	p.fenced = false
 	p.version = 0
-	p.told = ""
+	p.told = nil
 	p.buckets = map[string]*bucket{}
 	p.lost = map[string]time.Time{}
 	for _, u := range p.units {
@@ -229,8 +230,9 @@
 	if p.complete(now) && now.Sub(p.planned) >= planEvery/2 {
 		p.planModels(ctx, now, s, units)
 	}
-	p.planAdapters(ctx, now, s, units)
-	p.spreadAdapters(ctx, now, s, units)
+	holders := adapterHolders(s.Name, units)
+	p.planAdapters(ctx, now, s, units, holders)
+	p.spreadAdapters(ctx, now, s, units, holders)
 }
 
 // complete reports whether the replicas that exist have had the time to register.
--- a/src/placer/plan.go
+++ b/src/placer/plan.go
@@ -303,9 +303,9 @@
 
 // planAdapters loads adapters that requests wait for, then those that nobody
 // holds, one order at a time for each replica; the lock is held.
-func (p *Placer) planAdapters(ctx context.Context, now time.Time, s *catalog.Service, units []*unit) {
+func (p *Placer) planAdapters(ctx context.Context, now time.Time, s *catalog.Service, units []*unit, holders map[adapterKey]int) {
 	for _, key := range p.demand.missingLately(now, missingSpan) {
-		if key.service == s.Name && key.adapter != "" && !held(units, key) {
+		if key.service == s.Name && key.adapter != "" && holders[key] == 0 {
 			p.bring(ctx, now, s, units, key, true)
 		}
 	}
@@ -313,7 +313,7 @@
 		model := &s.Engine.Models[i]
 		for n := 1; n <= model.Adapters; n++ {
 			key := adapterKey{s.Name, model.Name, "a" + strconv.Itoa(n)}
-			if !held(units, key) {
+			if holders[key] == 0 {
 				p.bring(ctx, now, s, units, key, false)
 			}
 		}
@@ -322,8 +322,7 @@
 
 // spreadAdapters loads adapters that are asked for much onto more replicas with
 // their models, where places are free, so that their requests have a choice.
-func (p *Placer) spreadAdapters(ctx context.Context, now time.Time, s *catalog.Service, units []*unit) {
-	holders := adapterHolders(s.Name, units)
+func (p *Placer) spreadAdapters(ctx context.Context, now time.Time, s *catalog.Service, units []*unit, holders map[adapterKey]int) {
 	for _, u := range units {
 		if !p.mayOrder(u) || u.inTransit() > 0 || u.adapterCount() >= s.Engine.AdapterSlots-sparePlaces {
 			continue
@@ -382,20 +381,6 @@
 	return holders
 }
 
-// held reports whether a usable replica has an adapter or is getting it.
-func held(units []*unit, key adapterKey) bool {
-	for _, u := range units {
-		c := u.copies[key.model]
-		if !u.usable || c == nil || c.phase == closing || c.phase == unloading {
-			continue
-		}
-		if a := c.adapters[key.adapter]; a != nil && a.phase != unloading {
-			return true
-		}
-	}
-	return false
-}
-
 // bring orders an adapter onto the replica with its model that has the most
 // free places. If none is free, an adapter that is asked for least makes way,
 // but only for one that requests wait for.
--- a/src/placer/plan_test.go
+++ b/src/placer/plan_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"github.com/moorspool/moorspool/src/catalog"
 	"strconv"
 	"testing"
 	"time"
@@ -143,3 +144,27 @@
 	is.Equal(holders["a1"], 2)
 	is.Equal(holders["a2"], 1) // nobody asks for it
 }
+
+// BenchmarkStep measures one step of a holder with 140 replicas, 305 models and
+// 678 adapters, as docs/CAPACITY.md counts it.
+func BenchmarkStep(b *testing.B) {
+	e := &catalog.Engine{WeightsMB: 220, AdapterSlots: 8, LoadsPerSecond: 20}
+	for i := range 305 {
+		e.Models = append(e.Models, catalog.Model{Name: "m" + strconv.Itoa(i), WeightsMB: 70, AdapterMB: 1, Adapters: 2 + i%2/2})
+	}
+	var replicas []*fakeReplica
+	for i := range 140 {
+		name := func(n int) string { return "m" + strconv.Itoa((3*i+n)%305) }
+		replicas = append(replicas, newFakeReplica("r"+strconv.Itoa(i), e, name(0), name(1), name(2)))
+	}
+	w := newWorld(e, replicas...)
+	w.run(5 * time.Second)
+	for i := range 47 {
+		w.ask("m"+strconv.Itoa(i), "a1", 5, 5000, 0)
+	}
+	b.ResetTimer()
+	for range b.N {
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.step()
+	}
+}
--- a/src/placer/send.go
+++ b/src/placer/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -158,11 +159,10 @@
 			holdings.Copies = append(holdings.Copies, u.holdings()...)
 		}
 	}
-	text := fmt.Sprint(holdings.Copies)
-	if text == p.told {
+	if p.version > 0 && slices.Equal(holdings.Copies, p.told) {
 		return
 	}
-	p.told = text
+	p.told = holdings.Copies
 	p.version++
 	holdings.Version = p.version
 	p.options.Publish(holdings)
--- a/src/wire/document.go
+++ b/src/wire/document.go
@@ -80,24 +80,6 @@
 	Holdings *Holdings `json:"holdings,omitempty"`
 }
 
-// Holdings tell which copies were just loaded or are about to go, so that
-// gateways need not wait for the replicas' next word.
-type Holdings struct {
-	// Term orders holdings of different holders.
-	Term    uint64    `json:"term"`
-	Version uint64    `json:"version"`
-	Copies  []Holding `json:"copies,omitempty"`
-}
-
-// Holding is one model, or an adapter of it, on a replica.
-type Holding struct {
-	Replica string `json:"replica"`
-	Model   string `json:"model"`
-	Adapter string `json:"adapter,omitempty"`
-	// Leaving copies get no new requests; others are there now.
-	Leaving bool `json:"leaving,omitempty"`
-}
-
 // NoteRequest tells of a replica that leaves.
 type NoteRequest struct {
 	Record registry.Record `json:"record"`
