--- a/src/placer/plan.go
+++ b/src/placer/plan.go
@@ -48,7 +48,7 @@
 	p.loadNext(ctx, now, s, units, b)
 	plan := rebalance.Plan(p.input(now, s, units, b))
 	for _, move := range plan.Moves {
-		p.carryOut(ctx, now, s, units[move.Replica], move, b)
+		p.carryOut(ctx, now, s, units[move.Server], move, b)
 	}
 	p.noteUnplaced(plan.Unplaced)
 }
@@ -81,7 +81,7 @@
 		})
 	}
 	for _, u := range units {
-		in.Replicas = append(in.Replicas, p.replica(s.Engine, u))
+		in.Servers = append(in.Servers, p.server(s.Engine, u))
 	}
 	return in
 }
@@ -106,9 +106,9 @@
 	return now.Sub(since)
 }
 
-// replica describes a unit to the plan.
-func (p *Placer) replica(e *catalog.Engine, u *unit) rebalance.Replica {
-	r := rebalance.Replica{
+// server describes a unit to the plan.
+func (p *Placer) server(e *catalog.Engine, u *unit) rebalance.Server {
+	r := rebalance.Server{
 		ID:     u.record.ID,
 		Zone:   u.record.Zone,
 		Usable: u.usable,
--- a/src/rebalance/doc.go
+++ b/src/rebalance/doc.go
@@ -1,9 +1,9 @@
-// Package rebalance decides which models the replicas of one service load and
+// Package rebalance decides which models the servers of one service load and
 // unload next. It compares the copies that each model should have with those
 // that it has, is getting, or has room made for, and moves one copy at a time to
 // the place where it serves soonest and displaces least.
 //
-//	wanted copies ──▶ deficits, worst first ──▶ best replica for each ──▶ moves
+//	wanted copies ──▶ deficits, worst first ──▶ best server for each ──▶ moves
 //	                                             │ load time, work displaced,
 //	                                             └ work there, zones without a copy
 //
--- a/src/rebalance/input.go
+++ b/src/rebalance/input.go
@@ -7,7 +7,7 @@
 	Name string
 	// Footprint is the room that a copy takes, in megabytes.
 	Footprint float64
-	// Work is the expected work of all its requests, in parts of one replica.
+	// Work is the expected work of all its requests, in parts of one server.
 	Work float64
 	// LostFor is for how long it has had no copy.
 	LostFor time.Duration
@@ -26,19 +26,19 @@
 	Going
 )
 
-// Copy is one model on one replica.
+// Copy is one model on one server.
 type Copy struct {
 	Model string
 	Phase Phase
 }
 
-// Replica is one place for copies.
-type Replica struct {
+// Server is one place for copies.
+type Server struct {
 	ID   string
 	Zone string
-	// Usable replicas serve; copies on others count for nothing.
+	// Usable servers serve; copies on others count for nothing.
 	Usable bool
-	// Open replicas can begin a move now.
+	// Open servers can begin a move now.
 	Open bool
 	// Free is the room that nothing takes, in megabytes.
 	Free   float64
@@ -49,24 +49,24 @@
 
 // Input is all that a plan depends on.
 type Input struct {
-	Models   []Model
-	Replicas []Replica
+	Models  []Model
+	Servers []Server
 	// StoreLoads is how many loads from the weight store may be decided now.
 	StoreLoads int
 }
 
-// Move is a decided load, with the copies on the same replica that make way for it.
+// Move is a decided load, with the copies on the same server that make way for it.
 type Move struct {
-	// Replica is the place in Input.Replicas.
-	Replica int
-	Model   string
-	Drop    []string
-	Reason  string
+	// Server is the place in Input.Servers.
+	Server int
+	Model  string
+	Drop   []string
+	Reason string
 }
 
 // Output is a plan.
 type Output struct {
 	Moves []Move
-	// Unplaced are models without a copy for which no replica can make room now.
+	// Unplaced are models without a copy for which no server can make room now.
 	Unplaced []string
 }
--- a/src/rebalance/plan.go
+++ b/src/rebalance/plan.go
@@ -10,9 +10,9 @@
 const (
 	// unloadCost is what waiting for another copy's unload costs.
 	unloadCost = 1.5
-	// displacedCost is what displacing the work of a whole replica costs.
+	// displacedCost is what displacing the work of a whole server costs.
 	displacedCost = 10.0
-	// crowdCost is what a replica costs whose other copies carry the work of a whole one.
+	// crowdCost is what a server costs whose other copies carry the work of a whole one.
 	crowdCost = 4.0
 	// zoneGain is what a copy in an availability zone without one is worth.
 	zoneGain = 3.0
@@ -22,7 +22,7 @@
 // how much of it one copy carries: work²/copies.
 const (
 	// lostGain is what the first copy of a model is worth that nobody asks for, and
-	// lostWork what it is worth for each part of a replica's work that waits for it.
+	// lostWork what it is worth for each part of a server's work that waits for it.
 	lostGain = 0.05
 	lostWork = 1.5
 	// lostAging is what each second without a copy adds: however busy the others
@@ -41,9 +41,9 @@
 type state struct {
 	in     Input
 	models map[string]*modelState
-	// work is the work that each replica's copies carry.
+	// work is the work that each server's copies carry.
 	work []float64
-	// taken replicas have a move in this plan.
+	// taken servers have a move in this plan.
 	taken  []bool
 	budget int
 	// scarce is set while no model has a copy to spare.
@@ -52,11 +52,11 @@
 
 type modelState struct {
 	Model
-	// ready and all count the copies on usable replicas that serve, and with those that come.
+	// ready and all count the copies on usable servers that serve, and with those that come.
 	ready int
 	all   int
 	zones map[string]int
-	// stuck is set once no replica was found for another copy.
+	// stuck is set once no server was found for another copy.
 	stuck bool
 }
 
@@ -112,22 +112,22 @@
 	s := &state{
 		in:     in,
 		models: make(map[string]*modelState, len(in.Models)),
-		work:   make([]float64, len(in.Replicas)),
-		taken:  make([]bool, len(in.Replicas)),
+		work:   make([]float64, len(in.Servers)),
+		taken:  make([]bool, len(in.Servers)),
 		budget: in.StoreLoads,
 	}
 	for _, model := range in.Models {
 		s.models[model.Name] = &modelState{Model: model, zones: map[string]int{}}
 	}
-	for i := range in.Replicas {
-		s.count(&in.Replicas[i])
+	for i := range in.Servers {
+		s.count(&in.Servers[i])
 	}
 	s.scarce = true
 	for _, model := range s.models {
 		s.scarce = s.scarce && model.all < 2
 	}
-	for i := range in.Replicas {
-		for _, held := range in.Replicas[i].Copies {
+	for i := range in.Servers {
+		for _, held := range in.Servers[i].Copies {
 			if model := s.models[held.Model]; model != nil && held.Phase != Going {
 				s.work[i] += model.share()
 			}
@@ -136,7 +136,7 @@
 	return s
 }
 
-func (s *state) count(r *Replica) {
+func (s *state) count(r *Server) {
 	if !r.Usable {
 		return
 	}
@@ -169,25 +169,25 @@
 	return best
 }
 
-// place finds the replica where another copy costs least.
+// place finds the server where another copy costs least.
 func (s *state) place(model *modelState) (Move, bool) {
 	best, found := Move{}, false
 	bestCost := 0.0
-	for i := range s.in.Replicas {
+	for i := range s.in.Servers {
 		move, cost, possible := s.offer(model, i)
 		if possible && (!found || cost < bestCost) {
 			best, bestCost, found = move, cost, true
 		}
 	}
 	if found {
-		best.Reason = fmt.Sprintf("%d copies, work %.2f of a replica, another is worth %.2f, cost %.1f", model.all, model.Work, model.gain(), bestCost)
+		best.Reason = fmt.Sprintf("%d copies, work %.2f of a server, another is worth %.2f, cost %.1f", model.all, model.Work, model.gain(), bestCost)
 	}
 	return best, found
 }
 
-// offer says what a copy on a replica would cost.
+// offer says what a copy on a server would cost.
 func (s *state) offer(model *modelState, at int) (Move, float64, bool) {
-	r := &s.in.Replicas[at]
+	r := &s.in.Servers[at]
 	if !r.Usable || !r.Open || s.taken[at] || holds(r, model.Name) {
 		return Move{}, 0, false
 	}
@@ -195,7 +195,7 @@
 	if fromStore && s.budget <= 0 {
 		return Move{}, 0, false
 	}
-	move := Move{Replica: at, Model: model.Name}
+	move := Move{Server: at, Model: model.Name}
 	cost := wait.Seconds() + s.work[at]*crowdCost
 	if model.zones[r.Zone] == 0 {
 		cost -= zoneGain
@@ -211,7 +211,7 @@
 	return move, cost + unloadCost*float64(len(drop)) + displaced*displacedCost, true
 }
 
-func holds(r *Replica, model string) bool {
+func holds(r *Server, model string) bool {
 	for _, held := range r.Copies {
 		if held.Model == model {
 			return true
@@ -220,9 +220,9 @@
 	return false
 }
 
-// victims returns the copies of a replica whose going makes room and displaces
+// victims returns the copies of a server whose going makes room and displaces
 // the least work, with what their going costs.
-func (s *state) victims(model *modelState, r *Replica) (drop []string, displaced, lost float64, enough bool) {
+func (s *state) victims(model *modelState, r *Server) (drop []string, displaced, lost float64, enough bool) {
 	var candidates []*modelState
 	for _, held := range r.Copies {
 		if other := s.models[held.Model]; other != nil && held.Phase == Ready && s.spare(other, model) {
@@ -267,8 +267,8 @@
 
 // apply counts a move as done.
 func (s *state) apply(model *modelState, move Move) {
-	r := &s.in.Replicas[move.Replica]
-	s.taken[move.Replica] = true
+	r := &s.in.Servers[move.Server]
+	s.taken[move.Server] = true
 	if _, fromStore := r.LoadTime(model.Name); fromStore {
 		s.budget--
 	}
@@ -280,5 +280,5 @@
 	}
 	model.all++
 	model.zones[r.Zone]++
-	s.work[move.Replica] += model.share()
+	s.work[move.Server] += model.share()
 }
--- a/src/rebalance/plan_test.go
+++ b/src/rebalance/plan_test.go
@@ -12,7 +12,7 @@
 
 const footprint = 70.0
 
-// fromStore is a replica's load times when it has nothing at hand.
+// fromStore is a server's load times when it has nothing at hand.
 func fromStore(string) (time.Duration, bool) { return 9 * time.Second, true }
 
 // having returns load times with some models at hand.
@@ -25,9 +25,9 @@
 	}
 }
 
-// replica returns one with so many places that holds ready copies.
-func replica(id, zone string, places int, models ...string) Replica {
-	r := Replica{ID: id, Zone: zone, Usable: true, Open: true, Free: footprint * float64(places-len(models)), LoadTime: fromStore}
+// server returns one with so many places that holds ready copies.
+func server(id, zone string, places int, models ...string) Server {
+	r := Server{ID: id, Zone: zone, Usable: true, Open: true, Free: footprint * float64(places-len(models)), LoadTime: fromStore}
 	for _, model := range models {
 		r.Copies = append(r.Copies, Copy{Model: model})
 	}
@@ -44,7 +44,7 @@
 	is := is.New(t)
 	in := Input{
 		Models:     []Model{model("busy", 1), model("lost", 0.6)},
-		Replicas:   []Replica{replica("a", "x", 3, "busy"), replica("b", "x", 3)},
+		Servers:    []Server{server("a", "x", 3, "busy"), server("b", "x", 3)},
 		StoreLoads: 1,
 	}
 	is.Equal(Plan(in).Moves[0].Model, "lost")
@@ -53,8 +53,8 @@
 	in.Models[1].LostFor = time.Minute
 	is.Equal(Plan(in).Moves[0].Model, "lost")
 	// With no room but at a busy model's cost it waits, and then comes.
-	full := func(id string) Replica { return replica(id, "x", 1, "busy") }
-	in.Replicas = []Replica{full("a"), full("b"), full("c")}
+	full := func(id string) Server { return server(id, "x", 1, "busy") }
+	in.Servers = []Server{full("a"), full("b"), full("c")}
 	in.Models[1].LostFor = 0
 	is.Equal(len(Plan(in).Moves), 0)
 	in.Models[1].LostFor = time.Minute
@@ -63,20 +63,20 @@
 
 func TestACopyComesWhereItsWeightsAreAtHand(t *testing.T) {
 	is := is.New(t)
-	b := replica("b", "x", 1, "idle")
+	b := server("b", "x", 1, "idle")
 	b.LoadTime = having("m")
 	out := Plan(Input{
 		Models:     []Model{model("m", 1), model("idle", 0)},
-		Replicas:   []Replica{replica("a", "x", 1, "m"), b, replica("c", "x", 1, "idle")},
+		Servers:    []Server{server("a", "x", 1, "m"), b, server("c", "x", 1, "idle")},
 		StoreLoads: 1,
 	})
 	is.Equal(len(out.Moves), 1)
-	is.Equal(out.Moves[0].Replica, 1)
+	is.Equal(out.Moves[0].Server, 1)
 	is.Equal(out.Moves[0].Drop, []string{"idle"})
 	// Even when the store allows no load.
 	out = Plan(Input{
-		Models:   []Model{model("m", 1), model("idle", 0)},
-		Replicas: []Replica{replica("a", "x", 1, "m"), b, replica("c", "x", 1, "idle")},
+		Models:  []Model{model("m", 1), model("idle", 0)},
+		Servers: []Server{server("a", "x", 1, "m"), b, server("c", "x", 1, "idle")},
 	})
 	is.Equal(len(out.Moves), 1)
 }
@@ -85,31 +85,31 @@
 	is := is.New(t)
 	out := Plan(Input{
 		Models:     []Model{model("m", 1)},
-		Replicas:   []Replica{replica("a", "x", 2, "m"), replica("b", "x", 2), replica("c", "y", 2)},
+		Servers:    []Server{server("a", "x", 2, "m"), server("b", "x", 2), server("c", "y", 2)},
 		StoreLoads: 1,
 	})
-	is.Equal(out.Moves[0].Replica, 2)
+	is.Equal(out.Moves[0].Server, 2)
 }
 
 // TestAComingCopyCounts: what was decided is not decided again, whatever room is left.
 func TestAComingCopyCounts(t *testing.T) {
 	is := is.New(t)
-	b := replica("b", "x", 2)
+	b := server("b", "x", 2)
 	input := Input{
 		Models:     []Model{model("m", 0.3)},
-		Replicas:   []Replica{replica("a", "x", 2, "m"), b, replica("c", "x", 2)},
+		Servers:    []Server{server("a", "x", 2, "m"), b, server("c", "x", 2)},
 		StoreLoads: 5,
 	}
 	is.Equal(len(Plan(input).Moves), 1)
-	input.Replicas[1].Copies = append(b.Copies, Copy{Model: "m", Phase: Coming})
+	input.Servers[1].Copies = append(b.Copies, Copy{Model: "m", Phase: Coming})
 	is.Equal(len(Plan(input).Moves), 0)
 }
 
 func TestCopiesOnUnusableReplicasCountForNothing(t *testing.T) {
 	is := is.New(t)
-	a := replica("a", "x", 1, "m")
+	a := server("a", "x", 1, "m")
 	a.Usable = false
-	out := Plan(Input{Models: []Model{model("m", 0)}, Replicas: []Replica{a}, StoreLoads: 1})
+	out := Plan(Input{Models: []Model{model("m", 0)}, Servers: []Server{a}, StoreLoads: 1})
 	is.Equal(out.Unplaced, []string{"m"})
 }
 
@@ -119,26 +119,26 @@
 	is := is.New(t)
 	in := Input{
 		Models:     []Model{model("busy", 2), model("idle", 0.01), model("other", 0.01)},
-		Replicas:   []Replica{replica("a", "x", 1, "idle"), replica("b", "x", 1, "other")},
+		Servers:    []Server{server("a", "x", 1, "idle"), server("b", "x", 1, "other")},
 		StoreLoads: 1,
 	}
 	is.Equal(Plan(in).Moves[0].Model, "busy")
 	in.Models[0].Work, in.Models[0].LostFor = 0, time.Hour
 	is.Equal(len(Plan(in).Moves), 0)
 	in.Models[0].Work = 2
-	in.Replicas = append(in.Replicas, replica("c", "x", 1, "other"))
+	in.Servers = append(in.Servers, server("c", "x", 1, "other"))
 	is.Equal(Plan(in).Moves[0].Drop, []string{"other"}) // it has one to spare
 }
 
-// drawInput draws any state of a few models on a few replicas.
+// drawInput draws any state of a few models on a few servers.
 func drawInput(t *rapid.T) Input {
 	in := Input{StoreLoads: rapid.IntRange(0, 4).Draw(t, "store loads")}
 	models := rapid.IntRange(1, 12).Draw(t, "models")
 	for i := range models {
 		in.Models = append(in.Models, model(fmt.Sprint("m", i), rapid.Float64Range(0, 4).Draw(t, "work")))
 	}
-	for i := range rapid.IntRange(1, 8).Draw(t, "replicas") {
-		r := replica(fmt.Sprint("r", i), fmt.Sprint("z", i%3), 3)
+	for i := range rapid.IntRange(1, 8).Draw(t, "servers") {
+		r := server(fmt.Sprint("r", i), fmt.Sprint("z", i%3), 3)
 		r.Usable = rapid.IntRange(0, 5).Draw(t, "usable") > 0
 		r.Open = rapid.Bool().Draw(t, "open")
 		for _, at := range rapid.SliceOfNDistinct(rapid.IntRange(0, models-1), 0, min(3, models), rapid.ID).Draw(t, "held") {
@@ -146,15 +146,15 @@
 			r.Free -= footprint
 		}
 		r.LoadTime = having(in.Models[rapid.IntRange(0, models-1).Draw(t, "at hand")].Name)
-		in.Replicas = append(in.Replicas, r)
+		in.Servers = append(in.Servers, r)
 	}
 	return in
 }
 
-// ready counts the serving copies of a model on usable replicas.
+// ready counts the serving copies of a model on usable servers.
 func ready(in Input, name string) int {
 	count := 0
-	for _, r := range in.Replicas {
+	for _, r := range in.Servers {
 		for _, held := range r.Copies {
 			if r.Usable && held.Model == name && held.Phase == Ready {
 				count++
@@ -165,7 +165,7 @@
 }
 
 // TestMovesKeepEveryModelAndFit: whatever the state, no move takes a model's
-// last serving copy, overfills a replica, or exceeds the store's bound.
+// last serving copy, overfills a server, or exceeds the store's bound.
 func TestMovesKeepEveryModelAndFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		in := drawInput(t)
@@ -176,9 +176,9 @@
 		}
 		store := 0
 		for _, move := range Plan(in).Moves {
-			r := in.Replicas[move.Replica]
+			r := in.Servers[move.Server]
 			if !r.Usable || !r.Open || holds(&r, move.Model) {
-				t.Fatalf("a move to a replica that can't take it: %+v", move)
+				t.Fatalf("a move to a server that can't take it: %+v", move)
 			}
 			if _, needsStore := r.LoadTime(move.Model); needsStore {
 				store++
@@ -204,10 +204,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		in := drawInput(t)
 		in.StoreLoads = 4
-		for i := range in.Replicas {
-			in.Replicas[i].Open = true
-			for at := range in.Replicas[i].Copies {
-				in.Replicas[i].Copies[at].Phase = Ready
+		for i := range in.Servers {
+			in.Servers[i].Open = true
+			for at := range in.Servers[i].Copies {
+				in.Servers[i].Copies[at].Phase = Ready
 			}
 		}
 		for range 200 {
@@ -217,7 +217,7 @@
 				return
 			}
 			for _, move := range moves {
-				carryOut(&in.Replicas[move.Replica], move)
+				carryOut(&in.Servers[move.Server], move)
 			}
 		}
 		t.Fatal("the moves don't end")
@@ -228,8 +228,8 @@
 // more, nor a free place take one.
 func checkRest(t *rapid.T, in Input) {
 	s := newState(in)
-	for i := range in.Replicas {
-		r := &in.Replicas[i]
+	for i := range in.Servers {
+		r := &in.Servers[i]
 		for _, m := range s.models {
 			if !r.Usable || holds(r, m.Name) || m.gain() < leastGain {
 				continue
@@ -261,7 +261,7 @@
 	return ready(in, lost) == 0 && a.Work > 2*b.Work
 }
 
-func carryOut(r *Replica, move Move) {
+func carryOut(r *Server, move Move) {
 	r.Copies = slices.DeleteFunc(r.Copies, func(held Copy) bool { return slices.Contains(move.Drop, held.Model) })
 	r.Copies = append(r.Copies, Copy{Model: move.Model})
 	r.Free += footprint * float64(len(move.Drop)-1)
@@ -271,16 +271,16 @@
 // the room serves nobody; weights at hand are worth a busy copy, the store is not.
 func TestABusyCopyMakesWayOnlyForOneThatComesSoon(t *testing.T) {
 	is := is.New(t)
-	b := replica("b", "x", 1, "other")
+	b := server("b", "x", 1, "other")
 	in := Input{
 		Models:     []Model{model("m", 2), model("other", 1)},
-		Replicas:   []Replica{replica("a", "x", 1, "m"), b, replica("c", "x", 1, "other"), replica("d", "x", 1, "other")},
+		Servers:    []Server{server("a", "x", 1, "m"), b, server("c", "x", 1, "other"), server("d", "x", 1, "other")},
 		StoreLoads: 1,
 	}
 	is.Equal(len(Plan(in).Moves), 0)
-	in.Replicas[1].LoadTime = having("m")
+	in.Servers[1].LoadTime = having("m")
 	is.Equal(len(Plan(in).Moves), 1)
-	in.Replicas[1].LoadTime = fromStore
+	in.Servers[1].LoadTime = fromStore
 	in.Models[1].Work = 0.05 // its copies are idle now
 	is.Equal(len(Plan(in).Moves), 1)
 }
