--- a/src/rpc/server.go
+++ b/src/rpc/server.go
@@ -14,8 +14,10 @@
 // The transport's times.
 const (
 	writeTimeout = 3 * time.Second
-	dialTimeout  = time.Second
-	methodPing   = "rpc.ping"
+	// dialTimeout is well below the second after which the kernel sends a lost opening
+	// packet again: a host that comes back is found by the next dial.
+	dialTimeout = 250 * time.Millisecond
+	methodPing  = "rpc.ping"
 )
 
 // Peer is the process at the other end of a connection; nil stands for a caller
