--- a/src/placer/plan.go
+++ b/src/placer/plan.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"slices"
 	"sort"
-	"strconv"
 	"strings"
 	"time"
 
@@ -15,26 +13,8 @@
 	"github.com/moorspool/moorspool/src/rebalance"
 )
 
-// The scale and watermark of a replica's work.
-const (
-	// forecastShare is the part of a busy model's work that is expected of the models
-	// that come next.
-	forecastShare = 0.5
-	// busyShare is the part of the busiest model's work that makes another one busy.
-	busyShare = 0.2
-	// nextPatience is how long a load may wait for its room to become free.
-	nextPatience = 12 * time.Second
-	// spreadFloor is the requests a second for each holder from which an adapter is
-	// loaded onto another replica, sparePlaces are kept free for adapters that wait.
-	spreadFloor = 0.2
-	sparePlaces = 1
-	// settledFor is how long an adapter that was loaded does not make way.
-	settledFor = 500 * time.Millisecond
-	// demandFloor is the work below which a model counts as not asked for.
-	demandFloor = 0.02
-	// priorCopyShare is the work that each copy is taken to carry before any request came.
-	priorCopyShare = 0.3
-)
+// nextPatience is how long a load may wait for its room to become free.
+const nextPatience = 12 * time.Second
 
 // planModels orders the next loads and unloads of models; the lock is held.
 func (p *Placer) planModels(ctx context.Context, now time.Time, s *catalog.Service, units []*unit) {
@@ -190,88 +170,11 @@
 	p.send(ctx, now, u, Order{Operation: Load, Model: model})
 }
 
-// shares returns the models' work as parts of a replica, in the catalog's order.
-func (p *Placer) shares(now time.Time, s *catalog.Service) []float64 {
-	shares := make([]float64, len(s.Engine.Models))
-	for i := range s.Engine.Models {
-		shares[i] = p.demand.share(now, s.Name, s.Engine.Models[i].Name)
-	}
-	return shares
-}
-
-// priorShares guesses the models' work before any request came: who set the
-// replicas up put the busy models on many of them.
-func priorShares(e *catalog.Engine, units []*unit) []float64 {
-	shares := make([]float64, len(e.Models))
-	for i := range e.Models {
-		copies := 0
-		for _, u := range units {
-			if u.usable && u.copies[e.Models[i].Name] != nil {
-				copies++
-			}
-		}
-		if copies > 1 {
-			shares[i] = float64(copies) * priorCopyShare
-		}
-	}
-	return shares
-}
-
-// forecast adds the demand that is expected soon: operators list models in the
-// order in which demand moves along, so that those behind a busy run come next.
-func forecast(shares []float64) []float64 {
-	expected := append([]float64(nil), shares...)
-	busy := busyRun(shares)
-	if len(busy) == 0 {
-		return expected
-	}
-	total := 0.0
-	for _, i := range busy {
-		total += shares[i]
-	}
-	last := busy[len(busy)-1]
-	ahead := (len(busy) + 1) / 2
-	for next := last + 1; next <= last+ahead && next < len(shares); next++ {
-		expected[next] = max(expected[next], total/float64(len(busy))*forecastShare)
-	}
-	return expected
-}
-
-// busyRun returns the neighbours in the list that carry most of the demand.
-func busyRun(shares []float64) []int {
-	most := 0.0
-	for _, share := range shares {
-		most = max(most, share)
-	}
-	var best, run []int
-	bestSum, sum := 0.0, 0.0
-	for i, share := range shares {
-		if share < most*busyShare || share < demandFloor {
-			run, sum = nil, 0
-			continue
-		}
-		run = append(run, i)
-		if sum += share; sum > bestSum {
-			best, bestSum = run, sum
-		}
-	}
-	return best
-}
-
 // freeMB is the room for another model, beside what free adapter places may take.
 func (u *unit) freeMB(e *catalog.Engine) float64 {
 	return e.WeightsMB - u.usedMB(e) - adapterReserve(e, u)
 }
 
-// adapterReserve is the room kept for adapter places that are still free.
-func adapterReserve(e *catalog.Engine, u *unit) float64 {
-	largest := 0.0
-	for _, model := range e.Models {
-		largest = max(largest, model.AdapterMB)
-	}
-	return float64(max(e.AdapterSlots-u.adapterCount(), 0)) * largest
-}
-
 // carryOut begins a move: the copies that make way are closed, or the load is
 // ordered at once.
 func (p *Placer) carryOut(ctx context.Context, now time.Time, s *catalog.Service, u *unit, move rebalance.Move, b *bucket) {
@@ -300,132 +203,3 @@
 	sort.Strings(names)
 	return names
 }
-
-// planAdapters loads adapters that requests wait for, then those that nobody
-// holds, one order at a time for each replica; the lock is held.
-func (p *Placer) planAdapters(ctx context.Context, now time.Time, s *catalog.Service, units []*unit, holders map[adapterKey]int) {
-	for _, key := range p.demand.missingLately(now, missingSpan) {
-		if key.service == s.Name && key.adapter != "" && holders[key] == 0 {
-			p.bring(ctx, now, s, units, key, true)
-		}
-	}
-	for i := range s.Engine.Models {
-		model := &s.Engine.Models[i]
-		for n := 1; n <= model.Adapters; n++ {
-			key := adapterKey{s.Name, model.Name, "a" + strconv.Itoa(n)}
-			if holders[key] == 0 {
-				p.bring(ctx, now, s, units, key, false)
-			}
-		}
-	}
-}
-
-// spreadAdapters loads adapters that are asked for much onto more replicas with
-// their models, where places are free, so that their requests have a choice.
-func (p *Placer) spreadAdapters(ctx context.Context, now time.Time, s *catalog.Service, units []*unit, holders map[adapterKey]int) {
-	for _, u := range units {
-		if !p.mayOrder(u) || u.inTransit() > 0 || u.adapterCount() >= s.Engine.AdapterSlots-sparePlaces {
-			continue
-		}
-		key, worth := p.adapterWanted(now, s, u, holders)
-		if worth < spreadFloor || s.Engine.WeightsMB-u.usedMB(s.Engine) < s.Engine.Model(key.model).AdapterMB {
-			continue
-		}
-		holders[key]++
-		p.send(ctx, now, u, Order{Operation: Load, Model: key.model, Adapter: key.adapter})
-	}
-}
-
-// adapterWanted returns the adapter that a replica lacks and that has the most
-// requests a second for each replica that holds it.
-func (p *Placer) adapterWanted(now time.Time, s *catalog.Service, u *unit, holders map[adapterKey]int) (adapterKey, float64) {
-	var best adapterKey
-	bestWorth := 0.0
-	for _, name := range sortedCopies(u) {
-		c := u.copies[name]
-		model := s.Engine.Model(name)
-		if model == nil || c.phase != ready {
-			continue
-		}
-		for n := 1; n <= model.Adapters; n++ {
-			key := adapterKey{s.Name, name, "a" + strconv.Itoa(n)}
-			if c.adapters[key.adapter] != nil || holders[key] == 0 {
-				continue
-			}
-			if worth := p.demand.adapter(now, key) / float64(holders[key]); worth > bestWorth {
-				best, bestWorth = key, worth
-			}
-		}
-	}
-	return best, bestWorth
-}
-
-// adapterHolders counts the usable replicas that hold each adapter or get it.
-func adapterHolders(service string, units []*unit) map[adapterKey]int {
-	holders := map[adapterKey]int{}
-	for _, u := range units {
-		if !u.usable {
-			continue
-		}
-		for name, c := range u.copies {
-			if c.phase != ready {
-				continue
-			}
-			for adapter, a := range c.adapters {
-				if a.phase != unloading {
-					holders[adapterKey{service, name, adapter}]++
-				}
-			}
-		}
-	}
-	return holders
-}
-
-// bring orders an adapter onto the replica with its model that has the most
-// free places. If none is free, an adapter that is asked for least makes way,
-// but only for one that requests wait for.
-func (p *Placer) bring(ctx context.Context, now time.Time, s *catalog.Service, units []*unit, key adapterKey, urgent bool) {
-	model := s.Engine.Model(key.model)
-	var best *unit
-	for _, u := range units {
-		c := u.copies[key.model]
-		if !p.mayOrder(u) || c == nil || c.phase != ready || u.inTransit() >= maxTransit {
-			continue
-		}
-		if best == nil || u.adapterCount() < best.adapterCount() {
-			best = u
-		}
-	}
-	if best == nil || model == nil {
-		return
-	}
-	room := s.Engine.WeightsMB - best.usedMB(s.Engine)
-	if best.adapterCount() < s.Engine.AdapterSlots && room >= model.AdapterMB {
-		p.send(ctx, now, best, Order{Operation: Load, Model: key.model, Adapter: key.adapter})
-		return
-	}
-	if urgent {
-		p.makeWay(ctx, now, s, best)
-	}
-}
-
-// makeWay unloads the replica's adapter that is asked for least. One that came
-// lately stays: those who waited for it are only being served.
-func (p *Placer) makeWay(ctx context.Context, now time.Time, s *catalog.Service, u *unit) {
-	var least adapterKey
-	leastRate := math.Inf(1)
-	for _, name := range sortedCopies(u) {
-		for adapter, a := range u.copies[name].adapters {
-			key := adapterKey{s.Name, name, adapter}
-			if a.phase != ready || now.Sub(a.since) < settledFor {
-				continue
-			}
-			if rate := p.demand.adapter(now, key); rate < leastRate {
-				least, leastRate = key, rate
-			}
-		}
-	}
-	if least.adapter != "" {
-		p.send(ctx, now, u, Order{Operation: Unload, Model: least.model, Adapter: least.adapter})
-	}
-}
--- a/src/placer/plan_test.go
+++ b/src/placer/plan_test.go
@@ -1,56 +1,14 @@
 package placer
 
 import (
-	"github.com/moorspool/moorspool/src/catalog"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
-
-func TestTheModelsBehindTheBusyRunAreExpectedNext(t *testing.T) {
-	is := is.New(t)
-	got := forecast([]float64{0, 2, 1, 1, 1, 0, 0, 0, 0.1})
-	is.True(got[5] > 0.3 && got[6] > 0.3) // half as many as are busy
-	is.Equal(got[7], 0.0)
-	is.Equal(got[0], 0.0)
-	is.Equal(got[1], 2.0)
-	is.Equal(forecast([]float64{0, 0, 0}), []float64{0, 0, 0})
-	is.Equal(len(forecast([]float64{0, 0, 3})), 3) // the run ends with the list
-}
 
-// TestAnAdapterThatJustCameDoesNotMakeWay: one that was waited for must not be
-// pushed out by the next at once, though it is asked for least.
-func TestAnAdapterThatJustCameDoesNotMakeWay(t *testing.T) {
-	is := is.New(t)
-	e := testEngine()
-	w := newWorld(e, newFakeReplica("a", e, "m0"))
-	w.run(5 * time.Second)
-	f := w.replicas[0]
-	absent := ""
-	for n := 1; n <= 4; n++ {
-		name := "a" + strconv.Itoa(n)
-		if !f.models["m0"][name] {
-			absent = name
-			continue
-		}
-		w.ask("m0", name, 10, 0, 0)
-	}
-	w.ask("m0", absent, 1, 0, 1)
-	w.run(200 * time.Millisecond)
-	is.True(f.models["m0"][absent])
-	gone := ""
-	for n := 1; n <= 4; n++ {
-		if name := "a" + strconv.Itoa(n); !f.models["m0"][name] {
-			gone = name
-		}
-	}
-	w.ask("m0", gone, 1, 0, 1)
-	w.run(200 * time.Millisecond)
-	is.True(f.models["m0"][absent]) // it stays
-	is.True(f.models["m0"][gone])   // another made way
-}
+	"github.com/moorspool/moorspool/src/catalog"
+)
 
 // TestRoomGoesToTheModelThatItWasMadeFor: a copy that made way for a model must
 // not be replaced by one of another model that wants more copies meanwhile.
@@ -78,26 +36,6 @@
 	}
 }
 
-// TestBusyModelsAreGuessedFromTheirCopies: before any request, the models on many
-// replicas count as busy, and those behind them get the room that is free.
-func TestBusyModelsAreGuessedFromTheirCopies(t *testing.T) {
-	is := is.New(t)
-	e := testEngine()
-	w := newWorld(e, newFakeReplica("a", e, "m0", "m1", "m2"), newFakeReplica("b", e, "m0", "m1", "m3"), newFakeReplica("c", e, "m0", "m1", "m4"), newFakeReplica("d", e, "m0", "m1"))
-	for _, f := range w.replicas {
-		w.beat(f)
-	}
-	w.run(12 * time.Second)
-	copies := map[string]int{}
-	for _, f := range w.replicas {
-		for name := range f.models {
-			copies[name]++
-		}
-	}
-	is.Equal(copies["m2"], 2)
-	is.Equal(copies["m0"], 4)
-}
-
 // TestThePlanWaitsForReplicasToRegister: with half of the replicas known, models
 // that the others hold would seem lost.
 func TestThePlanWaitsForReplicasToRegister(t *testing.T) {
@@ -119,32 +57,6 @@
 	is.True(!loaded["m1"] && !loaded["m2"] && !loaded["m3"])
 }
 
-// TestAnAdapterThatIsAskedForMuchComesToMoreReplicas: while one replica holds it,
-// its requests have no choice; places that are free bring them one.
-func TestAnAdapterThatIsAskedForMuchComesToMoreReplicas(t *testing.T) {
-	is := is.New(t)
-	e := testEngine()
-	e.AdapterSlots = 6
-	w := newWorld(e, newFakeReplica("a", e, "m0"), newFakeReplica("b", e, "m0"))
-	e.Models = e.Models[:1]
-	w.run(4 * time.Second)
-	for range 20 {
-		w.ask("m0", "a1", 5, 0, 0)
-		w.ask("m0", "a2", 0, 0, 0)
-		w.run(500 * time.Millisecond)
-	}
-	holders := map[string]int{}
-	for _, f := range w.replicas {
-		for adapter := range f.models["m0"] {
-			holders[adapter]++
-		}
-		is.True(len(f.models["m0"]) <= e.AdapterSlots-sparePlaces)
-		is.Equal(f.over, "")
-	}
-	is.Equal(holders["a1"], 2)
-	is.Equal(holders["a2"], 1) // nobody asks for it
-}
-
 // BenchmarkStep measures one step of a holder with 140 replicas, 305 models and
 // 678 adapters, as docs/CAPACITY.md counts it.
 func BenchmarkStep(b *testing.B) {
