Every service of engines is planned, not only the first

Cause: found in reading: the time of the last plan and the lists of lost and unplaced models were kept for the placer, not for the service, so that of two services with engines the second was never planned. Change: all three by service. Test: TestEveryServiceIsPlanned fails with the shared time (2 of 3 places filled) and passes now.

--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -76,17 +76,18 @@
 	fenced  bool
 	version uint64
 	// told are the copies that gateways were told of last.
-	told    []wire.Holding
-	wake    chan struct{}
-	planned time.Time
+	told []wire.Holding
+	wake chan struct{}
+	// planned is when each service's models were last planned.
+	planned map[string]time.Time
 	// newest is when a replica was last heard of for the first time, eldest when the
 	// first was; gathered is set once they have been given time to come.
 	newest   time.Time
 	eldest   time.Time
 	gathered bool
-	unplaced map[string]bool
+	unplaced map[modelKey]bool
 	// lost are the models without a copy, with since when.
-	lost map[string]time.Time
+	lost map[modelKey]time.Time
 }
 
 // New returns a placer that knows no replicas.
@@ -100,8 +101,9 @@
 		demand:   newDemand(),
 		buckets:  map[string]*bucket{},
 		wake:     make(chan struct{}, 1),
-		unplaced: map[string]bool{},
-		lost:     map[string]time.Time{},
+		planned:  map[string]time.Time{},
+		unplaced: map[modelKey]bool{},
+		lost:     map[modelKey]time.Time{},
 	}
 }
 
@@ -213,7 +215,7 @@
 	p.version = 0
 	p.told = nil
 	p.buckets = map[string]*bucket{}
-	p.lost = map[string]time.Time{}
+	p.lost = map[modelKey]time.Time{}
 	for _, u := range p.units {
 		u.known = false
 		u.busy = false
@@ -227,7 +229,7 @@
 	for _, u := range units {
 		p.settle(ctx, now, u)
 	}
-	if p.complete(now) && now.Sub(p.planned) >= planEvery/2 {
+	if p.complete(now) && now.Sub(p.planned[s.Name]) >= planEvery/2 {
 		p.planModels(ctx, now, s, units)
 	}
 	holders := adapterHolders(s.Name, units)
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -190,6 +190,8 @@
 	holdings *wire.Holdings
 	orders   []Order
 	entries  map[string]registry.Entry
+	// service names the service of replicas that are not of "s".
+	service map[string]string
 }
 
 // fault is what a test does to an order.
@@ -274,7 +276,11 @@
 // beat lets a replica register what it holds.
 func (w *world) beat(f *fakeReplica) {
 	f.beat++
-	w.entries[f.id] = registry.Entry{Record: registry.Record{ID: f.id, Service: "s", Address: f.id, Sequence: f.beat, Slots: 8, Models: f.held()}}
+	service := "s"
+	if other, found := w.service[f.id]; found {
+		service = other
+	}
+	w.entries[f.id] = registry.Entry{Record: registry.Record{ID: f.id, Service: service, Address: f.id, Sequence: f.beat, Slots: 8, Models: f.held()}}
 	w.tell()
 }
 
--- a/src/placer/plan.go
+++ b/src/placer/plan.go
@@ -18,7 +18,7 @@
 
 // planModels orders the next loads and unloads of models; the lock is held.
 func (p *Placer) planModels(ctx context.Context, now time.Time, s *catalog.Service, units []*unit) {
-	p.planned = now
+	p.planned[s.Name] = now
 	b := p.buckets[s.Name]
 	if b == nil {
 		b = newBucket(s.Engine.LoadsPerSecond)
@@ -30,18 +30,23 @@
 	for _, move := range plan.Moves {
 		p.carryOut(ctx, now, s, units[move.Server], move, b)
 	}
-	p.noteUnplaced(plan.Unplaced)
+	p.noteUnplaced(s.Name, plan.Unplaced)
 }
 
-func (p *Placer) noteUnplaced(models []string) {
-	present := map[string]bool{}
+// noteUnplaced logs the models of a service that have newly no place.
+func (p *Placer) noteUnplaced(service string, models []string) {
+	for key := range p.unplaced {
+		if key.service == service && !slices.Contains(models, key.model) {
+			delete(p.unplaced, key)
+		}
+	}
 	for _, model := range models {
-		present[model] = true
-		if !p.unplaced[model] {
+		key := modelKey{service, model}
+		if !p.unplaced[key] {
+			p.unplaced[key] = true
 			p.options.Ring.Add(event.Event{Kind: event.ModelUnplaced, Model: model, Reason: "no replica has room for it"})
 		}
 	}
-	p.unplaced = present
 }
 
 // input is what the plan depends on.
@@ -57,7 +62,7 @@
 			Name:      model.Name,
 			Footprint: model.WeightsMB,
 			Work:      shares[i],
-			LostFor:   p.lostFor(now, model.Name, units),
+			LostFor:   p.lostFor(now, modelKey{s.Name, model.Name}, units),
 		})
 	}
 	for _, u := range units {
@@ -68,12 +73,12 @@
 
 // lostFor is for how long a model has had no copy on a usable replica, coming ones
 // included.
-func (p *Placer) lostFor(now time.Time, model string, units []*unit) time.Duration {
+func (p *Placer) lostFor(now time.Time, model modelKey, units []*unit) time.Duration {
 	for _, u := range units {
 		if !u.usable {
 			continue
 		}
-		if c := u.copies[model]; u.next == model || c != nil && (c.phase == ready || c.phase == loading) {
+		if c := u.copies[model.model]; u.next == model.model || c != nil && (c.phase == ready || c.phase == loading) {
 			delete(p.lost, model)
 			return 0
 		}
--- a/src/placer/plan_test.go
+++ b/src/placer/plan_test.go
@@ -57,6 +57,21 @@
 	is.True(!loaded["m1"] && !loaded["m2"] && !loaded["m3"])
 }
 
+// TestEveryServiceIsPlanned: with two services of engines, the second one's lost
+// models come back too.
+func TestEveryServiceIsPlanned(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	first, second := newFakeReplica("a", e, "m0", "m1", "m2"), newFakeReplica("b", e, "m3", "m4")
+	w := newWorld(e, first, second)
+	table := catalog.NewTable(catalog.Document{Version: 1, Services: []catalog.Service{{Name: "s", Engine: e}, {Name: "t", Engine: e}}})
+	w.placer.options.Table = func() *catalog.Table { return table }
+	w.service = map[string]string{"b": "t"}
+	w.run(15 * time.Second)
+	is.Equal(len(second.models), 3)
+	is.Equal(len(first.models), 3)
+}
+
 // BenchmarkStep measures one step of a holder with 140 replicas, 305 models and
 // 678 adapters, as docs/CAPACITY.md counts it.
 func BenchmarkStep(b *testing.B) {
