--- a/src/exchange/facts.go
+++ b/src/exchange/facts.go
@@ -64,6 +64,7 @@
 	Prepare func(header http.Header, facts Facts, attempt Attempt)
 	// Reply reads a replica's answer.
 	Reply func(status int, header http.Header) Reply
-	// Replace says which headers of the client are not passed on because Prepare sets them.
+	// Replace says which headers of the client are not passed on, in canonical form:
+	// they are the system's to set, and Prepare sets those that an attempt needs.
 	Replace []string
 }
