A gateway that starts finds control nodes at once and holds requests meanwhile

Ruled out: the fetch of the configuration (1 ms), the election (not needed for it). Change: while no control node is in reach, dials end after 80 ms and follow one another after 20 ms; a request waits up to 0.3 s for the first configuration, and 0.6 of its target for replicas while the list of them is younger than 1.5 s; a client that is refused all the same is told 0.5 s.

--- a/src/exchange/answer.go
+++ b/src/exchange/answer.go
@@ -21,7 +21,8 @@
 const (
 	retryAfterMissing = 500 * time.Millisecond
 	retryAfterBusy    = 250 * time.Millisecond
-	retryAfterStart   = time.Second
+	// retryAfterStart is about what control nodes need to come up after startHold.
+	retryAfterStart = 500 * time.Millisecond
 )
 
 // keptAnswer is a replica's whole answer with a failure, for the case that no
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -80,8 +80,15 @@
 	holdings map[copyKey]bool // leaving, by copy
 	records  []registry.Entry
 	view     atomic.Pointer[view]
+	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
+	begunAt atomic.Int64
 }
 
+// gatherTime is how long after a gateway's first replicas further ones are still to
+// be expected: control nodes that have all just started learn of each replica with
+// its next heartbeat, which comes about every 1.2 s.
+const gatherTime = 1500 * time.Millisecond
+
 type copyKey struct {
 	replica string
 	model   string
@@ -111,6 +118,9 @@
 func (f *Fleet) SetReplicas(entries []registry.Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(entries) > 0 {
+		f.begunAt.CompareAndSwap(0, f.now().UnixNano())
+	}
 	present := map[string]bool{}
 	for i := range entries {
 		e := &entries[i]
@@ -127,6 +137,13 @@
 	f.rebuild()
 }
 
+// Gathering reports whether replicas that exist may still be unknown here because
+// the gateway has just begun to learn of them.
+func (f *Fleet) Gathering(now time.Time) bool {
+	begun := f.begunAt.Load()
+	return begun == 0 || now.UnixNano()-begun < int64(gatherTime)
+}
+
 func (f *Fleet) takeEntry(e *registry.Entry) {
 	peer := f.peers[e.Record.ID]
 	if peer == nil {
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,12 @@
 	missingPoll = 10 * time.Millisecond
 	// missingShare is the part of the target that a request waits for a copy.
 	missingShare = 0.22
+	// gatheringShare is that part while the gateway's list of replicas is young.
+	gatheringShare = 0.6
+	// startHold is how long a request waits in a gateway that has just started and
+	// knows no configuration yet: after a loss of power control nodes come up some
+	// 0.3 s later than gateways, and a refused client is late for certain.
+	startHold = 300 * time.Millisecond
 	// bodyTimeout bounds the reading of a body.
 	bodyTimeout = 10 * time.Second
 )
@@ -46,23 +53,29 @@
 
 // Handler serves clients' requests; it is safe for concurrent use.
 type Handler struct {
-	options  Options
-	table    atomic.Pointer[catalog.Table]
-	budgets  budgets
-	gateways atomic.Int64
-	stopping atomic.Bool
-	running  atomic.Int64
+	options Options
+	table   atomic.Pointer[catalog.Table]
+	// configured is closed once there is a configuration.
+	configured chan struct{}
+	configure  sync.Once
+	budgets    budgets
+	gateways   atomic.Int64
+	stopping   atomic.Bool
+	running    atomic.Int64
 }
 
 // NewHandler returns a handler without a configuration.
 func NewHandler(options Options) *Handler {
-	h := &Handler{options: options, budgets: newBudgets(options.Budget)}
+	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{})}
 	h.gateways.Store(1)
 	return h
 }
 
 // SetTable puts a configuration in force.
-func (h *Handler) SetTable(t *catalog.Table) { h.table.Store(t) }
+func (h *Handler) SetTable(t *catalog.Table) {
+	h.table.Store(t)
+	h.configure.Do(func() { close(h.configured) })
+}
 
 // Table returns the configuration in force, nil if there is none yet.
 func (h *Handler) Table() *catalog.Table { return h.table.Load() }
@@ -112,7 +125,7 @@
 	c := &call{handler: h, writer: w, request: r, began: h.options.Now()}
 	c.deadline = c.began.Add(defaultTimeout)
 	defer c.note()
-	table := h.table.Load()
+	table := c.awaitTable()
 	if table == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration yet")
 		return
@@ -134,6 +147,21 @@
 	c.run()
 }
 
+// awaitTable returns the configuration in force; where there is none yet it waits
+// for the first one, up to startHold.
+func (c *call) awaitTable() *catalog.Table {
+	h := c.handler
+	if table := h.table.Load(); table != nil {
+		return table
+	}
+	select {
+	case <-h.configured:
+	case <-time.After(startHold):
+	case <-c.request.Context().Done():
+	}
+	return h.table.Load()
+}
+
 // allowed is how long the request may be held.
 func (c *call) allowed() time.Duration {
 	allowed := c.route.Timeout
@@ -212,14 +240,14 @@
 func (c *call) choose(ctx context.Context) Choice {
 	want := c.want()
 	h := c.handler
-	until := c.began.Add(time.Duration(float64(c.route.Target) * missingShare))
 	asked := false
 	for {
-		choice := h.options.Fleet.Pick(h.options.Now(), want, c.tried)
-		if choice.Verdict != Missing || len(c.tried) > 0 || h.options.Now().After(until) {
+		now := h.options.Now()
+		choice := h.options.Fleet.Pick(now, want, c.tried)
+		if choice.Verdict == Chosen || len(c.tried) > 0 || !now.Before(c.began.Add(c.patience(now, choice.Verdict))) {
 			return choice
 		}
-		if !asked {
+		if choice.Verdict == Missing && !asked {
 			h.options.Demand.Ask(c.service, c.facts, true)
 			asked = true
 		}
@@ -231,6 +259,20 @@
 	}
 }
 
+// patience is how long a request without a replica waits for one: for a copy that
+// may be on its way, and for replicas that this gateway has not had the time to
+// learn of.
+func (c *call) patience(now time.Time, verdict Verdict) time.Duration {
+	share := 0.0
+	if verdict == Missing {
+		share = missingShare
+	}
+	if c.handler.options.Fleet.Gathering(now) {
+		share = gatheringShare
+	}
+	return time.Duration(float64(c.route.Target) * share)
+}
+
 func (c *call) want() Want {
 	return Want{Service: c.service, Model: c.facts.Model, Adapter: c.facts.Adapter, Prompt: c.facts.PromptTokens, Parts: c.facts.Parts}
 }
--- /dev/null
+++ b/src/exchange/start_test.go
@@ -0,0 +1,82 @@
+package exchange
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/metric"
+	"github.com/moorspool/moorspool/src/registry"
+)
+
+// newStartingBench returns a bench whose gateway knows neither configuration nor replicas.
+func newStartingBench(t *testing.T, now func() time.Time) *bench {
+	b := &bench{t: t, demand: NewDemand(), fleet: NewFleet("z", Dial, nil, now)}
+	b.handler = NewHandler(Options{
+		Codec: testCodec(), Fleet: b.fleet, Budget: BudgetLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
+		Demand: b.demand, Metrics: NewMetrics(metric.New("test")), Now: now,
+	})
+	b.server = httptest.NewServer(b.handler)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func (b *bench) configure(r catalog.Route) {
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{r}, Services: []catalog.Service{{Name: "s"}}}))
+}
+
+func TestARequestThatComesBeforeTheConfigurationIsServed(t *testing.T) {
+	is := is.New(t)
+	a := newReplica(t, "a", whole)
+	b := newStartingBench(t, time.Now)
+	answers := make(chan got, 1)
+	go func() { answers <- b.do("POST", "one", "x") }()
+	for b.handler.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.register(a)
+	b.configure(route(catalog.Unsafe, 1))
+	is.Equal((<-answers).status, http.StatusOK)
+}
+
+func TestWithoutAConfigurationARequestIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	b := newStartingBench(t, time.Now)
+	got := b.do("POST", "one", "x")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+}
+
+// TestReplicasThatAreStillBeingLearnedOfAreWaitedFor: the first replica known is of
+// another service; the one that serves follows.
+func TestReplicasThatAreStillBeingLearnedOfAreWaitedFor(t *testing.T) {
+	is := is.New(t)
+	a := newReplica(t, "a", whole)
+	b := newStartingBench(t, time.Now)
+	b.configure(route(catalog.Unsafe, 1))
+	answers := make(chan got, 1)
+	go func() { answers <- b.do("POST", "one", "x") }()
+	for b.handler.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.register(a)
+	is.Equal((<-answers).status, http.StatusOK)
+}
+
+// TestAGatewayThatKnowsItsReplicasRefusesAtOnce: waiting is for a young list only.
+func TestAGatewayThatKnowsItsReplicasRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	f := NewFleet("z", Dial, nil, func() time.Time { return began })
+	is.True(f.Gathering(began))
+	f.SetReplicas([]registry.Entry{{Record: registry.Record{ID: "a", Service: "s"}}})
+	is.True(f.Gathering(began.Add(gatherTime - 1)))
+	is.True(!f.Gathering(began.Add(gatherTime)))
+	c := &call{handler: &Handler{options: Options{Fleet: f}}, route: &catalog.Route{Target: time.Second}}
+	is.Equal(c.patience(began.Add(gatherTime), None), time.Duration(0))
+	is.True(c.patience(began, None) > 0)
+}
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -21,6 +21,8 @@
 	feedSilence = 600 * time.Millisecond
 	// resubscribe is the pause before a lost stream is asked for again.
 	resubscribe = 150 * time.Millisecond
+	// resubscribeUrgent is that pause while no control node is in reach.
+	resubscribeUrgent = 20 * time.Millisecond
 	// callTimeout bounds each call to a control node.
 	callTimeout = time.Second
 	// farDelay lets a control node of the own availability zone come first when
@@ -129,6 +131,9 @@
 	return f.live()
 }
 
+// alone reports whether no control node is in reach.
+func (f *Follower) alone() bool { return f.Live() == 0 }
+
 func (f *Follower) live() int {
 	live := 0
 	for _, s := range f.sources {
@@ -205,6 +210,7 @@
 			return wire.Empty{}, nil
 		})
 		s.client = rpc.NewClient(address, mux, f.meter, f.cut, feedSilence)
+		s.client.SetUrgent(f.alone)
 		f.sources[address] = s
 		go f.run(f.context, s)
 	}
@@ -225,8 +231,12 @@
 			}
 			f.lose(s)
 		}
+		pause := resubscribe
+		if f.alone() {
+			pause = resubscribeUrgent
+		}
 		select {
-		case <-time.After(resubscribe):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return
 		}
--- a/src/rpc/client.go
+++ b/src/rpc/client.go
@@ -11,8 +11,16 @@
 	"github.com/moorspool/moorspool/src/fault"
 )
 
-// redialAfter bounds how often a client dials a peer that doesn't answer.
-const redialAfter = 200 * time.Millisecond
+// The pauses and bounds of dialing a peer that doesn't answer. Urgent ones are for
+// a process that reaches no peer at all: each lost moment is one without service.
+const (
+	// redialAfter bounds how often a client dials.
+	redialAfter       = 200 * time.Millisecond
+	redialAfterUrgent = 20 * time.Millisecond
+	// dialTimeoutUrgent is many round trips between availability zones, and ends a
+	// dial to a host without power, which never answers.
+	dialTimeoutUrgent = 80 * time.Millisecond
+)
 
 // ErrUnreachable is what a call ends with when there is no connection.
 var ErrUnreachable = errors.New("the peer can't be reached")
@@ -25,6 +33,7 @@
 	meter   *Meter
 	cut     *fault.Cut
 	silence time.Duration
+	urgent  func() bool
 
 	mu       sync.Mutex
 	conn     *jsonrpc2.Conn
@@ -39,6 +48,18 @@
 	return &Client{address: address, mux: mux, meter: meter, cut: cut, silence: silence}
 }
 
+// SetUrgent sets the function that tells whether dials are urgent; it is called
+// before the client is used.
+func (c *Client) SetUrgent(urgent func() bool) { c.urgent = urgent }
+
+// pace returns the pause between dials and the bound of one.
+func (c *Client) pace() (pause, timeout time.Duration) {
+	if c.urgent != nil && c.urgent() {
+		return redialAfterUrgent, dialTimeoutUrgent
+	}
+	return redialAfter, dialTimeout
+}
+
 // Address returns the peer's address.
 func (c *Client) Address() string { return c.address }
 
@@ -87,6 +108,7 @@
 
 // connect returns the live connection, or waits for the one dial under way.
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	pause, timeout := c.pace()
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -98,12 +120,12 @@
 		return conn, nil
 	}
 	if c.dialing == nil {
-		if time.Since(c.failedAt) < redialAfter {
+		if time.Since(c.failedAt) < pause {
 			c.mu.Unlock()
 			return nil, errors.Wrap(ErrUnreachable, c.address)
 		}
 		c.dialing = make(chan struct{})
-		go c.dial(c.dialing)
+		go c.dial(c.dialing, timeout)
 	}
 	dialing := c.dialing
 	c.mu.Unlock()
@@ -129,8 +151,8 @@
 	}
 }
 
-func (c *Client) dial(done chan struct{}) {
-	raw, err := c.cut.Dial("tcp", c.address, dialTimeout)
+func (c *Client) dial(done chan struct{}, timeout time.Duration) {
+	raw, err := c.cut.Dial("tcp", c.address, timeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	defer close(done)
