Control nodes recall the replicas that they knew before a restart

Cause: after control nodes restart, each replica is known only once it has called again, up to a heartbeat (1.2 s) later; until then requests find no copy. Also found in reading: standings of a new stream came in no order, so that a gateway that started could take a replica's predecessor at the same address for its successor, and leave the live one alone for as long as the old one is remembered. Ruled out: asking replicas (nobody knows their addresses then). Change: control nodes save what they know of replicas, every 2 s if it changed; after a restart it counts for 2.5 s without a call. A replica that leaves is saved by a majority before that is acknowledged, so none takes it for one that stays. Standings are told in the order in which replicas became known; one that nobody is sure of takes no address.

--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -28,8 +29,11 @@
 	// slow is how long the node takes to give a configuration.
 	slow  atomic.Int64
 	usage atomic.Int64
+	// failing lets the node's disk refuse writes.
+	failing atomic.Bool
 
 	mu       sync.Mutex
+	saved    []registry.Record
 	document wire.Document
 	changed  chan struct{}
 }
@@ -41,6 +45,19 @@
 	clients map[string]*rpc.Client
 }
 
+// errDisk is what a failing disk says.
+var errDisk = errors.New("the disk is full")
+
+func (n *testNode) save(records []registry.Record) error {
+	if n.failing.Load() {
+		return errDisk
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.saved = records
+	return nil
+}
+
 func newTestNet(t *testing.T, count int) *testNet {
 	n := &testNet{t: t, clients: map[string]*rpc.Client{}}
 	for i := 0; i < count; i++ {
@@ -56,6 +73,7 @@
 			Peers:    func() []string { return n.others(node) },
 			Majority: func() int { return count / 2 },
 			Leading:  func() bool { return node.leads.Load() },
+			Save:     node.save,
 			Note: func(ctx context.Context, address string, record registry.Record) error {
 				return n.clients[address].Call(ctx, wire.MethodNote, wire.NoteRequest{Record: record}, nil)
 			},
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -17,6 +17,8 @@
 	signEvery = 400 * time.Millisecond
 	// sweepEvery is how often silent replicas are looked for.
 	sweepEvery = 250 * time.Millisecond
+	// saveEvery is how often changed replicas are saved: models move every few seconds.
+	saveEvery = 2 * time.Second
 	// noteTimeout bounds the wait for the other nodes to learn that a replica leaves.
 	noteTimeout = 500 * time.Millisecond
 )
@@ -37,6 +39,9 @@
 	Majority func() int
 	// Note tells another node of a replica that leaves.
 	Note func(ctx context.Context, address string, record registry.Record) error
+	// Save keeps the replicas for the time after a restart; it returns once they
+	// would survive a loss of power.
+	Save func([]registry.Record) error
 }
 
 // Publisher holds what replicas told this node and streams it to subscribers;
@@ -54,6 +59,8 @@
 	delta    *wire.Holdings
 	changed  chan struct{}
 	gateways map[string]int
+	// saved is the table's stamp when the replicas were saved last.
+	saved uint64
 	// spreadTo holds the leaving replicas that a majority knows of.
 	spreadTo map[string]leaving
 }
@@ -86,8 +93,18 @@
 	mux.Handle(wire.MethodNote, rpc.Typed(p.note))
 }
 
-// Run looks for silent replicas until the context ends.
+// Recall takes in the replicas that this node knew before it was restarted.
+func (p *Publisher) Recall(records []registry.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Recall(p.now(), records)
+	p.saved = p.table.Stamp()
+}
+
+// Run looks for silent replicas, and saves those that there are now and then,
+// until the context ends.
 func (p *Publisher) Run(ctx context.Context) {
+	go p.saveChanges(ctx)
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
@@ -105,6 +122,41 @@
 	}
 }
 
+// saveChanges saves the replicas now and then, apart from Run's other work, since a
+// disk may hang.
+func (p *Publisher) saveChanges(ctx context.Context) {
+	ticker := time.NewTicker(saveEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		p.mu.Lock()
+		changed := p.table.Stamp() != p.saved
+		p.mu.Unlock()
+		if changed {
+			// A failure is in the log; the next round tries again.
+			_ = p.save()
+		}
+	}
+}
+
+// save saves the replicas as they are known now.
+func (p *Publisher) save() error {
+	p.mu.Lock()
+	records, stamp := p.table.Records(), p.table.Stamp()
+	p.mu.Unlock()
+	if err := p.cluster.Save(records); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.saved = max(p.saved, stamp)
+	return nil
+}
+
 // forgetLeft drops replicas that left long ago; the lock is held.
 func (p *Publisher) forgetLeft() {
 	for id, left := range p.spreadTo {
@@ -154,18 +206,21 @@
 	return p.Hear(ctx, record)
 }
 
-// spread tells the other nodes of a replica that leaves and waits for a majority.
+// spread tells the other nodes of a replica that leaves and waits until a majority,
+// this one included, has saved it: after a restart none of them may take the
+// replica for one that stays.
 func (p *Publisher) spread(ctx context.Context, record registry.Record) bool {
 	peers := p.cluster.Peers()
-	needed := p.cluster.Majority()
-	answers := make(chan error, len(peers))
+	needed := p.cluster.Majority() + 1
+	answers := make(chan error, len(peers)+1)
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	go func() { answers <- p.save() }()
 	for _, address := range peers {
 		go func() { answers <- p.cluster.Note(ctx, address, record) }()
 	}
 	told := 0
-	for range peers {
-		if err := <-answers; err == nil {
+	for range len(peers) + 1 {
+		if err := p.answer(ctx, answers); err == nil {
 			told++
 		}
 		if told >= needed {
@@ -181,13 +236,23 @@
 	return false
 }
 
+// answer waits for the next answer or the end of the context.
+func (p *Publisher) answer(ctx context.Context, answers <-chan error) error {
+	select {
+	case err := <-answers:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (p *Publisher) note(_ context.Context, _ *rpc.Peer, request wire.NoteRequest) (wire.Empty, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.table.Note(p.now(), request.Record) {
 		p.wake()
 	}
-	return wire.Empty{}, nil
+	p.mu.Unlock()
+	return wire.Empty{}, p.save()
 }
 
 // SetHoldings replaces what subscribers are told of copies beyond the replicas' own words.
--- /dev/null
+++ b/src/feed/recall_test.go
@@ -0,0 +1,47 @@
+package feed
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/registry"
+)
+
+// TestALeavingReplicaIsSavedByAMajorityBeforeItsCallIsAcknowledged: after all have
+// lost power none of a majority takes it for one that stays.
+func TestALeavingReplicaIsSavedByAMajorityBeforeItsCallIsAcknowledged(t *testing.T) {
+	is := is.New(t)
+	n := newTestNet(t, 3)
+	record := registry.Record{ID: "a", Sequence: 1}
+	is.True(n.nodes[0].publisher.Hear(context.Background(), record))
+	n.nodes[1].failing.Store(true)
+	n.nodes[2].failing.Store(true)
+	record.Sequence, record.Draining = 2, true
+	is.True(!n.nodes[0].publisher.Hear(context.Background(), record)) // one disk of three has it
+	n.nodes[2].failing.Store(false)
+	is.True(n.nodes[0].publisher.Hear(context.Background(), record))
+	keepers := 0
+	for _, node := range n.nodes {
+		node.mu.Lock()
+		for _, saved := range node.saved {
+			if saved.ID == "a" && saved.Draining {
+				keepers++
+			}
+		}
+		node.mu.Unlock()
+	}
+	is.True(keepers >= 2)
+}
+
+func TestSubscribersLearnOfRecalledReplicasAtOnce(t *testing.T) {
+	is := is.New(t)
+	n := newTestNet(t, 1)
+	n.nodes[0].publisher.Recall([]registry.Record{{ID: "a", Sequence: 3}})
+	stream := feedStream{publisher: n.nodes[0].publisher, first: true}
+	update, _ := stream.next()
+	is.Equal(len(update.Standings), 1)
+	is.True(!update.Standings[0].Silent)
+	is.True(update.Standings[0].Recalled)
+}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -172,7 +172,9 @@
 		Majority: c.cluster.Majority,
 		Leading:  func() bool { return c.cluster.Leadership().Self },
 		Note:     c.noteTo,
+		Save:     c.saveReplicas(folder.Replicas()),
 	}, time.Now)
+	c.recall(folder.Replicas())
 	c.publisher.Register(c.proc.Mux())
 	c.tables = tables{decode: c.speak.Decode}
 	c.placer = placer.New(placer.Options{
@@ -189,6 +191,28 @@
 	return nil
 }
 
+// saveReplicas returns the function that keeps the known replicas in a file.
+func (c *controlNode) saveReplicas(file *store.ReplicaFile) func([]registry.Record) error {
+	return func(records []registry.Record) error {
+		err := file.Save(records)
+		if err != nil {
+			c.proc.Ring().Add(event.Event{Kind: event.StorageFailed, Reason: "the known replicas were not saved: " + err.Error()})
+		}
+		return err
+	}
+}
+
+// recall takes in the replicas known before a restart; a file that can't be read
+// costs a heartbeat's time, not the start.
+func (c *controlNode) recall(file *store.ReplicaFile) {
+	records, err := file.Load()
+	if err != nil {
+		c.proc.Ring().Add(event.Event{Kind: event.StorageFailed, Reason: "the replicas known before are not recalled: " + err.Error()})
+		return
+	}
+	c.publisher.Recall(records)
+}
+
 func (c *controlNode) leading() placer.Leading {
 	lead := c.cluster.Leadership()
 	return placer.Leading{Self: lead.Self, Token: lead.Term, Since: lead.Since}
--- a/src/registry/directory.go
+++ b/src/registry/directory.go
@@ -22,9 +22,11 @@
 }
 
 type entry struct {
-	record    Record
-	views     map[string]bool // silent, by source
-	replaced  bool
+	record   Record
+	views    map[string]bool // silent, by source
+	replaced bool
+	// doubtful is set until a source is sure that the replica is there.
+	doubtful  bool
 	firstSeen time.Time
 	order     uint64
 	unseenAt  time.Time
@@ -61,7 +63,7 @@
 	known := d.entries[s.Record.ID]
 	if known == nil {
 		d.order++
-		known = &entry{record: s.Record, views: map[string]bool{}, firstSeen: now, order: d.order}
+		known = &entry{record: s.Record, views: map[string]bool{}, doubtful: s.doubtful(), firstSeen: now, order: d.order}
 		d.entries[s.Record.ID] = known
 		d.replaceOlder(known)
 	} else if s.Record.Sequence > known.record.Sequence {
@@ -71,16 +73,23 @@
 		known.record.Gone = known.record.Gone || s.Record.Gone
 	}
 	known.views[source] = s.Silent
+	known.doubtful = known.doubtful && s.doubtful()
 	known.unseenAt = now
 }
 
-// replaceOlder marks earlier incarnations at the same address: an address
-// belongs to the one that appeared last.
+// replaceOlder marks earlier incarnations at the same address: an address belongs
+// to the one that appeared last. One that no source is sure of does not take the
+// address from one that was heard of: it is the older one, told of later.
 func (d *Directory) replaceOlder(latest *entry) {
 	for _, other := range d.entries {
-		if other != latest && other.record.Address == latest.record.Address {
-			other.replaced = true
+		if other == latest || other.record.Address != latest.record.Address {
+			continue
+		}
+		if latest.doubtful && !other.doubtful {
+			latest.replaced = true
+			continue
 		}
+		other.replaced = true
 	}
 }
 
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -1,6 +1,9 @@
 package registry
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // Times are the bounds of what a table remembers.
 type Times struct {
@@ -15,14 +18,26 @@
 	Record Record `json:"record"`
 	// Silent is set when the replica has not called this node for a while.
 	Silent bool `json:"silent,omitempty"`
+	// Recalled is set while the node knows the replica from before its own restart
+	// only.
+	Recalled bool `json:"recalled,omitempty"`
 }
 
+// doubtful reports whether the replica may have ended without the node knowing.
+func (s *Standing) doubtful() bool { return s.Silent || s.Recalled }
+
+// recallTime is how long a recalled replica counts as there without a call: two
+// heartbeats of the usual 1.2 s, since the first after a restart may be lost.
+const recallTime = 2500 * time.Millisecond
+
 type row struct {
 	standing Standing
 	heardAt  time.Time
 	// direct is set once the replica called this node itself.
 	direct bool
 	stamp  uint64
+	// order grows with the replicas that the node learned of.
+	order uint64
 }
 
 // Table holds what one node was told; it is not safe for concurrent use. Every
@@ -31,6 +46,7 @@
 	times Times
 	rows  map[string]*row
 	stamp uint64
+	order uint64
 }
 
 // NewTable returns an empty table.
@@ -41,6 +57,31 @@
 // Stamp returns the stamp of the newest change.
 func (t *Table) Stamp() uint64 { return t.stamp }
 
+// Recall takes in the replicas that were known before a restart. Each counts as
+// there for a short while, until it calls.
+func (t *Table) Recall(now time.Time, records []Record) {
+	for _, record := range records {
+		if t.rows[record.ID] != nil {
+			continue
+		}
+		known := &row{standing: Standing{Record: record, Recalled: true}, heardAt: now.Add(recallTime - t.times.Silence)}
+		t.add(known)
+	}
+}
+
+// Records returns the replicas worth recalling after a restart: those that called
+// lately, and those that leave, which must not be taken for there again.
+func (t *Table) Records() []Record {
+	var records []Record
+	for _, known := range t.rows {
+		if !known.standing.Silent || known.standing.Record.Leaving() {
+			records = append(records, known.standing.Record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].ID < records[j].ID })
+	return records
+}
+
 // Hear takes in a replica's own call and reports whether others must learn of it.
 func (t *Table) Hear(now time.Time, record Record) bool {
 	return t.take(now, record, true)
@@ -55,8 +96,7 @@
 	known := t.rows[record.ID]
 	if known == nil {
 		known = &row{standing: Standing{Record: record, Silent: !direct}, heardAt: now, direct: direct}
-		t.rows[record.ID] = known
-		t.mark(known)
+		t.add(known)
 		return true
 	}
 	if record.Sequence <= known.standing.Record.Sequence && !leavesFurther(&known.standing.Record, &record) {
@@ -68,8 +108,9 @@
 		known.heardAt = now
 		known.direct = true
 		known.standing.Silent = false
+		known.standing.Recalled = false
 	}
-	changed := before.Silent != known.standing.Silent || !sameFor(&before.Record, &known.standing.Record)
+	changed := before.doubtful() != known.standing.doubtful() || before.Silent != known.standing.Silent || !sameFor(&before.Record, &known.standing.Record)
 	if changed {
 		t.mark(known)
 	}
@@ -88,14 +129,22 @@
 	}
 	known.heardAt = now
 	known.direct = true
-	if !known.standing.Silent {
+	if !known.standing.doubtful() {
 		return false
 	}
 	known.standing.Silent = false
+	known.standing.Recalled = false
 	t.mark(known)
 	return true
 }
 
+func (t *Table) add(r *row) {
+	t.order++
+	r.order = t.order
+	t.rows[r.standing.Record.ID] = r
+	t.mark(r)
+}
+
 func (t *Table) mark(r *row) {
 	t.stamp++
 	r.stamp = t.stamp
@@ -135,13 +184,19 @@
 	return changed
 }
 
-// Since returns what changed after a stamp.
+// Since returns what changed after a stamp, in the order in which the node learned
+// of the replicas: of two at one address the later one has it.
 func (t *Table) Since(stamp uint64) []Standing {
-	var changed []Standing
+	var rows []*row
 	for _, known := range t.rows {
 		if known.stamp > stamp {
-			changed = append(changed, known.standing)
+			rows = append(rows, known)
 		}
 	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].order < rows[j].order })
+	changed := make([]Standing, 0, len(rows))
+	for _, known := range rows {
+		changed = append(changed, known.standing)
+	}
 	return changed
 }
