Prompts wait in the gateway while a replica reads what a pause allows

Cause: engines read prompts between the steps of running streams. Change: a prompt waits while what is unread there and its own reading time exceed half of the allowed pause (less for less urgent ones), up to 0.4 of its target; nothing waits for a replica that has nothing to read, and another copy is chosen as soon as it is better. Test: src/exchange/pace_test.go.

--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -245,6 +245,12 @@
 	for {
 		now := h.options.Now()
 		choice := h.options.Fleet.Pick(now, want, c.tried)
+		if choice.Verdict == Chosen && c.paced(now, choice) {
+			if !sleep(ctx, paceStep) {
+				return choice
+			}
+			continue
+		}
 		if choice.Verdict == Chosen || len(c.tried) > 0 || !now.Before(c.began.Add(c.patience(now, choice.Verdict))) {
 			return choice
 		}
--- /dev/null
+++ b/src/exchange/pace.go
@@ -0,0 +1,44 @@
+package exchange
+
+import (
+	"context"
+	"time"
+)
+
+// Pacing. An engine reads prompts between the steps of the streams that run, so that
+// prompts sent together make all of them pause. A first event has time to spare, a
+// stream has less: prompts beyond what the pause allows wait here.
+const (
+	// paceShare is the part of the allowed pause that unread prompts may take; the
+	// rest is for the streams' own steps and for what comes at the same moment.
+	paceShare = 0.5
+	// paceByPriority is the part of that which each further priority gives up, so that
+	// more urgent requests go first.
+	paceByPriority = 0.15
+	// paceHold is the part of its target that a request waits at most.
+	paceHold = 0.4
+	// paceStep is how often a waiting request looks again.
+	paceStep = 4 * time.Millisecond
+)
+
+// paced reports whether a request should wait before it goes to the chosen replica.
+func (c *call) paced(now time.Time, choice Choice) bool {
+	if c.facts.Model == "" || c.route.GapTarget <= 0 || choice.Unread <= 0 {
+		return false
+	}
+	if !now.Before(c.began.Add(time.Duration(float64(c.route.Target) * paceHold))) {
+		return false
+	}
+	share := paceShare * max(1-paceByPriority*float64(c.route.Priority), 0.25)
+	return choice.Unread+choice.ReadTime > time.Duration(float64(c.route.GapTarget)*share)
+}
+
+// sleep waits for a while; it reports false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/src/exchange/pace_test.go
@@ -0,0 +1,75 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+func pacedCall(priority int) *call {
+	return &call{
+		began: noon,
+		facts: Facts{Model: "m"},
+		route: &catalog.Route{Target: 400 * time.Millisecond, GapTarget: 250 * time.Millisecond, Priority: priority},
+	}
+}
+
+func TestAPromptWaitsWhileOthersAreReadAsLongAsAPauseAllows(t *testing.T) {
+	is := is.New(t)
+	c := pacedCall(0)
+	is.True(!c.paced(noon, Choice{ReadTime: time.Second}))                                          // nothing is unread: waiting helps nobody
+	is.True(!c.paced(noon, Choice{Unread: 60 * time.Millisecond, ReadTime: 60 * time.Millisecond})) // both fit into a pause
+	is.True(c.paced(noon, Choice{Unread: 100 * time.Millisecond, ReadTime: 60 * time.Millisecond}))
+	c.facts.Model = ""
+	is.True(!c.paced(noon, Choice{Unread: time.Second, ReadTime: time.Second})) // a plain service reads no prompts
+}
+
+func TestAPromptWaitsNoLongerThanItsOwnTargetAllows(t *testing.T) {
+	is := is.New(t)
+	c := pacedCall(0)
+	full := Choice{Unread: time.Second, ReadTime: 60 * time.Millisecond}
+	hold := time.Duration(float64(c.route.Target) * paceHold)
+	is.True(c.paced(noon.Add(hold-1), full))
+	is.True(!c.paced(noon.Add(hold), full))
+}
+
+func TestMoreUrgentPromptsGoFirst(t *testing.T) {
+	is := is.New(t)
+	between := Choice{Unread: 60 * time.Millisecond, ReadTime: 50 * time.Millisecond}
+	is.True(!pacedCall(0).paced(noon, between))
+	is.True(pacedCall(2).paced(noon, between))
+}
+
+// TestPromptsOfOtherGatewaysCount: answers tell no load, and a gateway by itself
+// would send where all others send.
+func TestPromptsOfOtherGatewaysCount(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("a", "b")
+	f.SetLoads(wire.LoadReport{Loads: []wire.ReplicaLoad{{Replica: "a", Running: 3, UnreadMS: 300}}})
+	want := Want{Service: "s", Model: "m", Prompt: 500}
+	is.Equal(picks(f, noon, want), map[string]int{"b": 50})
+	f.peers["b"].failed(noon, true)
+	is.Equal(f.Pick(noon, want, nil).Unread, 300*time.Millisecond)
+	is.True(picks(f, noon.Add(othersFresh), want)["a"] > 0) // an old word counts no more
+}
+
+// TestOwnRequestsAreNotCountedTwice: the totals contain what this gateway reported.
+func TestOwnRequestsAreNotCountedTwice(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("a")
+	f.peers["a"].begin(100 * time.Millisecond)
+	is.Equal(f.Loads(), []wire.ReplicaLoad{{Replica: "a", Running: 1, UnreadMS: 100}})
+	f.SetLoads(wire.LoadReport{Loads: []wire.ReplicaLoad{{Replica: "a", Running: 3, UnreadMS: 160}}})
+	look := f.peers["a"].outlook(noon)
+	is.Equal(look.running, 3)
+	is.Equal(look.unread, 160*time.Millisecond)
+	f.peers["a"].read(100 * time.Millisecond)
+	f.peers["a"].end()
+	look = f.peers["a"].outlook(noon)
+	is.Equal(look.running, 2)
+	is.Equal(look.unread, 60*time.Millisecond)
+}
