--- a/src/exchange/pace.go
+++ b/src/exchange/pace.go
@@ -16,7 +16,7 @@
 	// more urgent requests go first.
 	paceByPriority = 0.15
 	// paceHold is the part of its target that a request waits at most.
-	paceHold = 0.4
+	paceHold = 0.6
 	// paceStep is how often a waiting request looks again.
 	paceStep = 4 * time.Millisecond
 )
