A silent replica is left after 100 ms where there is another choice

Change: a dial ends after 100 ms; where the replica is the only choice it is repeated up to 400 ms in all. Nothing is sent by a dial, so nothing can run twice. Test: src/exchange/conn_test.go.

--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -16,8 +16,12 @@
 
 // The connections' times and bounds.
 const (
-	// dialTimeout is below a packet's first retransmission: another replica is quicker.
+	// dialTimeout bounds the dials to the only replica that can be chosen, dialAttempt
+	// each of them, and the one dial where there is another choice. The kernel repeats
+	// a lost opening packet only after a second; a hundred milliseconds are many round
+	// trips within a region.
 	dialTimeout = 400 * time.Millisecond
+	dialAttempt = 100 * time.Millisecond
 	// idleLimit is how long a connection is kept for reuse when the replica names no time.
 	idleLimit = 10 * time.Second
 	// idleMargin keeps clear of the moment at which the replica closes.
@@ -61,9 +65,9 @@
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
-// get returns an idle connection that is still sound, or a new one. After an
-// error not a byte was sent.
-func (p *pool) get(ctx context.Context, now time.Time) (*conn, error) {
+// get returns an idle connection that is still sound, or a new one that comes up
+// within a time. After an error not a byte was sent.
+func (p *pool) get(ctx context.Context, within time.Duration, now time.Time) (*conn, error) {
 	for {
 		c := p.pop()
 		if c == nil {
@@ -76,7 +80,7 @@
 		}
 		_ = c.raw.Close()
 	}
-	raw, err := p.dial(ctx, p.address)
+	raw, err := p.connect(ctx, within)
 	if err != nil {
 		return nil, errors.Wrap(err, "connecting")
 	}
@@ -86,6 +90,20 @@
 	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// connect dials until a connection is up, one is refused, or the time is over.
+func (p *pool) connect(ctx context.Context, within time.Duration) (net.Conn, error) {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, min(within, dialAttempt))
+		raw, err := p.dial(attempt, p.address)
+		silent := attempt.Err() != nil
+		cancel()
+		within -= dialAttempt
+		if err == nil || !silent || within <= 0 || ctx.Err() != nil {
+			return raw, err
+		}
+	}
+}
+
 func (p *pool) pop() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/src/exchange/conn_test.go
@@ -0,0 +1,55 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// silentDials returns a dial function that answers nothing for a number of calls, as
+// where opening packets are lost, and counts them.
+func silentDials(silent int) (dialFunc, *int) {
+	count := 0
+	return func(ctx context.Context, _ string) (net.Conn, error) {
+		count++
+		if count <= silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		here, _ := net.Pipe()
+		return here, nil
+	}, &count
+}
+
+func TestALostOpeningPacketIsRepeatedToTheOnlyReplica(t *testing.T) {
+	is := is.New(t)
+	dial, count := silentDials(1)
+	only := &Choice{}
+	c, err := newPool("x", dial).get(context.Background(), only.dialWithin(), noon)
+	is.NoErr(err)
+	is.True(c != nil)
+	is.Equal(*count, 2)
+}
+
+func TestASilentReplicaIsLeftSoonWhereThereIsAnother(t *testing.T) {
+	is := is.New(t)
+	dial, count := silentDials(100)
+	one := &Choice{Others: 2}
+	_, err := newPool("x", dial).get(context.Background(), one.dialWithin(), noon)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	is.Equal(*count, 1)
+}
+
+func TestARefusedDialIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	refused := errors.New("connection refused")
+	count := 0
+	dial := func(context.Context, string) (net.Conn, error) { count++; return nil, refused }
+	only := &Choice{}
+	_, err := newPool("x", dial).get(context.Background(), only.dialWithin(), noon)
+	is.True(errors.Is(err, refused))
+	is.Equal(count, 1)
+}
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -65,6 +65,8 @@
 	// it is expected to need for it.
 	Read     int
 	ReadTime time.Duration
+	// Others is how many further replicas could have been chosen.
+	Others int
 	// Unread is how long the replica needs for the prompts that it was sent before.
 	Unread time.Duration
 	Reason string
@@ -228,6 +230,14 @@
 	}
 }
 
+// dialWithin is how long connecting to the chosen replica may take.
+func (c *Choice) dialWithin() time.Duration {
+	if c.Others > 0 {
+		return dialAttempt
+	}
+	return dialTimeout
+}
+
 // Pick chooses the replica from which the answer is expected soonest.
 func (f *Fleet) Pick(now time.Time, want Want, tried []*Peer) Choice {
 	best := Choice{Verdict: None}
@@ -254,6 +264,7 @@
 	}
 	if best.Peer != nil {
 		best.Unread = bestLook.unread
+		best.Others = seen - 1
 		best.Reason = fmt.Sprintf("cost %.0f ms of %d candidates, running %d waiting %d of %d, %d ms of prompts unread, load %d ms old", bestCost, seen, bestLook.running, bestLook.waiting, bestLook.slots, bestLook.unread.Milliseconds(), bestLook.loadAge.Milliseconds())
 	}
 	return best
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -323,7 +323,7 @@
 	defer func() { peer.read(unread) }()
 	h.options.Fleet.Sent(peer, c.facts.Model, c.facts.Parts)
 	c.sends++
-	a, err := send(ctx, peer.pool, o, c.facts.ID, h.options.Codec.Reply, c.headBy(now), now)
+	a, err := send(ctx, peer.pool, o, c.facts.ID, h.options.Codec.Reply, choice.dialWithin(), c.headBy(now), now)
 	if err != nil {
 		return c.sendFailed(ctx, peer, err), nil
 	}
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -73,10 +73,10 @@
 	return head.Bytes()
 }
 
-// send sends a request and waits for the head of its answer. The context ends
-// the exchange at any time by closing the connection.
-func send(ctx context.Context, p *pool, o *outgoing, id string, read func(int, http.Header) Reply, deadline, now time.Time) (*answer, error) {
-	c, err := p.get(ctx, now)
+// send sends a request over a connection that is up within a time, and waits for the
+// head of its answer until the deadline. The context ends the exchange at any time by closing the connection.
+func send(ctx context.Context, p *pool, o *outgoing, id string, read func(int, http.Header) Reply, within time.Duration, deadline, now time.Time) (*answer, error) {
+	c, err := p.get(ctx, within, now)
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
