--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 	$(GO) test -tags $(TAGS) -run '^$$' -fuzz FuzzParse -fuzztime 20s ./src/config
 
 lint:
-	@test -z "$$(gofmt -l cmd src platform soak)" || { gofmt -l cmd src platform soak; echo "gofmt would change these files"; exit 1; }
+	@test -z "$$(gofmt -l cmd src platform soak bench)" || { gofmt -l cmd src platform soak bench; echo "gofmt would change these files"; exit 1; }
 	$(GO) vet -tags $(TAGS) ./...
 	$(GO) tool staticcheck -tags $(TAGS) ./...
 
