Exchange, feed and fleet are split by job

Change: functions moved as they stood into choice.go, choose.go, attempt.go, load.go (exchange), notify.go, fetch.go, stream.go, leave.go (feed), share.go and recall.go (fleet). No line of code changed: the sorted lines of each package are the same before and after, but for imports.

--- /dev/null
+++ b/src/exchange/attempt.go
@@ -0,0 +1,178 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/event"
+)
+
+// outcome says how one attempt ended.
+type outcome uint8
+
+const (
+	// answered means that the client has the answer, or its beginning.
+	answered outcome = iota
+	// notRun means that the replica has not run the request and will not.
+	notRun
+	// unknown means that it may have run.
+	unknown
+	// failed means that it ran and the replica answered with a failure that is kept.
+	failed
+	// cut means that the client's answer has begun and can't go on as it was.
+	cut
+)
+
+// again reports whether another replica may be tried.
+func (c *call) again(ctx context.Context, ended outcome) bool {
+	if ctx.Err() != nil || c.handler.options.Now().Add(answerMargin).After(c.deadline) {
+		return false
+	}
+	if ended != notRun {
+		if !c.route.Idempotent() || c.ran >= max(c.route.Attempts, 1) {
+			return false
+		}
+	}
+	if c.sends >= maxSends {
+		return false
+	}
+	if c.arrivals == 0 {
+		return true
+	}
+	now := c.handler.options.Now()
+	if !c.handler.budgets.of(c.service).Take(now, int(c.handler.gateways.Load())) {
+		c.reason += "; the retry budget is spent"
+		return false
+	}
+	c.handler.options.Metrics.Retries.Inc(1)
+	return true
+}
+
+// attempt offers the request to a replica.
+func (c *call) attempt(ctx context.Context, choice Choice) (outcome, *keptAnswer) {
+	h := c.handler
+	peer := choice.Peer
+	now := h.options.Now()
+	c.tried = append(c.tried, peer)
+	c.reason = choice.Reason
+	o := c.outgoing(peer, now)
+	peer.begin(choice.ReadTime)
+	defer peer.end()
+	unread := choice.ReadTime
+	defer func() { peer.read(unread) }()
+	h.options.Fleet.Sent(peer, c.facts.Model, c.facts.Parts)
+	c.sends++
+	a, err := send(ctx, peer.pool, o, c.facts.ID, h.options.Codec.Reply, choice.dialWithin(), c.headBy(now), now)
+	if err != nil {
+		return c.sendFailed(ctx, peer, err), nil
+	}
+	c.arrivals++
+	_ = a.conn.raw.SetDeadline(c.deadline)
+	peer.told(h.options.Now(), a.reply.Load)
+	if a.reply.NotRun {
+		return c.rejected(peer, a), nil
+	}
+	c.ran++
+	if a.response.StatusCode >= http.StatusInternalServerError {
+		return c.keep(peer, a)
+	}
+	if c.route.Kind == catalog.Streaming {
+		return c.passStream(ctx, peer, a, &unread, reading{began: now, tokens: choice.Read, model: c.facts.Model}), nil
+	}
+	return c.passWhole(ctx, peer, a), nil
+}
+
+// headBy is when the head of a replica's answer must be here: where another
+// replica may be tried, early enough for that.
+func (c *call) headBy(now time.Time) time.Time {
+	if !c.route.Idempotent() || c.ran+1 >= c.route.Attempts {
+		return c.deadline
+	}
+	wait := max(3*c.route.Target/2, c.deadline.Sub(now)/3)
+	return earlier(c.deadline, now.Add(wait))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (c *call) outgoing(peer *Peer, now time.Time) *outgoing {
+	codec := &c.handler.options.Codec
+	header := make(http.Header, len(c.request.Header)+4)
+	dropped := connectionHeaders(c.request.Header)
+	for name, values := range c.request.Header {
+		if hopByHop[name] || slices.Contains(codec.Replace, name) || dropped[name] {
+			continue
+		}
+		header[name] = values
+	}
+	codec.Prepare(header, c.facts, Attempt{
+		Replica:     peer.ID(),
+		Remaining:   c.deadline.Sub(now) - answerMargin,
+		Priority:    c.route.Priority,
+		ResumeAfter: c.resumeAfter(),
+	})
+	return &outgoing{method: c.request.Method, target: c.request.RequestURI, host: c.request.Host, header: header, body: c.body}
+}
+
+// connectionHeaders are those that the client's Connection header names.
+func connectionHeaders(header http.Header) map[string]bool {
+	var named map[string]bool
+	for _, value := range header.Values("Connection") {
+		for _, name := range splitList(value) {
+			if named == nil {
+				named = map[string]bool{}
+			}
+			named[http.CanonicalHeaderKey(name)] = true
+		}
+	}
+	return named
+}
+
+func (c *call) sendFailed(ctx context.Context, peer *Peer, err error) outcome {
+	h := c.handler
+	if !c.left() {
+		c.reason += "; " + err.Error()
+	}
+	sent := !errors.Is(err, errNotSent)
+	if sent {
+		c.arrivals++
+		c.ran++
+	}
+	if ctx.Err() == nil {
+		pause := peer.failed(h.options.Now(), !errors.Is(err, errForeign))
+		h.options.Ring.Add(event.Event{Kind: event.HostEjected, Request: c.facts.ID, Host: peer.ID(), Reason: err.Error() + "; avoided for " + pause.String()})
+	}
+	if sent {
+		return unknown
+	}
+	return notRun
+}
+
+// rejected drops the answer of a replica that did not run the request.
+func (c *call) rejected(peer *Peer, a *answer) outcome {
+	h := c.handler
+	if _, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxKept)); err != nil {
+		a.abort()
+	} else {
+		a.finish(h.options.Now())
+	}
+	c.reason += "; " + peer.ID() + " did not run it: " + a.response.Status
+	if a.reply.Elsewhere && c.facts.Model != "" {
+		peer.lacks(h.options.Now(), c.facts.Model, c.facts.Adapter)
+	}
+	if !a.reply.Elsewhere {
+		peer.failed(h.options.Now(), false)
+	}
+	h.options.Ring.Add(event.Event{Kind: event.RequestRetried, Request: c.facts.ID, Host: peer.ID(), Model: c.facts.Model, Reason: c.reason})
+	return notRun
+}
--- /dev/null
+++ b/src/exchange/choice.go
@@ -0,0 +1,141 @@
+package exchange
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// The estimates of a choice, in milliseconds.
+const (
+	// runningCost is what each request that runs adds.
+	runningCost = 1.2
+	// waitingCost is what each request that waits adds.
+	waitingCost = 40.0
+	// farCost is what another availability zone adds.
+	farCost = 12.0
+	// failingCost is what a replica that only fails adds.
+	failingCost = 800.0
+	// slotCost is what a plain service's taken place adds, as a share of all.
+	slotCost = 30.0
+	// fullCost is added when all places are taken.
+	fullCost = 60.0
+	// jitter breaks ties, so that gateways don't all choose alike.
+	jitter = 2.0
+)
+
+// Want is what a request needs of a replica.
+type Want struct {
+	Service string
+	// Model is "" for plain services.
+	Model   string
+	Adapter string
+	Prompt  int
+	Parts   []Part
+}
+
+// Verdict says how a choice came out.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Chosen means that there is a replica.
+	Chosen Verdict = iota
+	// Missing means that no replica in reach holds the model or adapter.
+	Missing
+	// None means that no replica of the service is in reach.
+	None
+)
+
+// Choice is a chosen replica with what decided.
+type Choice struct {
+	Peer    *Peer
+	Verdict Verdict
+	// Read is the part of the prompt that the replica has to read, ReadTime how long
+	// it is expected to need for it.
+	Read     int
+	ReadTime time.Duration
+	// Others is how many further replicas could have been chosen.
+	Others int
+	// Unread is how long the replica needs for the prompts that it was sent before.
+	Unread time.Duration
+	Reason string
+}
+
+// dialWithin is how long connecting to the chosen replica may take.
+func (c *Choice) dialWithin() time.Duration {
+	if c.Others > 0 {
+		return dialAttempt
+	}
+	return dialTimeout
+}
+
+// Pick chooses the replica from which the answer is expected soonest.
+func (f *Fleet) Pick(now time.Time, want Want, tried []*Peer) Choice {
+	best := Choice{Verdict: None}
+	bestCost := 0.0
+	var bestLook outlook
+	seen := 0
+	for _, c := range f.view.Load().services[want.Service] {
+		if wasTried(tried, c.peer) {
+			continue
+		}
+		if key := (copyKey{model: want.Model, adapter: want.Adapter}); want.Model != "" && (!c.holds[key] || c.peer.lacking(now, key)) {
+			if best.Peer == nil {
+				best.Verdict = Missing
+			}
+			continue
+		}
+		look := c.peer.outlook(now)
+		cost, read := f.cost(c, &want, &look)
+		seen++
+		if best.Peer == nil || cost < bestCost {
+			best = Choice{Peer: c.peer, Verdict: Chosen, Read: read, ReadTime: f.speeds.readTime(want.Model, read)}
+			bestCost, bestLook = cost, look
+		}
+	}
+	if best.Peer != nil {
+		best.Unread = bestLook.unread
+		best.Others = seen - 1
+		best.Reason = fmt.Sprintf("cost %.0f ms of %d candidates, running %d waiting %d of %d, %d ms of prompts unread, load %d ms old", bestCost, seen, bestLook.running, bestLook.waiting, bestLook.slots, bestLook.unread.Milliseconds(), bestLook.loadAge.Milliseconds())
+	}
+	return best
+}
+
+func wasTried(tried []*Peer, p *Peer) bool {
+	for _, other := range tried {
+		if other == p {
+			return true
+		}
+	}
+	return false
+}
+
+// cost estimates the time to the first byte, in milliseconds, and returns the
+// prompt tokens that the replica has to read.
+func (f *Fleet) cost(c *candidate, want *Want, look *outlook) (float64, int) {
+	cost := rand.Float64()*jitter + look.failing*failingCost
+	if c.zone != f.zone {
+		cost += farCost
+	}
+	if look.ejected {
+		cost += failingCost
+	}
+	if want.Model == "" {
+		taken := float64(look.running+look.waiting) / float64(look.slots)
+		cost += taken * slotCost
+		if taken >= 1 {
+			cost += taken * fullCost
+		}
+		return cost, 0
+	}
+	c.peer.mu.Lock()
+	cached := c.peer.parts.cached(want.Model, want.Parts)
+	c.peer.mu.Unlock()
+	read := max(want.Prompt-cached, 0)
+	cost += milliseconds(f.speeds.readTime(want.Model, read) + look.unread)
+	cost += float64(look.running)*runningCost + float64(look.waiting)*waitingCost
+	return cost, read
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/src/exchange/choose.go
@@ -0,0 +1,53 @@
+package exchange
+
+import (
+	"context"
+	"time"
+)
+
+// choose picks a replica; it waits a while for a copy that is not there yet.
+func (c *call) choose(ctx context.Context) Choice {
+	want := c.want()
+	h := c.handler
+	asked := false
+	for {
+		now := h.options.Now()
+		choice := h.options.Fleet.Pick(now, want, c.tried)
+		if choice.Verdict == Chosen && c.paced(now, choice) {
+			if !sleep(ctx, paceStep) {
+				return choice
+			}
+			continue
+		}
+		if choice.Verdict == Chosen || len(c.tried) > 0 || !now.Before(c.began.Add(c.patience(now, choice.Verdict))) {
+			return choice
+		}
+		if choice.Verdict == Missing && !asked {
+			h.options.Demand.Ask(c.service, c.facts, true)
+			asked = true
+		}
+		select {
+		case <-ctx.Done():
+			return choice
+		case <-time.After(missingPoll):
+		}
+	}
+}
+
+// patience is how long a request without a replica waits for one: for a copy that
+// may be on its way, and for replicas that this gateway has not had the time to
+// learn of.
+func (c *call) patience(now time.Time, verdict Verdict) time.Duration {
+	share := 0.0
+	if verdict == Missing {
+		share = missingShare
+	}
+	if c.handler.options.Fleet.Gathering(now) {
+		share = gatheringShare
+	}
+	return time.Duration(float64(c.route.Target) * share)
+}
+
+func (c *call) want() Want {
+	return Want{Service: c.service, Model: c.facts.Model, Adapter: c.facts.Adapter, Prompt: c.facts.PromptTokens, Parts: c.facts.Parts}
+}
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -146,55 +145,6 @@
 	return live
 }
 
-// NotifyLeader sends a notification to the control node that leads; to every one
-// in reach if none says that it does.
-func (f *Follower) NotifyLeader(ctx context.Context, method string, params any) {
-	leaders, _ := f.leaders()
-	for _, client := range leaders {
-		_ = client.Notify(ctx, method, params)
-	}
-}
-
-// NotifyOthers sends a notification to the control nodes that NotifyLeader leaves out.
-func (f *Follower) NotifyOthers(ctx context.Context, method string, params any) {
-	_, others := f.leaders()
-	for _, client := range others {
-		_ = client.Notify(ctx, method, params)
-	}
-}
-
-// NotifyNearest sends a notification to a control node of the own availability zone,
-// or to any if none of it is in reach; the same one as long as it can be reached.
-func (f *Follower) NotifyNearest(ctx context.Context, method string, params any) {
-	if client := f.nearestClient(); client != nil {
-		_ = client.Notify(ctx, method, params)
-	}
-}
-
-func (f *Follower) nearestClient() *rpc.Client {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var best *source
-	for _, s := range f.sources {
-		if s.live && (best == nil || f.closer(s, best)) {
-			best = s
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	return best.client
-}
-
-// closer reports whether a source goes before another: that of the own availability
-// zone, and among equals always the same.
-func (f *Follower) closer(a, b *source) bool {
-	if near := a.zone == f.options.Zone; near != (b.zone == f.options.Zone) {
-		return near
-	}
-	return a.address < b.address
-}
-
 func (f *Follower) takeLoads(_ context.Context, _ *rpc.Peer, totals wire.LoadReport) (wire.Empty, error) {
 	if f.sink.Loads != nil {
 		f.sink.Loads(totals)
@@ -202,26 +152,6 @@
 	return wire.Empty{}, nil
 }
 
-// leaders returns the nodes in reach that say that they lead, or all if none
-// does, and the others.
-func (f *Follower) leaders() (leaders, others []*rpc.Client) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, s := range f.sources {
-		switch {
-		case !s.live:
-		case s.leading:
-			leaders = append(leaders, s.client)
-		default:
-			others = append(others, s.client)
-		}
-	}
-	if len(leaders) == 0 {
-		return others, nil
-	}
-	return leaders, others
-}
-
 func (f *Follower) sweep() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -344,103 +274,3 @@
 	f.holdings = *h
 	f.sink.Holdings(h)
 }
-
-// fetch gets a newer configuration, if one was announced; the lock is held.
-func (f *Follower) fetch() {
-	if f.fetching || f.sink.Document == nil || !f.newer() {
-		return
-	}
-	f.fetching = true
-	go f.fetchAll(f.context)
-}
-
-func (f *Follower) newer() bool {
-	for _, s := range f.sources {
-		if s.live && s.version > f.version {
-			return true
-		}
-	}
-	return false
-}
-
-// fetchAll fetches until nothing newer is announced. It asks the own
-// availability zone's control node first and others after a short while.
-func (f *Follower) fetchAll(ctx context.Context) {
-	began := f.now()
-	for {
-		f.mu.Lock()
-		if !f.newer() || ctx.Err() != nil {
-			f.fetching = false
-			f.mu.Unlock()
-			return
-		}
-		s := f.nearest(f.now().Sub(began) >= farDelay)
-		f.mu.Unlock()
-		if s == nil {
-			time.Sleep(farDelay / 10)
-			continue
-		}
-		f.fetchFrom(ctx, s)
-	}
-}
-
-// nearest returns a source that has a newer configuration: one that did not just
-// fail to give it, then one of the own availability zone, any of them. Far ones
-// count only when allowed.
-func (f *Follower) nearest(far bool) *source {
-	far = far || f.version == 0 || !f.zoneServed()
-	var best []*source
-	bestRank := 0
-	for _, s := range f.sources {
-		near := s.zone == f.options.Zone
-		if !s.live || s.version <= f.version || !near && !far {
-			continue
-		}
-		rank := 1
-		if near {
-			rank++
-		}
-		if f.now().Sub(s.refusedAt) > refusalCounts {
-			rank += 2
-		}
-		if rank > bestRank {
-			best, bestRank = nil, rank
-		}
-		if rank == bestRank {
-			best = append(best, s)
-		}
-	}
-	if len(best) == 0 {
-		return nil
-	}
-	return best[rand.IntN(len(best))]
-}
-
-// zoneServed reports whether a control node of the own availability zone is in reach.
-func (f *Follower) zoneServed() bool {
-	for _, s := range f.sources {
-		if s.live && s.zone == f.options.Zone {
-			return true
-		}
-	}
-	return false
-}
-
-func (f *Follower) fetchFrom(ctx context.Context, s *source) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var document wire.Document
-	err := s.client.Call(call, wire.MethodFetchDocument, wire.Empty{}, &document)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err != nil {
-		s.refusedAt = f.now()
-		return
-	}
-	if document.Version <= f.version {
-		s.version = document.Version
-		return
-	}
-	f.version = document.Version
-	f.sink.Document(document)
-}
--- /dev/null
+++ b/src/feed/leave.go
@@ -0,0 +1,93 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// Hear takes in a replica's call. It reports whether the call may be
+// acknowledged: a replica that leaves must be known to a majority first, so
+// that a gateway learns of it whatever becomes of this node.
+func (p *Publisher) Hear(ctx context.Context, record registry.Record) bool {
+	p.mu.Lock()
+	if p.table.Hear(p.now(), record) {
+		p.wake()
+	}
+	known := p.spreadTo[record.ID]
+	p.mu.Unlock()
+	if !record.Leaving() || known.gone || known.draining && !record.Gone {
+		return true
+	}
+	if !p.spread(ctx, record) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spreadTo[record.ID] = leaving{draining: true, gone: record.Gone, at: p.now()}
+	return true
+}
+
+// Remove takes in that a replica has ended or is about to.
+func (p *Publisher) Remove(ctx context.Context, id string) bool {
+	p.mu.Lock()
+	record, found := p.table.Record(id)
+	p.mu.Unlock()
+	if !found {
+		record = registry.Record{ID: id}
+	}
+	record.Gone = true
+	return p.Hear(ctx, record)
+}
+
+// spread tells the other nodes of a replica that leaves and waits until a majority,
+// this one included, has saved it: after a restart none of them may take the
+// replica for one that stays.
+func (p *Publisher) spread(ctx context.Context, record registry.Record) bool {
+	peers := p.cluster.Peers()
+	needed := p.cluster.Majority() + 1
+	answers := make(chan error, len(peers)+1)
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	go func() { answers <- p.save() }()
+	for _, address := range peers {
+		go func() { answers <- p.cluster.Note(ctx, address, record) }()
+	}
+	told := 0
+	for range len(peers) + 1 {
+		if err := p.answer(ctx, answers); err == nil {
+			told++
+		}
+		if told >= needed {
+			break
+		}
+	}
+	if told >= needed {
+		// The slower ones still learn of it.
+		time.AfterFunc(noteTimeout, cancel)
+		return true
+	}
+	cancel()
+	return false
+}
+
+// answer waits for the next answer or the end of the context.
+func (p *Publisher) answer(ctx context.Context, answers <-chan error) error {
+	select {
+	case err := <-answers:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *Publisher) note(_ context.Context, _ *rpc.Peer, request wire.NoteRequest) (wire.Empty, error) {
+	p.mu.Lock()
+	if p.table.Note(p.now(), request.Record) {
+		p.wake()
+	}
+	p.mu.Unlock()
+	return wire.Empty{}, p.save()
+}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -197,28 +196,6 @@
 	return nil
 }
 
-// saveReplicas returns the function that keeps the known replicas in a file.
-func (c *controlNode) saveReplicas(file *store.ReplicaFile) func([]registry.Record) error {
-	return func(records []registry.Record) error {
-		err := file.Save(records)
-		if err != nil {
-			c.proc.Ring().Add(event.Event{Kind: event.StorageFailed, Reason: "the known replicas were not saved: " + err.Error()})
-		}
-		return err
-	}
-}
-
-// recall takes in the replicas known before a restart; a file that can't be read
-// costs a heartbeat's time, not the start.
-func (c *controlNode) recall(file *store.ReplicaFile) {
-	records, err := file.Load()
-	if err != nil {
-		c.proc.Ring().Add(event.Event{Kind: event.StorageFailed, Reason: "the replicas known before are not recalled: " + err.Error()})
-		return
-	}
-	c.publisher.Recall(records)
-}
-
 func (c *controlNode) leading() placer.Leading {
 	lead := c.cluster.Leadership()
 	return placer.Leading{Self: lead.Self, Token: lead.Term, Since: lead.Since}
@@ -229,55 +206,6 @@
 	return wire.Empty{}, nil
 }
 
-// load takes in a gateway's report; the next round of totals goes there too.
-func (c *controlNode) load(_ context.Context, peer *rpc.Peer, report wire.LoadReport) (wire.Empty, error) {
-	if peer == nil {
-		return wire.Empty{}, rpc.ErrUnreachable
-	}
-	c.board.Report(time.Now(), report, func(totals wire.LoadReport) {
-		// A gateway that is not reached has lost its connection and reports anew.
-		_ = peer.Notify(context.Background(), wire.MethodLoadTotals, totals)
-	})
-	return wire.Empty{}, nil
-}
-
-func (c *controlNode) loadSum(_ context.Context, _ *rpc.Peer, sum wire.LoadReport) (wire.Empty, error) {
-	c.board.TakeSum(time.Now(), sum)
-	return wire.Empty{}, nil
-}
-
-// shareLoad tells the gateways here what all have under way, and the other control
-// nodes what the gateways here have.
-func (c *controlNode) shareLoad(ctx context.Context) {
-	var told wire.LoadReport
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.board.Changed():
-		}
-		totals, sum, tell := c.board.Round(time.Now())
-		for _, send := range tell {
-			go send(totals)
-		}
-		if !slices.Equal(sum.Loads, told.Loads) {
-			told = sum
-			sum.Node = c.settings.Node
-			for _, address := range c.cluster.Peers() {
-				go c.tellSum(ctx, address, sum)
-			}
-		}
-		time.Sleep(loadview.Pause(c.publisher.Replicas()))
-	}
-}
-
-// tellSum sends a sum to one node; a lost one is made good by the next.
-func (c *controlNode) tellSum(ctx context.Context, address string, sum wire.LoadReport) {
-	ctx, cancel := context.WithTimeout(ctx, noteWait)
-	defer cancel()
-	_ = c.links.Client(address).Notify(ctx, wire.MethodLoadSum, sum)
-}
-
 // orderClient returns the client for orders: few connections, kept a while.
 func orderClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
