Rounds of the load view are bounded by the entries that all gateways are told

Cause: rounds followed one another by the number of replicas alone; each round tells every gateway of every busy replica, so the work grows with their product. Ruled out: reports (they follow sends, 8 a second for a gateway).

--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -82,6 +82,9 @@
 // SetGateways says how many gateways share the retry budgets.
 func (h *Handler) SetGateways(n int) { h.gateways.Store(int64(n)) }
 
+// Gateways returns how many gateways share the retry budgets.
+func (h *Handler) Gateways() int { return int(h.gateways.Load()) }
+
 // Stop makes every answer the last one on its connection.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -197,16 +197,16 @@
 // prompt; the answer is what all have.
 func (g *gateway) shareLoad(ctx context.Context) {
 	for {
-		replicas := g.fleet.Replicas()
+		gateways, replicas := g.handler.Gateways(), g.fleet.Replicas()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(loadview.Interval(replicas)):
+		case <-time.After(loadview.Interval(gateways, replicas)):
 		case <-g.fleet.PromptSent():
 		}
 		report := wire.LoadReport{Node: g.settings.Node, Loads: g.fleet.Loads()}
 		g.follower.NotifyNearest(ctx, wire.MethodLoad, report)
-		time.Sleep(loadview.Pause(replicas))
+		time.Sleep(loadview.Pause(gateways, replicas))
 	}
 }
 
--- a/src/fleet/share.go
+++ b/src/fleet/share.go
@@ -48,7 +48,7 @@
 				go c.tellSum(ctx, address, sum)
 			}
 		}
-		time.Sleep(loadview.Pause(c.publisher.Replicas()))
+		time.Sleep(loadview.Pause(c.publisher.Gateways(), c.publisher.Replicas()))
 	}
 }
 
