Saves of replicas follow one another; sums of load go on counting while they stay the same

Cause, both found in reading the change: two saves could pass each other, so that a disk that hung for a moment brought back a replica that had been acknowledged as leaving; and a control node told others its sum only when it changed, while they drop it after a second. Change: a lock from before the replicas are read until they are saved; a sum is told again after a third of its life.

--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -58,6 +58,9 @@
 	delta    *wire.Holdings
 	changed  chan struct{}
 	gateways map[string]int
+	// saving is held while the replicas are saved, from before they are read: a save
+	// must not put older ones in the place of newer ones.
+	saving sync.Mutex
 	// saved is the table's stamp when the replicas were saved last.
 	saved uint64
 	// spreadTo holds the leaving replicas that a majority knows of.
@@ -144,6 +147,8 @@
 
 // save saves the replicas as they are known now.
 func (p *Publisher) save() error {
+	p.saving.Lock()
+	defer p.saving.Unlock()
 	p.mu.Lock()
 	records, stamp := p.table.Records(), p.table.Stamp()
 	p.mu.Unlock()
--- a/src/feed/recall_test.go
+++ b/src/feed/recall_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -35,6 +36,32 @@
 	is.True(keepers >= 2)
 }
 
+// TestASaveDoesNotPutOlderReplicasInThePlaceOfNewer: a disk that hangs for a moment
+// must not bring back a replica that has been acknowledged as leaving meanwhile.
+func TestASaveDoesNotPutOlderReplicasInThePlaceOfNewer(t *testing.T) {
+	is := is.New(t)
+	n := newTestNet(t, 1)
+	node := n.nodes[0]
+	p := node.publisher
+	is.True(p.Hear(context.Background(), registry.Record{ID: "a", Sequence: 1}))
+	begun, ended := make(chan struct{}), make(chan struct{})
+	p.cluster.Save = func(records []registry.Record) error {
+		if !records[0].Draining {
+			close(begun)
+			time.Sleep(50 * time.Millisecond)
+		}
+		return node.save(records)
+	}
+	go func() {
+		defer close(ended)
+		is.NoErr(p.save())
+	}()
+	<-begun
+	is.True(p.Hear(context.Background(), registry.Record{ID: "a", Sequence: 2, Draining: true}))
+	<-ended
+	is.True(node.saved[0].Draining)
+}
+
 func TestSubscribersLearnOfRecalledReplicasAtOnce(t *testing.T) {
 	is := is.New(t)
 	n := newTestNet(t, 1)
--- a/src/fleet/share.go
+++ b/src/fleet/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/moorspool/moorspool/src/loadview"
@@ -30,7 +29,7 @@
 // shareLoad tells the gateways here what all have under way, and the other control
 // nodes what the gateways here have.
 func (c *controlNode) shareLoad(ctx context.Context) {
-	var told wire.LoadReport
+	var sums loadview.Sums
 	for {
 		select {
 		case <-ctx.Done():
@@ -41,8 +40,7 @@
 		for _, send := range tell {
 			go send(totals)
 		}
-		if !slices.Equal(sum.Loads, told.Loads) {
-			told = sum
+		if sums.Due(time.Now(), sum.Loads) {
 			sum.Node = c.settings.Node
 			for _, address := range c.cluster.Peers() {
 				go c.tellSum(ctx, address, sum)
