A request whose client left while it waited goes nowhere; recalled replicas keep their order

Cause, both found in reading the change: a request that waited for its turn at a replica was sent after its client had left, if there was an idle connection; and recalled replicas came in the order of their names, so that a predecessor at the same address could be taken for the successor. Change: the client's leaving is looked at after each choice; saved replicas come in the order in which the node learned of them. Tests: TestARequestWhoseClientLeftWhileItWaitedReachesNoReplica (2 arrivals instead of 1 without it), TestASubscriberThatComesLateKnowsWhoHasAnAddress now also over a restart (fails on the order by names).

--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -205,7 +205,7 @@
 	var kept *keptAnswer
 	for {
 		choice := c.choose(ctx)
-		if choice.Verdict != Chosen {
+		if choice.Verdict != Chosen || c.left() {
 			c.giveUp(kept, choice)
 			return
 		}
--- a/src/exchange/pace_test.go
+++ b/src/exchange/pace_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -73,3 +74,27 @@
 	is.Equal(look.running, 2)
 	is.Equal(look.unread, 60*time.Millisecond)
 }
+
+// TestARequestWhoseClientLeftWhileItWaitedReachesNoReplica: the wait ends at once.
+func TestARequestWhoseClientLeftWhileItWaitedReachesNoReplica(t *testing.T) {
+	is := is.New(t)
+	a := newReplica(t, "a", whole)
+	r := route(catalog.Streaming, 1)
+	r.GapTarget = 100 * time.Millisecond
+	r.Target = time.Minute
+	b := newBench(t, r, a)
+	is.Equal(b.do("POST", "earlier", "x", testModel+": m").status, 200) // leaves an idle connection
+	b.fleet.peers["a"].begin(time.Minute)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan got, 1)
+	go func() { ended <- b.doIn(ctx, "POST", "one", "x", testModel+": m") }()
+	for b.handler.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	is.True((<-ended).err != nil)
+	for b.handler.Running() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(a.count(), 1)
+}
--- a/src/registry/recall_test.go
+++ b/src/registry/recall_test.go
@@ -62,14 +62,19 @@
 		table := NewTable(times)
 		count := rapid.IntRange(2, 8).Draw(t, "incarnations")
 		for i := range count {
-			table.Hear(noon, Record{ID: fmt.Sprint("i", i), Address: "x", Sequence: 1})
+			table.Hear(noon, Record{ID: fmt.Sprint("i", 9-i), Address: "x", Sequence: 1})
 			if rapid.Bool().Draw(t, "an earlier one calls again") {
-				table.Hear(noon, Record{ID: fmt.Sprint("i", rapid.IntRange(0, i).Draw(t, "which")), Address: "x", Sequence: 2, Slots: i + 1})
+				table.Hear(noon, Record{ID: fmt.Sprint("i", 9-rapid.IntRange(0, i).Draw(t, "which")), Address: "x", Sequence: 2, Slots: i + 1})
 			}
 		}
+		if rapid.Bool().Draw(t, "the node was restarted") {
+			before := table
+			table = NewTable(times)
+			table.Recall(noon, before.Records())
+		}
 		d := NewDirectory(time.Minute)
 		d.Take(noon, "n", table.Since(0))
-		last := fmt.Sprint("i", count-1)
+		last := fmt.Sprint("i", 9-(count-1))
 		if got := usable(d); len(got) != 1 || !got[last] {
 			t.Fatalf("usable are %v, not %s", got, last)
 		}
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -70,18 +70,28 @@
 }
 
 // Records returns the replicas worth recalling after a restart: those that called
-// lately, and those that leave, which must not be taken for there again.
+// lately, and those that leave, which must not be taken for there again. They come in
+// the order in which the node learned of them, which decides who has an address.
 func (t *Table) Records() []Record {
 	var records []Record
-	for _, known := range t.rows {
+	for _, known := range t.sorted() {
 		if !known.standing.Silent || known.standing.Record.Leaving() {
 			records = append(records, known.standing.Record)
 		}
 	}
-	sort.Slice(records, func(i, j int) bool { return records[i].ID < records[j].ID })
 	return records
 }
 
+// sorted returns all rows in the order in which the node learned of the replicas.
+func (t *Table) sorted() []*row {
+	rows := make([]*row, 0, len(t.rows))
+	for _, known := range t.rows {
+		rows = append(rows, known)
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].order < rows[j].order })
+	return rows
+}
+
 // Hear takes in a replica's own call and reports whether others must learn of it.
 func (t *Table) Hear(now time.Time, record Record) bool {
 	return t.take(now, record, true)
@@ -190,16 +200,11 @@
 // Since returns what changed after a stamp, in the order in which the node learned
 // of the replicas: of two at one address the later one has it.
 func (t *Table) Since(stamp uint64) []Standing {
-	var rows []*row
-	for _, known := range t.rows {
+	var changed []Standing
+	for _, known := range t.sorted() {
 		if known.stamp > stamp {
-			rows = append(rows, known)
+			changed = append(changed, known.standing)
 		}
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].order < rows[j].order })
-	changed := make([]Standing, 0, len(rows))
-	for _, known := range rows {
-		changed = append(changed, known.standing)
-	}
 	return changed
 }
