Prompts wait only where they can make a pause too long

An event there holds two tokens, so two pieces of prompts at most lie between two events, some 214 ms of 400 allowed: pacing delayed first events for nothing. Change: the tokens of an event come from the configuration; where they, times the learned time of a piece, stay within the allowed pause, nothing waits. Test: TestNothingWaitsWherePromptsCannotMakePausesTooLong.

--- a/src/catalog/document.go
+++ b/src/catalog/document.go
@@ -68,6 +68,8 @@
 type Engine struct {
 	Slots       int
 	CacheTokens int
+	// EventTokens is how many tokens one event of a stream holds, 0 if not said.
+	EventTokens int
 	// WeightsMB is a replica's room for weights and adapters, in megabytes.
 	WeightsMB    float64
 	AdapterSlots int
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -55,6 +55,8 @@
 	// it is expected to need for it.
 	Read     int
 	ReadTime time.Duration
+	// PieceTime is how long the replica needs to read one piece of a prompt.
+	PieceTime time.Duration
 	// Others is how many further replicas could have been chosen.
 	Others int
 	// Unread is how long the replica needs for the prompts that it was sent before.
@@ -96,6 +98,7 @@
 	}
 	if best.Peer != nil {
 		best.Unread = bestLook.unread
+		best.PieceTime = f.speeds.readTime(want.Model, pieceTokens)
 		best.Others = seen - 1
 		best.Reason = fmt.Sprintf("cost %.0f ms of %d candidates, running %d waiting %d of %d, %d ms of prompts unread, load %d ms old", bestCost, seen, bestLook.running, bestLook.waiting, bestLook.slots, bestLook.unread.Milliseconds(), bestLook.loadAge.Milliseconds())
 	}
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -99,9 +99,11 @@
 	route   *catalog.Route
 	version uint64
 	service string
-	facts   Facts
-	body    []byte
-	began   time.Time
+	// eventTokens is how many tokens an event of the service's streams holds, 0 if unknown.
+	eventTokens int
+	facts       Facts
+	body        []byte
+	began       time.Time
 	// deadline is when the client must have its answer.
 	deadline time.Time
 	tried    []*Peer
@@ -140,6 +142,7 @@
 		return
 	}
 	c.service = c.route.Pick(rand.Float64())
+	c.eventTokens = eventTokens(table, c.service)
 	c.facts = h.options.Codec.Facts(r)
 	c.deadline = c.began.Add(c.allowed())
 	if !c.readBody(table.Document().Limits.BodyBytes) {
@@ -150,6 +153,16 @@
 	c.run()
 }
 
+// eventTokens returns how many tokens an event of a service's streams holds, 0 if the
+// configuration does not say.
+func eventTokens(table *catalog.Table, service string) int {
+	found := table.Service(service)
+	if found == nil || found.Engine == nil {
+		return 0
+	}
+	return found.Engine.EventTokens
+}
+
 // awaitTable returns the configuration in force; where there is none yet it waits
 // for the first one, up to startHold.
 func (c *call) awaitTable() *catalog.Table {
--- a/src/exchange/pace.go
+++ b/src/exchange/pace.go
@@ -17,6 +17,10 @@
 	paceByPriority = 0.15
 	// paceHold is the part of its target that a request waits at most.
 	paceHold = 0.6
+	// pieceTokens is how much of a prompt an engine reads between two steps of its
+	// streams at most: the usual bound of engines with continuous batching. It is not
+	// in the configuration.
+	pieceTokens = 2048
 	// paceStep is how often a waiting request looks again.
 	paceStep = 4 * time.Millisecond
 )
@@ -29,10 +33,22 @@
 	if !now.Before(c.began.Add(time.Duration(float64(c.route.Target) * paceHold))) {
 		return false
 	}
+	if !c.pausesTooLong(choice) {
+		return false
+	}
 	share := paceShare * max(1-paceByPriority*float64(c.route.Priority), 0.25)
 	return choice.Unread+choice.ReadTime > time.Duration(float64(c.route.GapTarget)*share)
 }
 
+// pausesTooLong reports whether prompts can make a stream pause for too long at all: an
+// event holds the tokens of so many steps, each with one piece of a prompt before it.
+func (c *call) pausesTooLong(choice Choice) bool {
+	if c.eventTokens == 0 {
+		return true
+	}
+	return time.Duration(c.eventTokens)*choice.PieceTime > c.route.GapTarget
+}
+
 // sleep waits for a while; it reports false if the context ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/src/exchange/pace_test.go
+++ b/src/exchange/pace_test.go
@@ -38,6 +38,20 @@
 	is.True(!c.paced(noon.Add(hold), full))
 }
 
+// TestNothingWaitsWherePromptsCannotMakePausesTooLong: an event of two tokens has room
+// for two pieces of prompts, whatever is unread.
+func TestNothingWaitsWherePromptsCannotMakePausesTooLong(t *testing.T) {
+	is := is.New(t)
+	c := pacedCall(0)
+	full := Choice{Unread: time.Second, ReadTime: 60 * time.Millisecond, PieceTime: 50 * time.Millisecond}
+	c.eventTokens = 6
+	is.True(c.paced(noon, full)) // 300 ms of pieces in an event, 250 allowed
+	c.eventTokens = 2
+	is.True(!c.paced(noon, full))
+	c.eventTokens = 0
+	is.True(c.paced(noon, full)) // not known: careful
+}
+
 func TestMoreUrgentPromptsGoFirst(t *testing.T) {
 	is := is.New(t)
 	between := Choice{Unread: 60 * time.Millisecond, ReadTime: 50 * time.Millisecond}
