--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -43,6 +43,7 @@
 	HostLeaving      Kind = 602
 	HostGone         Kind = 603
 	ReplicaChanged   Kind = 610
+	ReplicasFound    Kind = 611
 	ControlFound     Kind = 620
 	ControlLost      Kind = 621
 	RequestRouted    Kind = 700
@@ -108,6 +109,7 @@
 	{HostLeaving, "host-leaving", "A host is leaving and gets no new work."},
 	{HostGone, "host-gone", "A host left the platform's list and answers no more."},
 	{ReplicaChanged, "replica-changed", "What a replica says of itself, or whether it is heard, changed."},
+	{ReplicasFound, "replicas-found", "Replicas that were not known are known now, and how many there are in all."},
 	{ControlFound, "control-found", "A control node is in reach and its news arrive."},
 	{ControlLost, "control-lost", "A control node is out of reach; its last word counts for a while."},
 	{RequestRouted, "request-routed", "A request was sent to a backend server."},
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -74,18 +74,13 @@
 
 // Pick chooses the replica from which the answer is expected soonest.
 func (f *Fleet) Pick(now time.Time, want Want, tried []*Peer) Choice {
+	held := copyKey{model: want.Model, adapter: want.Adapter}
 	best := Choice{Verdict: None}
 	bestCost := 0.0
 	var bestLook outlook
 	seen := 0
-	for _, c := range f.view.Load().services[want.Service] {
-		if wasTried(tried, c.peer) {
-			continue
-		}
-		if key := (copyKey{model: want.Model, adapter: want.Adapter}); want.Model != "" && (!c.holds[key] || c.peer.lacking(now, key)) {
-			if best.Peer == nil {
-				best.Verdict = Missing
-			}
+	for _, c := range f.index.of(want.Service, held) {
+		if wasTried(tried, c.peer) || c.peer.lacking(now, held) {
 			continue
 		}
 		look := c.peer.outlook(now)
@@ -96,15 +91,28 @@
 			bestCost, bestLook = cost, look
 		}
 	}
-	if best.Peer != nil {
-		best.Unread = bestLook.unread
-		best.PieceTime = f.speeds.readTime(want.Model, pieceTokens)
-		best.Others = seen - 1
-		best.Reason = fmt.Sprintf("cost %.0f ms of %d candidates, running %d waiting %d of %d, %d ms of prompts unread, load %d ms old", bestCost, seen, bestLook.running, bestLook.waiting, bestLook.slots, bestLook.unread.Milliseconds(), bestLook.loadAge.Milliseconds())
+	if best.Peer == nil {
+		best.Verdict = f.verdict(want, tried)
+		return best
 	}
+	best.Unread = bestLook.unread
+	best.PieceTime = f.speeds.readTime(want.Model, pieceTokens)
+	best.Others = seen - 1
+	best.Reason = fmt.Sprintf("cost %.0f ms of %d candidates, running %d waiting %d of %d, %d ms of prompts unread, load %d ms old", bestCost, seen, bestLook.running, bestLook.waiting, bestLook.slots, bestLook.unread.Milliseconds(), bestLook.loadAge.Milliseconds())
 	return best
 }
 
+// verdict says why there is no choice: no replica of the service is left, or none that
+// is holds the copy.
+func (f *Fleet) verdict(want Want, tried []*Peer) Verdict {
+	for _, c := range f.index.of(want.Service, copyKey{}) {
+		if want.Model != "" && !wasTried(tried, c.peer) {
+			return Missing
+		}
+	}
+	return None
+}
+
 func wasTried(tried []*Peer, p *Peer) bool {
 	for _, other := range tried {
 		if other == p {
--- a/src/exchange/demand.go
+++ b/src/exchange/demand.go
@@ -15,6 +15,7 @@
 type Demand struct {
 	mu     sync.Mutex
 	asked  map[demandKey]*wire.Asked
+	any    chan struct{}
 	urgent chan struct{}
 }
 
@@ -26,7 +27,7 @@
 
 // NewDemand returns an empty count.
 func NewDemand() *Demand {
-	return &Demand{asked: map[demandKey]*wire.Asked{}, urgent: make(chan struct{}, 1)}
+	return &Demand{asked: map[demandKey]*wire.Asked{}, any: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
 }
 
 // Ask counts a request; missing says that it found no copy and waits for one.
@@ -36,24 +37,55 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	key := demandKey{service, facts.Model, facts.Adapter}
-	asked := d.asked[key]
-	if asked == nil {
-		asked = &wire.Asked{Service: service, Model: facts.Model, Adapter: facts.Adapter}
-		d.asked[key] = asked
-	}
+	asked := d.count(service, facts.Model, facts.Adapter)
 	if missing {
 		asked.Missing++
-		select {
-		case d.urgent <- struct{}{}:
-		default:
-		}
+		signal(d.urgent)
 		return
 	}
 	asked.Requests++
 	asked.Tokens += facts.PromptTokens + outputWeight*facts.OutputTokens
 }
 
+// count returns the count for a model or adapter; the lock is held.
+func (d *Demand) count(service, model, adapter string) *wire.Asked {
+	key := demandKey{service, model, adapter}
+	asked := d.asked[key]
+	if asked == nil {
+		asked = &wire.Asked{Service: service, Model: model, Adapter: adapter}
+		d.asked[key] = asked
+	}
+	signal(d.any)
+	return asked
+}
+
+// Add adds what others have counted.
+func (d *Demand) Add(models []wire.Asked) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range models {
+		model := &models[i]
+		asked := d.count(model.Service, model.Model, model.Adapter)
+		asked.Requests += model.Requests
+		asked.Tokens += model.Tokens
+		asked.Missing += model.Missing
+		if model.Missing > 0 {
+			signal(d.urgent)
+		}
+	}
+}
+
+// signal sets a mark that is taken away by who receives it.
+func signal(mark chan struct{}) {
+	select {
+	case mark <- struct{}{}:
+	default:
+	}
+}
+
+// Asked delivers when requests were counted since it last did.
+func (d *Demand) Asked() <-chan struct{} { return d.any }
+
 // Urgent delivers when a request found no copy.
 func (d *Demand) Urgent() <-chan struct{} { return d.urgent }
 
@@ -68,33 +100,3 @@
 	d.asked = map[demandKey]*wire.Asked{}
 	return all
 }
-
-// DemandSum adds up drained counts; it is not safe for concurrent use.
-type DemandSum struct {
-	asked map[demandKey]wire.Asked
-}
-
-// Add adds counts. Missing copies are left out: who is told late can't help.
-func (s *DemandSum) Add(models []wire.Asked) {
-	if s.asked == nil {
-		s.asked = map[demandKey]wire.Asked{}
-	}
-	for _, model := range models {
-		key := demandKey{model.Service, model.Model, model.Adapter}
-		sum := s.asked[key]
-		sum.Service, sum.Model, sum.Adapter = model.Service, model.Model, model.Adapter
-		sum.Requests += model.Requests
-		sum.Tokens += model.Tokens
-		s.asked[key] = sum
-	}
-}
-
-// Drain returns the sums and begins anew.
-func (s *DemandSum) Drain() []wire.Asked {
-	all := make([]wire.Asked, 0, len(s.asked))
-	for _, sum := range s.asked {
-		all = append(all, sum)
-	}
-	s.asked = nil
-	return all
-}
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -203,7 +203,7 @@
 	for _, f := range replicas {
 		entries = append(entries, registry.Entry{Record: registry.Record{ID: f.id, Service: "s", Address: f.listener.Addr().String(), Zone: "z", Slots: 4, Models: []registry.Held{{Name: "m"}}}})
 	}
-	b.fleet.SetReplicas(entries)
+	b.fleet.SetReplicas(registry.Changes{Entries: entries})
 }
 
 // got is an answer as the client has it.
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,11 +23,13 @@
 	ring *event.Ring
 	now  func() time.Time
 
-	mu       sync.Mutex
-	peers    map[string]*Peer
-	holdings map[copyKey]bool // leaving, by copy
-	records  []registry.Entry
-	view     atomic.Pointer[view]
+	mu    sync.Mutex
+	peers map[string]*Peer
+	// servers are the replicas that may get requests.
+	servers map[string]*server
+	// holdings are what the placing node knows beyond the replicas' words, by replica.
+	holdings map[string]copies
+	index    copyIndex
 	speeds   *speeds
 	// sent delivers when this gateway has sent a prompt, which the others should know.
 	sent chan struct{}
@@ -40,51 +43,48 @@
 const gatherTime = 1500 * time.Millisecond
 
 type copyKey struct {
-	replica string
 	model   string
 	adapter string
 }
 
-// view is the usable replicas by service; it does not change.
-type view struct {
-	services map[string][]*candidate
-}
-
-type candidate struct {
-	peer *Peer
-	zone string
-	// holds are the models and adapters in place, as model or model/adapter.
-	holds map[copyKey]bool
-}
+// copies are models and adapters; the value says whether the copy is leaving.
+type copies map[copyKey]bool
 
 // NewFleet returns a fleet without replicas for a gateway in an availability zone.
 func NewFleet(zone string, dial dialFunc, ring *event.Ring, now func() time.Time) *Fleet {
-	f := &Fleet{zone: zone, dial: dial, ring: ring, now: now, peers: map[string]*Peer{}, speeds: newSpeeds(), sent: make(chan struct{}, 1)}
-	f.view.Store(&view{services: map[string][]*candidate{}})
-	return f
+	return &Fleet{
+		zone:     zone,
+		dial:     dial,
+		ring:     ring,
+		now:      now,
+		peers:    map[string]*Peer{},
+		servers:  map[string]*server{},
+		holdings: map[string]copies{},
+		speeds:   newSpeeds(),
+		sent:     make(chan struct{}, 1),
+	}
 }
 
-// SetReplicas takes in the replicas as the control nodes see them.
-func (f *Fleet) SetReplicas(entries []registry.Entry) {
+// SetReplicas takes in what changed of the replicas as the control nodes see them. Its
+// work grows with the changes, not with the replicas.
+func (f *Fleet) SetReplicas(changes registry.Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(entries) > 0 {
+	if len(changes.Entries) > 0 {
 		f.begunAt.CompareAndSwap(0, f.now().UnixNano())
 	}
-	present := map[string]bool{}
-	for i := range entries {
-		e := &entries[i]
-		present[e.Record.ID] = true
-		f.takeEntry(e)
-	}
-	for id, peer := range f.peers {
-		if !present[id] {
-			peer.pool.close()
-			delete(f.peers, id)
+	found := 0
+	for i := range changes.Entries {
+		if f.takeEntry(&changes.Entries[i]) {
+			found++
 		}
 	}
-	f.records = entries
-	f.rebuild()
+	for _, id := range changes.Removed {
+		f.remove(id)
+	}
+	if found > 0 {
+		f.ring.Add(event.Event{Kind: event.ReplicasFound, Reason: fmt.Sprintf("%d new, %d known", found, len(f.peers))})
+	}
 }
 
 // Gathering reports whether replicas that exist may still be unknown here because
@@ -94,21 +94,69 @@
 	return begun == 0 || now.UnixNano()-begun < int64(gatherTime)
 }
 
-func (f *Fleet) takeEntry(e *registry.Entry) {
-	peer := f.peers[e.Record.ID]
-	if peer == nil {
+// takeEntry takes in one replica; it reports whether it was not known. The lock is held.
+func (f *Fleet) takeEntry(e *registry.Entry) bool {
+	id := e.Record.ID
+	peer := f.peers[id]
+	found := peer == nil
+	if found {
 		peer = newPeer(e.Record, f.dial)
-		f.peers[e.Record.ID] = peer
-		f.ring.Add(event.Event{Kind: event.ReplicaChanged, Host: e.Record.ID, Zone: e.Record.Zone, Reason: describe(e)})
-		return
+		f.peers[id] = peer
+	} else {
+		f.renew(peer, e)
 	}
+	f.place(peer, e)
+	return found
+}
+
+// renew notes a known replica's latest word; the lock is held.
+func (f *Fleet) renew(peer *Peer, e *registry.Entry) {
 	peer.mu.Lock()
 	before := peer.record
 	peer.record = e.Record
 	peer.mu.Unlock()
-	if before.Leaving() != e.Record.Leaving() {
+	if before.Leaving() == e.Record.Leaving() {
+		return
+	}
+	peer.pool.close()
+	f.ring.Add(event.Event{Kind: event.ReplicaChanged, Host: e.Record.ID, Zone: e.Record.Zone, Reason: describe(e)})
+}
+
+// place brings the index up to date with one replica; the lock is held.
+func (f *Fleet) place(peer *Peer, e *registry.Entry) {
+	s := f.servers[peer.id]
+	if s != nil && (!e.Usable() || s.service != e.Record.Service) {
+		f.index.remove(s)
+		delete(f.servers, peer.id)
+		s = nil
+	}
+	if !e.Usable() {
+		return
+	}
+	if s == nil {
+		s = &server{candidate: &candidate{peer: peer, zone: e.Record.Zone}, service: e.Record.Service}
+		f.servers[peer.id] = s
+		f.index.add(s)
+	}
+	s.told = copies{}
+	for _, held := range e.Record.Models {
+		s.told[copyKey{model: held.Name}] = true
+		for _, adapter := range held.Adapters {
+			s.told[copyKey{model: held.Name, adapter: adapter}] = true
+		}
+	}
+	f.index.update(s, f.holdings[peer.id])
+}
+
+// remove forgets a replica; the lock is held.
+func (f *Fleet) remove(id string) {
+	if s := f.servers[id]; s != nil {
+		f.index.remove(s)
+		delete(f.servers, id)
+	}
+	if peer := f.peers[id]; peer != nil {
 		peer.pool.close()
-		f.ring.Add(event.Event{Kind: event.ReplicaChanged, Host: e.Record.ID, Zone: e.Record.Zone, Reason: describe(e)})
+		delete(f.peers, id)
 	}
 }
 
@@ -129,47 +177,21 @@
 
 // SetHoldings takes in what the placing node knows beyond the replicas' words.
 func (f *Fleet) SetHoldings(h *wire.Holdings) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.holdings = map[copyKey]bool{}
+	next := map[string]copies{}
 	for _, held := range h.Copies {
-		f.holdings[copyKey{held.Replica, held.Model, held.Adapter}] = held.Leaving
-	}
-	f.rebuild()
-}
-
-// rebuild makes a new view; the lock is held.
-func (f *Fleet) rebuild() {
-	next := &view{services: map[string][]*candidate{}}
-	for i := range f.records {
-		e := &f.records[i]
-		if !e.Usable() {
-			continue
+		if next[held.Replica] == nil {
+			next[held.Replica] = copies{}
 		}
-		c := &candidate{peer: f.peers[e.Record.ID], zone: e.Record.Zone, holds: map[copyKey]bool{}}
-		for _, held := range e.Record.Models {
-			c.holds[copyKey{model: held.Name}] = true
-			for _, adapter := range held.Adapters {
-				c.holds[copyKey{model: held.Name, adapter: adapter}] = true
-			}
-		}
-		f.applyHoldings(c)
-		next.services[e.Record.Service] = append(next.services[e.Record.Service], c)
+		next[held.Replica][copyKey{model: held.Model, adapter: held.Adapter}] = held.Leaving
 	}
-	f.view.Store(next)
-}
-
-func (f *Fleet) applyHoldings(c *candidate) {
-	for key, leaving := range f.holdings {
-		if key.replica != c.peer.id {
-			continue
-		}
-		key.replica = ""
-		if leaving {
-			delete(c.holds, key)
-			continue
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.holdings
+	f.holdings = next
+	for id, s := range f.servers {
+		if !maps.Equal(before[id], next[id]) {
+			f.index.update(s, next[id])
 		}
-		c.holds[key] = true
 	}
 }
 
--- a/src/exchange/fleet_test.go
+++ b/src/exchange/fleet_test.go
@@ -19,7 +19,7 @@
 	for _, id := range ids {
 		entries = append(entries, registry.Entry{Record: registry.Record{ID: id, Service: "s", Zone: "z", Slots: 64, Models: []registry.Held{{Name: "m", Adapters: []string{"a1"}}}}})
 	}
-	f.SetReplicas(entries)
+	f.SetReplicas(registry.Changes{Entries: entries})
 	return f
 }
 
@@ -94,9 +94,9 @@
 	record := func(id string) registry.Record { r := base; r.ID = id; return r }
 	draining, gone := record("draining"), record("gone")
 	draining.Draining, gone.Gone = true, true
-	f.SetReplicas([]registry.Entry{
+	f.SetReplicas(registry.Changes{Entries: []registry.Entry{
 		{Record: draining}, {Record: gone},
 		{Record: record("silent"), Silent: true}, {Record: record("replaced"), Replaced: true}, {Record: record("sound")},
-	})
+	}})
 	is.Equal(picks(f, noon, Want{Service: "s"}), map[string]int{"sound": 50})
 }
--- a/src/exchange/handler_test.go
+++ b/src/exchange/handler_test.go
@@ -358,7 +358,7 @@
 	b := newBench(t, route(catalog.Unsafe, 1), a, c)
 	is.Equal(b.do("POST", "one", "x").status, 200)
 	record := registry.Record{ID: "a", Service: "s", Address: a.listener.Addr().String(), Zone: "z", Draining: true}
-	b.fleet.SetReplicas([]registry.Entry{{Record: record}, {Record: registry.Record{ID: "c", Service: "s", Address: c.listener.Addr().String(), Zone: "z"}}})
+	b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: record}, {Record: registry.Record{ID: "c", Service: "s", Address: c.listener.Addr().String(), Zone: "z"}}}})
 	before := a.count()
 	for i := range 20 {
 		is.Equal(b.do("POST", fmt.Sprint("n", i), "x").status, 200)
--- a/src/exchange/load.go
+++ b/src/exchange/load.go
@@ -46,10 +46,7 @@
 	p.mu.Lock()
 	p.parts.note(model, parts)
 	p.mu.Unlock()
-	select {
-	case f.sent <- struct{}{}:
-	default:
-	}
+	signal(f.sent)
 }
 
 // PromptSent delivers when a prompt has been sent since it last did.
--- a/src/exchange/start_test.go
+++ b/src/exchange/start_test.go
@@ -75,7 +75,7 @@
 	began := time.Now()
 	f := NewFleet("z", Dial, nil, func() time.Time { return began })
 	is.True(f.Gathering(began))
-	f.SetReplicas([]registry.Entry{{Record: registry.Record{ID: "a", Service: "s"}}})
+	f.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: "a", Service: "s"}}}})
 	is.True(f.Gathering(began.Add(gatherTime - 1)))
 	is.True(!f.Gathering(began.Add(gatherTime)))
 	c := &call{handler: &Handler{options: Options{Fleet: f}}, route: &catalog.Route{Target: time.Second}}
--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -23,8 +23,12 @@
 // testNode is a publisher behind a real listener.
 type testNode struct {
 	publisher *Publisher
-	server    *rpc.Server
-	net       *testNet
+	relay     *Relay
+	follower  *Follower
+	// cut keeps the node from reaching others.
+	cut    *fault.Cut
+	server *rpc.Server
+	net    *testNet
 	leads     atomic.Bool
 	// slow is how long the node takes to give a configuration.
 	slow  atomic.Int64
@@ -58,11 +62,18 @@
 	return nil
 }
 
+// newTestNet returns nodes that are all in availability zone z.
 func newTestNet(t *testing.T, count int) *testNet {
+	return newZonedNet(t, slices.Repeat([]string{"z"}, count)...)
+}
+
+// newZonedNet returns a node in each of the availability zones.
+func newZonedNet(t *testing.T, zones ...string) *testNet {
 	n := &testNet{t: t, clients: map[string]*rpc.Client{}}
-	for i := 0; i < count; i++ {
-		node := &testNode{net: n, changed: make(chan struct{})}
-		node.publisher = NewPublisher(string(rune('a'+i)), "z", times, Cluster{
+	count := len(zones)
+	for i, zone := range zones {
+		node := &testNode{net: n, changed: make(chan struct{}), cut: &fault.Cut{}}
+		cluster := Cluster{
 			Version: func() uint64 { return node.held().Version },
 			Document: func() wire.Document {
 				time.Sleep(time.Duration(node.slow.Load()))
@@ -77,7 +88,12 @@
 			Note: func(ctx context.Context, address string, record registry.Record) error {
 				return n.clients[address].Call(ctx, wire.MethodNote, wire.NoteRequest{Record: record}, nil)
 			},
-		}, time.Now)
+		}
+		name := string(rune('a' + i))
+		node.publisher = NewPublisher(name, zone, times, cluster, time.Now)
+		node.follower = NewFollower(Options{Node: name, Zone: zone}, Sink{Replicas: func(registry.Changes) {}}, &rpc.Meter{}, node.cut, nil, time.Now)
+		node.relay = NewRelay(name, zone, node.follower, cluster, time.Now)
+		node.publisher.SetRelay(node.relay)
 		mux := rpc.NewMux()
 		node.publisher.Register(mux)
 		mux.Handle(wire.MethodUsage, rpc.Typed(func(context.Context, *rpc.Peer, wire.Usage) (wire.Empty, error) {
@@ -93,6 +109,13 @@
 		n.clients[server.Address()] = rpc.NewClient(server.Address(), rpc.NewMux(), &rpc.Meter{}, nil, time.Second)
 		t.Cleanup(server.Close)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for _, node := range n.nodes {
+		go node.follower.Run(ctx)
+		go node.relay.Run(ctx)
+		node.follower.AddSeeds(n.addresses())
+	}
 	return n
 }
 
@@ -138,15 +161,29 @@
 type seen struct {
 	mu       sync.Mutex
 	versions []uint64
-	entries  []registry.Entry
+	entries  map[string]registry.Entry
 	gateways int
 	holdings *wire.Holdings
 }
 
+func (s *seen) take(changes registry.Changes) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries == nil {
+		s.entries = map[string]registry.Entry{}
+	}
+	for _, e := range changes.Entries {
+		s.entries[e.Record.ID] = e
+	}
+	for _, id := range changes.Removed {
+		delete(s.entries, id)
+	}
+}
+
 func (s *seen) sink() Sink {
 	return Sink{
 		Document: func(d wire.Document) { s.with(func() { s.versions = append(s.versions, d.Version) }) },
-		Replicas: func(e []registry.Entry) { s.with(func() { s.entries = e }) },
+		Replicas: s.take,
 		Holdings: func(h *wire.Holdings) { s.with(func() { s.holdings = h }) },
 		Gateways: func(n int) { s.with(func() { s.gateways = n }) },
 	}
@@ -161,12 +198,8 @@
 func (s *seen) usable(id string) (known, usable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.entries {
-		if s.entries[i].Record.ID == id {
-			return true, s.entries[i].Usable()
-		}
-	}
-	return false, false
+	e, known := s.entries[id]
+	return known, known && e.Usable()
 }
 
 func (n *testNet) follow(seeds ...string) *seen {
@@ -280,7 +313,7 @@
 func TestOnlyTheLeaderIsToldWhatRequestsAskFor(t *testing.T) {
 	is := is.New(t)
 	n := newTestNet(t, 3)
-	f := NewFollower(Options{Node: "g", Zone: "z", Gateway: true, Seeds: n.addresses()}, (&seen{}).sink(), &rpc.Meter{}, nil, nil, time.Now)
+	f := NewFollower(Options{Node: "a", Zone: "z", Seeds: n.addresses()}, (&seen{}).sink(), &rpc.Meter{}, nil, nil, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
@@ -385,7 +418,7 @@
 	n := newTestNet(t, 1)
 	p := n.nodes[0].publisher
 	var held atomic.Pointer[wire.Holdings]
-	sink := Sink{Replicas: func([]registry.Entry) {}, Holdings: func(h *wire.Holdings) { held.Store(h) }}
+	sink := Sink{Replicas: func(registry.Changes) {}, Holdings: func(h *wire.Holdings) { held.Store(h) }}
 	cut := &fault.Cut{}
 	f := NewFollower(Options{Node: "g", Gateway: true, Seeds: n.addresses()}, sink, &rpc.Meter{}, cut, nil, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -22,6 +21,9 @@
 	resubscribe = 150 * time.Millisecond
 	// resubscribeUrgent is that pause while no control node is in reach.
 	resubscribeUrgent = 20 * time.Millisecond
+	// resubscribeLongest is that pause for a node that was asked in vain many times,
+	// while others are in reach.
+	resubscribeLongest = 1200 * time.Millisecond
 	// callTimeout bounds each call to a control node.
 	callTimeout = time.Second
 	// farDelay lets a control node of the own availability zone come first when
@@ -37,10 +39,10 @@
 
 // Sink is what a follower does with the news; the functions are called one at a time.
 type Sink struct {
-	// Document takes in a newer configuration.
+	// Document takes in a newer configuration; nil if it is of no use here.
 	Document func(wire.Document)
-	// Replicas takes in the merged replicas.
-	Replicas func([]registry.Entry)
+	// Replicas takes in what changed of the merged replicas.
+	Replicas func(registry.Changes)
 	// Holdings takes in newer holdings; nil if they are of no use here.
 	Holdings func(*wire.Holdings)
 	// Gateways takes in the number of gateways; nil if it is of no use here.
@@ -57,7 +59,9 @@
 	Seeds   []string
 }
 
-// Follower follows every control node it learns of; it is safe for concurrent use.
+// Follower follows control nodes: a control node follows all others and itself, a
+// gateway one of its own availability zone as long as that is sound. It is safe for
+// concurrent use.
 type Follower struct {
 	options Options
 	sink    Sink
@@ -70,24 +74,16 @@
 	sources   map[string]*source
 	directory *registry.Directory
 	version   uint64
-	holdings  wire.Holdings
+	holdings  *wire.Holdings
 	fetching  bool
 	context   context.Context
-}
-
-// source is one control node that is followed.
-type source struct {
-	address string
-	client  *rpc.Client
-	zone    string
-	version uint64
-	live    bool
-	leading bool
-	lostAt  time.Time
-	// refusedAt is when it last gave no configuration.
-	refusedAt time.Time
-	// holdings are the whole holdings that it told of last.
-	holdings *wire.Holdings
+	// changed is closed when something is known that was not before.
+	changed chan struct{}
+	// check wakes Run when the choice of sources is to be looked at again.
+	check chan struct{}
+	// first is the best sound source, nil if there is none, and firstSince since when.
+	first      *source
+	firstSince time.Time
 }
 
 // NewFollower returns a follower of the control nodes that the seeds lead to.
@@ -101,6 +97,8 @@
 		now:       now,
 		sources:   map[string]*source{},
 		directory: registry.NewDirectory(forgetAfter),
+		changed:   make(chan struct{}),
+		check:     make(chan struct{}, 1),
 	}
 }
 
@@ -109,21 +107,43 @@
 	f.mu.Lock()
 	f.context = ctx
 	f.mu.Unlock()
-	f.follow(f.options.Seeds)
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
+	f.AddSeeds(f.options.Seeds)
+	timer := time.NewTimer(sweepEvery)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			f.sweep()
+		case <-timer.C:
+		case <-f.check:
 		}
+		timer.Reset(f.sweep())
 	}
 }
 
+// sweep looks for what time alone changes, and returns when to look again.
+func (f *Follower) sweep() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.directory.Sweep(now, trustLost, f.live() > 0)
+	f.tell()
+	f.reconsider(now)
+	return f.untilCheck(now)
+}
+
 // AddSeeds follows further addresses.
-func (f *Follower) AddSeeds(addresses []string) { f.follow(addresses) }
+func (f *Follower) AddSeeds(addresses []string) {
+	members := make([]wire.Member, 0, len(addresses))
+	for _, address := range addresses {
+		members = append(members, wire.Member{Address: address})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.add(members)
+	f.reconsider(f.now())
+	f.recheck()
+}
 
 // Live returns how many control nodes are in reach.
 func (f *Follower) Live() int {
@@ -145,93 +165,59 @@
 	return live
 }
 
-func (f *Follower) takeLoads(_ context.Context, _ *rpc.Peer, totals wire.LoadReport) (wire.Empty, error) {
-	if f.sink.Loads != nil {
-		f.sink.Loads(totals)
+// tell gives the sink what changed of the replicas; the lock is held.
+func (f *Follower) tell() {
+	if changes := f.directory.Changes(); !changes.Empty() {
+		f.sink.Replicas(changes)
+		f.wake()
 	}
-	return wire.Empty{}, nil
 }
 
-func (f *Follower) sweep() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	before := f.directory.Version()
-	f.directory.Sweep(f.now(), trustLost, f.live() > 0)
-	if f.directory.Version() != before {
-		f.sink.Replicas(f.directory.Entries())
-	}
-}
-
-// follow starts to follow the addresses that are not followed yet.
-func (f *Follower) follow(addresses []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, address := range addresses {
-		if f.sources[address] != nil {
-			continue
-		}
-		s := &source{address: address}
-		mux := rpc.NewMux()
-		mux.Handle(wire.MethodFeed, func(_ context.Context, _ *rpc.Peer, raw json.RawMessage) (any, error) {
-			var update wire.FeedUpdate
-			if err := json.Unmarshal(raw, &update); err != nil {
-				return nil, err
-			}
-			f.take(s, update)
-			return wire.Empty{}, nil
-		})
-		mux.Handle(wire.MethodLoadTotals, rpc.Typed(f.takeLoads))
-		s.client = rpc.NewClient(address, mux, f.meter, f.cut, feedSilence)
-		s.client.SetUrgent(f.alone)
-		f.sources[address] = s
-		go f.run(f.context, s)
-	}
+// wake says that there is news; the lock is held.
+func (f *Follower) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
 }
 
-// run keeps a stream to one control node.
-func (f *Follower) run(ctx context.Context, s *source) {
-	request := wire.FeedRequest{Node: f.options.Node, Zone: f.options.Zone, Gateway: f.options.Gateway}
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := s.client.Call(call, wire.MethodWatchFeed, request, nil)
-		cancel()
-		if err == nil {
-			select {
-			case <-s.client.Done():
-			case <-ctx.Done():
-				return
-			}
-			f.lose(s)
-		}
-		pause := resubscribe
-		if f.alone() {
-			pause = resubscribeUrgent
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-			return
-		}
+func (f *Follower) takeLoads(_ context.Context, _ *rpc.Peer, totals wire.LoadReport) (wire.Empty, error) {
+	if f.sink.Loads != nil {
+		f.sink.Loads(totals)
 	}
+	return wire.Empty{}, nil
 }
 
+// lose takes in that a source's stream has ended.
 func (f *Follower) lose(s *source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !s.live {
 		return
 	}
+	f.ring.Add(event.Event{Kind: event.ControlLost, Host: s.address, Zone: s.zone})
+	f.drop(s)
+	f.reconsider(f.now())
+	f.recheck()
+}
+
+// drop takes away what a source vouches for; the lock is held.
+func (f *Follower) drop(s *source) {
 	s.live = false
 	s.lostAt = f.now()
 	f.directory.Lose(f.now(), s.address)
-	f.ring.Add(event.Event{Kind: event.ControlLost, Host: s.address, Zone: s.zone})
-	f.sink.Replicas(f.directory.Entries())
+	f.tell()
+	f.wake()
 }
 
 func (f *Follower) take(s *source, update wire.FeedUpdate) {
-	f.follow(update.Members)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if s.stop == nil {
+		return
+	}
+	now := f.now()
+	f.add(update.Members)
+	settled := s.live && s.detached == update.Detached && update.Members == nil
+	changed := !settled || s.version != update.Version || s.leading != update.Leading || s.gateways != update.Gateways
 	if !s.live {
 		s.live = true
 		f.ring.Add(event.Event{Kind: event.ControlFound, Host: s.address, Zone: update.Zone})
@@ -240,21 +226,31 @@
 		s.zone = update.Zone
 		s.holdings = nil
 	}
+	s.heardAt = now
 	s.version = update.Version
 	s.leading = update.Leading
+	s.detached = update.Detached
+	s.gateways = update.Gateways
 	if len(update.Standings) > 0 {
-		f.directory.Take(f.now(), s.address, update.Standings)
-		f.sink.Replicas(f.directory.Entries())
+		f.directory.Take(now, s.address, update.Standings)
+		f.tell()
 	}
 	f.takeHoldings(s, update.Holdings)
-	if f.sink.Gateways != nil {
-		f.sink.Gateways(update.Gateways)
+	if f.sink.Gateways != nil && changed {
+		f.sink.Gateways(f.gateways(now))
+	}
+	if changed {
+		f.wake()
+	}
+	if !settled {
+		f.reconsider(now)
+		f.recheck()
 	}
 	f.fetch()
 }
 
 func (f *Follower) takeHoldings(s *source, h *wire.Holdings) {
-	if h == nil || f.sink.Holdings == nil {
+	if h == nil {
 		return
 	}
 	if h.Base != 0 {
@@ -268,9 +264,12 @@
 		h = whole
 	}
 	s.holdings = h
-	if h.Term < f.holdings.Term || h.Term == f.holdings.Term && h.Version <= f.holdings.Version {
+	if f.holdings != nil && (h.Term < f.holdings.Term || h.Term == f.holdings.Term && h.Version <= f.holdings.Version) {
 		return
 	}
-	f.holdings = *h
-	f.sink.Holdings(h)
+	f.holdings = h
+	f.wake()
+	if f.sink.Holdings != nil {
+		f.sink.Holdings(h)
+	}
 }
--- a/src/feed/notify.go
+++ b/src/feed/notify.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// NotifyNearest sends a notification to a control node of the own availability zone,
-// or to any if none of it is in reach; the same one as long as it can be reached.
+// NotifyNearest sends a notification to the best sound control node, or to any that is
+// in reach; the same one as long as it is sound.
 func (f *Follower) NotifyNearest(ctx context.Context, method string, params any) {
 	if client := f.nearestClient(); client != nil {
 		_ = client.Notify(ctx, method, params)
@@ -34,25 +34,15 @@
 func (f *Follower) nearestClient() *rpc.Client {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var best *source
-	for _, s := range f.sources {
-		if s.live && (best == nil || f.closer(s, best)) {
-			best = s
-		}
-	}
-	if best == nil {
-		return nil
+	if f.first != nil && f.first.live {
+		return f.first.client
 	}
-	return best.client
-}
-
-// closer reports whether a source goes before another: that of the own availability
-// zone, and among equals always the same.
-func (f *Follower) closer(a, b *source) bool {
-	if near := a.zone == f.options.Zone; near != (b.zone == f.options.Zone) {
-		return near
+	for _, s := range f.ranked() {
+		if s.live {
+			return s.client
+		}
 	}
-	return a.address < b.address
+	return nil
 }
 
 // leaders returns the nodes in reach that say that they lead, or all if none
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -43,7 +43,7 @@
 	Save func([]registry.Record) error
 }
 
-// Publisher holds what replicas told this node and streams it to subscribers;
+// Publisher holds what replicas told this node and streams it to the control nodes;
 // it is safe for concurrent use.
 type Publisher struct {
 	node    string
@@ -54,10 +54,9 @@
 	mu       sync.Mutex
 	table    *registry.Table
 	holdings *wire.Holdings
-	// delta is the difference that was sent last.
-	delta    *wire.Holdings
 	changed  chan struct{}
-	gateways map[string]int
+	// relay serves the gateways.
+	relay *Relay
 	// saving is held while the replicas are saved, from before they are read: a save
 	// must not put older ones in the place of newer ones.
 	saving sync.Mutex
@@ -83,11 +82,13 @@
 		now:      now,
 		table:    registry.NewTable(times),
 		changed:  make(chan struct{}),
-		gateways: map[string]int{},
 		spreadTo: map[string]leaving{},
 	}
 }
 
+// SetRelay sets what serves the gateways; it is called before the node serves.
+func (p *Publisher) SetRelay(relay *Relay) { p.relay = relay }
+
 // Register adds the publisher's methods to a mux.
 func (p *Publisher) Register(mux *rpc.Mux) {
 	mux.Handle(wire.MethodWatchFeed, rpc.Typed(p.watch))
@@ -191,13 +192,6 @@
 	return p.table.Len()
 }
 
-// Gateways returns the number of gateways that follow this node.
-func (p *Publisher) Gateways() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.gateways)
-}
-
 func (p *Publisher) document(context.Context, *rpc.Peer, wire.Empty) (wire.Document, error) {
 	return p.cluster.Document(), nil
 }
--- /dev/null
+++ b/src/feed/relay.go
@@ -0,0 +1,257 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// The relay's times.
+const (
+	// lagTime is how long a node may know that others have applied a newer
+	// configuration before it counts as detached: a change is committed and applied
+	// within some tens of ms.
+	lagTime = time.Second
+	// attachEvery is how often the relay looks whether its node is detached.
+	attachEvery = 250 * time.Millisecond
+)
+
+// Relay passes on to gateways what a control node's follower learns from all control
+// nodes, so that a gateway needs a single stream, from its own availability zone.
+// Gateways that were told the same are sent the same bytes. It is safe for concurrent
+// use.
+type Relay struct {
+	node     string
+	zone     string
+	follower *Follower
+	cluster  Cluster
+	now      func() time.Time
+	gateways atomic.Int64
+
+	mu      sync.Mutex
+	state   relayState
+	changed chan struct{}
+	// lagsSince is since when others are known to have a newer configuration.
+	lagsSince time.Time
+	deltas    holdingsDelta
+	// encoded are the updates that lead to the present state, by the round they lead from.
+	encoded map[uint64]json.RawMessage
+}
+
+// relayState is what gateways are told as of one round; it does not change.
+type relayState struct {
+	// round grows with each state; 0 stands for a gateway that was told nothing.
+	round    uint64
+	stamp    uint64
+	holdings *wire.Holdings
+	members  []wire.Member
+	version  uint64
+	gateways int
+	detached bool
+}
+
+// same reports whether a gateway learns nothing from another state.
+func (s *relayState) same(other *relayState) bool {
+	return s.stamp == other.stamp && s.holdings == other.holdings && s.version == other.version &&
+		s.gateways == other.gateways && s.detached == other.detached && slices.Equal(s.members, other.members)
+}
+
+// NewRelay returns a relay of what a follower knows, for a node in an availability zone.
+func NewRelay(node, zone string, follower *Follower, cluster Cluster, now func() time.Time) *Relay {
+	return &Relay{
+		node:     node,
+		zone:     zone,
+		follower: follower,
+		cluster:  cluster,
+		now:      now,
+		state:    relayState{round: 1},
+		changed:  make(chan struct{}),
+		encoded:  map[uint64]json.RawMessage{},
+	}
+}
+
+// Gateways returns the number of gateways that follow this node.
+func (r *Relay) Gateways() int { return int(r.gateways.Load()) }
+
+// Run joins news into rounds until the context ends.
+func (r *Relay) Run(ctx context.Context) {
+	ticker := time.NewTicker(attachEvery)
+	defer ticker.Stop()
+	for {
+		news, committed := r.follower.Changed(), r.cluster.Changed()
+		r.round(r.now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			continue
+		case <-news:
+		case <-committed:
+		}
+		time.Sleep(newsJoin)
+	}
+}
+
+// round takes in what is new and wakes the streams if there is anything.
+func (r *Relay) round(now time.Time) {
+	known := r.follower.Known()
+	next := relayState{
+		stamp:    known.Stamp,
+		holdings: known.Holdings,
+		members:  known.members(r.cluster.Members()),
+		version:  r.cluster.Version(),
+		gateways: known.Gateways,
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next.detached = known.Reach*2 <= len(next.members) || r.lags(now, next.version, known.Version)
+	if next.same(&r.state) {
+		return
+	}
+	next.round = r.state.round + 1
+	r.state = next
+	clear(r.encoded)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// lags reports whether others have had a newer configuration for too long; the lock is
+// held.
+func (r *Relay) lags(now time.Time, own, newest uint64) bool {
+	if own >= newest {
+		r.lagsSince = time.Time{}
+		return false
+	}
+	if r.lagsSince.IsZero() {
+		r.lagsSince = now
+	}
+	return now.Sub(r.lagsSince) > lagTime
+}
+
+// stream tells a gateway what is new until it is gone.
+func (r *Relay) stream(peer *rpc.Peer) {
+	r.gateways.Add(1)
+	defer r.gateways.Add(-1)
+	ticker := time.NewTicker(signEvery)
+	defer ticker.Stop()
+	var told relayState
+	for {
+		update, state, changed, err := r.next(told)
+		if err == nil {
+			err = peer.Notify(context.Background(), wire.MethodFeed, update)
+		}
+		if err != nil {
+			return
+		}
+		told = state
+		select {
+		case <-changed:
+		case <-ticker.C:
+		case <-peer.Done():
+			return
+		}
+	}
+}
+
+// next returns the encoded update for a gateway that was told a state, the state that
+// it leads to, and a channel that is closed when there is more.
+func (r *Relay) next(told relayState) (json.RawMessage, relayState, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	update := r.encoded[told.round]
+	if update == nil {
+		var err error
+		if update, err = json.Marshal(r.update(&told)); err != nil {
+			return nil, told, nil, err
+		}
+		r.encoded[told.round] = update
+	}
+	return update, r.state, r.changed, nil
+}
+
+// update returns what a gateway that was told a state does not know; the lock is held.
+func (r *Relay) update(told *relayState) wire.FeedUpdate {
+	s := &r.state
+	update := wire.FeedUpdate{Version: s.version, Gateways: s.gateways, Detached: s.detached}
+	if told.round == 0 {
+		update.Node, update.Zone, update.Full = r.node, r.zone, true
+	}
+	if !slices.Equal(told.members, s.members) {
+		update.Members = s.members
+	}
+	if told.stamp != s.stamp {
+		update.Standings = r.follower.Standings(told.stamp)
+	}
+	if told.holdings != s.holdings {
+		update.Holdings = r.deltas.since(told.holdings, s.holdings)
+	}
+	return update
+}
+
+// Known is what a follower knows, but for the replicas themselves.
+type Known struct {
+	// Stamp is that of the newest change of a replica.
+	Stamp    uint64
+	Holdings *wire.Holdings
+	// Version is the newest configuration that any control node in reach has applied.
+	Version uint64
+	// Reach is the number of control nodes in reach.
+	Reach int
+	// Gateways is the number of gateways that follow any control node.
+	Gateways int
+	// Zones are the control nodes' availability zones, as far as they are known.
+	Zones map[string]string
+}
+
+// members returns control nodes with what is known of their availability zones.
+func (k *Known) members(addresses []string) []wire.Member {
+	members := make([]wire.Member, 0, len(addresses))
+	for _, address := range addresses {
+		members = append(members, wire.Member{Address: address, Zone: k.Zones[address]})
+	}
+	return members
+}
+
+// Known returns what the follower knows now.
+func (f *Follower) Known() Known {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := Known{Stamp: f.directory.Stamp(), Holdings: f.holdings, Reach: f.live(), Gateways: f.gateways(f.now()), Zones: map[string]string{}}
+	for _, s := range f.sources {
+		if s.live {
+			known.Version = max(known.Version, s.version)
+		}
+		if s.zone != "" {
+			known.Zones[s.address] = s.zone
+		}
+	}
+	return known
+}
+
+// Gateways returns the number of gateways that follow any control node.
+func (f *Follower) Gateways() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gateways(f.now())
+}
+
+// Standings returns the replicas that have changed since a stamp.
+func (f *Follower) Standings(since uint64) []registry.Standing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Since(since)
+}
+
+// Changed returns a channel that is closed when something is known that was not before.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
--- /dev/null
+++ b/src/feed/relay_test.go
@@ -0,0 +1,168 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/fault"
+	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// gatewayIn follows from an availability zone; the cut keeps it from reaching nodes.
+func (n *testNet) gatewayIn(zone string, cut *fault.Cut) (*Follower, *seen) {
+	s := &seen{}
+	f := NewFollower(Options{Node: "g", Zone: zone, Gateway: true, Seeds: n.addresses()[:1]}, s.sink(), &rpc.Meter{}, cut, nil, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.t.Cleanup(cancel)
+	go f.Run(ctx)
+	return f, s
+}
+
+// subscribers returns how many gateways follow each node.
+func (n *testNet) subscribers() []int {
+	var counts []int
+	for _, node := range n.nodes {
+		counts = append(counts, node.relay.Gateways())
+	}
+	return counts
+}
+
+func (n *testNet) onlyFollows(index int) func() bool {
+	return func() bool {
+		for i, count := range n.subscribers() {
+			if i == index && count != 1 || i != index && count != 0 {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestAGatewayFollowsOneControlNodeOfItsZone: what it costs does not grow with the
+// number of control nodes, and news crosses to its zone once.
+func TestAGatewayFollowsOneControlNodeOfItsZone(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	_, s := n.gatewayIn("z", nil)
+	eventually(t, "only the node of its zone is followed", n.onlyFollows(2))
+	n.nodes[0].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 1})
+	eventually(t, "what another node was told is known", func() bool { _, usable := s.usable("r"); return usable })
+	eventually(t, "all gateways are counted", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.gateways == 1
+	})
+}
+
+// TestAFrozenControlNodeIsReplaced while it says nothing, and followed again when it is sound.
+func TestAFrozenControlNodeIsReplaced(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	cut := &fault.Cut{}
+	f, s := n.gatewayIn("z", cut)
+	eventually(t, "the node of its zone is followed", n.onlyFollows(2))
+	cut.Set([]string{n.nodes[2].server.Address()})
+	eventually(t, "another one is followed as well", func() bool { return n.subscribers()[0]+n.subscribers()[1] > 0 })
+	n.nodes[1].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 1})
+	eventually(t, "news arrives", func() bool { _, usable := s.usable("r"); return usable })
+	cut.Set(nil)
+	eventually(t, "only the node of its zone is followed again", n.onlyFollows(2))
+	eventually(t, "that one is in reach", func() bool { return f.Live() == 1 })
+	_, usable := s.usable("r")
+	if !usable {
+		t.Error("what the other node told is forgotten")
+	}
+}
+
+// TestAControlNodeThatIsCutOffIsNotTheOnlyOne: a gateway that reaches its zone's node,
+// but not through it the others, follows another one beside it.
+func TestAControlNodeThatIsCutOffIsNotTheOnlyOne(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	_, s := n.gatewayIn("z", nil)
+	eventually(t, "the node of its zone is followed", n.onlyFollows(2))
+	n.nodes[2].cut.Set([]string{n.nodes[0].server.Address(), n.nodes[1].server.Address()})
+	n.nodes[0].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 1})
+	eventually(t, "news of the others arrives", func() bool { _, usable := s.usable("r"); return usable })
+	n.nodes[2].publisher.Hear(context.Background(), registry.Record{ID: "q", Sequence: 1})
+	eventually(t, "news of the own zone arrives", func() bool { _, usable := s.usable("q"); return usable })
+	n.nodes[2].cut.Set(nil)
+	eventually(t, "only the node of its zone is followed again", n.onlyFollows(2))
+}
+
+// TestAZoneThatIsCutOffGoesOn: a gateway that reaches only its own zone's node keeps to it.
+func TestAZoneThatIsCutOffGoesOn(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	others := []string{n.nodes[0].server.Address(), n.nodes[1].server.Address()}
+	cut := &fault.Cut{}
+	f, s := n.gatewayIn("z", cut)
+	eventually(t, "the node of its zone is followed", n.onlyFollows(2))
+	n.nodes[2].cut.Set(others)
+	cut.Set(others)
+	n.nodes[2].publisher.Hear(context.Background(), registry.Record{ID: "q", Sequence: 1})
+	eventually(t, "news of the own zone arrives", func() bool { _, usable := s.usable("q"); return usable })
+	if f.Live() != 1 {
+		t.Error("the own zone's node is in reach")
+	}
+}
+
+// TestAControlNodeThatLagsIsNotTheOnlyOne: a configuration that others have applied comes
+// into force although the own zone's node does not get it.
+func TestAControlNodeThatLagsIsNotTheOnlyOne(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	_, s := n.gatewayIn("z", nil)
+	eventually(t, "the node of its zone is followed", n.onlyFollows(2))
+	n.nodes[0].put(4, "four")
+	n.nodes[1].put(4, "four")
+	eventually(t, "version 4 is in force", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.versions) == 1 && s.versions[0] == 4
+	})
+}
+
+// TestTwoControlNodesThatDisagree: that a replica leaves counts, whoever says so.
+func TestTwoControlNodesThatDisagree(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	for _, node := range n.nodes {
+		node.publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 1})
+	}
+	_, s := n.gatewayIn("z", nil)
+	eventually(t, "the replica is known", func() bool { _, usable := s.usable("r"); return usable })
+	n.nodes[2].cut.Set([]string{n.nodes[0].server.Address(), n.nodes[1].server.Address()})
+	eventually(t, "another node is followed as well", func() bool { return n.subscribers()[0]+n.subscribers()[1] > 0 })
+	n.nodes[0].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 2, Draining: true})
+	eventually(t, "the replica leaves", func() bool { _, usable := s.usable("r"); return !usable })
+	n.nodes[2].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 1})
+	time.Sleep(3 * newsJoin)
+	if _, usable := s.usable("r"); usable {
+		t.Error("that it leaves was taken back")
+	}
+}
+
+// TestGatewaysThatWereToldTheSameAreSentTheSame bytes: a change is encoded once.
+func TestGatewaysThatWereToldTheSameAreSentTheSame(t *testing.T) {
+	is := is.New(t)
+	n := newTestNet(t, 1)
+	r := n.nodes[0].relay
+	first, state, _, err := r.next(relayState{})
+	is.NoErr(err)
+	again, _, _, err := r.next(relayState{})
+	is.NoErr(err)
+	is.True(&first[0] == &again[0])
+	var update wire.FeedUpdate
+	is.NoErr(json.Unmarshal(first, &update))
+	is.True(update.Full)
+	n.nodes[0].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 1, InMemory: []string{"m"}})
+	eventually(t, "there is a newer state", func() bool {
+		next, _, _, _ := r.next(state)
+		update = wire.FeedUpdate{}
+		_ = json.Unmarshal(next, &update)
+		return len(update.Standings) == 1
+	})
+	is.True(!update.Full)
+	is.Equal(len(update.Standings[0].Record.InMemory), 0) // only placing needs it
+}
--- /dev/null
+++ b/src/feed/source.go
@@ -0,0 +1,264 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"sort"
+	"time"
+
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// The times of a gateway's choice among control nodes.
+const (
+	// unsoundAfter is after how long without a sign another control node is followed
+	// beside a silent one: two signs of 400 ms have been missed then.
+	unsoundAfter = 900 * time.Millisecond
+	// settleTime is how long a better control node must have been sound before a
+	// worse one is left.
+	settleTime = time.Second
+	// gatewaysCount is how long the gateways of a lost control node count on: they
+	// follow another one soon, and a retry budget must not be shared among too few.
+	gatewaysCount = 10 * time.Second
+	// gatewaySilence is feedSilence for a gateway, which has another control node long
+	// before.
+	gatewaySilence = 1500 * time.Millisecond
+	// soonestCheck bounds how often the choice is looked at by time alone.
+	soonestCheck = 10 * time.Millisecond
+)
+
+// source is one control node that may be followed.
+type source struct {
+	address string
+	client  *rpc.Client
+	// zone is "" until it is known.
+	zone string
+	// rank orders the sources of one kind, differently for each follower.
+	rank uint64
+	// stop ends the following; nil while the node is not followed.
+	stop     context.CancelFunc
+	version  uint64
+	live     bool
+	leading  bool
+	detached bool
+	// gateways is how many gateways follow the node, as it says.
+	gateways int
+	heardAt  time.Time
+	lostAt   time.Time
+	// refusedAt is when it last gave no configuration.
+	refusedAt time.Time
+	// holdings are the whole holdings that it told of last.
+	holdings *wire.Holdings
+}
+
+// sound reports whether a gateway needs no other control node beside this one.
+func (s *source) sound(now time.Time) bool {
+	return s.live && !s.detached && now.Sub(s.heardAt) < unsoundAfter
+}
+
+// add takes in control nodes that may be followed; the lock is held.
+func (f *Follower) add(members []wire.Member) {
+	for _, member := range members {
+		s := f.sources[member.Address]
+		if s == nil {
+			s = &source{address: member.Address, rank: rankOf(f.options.Node, member.Address)}
+			s.client = f.clientOf(s)
+			f.sources[member.Address] = s
+		}
+		if s.zone == "" {
+			s.zone = member.Zone
+		}
+	}
+}
+
+// rankOf spreads the gateways over the control nodes of a zone.
+func rankOf(node, address string) uint64 {
+	h := fnv.New64a()
+	// A hash takes every byte.
+	_, _ = h.Write([]byte(node + " " + address))
+	return h.Sum64()
+}
+
+func (f *Follower) clientOf(s *source) *rpc.Client {
+	mux := rpc.NewMux()
+	mux.Handle(wire.MethodFeed, func(_ context.Context, _ *rpc.Peer, raw json.RawMessage) (any, error) {
+		var update wire.FeedUpdate
+		if err := json.Unmarshal(raw, &update); err != nil {
+			return nil, err
+		}
+		f.take(s, update)
+		return wire.Empty{}, nil
+	})
+	mux.Handle(wire.MethodLoadTotals, rpc.Typed(f.takeLoads))
+	silence := feedSilence
+	if f.options.Gateway {
+		silence = gatewaySilence
+	}
+	client := rpc.NewClient(s.address, mux, f.meter, f.cut, silence)
+	client.SetUrgent(f.alone)
+	return client
+}
+
+// ranked returns the sources, best first: those of the own availability zone, those
+// whose zone is not known yet, the others.
+func (f *Follower) ranked() []*source {
+	all := make([]*source, 0, len(f.sources))
+	for _, s := range f.sources {
+		all = append(all, s)
+	}
+	sort.Slice(all, func(i, j int) bool { return f.before(all[i], all[j]) })
+	return all
+}
+
+// before reports whether a source goes before another.
+func (f *Follower) before(a, b *source) bool {
+	if x, y := f.distance(a), f.distance(b); x != y {
+		return x < y
+	}
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	return a.address < b.address
+}
+
+func (f *Follower) distance(s *source) int {
+	switch s.zone {
+	case f.options.Zone:
+		return 0
+	case "":
+		return 1
+	}
+	return 2
+}
+
+// reconsider begins to follow what is needed and leaves what no longer is. A control
+// node follows all. A gateway follows the best sound one, and those that are better
+// but not sound; it leaves the worse ones once the best has been sound for a while.
+// The lock is held.
+func (f *Follower) reconsider(now time.Time) {
+	if f.context == nil || f.context.Err() != nil {
+		return
+	}
+	ranked := f.ranked()
+	f.noteFirst(now, ranked)
+	found := false
+	for _, s := range ranked {
+		switch {
+		case !f.options.Gateway || !found:
+			f.start(s)
+		case now.Sub(f.firstSince) >= settleTime:
+			f.leave(s)
+		}
+		found = found || s.sound(now)
+	}
+}
+
+// noteFirst notes which source is the best sound one, and since when; the lock is held.
+func (f *Follower) noteFirst(now time.Time, ranked []*source) {
+	var first *source
+	for _, s := range ranked {
+		if s.sound(now) {
+			first = s
+			break
+		}
+	}
+	if first != f.first {
+		f.first, f.firstSince = first, now
+	}
+}
+
+// recheck lets Run work out anew when to look next.
+func (f *Follower) recheck() {
+	select {
+	case f.check <- struct{}{}:
+	default:
+	}
+}
+
+// untilCheck returns how long nothing changes by time alone; the lock is held.
+func (f *Follower) untilCheck(now time.Time) time.Duration {
+	if !f.options.Gateway || f.first == nil {
+		return sweepEvery
+	}
+	next := f.first.heardAt.Add(unsoundAfter)
+	if settled := f.firstSince.Add(settleTime); settled.After(now) && settled.Before(next) {
+		next = settled
+	}
+	return max(next.Sub(now), soonestCheck)
+}
+
+// start begins to follow a source; the lock is held.
+func (f *Follower) start(s *source) {
+	if s.stop != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(f.context)
+	s.stop = cancel
+	go f.run(ctx, s)
+}
+
+// leave ends the following of a source; the lock is held.
+func (f *Follower) leave(s *source) {
+	if s.stop == nil {
+		return
+	}
+	s.stop()
+	s.stop = nil
+	s.client.Disconnect()
+	if s.live {
+		f.drop(s)
+	}
+}
+
+// run keeps a stream to one control node until the context ends.
+func (f *Follower) run(ctx context.Context, s *source) {
+	request := wire.FeedRequest{Node: f.options.Node, Zone: f.options.Zone, Gateway: f.options.Gateway}
+	for failures := 0; ctx.Err() == nil; failures++ {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := s.client.Call(call, wire.MethodWatchFeed, request, nil)
+		cancel()
+		if err == nil {
+			failures = 0
+			select {
+			case <-s.client.Done():
+			case <-ctx.Done():
+				return
+			}
+			f.lose(s)
+		}
+		select {
+		case <-time.After(f.resubscribePause(failures)):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// resubscribePause is the pause before a stream is asked for again, after so many
+// failures in a row.
+func (f *Follower) resubscribePause(failures int) time.Duration {
+	if f.alone() {
+		return resubscribeUrgent
+	}
+	return min(resubscribe<<min(failures, 8), resubscribeLongest)
+}
+
+// gateways returns how many gateways there are. A gateway's sources say the number of
+// all; what control nodes say of themselves adds up. The lock is held.
+func (f *Follower) gateways(now time.Time) int {
+	most, sum := 0, 0
+	for _, s := range f.sources {
+		if s.live {
+			most = max(most, s.gateways)
+		}
+		if s.live || now.Sub(s.lostAt) < gatewaysCount {
+			sum += s.gateways
+		}
+	}
+	if f.options.Gateway {
+		return most
+	}
+	return sum
+}
--- a/src/feed/stream.go
+++ b/src/feed/stream.go
@@ -9,19 +9,24 @@
 	"github.com/moorspool/moorspool/src/wire"
 )
 
+// newsJoin is how long news waits for more before it leaves: replicas call and are
+// ordered in clumps, and each message costs a wake-up on either side.
+const newsJoin = 15 * time.Millisecond
+
 func (p *Publisher) watch(_ context.Context, peer *rpc.Peer, request wire.FeedRequest) (wire.Empty, error) {
 	if peer == nil {
 		return wire.Empty{}, rpc.ErrUnreachable
 	}
-	go p.stream(peer, request)
+	if request.Gateway {
+		go p.relay.stream(peer)
+		return wire.Empty{}, nil
+	}
+	go p.stream(peer)
 	return wire.Empty{}, nil
 }
 
-func (p *Publisher) stream(peer *rpc.Peer, request wire.FeedRequest) {
-	if request.Gateway {
-		p.count(request.Node, 1)
-		defer p.count(request.Node, -1)
-	}
+// stream tells another control node what is new until it is gone.
+func (p *Publisher) stream(peer *rpc.Peer) {
 	ticker := time.NewTicker(signEvery)
 	defer ticker.Stop()
 	stream := feedStream{publisher: p, first: true}
@@ -35,41 +40,40 @@
 		case <-changed:
 		case <-committed:
 		case <-ticker.C:
+			continue
 		case <-peer.Done():
 			return
 		}
+		time.Sleep(newsJoin)
 	}
 }
 
-func (p *Publisher) count(node string, by int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.gateways[node] += by
-	if p.gateways[node] <= 0 {
-		delete(p.gateways, node)
-	}
+// holdingsDelta makes the differences between holdings. Most subscribers were told the
+// same before, so the latest difference is kept.
+type holdingsDelta struct {
+	delta *wire.Holdings
 }
 
-// holdingsSince returns the holdings for a subscriber that was told some before:
-// what changed, if they are of the same term. Most subscribers were told the same,
-// so the latest difference is kept. The lock is held.
-func (p *Publisher) holdingsSince(told *wire.Holdings) *wire.Holdings {
-	if told == nil || p.holdings == nil || told.Term != p.holdings.Term {
-		return p.holdings
+// since returns holdings for a subscriber that was told some before: what changed, if
+// they are of the same term.
+func (d *holdingsDelta) since(told, now *wire.Holdings) *wire.Holdings {
+	if told == nil || now == nil || told.Term != now.Term {
+		return now
 	}
-	if p.delta == nil || p.delta.Base != told.Version || p.delta.Version != p.holdings.Version || p.delta.Term != told.Term {
-		p.delta = p.holdings.Since(told)
+	if d.delta == nil || d.delta.Base != told.Version || d.delta.Version != now.Version || d.delta.Term != told.Term {
+		d.delta = now.Since(told)
 	}
-	return p.delta
+	return d.delta
 }
 
-// feedStream is what one subscriber was told already.
+// feedStream is what one control node was told already.
 type feedStream struct {
 	publisher *Publisher
 	first     bool
 	stamp     uint64
 	holdings  *wire.Holdings
 	members   []string
+	deltas    holdingsDelta
 }
 
 // next returns what the subscriber does not know yet, and a channel that is
@@ -82,18 +86,26 @@
 	}
 	if members := p.cluster.Members(); s.first || !slices.Equal(members, s.members) {
 		s.members = members
-		update.Members = members
+		update.Members = asMembers(members)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	update.Full = s.first
 	update.Standings = p.table.Since(s.stamp)
-	update.Gateways = len(p.gateways)
+	update.Gateways = p.relay.Gateways()
 	if s.holdings != p.holdings {
-		update.Holdings = p.holdingsSince(s.holdings)
+		update.Holdings = s.deltas.since(s.holdings, p.holdings)
 	}
 	s.first = false
 	s.stamp = p.table.Stamp()
 	s.holdings = p.holdings
 	return update, p.changed
 }
+
+func asMembers(addresses []string) []wire.Member {
+	members := make([]wire.Member, 0, len(addresses))
+	for _, address := range addresses {
+		members = append(members, wire.Member{Address: address})
+	}
+	return members
+}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -65,7 +65,9 @@
 	node      *control.Node
 	cluster   *control.Cluster
 	publisher *feed.Publisher
+	relay     *feed.Relay
 	follower  *feed.Follower
+	usage     *exchange.Demand
 	tables    tables
 	placer    *placer.Placer
 	board     *loadview.Board
@@ -165,7 +167,7 @@
 	c.cluster = control.NewCluster(c.node, c.links, options, c.proc.Ring(), time.Now)
 	c.cluster.Register(c.proc.Mux())
 	times := registry.Times{Silence: silentBeats * c.settings.Heartbeat.Std(), Forget: forgetReplicas}
-	c.publisher = feed.NewPublisher(c.settings.Node, c.settings.Zone, times, feed.Cluster{
+	cluster := feed.Cluster{
 		Version:  c.cluster.Version,
 		Document: c.cluster.Document,
 		Changed:  c.cluster.Changed,
@@ -175,7 +177,8 @@
 		Leading:  func() bool { return c.cluster.Leadership().Self },
 		Note:     c.noteTo,
 		Save:     c.saveReplicas(folder.Replicas()),
-	}, time.Now)
+	}
+	c.publisher = feed.NewPublisher(c.settings.Node, c.settings.Zone, times, cluster, time.Now)
 	c.recall(folder.Replicas())
 	c.publisher.Register(c.proc.Mux())
 	c.tables = tables{decode: c.speak.Decode}
@@ -189,7 +192,10 @@
 		Ring:    c.proc.Ring(),
 		Now:     time.Now,
 	})
-	c.proc.Mux().Handle(wire.MethodUsage, rpc.Typed(c.usage))
+	c.usage = exchange.NewDemand()
+	c.proc.Mux().Handle(wire.MethodUsage, rpc.Typed(c.takeUsage))
+	c.proc.Mux().Handle(wire.MethodUsageSum, rpc.Typed(c.takeUsageSum))
+	c.buildFollower(cluster)
 	c.board = loadview.NewBoard()
 	c.proc.Mux().Handle(wire.MethodLoad, rpc.Typed(c.load))
 	c.proc.Mux().Handle(wire.MethodLoadSum, rpc.Typed(c.loadSum))
@@ -201,11 +207,6 @@
 	return placer.Leading{Self: lead.Self, Token: lead.Term, Since: lead.Since}
 }
 
-func (c *controlNode) usage(_ context.Context, _ *rpc.Peer, usage wire.Usage) (wire.Empty, error) {
-	c.placer.TakeUsage(usage)
-	return wire.Empty{}, nil
-}
-
 // orderClient returns the client for orders: few connections, kept a while.
 func orderClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
@@ -234,7 +235,9 @@
 	go c.publisher.Run(ctx)
 	go c.placer.Run(ctx)
 	go c.shareLoad(ctx)
-	c.follow(ctx)
+	go c.passUsage(ctx)
+	go c.relay.Run(ctx)
+	go c.follower.Run(ctx)
 	calls, err := listen(c.settings.Calls, c.speak.Calls(c.calls()))
 	if err != nil {
 		return err
@@ -256,12 +259,14 @@
 	}
 }
 
-// follow learns what all control nodes were told, this one included.
-func (c *controlNode) follow(ctx context.Context) {
+// buildFollower makes what learns what all control nodes were told, this one included,
+// and what passes that on to gateways.
+func (c *controlNode) buildFollower(cluster feed.Cluster) {
 	options := feed.Options{Node: c.settings.Node, Zone: c.settings.Zone, Seeds: c.settings.SeedPeers()}
 	sink := feed.Sink{Replicas: c.placer.SetReplicas}
 	c.follower = feed.NewFollower(options, sink, c.proc.Meter(), nil, c.proc.Ring(), time.Now)
-	go c.follower.Run(ctx)
+	c.relay = feed.NewRelay(c.settings.Node, c.settings.Zone, c.follower, cluster, time.Now)
+	c.publisher.SetRelay(c.relay)
 }
 
 func (c *controlNode) calls() Calls {
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -33,8 +33,6 @@
 	stopMargin = 500 * time.Millisecond
 	// demandEvery is how often demand is reported.
 	demandEvery = 500 * time.Millisecond
-	// demandOthersEvery is how often those that do not lead are told.
-	demandOthersEvery = 2 * time.Second
 	// demandSoon bounds how often demand for missing copies is reported.
 	demandSoon = 20 * time.Millisecond
 	// tidyEvery is how often idle connections are looked through.
@@ -136,9 +134,9 @@
 	options := feed.Options{Node: g.settings.Node, Zone: g.settings.Zone, Gateway: true, Seeds: g.settings.SeedPeers()}
 	sink := feed.Sink{
 		Document: g.setDocument,
-		Replicas: func(entries []registry.Entry) {
-			g.fleet.SetReplicas(entries)
-			if len(entries) > 0 {
+		Replicas: func(changes registry.Changes) {
+			g.fleet.SetReplicas(changes)
+			if len(changes.Entries) > 0 {
 				g.replicas.Store(true)
 			}
 		},
@@ -165,31 +163,25 @@
 	return !g.stopping.Load() && g.handler.Table() != nil && g.replicas.Load()
 }
 
-// report tells the leading control node what requests ask for: now and then, and
-// at once when a copy is missing. The others learn of it more rarely, so that the
-// next leader does not begin with nothing.
+// report tells the control node that this gateway follows what requests ask for: now and
+// then while there are any, and at once when a copy is missing.
 func (g *gateway) report(ctx context.Context) {
-	var kept exchange.DemandSum
-	othersAt := time.Now()
 	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.demand.Asked():
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(demandEvery):
 		case <-g.demand.Urgent():
+			time.Sleep(demandSoon)
 		}
-		models := g.demand.Drain()
-		if len(models) > 0 {
-			g.follower.NotifyLeader(ctx, wire.MethodUsage, wire.Usage{Node: g.settings.Node, Models: models})
-			kept.Add(models)
-		}
-		if now := time.Now(); now.Sub(othersAt) >= demandOthersEvery {
-			othersAt = now
-			if models := kept.Drain(); len(models) > 0 {
-				g.follower.NotifyOthers(ctx, wire.MethodUsage, wire.Usage{Node: g.settings.Node, Models: models})
-			}
+		if models := g.demand.Drain(); len(models) > 0 {
+			g.follower.NotifyNearest(ctx, wire.MethodUsage, wire.Usage{Node: g.settings.Node, Models: models})
 		}
-		time.Sleep(demandSoon)
 	}
 }
 
--- a/src/fleet/share.go
+++ b/src/fleet/share.go
@@ -46,7 +46,7 @@
 				go c.tellSum(ctx, address, sum)
 			}
 		}
-		time.Sleep(loadview.Pause(c.publisher.Gateways(), c.publisher.Replicas()))
+		time.Sleep(loadview.Pause(c.follower.Gateways(), c.publisher.Replicas()))
 	}
 }
 
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -107,39 +107,39 @@
 	}
 }
 
-// SetReplicas takes in the replicas as the control nodes see them.
-func (p *Placer) SetReplicas(entries []registry.Entry) {
+// SetReplicas takes in what changed of the replicas as the control nodes see them.
+func (p *Placer) SetReplicas(changes registry.Changes) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
-	present := map[string]bool{}
-	for i := range entries {
-		e := &entries[i]
-		present[e.Record.ID] = true
-		u := p.units[e.Record.ID]
-		if u == nil {
-			u = newUnit(e.Record)
-			p.units[e.Record.ID] = u
-			p.newest = now
-			if p.eldest.IsZero() {
-				p.eldest = now
-			}
-		}
-		u.record = e.Record
-		u.usable = e.Usable()
-		if e.Record.Sequence > u.beat {
-			u.beat = e.Record.Sequence
-			u.reconcile(now, e.Record.Models, false)
-		}
+	for i := range changes.Entries {
+		p.takeEntry(now, &changes.Entries[i])
 	}
-	for id := range p.units {
-		if !present[id] {
-			delete(p.units, id)
-		}
+	for _, id := range changes.Removed {
+		delete(p.units, id)
 	}
 	p.notify()
 }
 
+// takeEntry takes in one replica; the lock is held.
+func (p *Placer) takeEntry(now time.Time, e *registry.Entry) {
+	u := p.units[e.Record.ID]
+	if u == nil {
+		u = newUnit(e.Record)
+		p.units[e.Record.ID] = u
+		p.newest = now
+		if p.eldest.IsZero() {
+			p.eldest = now
+		}
+	}
+	u.record = e.Record
+	u.usable = e.Usable()
+	if e.Record.Sequence > u.beat {
+		u.beat = e.Record.Sequence
+		u.reconcile(now, e.Record.Models, false)
+	}
+}
+
 // TakeUsage takes in what a gateway's requests ask for.
 func (p *Placer) TakeUsage(usage wire.Usage) {
 	p.mu.Lock()
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -334,13 +334,20 @@
 }
 
 func (w *world) tell() {
-	var all []registry.Entry
+	var changes registry.Changes
+	present := map[string]bool{}
 	for _, f := range w.replicas {
 		if e, found := w.entries[f.id]; found {
-			all = append(all, e)
+			changes.Entries = append(changes.Entries, e)
+			present[f.id] = true
 		}
 	}
-	w.placer.SetReplicas(all)
+	for id := range w.placer.units {
+		if !present[id] {
+			changes.Removed = append(changes.Removed, id)
+		}
+	}
+	w.placer.SetReplicas(changes)
 }
 
 // run lets time pass in small steps; every replica beats each second.
--- a/src/registry/directory.go
+++ b/src/registry/directory.go
@@ -16,6 +16,18 @@
 	FirstSeen time.Time
 }
 
+// Changes are the replicas that are not as they were told of before.
+type Changes struct {
+	// Entries are the replicas that are new or have changed, in the order in which
+	// they were learned of.
+	Entries []Entry
+	// Removed are the IDs of replicas that are forgotten.
+	Removed []string
+}
+
+// Empty reports whether there is nothing to tell.
+func (c *Changes) Empty() bool { return len(c.Entries) == 0 && len(c.Removed) == 0 }
+
 // Usable reports whether the replica may get new requests.
 func (e *Entry) Usable() bool {
 	return !e.Record.Leaving() && !e.Silent && !e.Replaced
@@ -30,57 +42,106 @@
 	firstSeen time.Time
 	order     uint64
 	unseenAt  time.Time
+	// stamp is that of the last change that matters to requests.
+	stamp uint64
+	// silence is what silent said at that change.
+	silence bool
 }
 
-// Directory merges what several nodes tell. It is not safe for concurrent use.
+// Directory merges what several nodes tell. Every change that matters to requests gets
+// a stamp that grows, so that gateways can be told of it. It is not safe for concurrent
+// use.
 type Directory struct {
 	forget  time.Duration
 	entries map[string]*entry
 	order   uint64
-	version uint64
+	stamp   uint64
+	// changed and removed are the IDs of the replicas that Changes has not returned.
+	changed map[string]bool
+	removed []string
 }
 
 // NewDirectory returns an empty directory; forget is how long a replica that no
 // node mentions or that is gone is remembered.
 func NewDirectory(forget time.Duration) *Directory {
-	return &Directory{forget: forget, entries: map[string]*entry{}}
+	return &Directory{forget: forget, entries: map[string]*entry{}, changed: map[string]bool{}}
 }
 
-// Version returns a number that grows with every change.
-func (d *Directory) Version() uint64 { return d.version }
+// Stamp returns the stamp of the newest change that matters to requests.
+func (d *Directory) Stamp() uint64 { return d.stamp }
 
 // Take merges standings that a source told.
 func (d *Directory) Take(now time.Time, source string, standings []Standing) {
 	for i := range standings {
 		d.take(now, source, standings[i])
 	}
-	if len(standings) > 0 {
-		d.version++
-	}
 }
 
 func (d *Directory) take(now time.Time, source string, s Standing) {
 	known := d.entries[s.Record.ID]
 	if known == nil {
-		d.order++
-		known = &entry{record: s.Record, views: map[string]bool{}, doubtful: s.doubtful(), firstSeen: now, order: d.order}
-		d.entries[s.Record.ID] = known
-		d.replaceOlder(known)
-	} else if s.Record.Sequence > known.record.Sequence {
+		known = d.add(now, s)
+	} else {
+		d.merge(known, s)
+	}
+	known.views[source] = s.Silent
+	known.unseenAt = now
+	if known.doubtful && !s.doubtful() {
+		known.doubtful = false
+		d.mark(known)
+	}
+	d.markSilence(known)
+}
+
+// add takes in a replica that was not known.
+func (d *Directory) add(now time.Time, s Standing) *entry {
+	d.order++
+	added := &entry{record: s.Record, views: map[string]bool{}, replaced: s.Replaced, doubtful: s.doubtful(), firstSeen: now, order: d.order}
+	d.entries[s.Record.ID] = added
+	d.replaceOlder(added)
+	d.mark(added)
+	return added
+}
+
+// merge takes in a source's word on a replica that is known.
+func (d *Directory) merge(known *entry, s Standing) {
+	before, replaced := known.record, known.replaced
+	if s.Record.Sequence > known.record.Sequence {
 		known.record.supersede(s.Record)
 	} else {
 		known.record.Draining = known.record.Draining || s.Record.Draining
 		known.record.Gone = known.record.Gone || s.Record.Gone
 	}
-	known.views[source] = s.Silent
-	known.doubtful = known.doubtful && s.doubtful()
-	known.unseenAt = now
+	known.replaced = known.replaced || s.Replaced
+	switch {
+	case replaced != known.replaced || !sameForRequests(&before, &known.record):
+		d.mark(known)
+	case before.Sequence != known.record.Sequence:
+		d.changed[known.record.ID] = true
+	}
+}
+
+func (d *Directory) mark(e *entry) {
+	d.stamp++
+	e.stamp = d.stamp
+	d.changed[e.record.ID] = true
+}
+
+// markSilence marks a replica that has fallen silent or is heard again.
+func (d *Directory) markSilence(e *entry) {
+	if silent := e.silent(); silent != e.silence {
+		e.silence = silent
+		d.mark(e)
+	}
 }
 
 // replaceOlder marks earlier incarnations at the same address: an address belongs
 // to the one that appeared last. One that no source is sure of does not take the
 // address from one that was heard of: it is the older one, told of later.
 func (d *Directory) replaceOlder(latest *entry) {
+	if latest.replaced {
+		return
+	}
 	for _, other := range d.entries {
 		if other == latest || other.record.Address != latest.record.Address {
 			continue
@@ -89,7 +150,10 @@
 			latest.replaced = true
 			continue
 		}
-		other.replaced = true
+		if !other.replaced {
+			other.replaced = true
+			d.mark(other)
+		}
 	}
 }
 
@@ -107,8 +171,8 @@
 			known.views[lostSource] = false
 			known.unseenAt = now
 		}
+		d.markSilence(known)
 	}
-	d.version++
 }
 
 // lostSource stands for sources that are gone.
@@ -121,11 +185,12 @@
 		age := now.Sub(known.unseenAt)
 		if silent, found := known.views[lostSource]; found && !silent && inReach && age > trust {
 			known.views[lostSource] = true
-			d.version++
+			d.markSilence(known)
 		}
 		if age > d.forget && (known.record.Leaving() || known.silent()) {
 			delete(d.entries, id)
-			d.version++
+			delete(d.changed, id)
+			d.removed = append(d.removed, id)
 		}
 	}
 }
@@ -139,11 +204,50 @@
 	return true
 }
 
+func (e *entry) told() Entry {
+	return Entry{Record: e.record, Silent: e.silent(), Replaced: e.replaced, FirstSeen: e.firstSeen}
+}
+
+// Changes returns what has changed since the last call.
+func (d *Directory) Changes() Changes {
+	changes := Changes{Removed: d.removed}
+	changed := make([]*entry, 0, len(d.changed))
+	for id := range d.changed {
+		changed = append(changed, d.entries[id])
+	}
+	sort.Slice(changed, func(i, j int) bool { return changed[i].order < changed[j].order })
+	for _, e := range changed {
+		changes.Entries = append(changes.Entries, e.told())
+	}
+	clear(d.changed)
+	d.removed = nil
+	return changes
+}
+
+// Since returns what requests need to know of the replicas that changed after a stamp.
+// The order is that in which the replicas were learned of: of two at one address the
+// later one has it.
+func (d *Directory) Since(stamp uint64) []Standing {
+	var changed []*entry
+	for _, known := range d.entries {
+		if known.stamp > stamp {
+			changed = append(changed, known)
+		}
+	}
+	sort.Slice(changed, func(i, j int) bool { return changed[i].order < changed[j].order })
+	standings := make([]Standing, 0, len(changed))
+	for _, e := range changed {
+		silent := e.silent()
+		standings = append(standings, Standing{Record: e.record.forRequests(), Silent: silent, Recalled: e.doubtful && !silent, Replaced: e.replaced})
+	}
+	return standings
+}
+
 // Entries returns all replicas, by ID.
 func (d *Directory) Entries() []Entry {
 	all := make([]Entry, 0, len(d.entries))
 	for _, known := range d.entries {
-		all = append(all, Entry{Record: known.record, Silent: known.silent(), Replaced: known.replaced, FirstSeen: known.firstSeen})
+		all = append(all, known.told())
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Record.ID < all[j].Record.ID })
 	return all
--- a/src/registry/record.go
+++ b/src/registry/record.go
@@ -58,12 +58,26 @@
 
 // sameFor reports whether two records are alike in all that others act on.
 func sameFor(a, b *Record) bool {
-	return a.Draining == b.Draining && a.Gone == b.Gone && a.Address == b.Address && a.Slots == b.Slots &&
-		a.Service == b.Service && a.RemainingMS == b.RemainingMS && a.Stage == b.Stage &&
-		slices.EqualFunc(a.Models, b.Models, sameHeld) &&
+	return sameForRequests(a, b) && a.RemainingMS == b.RemainingMS && a.Stage == b.Stage &&
 		slices.Equal(a.InMemory, b.InMemory) && slices.Equal(a.OnDisk, b.OnDisk)
 }
 
+// sameForRequests reports whether two records are alike in all that decides where
+// requests go.
+func sameForRequests(a, b *Record) bool {
+	return a.Draining == b.Draining && a.Gone == b.Gone && a.Address == b.Address && a.Slots == b.Slots &&
+		a.Service == b.Service && slices.EqualFunc(a.Models, b.Models, sameHeld)
+}
+
+// forRequests returns the record without what only placing needs.
+func (r *Record) forRequests() Record {
+	slim := *r
+	slim.Version, slim.Stage = "", ""
+	slim.RemainingMS, slim.ColdMS = 0, 0
+	slim.InMemory, slim.OnDisk = nil, nil
+	return slim
+}
+
 func sameHeld(a, b Held) bool {
 	return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -21,6 +21,9 @@
 	// Recalled is set while the node knows the replica from before its own restart
 	// only.
 	Recalled bool `json:"recalled,omitempty"`
+	// Replaced is set when a later incarnation took the replica's address. Only one
+	// who merges the words of several nodes tells it.
+	Replaced bool `json:"replaced,omitempty"`
 }
 
 // doubtful reports whether the replica may have ended without the node knowing.
--- a/src/rpc/client.go
+++ b/src/rpc/client.go
@@ -96,6 +96,15 @@
 	return ended
 }
 
+// Disconnect ends the present connection; the next call makes a new one.
+func (c *Client) Disconnect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
+
 // Close ends the connection for good.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/src/wire/document.go
+++ b/src/wire/document.go
@@ -55,12 +55,13 @@
 type FeedRequest struct {
 	Node string `json:"node"`
 	Zone string `json:"zone"`
-	// Gateway is set by gateways; control nodes follow each other too.
+	// Gateway is set by gateways, which are told what all control nodes know together.
+	// Control nodes are told what the node itself was told.
 	Gateway bool `json:"gateway,omitempty"`
 }
 
-// FeedUpdate is what a control node tells its subscribers, at once when
-// something changed and else as a sign of life.
+// FeedUpdate is what a control node tells its subscribers, soon after something
+// changed and else as a sign of life.
 type FeedUpdate struct {
 	// Node and Zone are told on the first update of a stream.
 	Node string `json:"node,omitempty"`
@@ -70,23 +71,35 @@
 	// Full is set on the first update of a stream: Standings is all there is.
 	Full      bool                `json:"full,omitempty"`
 	Standings []registry.Standing `json:"standings,omitempty"`
-	// Members are the addresses of the control nodes, when they changed.
-	Members []string `json:"members,omitempty"`
+	// Members are the control nodes, when they changed.
+	Members []Member `json:"members,omitempty"`
 	// Leading is set by the node that leads: it places models.
 	Leading bool `json:"leading,omitempty"`
-	// Gateways is the number of gateways that follow the node.
+	// Detached is set while the node reaches no majority of the control nodes, or lags
+	// behind them: a gateway follows another one beside it.
+	Detached bool `json:"detached,omitempty"`
+	// Gateways is the number of gateways that follow the node; for gateways the
+	// number of all.
 	Gateways int `json:"gateways,omitempty"`
 	// Holdings are what the placing node knows beyond the replicas' own words.
 	Holdings *Holdings `json:"holdings,omitempty"`
 }
 
+// Member is a control node.
+type Member struct {
+	Address string `json:"address"`
+	// Zone is "" if it is not known.
+	Zone string `json:"zone,omitempty"`
+}
+
 // NoteRequest tells of a replica that leaves.
 type NoteRequest struct {
 	Record registry.Record `json:"record"`
 }
 
-// Usage is what a gateway's requests asked for since its last report.
+// Usage is what requests asked for since the last report.
 type Usage struct {
+	// Node is the gateway, or the control node that adds up its gateways' reports.
 	Node   string  `json:"node"`
 	Models []Asked `json:"models"`
 }
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -38,8 +38,10 @@
 	MethodFetchDocument = "feed.document"
 	// MethodNote tells a control node of a replica that leaves.
 	MethodNote = "feed.note"
-	// MethodUsage tells the control nodes what a gateway's requests ask for (notification).
+	// MethodUsage tells a control node what a gateway's requests ask for (notification).
 	MethodUsage = "feed.usage"
+	// MethodUsageSum tells another control node what the gateways of one ask for (notification).
+	MethodUsageSum = "feed.usageSum"
 	// MethodLoad tells a control node what a gateway has under way (notification).
 	MethodLoad = "load.report"
 	// MethodLoadTotals tells a gateway what all have under way (notification).
