Load is shared only where replicas do not tell it

Cause: each round of the load view tells every gateway of every busy replica, 250 ms apart at 295 gateways, though these replicas tell their load in every answer. A gateway that was asked for nothing reported every 50 ms or more all the same.

Weighed, not measured: telling changes only (most entries of busy replicas change within 250 ms), rarer rounds (a prompt is read in 120 ms).

Change: a service one of whose replicas told its load is left out of reports; an idle gateway reports once that it has nothing. TestLoadIsSharedOnlyWhereReplicasDoNotTellIt.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -74,7 +74,7 @@
 	}
 	c.arrivals++
 	_ = a.conn.raw.SetDeadline(c.deadline)
-	peer.told(h.options.Now(), a.reply.Load)
+	h.options.Fleet.Told(h.options.Now(), peer, a.reply.Load)
 	if a.reply.NotRun {
 		return c.rejected(peer, a), nil
 	}
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -30,8 +30,9 @@
 	// holdings are what the placing node knows beyond the replicas' words, by replica.
 	holdings map[string]copies
 	index    copyIndex
+	tellers  tellers
 	speeds   *speeds
-	// sent delivers when this gateway has sent a prompt, which the others should know.
+	// sent delivers when this gateway has sent a request that the others should know of.
 	sent chan struct{}
 	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
 	begunAt atomic.Int64
--- a/src/exchange/fleet_test.go
+++ b/src/exchange/fleet_test.go
@@ -1,10 +1,12 @@
 package exchange
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/wire"
@@ -100,3 +102,98 @@
 	}})
 	is.Equal(picks(f, noon, Want{Service: "s"}), map[string]int{"sound": 50})
 }
+
+// TestLoadIsSharedOnlyWhereReplicasDoNotTellIt: each answer says it anew elsewhere.
+func TestLoadIsSharedOnlyWhereReplicasDoNotTellIt(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("a", "b")
+	f.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: "silent", Service: "t", Slots: 4}}}})
+	for _, id := range []string{"a", "silent"} {
+		f.peers[id].begin(0)
+		f.Sent(f.peers[id], "m", nil)
+	}
+	is.Equal(len(f.Loads()), 2)
+	<-f.RequestSent()
+	f.Told(noon, f.peers["b"], Load{Known: true, Running: 1, Slots: 64})
+	loads := f.Loads()
+	is.Equal(len(loads), 1)
+	is.Equal(loads[0].Replica, "silent")
+	f.Sent(f.peers["a"], "m", nil)
+	select {
+	case <-f.RequestSent():
+		t.Error("nobody needs to know")
+	default:
+	}
+}
+
+// TestAnAdapterLeavesWithItsModel: a copy that is about to be unloaded gets no request
+// for one of its adapters either.
+func TestAnAdapterLeavesWithItsModel(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("a", "b")
+	f.SetHoldings(&wire.Holdings{Term: 1, Version: 1, Copies: []wire.Holding{{Replica: "a", Model: "m", Leaving: true}}})
+	is.Equal(picks(f, noon, Want{Service: "s", Model: "m", Adapter: "a1"}), map[string]int{"b": 50})
+	f.SetHoldings(&wire.Holdings{Term: 1, Version: 2})
+	is.Equal(len(picks(f, noon, Want{Service: "s", Model: "m", Adapter: "a1"})), 2)
+}
+
+// TestChangesOfAReplicaLeaveTheOthersAsTheyAre: the index after any changes is what one
+// made anew from the same words would be.
+func TestChangesOfAReplicaLeaveTheOthersAsTheyAre(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := NewFleet("z", Dial, nil, func() time.Time { return noon })
+		last := map[string]registry.Entry{}
+		var holdings wire.Holdings
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "replica")
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				f.SetReplicas(registry.Changes{Removed: []string{id}})
+				delete(last, id)
+			case 1:
+				holdings.Copies = nil
+				for _, model := range []string{"m", "n"} {
+					if rapid.Bool().Draw(t, "held") {
+						holdings.Copies = append(holdings.Copies, wire.Holding{Replica: id, Model: model, Adapter: rapid.SampledFrom([]string{"", "a1"}).Draw(t, "adapter"), Leaving: rapid.Bool().Draw(t, "leaving")})
+					}
+				}
+				f.SetHoldings(&holdings)
+			default:
+				e := drawEntry(t, id)
+				f.SetReplicas(registry.Changes{Entries: []registry.Entry{e}})
+				last[id] = e
+			}
+		}
+		anew := NewFleet("z", Dial, nil, func() time.Time { return noon })
+		for _, e := range last {
+			anew.SetReplicas(registry.Changes{Entries: []registry.Entry{e}})
+		}
+		anew.SetHoldings(&holdings)
+		for _, service := range []string{"s", "t"} {
+			for _, held := range []copyKey{{}, {model: "m"}, {model: "n"}, {model: "m", adapter: "a1"}, {model: "n", adapter: "a1"}} {
+				if got, want := listed(f, service, held), listed(anew, service, held); !slices.Equal(got, want) {
+					t.Fatalf("%s %v: %v is listed, not %v", service, held, got, want)
+				}
+			}
+		}
+	})
+}
+
+func drawEntry(t *rapid.T, id string) registry.Entry {
+	record := registry.Record{ID: id, Service: rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service")}
+	for _, model := range []string{"m", "n"} {
+		if rapid.Bool().Draw(t, "has") {
+			record.Models = append(record.Models, registry.Held{Name: model, Adapters: rapid.SampledFrom([][]string{nil, {"a1"}}).Draw(t, "adapters")})
+		}
+	}
+	return registry.Entry{Record: record, Silent: rapid.IntRange(0, 3).Draw(t, "silent") == 0}
+}
+
+func listed(f *Fleet, service string, held copyKey) []string {
+	var ids []string
+	for _, c := range f.index.of(service, held) {
+		ids = append(ids, c.peer.ID())
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/src/exchange/load.go
+++ b/src/exchange/load.go
@@ -1,6 +1,9 @@
 package exchange
 
 import (
+	"sync"
+	"time"
+
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -11,12 +14,16 @@
 	return len(f.peers)
 }
 
-// Loads returns what this gateway has under way at each replica.
+// Loads returns what this gateway has under way at each replica that does not tell its
+// load itself.
 func (f *Fleet) Loads() []wire.ReplicaLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var loads []wire.ReplicaLoad
 	for _, peer := range f.peers {
+		if f.tellers.has(peer.service) {
+			continue
+		}
 		if load, busy := peer.report(); busy {
 			loads = append(loads, load)
 		}
@@ -38,16 +45,44 @@
 	}
 }
 
-// Sent notes that a replica is sent a prompt's parts.
+// Sent notes that a replica is sent a request, with its prompt's parts if it has any.
 func (f *Fleet) Sent(p *Peer, model string, parts []Part) {
-	if model == "" {
+	if model != "" {
+		p.mu.Lock()
+		p.parts.note(model, parts)
+		p.mu.Unlock()
+	}
+	if !f.tellers.has(p.service) {
+		signal(f.sent)
+	}
+}
+
+// Told takes in a replica's word on its load.
+func (f *Fleet) Told(now time.Time, p *Peer, load Load) {
+	if !load.Known {
 		return
 	}
-	p.mu.Lock()
-	p.parts.note(model, parts)
-	p.mu.Unlock()
-	signal(f.sent)
+	f.tellers.add(p.service)
+	p.told(now, load)
+}
+
+// tellers are the services whose replicas tell their load in answers. What all gateways
+// have under way there need not be shared: each answer says it anew.
+type tellers struct {
+	services sync.Map
+}
+
+func (t *tellers) has(service string) bool {
+	_, found := t.services.Load(service)
+	return found
+}
+
+func (t *tellers) add(service string) {
+	if !t.has(service) {
+		t.services.Store(service, true)
+	}
 }
 
-// PromptSent delivers when a prompt has been sent since it last did.
-func (f *Fleet) PromptSent() <-chan struct{} { return f.sent }
+// RequestSent delivers when a request that the other gateways should know of has been
+// sent since it last did.
+func (f *Fleet) RequestSent() <-chan struct{} { return f.sent }
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -26,8 +26,9 @@
 // Peer is one incarnation of a replica as this gateway knows it; it is safe for
 // concurrent use.
 type Peer struct {
-	id   string
-	pool *pool
+	id      string
+	service string
+	pool    *pool
 
 	mu     sync.Mutex
 	record registry.Record
@@ -55,7 +56,7 @@
 }
 
 func newPeer(record registry.Record, dial dialFunc) *Peer {
-	return &Peer{id: record.ID, record: record, pool: newPool(record.Address, dial), parts: newPartCache()}
+	return &Peer{id: record.ID, service: record.Service, record: record, pool: newPool(record.Address, dial), parts: newPartCache()}
 }
 
 // ID returns the incarnation's ID.
@@ -107,9 +108,6 @@
 
 // told takes in the replica's word on its load.
 func (p *Peer) told(now time.Time, load Load) {
-	if !load.Known {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.load = load
--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -29,7 +29,7 @@
 	cut    *fault.Cut
 	server *rpc.Server
 	net    *testNet
-	leads     atomic.Bool
+	leads  atomic.Bool
 	// slow is how long the node takes to give a configuration.
 	slow  atomic.Int64
 	usage atomic.Int64
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -186,18 +186,24 @@
 }
 
 // shareLoad reports what this gateway has under way, at once when it has sent a
-// prompt; the answer is what all have.
+// request and then now and then until it has nothing; the answer is what all have.
 func (g *gateway) shareLoad(ctx context.Context) {
+	idle := true
 	for {
 		gateways, replicas := g.handler.Gateways(), g.fleet.Replicas()
+		var rest <-chan time.Time
+		if !idle {
+			rest = time.After(loadview.Interval(gateways, replicas))
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(loadview.Interval(gateways, replicas)):
-		case <-g.fleet.PromptSent():
+		case <-rest:
+		case <-g.fleet.RequestSent():
 		}
 		report := wire.LoadReport{Node: g.settings.Node, Loads: g.fleet.Loads()}
 		g.follower.NotifyNearest(ctx, wire.MethodLoad, report)
+		idle = len(report.Loads) == 0
 		time.Sleep(loadview.Pause(gateways, replicas))
 	}
 }
