Gateways learn what replicas that tell their load have still to read

Prompts are paced by what is unread at a replica; answers tell how many requests run, not that, and the load view no longer covered these replicas.

Ruled out: too few replicas (all read 76 million tokens in 55 s, 30 % of what they can); first events (their p99 is 891 ms, and 800 is in time).

TestABacklogIsWhatWasSentLessTheTimeSince, TestBacklogsOfReplicasThatTellTheirLoad.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -46,6 +46,7 @@
 	ReplicasFound    Kind = 611
 	ControlFound     Kind = 620
 	ControlLost      Kind = 621
+	NewsNotSent      Kind = 622
 	RequestRouted    Kind = 700
 	RequestRetried   Kind = 701
 	RequestRefused   Kind = 702
@@ -112,6 +113,7 @@
 	{ReplicasFound, "replicas-found", "Replicas that were not known are known now, and how many there are in all."},
 	{ControlFound, "control-found", "A control node is in reach and its news arrive."},
 	{ControlLost, "control-lost", "A control node is out of reach; its last word counts for a while."},
+	{NewsNotSent, "news-not-sent", "What the followers should be told could not be encoded; they keep to what they know."},
 	{RequestRouted, "request-routed", "A request was sent to a backend server."},
 	{RequestRetried, "request-retried", "A request that did not run, or may be repeated, goes to another backend server."},
 	{RequestRefused, "request-refused", "A request was refused; the reason and whether it ran are given."},
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -66,7 +66,7 @@
 	defer peer.end()
 	unread := choice.ReadTime
 	defer func() { peer.read(unread) }()
-	h.options.Fleet.Sent(peer, c.facts.Model, c.facts.Parts)
+	h.options.Fleet.Sent(now, peer, c.facts.Model, c.facts.Parts, choice.ReadTime)
 	c.sends++
 	a, err := send(ctx, peer.pool, o, c.facts.ID, h.options.Codec.Reply, choice.dialWithin(), c.headBy(now), now)
 	if err != nil {
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/loadview"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/wire"
 )
@@ -31,7 +32,10 @@
 	holdings map[string]copies
 	index    copyIndex
 	tellers  tellers
-	speeds   *speeds
+	prompts  *prompts
+	// byKey are the replicas by their keys in packed backlogs.
+	byKey  map[uint64]*Peer
+	speeds *speeds
 	// sent delivers when this gateway has sent a request that the others should know of.
 	sent chan struct{}
 	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
@@ -61,6 +65,8 @@
 		peers:    map[string]*Peer{},
 		servers:  map[string]*server{},
 		holdings: map[string]copies{},
+		prompts:  newPrompts(),
+		byKey:    map[uint64]*Peer{},
 		speeds:   newSpeeds(),
 		sent:     make(chan struct{}, 1),
 	}
@@ -103,6 +109,7 @@
 	if found {
 		peer = newPeer(e.Record, f.dial)
 		f.peers[id] = peer
+		f.byKey[loadview.Key(id)] = peer
 	} else {
 		f.renew(peer, e)
 	}
@@ -158,6 +165,7 @@
 	if peer := f.peers[id]; peer != nil {
 		peer.pool.close()
 		delete(f.peers, id)
+		delete(f.byKey, loadview.Key(id))
 	}
 }
 
--- a/src/exchange/fleet_test.go
+++ b/src/exchange/fleet_test.go
@@ -68,7 +68,7 @@
 	is := is.New(t)
 	f := newTestFleet("a", "b")
 	parts := []Part{{ID: "p", Tokens: 400}, {ID: "q", Tokens: 200}}
-	f.Sent(f.peers["b"], "m", parts)
+	f.Sent(noon, f.peers["b"], "m", parts, 0)
 	is.Equal(picks(f, noon, Want{Service: "s", Model: "m", Prompt: 1000, Parts: parts}), map[string]int{"b": 50})
 	choice := f.Pick(noon, Want{Service: "s", Model: "m", Prompt: 1000, Parts: parts}, nil)
 	is.Equal(choice.Read, 400) // what is left to read there
@@ -110,7 +110,7 @@
 	f.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: "silent", Service: "t", Slots: 4}}}})
 	for _, id := range []string{"a", "silent"} {
 		f.peers[id].begin(0)
-		f.Sent(f.peers[id], "m", nil)
+		f.Sent(noon, f.peers[id], "m", nil, 0)
 	}
 	is.Equal(len(f.Loads()), 2)
 	<-f.RequestSent()
@@ -118,7 +118,7 @@
 	loads := f.Loads()
 	is.Equal(len(loads), 1)
 	is.Equal(loads[0].Replica, "silent")
-	f.Sent(f.peers["a"], "m", nil)
+	f.Sent(noon, f.peers["a"], "m", nil, 0)
 	select {
 	case <-f.RequestSent():
 		t.Error("nobody needs to know")
--- a/src/exchange/load.go
+++ b/src/exchange/load.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/moorspool/moorspool/src/loadview"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -45,8 +46,9 @@
 	}
 }
 
-// Sent notes that a replica is sent a request, with its prompt's parts if it has any.
-func (f *Fleet) Sent(p *Peer, model string, parts []Part) {
+// Sent notes that a replica is sent a request, with its prompt's parts if it has any and
+// how long the replica needs to read it.
+func (f *Fleet) Sent(now time.Time, p *Peer, model string, parts []Part, prompt time.Duration) {
 	if model != "" {
 		p.mu.Lock()
 		p.parts.note(model, parts)
@@ -54,6 +56,11 @@
 	}
 	if !f.tellers.has(p.service) {
 		signal(f.sent)
+		return
+	}
+	if model != "" {
+		p.expect(now, prompt)
+		f.prompts.add(p.id, prompt)
 	}
 }
 
@@ -83,6 +90,55 @@
 	}
 }
 
+// prompts are those sent to replicas that tell their load themselves: what they do not
+// tell is how much they have still to read.
+type prompts struct {
+	mu      sync.Mutex
+	sent    map[string]time.Duration
+	changed chan struct{}
+}
+
+func newPrompts() *prompts {
+	return &prompts{sent: map[string]time.Duration{}, changed: make(chan struct{}, 1)}
+}
+
+func (s *prompts) add(replica string, prompt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[replica] += prompt
+	signal(s.changed)
+}
+
+func (s *prompts) drain() wire.SentReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var report wire.SentReport
+	for replica, prompt := range s.sent {
+		report.Sent = append(report.Sent, wire.Sent{Replica: replica, ReadMS: int(prompt.Milliseconds())})
+	}
+	clear(s.sent)
+	return report
+}
+
+// PromptsSent delivers when there are prompts that DrainPrompts has not returned.
+func (f *Fleet) PromptsSent() <-chan struct{} { return f.prompts.changed }
+
+// DrainPrompts returns the prompts that were sent since it was last called.
+func (f *Fleet) DrainPrompts() wire.SentReport { return f.prompts.drain() }
+
+// SetBacklogs takes in how long replicas need for the prompts of all gateways. A replica
+// that is not mentioned keeps its estimate, which time takes off.
+func (f *Fleet) SetBacklogs(totals wire.Backlogs) {
+	now := f.now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loadview.Unpack(totals, func(key uint64, backlog time.Duration) {
+		if peer := f.byKey[key]; peer != nil {
+			peer.setBacklog(now, backlog)
+		}
+	})
+}
+
 // RequestSent delivers when a request that the other gateways should know of has been
 // sent since it last did.
 func (f *Fleet) RequestSent() <-chan struct{} { return f.sent }
--- a/src/exchange/pace_test.go
+++ b/src/exchange/pace_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/loadview"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -112,3 +113,22 @@
 	}
 	is.Equal(a.count(), 1)
 }
+
+// TestBacklogsOfReplicasThatTellTheirLoad: their answers say how many requests run there,
+// and not how much they have still to read.
+func TestBacklogsOfReplicasThatTellTheirLoad(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("a", "b")
+	f.Told(noon, f.peers["b"], Load{Known: true, Running: 1, Slots: 64})
+	totals := loadview.NewBacklog()
+	totals.Add(noon, []wire.Sent{{Replica: "a", ReadMS: 300}}, false)
+	f.SetBacklogs(totals.Totals(noon))
+	want := Want{Service: "s", Model: "m", Prompt: 500}
+	is.Equal(picks(f, noon, want), map[string]int{"b": 50})
+	is.Equal(f.peers["a"].outlook(noon).unread, 300*time.Millisecond)
+	is.Equal(f.peers["a"].outlook(noon.Add(200*time.Millisecond)).unread, 100*time.Millisecond) // it reads on
+	f.Sent(noon, f.peers["a"], "m", nil, 50*time.Millisecond)
+	is.Equal(f.peers["a"].outlook(noon).unread, 350*time.Millisecond)
+	is.Equal(f.DrainPrompts().Sent, []wire.Sent{{Replica: "a", ReadMS: 50}})
+	is.Equal(len(f.DrainPrompts().Sent), 0)
+}
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/moorspool/moorspool/src/loadview"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/wire"
 )
@@ -36,6 +37,9 @@
 	// replica needs for those prompts among them that are not known to be read yet.
 	running int
 	unread  time.Duration
+	// readAt is until when the replica is expected to read the prompts of all gateways,
+	// if it tells its load, which does not say that.
+	readAt time.Time
 	// reported is what the other gateways were last told of these, and others what
 	// they have under way themselves, as of othersAt.
 	reported wire.ReplicaLoad
@@ -99,6 +103,20 @@
 	p.othersAt = now
 }
 
+// expect counts a prompt that the replica is sent now, as the other gateways do.
+func (p *Peer) expect(now time.Time, prompt time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readAt = loadview.After(now, p.readAt, prompt)
+}
+
+// setBacklog takes in how long the replica needs for the prompts of all gateways.
+func (p *Peer) setBacklog(now time.Time, backlog time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readAt = now.Add(backlog)
+}
+
 // end counts a request as over.
 func (p *Peer) end() {
 	p.mu.Lock()
@@ -184,6 +202,7 @@
 		o.unread += time.Duration(p.others.UnreadMS) * time.Millisecond
 		o.loadAge = age
 	}
+	o.unread = max(o.unread, p.readAt.Sub(now))
 	if p.load.Known && (o.loadAge < 0 || now.Sub(p.loadAt) < o.loadAge) {
 		o.loadAge = now.Sub(p.loadAt)
 	}
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -49,6 +49,8 @@
 	Gateways func(int)
 	// Loads takes in what all gateways have under way; nil if it is of no use here.
 	Loads func(wire.LoadReport)
+	// Backlogs takes in what replicas have still to read; nil if it is of no use here.
+	Backlogs func(wire.Backlogs)
 }
 
 // Options say who follows.
@@ -186,6 +188,13 @@
 	return wire.Empty{}, nil
 }
 
+func (f *Follower) takeBacklogs(_ context.Context, _ *rpc.Peer, totals wire.Backlogs) (wire.Empty, error) {
+	if f.sink.Backlogs != nil {
+		f.sink.Backlogs(totals)
+	}
+	return wire.Empty{}, nil
+}
+
 // lose takes in that a source's stream has ended.
 func (f *Follower) lose(s *source) {
 	f.mu.Lock()
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -35,9 +35,12 @@
 	now      func() time.Time
 	gateways atomic.Int64
 
-	mu      sync.Mutex
-	state   relayState
-	changed chan struct{}
+	mu sync.Mutex
+	// subscribers are the gateways that follow this node, with whether each is being
+	// told something beside its stream.
+	subscribers map[*rpc.Peer]*atomic.Bool
+	state       relayState
+	changed     chan struct{}
 	// lagsSince is since when others are known to have a newer configuration.
 	lagsSince time.Time
 	deltas    holdingsDelta
@@ -74,6 +77,25 @@
 		state:    relayState{round: 1},
 		changed:  make(chan struct{}),
 		encoded:  map[uint64]json.RawMessage{},
+
+		subscribers: map[*rpc.Peer]*atomic.Bool{},
+	}
+}
+
+// Tell sends the same to every gateway that follows this node, but for those that have
+// not taken what they were told before.
+func (r *Relay) Tell(method string, params json.RawMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for peer, telling := range r.subscribers {
+		if !telling.CompareAndSwap(false, true) {
+			continue
+		}
+		go func() {
+			defer telling.Store(false)
+			// A gateway that is not reached has lost its stream and asks for it anew.
+			_ = peer.Notify(context.Background(), method, params)
+		}()
 	}
 }
 
@@ -137,8 +159,8 @@
 
 // stream tells a gateway what is new until it is gone.
 func (r *Relay) stream(peer *rpc.Peer) {
-	r.gateways.Add(1)
-	defer r.gateways.Add(-1)
+	r.subscribe(peer)
+	defer r.unsubscribe(peer)
 	ticker := time.NewTicker(signEvery)
 	defer ticker.Stop()
 	var told relayState
@@ -160,6 +182,20 @@
 	}
 }
 
+func (r *Relay) subscribe(peer *rpc.Peer) {
+	r.gateways.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subscribers[peer] = &atomic.Bool{}
+}
+
+func (r *Relay) unsubscribe(peer *rpc.Peer) {
+	r.gateways.Add(-1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.subscribers, peer)
+}
+
 // next returns the encoded update for a gateway that was told a state, the state that
 // it leads to, and a channel that is closed when there is more.
 func (r *Relay) next(told relayState) (json.RawMessage, relayState, <-chan struct{}, error) {
--- a/src/feed/source.go
+++ b/src/feed/source.go
@@ -92,6 +92,7 @@
 		return wire.Empty{}, nil
 	})
 	mux.Handle(wire.MethodLoadTotals, rpc.Typed(f.takeLoads))
+	mux.Handle(wire.MethodBacklogs, rpc.Typed(f.takeBacklogs))
 	silence := feedSilence
 	if f.options.Gateway {
 		silence = gatewaySilence
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -71,6 +71,7 @@
 	tables    tables
 	placer    *placer.Placer
 	board     *loadview.Board
+	backlog   *loadview.Backlog
 	signals   <-chan os.Signal
 }
 
@@ -199,6 +200,9 @@
 	c.board = loadview.NewBoard()
 	c.proc.Mux().Handle(wire.MethodLoad, rpc.Typed(c.load))
 	c.proc.Mux().Handle(wire.MethodLoadSum, rpc.Typed(c.loadSum))
+	c.backlog = loadview.NewBacklog()
+	c.proc.Mux().Handle(wire.MethodSent, rpc.Typed(c.sent))
+	c.proc.Mux().Handle(wire.MethodSentSum, rpc.Typed(c.sentSum))
 	return nil
 }
 
@@ -235,6 +239,8 @@
 	go c.publisher.Run(ctx)
 	go c.placer.Run(ctx)
 	go c.shareLoad(ctx)
+	go c.shareBacklog(ctx)
+	go c.passSent(ctx)
 	go c.passUsage(ctx)
 	go c.relay.Run(ctx)
 	go c.follower.Run(ctx)
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -118,6 +118,7 @@
 	go g.report(ctx)
 	go g.tidy(ctx)
 	go g.shareLoad(ctx)
+	go g.shareBacklog(ctx)
 	for got := range signals {
 		if got == syscall.SIGHUP {
 			g.reload()
@@ -143,6 +144,7 @@
 		Holdings: g.fleet.SetHoldings,
 		Gateways: g.handler.SetGateways,
 		Loads:    g.fleet.SetLoads,
+		Backlogs: g.fleet.SetBacklogs,
 	}
 	g.follower = feed.NewFollower(options, sink, g.proc.Meter(), nil, g.proc.Ring(), time.Now)
 	go g.follower.Run(ctx)
@@ -208,6 +210,20 @@
 	}
 }
 
+// shareBacklog reports the prompts that this gateway has sent to replicas which do not
+// tell how much they have still to read.
+func (g *gateway) shareBacklog(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.fleet.PromptsSent():
+		}
+		time.Sleep(loadview.BacklogJoin)
+		g.follower.NotifyNearest(ctx, wire.MethodSent, g.fleet.DrainPrompts())
+	}
+}
+
 func (g *gateway) tidy(ctx context.Context) {
 	ticker := time.NewTicker(tidyEvery)
 	defer ticker.Stop()
--- a/src/fleet/share.go
+++ b/src/fleet/share.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/loadview"
 	"github.com/moorspool/moorspool/src/rpc"
 	"github.com/moorspool/moorspool/src/wire"
@@ -43,16 +45,62 @@
 		if sums.Due(time.Now(), sum.Loads) {
 			sum.Node = c.settings.Node
 			for _, address := range c.cluster.Peers() {
-				go c.tellSum(ctx, address, sum)
+				go c.tell(ctx, address, wire.MethodLoadSum, sum)
 			}
 		}
 		time.Sleep(loadview.Pause(c.follower.Gateways(), c.publisher.Replicas()))
 	}
 }
 
-// tellSum sends a sum to one node; a lost one is made good by the next.
-func (c *controlNode) tellSum(ctx context.Context, address string, sum wire.LoadReport) {
+// tell sends a notification to one control node; a lost one is made good by the next.
+func (c *controlNode) tell(ctx context.Context, address, method string, params any) {
 	ctx, cancel := context.WithTimeout(ctx, noteWait)
 	defer cancel()
-	_ = c.links.Client(address).Notify(ctx, wire.MethodLoadSum, sum)
+	_ = c.links.Client(address).Notify(ctx, method, params)
+}
+
+// sent takes in which prompts a gateway has sent.
+func (c *controlNode) sent(_ context.Context, _ *rpc.Peer, report wire.SentReport) (wire.Empty, error) {
+	c.backlog.Add(time.Now(), report.Sent, true)
+	return wire.Empty{}, nil
+}
+
+// sentSum takes in which prompts the gateways of another control node have sent.
+func (c *controlNode) sentSum(_ context.Context, _ *rpc.Peer, report wire.SentReport) (wire.Empty, error) {
+	c.backlog.Add(time.Now(), report.Sent, false)
+	return wire.Empty{}, nil
+}
+
+// passSent tells the other control nodes which prompts the gateways here have sent.
+func (c *controlNode) passSent(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.backlog.Passable():
+		}
+		time.Sleep(loadview.BacklogJoin)
+		own := wire.SentReport{Sent: c.backlog.Own()}
+		for _, address := range c.cluster.Peers() {
+			go c.tell(ctx, address, wire.MethodSentSum, own)
+		}
+	}
+}
+
+// shareBacklog tells the gateways here what replicas have still to read.
+func (c *controlNode) shareBacklog(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.backlog.Changed():
+		}
+		totals, err := json.Marshal(c.backlog.Totals(time.Now()))
+		if err != nil {
+			c.proc.Ring().Add(event.Event{Kind: event.NewsNotSent, Reason: err.Error()})
+		} else {
+			c.relay.Tell(wire.MethodBacklogs, totals)
+		}
+		time.Sleep(loadview.BacklogEvery)
+	}
 }
--- /dev/null
+++ b/src/loadview/backlog_test.go
@@ -0,0 +1,72 @@
+package loadview
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+func unpacked(b *Backlog, now time.Time) map[uint64]time.Duration {
+	all := map[uint64]time.Duration{}
+	Unpack(b.Totals(now), func(key uint64, backlog time.Duration) { all[key] = backlog })
+	return all
+}
+
+// TestABacklogIsWhatWasSentLessTheTimeSince: whoever sent it, and however it was told.
+func TestABacklogIsWhatWasSentLessTheTimeSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBacklog()
+		now := noon
+		left := map[string]time.Duration{}
+		for range rapid.IntRange(1, 20).Draw(t, "sends") {
+			pause := time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
+			now = now.Add(pause)
+			for replica := range left {
+				left[replica] = max(left[replica]-pause, 0)
+			}
+			replica := fmt.Sprint("r", rapid.IntRange(0, 2).Draw(t, "replica"))
+			prompt := rapid.IntRange(0, 400).Draw(t, "prompt")
+			b.Add(now, []wire.Sent{{Replica: replica, ReadMS: prompt}}, rapid.Bool().Draw(t, "own"))
+			left[replica] = min(left[replica]+time.Duration(prompt)*time.Millisecond, mostBacklog)
+		}
+		got := unpacked(b, now)
+		for replica, want := range left {
+			if want < leastBacklog {
+				want = 0
+			}
+			if got[Key(replica)] != want {
+				t.Fatalf("%s has %v to read, not %v", replica, got[Key(replica)], want)
+			}
+		}
+	})
+}
+
+// TestOnlyOwnPromptsArePassedOn, once: control nodes would else tell each other for ever.
+func TestOnlyOwnPromptsArePassedOn(t *testing.T) {
+	is := is.New(t)
+	b := NewBacklog()
+	b.Add(noon, []wire.Sent{{Replica: "other", ReadMS: 50}}, false)
+	select {
+	case <-b.Passable():
+		t.Error("there is nothing to pass on")
+	default:
+	}
+	b.Add(noon, []wire.Sent{{Replica: "own", ReadMS: 60}}, true)
+	<-b.Passable()
+	is.Equal(b.Own(), []wire.Sent{{Replica: "own", ReadMS: 60}})
+	is.Equal(len(b.Own()), 0)
+	is.Equal(len(unpacked(b, noon)), 2)
+}
+
+// TestWhatAGatewayIsToldOfBacklogsIsBounded: at the size in two years, with every replica
+// reading, all that a gateway is told takes a quarter of a small host's link at most.
+func TestWhatAGatewayIsToldOfBacklogsIsBounded(t *testing.T) {
+	const replicas, linkBytes = 780, 10_000_000 / 8
+	perSecond := replicas * entryBytes * 4 / 3 * int(time.Second/BacklogEvery)
+	is.New(t).True(perSecond <= linkBytes/4)
+}
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -48,6 +48,13 @@
 	MethodLoadTotals = "load.totals"
 	// MethodLoadSum tells a control node what the gateways of another have under way (notification).
 	MethodLoadSum = "load.sum"
+	// MethodSent tells a control node which prompts a gateway has sent (notification).
+	MethodSent = "load.sent"
+	// MethodSentSum tells another control node which prompts the gateways of one have
+	// sent (notification).
+	MethodSentSum = "load.sentSum"
+	// MethodBacklogs tells a gateway what replicas have still to read (notification).
+	MethodBacklogs = "load.backlogs"
 	// MethodStatus asks a process about itself and what it knows.
 	MethodStatus = "process.status"
 	// MethodEvents asks for a process's events.
