--- a/src/exchange/demand.go
+++ b/src/exchange/demand.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -15,8 +16,8 @@
 type Demand struct {
 	mu     sync.Mutex
 	asked  map[demandKey]*wire.Asked
-	any    chan struct{}
-	urgent chan struct{}
+	any    wakeup.Flag
+	urgent wakeup.Flag
 }
 
 type demandKey struct {
@@ -27,7 +28,7 @@
 
 // NewDemand returns an empty count.
 func NewDemand() *Demand {
-	return &Demand{asked: map[demandKey]*wire.Asked{}, any: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
+	return &Demand{asked: map[demandKey]*wire.Asked{}, any: wakeup.New(), urgent: wakeup.New()}
 }
 
 // Ask counts a request; missing says that it found no copy and waits for one.
@@ -40,7 +41,7 @@
 	asked := d.count(service, facts.Model, facts.Adapter)
 	if missing {
 		asked.Missing++
-		signal(d.urgent)
+		d.urgent.Raise()
 		return
 	}
 	asked.Requests++
@@ -55,7 +56,7 @@
 		asked = &wire.Asked{Service: service, Model: model, Adapter: adapter}
 		d.asked[key] = asked
 	}
-	signal(d.any)
+	d.any.Raise()
 	return asked
 }
 
@@ -70,24 +71,16 @@
 		asked.Tokens += model.Tokens
 		asked.Missing += model.Missing
 		if model.Missing > 0 {
-			signal(d.urgent)
+			d.urgent.Raise()
 		}
 	}
 }
 
-// signal sets a mark that is taken away by who receives it.
-func signal(mark chan struct{}) {
-	select {
-	case mark <- struct{}{}:
-	default:
-	}
-}
-
 // Asked delivers when requests were counted since it last did.
-func (d *Demand) Asked() <-chan struct{} { return d.any }
+func (d *Demand) Asked() <-chan struct{} { return d.any.Raised() }
 
 // Urgent delivers when a request found no copy.
-func (d *Demand) Urgent() <-chan struct{} { return d.urgent }
+func (d *Demand) Urgent() <-chan struct{} { return d.urgent.Raised() }
 
 // Drain returns the count and begins anew.
 func (d *Demand) Drain() []wire.Asked {
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/loadview"
 	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -37,7 +38,7 @@
 	byKey  map[uint64]*Peer
 	speeds *speeds
 	// sent delivers when this gateway has sent a request that the others should know of.
-	sent chan struct{}
+	sent wakeup.Flag
 	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
 	begunAt atomic.Int64
 }
@@ -68,7 +69,7 @@
 		prompts:  newPrompts(),
 		byKey:    map[uint64]*Peer{},
 		speeds:   newSpeeds(),
-		sent:     make(chan struct{}, 1),
+		sent:     wakeup.New(),
 	}
 }
 
--- a/src/exchange/load.go
+++ b/src/exchange/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/moorspool/moorspool/src/loadview"
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -55,7 +56,7 @@
 		p.mu.Unlock()
 	}
 	if !f.tellers.has(p.service) {
-		signal(f.sent)
+		f.sent.Raise()
 		return
 	}
 	if model != "" {
@@ -95,18 +96,18 @@
 type prompts struct {
 	mu      sync.Mutex
 	sent    map[string]time.Duration
-	changed chan struct{}
+	changed wakeup.Flag
 }
 
 func newPrompts() *prompts {
-	return &prompts{sent: map[string]time.Duration{}, changed: make(chan struct{}, 1)}
+	return &prompts{sent: map[string]time.Duration{}, changed: wakeup.New()}
 }
 
 func (s *prompts) add(replica string, prompt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent[replica] += prompt
-	signal(s.changed)
+	s.changed.Raise()
 }
 
 func (s *prompts) drain() wire.SentReport {
@@ -121,7 +122,7 @@
 }
 
 // PromptsSent delivers when there are prompts that DrainPrompts has not returned.
-func (f *Fleet) PromptsSent() <-chan struct{} { return f.prompts.changed }
+func (f *Fleet) PromptsSent() <-chan struct{} { return f.prompts.changed.Raised() }
 
 // DrainPrompts returns the prompts that were sent since it was last called.
 func (f *Fleet) DrainPrompts() wire.SentReport { return f.prompts.drain() }
@@ -141,4 +142,4 @@
 
 // RequestSent delivers when a request that the other gateways should know of has been
 // sent since it last did.
-func (f *Fleet) RequestSent() <-chan struct{} { return f.sent }
+func (f *Fleet) RequestSent() <-chan struct{} { return f.sent.Raised() }
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -9,6 +9,7 @@
 	"github.com/moorspool/moorspool/src/fault"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -82,7 +83,7 @@
 	// changed is closed when something is known that was not before.
 	changed chan struct{}
 	// check wakes Run when the choice of sources is to be looked at again.
-	check chan struct{}
+	check wakeup.Flag
 	// first is the best sound source, nil if there is none, and firstSince since when.
 	first      *source
 	firstSince time.Time
@@ -100,7 +101,7 @@
 		sources:   map[string]*source{},
 		directory: registry.NewDirectory(forgetAfter),
 		changed:   make(chan struct{}),
-		check:     make(chan struct{}, 1),
+		check:     wakeup.New(),
 	}
 }
 
@@ -117,7 +118,7 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-		case <-f.check:
+		case <-f.check.Raised():
 		}
 		timer.Reset(f.sweep())
 	}
@@ -144,7 +145,7 @@
 	defer f.mu.Unlock()
 	f.add(members)
 	f.reconsider(f.now())
-	f.recheck()
+	f.check.Raise()
 }
 
 // Live returns how many control nodes are in reach.
@@ -205,7 +206,7 @@
 	f.ring.Add(event.Event{Kind: event.ControlLost, Host: s.address, Zone: s.zone})
 	f.drop(s)
 	f.reconsider(f.now())
-	f.recheck()
+	f.check.Raise()
 }
 
 // drop takes away what a source vouches for; the lock is held.
@@ -253,7 +254,7 @@
 	}
 	if !settled {
 		f.reconsider(now)
-		f.recheck()
+		f.check.Raise()
 	}
 	f.fetch()
 }
--- a/src/feed/source.go
+++ b/src/feed/source.go
@@ -170,14 +170,6 @@
 	}
 }
 
-// recheck lets Run work out anew when to look next.
-func (f *Follower) recheck() {
-	select {
-	case f.check <- struct{}{}:
-	default:
-	}
-}
-
 // untilCheck returns how long nothing changes by time alone; the lock is held.
 func (f *Follower) untilCheck(now time.Time) time.Duration {
 	if !f.options.Gateway || f.first == nil {
--- a/src/loadview/backlog.go
+++ b/src/loadview/backlog.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -30,14 +31,14 @@
 	mu      sync.Mutex
 	readAt  map[string]time.Time
 	own     []wire.Sent
-	changed chan struct{}
+	changed wakeup.Flag
 	// passable delivers when there is something to pass on.
-	passable chan struct{}
+	passable wakeup.Flag
 }
 
 // NewBacklog returns an empty backlog.
 func NewBacklog() *Backlog {
-	return &Backlog{readAt: map[string]time.Time{}, changed: make(chan struct{}, 1), passable: make(chan struct{}, 1)}
+	return &Backlog{readAt: map[string]time.Time{}, changed: wakeup.New(), passable: wakeup.New()}
 }
 
 // Add takes in prompts that were sent; own says that they are to be passed on to the
@@ -50,16 +51,9 @@
 	}
 	if own {
 		b.own = append(b.own, sent...)
-		signal(b.passable)
-	}
-	signal(b.changed)
-}
-
-func signal(mark chan struct{}) {
-	select {
-	case mark <- struct{}{}:
-	default:
+		b.passable.Raise()
 	}
+	b.changed.Raise()
 }
 
 // After returns until when a replica reads that was to read until readAt and is sent a
@@ -76,10 +70,10 @@
 }
 
 // Changed delivers when something was added since it last did.
-func (b *Backlog) Changed() <-chan struct{} { return b.changed }
+func (b *Backlog) Changed() <-chan struct{} { return b.changed.Raised() }
 
 // Passable delivers when there is something that Own has not returned.
-func (b *Backlog) Passable() <-chan struct{} { return b.passable }
+func (b *Backlog) Passable() <-chan struct{} { return b.passable.Raised() }
 
 // Own returns what is to be passed on, once.
 func (b *Backlog) Own() []wire.Sent {
--- a/src/loadview/board.go
+++ b/src/loadview/board.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -19,7 +20,7 @@
 	mu       sync.Mutex
 	gateways map[string]told
 	nodes    map[string]told
-	changed  chan struct{}
+	changed  wakeup.Flag
 }
 
 // told is the last word of a gateway or control node.
@@ -35,7 +36,7 @@
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{gateways: map[string]told{}, nodes: map[string]told{}, changed: make(chan struct{}, 1)}
+	return &Board{gateways: map[string]told{}, nodes: map[string]told{}, changed: wakeup.New()}
 }
 
 // Report takes in what a gateway has under way; tell sends it totals.
@@ -47,18 +48,11 @@
 		telling = &atomic.Bool{}
 	}
 	b.gateways[report.Node] = told{loads: report.Loads, at: now, tell: tell, telling: telling}
-	b.wake()
+	b.changed.Raise()
 }
 
 // Changed delivers when something new was told since it last did.
-func (b *Board) Changed() <-chan struct{} { return b.changed }
-
-func (b *Board) wake() {
-	select {
-	case b.changed <- struct{}{}:
-	default:
-	}
-}
+func (b *Board) Changed() <-chan struct{} { return b.changed.Raised() }
 
 // Round returns the totals over all gateways, the sum over those that report here,
 // and how to tell each of these that is not being told just now; each function is
@@ -84,7 +78,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.nodes[sum.Node] = told{loads: sum.Loads, at: now}
-	b.wake()
+	b.changed.Raise()
 }
 
 // sum adds up all that is young enough, by replica, and forgets the rest; the lock
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -9,6 +9,7 @@
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -81,7 +82,7 @@
 	version uint64
 	// told are the copies that gateways were told of last.
 	told []wire.Holding
-	wake chan struct{}
+	wake wakeup.Flag
 	// planned is when each service's models were last planned.
 	planned map[string]time.Time
 	// newest is when a replica was last heard of for the first time, eldest when the
@@ -104,7 +105,7 @@
 		units:    map[string]*unit{},
 		demand:   newDemand(),
 		buckets:  map[string]*bucket{},
-		wake:     make(chan struct{}, 1),
+		wake:     wakeup.New(),
 		planned:  map[string]time.Time{},
 		unplaced: map[modelKey]bool{},
 		lost:     map[modelKey]time.Time{},
@@ -122,7 +123,7 @@
 	for _, id := range changes.Removed {
 		delete(p.units, id)
 	}
-	p.notify()
+	p.wake.Raise()
 }
 
 // takeEntry takes in one replica; the lock is held.
@@ -151,19 +152,12 @@
 	p.demand.take(p.options.Now(), usage)
 	for _, asked := range usage.Models {
 		if asked.Missing > 0 {
-			p.notify()
+			p.wake.Raise()
 			return
 		}
 	}
 }
 
-func (p *Placer) notify() {
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Run places until the context ends.
 func (p *Placer) Run(ctx context.Context) {
 	ticker := time.NewTicker(planEvery)
@@ -173,7 +167,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-p.wake:
+		case <-p.wake.Raised():
 		}
 		lead := p.options.Leading()
 		if p.due(p.options.Now(), lead) {
@@ -307,6 +301,6 @@
 		if err == nil {
 			u.takeReport(p.options.Now(), report)
 		}
-		p.notify()
+		p.wake.Raise()
 	})
 }
--- a/src/placer/send.go
+++ b/src/placer/send.go
@@ -28,7 +28,7 @@
 		defer p.mu.Unlock()
 		u.sending = false
 		p.settleOrder(u, order, result)
-		p.notify()
+		p.wake.Raise()
 	})
 }
 
