--- a/src/fleet/share.go
+++ b/src/fleet/share.go
@@ -101,6 +101,6 @@
 		} else {
 			c.relay.Tell(wire.MethodBacklogs, totals)
 		}
-		time.Sleep(loadview.BacklogEvery)
+		time.Sleep(loadview.BacklogPause(c.follower.Gateways(), c.publisher.Replicas()))
 	}
 }
--- a/src/loadview/backlog.go
+++ b/src/loadview/backlog.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// BacklogEvery is the least time between two rounds of backlogs: a third of the
-	// 120 ms that reading a prompt takes on the users' engines.
-	BacklogEvery = 40 * time.Millisecond
+	// longestBacklogPause is the most time between two rounds of backlogs: a third of
+	// the 120 ms that reading a prompt takes on the users' engines.
+	longestBacklogPause = 40 * time.Millisecond
 	// BacklogJoin is how long a gateway's or control node's sends wait for others.
 	BacklogJoin = 5 * time.Millisecond
 	// leastBacklog is the backlog from which a replica is told of: with less it is
@@ -24,6 +24,11 @@
 	mostBacklog = 2 * time.Second
 )
 
+// BacklogPause is the least time between two rounds of backlogs.
+func BacklogPause(gateways, replicas int) time.Duration {
+	return min(Pause(gateways, replicas), longestBacklogPause)
+}
+
 // Backlog estimates until when each replica reads the prompts that all gateways have
 // sent it. A prompt adds its reading time, and time takes it off: nothing need be told
 // when a prompt has been read. It is safe for concurrent use.
--- a/src/loadview/backlog_test.go
+++ b/src/loadview/backlog_test.go
@@ -67,6 +67,6 @@
 // reading, all that a gateway is told takes a quarter of a small host's link at most.
 func TestWhatAGatewayIsToldOfBacklogsIsBounded(t *testing.T) {
 	const replicas, linkBytes = 780, 10_000_000 / 8
-	perSecond := replicas * entryBytes * 4 / 3 * int(time.Second/BacklogEvery)
+	perSecond := replicas * entryBytes * 4 / 3 * int(time.Second/BacklogPause(340, replicas))
 	is.New(t).True(perSecond <= linkBytes/4)
 }
