--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -59,11 +59,9 @@
 	PieceTime time.Duration
 	// Others is how many further replicas could have been chosen.
 	Others int
-	// Unread is how long the replica needs for the prompts that it was sent before, and
-	// ReadingFor for how long it has read prompts without a break.
-	Unread     time.Duration
-	ReadingFor time.Duration
-	Reason     string
+	// Unread is how long the replica needs for the prompts that it was sent before.
+	Unread time.Duration
+	Reason string
 }
 
 // dialWithin is how long connecting to the chosen replica may take.
@@ -98,7 +96,6 @@
 		return best
 	}
 	best.Unread = bestLook.unread
-	best.ReadingFor = bestLook.readingFor
 	best.PieceTime = f.speeds.readTime(want.Model, pieceTokens)
 	best.Others = seen - 1
 	best.Reason = fmt.Sprintf("cost %.0f ms of %d candidates, running %d waiting %d of %d, %d ms of prompts unread, load %d ms old", bestCost, seen, bestLook.running, bestLook.waiting, bestLook.slots, bestLook.unread.Milliseconds(), bestLook.loadAge.Milliseconds())
--- a/src/exchange/pace.go
+++ b/src/exchange/pace.go
@@ -7,14 +7,12 @@
 
 // Pacing. An engine reads prompts between the steps of the streams that run, so that
 // prompts sent together make all of them pause. A first event has time to spare, a
-// stream has less. What counts is how long an engine reads without a break, however short
-// its queue is: as long as it does, each step of its streams takes a piece's time more.
-// Prompts beyond what the pause allows wait here until the replica has had a break.
+// stream has less: prompts beyond what the pause allows wait here.
 const (
-	// paceShare is the part of the allowed pause for which a replica may read prompts
-	// without a break; the rest is for the streams' own steps and for what comes at the
-	// same moment.
-	paceShare = 0.8
+	// paceShare is the part of the allowed pause that unread prompts may take; the
+	// rest is for the streams' own steps and for what comes at the same moment. Chosen
+	// on tuhoe-keys: 0.35 and 0.7 measured no better there (docs/DECIDING.md).
+	paceShare = 0.5
 	// paceByPriority is the part of that which each further priority gives up, so that
 	// more urgent requests go first.
 	paceByPriority = 0.15
@@ -30,7 +28,7 @@
 
 // paced reports whether a request should wait before it goes to the chosen replica.
 func (c *call) paced(now time.Time, choice Choice) bool {
-	if c.facts.Model == "" || c.route.GapTarget <= 0 || choice.Unread <= 0 && choice.ReadingFor <= 0 {
+	if c.facts.Model == "" || c.route.GapTarget <= 0 || choice.Unread <= 0 {
 		return false
 	}
 	if !now.Before(c.began.Add(time.Duration(float64(c.route.Target) * paceHold))) {
@@ -40,7 +38,7 @@
 		return false
 	}
 	share := paceShare * max(1-paceByPriority*float64(c.route.Priority), 0.25)
-	return choice.ReadingFor+choice.Unread+choice.ReadTime > time.Duration(float64(c.route.GapTarget)*share)
+	return choice.Unread+choice.ReadTime > time.Duration(float64(c.route.GapTarget)*share)
 }
 
 // pausesTooLong reports whether prompts can make a stream pause for too long at all: an
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -40,8 +40,6 @@
 	// readAt is until when the replica is expected to read the prompts of all gateways,
 	// if it tells its load, which does not say that.
 	readAt time.Time
-	// reading is the replica's present stretch of reading prompts.
-	reading stretch
 	// reported is what the other gateways were last told of these, and others what
 	// they have under way themselves, as of othersAt.
 	reported wire.ReplicaLoad
@@ -103,7 +101,6 @@
 		UnreadMS: max(total.UnreadMS-p.reported.UnreadMS, 0),
 	}
 	p.othersAt = now
-	p.reading.note(now, p.unread+time.Duration(p.others.UnreadMS)*time.Millisecond)
 }
 
 // expect counts a prompt that the replica is sent now, as the other gateways do.
@@ -111,7 +108,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readAt = loadview.After(now, p.readAt, prompt)
-	p.reading.note(now, p.readAt.Sub(now))
 }
 
 // setBacklog takes in how long the replica needs for the prompts of all gateways.
@@ -119,7 +115,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readAt = now.Add(backlog)
-	p.reading.note(now, backlog)
 }
 
 // end counts a request as over.
@@ -190,12 +185,10 @@
 	waiting int
 	slots   int
 	// unread is how long the replica needs for the prompts that it was sent.
-	unread time.Duration
-	// readingFor is for how long it has read prompts without a break.
-	readingFor time.Duration
-	failing    float64
-	loadAge    time.Duration
-	ejected    bool
+	unread  time.Duration
+	failing float64
+	loadAge time.Duration
+	ejected bool
 }
 
 // outlook returns the peer's load as far as it is known: its last word and what
@@ -210,8 +203,6 @@
 		o.loadAge = age
 	}
 	o.unread = max(o.unread, p.readAt.Sub(now))
-	p.reading.note(now, o.unread)
-	o.readingFor = p.reading.lasting(now)
 	if p.load.Known && (o.loadAge < 0 || now.Sub(p.loadAt) < o.loadAge) {
 		o.loadAge = now.Sub(p.loadAt)
 	}
