--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -40,9 +40,9 @@
 	// headerTimeout and idleTimeout bound a client's connection.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 75 * time.Second
-	// gatewayGCPercent lets a gateway's heap double between two collections. Some 4 MB
-	// are in use; with the 40 % that other processes have, a fifth of a gateway's time
-	// went to collecting.
+	// gatewayGCPercent lets a gateway's heap double between two collections: with the
+	// 40 % that other processes have, a fifth of an idle gateway's time was collecting.
+	// A gateway takes some 14 MB of the 184 that it has.
 	gatewayGCPercent = 100
 	// memoryShare is the part of a process's memory that the heap aims at.
 	memoryShare = 0.7
--- a/src/loadview/backlog.go
+++ b/src/loadview/backlog.go
@@ -13,7 +13,8 @@
 const (
 	// longestBacklogPause is the most time between two rounds of backlogs: below the
 	// 120 ms that reading a prompt takes on the users' engines. Each round wakes every
-	// gateway: at 295 of them rounds 40 ms apart took a fifth of all processor time.
+	// gateway: with 40 ms a day with trouble at 295 gateways took 763 s of processor time
+	// in 55 s of traffic, and 597 s in 67 s without backlogs.
 	longestBacklogPause = 90 * time.Millisecond
 	// BacklogJoin is how long a gateway's or control node's sends wait for others.
 	BacklogJoin = 5 * time.Millisecond
