--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -55,6 +55,9 @@
 	leaderAt time.Time
 	// met are the addresses of control nodes that were ever heard of.
 	met map[string]bool
+	// quorum and joinReason are what was logged of them last.
+	quorum     Quorum
+	joinReason string
 }
 
 // NewCluster returns the cluster side of a node.
--- a/src/control/membership.go
+++ b/src/control/membership.go
@@ -27,20 +27,19 @@
 
 func (c *Cluster) tendOnce(ctx context.Context) {
 	var next *raft.Members
-	var led, known bool
+	var quorum Quorum
 	c.node.Do(func(now time.Time) {
-		core := c.node.replica.core
-		led = core.Role() == raft.Leader
-		known = core.Leader() != ""
-		c.noteLeader(now, known)
-		if led {
-			next = nextVoters(core, now, c.options.Voters)
+		quorum = quorumOf(c.node.replica, now)
+		c.noteLeader(now, quorum.LeaderKnown)
+		if quorum.Leading {
+			next = nextVoters(c.node.replica.core, now, c.options.Voters)
 		}
 	})
+	c.noteQuorum(quorum)
 	if next != nil {
 		c.proposeMembers(ctx, *next)
 	}
-	if !led && c.alone(c.now()) {
+	if !quorum.Leading && c.alone(c.now()) {
 		c.askToJoin(ctx)
 	}
 }
@@ -103,10 +102,7 @@
 		if id == core.ID() {
 			continue
 		}
-		at := core.Contact(id)
-		if since := core.LedSince(); at.Before(since) {
-			at = since
-		}
+		at := lastContact(core, id)
 		wiped := nameOf(id) == nameOf(learner)
 		if !wiped && now.Sub(at) < voterContact {
 			continue
@@ -156,15 +152,22 @@
 // askToJoin asks every other node in turn to be let in as a learner; the
 // leader among them does.
 func (c *Cluster) askToJoin(ctx context.Context) {
+	reason := "no other control node is known"
 	for _, address := range c.others() {
 		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		var reply wire.MembersReply
 		err := c.links.Client(address).Call(ctx, wire.MethodMembers, wire.MembersRequest{AddLearner: c.options.ID}, &reply)
 		cancel()
 		if err == nil && reply.Outcome == wire.Accepted {
+			c.noteJoin("accepted by " + address)
 			return
 		}
+		reason = address + ": " + reply.Reason
+		if err != nil {
+			reason = address + ": " + err.Error()
+		}
 	}
+	c.noteJoin(reason)
 }
 
 // others returns the addresses of all nodes ever heard of but this one.
--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -25,6 +25,8 @@
 	SnapshotSaved    Kind = 303
 	SnapshotReceived Kind = 304
 	StorageFailed    Kind = 305
+	QuorumChanged    Kind = 306
+	JoinAsked        Kind = 307
 	AuthorityGranted Kind = 400
 	AuthorityRefused Kind = 401
 	AuthorityLost    Kind = 402
@@ -92,6 +94,8 @@
 	{SnapshotSaved, "snapshot-saved", "A control node saved a snapshot and cut its log."},
 	{SnapshotReceived, "snapshot-received", "A control node took over its state from the leader's snapshot."},
 	{StorageFailed, "storage-failed", "A control node could not make its state durable and stops."},
+	{QuorumChanged, "quorum-changed", "The number of voters that the leader hears, or of voters or learners, changed."},
+	{JoinAsked, "join-asked", "A control node that knows no leader asked the others to be let in; what became of it changed."},
 	{AuthorityGranted, "authority-granted", "A planner holds an availability zone's authority at an epoch."},
 	{AuthorityRefused, "authority-refused", "Another planner's lease on the availability zone may still run."},
 	{AuthorityLost, "authority-lost", "A planner's lease ran out or a newer epoch was seen."},
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -18,6 +18,7 @@
 	"github.com/moorspool/moorspool/src/exchange"
 	"github.com/moorspool/moorspool/src/feed"
 	"github.com/moorspool/moorspool/src/loadview"
+	"github.com/moorspool/moorspool/src/metric"
 	"github.com/moorspool/moorspool/src/option"
 	"github.com/moorspool/moorspool/src/placer"
 	"github.com/moorspool/moorspool/src/process"
@@ -167,6 +168,7 @@
 	options := control.ClusterOptions{ID: id, Voters: 2*c.settings.Tolerance + 1, Seeds: c.settings.SeedPeers()}
 	c.cluster = control.NewCluster(c.node, c.links, options, c.proc.Ring(), time.Now)
 	c.cluster.Register(c.proc.Mux())
+	c.proc.SetRefresh(func(m *metric.Registry) { setQuorumGauges(m, c.cluster.Quorum()) })
 	times := registry.Times{Silence: silentBeats * c.settings.Heartbeat.Std(), Forget: forgetReplicas}
 	cluster := feed.Cluster{
 		Version:  c.cluster.Version,
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/moorspool/moorspool/src/exchange"
 	"github.com/moorspool/moorspool/src/feed"
 	"github.com/moorspool/moorspool/src/loadview"
+	"github.com/moorspool/moorspool/src/metric"
 	"github.com/moorspool/moorspool/src/option"
 	"github.com/moorspool/moorspool/src/process"
 	"github.com/moorspool/moorspool/src/registry"
@@ -100,6 +101,8 @@
 		Metrics: exchange.NewMetrics(proc.Metrics()),
 		Now:     time.Now,
 	})
+	g.buildFollower()
+	proc.SetRefresh(func(m *metric.Registry) { setGatewayGauges(m, g.handler.Table(), g.follower.Known()) })
 	if err := proc.Serve(); err != nil {
 		return err
 	}
@@ -119,7 +122,7 @@
 		return err
 	}
 	defer ready.Close()
-	g.follow(ctx)
+	go g.follower.Run(ctx)
 	go g.report(ctx)
 	go g.tidy(ctx)
 	go g.shareLoad(ctx)
@@ -135,8 +138,8 @@
 	return nil
 }
 
-// follow keeps configuration and replicas up to date.
-func (g *gateway) follow(ctx context.Context) {
+// buildFollower makes what keeps configuration and replicas up to date.
+func (g *gateway) buildFollower() {
 	options := feed.Options{Node: g.settings.Node, Zone: g.settings.Zone, Gateway: true, Seeds: g.settings.SeedPeers()}
 	sink := feed.Sink{
 		Document: g.setDocument,
@@ -152,7 +155,6 @@
 		Backlogs: g.fleet.SetBacklogs,
 	}
 	g.follower = feed.NewFollower(options, sink, g.proc.Meter(), nil, g.proc.Ring(), time.Now)
-	go g.follower.Run(ctx)
 }
 
 func (g *gateway) setDocument(held wire.Document) {
--- a/src/process/admin.go
+++ b/src/process/admin.go
@@ -82,6 +82,9 @@
 	p.metrics.Gauge("process_cpu_seconds", cost.CPU.Std().Seconds())
 	p.metrics.Gauge("process_resident_bytes", float64(cost.Resident))
 	p.metrics.Gauge("process_anonymous_bytes", float64(cost.Anonymous))
+	if p.refresh != nil {
+		p.refresh(p.metrics)
+	}
 }
 
 func (p *Process) answerReady(_ context.Context, c *app.RequestContext) {
--- a/src/process/process.go
+++ b/src/process/process.go
@@ -47,6 +47,8 @@
 	leaving  atomic.Bool
 	status   func(*wire.Status)
 	writer   *event.Writer
+	// refresh brings the role's own gauges up to date.
+	refresh func(*metric.Registry)
 }
 
 // New returns the common part of a server; status fills in the role's own part.
@@ -89,6 +91,10 @@
 // Metrics returns the process's metrics.
 func (p *Process) Metrics() *metric.Registry { return p.metrics }
 
+// SetRefresh sets what brings the role's own gauges up to date before they are read; it is
+// called before Serve.
+func (p *Process) SetRefresh(refresh func(*metric.Registry)) { p.refresh = refresh }
+
 // Mux returns the control protocol's methods.
 func (p *Process) Mux() *rpc.Mux { return p.mux }
 
