--- /dev/null
+++ b/src/control/join_test.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/raft"
+	"github.com/moorspool/moorspool/src/rpc"
+)
+
+// freeAddress returns a loopback address that nothing listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	held, err := rpc.Listen("127.0.0.1:0", rpc.NewMux(), &rpc.Meter{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	return held.Address()
+}
+
+// newSpare starts an empty node that is nobody's seed and waits until it is a learner.
+func (tc *testCluster) newSpare() string {
+	tc.t.Helper()
+	address := freeAddress(tc.t)
+	tc.start(address, tc.t.TempDir(), false)
+	tc.eventually("the spare node is a learner", func() bool {
+		return tc.nodes[address].cluster.Quorum().Member
+	})
+	return address
+}
+
+// wipe ends a node and starts it again with an empty folder.
+func (tc *testCluster) wipe(address string) *clusterNode {
+	tc.t.Helper()
+	tc.nodes[address].kill()
+	return tc.start(address, tc.t.TempDir(), false)
+}
+
+// leadAt lets the node at an address, a voter, be elected.
+func (tc *testCluster) leadAt(address string) {
+	tc.t.Helper()
+	n := tc.nodes[address]
+	tc.eventually(address+" leads", func() bool {
+		if n.cluster.Leadership().Self {
+			return true
+		}
+		n.node.Do(func(now time.Time) {
+			core := n.node.replica.core
+			core.Step(now, raft.Message{Kind: raft.MsgTimeoutNow, To: core.ID(), Term: core.Term()})
+		})
+		return false
+	})
+}
+
+// repaired reports whether every node is a member and a leader hears all voters.
+func (tc *testCluster) repaired() bool {
+	led := false
+	for _, n := range tc.nodes {
+		q := n.cluster.Quorum()
+		if !q.Member {
+			return false
+		}
+		led = led || q.Leading && q.Voters == 3 && q.Heard == q.Voters
+	}
+	return led
+}
+
+// voting returns whether the nodes at the addresses are the voters, as one of them knows.
+func (tc *testCluster) voting(asked string, addresses ...string) bool {
+	members := tc.nodes[asked].cluster.members()
+	if len(members.Voters) != len(addresses) {
+		return false
+	}
+	for _, address := range addresses {
+		if !members.IsVoter(tc.nodes[address].disk.Identity().ID()) {
+			return false
+		}
+	}
+	return true
+}
+
+// leadFromNoSeed kills the second seed's node, lets a spare node take its vote and lead, and
+// returns the spare node's address.
+func (tc *testCluster) leadFromNoSeed() string {
+	tc.t.Helper()
+	a, b, c := tc.seeds[0], tc.seeds[1], tc.seeds[2]
+	spare := tc.newSpare()
+	tc.nodes[b].kill()
+	tc.eventually("the spare node votes", func() bool { return tc.voting(a, a, spare, c) })
+	tc.leadAt(spare)
+	return spare
+}
+
+// TestAWipedNodeIsLetInThoughNoSeedLeads: seeds tell where to ask first; who leads changes.
+func TestAWipedNodeIsLetInThoughNoSeedLeads(t *testing.T) {
+	tc := newTestCluster(t, 3)
+	tc.put(tc.nodes[tc.seeds[0]], 5, "five")
+	tc.leadFromNoSeed()
+	back := tc.start(tc.seeds[1], t.TempDir(), false)
+	tc.eventually("the wiped node is let in", func() bool { return back.cluster.Quorum().Member })
+	tc.readsBack(back, 5, "five")
+}
+
+// TestDisksLostOneAfterTheOtherLeaveAMajority: each is replaced before the next is lost, so
+// that what was acknowledged last is in force after all have lost power at once.
+func TestDisksLostOneAfterTheOtherLeaveAMajority(t *testing.T) {
+	tc := newTestCluster(t, 3)
+	a, b, c := tc.seeds[0], tc.seeds[1], tc.seeds[2]
+	spare := tc.leadFromNoSeed()
+	tc.start(b, t.TempDir(), false)
+	tc.eventually("all take part", tc.repaired)
+	tc.wipe(c)
+	tc.eventually("all take part again", tc.repaired)
+	tc.put(tc.nodes[spare], 6, "six")
+	folders := map[string]string{}
+	for address, n := range tc.nodes {
+		folders[address] = n.folder
+		n.kill()
+	}
+	folders[a] = t.TempDir()
+	for address, folder := range folders {
+		tc.start(address, folder, false)
+	}
+	tc.readsBack(tc.nodes[spare], 6, "six")
+}
+
+// TestNextVotersReplacesTwoWipedVoters though a learner that holds everything stands before
+// them, and takes a learner at another address where nobody came back.
+func TestNextVotersReplacesTwoWipedVoters(t *testing.T) {
+	is := is.New(t)
+	noon := time.Unix(1_800_000_000, 0)
+	members := raft.Members{
+		Voters:   []raft.ID{"a#0", "b#0", "c#0", "d#0", "e#0"},
+		Learners: []raft.ID{"f#1", "d#2", "e#2"},
+	}
+	core := leadingCore(noon, members)
+	heard := []raft.ID{"b#0", "c#0", "f#1", "d#2", "e#2"}
+	now := answerFor(core, noon, 1500*time.Millisecond, heard...)
+	next := nextVoters(core, now, 5)
+	is.True(next != nil)
+	is.True(!next.IsVoter("d#0") || !next.IsVoter("e#0"))
+	is.Equal(len(next.Voters), 4)
+}
+
+// answerFor lets members answer a leader's heartbeats for a while and returns the time.
+func answerFor(core *raft.Core, from time.Time, span time.Duration, ids ...raft.ID) time.Time {
+	now := from
+	for now.Before(from.Add(span)) {
+		now = now.Add(100 * time.Millisecond)
+		replyFrom(core, now, ids...)
+	}
+	return now
+}
