A control node is let in whoever leads; every learner that holds all is looked at for lost votes

Meanwhile lost votes were not replaced: of several caught-up learners only the first was looked at, and none took a vote while two voters were silent. The next losses met a voter set that was smaller than it seemed and left no majority, so gateways went on with what the disks knew to be committed when the newest change was written. Change: the node that is asked passes the request on to the leader, once; answers name further nodes to ask, and so does a message for the folder that was lost; all known nodes are asked at once. Each caught-up learner may take its machine's lost vote, or that of the voter silent longest, as long as the voters that are heard decide without it. New seeds after SIGHUP count for this too. A node that knows no members acknowledges no leaving replica: alone it took itself for a majority.

--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -138,8 +138,12 @@
 	return peers
 }
 
-// Majority returns how many other members make a majority together with this node.
-func (c *Cluster) Majority() int { return len(c.members().Voters) / 2 }
+// Majority returns how many other members make a majority together with this node; known
+// is false while this node knows no members, as after the loss of its disk.
+func (c *Cluster) Majority() (others int, known bool) {
+	voters := len(c.members().Voters)
+	return voters / 2, voters > 0
+}
 
 // Changed returns a channel that is closed when the document in force changes.
 func (c *Cluster) Changed() <-chan struct{} { return c.node.Changed() }
@@ -165,10 +169,12 @@
 }
 
 func (c *Cluster) step(_ context.Context, _ *rpc.Peer, m raft.Message) (wire.Empty, error) {
-	// A message for an earlier folder at this address is nothing to this node.
 	if m.To == c.options.ID {
 		c.node.Deliver(m)
+		return wire.Empty{}, nil
 	}
+	// A message for an earlier folder at this address says only who sent it.
+	c.Meet(nameOf(m.From))
 	return wire.Empty{}, nil
 }
 
--- a/src/control/cluster_test.go
+++ b/src/control/cluster_test.go
@@ -329,7 +329,8 @@
 	is.True(next.IsVoter("b#0"))
 }
 
-// leadingCore returns a core that leads under a membership.
+// leadingCore returns a core that leads under a membership of up to five voters, b#0 and
+// c#0 among them.
 func leadingCore(now time.Time, members raft.Members) *raft.Core {
 	start := raft.Start{HardState: raft.HardState{}, Snapshot: raft.Snapshot{Members: members}}
 	core := raft.New("a#0", start, raft.DefaultOptions(), rand.New(rand.NewPCG(1, 1)), now.Add(-2*time.Second))
@@ -339,7 +340,9 @@
 		if kind == raft.MsgPreVoteReply {
 			term++
 		}
-		core.Step(now.Add(-time.Millisecond), raft.Message{Kind: kind, From: "b#0", To: "a#0", Term: term})
+		for _, voter := range []raft.ID{"b#0", "c#0"} {
+			core.Step(now.Add(-time.Millisecond), raft.Message{Kind: kind, From: voter, To: "a#0", Term: term})
+		}
 	}
 	persist(core, now)
 	return core
--- a/src/control/join_test.go
+++ b/src/control/join_test.go
@@ -104,6 +104,14 @@
 	tc.readsBack(back, 5, "five")
 }
 
+// TestAnEmptyNodeElsewhereIsLetInThoughNoSeedLeads: nobody knows its address.
+func TestAnEmptyNodeElsewhereIsLetInThoughNoSeedLeads(t *testing.T) {
+	tc := newTestCluster(t, 3)
+	tc.leadFromNoSeed()
+	delete(tc.nodes, tc.seeds[1])
+	tc.newSpare()
+}
+
 // TestDisksLostOneAfterTheOtherLeaveAMajority: each is replaced before the next is lost, so
 // that what was acknowledged last is in force after all have lost power at once.
 func TestDisksLostOneAfterTheOtherLeaveAMajority(t *testing.T) {
@@ -145,6 +153,25 @@
 	is.Equal(len(next.Voters), 4)
 }
 
+// TestNextVotersReplacesVotersThatAreGoneForGood, one after the other, though two are silent.
+func TestNextVotersReplacesVotersThatAreGoneForGood(t *testing.T) {
+	is := is.New(t)
+	noon := time.Unix(1_800_000_000, 0)
+	members := raft.Members{
+		Voters:   []raft.ID{"a#0", "b#0", "c#0", "d#0", "e#0"},
+		Learners: []raft.ID{"f#1", "g#1"},
+	}
+	core := leadingCore(noon, members)
+	heard := []raft.ID{"b#0", "c#0", "f#1", "g#1"}
+	now := answerFor(core, noon, 2*time.Second, heard...)
+	is.True(nextVoters(core, now, 5) == nil) // a short silence costs no place
+	now = answerFor(core, now, time.Second, heard...)
+	next := nextVoters(core, now, 5)
+	is.True(next != nil)
+	is.True(!next.IsVoter("d#0") || !next.IsVoter("e#0"))
+	is.True(next.IsVoter("b#0") && next.IsVoter("c#0"))
+}
+
 // answerFor lets members answer a leader's heartbeats for a while and returns the time.
 func answerFor(core *raft.Core, from time.Time, span time.Duration, ids ...raft.ID) time.Time {
 	now := from
@@ -154,3 +181,13 @@
 	}
 	return now
 }
+
+// TestANodeThatIsNoMemberKnowsNoMajority, so that it acknowledges nothing that needs one.
+func TestANodeThatIsNoMemberKnowsNoMajority(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t, 1)
+	tc.seeds = nil
+	outside := tc.start(freeAddress(t), t.TempDir(), false)
+	_, known := outside.cluster.Majority()
+	is.True(!known)
+}
--- a/src/control/membership.go
+++ b/src/control/membership.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/moorspool/moorspool/src/raft"
-	"github.com/moorspool/moorspool/src/rpc"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -64,64 +63,67 @@
 // voters, nil if there is none to take.
 func nextVoters(core *raft.Core, now time.Time, wanted int) *raft.Members {
 	members := core.Members()
-	learner := caughtUp(core, now)
-	if learner == "" {
-		return nil
-	}
-	if len(members.Voters) < wanted {
-		next := members.WithVoter(learner)
-		return &next
-	}
-	gone := goneVoter(core, now, learner)
-	if gone == "" {
-		return nil
+	for _, learner := range caughtUp(core, now) {
+		if len(members.Voters) < wanted {
+			next := members.WithVoter(learner)
+			return &next
+		}
+		if gone := goneVoter(core, now, learner); gone != "" {
+			next := members.Without(gone)
+			return &next
+		}
 	}
-	next := members.Without(gone)
-	return &next
+	return nil
 }
 
-// caughtUp returns a learner that holds all that is committed and is in contact.
-func caughtUp(core *raft.Core, now time.Time) raft.ID {
+// caughtUp returns the learners that hold all that is committed and are in contact.
+func caughtUp(core *raft.Core, now time.Time) []raft.ID {
+	var ready []raft.ID
 	for _, id := range core.Members().Learners {
 		if core.Match(id) >= core.Commit() && now.Sub(core.Contact(id)) < voterContact {
-			return id
+			ready = append(ready, id)
 		}
 	}
-	return ""
+	return ready
 }
 
-// goneVoter returns the voter whose place the learner may take: one whose
-// machine came back without its disk as this learner, else the one silent
-// longest, if all others follow.
+// goneVoter returns the voter whose place the learner may take, "" if there is none: the
+// one whose machine came back without its disk as this learner, else the one silent
+// longest, if long enough. The voters that are heard must decide without it too.
 func goneVoter(core *raft.Core, now time.Time, learner raft.ID) raft.ID {
-	members := core.Members()
-	var gone raft.ID
-	var goneAt time.Time
-	silent := 0
-	for _, id := range members.Voters {
-		if id == core.ID() {
-			continue
-		}
-		at := lastContact(core, id)
-		wiped := nameOf(id) == nameOf(learner)
-		if !wiped && now.Sub(at) < voterContact {
-			continue
-		}
-		silent++
-		if wiped {
-			at = time.Time{}
-		}
-		if gone == "" || at.Before(goneAt) {
-			gone, goneAt = id, at
+	for _, id := range core.Members().Voters {
+		if nameOf(id) == nameOf(learner) && spared(core, now, id) {
+			return id
 		}
 	}
-	if silent != 1 && !(silent > 1 && goneAt.IsZero()) {
+	gone := longestSilent(core, now)
+	if gone == "" || now.Sub(lastContact(core, gone)) < voterSilence || !spared(core, now, gone) {
 		return ""
 	}
-	if goneAt.IsZero() || now.Sub(goneAt) >= voterSilence {
-		return gone
+	return gone
+}
+
+// longestSilent returns the silent voter that was heard least lately, "" if all are heard.
+func longestSilent(core *raft.Core, now time.Time) raft.ID {
+	var longest raft.ID
+	for _, id := range silentVoters(core, now) {
+		if longest == "" || lastContact(core, id).Before(lastContact(core, longest)) {
+			longest = id
+		}
 	}
-	return ""
+	return longest
+}
+
+// spared reports whether the voters that are heard decide among those left without one.
+func spared(core *raft.Core, now time.Time, without raft.ID) bool {
+	left := core.Members().Without(without)
+	heard := len(left.Voters)
+	for _, id := range silentVoters(core, now) {
+		if id != without {
+			heard--
+		}
+	}
+	return heard >= left.Quorum()
 }
 
 func (c *Cluster) proposeMembers(ctx context.Context, next raft.Members) wire.MembersReply {
@@ -133,62 +135,3 @@
 	}
 	return wire.MembersReply{Outcome: applied.outcome, Members: next, Reason: applied.reason}
 }
-
-// changeMembers lets a node in as a learner; only the leader does so.
-func (c *Cluster) changeMembers(ctx context.Context, _ *rpc.Peer, request wire.MembersRequest) (wire.MembersReply, error) {
-	if !c.Leadership().Self {
-		return wire.MembersReply{Outcome: wire.Unavailable, Reason: "this node does not lead"}, nil
-	}
-	members := c.members()
-	id := request.AddLearner
-	if id == "" || members.IsVoter(id) || members.IsLearner(id) {
-		return wire.MembersReply{Outcome: wire.Accepted, Members: members}, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	return c.proposeMembers(ctx, wanted(members, request)), nil
-}
-
-// askToJoin asks every other node in turn to be let in as a learner; the
-// leader among them does.
-func (c *Cluster) askToJoin(ctx context.Context) {
-	reason := "no other control node is known"
-	for _, address := range c.others() {
-		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-		var reply wire.MembersReply
-		err := c.links.Client(address).Call(ctx, wire.MethodMembers, wire.MembersRequest{AddLearner: c.options.ID}, &reply)
-		cancel()
-		if err == nil && reply.Outcome == wire.Accepted {
-			c.noteJoin("accepted by " + address)
-			return
-		}
-		reason = address + ": " + reply.Reason
-		if err != nil {
-			reason = address + ": " + err.Error()
-		}
-	}
-	c.noteJoin(reason)
-}
-
-// others returns the addresses of all nodes ever heard of but this one.
-func (c *Cluster) others() []string {
-	for _, address := range c.Members() {
-		c.Meet(address)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var list []string
-	for address := range c.met {
-		if address != c.Address() {
-			list = append(list, address)
-		}
-	}
-	return list
-}
-
-// Meet remembers the address of a control node.
-func (c *Cluster) Meet(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.met[address] = true
-}
--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -33,6 +33,8 @@
 	// slow is how long the node takes to give a configuration.
 	slow  atomic.Int64
 	usage atomic.Int64
+	// outside lets the node know no members.
+	outside atomic.Bool
 	// failing lets the node's disk refuse writes.
 	failing atomic.Bool
 
@@ -82,7 +84,7 @@
 			Changed:  node.wait,
 			Members:  n.addresses,
 			Peers:    func() []string { return n.others(node) },
-			Majority: func() int { return count / 2 },
+			Majority: func() (int, bool) { return count / 2, !node.outside.Load() },
 			Leading:  func() bool { return node.leads.Load() },
 			Save:     node.save,
 			Note: func(ctx context.Context, address string, record registry.Record) error {
@@ -240,6 +242,16 @@
 	})
 }
 
+// TestANodeWithoutMembersAcknowledgesNoLeaving: alone it is no majority, whatever it saves.
+func TestANodeWithoutMembersAcknowledgesNoLeaving(t *testing.T) {
+	is := is.New(t)
+	n := newTestNet(t, 3)
+	n.nodes[0].outside.Store(true)
+	is.True(n.nodes[0].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 1}))
+	is.True(!n.nodes[0].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 2, Draining: true}))
+	is.True(n.nodes[1].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 2, Draining: true}))
+}
+
 func TestAnAcknowledgedDrainOutlivesTheNodeThatAcknowledgedIt(t *testing.T) {
 	is := is.New(t)
 	n := newTestNet(t, 3)
--- a/src/feed/leave.go
+++ b/src/feed/leave.go
@@ -45,10 +45,14 @@
 
 // spread tells the other nodes of a replica that leaves and waits until a majority,
 // this one included, has saved it: after a restart none of them may take the
-// replica for one that stays.
+// replica for one that stays. A node that knows no members can't tell what a majority is.
 func (p *Publisher) spread(ctx context.Context, record registry.Record) bool {
+	others, known := p.cluster.Majority()
+	if !known {
+		return false
+	}
 	peers := p.cluster.Peers()
-	needed := p.cluster.Majority() + 1
+	needed := others + 1
 	answers := make(chan error, len(peers)+1)
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	go func() { answers <- p.save() }()
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -34,8 +34,8 @@
 	Peers   func() []string
 	// Leading reports whether this node leads.
 	Leading func() bool
-	// Majority is how many others make a majority with this node.
-	Majority func() int
+	// Majority returns how many others make a majority with this node, if that is known.
+	Majority func() (others int, known bool)
 	// Note tells another node of a replica that leaves.
 	Note func(ctx context.Context, address string, record registry.Record) error
 	// Save keeps the replicas for the time after a restart; it returns once they
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -315,6 +315,7 @@
 		return
 	}
 	c.follower.AddSeeds(settings.SeedPeers())
+	c.cluster.Meet(settings.SeedPeers()...)
 	c.proc.Ring().Add(event.Event{Kind: event.SettingsReloaded})
 }
 
--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -219,11 +219,11 @@
 			times = append(times, p.ackedAt)
 		}
 	}
-	if len(times) < members.quorum() {
+	if len(times) < members.Quorum() {
 		return time.Time{}
 	}
 	sort.Slice(times, func(i, j int) bool { return times[i].After(times[j]) })
-	return times[members.quorum()-1]
+	return times[members.Quorum()-1]
 }
 
 func (c *Core) latestSend() time.Time {
--- a/src/raft/election.go
+++ b/src/raft/election.go
@@ -84,7 +84,7 @@
 			granted++
 		}
 	}
-	if granted < members.quorum() {
+	if granted < members.Quorum() {
 		return
 	}
 	if c.role == PreCandidate {
--- a/src/raft/message.go
+++ b/src/raft/message.go
@@ -68,8 +68,8 @@
 	return Members{Voters: without(m.Voters, id), Learners: without(m.Learners, id)}
 }
 
-// quorum is the number of voters that decide.
-func (m Members) quorum() int { return len(m.Voters)/2 + 1 }
+// Quorum returns the number of voters that decide.
+func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
 
 // votersChanged counts the voters that only one side has.
 func (m Members) votersChanged(other Members) int {
--- a/src/raft/replicate.go
+++ b/src/raft/replicate.go
@@ -203,11 +203,11 @@
 		}
 		matched = append(matched, c.Match(id))
 	}
-	if len(matched) < members.quorum() {
+	if len(matched) < members.Quorum() {
 		return
 	}
 	sort.Slice(matched, func(i, j int) bool { return matched[i] > matched[j] })
-	index := matched[members.quorum()-1]
+	index := matched[members.Quorum()-1]
 	if term, _ := c.log.term(index); index <= c.commit || term != c.term {
 		return
 	}
--- a/src/wire/control.go
+++ b/src/wire/control.go
@@ -144,6 +144,8 @@
 	AddLearner raft.ID `json:"addLearner,omitempty"`
 	Promote    raft.ID `json:"promote,omitempty"`
 	Remove     raft.ID `json:"remove,omitempty"`
+	// Forwarded says that a node which does not lead has passed the request on.
+	Forwarded bool `json:"forwarded,omitempty"`
 }
 
 // MembersReply answers a change of members.
