A node that knows no members counts as detached; learners that are gone are forgotten

A control node without its disk, not let in yet, took itself for connected (its own reach against no members), so that gateways of its zone followed it alone until its lag showed; learners replaced at other addresses stayed members for ever, were sent heartbeats and counted against being connected. Change: no members known is detached; the leader forgets a learner that was silent for a minute.

--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -25,6 +25,10 @@
 	forwardTimeout = 850 * time.Millisecond
 	// voterSilence is after how long without contact a caught-up learner takes a voter's place.
 	voterSilence = 2500 * time.Millisecond
+	// learnerSilence is after how long without contact a learner is forgotten: machines
+	// that are replaced at other addresses must not add up. One that comes back asks to be
+	// let in again, so it may be short; a minute is longer than restarts and cuts last.
+	learnerSilence = time.Minute
 	// voterContact is how lately the other voters must have followed for that.
 	voterContact = time.Second
 	// lonely is how long a node waits without a leader before it asks whether it is a member.
--- a/src/control/join_test.go
+++ b/src/control/join_test.go
@@ -172,6 +172,22 @@
 	is.True(next.IsVoter("b#0") && next.IsVoter("c#0"))
 }
 
+// TestNextVotersForgetsLearnersThatAreGone, and no others.
+func TestNextVotersForgetsLearnersThatAreGone(t *testing.T) {
+	is := is.New(t)
+	noon := time.Unix(1_800_000_000, 0)
+	members := raft.Members{Voters: []raft.ID{"a#0", "b#0", "c#0"}, Learners: []raft.ID{"f#1", "g#1"}}
+	core := leadingCore(noon, members)
+	heard := []raft.ID{"b#0", "c#0", "g#1"}
+	now := answerFor(core, noon, learnerSilence-time.Second, heard...)
+	is.True(nextVoters(core, now, 3) == nil)
+	now = answerFor(core, now, 2*time.Second, heard...)
+	next := nextVoters(core, now, 3)
+	is.True(next != nil)
+	is.Equal(next.Learners, []raft.ID{"g#1"})
+	is.Equal(next.Voters, members.Voters)
+}
+
 // answerFor lets members answer a leader's heartbeats for a while and returns the time.
 func answerFor(core *raft.Core, from time.Time, span time.Duration, ids ...raft.ID) time.Time {
 	now := from
--- a/src/control/membership.go
+++ b/src/control/membership.go
@@ -59,8 +59,8 @@
 	return now.Sub(c.leaderAt) > lonely
 }
 
-// nextVoters returns the next single step towards the wanted number of live
-// voters, nil if there is none to take.
+// nextVoters returns the next single step towards the wanted number of live voters, then
+// towards learners that are heard; nil if there is none to take.
 func nextVoters(core *raft.Core, now time.Time, wanted int) *raft.Members {
 	members := core.Members()
 	for _, learner := range caughtUp(core, now) {
@@ -73,6 +73,12 @@
 			return &next
 		}
 	}
+	for _, id := range members.Learners {
+		if now.Sub(lastContact(core, id)) >= learnerSilence {
+			next := members.Without(id)
+			return &next
+		}
+	}
 	return nil
 }
 
--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -82,7 +82,7 @@
 				return node.held()
 			},
 			Changed:  node.wait,
-			Members:  n.addresses,
+			Members:  node.members,
 			Peers:    func() []string { return n.others(node) },
 			Majority: func() (int, bool) { return count / 2, !node.outside.Load() },
 			Leading:  func() bool { return node.leads.Load() },
@@ -129,6 +129,14 @@
 	return list
 }
 
+// members returns the nodes that the node knows as members.
+func (n *testNode) members() []string {
+	if n.outside.Load() {
+		return nil
+	}
+	return n.net.addresses()
+}
+
 func (n *testNet) others(self *testNode) []string {
 	var list []string
 	for _, node := range n.nodes {
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -132,7 +132,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next.detached = known.Reach*2 <= len(next.members) || r.lags(now, next.version, known.Version)
+	next.detached = apart(known.Reach, len(next.members)) || r.lags(now, next.version, known.Version)
 	if next.same(&r.state) {
 		return
 	}
@@ -143,6 +143,10 @@
 	r.changed = make(chan struct{})
 }
 
+// apart reports whether a node reaches no majority of the members, or knows none: one that
+// lost its disk is outside until it is let in.
+func apart(reach, members int) bool { return members == 0 || reach*2 <= members }
+
 // lags reports whether others have had a newer configuration for too long; the lock is
 // held.
 func (r *Relay) lags(now time.Time, own, newest uint64) bool {
--- a/src/feed/relay_test.go
+++ b/src/feed/relay_test.go
@@ -93,6 +93,19 @@
 	eventually(t, "only the node of its zone is followed again", n.onlyFollows(2))
 }
 
+// TestAControlNodeWithoutMembersIsNotTheOnlyOne: it lost its disk and is not let in yet.
+func TestAControlNodeWithoutMembersIsNotTheOnlyOne(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	n.nodes[2].outside.Store(true)
+	n.gatewayIn("z", nil)
+	eventually(t, "the node of its zone is followed and another one beside it", func() bool {
+		counts := n.subscribers()
+		return counts[2] == 1 && counts[0]+counts[1] == 1
+	})
+	n.nodes[2].outside.Store(false)
+	eventually(t, "only the node of its zone is followed again", n.onlyFollows(2))
+}
+
 // TestAZoneThatIsCutOffGoesOn: a gateway that reaches only its own zone's node keeps to it.
 func TestAZoneThatIsCutOffGoesOn(t *testing.T) {
 	n := newZonedNet(t, "x", "y", "z")
