--- a/src/exchange/answer.go
+++ b/src/exchange/answer.go
@@ -19,7 +19,6 @@
 
 // The waits that refused clients are told, by what the refusal was for.
 const (
-	// retryAfterMissing is the least wait for a copy that is not expected in time.
 	retryAfterMissing = 500 * time.Millisecond
 	retryAfterBusy    = 250 * time.Millisecond
 	// retryAfterStart is about what control nodes need to come up after startHold.
@@ -184,10 +183,10 @@
 	switch {
 	case c.route == nil:
 		return retryAfterStart
-	case c.sends > 0:
-		return retryAfterBusy
+	case c.sends == 0:
+		return retryAfterMissing
 	}
-	return max(c.comesBy.Sub(c.handler.options.Now()), retryAfterMissing)
+	return retryAfterBusy
 }
 
 func seconds(d time.Duration) string {
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// choose picks a replica; it waits for one that is expected in time.
+// choose picks a replica; it waits a while for a copy that is not there yet.
 func (c *call) choose(ctx context.Context) Choice {
 	want := c.want()
 	h := c.handler
@@ -19,61 +19,33 @@
 			}
 			continue
 		}
-		if choice.Verdict == Chosen || len(c.tried) > 0 {
+		if choice.Verdict == Chosen || len(c.tried) > 0 || !now.Before(c.began.Add(c.patience(now, choice.Verdict))) {
 			return choice
 		}
 		if choice.Verdict == Missing && !asked {
 			h.options.Demand.Ask(c.service, c.facts, true)
 			asked = true
 		}
-		if !c.worthWaiting(now, choice.Verdict) || !sleep(ctx, missingPoll) {
+		select {
+		case <-ctx.Done():
 			return choice
+		case <-time.After(missingPoll):
 		}
 	}
 }
 
-// worthWaiting reports whether a replica is expected for a request that has none: one that
-// this gateway has not had the time to learn of, or one to which the copy comes while the
-// answer can still be in time. Where that is not expected the client is told at once.
-func (c *call) worthWaiting(now time.Time, verdict Verdict) bool {
-	fleet := c.handler.options.Fleet
-	if fleet.Gathering(now) {
-		known := c.began.Add(gatherTime)
-		return now.Before(known) && fleet.gatheredBy(known).Before(c.deadline)
+// patience is how long a request without a replica waits for one: for a copy that
+// may be on its way, and for replicas that this gateway has not had the time to
+// learn of.
+func (c *call) patience(now time.Time, verdict Verdict) time.Duration {
+	share := 0.0
+	if verdict == Missing {
+		share = missingShare
 	}
-	if verdict != Missing {
-		return false
+	if c.handler.options.Fleet.Gathering(now) {
+		share = gatheringShare
 	}
-	by, expected := fleet.arrivals.lacked(now, c.lackedCopy(), c.loadTime())
-	c.comesBy = by
-	return expected && by.Before(c.began.Add(c.route.Target))
-}
-
-// lackedCopy is what the request lacks: its model, or its adapter where a replica in reach
-// holds the model.
-func (c *call) lackedCopy() indexKey {
-	key := indexKey{c.service, copyKey{model: c.facts.Model, adapter: c.facts.Adapter}}
-	model := indexKey{c.service, copyKey{model: c.facts.Model}}
-	if !c.handler.options.Fleet.holds(model) {
-		return model
-	}
-	return key
-}
-
-// loadTime is how long a load of the request's model takes from the weight store.
-func (c *call) loadTime() time.Duration {
-	table := c.handler.Table()
-	if table == nil {
-		return 0
-	}
-	service := table.Service(c.service)
-	if service == nil || service.Engine == nil {
-		return 0
-	}
-	if model := service.Engine.Model(c.facts.Model); model != nil {
-		return model.Load
-	}
-	return 0
+	return time.Duration(float64(c.route.Target) * share)
 }
 
 func (c *call) want() Want {
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -37,8 +37,6 @@
 	// byKey are the replicas by their keys in packed backlogs.
 	byKey  map[uint64]*Peer
 	speeds *speeds
-	// arrivals are the copies that requests lack.
-	arrivals *arrivals
 	// sent delivers when this gateway has sent a request that the others should know of.
 	sent wakeup.Flag
 	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
@@ -71,7 +69,6 @@
 		prompts:  newPrompts(),
 		byKey:    map[uint64]*Peer{},
 		speeds:   newSpeeds(),
-		arrivals: newArrivals(),
 		sent:     wakeup.New(),
 	}
 }
@@ -93,7 +90,6 @@
 	for _, id := range changes.Removed {
 		f.remove(id)
 	}
-	f.arrivals.settle(f.now(), f.holds)
 	if found > 0 {
 		f.ring.Add(event.Event{Kind: event.ReplicasFound, Reason: fmt.Sprintf("%d new, %d known", found, len(f.peers))})
 	}
@@ -106,16 +102,6 @@
 	return begun == 0 || now.UnixNano()-begun < int64(gatherTime)
 }
 
-// gatheredBy returns by when all replicas that exist are known; otherwise is for the case
-// that none is known yet.
-func (f *Fleet) gatheredBy(otherwise time.Time) time.Time {
-	begun := f.begunAt.Load()
-	if begun == 0 {
-		return otherwise
-	}
-	return time.Unix(0, begun).Add(gatherTime)
-}
-
 // takeEntry takes in one replica; it reports whether it was not known. The lock is held.
 func (f *Fleet) takeEntry(e *registry.Entry) bool {
 	id := e.Record.ID
@@ -222,12 +208,8 @@
 			f.hold(id, held)
 		}
 	}
-	f.arrivals.settle(f.now(), f.holds)
 }
 
-// holds reports whether a replica in reach holds a copy.
-func (f *Fleet) holds(key indexKey) bool { return len(f.index.of(key.service, key.held)) > 0 }
-
 // hold brings the index up to date with what is known beyond a replica's words; the lock
 // is held.
 func (f *Fleet) hold(id string, known copies) {
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -26,6 +26,10 @@
 	answerMargin = 20 * time.Millisecond
 	// missingPoll is how often a request looks for a copy that is being loaded.
 	missingPoll = 10 * time.Millisecond
+	// missingShare is the part of the target that a request waits for a copy.
+	missingShare = 0.22
+	// gatheringShare is that part while the gateway's list of replicas is young.
+	gatheringShare = 0.6
 	// startHold is how long a request waits in a gateway that has just started and
 	// knows no configuration yet: after a loss of power control nodes come up some
 	// 0.3 s later than gateways, and a refused client is late for certain.
@@ -103,8 +107,6 @@
 	// deadline is when the client must have its answer.
 	deadline time.Time
 	tried    []*Peer
-	// comesBy is when the copy that the request lacks is expected, zero if none is lacked.
-	comesBy time.Time
 	// sends counts the replicas that were tried, arrivals those that the request
 	// may have reached, ran those that may have run it.
 	sends    int
