--- a/soak/installation.go
+++ b/soak/installation.go
@@ -19,11 +19,16 @@
 // The hosts of the installation on loopback. A process listens at its inner
 // address; its outer one, which all others use, is the proxy's.
 const (
-	outerNet    = "127.20.1."
-	innerNet    = "127.20.2."
-	replicaNet  = "127.20.3."
-	controls    = 3
+	outerNet   = "127.20.1."
+	innerNet   = "127.20.2."
+	replicaNet = "127.20.3."
+	// controls are the control nodes, of which the first are everybody's seeds.
+	controls    = 4
+	seedNodes   = 3
+	tolerance   = 1
 	gatewayHost = 10
+	// wantedVoters is how many control nodes vote.
+	wantedVoters = 2*tolerance + 1
 )
 
 // member is one process with its proxies.
@@ -128,13 +133,13 @@
 // settings writes a member's settings file.
 func (in *installation) settings(m *member, found bool) error {
 	var seeds []string
-	for i := 1; i <= controls; i++ {
+	for i := 1; i <= seedNodes; i++ {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s%d:%d", outerNet, i, in.callPort())))
 	}
 	text := fmt.Sprintf("node: %s\nzone: zone-%d\naddress: %s%d\nlisten: %s%d\npeerPort: %d\nadminPort: %d\nseeds: [%s]\nmemoryMB: 200\n",
 		m.name, m.host%3, outerNet, m.host, innerNet, m.host, in.peerPort(), in.adminPort(), strings.Join(seeds, ", "))
 	if m.control {
-		text += fmt.Sprintf("calls: %s\nfolder: %s\nfound: %v\ntolerance: 1\nheartbeat: 500ms\nlease: 1s\n", in.inner(m, in.callPort()), m.folder, found)
+		text += fmt.Sprintf("calls: %s\nfolder: %s\nfound: %v\ntolerance: %d\nheartbeat: 500ms\nlease: 1s\n", in.inner(m, in.callPort()), m.folder, found, tolerance)
 	} else {
 		text += fmt.Sprintf("clients: %s\nready: %s\nstopLimit: 6s\nbalancerLag: 500ms\nretry: {ratio: 0.2, extra: 50, window: 10s}\n", in.inner(m, in.callPort()), in.inner(m, in.readyPort()))
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -86,6 +86,7 @@
 	clients.stop()
 	operators.readBack()
 	clients.recovered()
+	in.repaired(check)
 	check.finish(in)
 	fmt.Printf("seed %d: %s\n", o.Seed, check.summary())
 	return check.findings(), nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -66,6 +67,17 @@
 	}
 }
 
+// TestTheMembershipIsReadFromMetrics among all other lines.
+func TestTheMembershipIsReadFromMetrics(t *testing.T) {
+	text := "# TYPE moorspool_control_voters gauge\nmoorspool_control_voters 3\nmoorspool_control_voters_heard 2\n" +
+		"moorspool_control_leading 1\nmoorspool_control_member 1\nmoorspool_control_control_bytes_in 7\n"
+	got, err := readMembership(strings.NewReader(text))
+	want := membership{member: true, leading: true, voters: 3, votersHeard: 2}
+	if err != nil || got != want {
+		t.Errorf("read %+v, %v", got, err)
+	}
+}
+
 // TestARunRefusesAddressesInUse: once the processes of a run that had been ended
 // with its shell stayed behind; the next runs took their answers for their own.
 func TestARunRefusesAddressesInUse(t *testing.T) {
