--- a/soak/installation.go
+++ b/soak/installation.go
@@ -27,6 +27,8 @@
 	seedNodes   = 3
 	tolerance   = 1
 	gatewayHost = 10
+	// spareTakesOver is about how long a voter has to be gone for that.
+	spareTakesOver = 3 * time.Second
 	// wantedVoters is how many control nodes vote.
 	wantedVoters = 2*tolerance + 1
 )
@@ -367,7 +369,9 @@
 		}
 	}},
 	{name: "wipe", diskless: true, strike: func(in *installation, m *member, lasts time.Duration, _ *rand.Rand) {
-		in.restart(m, syscall.SIGKILL, lasts/2, func() { _ = os.RemoveAll(m.folder) })
+		// Often long enough for a learner to take the place, so that one which is nobody's
+		// seed may lead when the machine is back.
+		in.restart(m, syscall.SIGKILL, lasts+spareTakesOver/2, func() { _ = os.RemoveAll(m.folder) })
 		time.Sleep(4 * time.Second) // the time that a lost disk may take to be made up for
 	}},
 	{name: "folder in the way", diskless: true, strike: func(in *installation, m *member, lasts time.Duration, _ *rand.Rand) {
