--- a/src/control/join_test.go
+++ b/src/control/join_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/moorspool/moorspool/src/raft"
 	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
 )
 
 // freeAddress returns a loopback address that nothing listens at.
@@ -198,6 +200,39 @@
 	return now
 }
 
+// TestAMessageForALostFolderSaysWhomToAsk: the others still send to the address under the
+// identity that was lost, and need be nobody's seed.
+func TestAMessageForALostFolderSaysWhomToAsk(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t, 1)
+	tc.seeds = nil
+	outside := tc.start(freeAddress(t), t.TempDir(), false)
+	is.Equal(len(outside.cluster.others()), 0)
+	lost := raft.ID(outside.address + "#lost")
+	_, err := outside.cluster.step(context.Background(), nil, raft.Message{Kind: raft.MsgAppend, From: "127.0.0.1:1#0", To: lost, Term: 1})
+	is.NoErr(err)
+	is.Equal(outside.cluster.others(), []string{"127.0.0.1:1"})
+}
+
+// TestARequestToBeLetInIsPassedOnOnce: two nodes that take each other for the leader must
+// not send it to and fro; the answer names whom else to ask.
+func TestARequestToBeLetInIsPassedOnOnce(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t, 3)
+	a, b := tc.nodes[tc.seeds[0]], tc.nodes[tc.seeds[1]]
+	tc.leadAt(a.address)
+	tc.eventually("the other one follows", func() bool { return b.cluster.Leadership().Address == a.address })
+	ask := func(id raft.ID, forwarded bool) wire.MembersReply {
+		reply, err := b.cluster.changeMembers(context.Background(), nil, wire.MembersRequest{AddLearner: id, Forwarded: forwarded})
+		is.NoErr(err)
+		return reply
+	}
+	refused := ask("127.0.0.1:1#1", true)
+	is.Equal(refused.Outcome, wire.Unavailable)
+	is.Equal(len(refused.Members.Voters), 3)
+	tc.eventually("it is passed on", func() bool { return ask("127.0.0.1:1#1", false).Outcome == wire.Accepted })
+}
+
 // TestANodeThatIsNoMemberKnowsNoMajority, so that it acknowledges nothing that needs one.
 func TestANodeThatIsNoMemberKnowsNoMajority(t *testing.T) {
 	is := is.New(t)
