A pre-candidate asks again after two to four heartbeats

Cause: after a loss of power nodes come up 0.4 s apart and refuse votes for half a second each; the first pre-candidate asked while others still refused and then waited a whole election time. Ruled out: a shorter quiet time after the start, which guards leases. Pre-votes change no term. Test: TestAPreCandidateAsksAgainSoon, failing before.

--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -378,6 +378,18 @@
 	c.electionAt = now.Add(c.options.Election + spread)
 }
 
+// preVoteRounds is after how many heartbeats' times a pre-candidate asks again, at least
+// and in spread. Others may refuse because they have just started, and asking changes
+// nothing with them: a whole election time more was 0.5 s more without a leader after all
+// had lost power.
+const preVoteRounds = 2
+
+// askAgainSoon sets when a pre-candidate that does not win asks again.
+func (c *Core) askAgainSoon(now time.Time) {
+	least := preVoteRounds * c.options.Heartbeat
+	c.electionAt = now.Add(least + time.Duration(c.rand.Int64N(int64(least))))
+}
+
 // EntriesAfter returns the entries after an index that are already durable.
 func (c *Core) EntriesAfter(index uint64) []Entry {
 	return c.log.slice(index+1, c.stable, c.log.size())
--- a/src/raft/core_test.go
+++ b/src/raft/core_test.go
@@ -34,6 +34,22 @@
 	is.Equal(len(restarted(0, 3).Ready().Committed), 0)
 }
 
+// TestAPreCandidateAsksAgainSoon: after a loss of power the others may not vote yet when it
+// asks first, and nothing is decided before there is a leader.
+func TestAPreCandidateAsksAgainSoon(t *testing.T) {
+	is := is.New(t)
+	c := restarted(3, 3)
+	asked := 0
+	for now := noon; now.Before(noon.Add(2 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		c.Tick(now)
+		ready := c.Ready()
+		c.Persisted(now, ready)
+		asked += len(ready.Messages) / 2
+	}
+	is.True(asked >= 5)
+	is.Equal(c.Term(), uint64(3)) // and disturbs nobody
+}
+
 func TestCommitIsWrittenOnlyWithSomethingElse(t *testing.T) {
 	is := is.New(t)
 	c := restarted(0, 3)
--- a/src/raft/election.go
+++ b/src/raft/election.go
@@ -11,10 +11,12 @@
 	if now.Before(c.electionAt) {
 		return
 	}
-	c.resetElection(now)
-	if c.Members().IsVoter(c.id) {
-		c.campaign(now, PreCandidate, false)
+	if !c.Members().IsVoter(c.id) {
+		c.resetElection(now)
+		return
 	}
+	c.askAgainSoon(now)
+	c.campaign(now, PreCandidate, false)
 }
 
 // NextTick returns the time at which Tick next has something to do.
@@ -88,6 +90,7 @@
 		return
 	}
 	if c.role == PreCandidate {
+		c.resetElection(now)
 		c.campaign(now, Candidate, false)
 		return
 	}
