quota: limits of client accounts divided among control nodes

Cause: an account's limit holds over all gateways, in touch or not, in any window. Leased shares stay. A flood after a rest may use a whole window at once; what goes beyond rate and burst is recorded durably before, so that the next leader, which knows nothing else, counts it.

--- /dev/null
+++ b/src/quota/quota_test.go
@@ -0,0 +1,265 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/moorspool/moorspool/src/testseed"
+)
+
+func init() { testseed.Fix() }
+
+func testTerms() Terms { return NewTerms(8*time.Second, 0.1, 17000) }
+
+// TestUseNeverExceedsTheLimitInAnyWindow plays floods through leaders that change and are
+// missing, control nodes that are cut off or restarted, gateways that forget, and
+// requests that reach their replica at the last moment.
+func TestUseNeverExceedsTheLimitInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		limits := map[string]Limit{
+			"large": {Rate: 300000, Burst: 300000},
+			"mid":   {Rate: 60000, Burst: 60000},
+			"small": {Rate: 4200, Burst: 4200},
+			"bare":  {Rate: 20000},
+		}
+		w := newWorld(leased, testTerms(), limits, 6, 24, random)
+		chance := rapid.SampledFrom([]float64{0, 0.0005, 0.002, 0.01}).Draw(t, "chance of a fault in a step")
+		lull := time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(t, "lull between floods"))
+		flood := rapid.Float64Range(0.3, 8).Draw(t, "asked, as a part of the limit")
+		rest := time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "rest before the flood"))
+		w.idle(rest)
+		for i := range 3500 {
+			w.advance()
+			if i%500 == 499 {
+				w.idle(lull)
+			}
+			if random.Float64() < chance {
+				w.fault()
+			}
+			for _, account := range w.accounts {
+				w.flood(account, limits[account], flood)
+			}
+		}
+		for account := range limits {
+			if most, bound := w.most(account), w.bound(account); most > bound {
+				t.Fatalf("%s: %.0f units in a window, %.0f allowed", account, most, bound)
+			}
+		}
+	})
+}
+
+// fault does one thing that may happen to an installation.
+func (w *world) fault() {
+	node := w.random.IntN(len(w.nodes))
+	gateway := w.gateways[w.random.IntN(len(w.gateways))]
+	switch w.random.IntN(6) {
+	case 0:
+		w.elect(-1)
+	case 1:
+		w.elect(node)
+	case 2:
+		w.nodes[node].cut = !w.nodes[node].cut
+	case 3:
+		w.nodes[node].holder = w.newHolder(node)
+	case 4:
+		gateway.grants = NewGrants()
+		gateway.node = node
+	case 5:
+		gateway.cut = !gateway.cut
+	}
+}
+
+// flood lets a step's requests of an account come, in clumps.
+func (w *world) flood(account string, limit Limit, part float64) {
+	const units = 2400
+	for left := part * limit.Rate * step.Seconds(); left > 0; left -= units {
+		if left < units && w.random.Float64() > left/units {
+			return
+		}
+		delay := time.Duration(w.random.Int64N(int64(w.terms.Life)))
+		w.ask(w.random.IntN(len(w.gateways)), account, units, delay)
+	}
+}
+
+// TestAnAccountBelowItsLimitIsNotRefused plays the usual load, a 1.8th of the limit in
+// waves and clumps, from the few gateways that an account's clients reach.
+func TestAnAccountBelowItsLimitIsNotRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
+		limits := map[string]Limit{"large": {Rate: 300000, Burst: 300000}, "mid": {Rate: 60000, Burst: 60000}}
+		w := newWorld(leased, testTerms(), limits, 6, 89, random)
+		w.idle(10 * time.Second)
+		for range 3000 {
+			w.advance()
+			w.usual("large", limits["large"], 40)
+			w.usual("mid", limits["mid"], 7)
+		}
+		if share := float64(w.within) / float64(w.asked); share > 0.005 {
+			t.Fatalf("%d of %d refused", w.within, w.asked)
+		}
+	})
+}
+
+// usual lets a step's share of an account's usual requests come to its gateways.
+func (w *world) usual(account string, limit Limit, gateways int) {
+	const (
+		units  = 2400
+		clump  = 3
+		part   = 1 / 1.8
+		period = 11 * time.Second
+	)
+	phase := float64(w.now.Sub(noon)%period) / float64(period)
+	wave := 1 + 0.27*(1-4*max(phase-0.5, 0.5-phase))
+	clumps := part * wave * limit.Rate * step.Seconds() / units / clump
+	for ; w.random.Float64() < clumps; clumps-- {
+		gateway := w.random.IntN(gateways)
+		for range clump {
+			w.ask(gateway, account, units, 0)
+		}
+	}
+}
+
+// TestWaysOfDividing compares the product's way with the ones that were weighed, on the
+// same requests: the leader's loss for a second, and a flood.
+func TestWaysOfDividing(t *testing.T) {
+	is := is.New(t)
+	refused := map[way]int{}
+	for _, way := range []way{leased, central, equal} {
+		limits := map[string]Limit{"large": {Rate: 300000, Burst: 300000}, "mid": {Rate: 60000, Burst: 60000}}
+		w := newWorld(way, testTerms(), limits, 6, 89, rand.New(rand.NewPCG(1, 3)))
+		w.idle(10 * time.Second)
+		for i := range 3000 {
+			w.advance()
+			if i%1000 == 500 {
+				w.elect(-1)
+			}
+			if i%1000 == 600 {
+				w.elect(i / 1000)
+			}
+			w.usual("large", limits["large"], 40)
+			w.usual("mid", limits["mid"], 7)
+		}
+		refused[way] = w.within
+		t.Logf("%s: %d of %d refused", wayNames[way], w.within, w.asked)
+		for account := range limits {
+			is.True(w.most(account) <= w.bound(account))
+		}
+	}
+	is.True(refused[leased] < refused[central])
+	is.True(refused[leased] < refused[equal])
+}
+
+// TestAFloodAfterARestGetsTheWholeWindowAtOnce: the limit counts over a window.
+func TestAFloodAfterARestGetsTheWholeWindowAtOnce(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Rate: 300000, Burst: 300000}
+	w := newWorld(leased, testTerms(), map[string]Limit{"a": limit}, 6, 89, rand.New(rand.NewPCG(1, 5)))
+	w.idle(10 * time.Second)
+	for range 300 {
+		w.advance()
+		w.flood("a", limit, 6)
+	}
+	is.True(w.most("a") >= 0.98*9*limit.Rate)
+	is.True(w.most("a") <= w.bound("a"))
+	before := w.refused
+	w.idle(testTerms().Window + testTerms().Life)
+	w.flood("a", limit, 6)
+	is.Equal(w.refused, before)
+}
+
+// TestANewDividerKnowsTheExtensionsOfTheOneBefore: what it gave at once is in the window yet.
+func TestANewDividerKnowsTheExtensionsOfTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Rate: 100, Burst: 100}
+	d := NewDivider(testTerms(), noon, nil, map[string]float64{"a": 300})
+	is.True(!d.Take(noon.Add(3*time.Second), "a", 10, limit).Taken)
+	is.True(d.Take(noon.Add(4*time.Second), "a", 10, limit).Taken)
+	is.Equal(len(d.Ended(noon.Add(5*time.Second))), 0)
+	is.Equal(d.Ended(noon.Add(9*time.Second)), []string{"a"})
+}
+
+// TestAFloodOfALargeAccountGetsItsLimit: what lies within the limit is served during a
+// flood too.
+func TestAFloodOfALargeAccountGetsItsLimit(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Rate: 300000, Burst: 300000}
+	w := newWorld(leased, testTerms(), map[string]Limit{"a": limit}, 6, 89, rand.New(rand.NewPCG(1, 4)))
+	for range 2000 {
+		w.advance()
+		w.flood("a", limit, 6)
+	}
+	sum := 0.0
+	for _, s := range w.spent["a"] {
+		sum += s.units
+	}
+	is.True(sum >= 0.97*limit.Rate*20)
+}
+
+func TestARequestLargerThanTheBurstIsServedAndPaidForAfterwards(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Rate: 100, Burst: 50}
+	d := NewDivider(testTerms(), noon, nil, nil)
+	is.True(d.Take(noon.Add(2*time.Second), "a", 90, limit).Taken)
+	answer := d.Take(noon.Add(2*time.Second), "a", 10, limit)
+	is.True(!answer.Taken)
+	is.Equal(answer.Wait, 500*time.Millisecond) // 40 owed and 10 wanted at 100 a second
+}
+
+// TestANewDividerRaisesNoShareBeforeAllAreKnown: a holder that it has not heard may spend
+// what an earlier divider gave it.
+func TestANewDividerRaisesNoShareBeforeAllAreKnown(t *testing.T) {
+	is := is.New(t)
+	terms := testTerms()
+	limit := func(string) (Limit, bool) { return Limit{Rate: 1000, Burst: 1000}, true }
+	d := NewDivider(terms, noon, []string{"x", "y"}, nil)
+	report := Report{Holder: "x", Life: 1, Sequence: 1, Shares: []Share{{Account: "a", Rate: 200, Demand: 900, Typical: 10}}}
+	is.Equal(d.Report(noon.Add(time.Second), report, limit)[0].Rate, 200.0)
+	report.Sequence++
+	later := noon.Add(terms.Lease + leaseMargin)
+	is.Equal(d.Report(later, report, limit)[0].Rate, 750.0)
+}
+
+func TestAnOlderReportSaysNothing(t *testing.T) {
+	is := is.New(t)
+	limit := func(string) (Limit, bool) { return Limit{Rate: 1000, Burst: 1000}, true }
+	d := NewDivider(testTerms(), noon, nil, nil)
+	shares := []Share{{Account: "a", Demand: 100, Typical: 10}}
+	is.Equal(len(d.Report(noon, Report{Holder: "x", Life: 1, Sequence: 2, Shares: shares}, limit)), 1)
+	is.Equal(len(d.Report(noon, Report{Holder: "x", Life: 1, Sequence: 1, Shares: shares}, limit)), 0)
+	is.Equal(len(d.Report(noon, Report{Holder: "x", Life: 2, Sequence: 1, Shares: shares}, limit)), 1)
+}
+
+func TestAShareEndsWithItsLease(t *testing.T) {
+	is := is.New(t)
+	terms := testTerms()
+	h := NewHolder("x", 1, terms)
+	h.Apply(noon, noon, []Share{{Account: "a", Rate: 100, Saved: 100}})
+	is.True(h.Take(noon.Add(time.Second), "a", 50))
+	is.True(h.Take(noon.Add(terms.Lease-1), "a", 50))
+	is.True(!h.Take(noon.Add(terms.Lease), "a", 1))
+	h.Apply(noon.Add(terms.Lease), noon.Add(terms.Lease), []Share{{Account: "a", Rate: 100, Saved: 100}})
+	is.True(!h.Take(noon.Add(terms.Lease), "a", 1)) // nothing saved over the gap
+}
+
+func TestGrantsAreSpentOnceAndInTime(t *testing.T) {
+	is := is.New(t)
+	g := NewGrants()
+	g.Put(noon, "a", 10, noon.Add(time.Second))
+	_, taken := g.Take(noon, "b", 10)
+	is.True(!taken)
+	until, taken := g.Take(noon, "a", 7)
+	is.True(taken)
+	is.Equal(until, noon.Add(time.Second))
+	_, taken = g.Take(noon, "a", 4)
+	is.True(!taken)
+	_, taken = g.Take(noon.Add(time.Second), "a", 3)
+	is.True(!taken)
+	g.SetEmpty("a", noon.Add(time.Second), 3*time.Second)
+	is.Equal(g.Empty(noon, "a"), 3*time.Second)
+	is.Equal(g.Empty(noon.Add(time.Second), "a"), time.Duration(0))
+}
