Client accounts: keys, trust and limits over all gateways

Cause: the product knew no client accounts. Ruled out: age carried by relayed messages alone, since a frozen process takes what waited in its sockets for new; only an answer to an own question has a known age. Change: accounts are decoded once in platform/ into src/catalog; the gateway finds the account by its key, sets its name and drops key and name of the client; it serves keys only while its configuration was known to be the newest lately (src/admission), and asks its control node for each request's units (src/quota divides them). The configuration is looked at again before each send. What did not run goes back.

--- a/src/catalog/check.go
+++ b/src/catalog/check.go
@@ -25,13 +25,16 @@
 
 // Check returns every fault of a document, nil if it is sound.
 func Check(d Document) Findings {
-	c := &checker{services: map[string]bool{}, places: map[place]string{}}
+	c := &checker{services: map[string]bool{}, places: map[place]string{}, accounts: map[string]bool{}, holders: map[Key]string{}}
 	for i, service := range d.Services {
 		c.service(i, service)
 	}
 	for i, route := range d.Routes {
 		c.route(i, route)
 	}
+	for i := range d.Accounts {
+		c.account(i, &d.Accounts[i])
+	}
 	return c.findings
 }
 
@@ -43,6 +46,9 @@
 type checker struct {
 	services map[string]bool
 	places   map[place]string
+	accounts map[string]bool
+	// holders are the accounts' names by key.
+	holders  map[Key]string
 	findings Findings
 }
 
@@ -92,3 +98,32 @@
 		c.add(at, "the weights of its services add up to 0")
 	}
 }
+
+// account checks one client account; no finding shows a key.
+func (c *checker) account(i int, a *Account) {
+	at := fmt.Sprintf("accounts[%d] %q", i, a.Name)
+	if a.Name == "" {
+		c.add(at, "has no name")
+	}
+	if c.accounts[a.Name] {
+		c.add(at, "the name %q stands twice", a.Name)
+	}
+	c.accounts[a.Name] = true
+	if a.Limit.Rate < 0 || a.Limit.Burst < 0 {
+		c.add(at, "the limit must not be below 0")
+	}
+	if a.Limit.Unit != Requests && a.Limit.Unit != Tokens {
+		c.add(at, "the unit %q is not known", a.Limit.Unit)
+	}
+	for j, key := range a.Keys {
+		place := fmt.Sprintf("%s keys[%d]", at, j)
+		other, taken := c.holders[key]
+		switch {
+		case key == "":
+			c.add(place, "is empty")
+		case taken && other != a.Name:
+			c.add(place, "the client accounts %q and %q hold the same key (%s)", other, a.Name, key)
+		}
+		c.holders[key] = a.Name
+	}
+}
--- a/src/catalog/document.go
+++ b/src/catalog/document.go
@@ -21,6 +21,10 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Keyed says that requests need the key of a client account, even if there is no
+	// account; without it there are no accounts.
+	Keyed    bool
+	Accounts []Account
 }
 
 // Route sends the requests of a host and a path prefix to services.
@@ -41,6 +45,8 @@
 	Attempts  int
 	Affinity  bool
 	Resumable bool
+	// Anonymous routes serve requests without a key too.
+	Anonymous bool
 }
 
 // Idempotent reports whether a request of the route may run more than once.
--- a/src/catalog/table.go
+++ b/src/catalog/table.go
@@ -11,11 +11,15 @@
 	document Document
 	routes   map[string][]*Route
 	services map[string]*Service
+	byKey    map[Key]*Account
+	accounts map[string]*Account
 }
 
 // NewTable returns the table of a sound document.
 func NewTable(d Document) *Table {
 	t := &Table{document: d, routes: map[string][]*Route{}, services: map[string]*Service{}}
+	t.byKey = make(map[Key]*Account, len(d.Accounts))
+	t.accounts = make(map[string]*Account, len(d.Accounts))
 	for i := range t.document.Routes {
 		route := &t.document.Routes[i]
 		host := normalHost(route.Host)
@@ -28,6 +32,13 @@
 		service := &t.document.Services[i]
 		t.services[service.Name] = service
 	}
+	for i := range t.document.Accounts {
+		account := &t.document.Accounts[i]
+		t.accounts[account.Name] = account
+		for _, key := range account.Keys {
+			t.byKey[key] = account
+		}
+	}
 	return t
 }
 
@@ -40,6 +51,15 @@
 // Service returns the service of a name, nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Keyed reports whether requests need the key of a client account.
+func (t *Table) Keyed() bool { return t.document.Keyed }
+
+// AccountOf returns the client account that holds a key, nil if none does.
+func (t *Table) AccountOf(key Key) *Account { return t.byKey[key] }
+
+// Account returns the client account of a name, nil if there is none.
+func (t *Table) Account(name string) *Account { return t.accounts[name] }
+
 // Match returns the route of the host whose prefix begins the path and is
 // longest, nil if there is none.
 func (t *Table) Match(host, path string) *Route {
--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/raft"
 	"github.com/moorspool/moorspool/src/rpc"
@@ -93,6 +95,10 @@
 	Term    uint64
 	// Since is when this node was elected, zero while it does not lead.
 	Since time.Time
+	// Version is the newest accepted document's while Self is set, Extensions are the
+	// recorded extensions of client accounts; they must not be changed.
+	Version    uint64
+	Extensions map[string]float64
 }
 
 // Leadership returns who leads now.
@@ -104,6 +110,8 @@
 		l.Address = nameOf(core.Leader())
 		l.Term = core.Term()
 		l.Since = core.LedSince()
+		l.Version = c.node.replica.state.document.Version
+		l.Extensions = c.node.replica.state.extensions
 	})
 	return l
 }
@@ -256,6 +264,31 @@
 	return held
 }
 
+// RecordExtension records how much a client account may use at once beyond its rate, in
+// units, 0 for nothing; it returns once that is durable on a majority.
+func (c *Cluster) RecordExtension(ctx context.Context, account string, units float64) error {
+	applied, err := c.node.propose(ctx, command{At: c.now(), Extension: &extensionCommand{Account: account, Units: units}})
+	if err != nil {
+		return err
+	}
+	if applied.outcome != wire.Accepted {
+		return errors.New("the extension may not be recorded: " + applied.reason)
+	}
+	return nil
+}
+
+// errNoLeader means that this node knows no other node that leads.
+var errNoLeader = errors.New("no other control node is known to lead")
+
+// CallLeader calls the node that leads, if this one knows it, without waiting for one.
+func (c *Cluster) CallLeader(ctx context.Context, method string, params, result any) error {
+	lead := c.Leadership()
+	if lead.Address == "" || lead.Address == c.Address() {
+		return errNoLeader
+	}
+	return c.links.Client(lead.Address).Call(ctx, method, params, result)
+}
+
 // awaitLeader waits a while for a leader to be known.
 func (c *Cluster) awaitLeader(ctx context.Context) Leadership {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait)
--- a/src/control/command.go
+++ b/src/control/command.go
@@ -20,6 +20,8 @@
 	Settle *settleCommand `cbor:"5,keyasint,omitempty"`
 	// Document is a whole configuration under a version.
 	Document *documentCommand `cbor:"6,keyasint,omitempty"`
+	// Extension records how much a client account may use at once beyond its rate.
+	Extension *extensionCommand `cbor:"7,keyasint,omitempty"`
 }
 
 // changeCommand is a change that the leader has checked against the
@@ -59,6 +61,12 @@
 	Released bool
 }
 
+// extensionCommand sets the units that a client account may use at once, 0 to end that.
+type extensionCommand struct {
+	Account string  `cbor:"1,keyasint"`
+	Units   float64 `cbor:"2,keyasint"`
+}
+
 func (c command) encode() ([]byte, error) {
 	data, err := cbor.Marshal(c)
 	return data, errors.Wrap(err, "encoding a command")
--- a/src/control/state.go
+++ b/src/control/state.go
@@ -40,6 +40,8 @@
 	Renewed   map[string]uint64 `cbor:"6,keyasint"`
 	Claims    *claims           `cbor:"7,keyasint"`
 	Document  document          `cbor:"8,keyasint"`
+	// Extensions are left out by versions that have no client accounts.
+	Extensions map[string]float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // State is the replicated state machine: the same entries in the same order
@@ -55,6 +57,9 @@
 	renewed   map[string]uint64
 	claims    *claims
 	document  document
+	// extensions are what client accounts may use at once beyond their rates, in units.
+	// The map is replaced and never changed, so that others may read it.
+	extensions map[string]float64
 }
 
 // NewState returns the state before the first entry.
@@ -98,6 +103,8 @@
 		return s.claims.settle(cmd.Settle)
 	case cmd.Document != nil:
 		return s.document.apply(cmd.Document)
+	case cmd.Extension != nil:
+		return s.applyExtension(cmd.Extension)
 	}
 	return result{outcome: wire.Refused, reason: "the command is of a later version"}
 }
@@ -187,6 +194,19 @@
 	return result{outcome: wire.Accepted, epoch: cmd.Epoch, renewed: cmd.Zone}
 }
 
+func (s *State) applyExtension(cmd *extensionCommand) result {
+	next := make(map[string]float64, len(s.extensions)+1)
+	for account, units := range s.extensions {
+		next[account] = units
+	}
+	next[cmd.Account] = cmd.Units
+	if cmd.Units <= 0 {
+		delete(next, cmd.Account)
+	}
+	s.extensions = next
+	return result{outcome: wire.Accepted}
+}
+
 // Renewed returns the log index of a zone's last grant or renewal.
 func (s *State) Renewed(zone string) uint64 { return s.renewed[zone] }
 
@@ -221,6 +241,8 @@
 		Renewed:   s.renewed,
 		Claims:    s.claims,
 		Document:  s.document,
+
+		Extensions: s.extensions,
 	}
 	data, err := saveMode.Marshal(saved)
 	return data, errors.Wrap(err, "encoding the state")
@@ -265,5 +287,6 @@
 	}
 	s.claims.restore()
 	s.document = saved.Document
+	s.extensions = saved.Extensions
 	return s, nil
 }
--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -56,6 +56,11 @@
 	RequestFinished  Kind = 704
 	RequestLeft      Kind = 705
 	HostEjected      Kind = 710
+	KeyRefused       Kind = 720
+	QuotaSpent       Kind = 721
+	AdmissionUnsure  Kind = 722
+	TrustLost        Kind = 723
+	TrustRegained    Kind = 724
 	FaultSwitched    Kind = 900
 )
 
@@ -125,6 +130,11 @@
 	{RequestFinished, "request-finished", "A client got its whole answer."},
 	{RequestLeft, "request-left", "The client closed its connection before the answer was whole."},
 	{HostEjected, "host-ejected", "A gateway avoids a backend server after failures in a row."},
+	{KeyRefused, "key-refused", "A request carried no key, or one that no client account holds."},
+	{QuotaSpent, "quota-spent", "A request was refused because its client account had nothing left of its limit."},
+	{AdmissionUnsure, "admission-unsure", "A request with a key was refused because nobody in reach could say whether its account had something left, or whether the configuration was still the newest."},
+	{TrustLost, "trust-lost", "A gateway has not known for too long that its configuration is the newest; it serves no request with a key."},
+	{TrustRegained, "trust-regained", "A gateway knows again that its configuration is the newest."},
 	{FaultSwitched, "fault-switched", "A test switched a fault on or off; never seen in production."},
 }
 
--- /dev/null
+++ b/src/exchange/admit_test.go
@@ -0,0 +1,188 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/admission"
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// fakeAdmission admits what a test says.
+type fakeAdmission struct {
+	mu       sync.Mutex
+	verdict  admission.Verdict
+	trusted  bool
+	asked    []float64
+	returned []float64
+	// onAdmit is called before each answer.
+	onAdmit func()
+}
+
+func (f *fakeAdmission) admission() Admission {
+	return Admission{
+		Admit: func(_ context.Context, _ *catalog.Account, units float64) admission.Verdict {
+			if f.onAdmit != nil {
+				f.onAdmit()
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.asked = append(f.asked, units)
+			return f.verdict
+		},
+		Return: func(_ string, units float64, _ time.Time) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.returned = append(f.returned, units)
+		},
+		Trusted: func(time.Time, uint64) bool { return f.trusted },
+		Confirm: func(context.Context) bool { return f.trusted },
+	}
+}
+
+func (f *fakeAdmission) counts() (asked, returned int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.asked), len(f.returned)
+}
+
+// keyedTable has one route and a client account that holds the keys.
+func keyedTable(version uint64, r catalog.Route, keys ...catalog.Key) *catalog.Table {
+	return catalog.NewTable(catalog.Document{
+		Version: version, Routes: []catalog.Route{r}, Services: []catalog.Service{{Name: "s"}}, Keyed: true,
+		Accounts: []catalog.Account{{Name: "a", Keys: keys, Limit: catalog.Limit{Unit: catalog.Requests, Rate: 1}}},
+	})
+}
+
+func newKeyedBench(t *testing.T, f *fakeAdmission, r catalog.Route, replicas ...*fakeReplica) *bench {
+	b := newBench(t, r, replicas...)
+	b.handler.options.Admission = f.admission()
+	b.handler.SetTable(keyedTable(1, r, "k"))
+	return b
+}
+
+func granting() *fakeAdmission {
+	return &fakeAdmission{trusted: true, verdict: admission.Verdict{Admission: wire.Granted, Until: time.Now().Add(time.Minute)}}
+}
+
+func TestAnAdmittedRequestCarriesItsAccount(t *testing.T) {
+	is := is.New(t)
+	r := newReplica(t, "x", whole)
+	f := granting()
+	b := newKeyedBench(t, f, route(catalog.Safe, 2), r)
+	is.Equal(b.do("GET", "one", "", testKey+": k", testAccount+": forged").status, http.StatusOK)
+	is.Equal(r.last().request.Header.Values(testAccount), []string{"a"})
+	is.Equal(len(r.last().request.Header.Values(testKey)), 0)
+	asked, returned := f.counts()
+	is.Equal(asked, 1)
+	is.Equal(returned, 0)
+}
+
+func TestAnUnknownKeyIsRefusedWithoutAnAsk(t *testing.T) {
+	is := is.New(t)
+	r := newReplica(t, "x", whole)
+	f := granting()
+	b := newKeyedBench(t, f, route(catalog.Safe, 2), r)
+	is.Equal(b.do("GET", "one", "").status, http.StatusUnauthorized)
+	is.Equal(b.do("GET", "two", "", testKey+": other").status, http.StatusUnauthorized)
+	is.Equal(r.count(), 0)
+	asked, _ := f.counts()
+	is.Equal(asked, 0)
+}
+
+func TestASpentAccountIsRefusedAtOnceWithATimeToComeBack(t *testing.T) {
+	is := is.New(t)
+	r := newReplica(t, "x", whole)
+	f := granting()
+	f.verdict = admission.Verdict{Admission: wire.Spent, RetryAfter: 750 * time.Millisecond}
+	b := newKeyedBench(t, f, route(catalog.Safe, 2), r)
+	got := b.do("GET", "one", "", testKey+": k")
+	is.Equal(got.status, http.StatusTooManyRequests)
+	is.Equal(got.header.Get("Retry-After"), "0.750")
+	is.Equal(r.count(), 0)
+}
+
+// TestAGatewayThatIsNotTrustedRefusesKeysAndServesAnonymousRoutes also for keys that it
+// does not know: they may have come since.
+func TestAGatewayThatIsNotTrustedRefusesKeysAndServesAnonymousRoutes(t *testing.T) {
+	is := is.New(t)
+	r := newReplica(t, "x", whole)
+	f := granting()
+	f.trusted = false
+	open := route(catalog.Safe, 2)
+	b := newKeyedBench(t, f, open, r)
+	for _, key := range []string{"k", "other"} {
+		got := b.do("GET", "one", "", testKey+": "+key)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.header.Get("Retry-After") != "")
+	}
+	is.Equal(r.count(), 0)
+	open.Anonymous = true
+	b.handler.SetTable(keyedTable(2, open, "k"))
+	is.Equal(b.do("GET", "two", "").status, http.StatusOK)
+}
+
+// TestAKeyThatIsTakenAwayWhileARequestWaitsDoesNotRun: the configuration is looked at
+// again right before each send.
+func TestAKeyThatIsTakenAwayWhileARequestWaitsDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	rt := route(catalog.Safe, 2)
+	r := newReplica(t, "x", whole)
+	f := granting()
+	b := newKeyedBench(t, f, rt, r)
+	f.onAdmit = func() { b.handler.SetTable(keyedTable(2, rt)) }
+	is.Equal(b.do("GET", "one", "", testKey+": k").status, http.StatusUnauthorized)
+	is.Equal(r.count(), 0)
+	_, returned := f.counts()
+	is.Equal(returned, 1) // what it was granted goes back
+}
+
+// TestWhatAReplicaDidNotRunPaysForTheNextSend, and goes back if there is none.
+func TestWhatAReplicaDidNotRunPaysForTheNextSend(t *testing.T) {
+	is := is.New(t)
+	f := granting()
+	full, other := newReplica(t, "x", notRunning), newReplica(t, "y", notRunning)
+	b := newKeyedBench(t, f, route(catalog.Unsafe, 2), full, other)
+	is.Equal(b.do("GET", "one", "", testKey+": k").status, http.StatusServiceUnavailable)
+	is.Equal(full.count()+other.count(), 2)
+	asked, returned := f.counts()
+	is.Equal(asked, 1)
+	is.Equal(returned, 1)
+}
+
+// TestAGrantThatEndedIsAskedForAgain: a request that waited is counted when it is sent.
+func TestAGrantThatEndedIsAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	f := granting()
+	r := newReplica(t, "x", whole)
+	b := newKeyedBench(t, f, route(catalog.Safe, 2), r)
+	const life = 100 * time.Millisecond
+	passed := time.Duration(0)
+	now := func() time.Time { return time.Now().Add(passed) }
+	b.handler.options.Now = now
+	f.onAdmit = func() { f.verdict.Until = now().Add(life) }
+	b.handler.options.Admission.Trusted = func(time.Time, uint64) bool {
+		passed += life // the request waits after it was admitted
+		return true
+	}
+	is.Equal(b.do("GET", "one", "", testKey+": k").status, http.StatusOK)
+	asked, _ := f.counts()
+	is.Equal(asked, 2)
+}
+
+// TestAGrantThatCameTooLateIsNotSpent: the gateway was frozen while it asked.
+func TestAGrantThatCameTooLateIsNotSpent(t *testing.T) {
+	is := is.New(t)
+	f := granting()
+	f.verdict.Until = time.Now()
+	r := newReplica(t, "x", whole)
+	b := newKeyedBench(t, f, route(catalog.Safe, 2), r)
+	is.Equal(b.do("GET", "one", "", testKey+": k").status, http.StatusServiceUnavailable)
+	is.Equal(r.count(), 0)
+}
--- a/src/exchange/answer.go
+++ b/src/exchange/answer.go
@@ -168,7 +168,7 @@
 func (c *call) refuse(status int, reason string) {
 	header := c.writer.Header()
 	c.reason = reason
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		header.Set("Retry-After", seconds(c.retryAfter()))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -181,6 +181,8 @@
 
 func (c *call) retryAfter() time.Duration {
 	switch {
+	case c.retryIn > 0:
+		return c.retryIn
 	case c.route == nil:
 		return retryAfterStart
 	case c.sends == 0:
@@ -238,8 +240,8 @@
 	}
 	h.options.Ring.Add(event.Event{
 		Kind: kind, Request: c.facts.ID, Model: modelName(c.facts), Host: host,
-		Reason: fmt.Sprintf("status %d, route %s, service %s, configuration %d, sent to %d, may have run at %d, first byte %d ms, longest pause %s, took %d ms of %d ms; %s",
-			c.status, route, service, c.version, c.sends, c.ran, first.Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.began).Milliseconds(), c.reason),
+		Reason: fmt.Sprintf("status %d, route %s, service %s, account %q, configuration %d, sent to %d, may have run at %d, first byte %d ms, longest pause %s, took %d ms of %d ms; %s",
+			c.status, route, service, c.accountName(), c.version, c.sends, c.ran, first.Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.began).Milliseconds(), c.reason),
 	})
 }
 
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -66,16 +66,22 @@
 	defer peer.end()
 	unread := choice.ReadTime
 	defer func() { peer.read(unread) }()
+	paid := c.spend()
 	h.options.Fleet.Sent(now, peer, c.facts.Model, c.facts.Parts, choice.ReadTime)
 	c.sends++
 	a, err := send(ctx, peer.pool, o, c.facts.ID, h.options.Codec.Reply, choice.dialWithin(), c.headBy(now), now)
 	if err != nil {
-		return c.sendFailed(ctx, peer, err), nil
+		ended := c.sendFailed(ctx, peer, err)
+		if ended == notRun {
+			c.permit = paid
+		}
+		return ended, nil
 	}
 	c.arrivals++
 	_ = a.conn.raw.SetDeadline(c.deadline)
 	h.options.Fleet.Told(h.options.Now(), peer, a.reply.Load)
 	if a.reply.NotRun {
+		c.permit = paid
 		return c.rejected(peer, a), nil
 	}
 	c.ran++
@@ -118,7 +124,8 @@
 	codec.Prepare(header, c.facts, Attempt{
 		Replica:     peer.ID(),
 		Remaining:   c.deadline.Sub(now) - answerMargin,
-		Priority:    c.route.Priority,
+		Priority:    c.priority(),
+		Account:     c.accountName(),
 		ResumeAfter: c.resumeAfter(),
 	})
 	return &outgoing{method: c.request.Method, target: c.request.RequestURI, host: c.request.Host, header: header, body: c.body}
--- a/src/exchange/facts.go
+++ b/src/exchange/facts.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/moorspool/moorspool/src/catalog"
 )
 
 // Part is a piece of a prompt that other requests may share.
@@ -27,6 +29,8 @@
 	Deadline time.Duration
 	// ResumeAfter is the last event that the client of a stream has.
 	ResumeAfter string
+	// Key is the client account's key, "" if the request has none.
+	Key catalog.Key
 }
 
 // Attempt is what one replica is told beyond the client's own words.
@@ -35,6 +39,8 @@
 	Remaining   time.Duration
 	Priority    int
 	ResumeAfter string
+	// Account is the client account's name, "" for requests without one.
+	Account string
 }
 
 // Load is what a replica says of its load in an answer.
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -28,17 +28,22 @@
 	testModel    = "Wanted-Model"
 	testAfter    = "After-Event"
 	testStamp    = "Stamp"
+	testKey      = "Client-Key"
+	testAccount  = "Client-Account"
 )
 
 func testCodec() Codec {
 	return Codec{
 		Facts: func(r *http.Request) Facts {
 			ms, _ := strconv.Atoi(r.Header.Get(testDeadline))
-			return Facts{ID: r.Header.Get(testID), Model: r.Header.Get(testModel), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get(testAfter)}
+			return Facts{ID: r.Header.Get(testID), Model: r.Header.Get(testModel), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get(testAfter), Key: catalog.Key(r.Header.Get(testKey))}
 		},
 		Prepare: func(header http.Header, _ Facts, a Attempt) {
 			header.Set(testReplica, a.Replica)
 			header.Set(testDeadline, strconv.FormatInt(a.Remaining.Milliseconds(), 10))
+			if a.Account != "" {
+				header.Set(testAccount, a.Account)
+			}
 			if a.ResumeAfter != "" {
 				header.Set(testAfter, a.ResumeAfter)
 			}
@@ -46,7 +51,7 @@
 		Reply: func(status int, header http.Header) Reply {
 			return Reply{ID: header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Elsewhere: status == http.StatusMisdirectedRequest}
 		},
-		Replace: []string{testReplica, testDeadline, testAfter},
+		Replace: []string{testReplica, testDeadline, testAfter, testKey, testAccount},
 	}
 }
 
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -43,6 +43,9 @@
 	Codec  Codec
 	Fleet  *Fleet
 	Budget BudgetLimits
+	// Admission admits the requests of client accounts; it is asked only under a
+	// configuration that wants keys.
+	Admission Admission
 	// Demand learns what requests ask for.
 	Demand  *Demand
 	Ring    *event.Ring
@@ -102,8 +105,11 @@
 	// eventTokens is how many tokens an event of the service's streams holds, 0 if unknown.
 	eventTokens int
 	facts       Facts
-	body        []byte
-	began       time.Time
+	// account is the client account, nil for requests without one.
+	account *catalog.Account
+	permit  permit
+	body    []byte
+	began   time.Time
 	// deadline is when the client must have its answer.
 	deadline time.Time
 	tried    []*Peer
@@ -115,9 +121,11 @@
 	// status is what the client was answered.
 	status int
 	reason string
-	first  time.Time
-	stream *eventStream
-	pauses pauses
+	// retryIn is when a refused client should come back, 0 if the reason says it.
+	retryIn time.Duration
+	first   time.Time
+	stream  *eventStream
+	pauses  pauses
 }
 
 // ServeHTTP answers one request.
@@ -145,11 +153,15 @@
 	c.eventTokens = eventTokens(table, c.service)
 	c.facts = h.options.Codec.Facts(r)
 	c.deadline = c.began.Add(c.allowed())
-	if !c.readBody(table.Document().Limits.BodyBytes) {
+	if !c.identify(table) || !c.readBody(table.Document().Limits.BodyBytes) {
 		return
 	}
-	h.options.Demand.Ask(c.service, c.facts, false)
 	h.budgets.of(c.service).Request(c.began)
+	defer c.giveBack()
+	if !c.mayGoOn(r.Context()) {
+		return
+	}
+	h.options.Demand.Ask(c.service, c.facts, false)
 	c.run()
 }
 
@@ -222,6 +234,9 @@
 			c.giveUp(kept, choice)
 			return
 		}
+		if !c.mayGoOn(ctx) {
+			return
+		}
 		ended, answer := c.attempt(ctx, choice)
 		if answer != nil {
 			kept = answer
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -13,7 +13,11 @@
 	Requests tally.Counter
 	Refusals tally.Counter
 	Retries  tally.Counter
-	Latency  tally.Histogram
+	// KeysRefused, QuotaSpent and Unsure count requests that were not admitted.
+	KeysRefused tally.Counter
+	QuotaSpent  tally.Counter
+	Unsure      tally.Counter
+	Latency     tally.Histogram
 	// Pause holds the longest pause between two events of each stream.
 	Pause tally.Histogram
 }
@@ -24,8 +28,13 @@
 		Requests: registry.Count("requests_total"),
 		Refusals: registry.Count("refusals_total"),
 		Retries:  registry.Count("retries_total"),
-		Latency:  registry.Latency("request_seconds"),
-		Pause:    registry.Latency("stream_pause_seconds"),
+
+		KeysRefused: registry.Count("keys_refused_total"),
+		QuotaSpent:  registry.Count("quota_spent_total"),
+		Unsure:      registry.Count("admissions_unsure_total"),
+
+		Latency: registry.Latency("request_seconds"),
+		Pause:   registry.Latency("stream_pause_seconds"),
 	}
 }
 
--- a/src/feed/notify.go
+++ b/src/feed/notify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/moorspool/moorspool/src/rpc"
 )
@@ -31,6 +32,74 @@
 	}
 }
 
+// The bounds of one ask.
+const (
+	// askNext is after how long without an answer another control node is asked as well:
+	// longer than an answer takes that has to be fetched from the leader, and shorter than
+	// the first repeat of a packet that was lost.
+	askNext = 80 * time.Millisecond
+	// askAtMost is how many control nodes are asked before an ask is given up.
+	askAtMost = 3
+)
+
+// Ask calls the best sound control node, and others beside it while there is no answer; it
+// returns the first one's and drops the rest.
+func Ask[R any](ctx context.Context, f *Follower, method string, params any) (R, error) {
+	type answer struct {
+		reply R
+		err   error
+	}
+	clients := f.toAsk()
+	answers := make(chan answer, len(clients))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	last := answer{err: rpc.ErrUnreachable}
+	for asked, answered := 0, 0; answered < len(clients); {
+		select {
+		case <-next.C:
+			if asked == len(clients) {
+				continue
+			}
+			client := clients[asked]
+			asked++
+			go func() {
+				var one answer
+				one.err = client.Call(ctx, method, params, &one.reply)
+				answers <- one
+			}()
+			next.Reset(askNext)
+		case last = <-answers:
+			answered++
+			if last.err == nil {
+				return last.reply, nil
+			}
+			next.Reset(0)
+		case <-ctx.Done():
+			return last.reply, ctx.Err()
+		}
+	}
+	return last.reply, last.err
+}
+
+// toAsk returns the control nodes to ask, best first: those in reach before others.
+func (f *Follower) toAsk() []*rpc.Client {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var clients []*rpc.Client
+	if f.first != nil && f.first.live {
+		clients = append(clients, f.first.client)
+	}
+	ranked := f.ranked()
+	for _, live := range []bool{true, false} {
+		for _, s := range ranked {
+			if s.live == live && s != f.first && len(clients) < askAtMost {
+				clients = append(clients, s.client)
+			}
+		}
+	}
+	return clients
+}
+
 func (f *Follower) nearestClient() *rpc.Client {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/src/fleet/admission.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/moorspool/moorspool/src/admission"
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/feed"
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/quota"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+func quotaTerms(s option.QuotaSetting) quota.Terms {
+	return quota.NewTerms(s.Window.Std(), s.Overage, s.Slack)
+}
+
+// askAdmission asks the nearest control node.
+func (g *gateway) askAdmission(ctx context.Context, request wire.AdmitRequest) (wire.AdmitReply, error) {
+	return feed.Ask[wire.AdmitReply](ctx, g.follower, wire.MethodAdmit, request)
+}
+
+// inForce returns the version of the configuration that the gateway acts on, and whether
+// that wants keys.
+func (g *gateway) inForce() (version uint64, keyed bool) {
+	table := g.handler.Table()
+	if table == nil {
+		return 0, false
+	}
+	return table.Version(), table.Keyed()
+}
+
+// buildGranter makes what admits the gateways' requests.
+func (c *controlNode) buildGranter() {
+	c.granter = admission.NewGranter(admission.GranterOptions{
+		Node:       c.settings.Peer(),
+		Life:       rand.Uint64(),
+		Terms:      quotaTerms(c.settings.Quota),
+		Leader:     admission.Leader{Lease: c.askLease, Draw: c.askDraw},
+		Leadership: c.leadership,
+		Record:     c.cluster.RecordExtension,
+		Table:      c.table,
+		Now:        time.Now,
+	})
+	mux := c.proc.Mux()
+	mux.Handle(wire.MethodAdmit, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, request wire.AdmitRequest) (wire.AdmitReply, error) {
+		return c.granter.Admit(ctx, request), nil
+	}))
+	mux.Handle(wire.MethodLease, rpc.Typed(func(_ context.Context, _ *rpc.Peer, request wire.LeaseRequest) (wire.LeaseReply, error) {
+		return c.granter.Lease(request), nil
+	}))
+	mux.Handle(wire.MethodDraw, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, request wire.DrawRequest) (wire.DrawReply, error) {
+		return c.granter.Draw(ctx, request), nil
+	}))
+}
+
+// table returns the newest configuration that this node has applied.
+func (c *controlNode) table() *catalog.Table {
+	return c.tables.get(c.cluster.Version(), c.cluster.Document)
+}
+
+// leadership returns what the granter has to know of this node.
+func (c *controlNode) leadership() admission.Leadership {
+	lead := c.cluster.Leadership()
+	if !lead.Self {
+		return admission.Leadership{}
+	}
+	return admission.Leadership{Self: true, Version: lead.Version, Term: lead.Term, Members: c.cluster.Members(), Extensions: lead.Extensions}
+}
+
+// askLease reports to the leader.
+func (c *controlNode) askLease(ctx context.Context, request wire.LeaseRequest) (wire.LeaseReply, error) {
+	if reply := c.granter.Lease(request); reply.Known {
+		return reply, nil
+	}
+	var reply wire.LeaseReply
+	err := c.cluster.CallLeader(ctx, wire.MethodLease, request, &reply)
+	return reply, err
+}
+
+// askDraw asks the leader for what no control node has.
+func (c *controlNode) askDraw(ctx context.Context, request wire.DrawRequest) (wire.DrawReply, error) {
+	if reply := c.granter.Draw(ctx, request); reply.Admission != wire.Unsure {
+		return reply, nil
+	}
+	var reply wire.DrawReply
+	err := c.cluster.CallLeader(ctx, wire.MethodDraw, request, &reply)
+	return reply, err
+}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/moorspool/moorspool/src/admission"
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/control"
 	"github.com/moorspool/moorspool/src/event"
@@ -73,6 +74,7 @@
 	placer    *placer.Placer
 	board     *loadview.Board
 	backlog   *loadview.Backlog
+	granter   *admission.Granter
 	signals   <-chan os.Signal
 }
 
@@ -205,6 +207,7 @@
 	c.backlog = loadview.NewBacklog()
 	c.proc.Mux().Handle(wire.MethodSent, rpc.Typed(c.sent))
 	c.proc.Mux().Handle(wire.MethodSentSum, rpc.Typed(c.sentSum))
+	c.buildGranter()
 	return nil
 }
 
@@ -244,6 +247,7 @@
 	go c.shareBacklog(ctx)
 	go c.passSent(ctx)
 	go c.passUsage(ctx)
+	go c.granter.Run(ctx)
 	go c.relay.Run(ctx)
 	go c.follower.Run(ctx)
 	calls, err := listen(c.settings.Calls, c.speak.Calls(c.calls()))
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/moorspool/moorspool/src/admission"
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/exchange"
@@ -70,6 +71,7 @@
 	handler  *exchange.Handler
 	demand   *exchange.Demand
 	follower *feed.Follower
+	gate     *admission.Gate
 	stopping atomic.Bool
 	replicas atomic.Bool
 }
@@ -92,10 +94,24 @@
 	g.proc = proc
 	debug.SetGCPercent(gatewayGCPercent)
 	g.fleet = exchange.NewFleet(settings.Zone, exchange.Dial, proc.Ring(), time.Now)
+	terms := quotaTerms(settings.Quota)
+	g.gate = admission.NewGate(admission.GateOptions{
+		Ask:   g.askAdmission,
+		Trust: settings.Trust.Std(),
+		Life:  terms.Life,
+		Ring:  proc.Ring(),
+		Now:   time.Now,
+	})
 	g.handler = exchange.NewHandler(exchange.Options{
-		Codec:   speak.Codec,
-		Fleet:   g.fleet,
-		Budget:  exchange.BudgetLimits{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window.Std()},
+		Codec:  speak.Codec,
+		Fleet:  g.fleet,
+		Budget: exchange.BudgetLimits{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window.Std()},
+		Admission: exchange.Admission{
+			Admit:   g.gate.Admit,
+			Return:  g.gate.Return,
+			Trusted: g.gate.Trusted,
+			Confirm: g.gate.Confirm,
+		},
 		Demand:  g.demand,
 		Ring:    proc.Ring(),
 		Metrics: exchange.NewMetrics(proc.Metrics()),
@@ -127,6 +143,7 @@
 	go g.tidy(ctx)
 	go g.shareLoad(ctx)
 	go g.shareBacklog(ctx)
+	go g.gate.Run(ctx, g.inForce)
 	for got := range signals {
 		if got == syscall.SIGHUP {
 			g.reload()
--- a/src/option/fleet.go
+++ b/src/option/fleet.go
@@ -81,6 +81,21 @@
 	BalancerLag config.Duration `yaml:"balancerLag"`
 	// Retry bounds the arrivals beyond the first of each request, over all gateways.
 	Retry RetrySetting `yaml:"retry"`
+	// Trust is how long requests with a key are served after the configuration was last
+	// known to be the newest, 0 for ever.
+	Trust config.Duration `yaml:"trust"`
+	// Quota says how exactly limits of client accounts are kept.
+	Quota QuotaSetting `yaml:"quota"`
+}
+
+// QuotaSetting says how exactly limits of client accounts are kept, over all gateways.
+type QuotaSetting struct {
+	// Window is the span over which use is counted.
+	Window config.Duration `yaml:"window"`
+	// Overage is the part of a limit by which a window's use may exceed it, Slack what may
+	// come on top, in the limit's unit.
+	Overage float64 `yaml:"overage"`
+	Slack   float64 `yaml:"slack"`
 }
 
 // RetrySetting bounds retries over all gateways.
@@ -106,6 +121,8 @@
 	Lease config.Duration `yaml:"lease"`
 	// Store bounds loads from the weight store beyond their rate.
 	Store StoreSetting `yaml:"store"`
+	// Quota says how exactly limits of client accounts are kept; gateways have the same.
+	Quota QuotaSetting `yaml:"quota"`
 }
 
 // StoreSetting says how the weight store's rate is counted.
@@ -124,6 +141,8 @@
 	defaultLease       = 3 * time.Second
 	defaultStoreWindow = 5 * time.Second
 	defaultTolerance   = 1
+	defaultQuotaWindow = 10 * time.Second
+	defaultOverage     = 0.1
 	defaultAdminPort   = 7399
 	// logLevelOfRequests writes a line for each request.
 	logLevelOfRequests = "debug"
@@ -140,6 +159,7 @@
 		StopLimit:   config.Duration(defaultStopLimit),
 		BalancerLag: config.Duration(DefaultBalancerLag),
 		Retry:       RetrySetting{Ratio: defaultRetryRatio, Extra: defaultRetryExtra, Window: config.Duration(defaultRetryWindow)},
+		Quota:       defaultQuota(),
 	}
 	return s, load(file, &s, func(c *checks) {
 		c.seeded(s.Seeded)
@@ -151,6 +171,10 @@
 		if s.Retry.Window <= 0 {
 			c.add("retry.window", "must be above 0")
 		}
+		if s.Trust < 0 {
+			c.add("trust", "must not be below 0")
+		}
+		c.quota(s.Quota)
 	})
 }
 
@@ -162,6 +186,7 @@
 		Heartbeat: config.Duration(defaultHeartbeat),
 		Lease:     config.Duration(defaultLease),
 		Store:     StoreSetting{Window: config.Duration(defaultStoreWindow), Overage: 1},
+		Quota:     defaultQuota(),
 	}
 	return s, load(file, &s, func(c *checks) {
 		c.seeded(s.Seeded)
@@ -175,9 +200,23 @@
 		if s.Heartbeat <= 0 || s.Lease <= 0 || s.Store.Window <= 0 {
 			c.add("lease", "must be above 0, as heartbeat and store.window")
 		}
+		c.quota(s.Quota)
 	})
 }
 
+func defaultQuota() QuotaSetting {
+	return QuotaSetting{Window: config.Duration(defaultQuotaWindow), Overage: defaultOverage}
+}
+
+func (c *checks) quota(s QuotaSetting) {
+	if s.Window <= 0 {
+		c.add("quota.window", "must be above 0")
+	}
+	if s.Overage < 0 || s.Slack < 0 {
+		c.add("quota", "must not be below 0")
+	}
+}
+
 func (c *checks) seeded(s Seeded) {
 	if s.Node == "" {
 		c.add("node", "must name this process")
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -170,3 +170,18 @@
 		Recalled: rapid.IntRange(0, 5).Draw(t, "recalled") == 0,
 	}
 }
+
+// TestALateHeartbeatOfADeadIncarnationDoesNotKeepTheAddress: a process that has just begun
+// to learn may hear it last; the incarnation that goes on calling gets its address back
+// once the other has fallen silent.
+func TestALateHeartbeatOfADeadIncarnationDoesNotKeepTheAddress(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory(time.Minute)
+	alive, dead := Record{ID: "i-new", Address: "10.0.0.1:80"}, Record{ID: "i-old", Address: "10.0.0.1:80"}
+	d.Take(noon, "a", []Standing{{Record: alive}})
+	d.Take(noon, "b", []Standing{{Record: dead}})
+	is.Equal(usable(d), map[string]bool{"i-old": true}) // it can't be told yet which one is there
+	d.Take(noon.Add(5*time.Second), "b", []Standing{{Record: dead, Silent: true}})
+	is.Equal(usable(d), map[string]bool{"i-new": true})
+	is.Equal(len(d.Since(d.Stamp()-1)), 1) // and gateways are told
+}
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -55,6 +55,12 @@
 	MethodSentSum = "load.sentSum"
 	// MethodBacklogs tells a gateway what replicas have still to read (notification).
 	MethodBacklogs = "load.backlogs"
+	// MethodAdmit asks a control node to let a request of a client account pass.
+	MethodAdmit = "quota.admit"
+	// MethodLease asks the leader for a control node's parts of all accounts' limits.
+	MethodLease = "quota.lease"
+	// MethodDraw asks the leader for units that no control node has.
+	MethodDraw = "quota.draw"
 	// MethodStatus asks a process about itself and what it knows.
 	MethodStatus = "process.status"
 	// MethodEvents asks for a process's events.
