Places of small services are assigned by the leader

Cause: three plain replicas of six places behind 89 gateways. Ways: as it stands; backlogs shared every 90 ms (set aside by reckoning: 20 requests come in between, a place each, and all go to the same least replica); places lent to gateways (the same few places spread thinner); one queue at the leader. The last is built. Change: where a service has fewer places than there are gateways, a gateway asks for one. src/dispatch queues what can't begin at once, by priority, then by what the account has at work (max-min fairness), refuses at once what can't be in time, and counts refusals so that each is told a later time. Where nobody assigns, gateways choose by themselves.

--- /dev/null
+++ b/src/dispatch/dispatcher_test.go
@@ -0,0 +1,258 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/moorspool/moorspool/src/testseed"
+)
+
+func init() { testseed.Fix() }
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+// asked submits an ask and returns where its answer will be.
+func asked(d *Dispatcher, now time.Time, account string, within time.Duration) *Place {
+	got := &Place{}
+	d.Submit(now, Ask{Account: account, Within: within, Assign: func(p Place) { *got = p }})
+	return got
+}
+
+func TestPlacesAreAssignedEvenlyThenQueuedThenRefused(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.Set(noon, "x", 2)
+	d.Set(noon, "y", 2)
+	counts := map[string]int{}
+	for range 6 {
+		counts[asked(d, noon, "", 300*time.Millisecond).Replica]++
+	}
+	is.Equal(counts, map[string]int{"x": 3, "y": 3}) // a place more than each has
+	waits := asked(d, noon, "", 300*time.Millisecond)
+	is.Equal(*waits, Place{})
+	refused := asked(d, noon, "", 20*time.Millisecond)
+	is.Equal(refused.Replica, "")
+	is.True(refused.RetryAfter > 0)
+	d.Release(noon, 1, Answered, 50*time.Millisecond)
+	is.True(waits.Replica != "")
+}
+
+func TestARequestThatCantBeInTimeAnyMoreIsRefused(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.Set(noon, "x", 1)
+	asked(d, noon, "", time.Second)
+	asked(d, noon, "", time.Second)
+	waits := asked(d, noon, "", 200*time.Millisecond)
+	d.Expire(noon.Add(100 * time.Millisecond))
+	is.Equal(*waits, Place{})
+	d.Expire(noon.Add(150 * time.Millisecond))
+	is.True(waits.RetryAfter > 0)
+	is.Equal(d.Queued(), 0)
+}
+
+func TestAPlaceWhoseEndIsNeverToldIsFreeAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.Set(noon, "x", 1)
+	asked(d, noon, "", time.Second)
+	asked(d, noon, "", time.Second)
+	later := noon.Add(longestWork)
+	is.Equal(asked(d, later, "", time.Second).Replica, "x")
+}
+
+func TestAReplicaThatFailsOrCantBeReachedIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.Set(noon, "x", 1)
+	d.Set(noon, "y", 9)
+	first := asked(d, noon, "", time.Second)
+	d.Release(noon, first.Ticket, Unreachable, 0)
+	for range 3 {
+		is.True(asked(d, noon, "", time.Second).Replica != first.Replica)
+	}
+	d.Remove("y")
+	later := noon.Add(avoidFirst)
+	is.Equal(asked(d, later, "", time.Second).Replica, "x")
+}
+
+// TestAFloodOfOneAccountHarmsNoOther: the account that floods waits behind the others, and
+// each of these is served as without the flood.
+func TestAFloodOfOneAccountHarmsNoOther(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(rand.New(rand.NewPCG(1, 1)), 3, 6)
+	s.arrive("usual", 60, 5*time.Second)
+	s.arrive("flood", 900, 5*time.Second)
+	s.run()
+	usual, flood := s.results["usual"], s.results["flood"]
+	is.True(usual.inTime*100 >= usual.asked*97)
+	is.True(flood.inTime >= 900) // what the replicas have left
+	is.Equal(usual.late, 0)
+	is.True(flood.late*100 <= flood.inTime) // one that begins at the last moment may lie behind another
+}
+
+// TestOverloadIsServedInTimeUpToTheCapacity: at 0.8 to 2 times of what replicas can do, what
+// is served is in time, and as many are served as can be. The figures that the log shows
+// are those of docs/design/shifted-work.md.
+func TestOverloadIsServedInTimeUpToTheCapacity(t *testing.T) {
+	is := is.New(t)
+	const capacity = 3 * 6 / 0.06
+	for _, load := range []float64{0.8, 1, 1.3, 2} {
+		s := newSimulation(rand.New(rand.NewPCG(1, 2)), 3, 6)
+		s.arrive("a", load*capacity, 10*time.Second)
+		s.run()
+		got := s.results["a"]
+		t.Logf("load %.1f: %d asked, %d in time, %d late, %d refused, p99 of what is served %v", load, got.asked, got.inTime, got.late, got.refused, s.percentile(0.99))
+		is.True(float64(got.inTime) >= 0.9*min(load, 1)*capacity*10)
+		is.Equal(got.late, 0)
+	}
+}
+
+// TestNoPlaceIsAssignedTwice: over random histories no replica gets more than its places
+// and one, each ask gets one answer, and none is forgotten.
+func TestNoPlaceIsAssignedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New()
+		now := noon
+		slots := map[string]int{"x": 2, "y": 1, "z": 3}
+		for id, n := range slots {
+			d.Set(now, id, n)
+		}
+		atWork := map[string]int{}
+		var open []Place
+		answered := 0
+		submitted := 0
+		assign := func(p Place) {
+			answered++
+			if p.Replica == "" {
+				return
+			}
+			atWork[p.Replica]++
+			open = append(open, p)
+			if atWork[p.Replica] > slots[p.Replica]+ahead {
+				t.Fatalf("%s has %d requests", p.Replica, atWork[p.Replica])
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "ms")) * time.Millisecond)
+			if len(open) > 0 && rapid.Bool().Draw(t, "ends") {
+				at := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				p := open[at]
+				open = append(open[:at], open[at+1:]...)
+				atWork[p.Replica]--
+				d.Release(now, p.Ticket, rapid.SampledFrom([]Outcome{Answered, Failed, Full, Unreachable}).Draw(t, "how"), 10*time.Millisecond)
+				continue
+			}
+			submitted++
+			d.Submit(now, Ask{Account: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "account")), Within: 200 * time.Millisecond, Assign: assign})
+		}
+		if submitted != answered+d.Queued() {
+			t.Fatalf("%d asked, %d answered, %d wait", submitted, answered, d.Queued())
+		}
+	})
+}
+
+// simulation plays replicas that work on slots requests of 60 ms at a time.
+type simulation struct {
+	random  *rand.Rand
+	d       *Dispatcher
+	events  events
+	results map[string]*result
+	// present is the time of the event that is under way.
+	present time.Time
+	took    []time.Duration
+}
+
+type result struct {
+	asked, inTime, late, refused int
+}
+
+type simEvent struct {
+	at time.Time
+	do func(now time.Time)
+}
+
+type events []simEvent
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(simEvent)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+const simTarget = 300 * time.Millisecond
+
+func newSimulation(random *rand.Rand, replicas, slots int) *simulation {
+	s := &simulation{random: random, d: New(), results: map[string]*result{}}
+	for i := range replicas {
+		s.d.Set(noon, fmt.Sprint("r", i), slots)
+	}
+	return s
+}
+
+func (s *simulation) at(at time.Time, do func(time.Time)) {
+	heap.Push(&s.events, simEvent{at: at, do: do})
+}
+
+// arrive lets an account's requests come at random, so many a second.
+func (s *simulation) arrive(account string, perSecond float64, span time.Duration) {
+	s.results[account] = &result{}
+	for at := noon; at.Before(noon.Add(span)); {
+		at = at.Add(time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second)))
+		s.at(at, func(now time.Time) { s.submit(now, account) })
+	}
+}
+
+func (s *simulation) submit(began time.Time, account string) {
+	got := s.results[account]
+	got.asked++
+	s.at(began.Add(simTarget), func(now time.Time) { s.d.Expire(now) })
+	s.d.Submit(began, Ask{Account: account, Within: simTarget, Assign: func(p Place) {
+		if p.Replica == "" {
+			got.refused++
+			return
+		}
+		s.work(account, began, p)
+	}})
+}
+
+// work begins a request at its replica, behind those that are there.
+func (s *simulation) work(account string, began time.Time, p Place) {
+	const took = 60 * time.Millisecond
+	now := s.present
+	busy := s.d.replicas[p.Replica].atWork - s.d.replicas[p.Replica].slots
+	wait := time.Duration(max(busy, 0)) * took / time.Duration(s.d.replicas[p.Replica].slots)
+	s.at(now.Add(wait+took), func(now time.Time) {
+		if now.Sub(began) <= simTarget {
+			s.results[account].inTime++
+		} else {
+			s.results[account].late++
+		}
+		s.took = append(s.took, now.Sub(began))
+		s.d.Release(now, p.Ticket, Answered, wait+took)
+	})
+}
+
+func (s *simulation) run() {
+	for s.events.Len() > 0 {
+		next := heap.Pop(&s.events).(simEvent)
+		s.present = next.at
+		next.do(next.at)
+	}
+}
+
+func (s *simulation) percentile(part float64) time.Duration {
+	slices.Sort(s.took)
+	return s.took[int(part*float64(len(s.took)-1))]
+}
--- a/src/exchange/answer.go
+++ b/src/exchange/answer.go
@@ -126,8 +126,11 @@
 		return
 	}
 	reason := "no replica of the service is in reach"
-	if choice.Verdict == Missing {
+	switch choice.Verdict {
+	case Missing:
 		reason = "no replica in reach holds the model"
+	case Crowded:
+		reason = "all places of the service are taken for longer than the request has"
 	}
 	if c.ran > 0 {
 		c.refuse(c.unanswered(), c.reason+"; "+reason)
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -78,6 +78,7 @@
 		return ended, nil
 	}
 	c.arrivals++
+	c.unsent = false
 	_ = a.conn.raw.SetDeadline(c.deadline)
 	h.options.Fleet.Told(h.options.Now(), peer, a.reply.Load)
 	if a.reply.NotRun {
@@ -151,6 +152,7 @@
 		c.reason += "; " + err.Error()
 	}
 	sent := !errors.Is(err, errNotSent)
+	c.unsent = !sent
 	if sent {
 		c.arrivals++
 		c.ran++
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -45,6 +45,8 @@
 	Missing
 	// None means that no replica of the service is in reach.
 	None
+	// Crowded means that all places are taken for longer than the request has.
+	Crowded
 )
 
 // Choice is a chosen replica with what decided.
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -10,6 +10,11 @@
 	want := c.want()
 	h := c.handler
 	asked := false
+	if now := h.options.Now(); c.wantsPlace(now) {
+		if choice, known := c.assigned(ctx, now); known {
+			return choice
+		}
+	}
 	for {
 		now := h.options.Now()
 		choice := h.options.Fleet.Pick(now, want, c.tried)
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/dispatch"
 	"github.com/moorspool/moorspool/src/event"
 )
 
@@ -46,6 +47,8 @@
 	// Admission admits the requests of client accounts; it is asked only under a
 	// configuration that wants keys.
 	Admission Admission
+	// Places assigns the places of replicas that are few beside the gateways.
+	Places Places
 	// Demand learns what requests ask for.
 	Demand  *Demand
 	Ring    *event.Ring
@@ -64,6 +67,7 @@
 	gateways   atomic.Int64
 	stopping   atomic.Bool
 	running    atomic.Int64
+	placing    placing
 }
 
 // NewHandler returns a handler without a configuration.
@@ -108,6 +112,7 @@
 	// account is the client account, nil for requests without one.
 	account *catalog.Account
 	permit  permit
+	place   place
 	body    []byte
 	began   time.Time
 	// deadline is when the client must have its answer.
@@ -118,6 +123,8 @@
 	sends    int
 	arrivals int
 	ran      int
+	// unsent is set if the last attempt sent nothing.
+	unsent bool
 	// status is what the client was answered.
 	status int
 	reason string
@@ -158,6 +165,8 @@
 	}
 	h.budgets.of(c.service).Request(c.began)
 	defer c.giveBack()
+	// No place outlasts its request, however that ends.
+	defer c.release(dispatch.Failed)
 	if !c.mayGoOn(r.Context()) {
 		return
 	}
@@ -231,13 +240,16 @@
 	for {
 		choice := c.choose(ctx)
 		if choice.Verdict != Chosen || c.left() {
+			c.release(dispatch.Full)
 			c.giveUp(kept, choice)
 			return
 		}
 		if !c.mayGoOn(ctx) {
+			c.release(dispatch.Full)
 			return
 		}
 		ended, answer := c.attempt(ctx, choice)
+		c.release(c.placeOutcome(ended))
 		if answer != nil {
 			kept = answer
 		}
--- a/src/feed/notify.go
+++ b/src/feed/notify.go
@@ -81,6 +81,17 @@
 	return last.reply, last.err
 }
 
+// AskOne calls the best sound control node alone.
+func AskOne[R any](ctx context.Context, f *Follower, method string, params any) (R, error) {
+	var reply R
+	client := f.nearestClient()
+	if client == nil {
+		return reply, rpc.ErrUnreachable
+	}
+	err := client.Call(ctx, method, params, &reply)
+	return reply, err
+}
+
 // toAsk returns the control nodes to ask, best first: those in reach before others.
 func (f *Follower) toAsk() []*rpc.Client {
 	f.mu.Lock()
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -15,6 +15,7 @@
 	"github.com/moorspool/moorspool/src/admission"
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/control"
+	"github.com/moorspool/moorspool/src/dispatch"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/exchange"
 	"github.com/moorspool/moorspool/src/feed"
@@ -75,6 +76,7 @@
 	board     *loadview.Board
 	backlog   *loadview.Backlog
 	granter   *admission.Granter
+	desk      *dispatch.Desk
 	signals   <-chan os.Signal
 }
 
@@ -197,6 +199,7 @@
 		Ring:    c.proc.Ring(),
 		Now:     time.Now,
 	})
+	c.buildDesk()
 	c.usage = exchange.NewDemand()
 	c.proc.Mux().Handle(wire.MethodUsage, rpc.Typed(c.takeUsage))
 	c.proc.Mux().Handle(wire.MethodUsageSum, rpc.Typed(c.takeUsageSum))
@@ -275,7 +278,10 @@
 // and what passes that on to gateways.
 func (c *controlNode) buildFollower(cluster feed.Cluster) {
 	options := feed.Options{Node: c.settings.Node, Zone: c.settings.Zone, Seeds: c.settings.SeedPeers()}
-	sink := feed.Sink{Replicas: c.placer.SetReplicas}
+	sink := feed.Sink{Replicas: func(changes registry.Changes) {
+		c.placer.SetReplicas(changes)
+		c.desk.SetReplicas(changes)
+	}}
 	c.follower = feed.NewFollower(options, sink, c.proc.Meter(), nil, c.proc.Ring(), time.Now)
 	c.relay = feed.NewRelay(c.settings.Node, c.settings.Zone, c.follower, cluster, time.Now)
 	c.publisher.SetRelay(c.relay)
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -112,6 +112,7 @@
 			Trusted: g.gate.Trusted,
 			Confirm: g.gate.Confirm,
 		},
+		Places:  exchange.Places{Ask: g.askPlace, Release: g.releasePlace},
 		Demand:  g.demand,
 		Ring:    proc.Ring(),
 		Metrics: exchange.NewMetrics(proc.Metrics()),
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -61,6 +61,14 @@
 	MethodLease = "quota.lease"
 	// MethodDraw asks the leader for units that no control node has.
 	MethodDraw = "quota.draw"
+	// MethodPlace asks a control node for a place of a service's replicas.
+	MethodPlace = "dispatch.place"
+	// MethodAssign asks the leader for it.
+	MethodAssign = "dispatch.assign"
+	// MethodRelease tells a control node how a request with a place ended (notification).
+	MethodRelease = "dispatch.release"
+	// MethodReleased tells the leader so (notification).
+	MethodReleased = "dispatch.released"
 	// MethodStatus asks a process about itself and what it knows.
 	MethodStatus = "process.status"
 	// MethodEvents asks for a process's events.
