Long streams go on from a copy of their run; silent replicas are found out

Ruled out: running such requests anew, which may not run twice. Change: streams expected to make 100 tokens or more name another replica with the model, of another availability zone if there is one, that keeps a copy; when the first breaks off and accepts no connection, the run goes on there. A replica that says nothing for a second is dialled; if it accepts none, the attempt ends. Tests: a crash, a replica that is still there (goes on nowhere), silence, short streams.

--- a/src/catalog/document.go
+++ b/src/catalog/document.go
@@ -81,9 +81,11 @@
 	AdapterSlots int
 	// LoadsPerSecond bounds the loads from the weight store over all replicas.
 	LoadsPerSecond float64
-	HostMB         float64
-	DiskMB         float64
-	Models         []Model
+	// Backups says that a replica can keep a copy of another's run, from which it goes on.
+	Backups bool
+	HostMB  float64
+	DiskMB  float64
+	Models  []Model
 }
 
 // Model is one model of an engine, with its adapters a1, a2 and so on.
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -34,6 +34,9 @@
 	if ctx.Err() != nil || c.handler.options.Now().Add(answerMargin).After(c.deadline) {
 		return false
 	}
+	if c.stream != nil && c.stream.begun && !c.route.Idempotent() {
+		return false
+	}
 	if ended != notRun {
 		if !c.route.Idempotent() || c.ran >= max(c.route.Attempts, 1) {
 			return false
@@ -61,7 +64,11 @@
 	now := h.options.Now()
 	c.tried = append(c.tried, peer)
 	c.reason = choice.Reason
-	o := c.outgoing(peer, now)
+	o := c.outgoing(choice, now)
+	within, lose := context.WithCancel(ctx)
+	defer lose()
+	dog := watch(within, peer, lose)
+	defer dog.stop()
 	peer.begin(choice.ReadTime)
 	defer peer.end()
 	unread := choice.ReadTime
@@ -69,7 +76,7 @@
 	paid := c.spend()
 	h.options.Fleet.Sent(now, peer, c.facts.Model, c.facts.Parts, choice.ReadTime)
 	c.sends++
-	a, err := send(ctx, peer.pool, o, c.facts.ID, h.options.Codec.Reply, choice.dialWithin(), c.headBy(now), now)
+	a, err := send(within, peer.pool, o, c.facts.ID, h.options.Codec.Reply, choice.dialWithin(), c.headBy(now), now)
 	if err != nil {
 		ended := c.sendFailed(ctx, peer, err)
 		if ended == notRun {
@@ -90,7 +97,7 @@
 		return c.keep(peer, a)
 	}
 	if c.route.Kind == catalog.Streaming {
-		return c.passStream(ctx, peer, a, &unread, reading{began: now, tokens: choice.Read, model: c.facts.Model}), nil
+		return c.passStream(ctx, peer, a, dog, &unread, reading{began: now, tokens: choice.Read, model: c.facts.Model}), nil
 	}
 	return c.passWhole(ctx, peer, a), nil
 }
@@ -112,7 +119,8 @@
 	return b
 }
 
-func (c *call) outgoing(peer *Peer, now time.Time) *outgoing {
+func (c *call) outgoing(choice Choice, now time.Time) *outgoing {
+	peer := choice.Peer
 	codec := &c.handler.options.Codec
 	header := make(http.Header, len(c.request.Header)+4)
 	dropped := connectionHeaders(c.request.Header)
@@ -122,13 +130,18 @@
 		}
 		header[name] = values
 	}
-	codec.Prepare(header, c.facts, Attempt{
+	attempt := Attempt{
 		Replica:     peer.ID(),
+		Backup:      c.backupAddress(now, peer),
 		Remaining:   c.deadline.Sub(now) - answerMargin,
 		Priority:    c.priority(),
 		Account:     c.accountName(),
 		ResumeAfter: c.resumeAfter(),
-	})
+	}
+	if choice.Continues {
+		attempt.Continue = peer.pool.address
+	}
+	codec.Prepare(header, c.facts, attempt)
 	return &outgoing{method: c.request.Method, target: c.request.RequestURI, host: c.request.Host, header: header, body: c.body}
 }
 
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -61,6 +61,8 @@
 	PieceTime time.Duration
 	// Others is how many further replicas could have been chosen.
 	Others int
+	// Continues is set if the run goes on from a copy that the replica kept.
+	Continues bool
 	// Unread is how long the replica needs for the prompts that it was sent before.
 	Unread time.Duration
 	Reason string
--- a/src/exchange/facts.go
+++ b/src/exchange/facts.go
@@ -39,6 +39,11 @@
 	Remaining   time.Duration
 	Priority    int
 	ResumeAfter string
+	// Backup is the address of a replica that keeps a copy of the run, "" for none.
+	Backup string
+	// Continue is the address of the replica itself where the run goes on from the copy
+	// that it kept, "" for a new run.
+	Continue string
 	// Account is the client account's name, "" for requests without one.
 	Account string
 }
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -30,17 +30,27 @@
 	testStamp    = "Stamp"
 	testKey      = "Client-Key"
 	testAccount  = "Client-Account"
+	testTokens   = "Tokens-Out"
+	testBackup   = "Copy-To"
+	testContinue = "Go-On-From"
 )
 
 func testCodec() Codec {
 	return Codec{
 		Facts: func(r *http.Request) Facts {
 			ms, _ := strconv.Atoi(r.Header.Get(testDeadline))
-			return Facts{ID: r.Header.Get(testID), Model: r.Header.Get(testModel), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get(testAfter), Key: catalog.Key(r.Header.Get(testKey))}
+			tokens, _ := strconv.Atoi(r.Header.Get(testTokens))
+			return Facts{OutputTokens: tokens, ID: r.Header.Get(testID), Model: r.Header.Get(testModel), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get(testAfter), Key: catalog.Key(r.Header.Get(testKey))}
 		},
 		Prepare: func(header http.Header, _ Facts, a Attempt) {
 			header.Set(testReplica, a.Replica)
 			header.Set(testDeadline, strconv.FormatInt(a.Remaining.Milliseconds(), 10))
+			if a.Backup != "" {
+				header.Set(testBackup, a.Backup)
+			}
+			if a.Continue != "" {
+				header.Set(testContinue, a.Continue)
+			}
 			if a.Account != "" {
 				header.Set(testAccount, a.Account)
 			}
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -108,7 +108,9 @@
 	service string
 	// eventTokens is how many tokens an event of the service's streams holds, 0 if unknown.
 	eventTokens int
-	facts       Facts
+	// backups says that the service's replicas can keep copies of runs.
+	backups bool
+	facts   Facts
 	// account is the client account, nil for requests without one.
 	account *catalog.Account
 	permit  permit
@@ -118,6 +120,8 @@
 	// deadline is when the client must have its answer.
 	deadline time.Time
 	tried    []*Peer
+	// backup is the replica that keeps a copy of the present run, nil if there is none.
+	backup *Peer
 	// sends counts the replicas that were tried, arrivals those that the request
 	// may have reached, ran those that may have run it.
 	sends    int
@@ -157,7 +161,9 @@
 		return
 	}
 	c.service = c.route.Pick(rand.Float64())
-	c.eventTokens = eventTokens(table, c.service)
+	if service := table.Service(c.service); service != nil && service.Engine != nil {
+		c.eventTokens, c.backups = service.Engine.EventTokens, service.Engine.Backups
+	}
 	c.facts = h.options.Codec.Facts(r)
 	c.deadline = c.began.Add(c.allowed())
 	if !c.identify(table) || !c.readBody(table.Document().Limits.BodyBytes) {
@@ -174,16 +180,6 @@
 	c.run()
 }
 
-// eventTokens returns how many tokens an event of a service's streams holds, 0 if the
-// configuration does not say.
-func eventTokens(table *catalog.Table, service string) int {
-	found := table.Service(service)
-	if found == nil || found.Engine == nil {
-		return 0
-	}
-	return found.Engine.EventTokens
-}
-
 // awaitTable returns the configuration in force; where there is none yet it waits
 // for the first one, up to startHold.
 func (c *call) awaitTable() *catalog.Table {
@@ -237,8 +233,11 @@
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
 	var kept *keptAnswer
+	choice, chosen := Choice{}, false
 	for {
-		choice := c.choose(ctx)
+		if !chosen {
+			choice = c.choose(ctx)
+		}
 		if choice.Verdict != Chosen || c.left() {
 			c.release(dispatch.Full)
 			c.giveUp(kept, choice)
@@ -256,6 +255,12 @@
 		if ended == answered {
 			return
 		}
+		if ended == unknown {
+			if choice, chosen = c.goesOn(ctx, choice.Peer); chosen {
+				continue
+			}
+		}
+		chosen = false
 		if !c.again(ctx, ended) {
 			c.end(ctx, ended, kept)
 			return
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -13,6 +13,8 @@
 	Requests tally.Counter
 	Refusals tally.Counter
 	Retries  tally.Counter
+	// Continued counts streams that went on from a copy of their run.
+	Continued tally.Counter
 	// KeysRefused, QuotaSpent and Unsure count requests that were not admitted.
 	KeysRefused tally.Counter
 	QuotaSpent  tally.Counter
@@ -29,6 +31,7 @@
 		Refusals: registry.Count("refusals_total"),
 		Retries:  registry.Count("retries_total"),
 
+		Continued:   registry.Count("streams_continued_total"),
 		KeysRefused: registry.Count("keys_refused_total"),
 		QuotaSpent:  registry.Count("quota_spent_total"),
 		Unsure:      registry.Count("admissions_unsure_total"),
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -66,6 +66,13 @@
 // ID returns the incarnation's ID.
 func (p *Peer) ID() string { return p.id }
 
+// zone returns the replica's availability zone.
+func (p *Peer) zone() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record.Zone
+}
+
 // begin counts a request as under way; prompt is how long the replica needs to read it.
 func (p *Peer) begin(prompt time.Duration) {
 	p.mu.Lock()
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -79,7 +79,7 @@
 
 // passStream passes a stream's events on as they come. unread is the part of
 // the prompt that counts as not read until the first event; prompt is what is read.
-func (c *call) passStream(ctx context.Context, peer *Peer, a *answer, unread *time.Duration, prompt reading) outcome {
+func (c *call) passStream(ctx context.Context, peer *Peer, a *answer, dog *watchdog, unread *time.Duration, prompt reading) outcome {
 	if c.stream == nil {
 		c.stream = &eventStream{}
 	}
@@ -95,6 +95,7 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := a.response.Body.Read(buffer)
+		dog.heard()
 		if n > 0 && prompt.tokens > 0 {
 			c.handler.options.Fleet.speeds.learn(prompt, c.handler.options.Now())
 			prompt.tokens = 0
