Requests wait for an election; prompts that would be late are refused

Cause 1: after a change of leader, and after all had lost power, requests were refused for as long as an election takes, and control nodes reported to the new leader up to 0.2 s late. Change: the first 0.8 s of an outage are waited for, control nodes report again each 30 ms. Change: a request whose first event is expected after its target is refused at once.

--- a/src/admission/gate.go
+++ b/src/admission/gate.go
@@ -34,7 +34,13 @@
 	longestWait  = 2 * time.Second
 	// unreachableFor is how long nobody is asked after an ask that nobody answered, so that
 	// requests at a gateway that is cut off don't each wait for that.
-	unreachableFor = 200 * time.Millisecond
+	unreachableFor = 100 * time.Millisecond
+	// electionTime is how long requests wait once nobody can admit them, for the election
+	// that is expected: after all had lost power there was a leader 0.67 s after its start.
+	// An outage that lasts longer is none, and requests are refused at once.
+	electionTime = 800 * time.Millisecond
+	// askAgain is the pause between two asks of a waiting request.
+	askAgain = 30 * time.Millisecond
 	// retryUnsure is what a client is told at least whose request nobody could admit: an
 	// election takes half a second to one. An outage that has lasted longer is expected to
 	// last as long again.
@@ -54,6 +60,18 @@
 	Life time.Duration
 	Ring *event.Ring
 	Now  func() time.Time
+	// Sleep waits for a while; it reports false if the context ended first.
+	Sleep func(ctx context.Context, d time.Duration) bool
+}
+
+// Sleep waits for a while; it reports false if the context ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
 }
 
 // Gate admits a gateway's requests; it is safe for concurrent use.
@@ -65,15 +83,16 @@
 	grants    *quota.Grants
 	// unreachableUntil is until when nobody is asked.
 	unreachableUntil time.Time
-	// unsureSince is since when requests can't be admitted, zero while they can.
-	unsureSince time.Time
+	// unsureSince is since when an account's requests can't be admitted; "" stands for the
+	// confirmation of the configuration.
+	unsureSince map[string]time.Time
 	// trusted is what was logged last.
 	trusted bool
 }
 
 // NewGate returns a gate that knows nothing yet.
 func NewGate(options GateOptions) *Gate {
-	return &Gate{options: options, grants: quota.NewGrants()}
+	return &Gate{options: options, grants: quota.NewGrants(), unsureSince: map[string]time.Time{}}
 }
 
 // Run has the configuration confirmed until the context ends; keyed reports whether there
@@ -107,7 +126,29 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmWithin)
 	defer cancel()
 	reply, err := g.ask(ctx, wire.AdmitRequest{})
-	return err == nil && reply.Version > 0
+	if err != nil || reply.Version == 0 {
+		g.unsure(g.options.Now(), "")
+		return false
+	}
+	g.sure("")
+	return true
+}
+
+// AwaitTrust waits until a configuration of a version is trusted, as long as an election
+// is expected; it reports whether it is.
+func (g *Gate) AwaitTrust(ctx context.Context, version uint64) bool {
+	for {
+		if g.Trusted(g.options.Now(), version) {
+			return true
+		}
+		g.Confirm(ctx)
+		if g.Trusted(g.options.Now(), version) {
+			return true
+		}
+		if !g.wait(ctx, "") {
+			return false
+		}
+	}
 }
 
 // ask asks a control node and takes in what it says of the configuration.
@@ -183,8 +224,30 @@
 	RetryAfter time.Duration
 }
 
-// Admit asks for a request's units of its account's limit.
+// Admit asks for a request's units of its account's limit. While an election is expected it
+// waits for that.
 func (g *Gate) Admit(ctx context.Context, account *catalog.Account, units float64) Verdict {
+	for {
+		verdict := g.admit(ctx, account, units)
+		if verdict.Admission != wire.Unsure || !g.wait(ctx, account.Name) {
+			return verdict
+		}
+	}
+}
+
+// wait waits a while before the next ask, if nobody could answer for so short a time that
+// an election is expected; else it reports false.
+func (g *Gate) wait(ctx context.Context, account string) bool {
+	g.mu.Lock()
+	since := g.unsureSince[account]
+	g.mu.Unlock()
+	if g.options.Now().Sub(since) >= electionTime {
+		return false
+	}
+	return g.options.Sleep(ctx, askAgain)
+}
+
+func (g *Gate) admit(ctx context.Context, account *catalog.Account, units float64) Verdict {
 	now := g.options.Now()
 	g.mu.Lock()
 	until, taken := g.grants.Take(now, account.Name, units)
@@ -198,9 +261,9 @@
 	}
 	reply, err := g.ask(ctx, wire.AdmitRequest{Account: account.Name, Units: units})
 	if err != nil || reply.Admission == wire.Unsure {
-		return Verdict{RetryAfter: g.unsure(now)}
+		return Verdict{RetryAfter: g.unsure(now, account.Name)}
 	}
-	g.sure()
+	g.sure(account.Name)
 	if reply.Admission == wire.Granted {
 		return Verdict{Admission: wire.Granted, Until: now.Add(g.options.Life)}
 	}
@@ -212,19 +275,21 @@
 }
 
 // unsure notes that a request could not be admitted and returns when to come back.
-func (g *Gate) unsure(now time.Time) time.Duration {
+func (g *Gate) unsure(now time.Time, account string) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.unsureSince.IsZero() {
-		g.unsureSince = now
+	since, known := g.unsureSince[account]
+	if !known {
+		since = now
+		g.unsureSince[account] = now
 	}
-	return spread(max(now.Sub(g.unsureSince), retryUnsure))
+	return spread(max(now.Sub(since), retryUnsure))
 }
 
-func (g *Gate) sure() {
+func (g *Gate) sure(account string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unsureSince = time.Time{}
+	delete(g.unsureSince, account)
 }
 
 // Return gives back the units of a request that was granted and has not run.
--- a/src/admission/granter.go
+++ b/src/admission/granter.go
@@ -15,6 +15,9 @@
 	// leaseEvery is how often a control node reports to the leader: a dozen times in a
 	// lease, and often enough that shares follow clients within half a second.
 	leaseEvery = 200 * time.Millisecond
+	// leaseAgain is the pause after a report that no leader took: gateways wait for the
+	// first one of a new leader.
+	leaseAgain = 30 * time.Millisecond
 	// leaseWithin bounds one report. A later answer counts for nothing.
 	leaseWithin = 400 * time.Millisecond
 	// drawWithin bounds an ask for what no control node has.
@@ -81,14 +84,16 @@
 // Run reports to the leader until the context ends. There is one report at a time, so that
 // what a report says of the node's shares stays true until its answer.
 func (g *Granter) Run(ctx context.Context) {
-	ticker := time.NewTicker(leaseEvery)
-	defer ticker.Stop()
+	pause := leaseEvery
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			g.report(ctx)
+		case <-time.After(pause):
+		}
+		pause = leaseAgain
+		if g.report(ctx) {
+			pause = leaseEvery
 			g.endExtensions(ctx)
 		}
 	}
@@ -130,19 +135,21 @@
 	return nil
 }
 
-func (g *Granter) report(ctx context.Context) {
+// report reports to the leader and takes in its answer; it reports false if there was none.
+func (g *Granter) report(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, leaseWithin)
 	defer cancel()
 	sentAt := g.options.Now()
 	reply, err := g.options.Leader.Lease(ctx, g.request(sentAt))
 	// An error says that no leader was in reach; the next report tries again.
 	if err != nil || !reply.Known || ctx.Err() != nil {
-		return
+		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.freshness.Confirm(reply.Version, sentAt)
 	g.holder.Apply(g.options.Now(), sentAt, fromWire(reply.Shares))
+	return true
 }
 
 func (g *Granter) request(now time.Time) wire.LeaseRequest {
--- a/src/exchange/admit.go
+++ b/src/exchange/admit.go
@@ -19,12 +19,12 @@
 	Return func(account string, units float64, until time.Time)
 	// Trusted reports whether a configuration may decide over requests with a key.
 	Trusted func(now time.Time, version uint64) bool
-	// Confirm has the configuration confirmed; it reports whether anybody knew.
-	Confirm func(ctx context.Context) bool
+	// AwaitTrust waits until it may, as long as that is expected soon.
+	AwaitTrust func(ctx context.Context, version uint64) bool
 }
 
-// admitWithin bounds the wait for an admission.
-const admitWithin = 600 * time.Millisecond
+// admitWithin bounds the wait for an admission, an election included.
+const admitWithin = time.Second
 
 // permit is what a request was granted and has not spent.
 type permit struct {
@@ -71,7 +71,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), admitWithin)
 	defer cancel()
-	return h.options.Admission.Confirm(ctx) && h.options.Admission.Trusted(h.options.Now(), table.Version())
+	return h.options.Admission.AwaitTrust(ctx, table.Version())
 }
 
 // mayGoOn reports whether the request may be sent to a replica now: its key is still in
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -18,6 +18,11 @@
 	for {
 		now := h.options.Now()
 		choice := h.options.Fleet.Pick(now, want, c.tried)
+		if choice.Verdict == Chosen && c.tooFull(now, choice) {
+			c.retryIn = choice.Unread
+			choice.Verdict = Crowded
+			return choice
+		}
 		if choice.Verdict == Chosen && c.paced(now, choice) {
 			if !sleep(ctx, paceStep) {
 				return choice
@@ -39,6 +44,21 @@
 	}
 }
 
+// beginsWithin is the part of a request's target in which its first event has to be expected
+// for it to be sent.
+const beginsWithin = 1.0
+
+// tooFull reports whether even the best replica has so much to read that the request would
+// be late. Sent there, it would make all that come after it late too, and most such prompts
+// ended unread: their clients give up.
+func (c *call) tooFull(now time.Time, choice Choice) bool {
+	if c.facts.Model == "" || len(c.tried) > 0 {
+		return false
+	}
+	left := time.Duration(float64(c.route.Target)*beginsWithin) - now.Sub(c.began)
+	return choice.Unread > 0 && choice.Unread+choice.ReadTime > left
+}
+
 // patience is how long a request without a replica waits for one: for a copy that
 // may be on its way, and for replicas that this gateway has not had the time to
 // learn of.
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -101,16 +101,17 @@
 		Life:  terms.Life,
 		Ring:  proc.Ring(),
 		Now:   time.Now,
+		Sleep: admission.Sleep,
 	})
 	g.handler = exchange.NewHandler(exchange.Options{
 		Codec:  speak.Codec,
 		Fleet:  g.fleet,
 		Budget: exchange.BudgetLimits{Ratio: settings.Retry.Ratio, Extra: settings.Retry.Extra, Window: settings.Retry.Window.Std()},
 		Admission: exchange.Admission{
-			Admit:   g.gate.Admit,
-			Return:  g.gate.Return,
-			Trusted: g.gate.Trusted,
-			Confirm: g.gate.Confirm,
+			Admit:      g.gate.Admit,
+			Return:     g.gate.Return,
+			Trusted:    g.gate.Trusted,
+			AwaitTrust: g.gate.AwaitTrust,
 		},
 		Places:  exchange.Places{Ask: g.askPlace, Release: g.releasePlace},
 		Demand:  g.demand,
