The next leader knows what accounts have used

Cause: a new divider knew nothing, so that no account could use more than its rate for a window after each change of leader. Change: control nodes are told each account's use over the window with their shares; the next leader begins with that and counts all that may have come since as used. The property found two holes while this was built: what holders may spend that were not heard was not counted, and what they gave back since.

--- a/src/admission/granter.go
+++ b/src/admission/granter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -70,7 +71,9 @@
 	holder    *quota.Holder
 	freshness Freshness
 	divider   *quota.Divider
-	term      uint64
+	// known is what a divider told last, for the case that this node is the next one.
+	known quota.Known
+	term  uint64
 
 	// recording is held while an extension is recorded, before mu.
 	recording sync.Mutex
@@ -148,7 +151,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.freshness.Confirm(reply.Version, sentAt)
-	g.holder.Apply(g.options.Now(), sentAt, fromWire(reply.Shares))
+	now := g.options.Now()
+	g.holder.Apply(now, sentAt, fromWire(reply.Shares))
+	g.known = quota.NewKnown(sentAt, now, usageFromWire(reply.Usage), reply.Complete)
 	return true
 }
 
@@ -205,8 +210,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	report := quota.Report{Holder: request.Node, Life: request.Life, Sequence: request.Sequence, Shares: fromWire(request.Shares)}
-	shares := g.dividerOf(now, &lead).Report(now, report, limits(table))
-	return wire.LeaseReply{Known: true, Version: lead.Version, Shares: toWire(shares)}
+	divider := g.dividerOf(now, &lead)
+	shares := divider.Report(now, report, limits(table))
+	usage, complete := divider.Usage(now)
+	return wire.LeaseReply{Known: true, Version: lead.Version, Shares: toWire(shares), Usage: usageToWire(usage), Complete: complete}
 }
 
 // Draw answers an ask for what no control node has, if this node leads.
@@ -267,7 +274,7 @@
 // dividerOf returns the divider of the node's term; the lock is held.
 func (g *Granter) dividerOf(now time.Time, lead *Leadership) *quota.Divider {
 	if g.divider == nil || g.term != lead.Term {
-		g.divider, g.term = quota.NewDivider(g.options.Terms, now, lead.Members, lead.Extensions), lead.Term
+		g.divider, g.term = quota.NewDivider(g.options.Terms, now, lead.Members, lead.Extensions, g.known), lead.Term
 	}
 	return g.divider
 }
@@ -298,3 +305,22 @@
 	}
 	return all
 }
+
+func usageToWire(usage []quota.Usage) []wire.QuotaUsage {
+	all := make([]wire.QuotaUsage, 0, len(usage))
+	for _, u := range usage {
+		for i := range u.Used {
+			u.Used[i] = math.Ceil(u.Used[i])
+		}
+		all = append(all, wire.QuotaUsage(u))
+	}
+	return all
+}
+
+func usageFromWire(usage []wire.QuotaUsage) []quota.Usage {
+	all := make([]quota.Usage, 0, len(usage))
+	for _, u := range usage {
+		all = append(all, quota.Usage(u))
+	}
+	return all
+}
--- a/src/quota/divider.go
+++ b/src/quota/divider.go
@@ -56,8 +56,10 @@
 	holders  int
 	seen     map[string]order
 	accounts map[string]*account
-	// before are the extensions that earlier dividers may have used.
+	// before are the extensions that earlier dividers may have used, known is what one of
+	// them told.
 	before map[string]float64
+	known  Known
 }
 
 // order is the place of a holder's last report.
@@ -93,9 +95,10 @@
 }
 
 // NewDivider returns a divider that begins now; the holders may have shares that an earlier
-// one gave them, and accounts have used extensions of at most so many units.
-func NewDivider(terms Terms, now time.Time, holders []string, extensions map[string]float64) *Divider {
-	d := &Divider{before: extensions, terms: terms, began: now, holders: max(len(holders), 1), missing: map[string]bool{}, seen: map[string]order{}, accounts: map[string]*account{}}
+// one gave them, and accounts have used extensions of at most so many units. Known is what
+// this process was told last by an earlier one.
+func NewDivider(terms Terms, now time.Time, holders []string, extensions map[string]float64, known Known) *Divider {
+	d := &Divider{known: known, before: extensions, terms: terms, began: now, holders: max(len(holders), 1), missing: map[string]bool{}, seen: map[string]order{}, accounts: map[string]*account{}}
 	for _, holder := range holders {
 		d.missing[holder] = true
 	}
@@ -204,10 +207,10 @@
 	if a == nil {
 		span := d.terms.Window + d.terms.Life
 		a = &account{limit: limit, promises: map[string]promise{}, sharedAt: d.began, spent: history{span: span}}
-		// Nothing is saved at the beginning, but time has passed since. What an earlier
-		// divider gave beyond the rate has to be saved up first.
-		a.rest = bucket{at: d.began, level: -d.before[name]}
-		a.extension = extension{used: history{span: span}, recorded: d.before[name], barred: d.began.Add(span)}
+		// Nothing is saved at the beginning, but time has passed since.
+		a.rest = bucket{at: d.began}
+		a.extension = extension{used: history{span: span}, recorded: d.before[name]}
+		d.begin(a, name)
 		d.refill(d.began, a)
 		d.accounts[name] = a
 	}
@@ -227,7 +230,7 @@
 		shared = max(shared, sharedPart*a.limit.Rate)
 	}
 	a.spent.add(now, a.shared*max(now.Sub(a.sharedAt).Seconds(), 0))
-	a.shared, a.sharedAt = d.promised(now, a, ""), now
+	a.shared, a.sharedAt = shared, now
 	a.rest.set(now, max(a.limit.Rate-shared, 0), a.limit.Burst)
 }
 
@@ -246,7 +249,7 @@
 func (d *Divider) Take(now time.Time, name string, units float64, limit Limit) Answer {
 	a := d.account(now, name, limit)
 	d.refill(now, a)
-	left := a.left(now, &d.terms)
+	left := a.left(now, &d.terms, d.unheard(now, limit))
 	if !a.extension.open(now) || a.extension.isBarred(now) || units <= left {
 		if taken, _ := a.rest.borrow(now, units); taken {
 			a.spent.add(now, units)
@@ -263,10 +266,18 @@
 	return Answer{Taken: true}
 }
 
+// unheard returns what holders may use of an account that were not heard yet.
+func (d *Divider) unheard(now time.Time, limit Limit) float64 {
+	if d.settled(now) {
+		return 0
+	}
+	return sharedPart * limit.Rate * d.began.Add(d.terms.Lease+leaseMargin).Sub(now).Seconds()
+}
+
 // left returns what the account may still use in the present window, once holders have
-// used what they may.
-func (a *account) left(now time.Time, terms *Terms) float64 {
-	left := a.limit.Rate*terms.Window.Seconds() + a.limit.Burst - a.spent.used(now)
+// used what they may; unknown is what those may use that were not heard yet.
+func (a *account) left(now time.Time, terms *Terms, unknown float64) float64 {
+	left := a.limit.Rate*terms.Window.Seconds() + a.limit.Burst - a.spent.used(now) - unknown
 	for _, p := range a.promises {
 		if rest := p.until.Sub(now); rest > 0 {
 			left -= p.rate * rest.Seconds()
--- a/src/quota/history.go
+++ b/src/quota/history.go
@@ -46,6 +46,17 @@
 	return h.sum
 }
 
+// parts returns what was used in each of so many parts of the span, the newest first.
+func (h *history) parts(now time.Time, count int) []float64 {
+	h.turn(now)
+	parts := make([]float64, count)
+	for age := range len(h.cells) {
+		at := (h.last - int64(age) + int64(len(h.cells))) % int64(len(h.cells))
+		parts[min(age*count/historyCells, count-1)] += h.cells[at]
+	}
+	return parts
+}
+
 // untilLeft returns how long it takes until so many units have left the span, the whole
 // span if there are not so many.
 func (h *history) untilLeft(now time.Time, units float64) time.Duration {
--- a/src/wire/admission.go
+++ b/src/wire/admission.go
@@ -58,6 +58,18 @@
 	Known   bool         `json:"known"`
 	Version uint64       `json:"version,omitempty"`
 	Shares  []QuotaShare `json:"shares,omitempty"`
+	// Usage is what the accounts have used; Complete is set if those are all accounts.
+	Usage    []QuotaUsage `json:"usage,omitempty"`
+	Complete bool         `json:"complete,omitempty"`
+}
+
+// QuotaUsage is what an account has used, in its unit.
+type QuotaUsage struct {
+	Account string `json:"a"`
+	// Used is in parts of the window, the newest first.
+	Used     []float64 `json:"u,omitempty"`
+	Level    float64   `json:"l,omitempty"`
+	Extended float64   `json:"e,omitempty"`
 }
 
 // DrawRequest asks the leader for units that no control node has.
