--- /dev/null
+++ b/src/exchange/place_test.go
@@ -0,0 +1,112 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/dispatch"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// fakePlaces assigns what a test says.
+type fakePlaces struct {
+	reply    wire.PlaceReply
+	err      error
+	asked    chan wire.PlaceRequest
+	released chan wire.PlaceRelease
+}
+
+// newPlacedBench has fewer places than gateways.
+func newPlacedBench(t *testing.T, f *fakePlaces, replicas ...*fakeReplica) *bench {
+	f.asked, f.released = make(chan wire.PlaceRequest, 8), make(chan wire.PlaceRelease, 8)
+	b := newBench(t, route(catalog.Safe, 2), replicas...)
+	b.handler.options.Places = Places{
+		Ask: func(_ context.Context, request wire.PlaceRequest) (wire.PlaceReply, error) {
+			f.asked <- request
+			return f.reply, f.err
+		},
+		Release: func(release wire.PlaceRelease) { f.released <- release },
+	}
+	b.handler.SetGateways(100)
+	return b
+}
+
+func TestARequestGoesWhereItsPlaceIs(t *testing.T) {
+	is := is.New(t)
+	x, y := newReplica(t, "x", whole), newReplica(t, "y", whole)
+	f := &fakePlaces{reply: wire.PlaceReply{Known: true, Replica: "y", Ticket: 7}}
+	b := newPlacedBench(t, f, x, y)
+	for range 5 {
+		is.Equal(b.do("GET", "one", "").status, http.StatusOK)
+		release := <-f.released
+		is.Equal(release.Ticket, uint64(7))
+		is.Equal(release.Outcome, string(dispatch.Answered))
+	}
+	is.Equal(y.count(), 5)
+	is.Equal(x.count(), 0)
+	is.True((<-f.asked).WithinMS > 0)
+}
+
+func TestARequestWithoutAPlaceIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	b := newPlacedBench(t, &fakePlaces{reply: wire.PlaceReply{Known: true, RetryMS: 420}}, x)
+	got := b.do("GET", "one", "")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get("Retry-After"), "0.420")
+	is.Equal(x.count(), 0)
+}
+
+// TestAGatewayChoosesByItselfWhereNobodyAssigns, and does not ask again for a while.
+func TestAGatewayChoosesByItselfWhereNobodyAssigns(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	f := &fakePlaces{err: errors.New("cut off")}
+	b := newPlacedBench(t, f, x)
+	is.Equal(b.do("GET", "one", "").status, http.StatusOK)
+	is.Equal(b.do("GET", "two", "").status, http.StatusOK)
+	is.Equal(len(f.asked), 1)
+}
+
+// TestPlacesAreNotAskedForWhereOwnCountsSayEnough: with few gateways each sees much of the
+// load.
+func TestPlacesAreNotAskedForWhereOwnCountsSayEnough(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	f := &fakePlaces{}
+	b := newPlacedBench(t, f, x)
+	b.handler.SetGateways(4)
+	is.Equal(b.do("GET", "one", "").status, http.StatusOK)
+	is.Equal(len(f.asked), 0)
+}
+
+// TestAnotherPlaceIsAskedForAfterARefusal by the replica, without the one that was tried.
+func TestAnotherPlaceIsAskedForAfterARefusal(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", notRunning)
+	f := &fakePlaces{reply: wire.PlaceReply{Known: true, Replica: "x", Ticket: 1}}
+	b := newPlacedBench(t, f, x)
+	_ = b.do("GET", "one", "")
+	is.Equal(len((<-f.asked).Tried), 0)
+	is.Equal((<-f.asked).Tried, []string{"x"})
+	is.Equal((<-f.released).Outcome, string(dispatch.Full))
+}
+
+// TestAPromptThatWouldBeLateIsRefusedAtOnce, with the time after which the replica has read
+// what it was sent before.
+func TestAPromptThatWouldBeLateIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Safe, 2), x)
+	b.fleet.peers["x"].begin(2 * time.Second)
+	got := b.do("GET", "one", "", testModel+": m")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get("Retry-After"), "2.000")
+	is.Equal(x.count(), 0)
+}
