--- a/src/admission/granter.go
+++ b/src/admission/granter.go
@@ -324,3 +324,10 @@
 	}
 	return all
 }
+
+// Used returns what is asked for of each account at this node, in units a second.
+func (g *Granter) Used() map[string]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holder.Used(g.options.Now())
+}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -172,7 +172,11 @@
 	options := control.ClusterOptions{ID: id, Voters: 2*c.settings.Tolerance + 1, Seeds: c.settings.SeedPeers()}
 	c.cluster = control.NewCluster(c.node, c.links, options, c.proc.Ring(), time.Now)
 	c.cluster.Register(c.proc.Mux())
-	c.proc.SetRefresh(func(m *metric.Registry) { setQuorumGauges(m, c.cluster.Quorum()) })
+	accounts := accountGauges{named: map[string]bool{}}
+	c.proc.SetRefresh(func(m *metric.Registry) {
+		setQuorumGauges(m, c.cluster.Quorum())
+		accounts.set(m, c.granter.Used())
+	})
 	times := registry.Times{Silence: silentBeats * c.settings.Heartbeat.Std(), Forget: forgetReplicas}
 	cluster := feed.Cluster{
 		Version:  c.cluster.Version,
--- a/src/fleet/gauges.go
+++ b/src/fleet/gauges.go
@@ -1,6 +1,10 @@
 package fleet
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/control"
 	"github.com/moorspool/moorspool/src/feed"
@@ -18,6 +22,42 @@
 	m.Gauge("configuration_version", float64(q.Version))
 }
 
+const (
+	// namedAccounts is how many client accounts have a gauge of their own at a time, and
+	// accountNames how many ever had one: names are the operators', and a metric must not
+	// grow with them.
+	namedAccounts = 8
+	accountNames  = 32
+	// otherAccounts names the sum of the rest.
+	otherAccounts = "others"
+)
+
+// accountGauges tell what is asked for of the largest accounts' limits.
+type accountGauges struct {
+	named map[string]bool
+}
+
+// set tells the largest accounts by name and the sum of the rest.
+func (g *accountGauges) set(m *metric.Registry, used map[string]float64) {
+	names := slices.SortedFunc(maps.Keys(used), func(a, b string) int { return cmp.Compare(used[b], used[a]) })
+	others := 0.0
+	told := map[string]bool{}
+	for i, name := range names {
+		if i >= namedAccounts || !g.named[name] && len(g.named) >= accountNames {
+			others += used[name]
+			continue
+		}
+		g.named[name], told[name] = true, true
+		m.GaugeOf("account_units_per_second", "account", name, used[name])
+	}
+	for name := range g.named {
+		if !told[name] {
+			m.GaugeOf("account_units_per_second", "account", name, 0)
+		}
+	}
+	m.GaugeOf("account_units_per_second", "account", otherAccounts, others)
+}
+
 // setGatewayGauges tells which configuration a gateway acts on, nil if there is none yet,
 // and which is the newest that it was told of.
 func setGatewayGauges(m *metric.Registry, table *catalog.Table, known feed.Known) {
