--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -19,7 +20,8 @@
 		now := h.options.Now()
 		choice := h.options.Fleet.Pick(now, want, c.tried)
 		if choice.Verdict == Chosen && c.tooFull(now, choice) {
-			c.retryIn = choice.Unread
+			// Up to half as long again: those that are refused together must not come back so.
+			c.retryIn = choice.Unread + time.Duration(rand.Float64()*float64(choice.Unread)/2)
 			choice.Verdict = Crowded
 			return choice
 		}
