--- a/src/exchange/answer.go
+++ b/src/exchange/answer.go
@@ -131,6 +131,8 @@
 		reason = "no replica in reach holds the model"
 	case Crowded:
 		reason = "all places of the service are taken for longer than the request has"
+	case Unread:
+		reason = "every replica with the model has too much to read for the request to be in time"
 	}
 	if c.ran > 0 {
 		c.refuse(c.unanswered(), c.reason+"; "+reason)
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -47,6 +47,8 @@
 	None
 	// Crowded means that all places are taken for longer than the request has.
 	Crowded
+	// Unread means that no replica would begin the prompt in time.
+	Unread
 )
 
 // Choice is a chosen replica with what decided.
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -22,7 +22,7 @@
 		if choice.Verdict == Chosen && c.tooFull(now, choice) {
 			// Up to half as long again: those that are refused together must not come back so.
 			c.retryIn = choice.Unread + time.Duration(rand.Float64()*float64(choice.Unread)/2)
-			choice.Verdict = Crowded
+			choice.Verdict = Unread
 			return choice
 		}
 		if choice.Verdict == Chosen && c.paced(now, choice) {
