--- a/src/exchange/backup.go
+++ b/src/exchange/backup.go
@@ -14,8 +14,9 @@
 	// silence is how long a replica may say nothing before it is looked whether it can be
 	// reached at all. Clients give a stream up after two seconds of silence at the least.
 	silence = time.Second
-	// reachWithin is how long a replica that can be reached may take to accept a connection.
-	reachWithin = 100 * time.Millisecond
+	// reachWithin is how long a replica that can be reached may take to accept a connection:
+	// three dials, since an opening packet may be lost.
+	reachWithin = 3 * dialAttempt
 )
 
 // wantsBackup reports whether a copy of the request's run is to be kept at another replica.
@@ -91,9 +92,7 @@
 
 // reachable reports whether a replica accepts a connection.
 func reachable(ctx context.Context, peer *Peer) bool {
-	ctx, cancel := context.WithTimeout(ctx, reachWithin)
-	defer cancel()
-	conn, err := peer.pool.dial(ctx, peer.pool.address)
+	conn, err := peer.pool.connect(ctx, reachWithin)
 	if err != nil {
 		return false
 	}
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -46,13 +46,15 @@
 	}
 }
 
-// beginsWithin is the part of a request's target in which its first event has to be expected
-// for it to be sent.
-const beginsWithin = 1.0
+// beginsWithin is within how many of its targets a request's first event has to be expected
+// for it to be sent. An answer that is somewhat late is worth half to its caller, one that
+// comes after four targets nothing: it has left. On the users' shifted work, one run each,
+// 1.0 had as many served as no bound, with more of them in time and more refused twice.
+const beginsWithin = 2.0
 
 // tooFull reports whether even the best replica has so much to read that the request would
-// be late. Sent there, it would make all that come after it late too, and most such prompts
-// ended unread: their clients give up.
+// be far too late. Sent there, it would make all that come after it late too, and most such
+// prompts ended unread.
 func (c *call) tooFull(now time.Time, choice Choice) bool {
 	if c.facts.Model == "" || len(c.tried) > 0 {
 		return false
