--- a/src/registry/directory.go
+++ b/src/registry/directory.go
@@ -129,34 +129,10 @@
 
 // markSilence marks a replica that has fallen silent or is heard again.
 func (d *Directory) markSilence(e *entry) {
-	silent := e.silent()
-	if silent == e.silence {
-		return
-	}
-	e.silence = silent
-	d.mark(e)
-	if silent && !e.replaced {
-		d.restore(e)
-	}
-}
-
-// restore gives the address of a replica that has fallen silent back to the one that it was
-// taken from, if that goes on calling: a late call of an ended incarnation can come last.
-func (d *Directory) restore(silent *entry) {
-	var latest *entry
-	for _, other := range d.entries {
-		if !other.replaced || other.silence || other.record.Leaving() || other.record.Address != silent.record.Address {
-			continue
-		}
-		if latest == nil || other.order > latest.order {
-			latest = other
-		}
-	}
-	if latest == nil {
-		return
+	if silent := e.silent(); silent != e.silence {
+		e.silence = silent
+		d.mark(e)
 	}
-	silent.replaced, latest.replaced = true, false
-	d.mark(latest)
 }
 
 // replaceOlder marks earlier incarnations at the same address: an address belongs
