The soak has client accounts

Clients carry keys: of an account without a limit, of one with 20 requests a second, and of one whose key changes with each version. Replicas check that they get the account's name and no key, that no window has more of the limited account than its bound, and that no request runs that was sent more than the bound after its key was taken away.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -26,12 +27,15 @@
 	acked   uint64
 	ackedAt time.Time
 	sent    map[uint64]string
+	// accounts check what replicas see of client accounts.
+	accounts *accountChecks
 }
 
 func newChecker() *checker {
 	return &checker{
 		broken: map[string][]string{}, counts: map[string]int{}, runs: map[string][]string{},
 		promised: map[string]int{}, drained: map[string]time.Time{}, sent: map[uint64]string{},
+		accounts: newAccountChecks(),
 	}
 }
 
@@ -71,6 +75,13 @@
 	}
 }
 
+// account checks what a replica sees of a request's client account.
+func (c *checker) account(id string, header http.Header) {
+	if broken := c.accounts.see(header, time.Now()); broken != "" {
+		c.fail("account", "request %s: %s", id, broken)
+	}
+}
+
 // promise notes that a client was told that its request has not run and never will.
 func (c *checker) promise(id string, status int) {
 	c.mu.Lock()
@@ -105,6 +116,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts["acknowledged versions"]++
+	c.accounts.acked(version, time.Now())
 	if version > c.acked {
 		c.acked, c.ackedAt = version, time.Now()
 	}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -111,6 +111,8 @@
 	request.GetBody = nil
 	request.Header.Set(idHeader, id)
 	request.Header.Set("X-Deadline-Ms", "3000")
+	newest, _ := c.check.newest()
+	carry(request.Header, rand.IntN(10), newest)
 	got, err := client.Do(request)
 	if err != nil {
 		return 0, response{}, err
@@ -134,6 +136,10 @@
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		c.check.count("refusals")
 		c.check.promise(id, status)
+	case status == http.StatusUnauthorized:
+		// A key of an earlier version, or of one that the gateway does not have yet.
+		c.check.count("keys refused")
+		c.check.promise(id, status)
 	default:
 		c.check.count(fmt.Sprint("status ", status))
 		if status == http.StatusNotFound || status == http.StatusForbidden {
@@ -211,6 +217,7 @@
 	request.Host = "a.example"
 	request.Header.Set(idHeader, c.id())
 	request.Header.Set("X-Deadline-Ms", "900")
+	request.Header.Set(keyHeader, mainKey)
 	got, err := client.Do(request)
 	if err != nil {
 		return 0
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -138,12 +138,13 @@
 	for i := 1; i <= seedNodes; i++ {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s%d:%d", outerNet, i, in.callPort())))
 	}
+	quota := fmt.Sprintf("quota: {window: %s, overage: %v, slack: %d}\n", quotaWindow, quotaOverage, quotaSlack)
 	text := fmt.Sprintf("node: %s\nzone: zone-%d\naddress: %s%d\nlisten: %s%d\npeerPort: %d\nadminPort: %d\nseeds: [%s]\nmemoryMB: 200\n",
 		m.name, m.host%3, outerNet, m.host, innerNet, m.host, in.peerPort(), in.adminPort(), strings.Join(seeds, ", "))
 	if m.control {
-		text += fmt.Sprintf("calls: %s\nfolder: %s\nfound: %v\ntolerance: %d\nheartbeat: 500ms\nlease: 1s\n", in.inner(m, in.callPort()), m.folder, found, tolerance)
+		text += fmt.Sprintf("calls: %s\nfolder: %s\nfound: %v\ntolerance: %d\nheartbeat: 500ms\nlease: 1s\n"+quota, in.inner(m, in.callPort()), m.folder, found, tolerance)
 	} else {
-		text += fmt.Sprintf("clients: %s\nready: %s\nstopLimit: 6s\nbalancerLag: 500ms\nretry: {ratio: 0.2, extra: 50, window: 10s}\n", in.inner(m, in.callPort()), in.inner(m, in.readyPort()))
+		text += fmt.Sprintf("clients: %s\nready: %s\nstopLimit: 6s\nbalancerLag: 500ms\nretry: {ratio: 0.2, extra: 50, window: 10s}\ntrust: %s\n"+quota, in.inner(m, in.callPort()), in.inner(m, in.readyPort()), trust)
 	}
 	return os.WriteFile(m.file, []byte(text), 0o644)
 }
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -38,7 +38,7 @@
 		fmt.Sprintf(route, "events", "/e/", "streaming", true),
 		fmt.Sprintf(route, "version", fmt.Sprintf("/v/%d/", version), "safe", false),
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health"}],"limits":{"max_body_bytes":1048576}}`, version, strings.Join(routes, ","))
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health"}],"limits":{"max_body_bytes":1048576},"tenants":[%s]}`, version, strings.Join(routes, ","), accountsOf(version))
 }
 
 // found sends the first configuration until it is taken.
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -94,6 +94,7 @@
 	if at := r.check.drainedAt(one.id); !at.IsZero() && time.Since(at) > drainGrace && r.settled(request.RemoteAddr) {
 		r.check.late("drain", "%s got request %s %s after its leaving was acknowledged", one.id, id, time.Since(at))
 	}
+	r.check.account(id, request.Header)
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
