quota, dispatch: comments that say what is counted

Read as a newcomer: what an account's rest, spent and used hold, and what a place costs whose request takes longer than it is counted. No code changed.

--- a/src/dispatch/dispatcher.go
+++ b/src/dispatch/dispatcher.go
@@ -7,7 +7,8 @@
 
 const (
 	// longestWork bounds how long a request counts as at work whose end was never told: its
-	// gateway has ended.
+	// gateway has ended. Requests that take longer are counted too few by then, and more are
+	// sent than there are places; the users' take 60 ms.
 	longestWork = time.Second
 	// startMargin is kept from the time in which a request has to begin, for its ways.
 	startMargin = 10 * time.Millisecond
--- a/src/quota/divider.go
+++ b/src/quota/divider.go
@@ -71,18 +71,21 @@
 // account is the division of one account's limit.
 type account struct {
 	limit Limit
-	rest  bucket
+	// rest saves what no holder has of the rate, up to the burst.
+	rest bucket
 	// turned are the units that were refused lately and may be asked for again; they are
 	// worked off at the account's rate, so that each refused request is told a later time.
 	turned   float64
 	turnedAt time.Time
 	promises map[string]promise
-	// shared is the rate of all promises, spent what was used or promised until sharedAt.
+	// shared is the rate that holders may use, which counts as spent as time passes, as of
+	// sharedAt; spent is that and what was taken from the rest and the extension.
 	shared    float64
 	sharedAt  time.Time
 	spent     history
 	extension extension
-	used      time.Time
+	// used is when the account was last asked for or reported.
+	used time.Time
 }
 
 // promise is what a holder may use until a time.
@@ -105,7 +108,8 @@
 	return d
 }
 
-// settled reports whether all shares that anybody may use are known.
+// settled reports whether all shares that anybody may use are known: every holder was
+// heard, or those of an earlier divider have ended.
 func (d *Divider) settled(now time.Time) bool {
 	return len(d.missing) == 0 || !now.Before(d.began.Add(d.terms.Lease+leaseMargin))
 }
