Sight: who leads whom, how long agreement waits, where a configuration came from

Cause: logs could not tell by second which leader, term and configuration each control node knew, nor whether the loop of its agreement waited. Change: event 308 on each change of the leader or term that a node sees, with what it has applied; event 309 and gauges for the loop's longest wait and step; event 203 names the control node that gave the configuration; event 205 for one that can't be read. Ruled out: a fetch that starves by itself; a slow one counts on (TestASlowFetchIsNoLostNode). Figures: with the old order TestAConfigurationThatCouldNotBeTakenInIsFetchedAgain never gets its version; now it passes. Conclusion: a configuration that failed once stayed away for good; mended.

--- a/src/control/node.go
+++ b/src/control/node.go
@@ -29,9 +29,10 @@
 	ring    *event.Ring
 	now     func() time.Time
 
-	inbox chan raft.Message
-	work  chan func(now time.Time)
-	ended chan struct{}
+	inbox  chan arrival[raft.Message]
+	work   chan arrival[func(now time.Time)]
+	ended  chan struct{}
+	delays delayMeter
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -40,6 +41,12 @@
 	seenVersion uint64
 }
 
+// arrival is something for the loop with when it came.
+type arrival[T any] struct {
+	at   time.Time
+	item T
+}
+
 // NewNode returns a node around a replica; send must not block.
 func NewNode(replica *Replica, send func(raft.Message), ring *event.Ring, now func() time.Time) *Node {
 	return &Node{
@@ -47,8 +54,8 @@
 		send:    send,
 		ring:    ring,
 		now:     now,
-		inbox:   make(chan raft.Message, inboxSize),
-		work:    make(chan func(time.Time), inboxSize),
+		inbox:   make(chan arrival[raft.Message], inboxSize),
+		work:    make(chan arrival[func(time.Time)], inboxSize),
 		ended:   make(chan struct{}),
 		changed: make(chan struct{}),
 	}
@@ -60,38 +67,70 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
+		var wait time.Duration
 		select {
 		case <-ctx.Done():
 			return nil
 		case m := <-n.inbox:
-			n.replica.core.Step(n.now(), m)
-		case f := <-n.work:
-			f(n.now())
+			wait = n.step(m)
+		case question := <-n.work:
+			wait = n.answer(question)
 		case <-ticker.C:
 		}
-		n.drain()
+		began := n.now()
+		wait = max(wait, n.drain())
 		n.replica.core.Tick(n.now())
 		if err := n.flush(); err != nil {
 			n.ring.Add(event.Event{Kind: event.StorageFailed, Reason: err.Error()})
 			return err
 		}
+		n.noteDelays(Delays{Wait: wait, Step: n.now().Sub(began)})
 	}
 }
 
-// drain takes what else is waiting, so that one sync covers all of it.
-func (n *Node) drain() {
+// step takes in a message and returns how long it waited.
+func (n *Node) step(m arrival[raft.Message]) time.Duration {
+	now := n.now()
+	n.replica.core.Step(now, m.item)
+	return now.Sub(m.at)
+}
+
+// answer runs a question and returns how long it waited.
+func (n *Node) answer(question arrival[func(time.Time)]) time.Duration {
+	now := n.now()
+	question.item(now)
+	return now.Sub(question.at)
+}
+
+// drain takes what else is waiting, so that one sync covers all of it, and returns the
+// longest wait.
+func (n *Node) drain() time.Duration {
+	var longest time.Duration
 	for i := 0; i < batchLimit; i++ {
 		select {
 		case m := <-n.inbox:
-			n.replica.core.Step(n.now(), m)
-		case f := <-n.work:
-			f(n.now())
+			longest = max(longest, n.step(m))
+		case question := <-n.work:
+			longest = max(longest, n.answer(question))
 		default:
-			return
+			return longest
 		}
 	}
+	return longest
 }
 
+// noteDelays keeps the longest delays, and logs long ones.
+func (n *Node) noteDelays(d Delays) {
+	n.delays.note(n.now(), d)
+	if d.Wait < slowLoop && d.Step < slowLoop {
+		return
+	}
+	n.ring.Add(event.Event{Kind: event.AgreementDelayed, Reason: "waited " + d.Wait.String() + ", took " + d.Step.String()})
+}
+
+// Delays returns the longest delays of the loop lately.
+func (n *Node) Delays() Delays { return n.delays.longest(n.now()) }
+
 func (n *Node) flush() error {
 	messages, err := n.replica.Flush(n.now())
 	if err != nil {
@@ -129,7 +168,7 @@
 // Deliver takes in a message from another control node; when it is flooded the message is lost.
 func (n *Node) Deliver(m raft.Message) {
 	select {
-	case n.inbox <- m:
+	case n.inbox <- arrival[raft.Message]{at: n.now(), item: m}:
 	default:
 	}
 }
@@ -142,7 +181,7 @@
 		close(done)
 	}
 	select {
-	case n.work <- run:
+	case n.work <- arrival[func(time.Time)]{at: n.now(), item: run}:
 	case <-n.ended:
 		return false
 	}
@@ -154,8 +193,8 @@
 	}
 }
 
-// answer is a result on its way to the caller.
-type answer struct {
+// outcome is a result on its way to the caller.
+type outcome struct {
 	result result
 	err    error
 }
@@ -173,23 +212,23 @@
 }
 
 func (n *Node) await(ctx context.Context, start func(now time.Time, done func(result, error))) (result, error) {
-	answers := make(chan answer, 1)
+	outcomes := make(chan outcome, 1)
 	run := func(now time.Time) {
-		start(now, func(r result, err error) { answers <- answer{r, err} })
+		start(now, func(r result, err error) { outcomes <- outcome{r, err} })
 	}
 	select {
-	case n.work <- run:
+	case n.work <- arrival[func(time.Time)]{at: n.now(), item: run}:
 	case <-n.ended:
 		return result{}, raft.ErrNotLeader
 	}
 	timer := time.NewTimer(proposeTimeout)
 	defer timer.Stop()
 	select {
-	case a := <-answers:
-		if errors.Is(a.err, errOvertaken) {
-			return result{outcome: wire.Unavailable, reason: a.err.Error()}, nil
+	case o := <-outcomes:
+		if errors.Is(o.err, errOvertaken) {
+			return result{outcome: wire.Unavailable, reason: o.err.Error()}, nil
 		}
-		return a.result, a.err
+		return o.result, o.err
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-n.ended:
--- a/src/control/quorum.go
+++ b/src/control/quorum.go
@@ -22,6 +22,7 @@
 	Heard int
 	// Version is that of the applied configuration, 0 if there is none.
 	Version uint64
+	Term    uint64
 }
 
 // String returns the quorum for a log line.
@@ -46,6 +47,7 @@
 		Voters:      len(members.Voters),
 		Learners:    len(members.Learners),
 		Version:     r.state.document.Version,
+		Term:        core.Term(),
 	}
 	if q.Leading {
 		q.Heard = len(members.Voters) - len(silentVoters(core, now))
--- a/src/control/replica.go
+++ b/src/control/replica.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -39,6 +40,7 @@
 	// unsaved is the size of the entries applied since the last snapshot.
 	unsaved   int
 	lastRole  raft.Role
+	lastSeen  leaderSeen
 	hardState raft.HardState
 	// renewedAt is when this control node saw a zone's lease renewed, by its own clock.
 	renewedAt map[string]time.Time
@@ -129,6 +131,7 @@
 		return nil, err
 	}
 	r.noteRole()
+	r.noteLeader()
 	return out, nil
 }
 
@@ -232,6 +235,29 @@
 	r.lastRole = role
 }
 
+// leaderSeen is which leader a control node follows, "" for none, and in which term.
+type leaderSeen struct {
+	term   uint64
+	leader raft.ID
+}
+
+// noteLeader logs which leader the node follows when that has changed, with what it has
+// applied, so that the nodes' lines together show for each moment who was led by whom.
+func (r *Replica) noteLeader() {
+	seen := leaderSeen{term: r.core.Term(), leader: r.core.Leader()}
+	if seen == r.lastSeen {
+		return
+	}
+	r.lastSeen = seen
+	leader := "none"
+	if seen.leader != "" {
+		leader = string(seen.leader)
+	}
+	r.ring.Add(event.Event{Kind: event.LeaderSeen, Host: string(r.core.ID()), Reason: fmt.Sprintf(
+		"leader %s in term %d, configuration %d applied, entry %d committed of %d",
+		leader, seen.term, r.state.document.Version, r.core.Commit(), r.core.LastIndex())})
+}
+
 // abandon answers all that wait: what they proposed may still be committed.
 func (r *Replica) abandon() {
 	for index, waiting := range r.waiting {
--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -19,6 +19,7 @@
 	ConfigConflict   Kind = 202
 	ConfigInForce    Kind = 203
 	ConfigUncertain  Kind = 204
+	ConfigUnusable   Kind = 205
 	LeaderElected    Kind = 300
 	LeaderLost       Kind = 301
 	VoterChanged     Kind = 302
@@ -27,6 +28,8 @@
 	StorageFailed    Kind = 305
 	QuorumChanged    Kind = 306
 	JoinAsked        Kind = 307
+	LeaderSeen       Kind = 308
+	AgreementDelayed Kind = 309
 	AuthorityGranted Kind = 400
 	AuthorityRefused Kind = 401
 	AuthorityLost    Kind = 402
@@ -91,8 +94,9 @@
 	{ConfigAccepted, "config-accepted", "The control nodes accepted a change of configuration."},
 	{ConfigRefused, "config-refused", "A change of configuration had findings and was refused whole."},
 	{ConfigConflict, "config-conflict", "A change was based on a revision older than an object it touches."},
-	{ConfigInForce, "config-in-force", "A process now acts on a newer revision."},
+	{ConfigInForce, "config-in-force", "A process now acts on a newer revision; the control node that gave it is named."},
 	{ConfigUncertain, "config-uncertain", "Whether a change of configuration was accepted is not known; the operator sends it again."},
+	{ConfigUnusable, "config-unusable", "A gateway was given a newer configuration that it can't read; the one before stays in force and the newer one is fetched again."},
 	{LeaderElected, "leader-elected", "A control node became leader of a term."},
 	{LeaderLost, "leader-lost", "A control node stopped being leader, or lost sight of one."},
 	{VoterChanged, "voter-changed", "The set of voting control nodes or learners changed."},
@@ -101,6 +105,8 @@
 	{StorageFailed, "storage-failed", "A control node could not make its state durable and stops."},
 	{QuorumChanged, "quorum-changed", "The number of voters that the leader hears, or of voters or learners, changed."},
 	{JoinAsked, "join-asked", "A control node that knows no leader asked the others to be let in; what became of it changed."},
+	{LeaderSeen, "leader-seen", "A control node follows another leader or none, or a new term began; what it has applied is given."},
+	{AgreementDelayed, "agreement-delayed", "A message or a question waited long for the control node's agreement, or one turn of it took long, with the disk."},
 	{AuthorityGranted, "authority-granted", "A planner holds an availability zone's authority at an epoch."},
 	{AuthorityRefused, "authority-refused", "Another planner's lease on the availability zone may still run."},
 	{AuthorityLost, "authority-lost", "A planner's lease ran out or a newer epoch was seen."},
--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -174,8 +174,13 @@
 	entries  map[string]registry.Entry
 	gateways int
 	holdings *wire.Holdings
+	// refuse is how many configurations can't be taken in.
+	refuse int
 }
 
+// errUnreadable is what a configuration that can't be read ends with.
+var errUnreadable = errors.New("the configuration can't be read")
+
 func (s *seen) take(changes registry.Changes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -192,13 +197,25 @@
 
 func (s *seen) sink() Sink {
 	return Sink{
-		Document: func(d wire.Document) { s.with(func() { s.versions = append(s.versions, d.Version) }) },
+		Document: s.takeDocument,
 		Replicas: s.take,
 		Holdings: func(h *wire.Holdings) { s.with(func() { s.holdings = h }) },
 		Gateways: func(n int) { s.with(func() { s.gateways = n }) },
 	}
 }
 
+// takeDocument refuses as many configurations as it is told to.
+func (s *seen) takeDocument(_ string, d wire.Document) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse > 0 {
+		s.refuse--
+		return errUnreadable
+	}
+	s.versions = append(s.versions, d.Version)
+	return nil
+}
+
 func (s *seen) with(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -330,6 +347,33 @@
 	}
 }
 
+// TestAConfigurationThatCouldNotBeTakenInIsFetchedAgain: the version was moved before the
+// configuration was read, so that one that failed once was never fetched again and the
+// gateway acted on the one before for good.
+func TestAConfigurationThatCouldNotBeTakenInIsFetchedAgain(t *testing.T) {
+	n := newTestNet(t, 1)
+	n.nodes[0].put(4, "four")
+	s := &seen{refuse: 2}
+	f := NewFollower(Options{Node: "g", Zone: "z", Gateway: true, Seeds: n.addresses()}, s.sink(), &rpc.Meter{}, nil, nil, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	eventually(t, "version 4 is in force", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.versions) == 1 && s.versions[0] == 4
+	})
+}
+
+// TestFailedFetchesAreAskedAgainMoreAndMoreSeldom: a control node that is short of time is
+// not asked without end.
+func TestFailedFetchesAreAskedAgainMoreAndMoreSeldom(t *testing.T) {
+	is := is.New(t)
+	is.Equal(refetchPause(0), refetchAfter)
+	is.Equal(refetchPause(1), 2*refetchAfter)
+	is.Equal(refetchPause(100), refetchLongest)
+}
+
 func TestOnlyTheLeaderIsToldWhatRequestsAskFor(t *testing.T) {
 	is := is.New(t)
 	n := newTestNet(t, 3)
--- a/src/feed/fetch.go
+++ b/src/feed/fetch.go
@@ -5,9 +5,17 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
+// The pauses after a configuration that was not had, or could not be taken in: others are
+// asked soon, and a control node that is short of time is not asked without end.
+const (
+	refetchAfter   = 50 * time.Millisecond
+	refetchLongest = 2 * time.Second
+)
+
 // fetch gets a newer configuration, if one was announced; the lock is held.
 func (f *Follower) fetch() {
 	if f.fetching || f.sink.Document == nil || !f.newer() {
@@ -29,7 +37,7 @@
 // fetchAll fetches until nothing newer is announced. It asks the own
 // availability zone's control node first and others after a short while.
 func (f *Follower) fetchAll(ctx context.Context) {
-	began := f.now()
+	began, failures := f.now(), 0
 	for {
 		f.mu.Lock()
 		if !f.newer() || ctx.Err() != nil {
@@ -43,10 +51,20 @@
 			time.Sleep(farDelay / 10)
 			continue
 		}
-		f.fetchFrom(ctx, s)
+		if f.fetchFrom(ctx, s) {
+			failures = 0
+			continue
+		}
+		time.Sleep(refetchPause(failures))
+		failures++
 	}
 }
 
+// refetchPause is the pause after so many failures in a row before the last one.
+func refetchPause(failures int) time.Duration {
+	return min(refetchAfter<<min(failures, 8), refetchLongest)
+}
+
 // nearest returns a source that has a newer configuration: one that did not just
 // fail to give it, then one of the own availability zone, any of them. Far ones
 // count only when allowed.
@@ -89,7 +107,9 @@
 	return false
 }
 
-func (f *Follower) fetchFrom(ctx context.Context, s *source) {
+// fetchFrom reports whether a source gave a configuration that is in force now. The version
+// moves only then: it says what this process acts on, not what it was given.
+func (f *Follower) fetchFrom(ctx context.Context, s *source) bool {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var document wire.Document
@@ -98,12 +118,17 @@
 	defer f.mu.Unlock()
 	if err != nil {
 		s.refusedAt = f.now()
-		return
+		return false
 	}
 	if document.Version <= f.version {
 		s.version = document.Version
-		return
+		return false
+	}
+	if err := f.sink.Document(s.address, document); err != nil {
+		s.refusedAt = f.now()
+		f.ring.Add(event.Event{Kind: event.ConfigUnusable, Host: s.address, Reason: err.Error()})
+		return false
 	}
 	f.version = document.Version
-	f.sink.Document(document)
+	return true
 }
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -40,8 +40,10 @@
 
 // Sink is what a follower does with the news; the functions are called one at a time.
 type Sink struct {
-	// Document takes in a newer configuration; nil if it is of no use here.
-	Document func(wire.Document)
+	// Document takes in a newer configuration from the control node at an address; after an
+	// error the one before stays in force, and the newer one is fetched again. It is nil if
+	// configurations are of no use here.
+	Document func(from string, held wire.Document) error
 	// Replicas takes in what changed of the merged replicas.
 	Replicas func(registry.Changes)
 	// Holdings takes in newer holdings; nil if they are of no use here.
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -175,6 +175,7 @@
 	accounts := accountGauges{named: map[string]bool{}}
 	c.proc.SetRefresh(func(m *metric.Registry) {
 		setQuorumGauges(m, c.cluster.Quorum())
+		setDelayGauges(m, c.node.Delays())
 		accounts.set(m, c.granter.Used())
 	})
 	times := registry.Times{Silence: silentBeats * c.settings.Heartbeat.Std(), Forget: forgetReplicas}
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -176,14 +176,14 @@
 	g.follower = feed.NewFollower(options, sink, g.proc.Meter(), nil, g.proc.Ring(), time.Now)
 }
 
-func (g *gateway) setDocument(held wire.Document) {
+func (g *gateway) setDocument(from string, held wire.Document) error {
 	document, err := decode(held, g.speak.Decode)
 	if err != nil {
-		g.proc.Ring().Add(event.Event{Kind: event.ConfigRefused, Reason: err.Error()})
-		return
+		return errors.Wrap(err, "version "+strconv.FormatUint(held.Version, 10))
 	}
 	g.handler.SetTable(catalog.NewTable(document))
-	g.proc.Ring().Add(event.Event{Kind: event.ConfigInForce, Reason: "version " + strconv.FormatUint(held.Version, 10)})
+	g.proc.Ring().Add(event.Event{Kind: event.ConfigInForce, Host: from, Reason: "version " + strconv.FormatUint(held.Version, 10)})
+	return nil
 }
 
 // ready reports whether the gateway wants new connections.
--- a/src/fleet/gauges.go
+++ b/src/fleet/gauges.go
@@ -20,6 +20,13 @@
 	m.Gauge("leader_known", oneIf(q.LeaderKnown))
 	m.Gauge("member", oneIf(q.Member))
 	m.Gauge("configuration_version", float64(q.Version))
+	m.Gauge("term", float64(q.Term))
+}
+
+// setDelayGauges tells the longest delays of a control node's agreement lately.
+func setDelayGauges(m *metric.Registry, d control.Delays) {
+	m.Gauge("agreement_wait_seconds", d.Wait.Seconds())
+	m.Gauge("agreement_step_seconds", d.Step.Seconds())
 }
 
 const (
