An acknowledged configuration is known to be committed by a majority's disks

Cause: a disk holds an entry before it knows that the entry is committed; the commit index goes to disk with the next entries. After a loss of all power every control node applied the configuration before the acknowledged one, and gateways acted on it until a leader was elected. Ruled out: a sync of the commit index at each commit (twice the syncs for every entry, and the leader would still not know when others have made theirs). Change: an empty entry follows each accepted configuration, in the users' calls and in the product's own, and only when a majority holds that one is the change acknowledged: entries and commit index are written together. A change that is sent again is made sure of the same way. Cost: one more round and sync for each change of configuration. Conclusion: the rule no longer hangs on how fast an election is.

--- a/src/control/apply.go
+++ b/src/control/apply.go
@@ -37,10 +37,13 @@
 	defer s.changes.Unlock()
 	for i := 0; i < maxRaces; i++ {
 		prepared, reply := s.prepare(request.Change)
-		if prepared == nil || request.DryRun {
+		if request.DryRun {
 			return reply
 		}
-		applied, err := s.node.propose(ctx, command{At: s.now(), Change: prepared})
+		if prepared == nil {
+			return s.settled(ctx, reply)
+		}
+		applied, err := s.node.proposeSettled(ctx, command{At: s.now(), Change: prepared})
 		if err != nil {
 			return wire.ApplyReply{Outcome: wire.Unavailable, Reason: err.Error()}
 		}
@@ -54,6 +57,19 @@
 	return wire.ApplyReply{Outcome: wire.Unavailable, Reason: "other changes kept coming between; try again"}
 }
 
+// settled makes sure of a change that was accepted before: its first answer may have been
+// lost before it was certain.
+func (s *Service) settled(ctx context.Context, reply wire.ApplyReply) wire.ApplyReply {
+	if reply.Outcome != wire.Accepted {
+		return reply
+	}
+	certain := s.node.settle(ctx, result{outcome: wire.Accepted})
+	if certain.outcome != wire.Accepted {
+		return wire.ApplyReply{Outcome: wire.Unknown, Reason: certain.reason}
+	}
+	return reply
+}
+
 // prepare checks a change against the configuration in force. It returns no
 // command if the answer is already clear.
 func (s *Service) prepare(change config.Change) (*changeCommand, wire.ApplyReply) {
--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -219,17 +219,23 @@
 }
 
 func (c *Cluster) putHere(ctx context.Context, request wire.DocumentRequest) wire.DocumentReply {
-	if held := c.readHere(); held.Known && held.Version >= request.Version {
-		return wire.DocumentReply{Outcome: wire.Accepted, Version: held.Version}
-	}
-	cmd := command{At: c.now(), Document: &documentCommand{Version: request.Version, Packed: request.Packed}}
-	applied, err := c.node.propose(ctx, cmd)
+	applied, err := c.putSettled(ctx, request)
 	if err != nil {
 		return wire.DocumentReply{Outcome: wire.Unavailable, Reason: err.Error()}
 	}
 	return wire.DocumentReply{Outcome: applied.outcome, Version: applied.version, Reason: applied.reason}
 }
 
+// putSettled puts a document in force, or makes sure of one that is in force already: an
+// earlier answer may have been lost before it was certain.
+func (c *Cluster) putSettled(ctx context.Context, request wire.DocumentRequest) (result, error) {
+	if held := c.readHere(); held.Known && held.Version >= request.Version {
+		return c.node.settle(ctx, result{outcome: wire.Accepted, version: held.Version}), nil
+	}
+	document := &documentCommand{Version: request.Version, Packed: request.Packed}
+	return c.node.proposeSettled(ctx, command{At: c.now(), Document: document})
+}
+
 // Read returns the newest accepted document; Known is false if this node and
 // the leader can't be sure of it.
 func (c *Cluster) Read(ctx context.Context) wire.Document {
--- a/src/control/node.go
+++ b/src/control/node.go
@@ -211,6 +211,31 @@
 	})
 }
 
+// proposeSettled hands a command to consensus and returns its result once it is settled: a
+// majority's disks hold not only the entry but also that it is committed. A disk learns that
+// with the next entry, so an empty one follows each accepted command. Without it all control
+// nodes that come back after a loss of power apply the state before the command until a
+// leader is elected, and nothing bounds how long that takes.
+func (n *Node) proposeSettled(ctx context.Context, cmd command) (result, error) {
+	applied, err := n.propose(ctx, cmd)
+	if err != nil || applied.outcome != wire.Accepted {
+		return applied, err
+	}
+	return n.settle(ctx, applied), nil
+}
+
+// settle returns the result of a command once all that is applied here is settled; the
+// outcome is unknown if that is not certain.
+func (n *Node) settle(ctx context.Context, applied result) result {
+	followed, err := n.await(ctx, func(now time.Time, done func(result, error)) {
+		n.replica.Propose(now, nil, done)
+	})
+	if err != nil || followed.outcome != wire.Accepted {
+		return result{outcome: wire.Unknown, reason: "applied, but a majority may not know that it is committed"}
+	}
+	return applied
+}
+
 func (n *Node) await(ctx context.Context, start func(now time.Time, done func(result, error))) (result, error) {
 	outcomes := make(chan outcome, 1)
 	run := func(now time.Time) {
