News to gateways costs a bounded share of a control node's processor

Cause: each gateway that began to follow any control node changed the number that all gateways are told, and was news for all of them; news left 15 ms after it came whatever the number of gateways, which at 295 of them is all of half a core. Ruled out: encoding (done once for gateways that were told the same). Change: the number of gateways is told with the next sign of life, at most 400 ms later; news is joined for half a millisecond for each gateway, 15 ms at least (30 ms at 59, 148 ms at 295). Figures: with the old comparison TestAnotherGatewayIsNoNewsForTheOthers fails. Conclusion: telling costs a tenth of a core at most.

--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -20,6 +20,10 @@
 	lagTime = time.Second
 	// attachEvery is how often the relay looks whether its node is detached.
 	attachEvery = 250 * time.Millisecond
+	// joinPerGateway bounds what telling news costs, whatever the number of gateways: one
+	// message takes some 50 microseconds, so all of them a tenth of a core at the most.
+	// With 15 ms for any number, 295 gateways at a node of half a core took all of it.
+	joinPerGateway = 500 * time.Microsecond
 )
 
 // Relay passes on to gateways what a control node's follower learns from all control
@@ -59,10 +63,11 @@
 	detached bool
 }
 
-// same reports whether a gateway learns nothing from another state.
+// same reports whether a gateway learns nothing from another state but the number of
+// gateways.
 func (s *relayState) same(other *relayState) bool {
 	return s.stamp == other.stamp && s.holdings == other.holdings && s.version == other.version &&
-		s.gateways == other.gateways && s.detached == other.detached && slices.Equal(s.members, other.members)
+		s.detached == other.detached && slices.Equal(s.members, other.members)
 }
 
 // NewRelay returns a relay of what a follower knows, for a node in an availability zone.
@@ -116,10 +121,15 @@
 		case <-news:
 		case <-committed:
 		}
-		time.Sleep(newsJoin)
+		time.Sleep(r.join())
 	}
 }
 
+// join is how long news waits for more before all gateways are told.
+func (r *Relay) join() time.Duration {
+	return max(newsJoin, time.Duration(r.Gateways())*joinPerGateway)
+}
+
 // round takes in what is new and wakes the streams if there is anything.
 func (r *Relay) round(now time.Time) {
 	known := r.follower.Known()
@@ -134,6 +144,7 @@
 	defer r.mu.Unlock()
 	next.detached = apart(known.Reach, len(next.members)) || r.lags(now, next.version, known.Version)
 	if next.same(&r.state) {
+		r.recount(next.gateways)
 		return
 	}
 	next.round = r.state.round + 1
@@ -143,6 +154,16 @@
 	r.changed = make(chan struct{})
 }
 
+// recount takes in another number of gateways, which the next signs of life tell: told at
+// once, each gateway that begins to follow any node would be news for all others. The lock
+// is held.
+func (r *Relay) recount(gateways int) {
+	if r.state.gateways != gateways {
+		r.state.gateways = gateways
+		clear(r.encoded)
+	}
+}
+
 // apart reports whether a node reaches no majority of the members, or knows none: one that
 // lost its disk is outside until it is let in.
 func apart(reach, members int) bool { return members == 0 || reach*2 <= members }
--- a/src/feed/source_test.go
+++ b/src/feed/source_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -92,3 +93,46 @@
 	f.reconsiderAt(now.Add(time.Millisecond))
 	is.True(f.followed()[near.Address])
 }
+
+// quietRelay is a relay whose rounds the test runs; its follower knows one control node.
+func quietRelay(t *testing.T) (*Relay, *source) {
+	t.Helper()
+	f := startingGateway(t, fiveNodes[0])
+	s := f.sources[fiveNodes[0].Address]
+	s.live = true
+	cluster := Cluster{Version: func() uint64 { return 1 }, Members: func() []string { return []string{s.address} }}
+	return NewRelay("n", "z", f, cluster, time.Now), s
+}
+
+// TestAnotherGatewayIsNoNewsForTheOthers: each gateway that began to follow any control
+// node was news for all others, so that 295 that started together were told 295 times.
+func TestAnotherGatewayIsNoNewsForTheOthers(t *testing.T) {
+	is := is.New(t)
+	r, s := quietRelay(t)
+	now := time.Unix(1_800_000_000, 0)
+	r.round(now)
+	_, told, changed, err := r.next(relayState{})
+	is.NoErr(err)
+	s.gateways = 7
+	r.follower.options.Gateway = true // it takes the largest number that a node says
+	r.round(now)
+	select {
+	case <-changed:
+		t.Error("the gateways are told at once")
+	default:
+	}
+	sign, _, _, err := r.next(told)
+	is.NoErr(err)
+	var update wire.FeedUpdate
+	is.NoErr(json.Unmarshal(sign, &update))
+	is.Equal(update.Gateways, 7) // the next sign of life says it
+}
+
+// TestTellingCostsABoundedShareWhateverTheGateways: the pause grows with their number.
+func TestTellingCostsABoundedShareWhateverTheGateways(t *testing.T) {
+	is := is.New(t)
+	r, _ := quietRelay(t)
+	is.Equal(r.join(), newsJoin)
+	r.gateways.Store(295)
+	is.Equal(r.join(), 295*joinPerGateway)
+}
