Questions to a control node don't wait for its loop

Cause: version, members, document and leadership were asked of the one loop that runs consensus, three times for each message to a stream and each turn of the loop with a tick and a flush; and a question waited for the disk. The membership was found by going through the log, several times for each message. Ruled out: a lock around the replica (a reader would wait for the disk as well). Change: the loop publishes what it knows after each turn, before the messages of that turn leave and before those that wait for an entry are answered; readers take that. Certainty is a time until which it lasts. The membership is kept beside the log. Conclusion: the loop is consensus' own.

--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -103,17 +103,15 @@
 
 // Leadership returns who leads now.
 func (c *Cluster) Leadership() Leadership {
-	var l Leadership
-	c.node.Do(func(now time.Time) {
-		core := c.node.replica.core
-		l.Self = core.ReadSafe(now)
-		l.Address = nameOf(core.Leader())
-		l.Term = core.Term()
-		l.Since = core.LedSince()
-		l.Version = c.node.replica.state.document.Version
-		l.Extensions = c.node.replica.state.extensions
-	})
-	return l
+	known := c.node.known()
+	return Leadership{
+		Self:       known.sure(c.now()),
+		Address:    nameOf(known.leader),
+		Term:       known.term,
+		Since:      known.ledSince,
+		Version:    known.document.Version,
+		Extensions: known.extensions,
+	}
 }
 
 // Members returns the addresses of all control nodes that this one knows of.
@@ -130,11 +128,7 @@
 	return list
 }
 
-func (c *Cluster) members() raft.Members {
-	var members raft.Members
-	c.node.Do(func(time.Time) { members = c.node.replica.core.Members() })
-	return members
-}
+func (c *Cluster) members() raft.Members { return c.node.known().members }
 
 // Peers returns the addresses of the other members, or the seeds while there is none.
 func (c *Cluster) Peers() []string {
@@ -162,23 +156,10 @@
 
 // Document returns the document that this node has applied, which may be older
 // than the newest accepted one.
-func (c *Cluster) Document() wire.Document {
-	var held wire.Document
-	c.node.Do(func(time.Time) { held = c.held() })
-	return held
-}
+func (c *Cluster) Document() wire.Document { return c.node.known().held() }
 
 // Version returns the version of the applied document.
-func (c *Cluster) Version() uint64 {
-	var version uint64
-	c.node.Do(func(time.Time) { version = c.node.replica.state.document.Version })
-	return version
-}
-
-func (c *Cluster) held() wire.Document {
-	d := c.node.replica.state.document
-	return wire.Document{Known: d.Version > 0, Version: d.Version, Packed: d.Packed}
-}
+func (c *Cluster) Version() uint64 { return c.node.known().document.Version }
 
 func (c *Cluster) step(_ context.Context, _ *rpc.Peer, m raft.Message) (wire.Empty, error) {
 	if m.To == c.options.ID {
@@ -261,13 +242,11 @@
 
 // readHere returns the document if this node leads and is sure of it.
 func (c *Cluster) readHere() wire.Document {
-	var held wire.Document
-	c.node.Do(func(now time.Time) {
-		if c.node.replica.core.ReadSafe(now) {
-			held = c.held()
-		}
-	})
-	return held
+	known := c.node.known()
+	if !known.sure(c.now()) {
+		return wire.Document{}
+	}
+	return known.held()
 }
 
 // RecordExtension records how much a client account may use at once beyond its rate, in
--- a/src/control/node.go
+++ b/src/control/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,9 @@
 	work   chan arrival[func(now time.Time)]
 	ended  chan struct{}
 	delays delayMeter
+	// view is published before the messages of the same turn leave: nobody may be told that
+	// this node is sure of something after it has let another one lead.
+	view atomic.Pointer[view]
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -49,7 +53,7 @@
 
 // NewNode returns a node around a replica; send must not block.
 func NewNode(replica *Replica, send func(raft.Message), ring *event.Ring, now func() time.Time) *Node {
-	return &Node{
+	n := &Node{
 		replica: replica,
 		send:    send,
 		ring:    ring,
@@ -59,8 +63,17 @@
 		ended:   make(chan struct{}),
 		changed: make(chan struct{}),
 	}
+	n.publish()
+	replica.publish = n.publish
+	return n
 }
 
+// publish makes what the replica knows now the node's view.
+func (n *Node) publish() { n.view.Store(viewOf(n.replica)) }
+
+// known returns what the node knew after its last turn.
+func (n *Node) known() *view { return n.view.Load() }
+
 // Run drives the replica until the context ends or its disk fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.ended)
@@ -136,6 +149,7 @@
 	if err != nil {
 		return err
 	}
+	n.publish()
 	for _, m := range messages {
 		n.send(m)
 	}
--- a/src/control/replica.go
+++ b/src/control/replica.go
@@ -42,6 +42,9 @@
 	lastRole  raft.Role
 	lastSeen  leaderSeen
 	hardState raft.HardState
+	// publish makes what was applied known to readers before those that wait for it are
+	// answered; nil if nobody reads beside the loop.
+	publish func()
 	// renewedAt is when this control node saw a zone's lease renewed, by its own clock.
 	renewedAt map[string]time.Time
 }
@@ -164,8 +167,10 @@
 }
 
 func (r *Replica) apply(now time.Time, entries []raft.Entry) {
-	for _, entry := range entries {
+	results := make([]result, len(entries))
+	for i, entry := range entries {
 		applied := r.state.Apply(entry)
+		results[i] = applied
 		r.applied = entry.Index
 		r.unsaved += len(entry.Data)
 		if applied.renewed != "" {
@@ -174,7 +179,12 @@
 		if entry.Kind == raft.EntryMembers {
 			r.ring.Add(event.Event{Kind: event.VoterChanged, Reason: membersText(*entry.Members)})
 		}
-		r.finish(entry, applied)
+	}
+	if len(entries) > 0 && r.publish != nil {
+		r.publish()
+	}
+	for i, entry := range entries {
+		r.finish(entry, results[i])
 	}
 }
 
--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -186,8 +186,15 @@
 
 // ReadSafe reports whether this node's applied state is the newest accepted one:
 // it leads under a valid lease and has committed an entry of its own term.
-func (c *Core) ReadSafe(now time.Time) bool {
-	return c.LeaseValid(now) && c.committedInTerm() && c.applied == c.commit
+func (c *Core) ReadSafe(now time.Time) bool { return now.Before(c.ReadSafeUntil()) }
+
+// ReadSafeUntil returns until when ReadSafe holds if nothing changes, the zero time if it
+// does not hold.
+func (c *Core) ReadSafeUntil() time.Time {
+	if !c.committedInTerm() || c.applied != c.commit {
+		return time.Time{}
+	}
+	return c.leaseEnd()
 }
 
 // LedSince returns when this node was elected in the term in which it leads, and
@@ -201,8 +208,18 @@
 
 // LeaseValid reports whether this leader has heard from a quorum so lately that
 // no other leader can have been elected.
-func (c *Core) LeaseValid(now time.Time) bool {
-	return c.role == Leader && c.transferTo == "" && now.Before(c.quorumContact().Add(c.options.Lease))
+func (c *Core) LeaseValid(now time.Time) bool { return now.Before(c.leaseEnd()) }
+
+// leaseEnd returns when the leader's lease ends, the zero time if the node has none.
+func (c *Core) leaseEnd() time.Time {
+	if c.role != Leader || c.transferTo != "" {
+		return time.Time{}
+	}
+	contact := c.quorumContact()
+	if contact.IsZero() {
+		return contact
+	}
+	return contact.Add(c.options.Lease)
 }
 
 // quorumContact returns the latest time at which a quorum is known to have
--- a/src/raft/core_test.go
+++ b/src/raft/core_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -64,3 +65,30 @@
 	is.True(ready.HardState != nil)
 	is.Equal(ready.HardState.Commit, uint64(3))
 }
+
+// TestTheMembershipFollowsTheLog, whatever is appended, replaced and cut: it is kept beside
+// the log, which may be long.
+func TestTheMembershipFollowsTheLog(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(7, 7))
+	log := memoryLog{snapshot: Snapshot{Members: Members{Voters: []ID{"a#0"}}}}
+	for range 5000 {
+		switch from := log.snapshot.Index + 1 + random.Uint64N(uint64(len(log.entries))+1); random.IntN(8) {
+		case 0:
+			at := log.snapshot.Index + random.Uint64N(uint64(len(log.entries))+1)
+			term, _ := log.term(at)
+			log.compact(Snapshot{Index: at, Term: term, Members: log.membersAt(at)})
+		default:
+			entry := Entry{Term: random.Uint64N(3), Index: from}
+			if random.IntN(3) == 0 {
+				entry.Kind = EntryMembers
+				entry.Members = &Members{Voters: []ID{ID(fmt.Sprint("m", random.IntN(1000)))}}
+			}
+			log.append([]Entry{entry})
+		}
+		found := log.findMembership()
+		members, index := log.members()
+		is.Equal(members, found.members)
+		is.Equal(index, found.index)
+	}
+}
--- a/src/raft/log.go
+++ b/src/raft/log.go
@@ -1,9 +1,20 @@
 package raft
 
+import "slices"
+
 // memoryLog holds the entries after the latest snapshot.
 type memoryLog struct {
 	snapshot Snapshot
 	entries  []Entry
+	// membership is the membership in force, nil until it is asked for: it is asked for
+	// several times for each message, and the log may hold thousands of entries after it.
+	membership *membership
+}
+
+// membership is a membership with the index that it came with.
+type membership struct {
+	members Members
+	index   uint64
 }
 
 func (l *memoryLog) firstIndex() uint64 { return l.snapshot.Index + 1 }
@@ -51,20 +62,36 @@
 			continue
 		}
 		keep := entry.Index - l.firstIndex()
+		l.noteAppend(int(keep), entries[i:])
 		l.entries = append(l.entries[:keep], entries[i:]...)
 		return entry.Index
 	}
 	return 0
 }
 
+// noteAppend forgets the membership if entries that are dropped or come may change it.
+func (l *memoryLog) noteAppend(keep int, entries []Entry) {
+	changes := func(entry Entry) bool { return entry.Kind == EntryMembers }
+	if slices.ContainsFunc(l.entries[keep:], changes) || slices.ContainsFunc(entries, changes) {
+		l.membership = nil
+	}
+}
+
 // members returns the membership in force: the last one in the log, committed or not.
 func (l *memoryLog) members() (Members, uint64) {
+	if l.membership == nil {
+		l.membership = l.findMembership()
+	}
+	return l.membership.members, l.membership.index
+}
+
+func (l *memoryLog) findMembership() *membership {
 	for i := len(l.entries) - 1; i >= 0; i-- {
 		if l.entries[i].Kind == EntryMembers {
-			return *l.entries[i].Members, l.entries[i].Index
+			return &membership{members: *l.entries[i].Members, index: l.entries[i].Index}
 		}
 	}
-	return l.snapshot.Members, l.snapshot.Index
+	return &membership{members: l.snapshot.Members, index: l.snapshot.Index}
 }
 
 // membersAt returns the membership in force at an index.
@@ -89,4 +116,5 @@
 		l.entries = append([]Entry(nil), l.entries[snapshot.Index-l.snapshot.Index:]...)
 	}
 	l.snapshot = snapshot
+	l.membership = nil
 }
