Control nodes and gateways know how old the certainty of a configuration is

Cause: a control node that reached a majority but knew no leader counted as sound for as long as that lasted, and nobody without keys knew how old the certainty of a configuration was. Ruled out: a question from each gateway (295 calls a second where no keys ask for them). Change: a follower of consensus notes when it had applied all that its leader called committed; signs of life tell gateways its age; a node without it for 2.5 s says so, and a gateway follows a second one beside it, not all. A zone that is cut off keeps to its node. Gauges at gateways. Figures: TestAControlNodeThatIsNotCertainIsNotTheOnlyOne and TestWhereNobodyIsCertainTwoAreAsked hold it; nothing measured at size yet. Conclusion: age of knowledge is told with or without keys.

--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -161,6 +161,10 @@
 // Version returns the version of the applied document.
 func (c *Cluster) Version() uint64 { return c.node.known().document.Version }
 
+// Confirmed returns when the applied document was last known to be the newest accepted one,
+// the zero time if it never was since this node began.
+func (c *Cluster) Confirmed(now time.Time) time.Time { return c.node.known().confirmed(now) }
+
 func (c *Cluster) step(_ context.Context, _ *rpc.Peer, m raft.Message) (wire.Empty, error) {
 	if m.To == c.options.ID {
 		c.node.Deliver(m)
--- a/src/control/view.go
+++ b/src/control/view.go
@@ -21,6 +21,8 @@
 	// sureUntil is until when the node is sure that what it has applied is the newest: it
 	// leads, and its lease lasts. It is the zero time if it is not.
 	sureUntil time.Time
+	// confirmedAt is when a leader last said that nothing newer is committed.
+	confirmedAt time.Time
 }
 
 // viewOf returns what a replica knows now.
@@ -33,12 +35,23 @@
 		ledSince:   r.core.LedSince(),
 		extensions: r.state.extensions,
 		sureUntil:  r.core.ReadSafeUntil(),
+
+		confirmedAt: r.core.Confirmed(),
 	}
 }
 
 // sure reports whether what the node has applied is the newest accepted.
 func (v *view) sure(now time.Time) bool { return now.Before(v.sureUntil) }
 
+// confirmed returns when what the node has applied was last known to be the newest
+// accepted, the zero time if it never was.
+func (v *view) confirmed(now time.Time) time.Time {
+	if v.sure(now) {
+		return now
+	}
+	return v.confirmedAt
+}
+
 // held returns the document that the node has applied.
 func (v *view) held() wire.Document {
 	return wire.Document{Known: v.document.Version > 0, Version: v.document.Version, Packed: v.document.Packed}
--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -35,6 +35,8 @@
 	usage atomic.Int64
 	// outside lets the node know no members.
 	outside atomic.Bool
+	// unconfirmed lets the node not know whether its configuration is the newest.
+	unconfirmed atomic.Bool
 	// failing lets the node's disk refuse writes.
 	failing atomic.Bool
 
@@ -64,6 +66,14 @@
 	return nil
 }
 
+// confirmedAt returns now, unless nobody confirms the node's configuration.
+func (n *testNode) confirmedAt(now time.Time) time.Time {
+	if n.unconfirmed.Load() {
+		return time.Time{}
+	}
+	return now
+}
+
 // newTestNet returns nodes that are all in availability zone z.
 func newTestNet(t *testing.T, count int) *testNet {
 	return newZonedNet(t, slices.Repeat([]string{"z"}, count)...)
@@ -81,7 +91,10 @@
 				time.Sleep(time.Duration(node.slow.Load()))
 				return node.held()
 			},
-			Changed:  node.wait,
+			Changed: node.wait,
+
+			Confirmed: node.confirmedAt,
+
 			Members:  node.members,
 			Peers:    func() []string { return n.others(node) },
 			Majority: func() (int, bool) { return count / 2, !node.outside.Load() },
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -230,7 +230,7 @@
 	}
 	now := f.now()
 	f.add(update.Members)
-	settled := s.live && s.detached == update.Detached && update.Members == nil
+	settled := s.live && s.detached == update.Detached && s.uncertain == update.Uncertain && update.Members == nil
 	changed := !settled || s.version != update.Version || s.leading != update.Leading || s.gateways != update.Gateways
 	if !s.live {
 		s.live = true
@@ -244,6 +244,11 @@
 	s.version = update.Version
 	s.leading = update.Leading
 	s.detached = update.Detached
+	s.uncertain = update.Uncertain
+	s.confirmedAt = time.Time{}
+	if update.ConfirmedMS > 0 {
+		s.confirmedAt = now.Add(-time.Duration(update.ConfirmedMS) * time.Millisecond)
+	}
 	s.gateways = update.Gateways
 	if len(update.Standings) > 0 {
 		f.directory.Take(now, s.address, update.Standings)
--- a/src/feed/known.go
+++ b/src/feed/known.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"time"
+
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/wire"
 )
@@ -12,6 +14,9 @@
 	Holdings *wire.Holdings
 	// Version is the newest configuration that any control node in reach has applied.
 	Version uint64
+	// Confirmed is when the newest of these was last known to be the newest accepted, as its
+	// source says; the zero time if none says it.
+	Confirmed time.Time
 	// Reach is the number of control nodes in reach.
 	Reach int
 	// Gateways is the number of gateways that follow any control node.
@@ -36,7 +41,7 @@
 	known := Known{Stamp: f.directory.Stamp(), Holdings: f.holdings, Reach: f.live(), Gateways: f.gateways(f.now()), Zones: map[string]string{}}
 	for _, s := range f.sources {
 		if s.live {
-			known.Version = max(known.Version, s.version)
+			known.take(s)
 		}
 		if s.zone != "" {
 			known.Zones[s.address] = s.zone
@@ -45,6 +50,16 @@
 	return known
 }
 
+// take takes in the version of a source in reach and how certain it is.
+func (k *Known) take(s *source) {
+	switch {
+	case s.version > k.Version:
+		k.Version, k.Confirmed = s.version, s.confirmedAt
+	case s.version == k.Version:
+		k.Confirmed = later(k.Confirmed, s.confirmedAt)
+	}
+}
+
 // Gateways returns the number of gateways that follow any control node.
 func (f *Follower) Gateways() int {
 	f.mu.Lock()
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -27,6 +27,9 @@
 	// Version returns the applied configuration's version, Document the whole of it.
 	Version  func() uint64
 	Document func() wire.Document
+	// Confirmed returns when the applied configuration was last known to be the newest, the
+	// zero time if it never was.
+	Confirmed func(now time.Time) time.Time
 	// Changed is closed when the applied configuration changes.
 	Changed func() <-chan struct{}
 	// Members are the control nodes' addresses; Peers those of the others.
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -18,7 +18,11 @@
 	// configuration before it counts as detached: a change is committed and applied
 	// within some tens of ms.
 	lagTime = time.Second
-	// attachEvery is how often the relay looks whether its node is detached.
+	// uncertainAfter is for how long a node may not know that its configuration is the newest
+	// before it says so: longer than elections, the longest of 300 took 1.49 s on virtual
+	// time, and well below the seconds in which a configuration is to be in force.
+	uncertainAfter = 2500 * time.Millisecond
+	// attachEvery is how often the relay looks whether its node is detached or uncertain.
 	attachEvery = 250 * time.Millisecond
 	// joinPerGateway bounds what telling news costs, whatever the number of gateways: one
 	// message takes some 50 microseconds, so all of them a tenth of a core at the most.
@@ -44,6 +48,7 @@
 	subscribers map[*rpc.Peer]*atomic.Bool
 	state       relayState
 	changed     chan struct{}
+	began       time.Time
 	// lagsSince is since when others are known to have a newer configuration.
 	lagsSince time.Time
 	deltas    holdingsDelta
@@ -61,13 +66,17 @@
 	version  uint64
 	gateways int
 	detached bool
+	// uncertain is set while the node has not known for long that its configuration is the
+	// newest, which it last knew at confirmedAt.
+	uncertain   bool
+	confirmedAt time.Time
 }
 
 // same reports whether a gateway learns nothing from another state but the number of
-// gateways.
+// gateways and the age of the configuration's confirmation.
 func (s *relayState) same(other *relayState) bool {
 	return s.stamp == other.stamp && s.holdings == other.holdings && s.version == other.version &&
-		s.detached == other.detached && slices.Equal(s.members, other.members)
+		s.detached == other.detached && s.uncertain == other.uncertain && slices.Equal(s.members, other.members)
 }
 
 // NewRelay returns a relay of what a follower knows, for a node in an availability zone.
@@ -78,6 +87,7 @@
 		follower: follower,
 		cluster:  cluster,
 		now:      now,
+		began:    now(),
 		state:    relayState{round: 1},
 		changed:  make(chan struct{}),
 		encoded:  map[uint64]json.RawMessage{},
@@ -143,8 +153,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next.detached = apart(known.Reach, len(next.members)) || r.lags(now, next.version, known.Version)
+	next.confirmedAt = r.cluster.Confirmed(now)
+	next.uncertain = now.Sub(later(r.began, next.confirmedAt)) > uncertainAfter
 	if next.same(&r.state) {
-		r.recount(next.gateways)
+		r.refresh(next)
 		return
 	}
 	next.round = r.state.round + 1
@@ -154,14 +166,13 @@
 	r.changed = make(chan struct{})
 }
 
-// recount takes in another number of gateways, which the next signs of life tell: told at
-// once, each gateway that begins to follow any node would be news for all others. The lock
-// is held.
-func (r *Relay) recount(gateways int) {
-	if r.state.gateways != gateways {
-		r.state.gateways = gateways
-		clear(r.encoded)
-	}
+// refresh takes in what the next signs of life tell: another number of gateways, which
+// told at once would make each gateway that begins to follow any node news for all others,
+// and how old the configuration's confirmation is. The lock is held.
+func (r *Relay) refresh(next relayState) {
+	r.state.gateways = next.gateways
+	r.state.confirmedAt = next.confirmedAt
+	clear(r.encoded)
 }
 
 // apart reports whether a node reaches no majority of the members, or knows none: one that
@@ -239,7 +250,10 @@
 // update returns what a gateway that was told a state does not know; the lock is held.
 func (r *Relay) update(told *relayState) wire.FeedUpdate {
 	s := &r.state
-	update := wire.FeedUpdate{Version: s.version, Gateways: s.gateways, Detached: s.detached}
+	update := wire.FeedUpdate{Version: s.version, Gateways: s.gateways, Detached: s.detached, Uncertain: s.uncertain}
+	if !s.confirmedAt.IsZero() {
+		update.ConfirmedMS = max(r.now().Sub(s.confirmedAt).Milliseconds(), 1)
+	}
 	if told.round == 0 {
 		update.Node, update.Zone, update.Full = r.node, r.zone, true
 	}
--- a/src/feed/relay_test.go
+++ b/src/feed/relay_test.go
@@ -106,6 +106,22 @@
 	eventually(t, "only the node of its zone is followed again", n.onlyFollows(2))
 }
 
+// TestAControlNodeThatIsNotCertainIsNotTheOnlyOne: it reaches the others but knows no
+// leader, so that nobody tells it of a newer configuration.
+func TestAControlNodeThatIsNotCertainIsNotTheOnlyOne(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	f, _ := n.gatewayIn("z", nil)
+	eventually(t, "the node of its zone is followed", n.onlyFollows(2))
+	eventually(t, "its certainty is known", func() bool { return !f.Known().Confirmed.IsZero() })
+	n.nodes[2].unconfirmed.Store(true)
+	eventually(t, "another one is followed beside it", func() bool {
+		counts := n.subscribers()
+		return counts[2] == 1 && counts[0]+counts[1] == 1
+	})
+	n.nodes[2].unconfirmed.Store(false)
+	eventually(t, "only the node of its zone is followed again", n.onlyFollows(2))
+}
+
 // TestAZoneThatIsCutOffGoesOn: a gateway that reaches only its own zone's node keeps to it.
 func TestAZoneThatIsCutOffGoesOn(t *testing.T) {
 	n := newZonedNet(t, "x", "y", "z")
--- a/src/feed/source.go
+++ b/src/feed/source.go
@@ -35,6 +35,10 @@
 	// with all streams at once: 295 followers on a node made for 59, 12,500 updates and
 	// 6 MB in two seconds, and no leader for 2.7 s.
 	besideAfter = 600 * time.Millisecond
+	// uncertainFollowed is how many control nodes a gateway follows that reach a majority and
+	// don't know that their configuration is the newest: a second one may know it, and where
+	// nobody leads all nodes with all gateways would only delay the election.
+	uncertainFollowed = 2
 	// soonestCheck bounds how often the choice is looked at by time alone.
 	soonestCheck = 10 * time.Millisecond
 )
@@ -55,6 +59,10 @@
 	live      bool
 	leading   bool
 	detached  bool
+	// uncertain is set while the node does not know that its configuration is the newest,
+	// which it last knew at confirmedAt, the zero time if that is not known.
+	uncertain   bool
+	confirmedAt time.Time
 	// gateways is how many gateways follow the node, as it says.
 	gateways int
 	heardAt  time.Time
@@ -66,7 +74,10 @@
 }
 
 // sound reports whether a gateway needs no other control node beside this one.
-func (s *source) sound(now time.Time) bool {
+func (s *source) sound(now time.Time) bool { return s.attached(now) && !s.uncertain }
+
+// attached reports whether a source is heard and in touch with a majority.
+func (s *source) attached(now time.Time) bool {
 	return s.live && !s.detached && now.Sub(s.heardAt) < unsoundAfter
 }
 
@@ -156,17 +167,20 @@
 	}
 	ranked := f.ranked()
 	f.noteFirst(now, ranked)
-	found := false
+	found, attached := false, 0
 	var next time.Time
 	for _, s := range ranked {
 		switch {
-		case !f.options.Gateway || !found && !now.Before(next):
+		case !f.options.Gateway || !found && attached < uncertainFollowed && !now.Before(next):
 			f.start(now, s)
 			next = later(next, f.nextStart(s))
 		case found && now.Sub(f.firstSince) >= settleTime:
 			f.leave(s)
 		}
 		found = found || s.sound(now)
+		if s.attached(now) {
+			attached++
+		}
 	}
 	f.startNext = next
 }
--- a/src/feed/source_test.go
+++ b/src/feed/source_test.go
@@ -82,6 +82,37 @@
 	is.Equal(len(f.followed()), 2)
 }
 
+// TestWhereNobodyIsCertainTwoAreAsked and no more: without a leader no node knows that its
+// configuration is the newest, and all of them with all gateways would delay the election.
+func TestWhereNobodyIsCertainTwoAreAsked(t *testing.T) {
+	is := is.New(t)
+	f := startingGateway(t, fiveNodes...)
+	now := time.Unix(1_800_000_000, 0)
+	for range 20 {
+		f.reconsiderAt(now)
+		for address := range f.followed() {
+			s := f.sources[address]
+			s.live, s.uncertain, s.heardAt = true, true, now
+		}
+		now = now.Add(besideAfter)
+	}
+	is.Equal(len(f.followed()), uncertainFollowed)
+}
+
+// TestACertaintyIsAsOldAsItsSourceSays, counted on from when it was told.
+func TestACertaintyIsAsOldAsItsSourceSays(t *testing.T) {
+	is := is.New(t)
+	f := startingGateway(t, fiveNodes[0])
+	now := time.Unix(1_800_000_000, 0)
+	f.now = func() time.Time { return now }
+	f.reconsiderAt(now)
+	s := f.sources[fiveNodes[0].Address]
+	f.take(s, wire.FeedUpdate{ConfirmedMS: 300})
+	is.Equal(f.Known().Confirmed, now.Add(-300*time.Millisecond))
+	f.take(s, wire.FeedUpdate{})
+	is.True(f.Known().Confirmed.IsZero())
+}
+
 // TestTheOwnZonesControlNodeIsFollowedAsSoonAsItIsKnown, whatever else is followed.
 func TestTheOwnZonesControlNodeIsFollowedAsSoonAsItIsKnown(t *testing.T) {
 	is := is.New(t)
@@ -101,6 +132,7 @@
 	s := f.sources[fiveNodes[0].Address]
 	s.live = true
 	cluster := Cluster{Version: func() uint64 { return 1 }, Members: func() []string { return []string{s.address} }}
+	cluster.Confirmed = func(now time.Time) time.Time { return now }
 	return NewRelay("n", "z", f, cluster, time.Now), s
 }
 
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -183,6 +183,9 @@
 		Version:  c.cluster.Version,
 		Document: c.cluster.Document,
 		Changed:  c.cluster.Changed,
+
+		Confirmed: c.cluster.Confirmed,
+
 		Members:  c.cluster.Members,
 		Peers:    c.cluster.Peers,
 		Majority: c.cluster.Majority,
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -120,7 +120,7 @@
 		Now:     time.Now,
 	})
 	g.buildFollower()
-	proc.SetRefresh(func(m *metric.Registry) { setGatewayGauges(m, g.handler.Table(), g.follower.Known()) })
+	proc.SetRefresh(func(m *metric.Registry) { setGatewayGauges(time.Now(), m, g.handler.Table(), g.follower.Known()) })
 	if err := proc.Serve(); err != nil {
 		return err
 	}
--- a/src/fleet/gauges.go
+++ b/src/fleet/gauges.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/control"
@@ -67,7 +68,7 @@
 
 // setGatewayGauges tells which configuration a gateway acts on, nil if there is none yet,
 // and which is the newest that it was told of.
-func setGatewayGauges(m *metric.Registry, table *catalog.Table, known feed.Known) {
+func setGatewayGauges(now time.Time, m *metric.Registry, table *catalog.Table, known feed.Known) {
 	version := uint64(0)
 	if table != nil {
 		version = table.Version()
@@ -75,6 +76,9 @@
 	m.Gauge("configuration_version", float64(version))
 	m.Gauge("configuration_version_told", float64(known.Version))
 	m.Gauge("control_nodes_followed", float64(known.Reach))
+	if !known.Confirmed.IsZero() {
+		m.Gauge("configuration_confirmed_age_seconds", now.Sub(known.Confirmed).Seconds())
+	}
 }
 
 func oneIf(set bool) float64 {
--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -103,6 +103,10 @@
 	leaderSeenAt time.Time
 	// ledSince is when this node was last elected.
 	ledSince time.Time
+	// leaderCommit is what the leader last said to be committed, at leaderSeenAt, and
+	// confirmedAt when this node last had applied all that its leader said.
+	leaderCommit uint64
+	confirmedAt  time.Time
 	// quietUntil keeps a control node that restarted from voting while a lease that
 	// it confirmed before may still run.
 	quietUntil   time.Time
@@ -197,6 +201,18 @@
 	return c.leaseEnd()
 }
 
+// Confirmed returns when this node last heard a leader say that nothing beyond what it had
+// applied was committed, the zero time if it never did. A leader is sure of itself by
+// ReadSafe.
+func (c *Core) Confirmed() time.Time { return c.confirmedAt }
+
+// confirm notes that all that the leader last said to be committed is applied.
+func (c *Core) confirm() {
+	if c.role == Follower && c.leader != "" && c.applied >= c.leaderCommit {
+		c.confirmedAt = c.leaderSeenAt
+	}
+}
+
 // LedSince returns when this node was elected in the term in which it leads, and
 // the zero time if it does not lead.
 func (c *Core) LedSince() time.Time {
@@ -377,6 +393,7 @@
 	if n := len(r.Committed); n > 0 {
 		c.applied = r.Committed[n-1].Index
 	}
+	c.confirm()
 	if c.role == Leader {
 		c.advanceCommit(now)
 	}
--- a/src/raft/core_test.go
+++ b/src/raft/core_test.go
@@ -92,3 +92,25 @@
 		is.Equal(index, found.index)
 	}
 }
+
+// TestAFollowerIsCertainOnlyOfWhatItHasApplied: the leader's word that more is committed
+// than this node holds confirms nothing.
+func TestAFollowerIsCertainOnlyOfWhatItHasApplied(t *testing.T) {
+	is := is.New(t)
+	c := restarted(0, 0)
+	is.True(c.Confirmed().IsZero())
+	hear := func(now time.Time, m Message) {
+		m.Kind, m.From, m.To, m.Term = MsgAppend, "b", "a", 4
+		c.Step(now, m)
+		for ready := c.Ready(); !ready.Empty(); ready = c.Ready() {
+			c.Persisted(now, ready)
+		}
+	}
+	hear(noon, Message{})
+	is.Equal(c.Confirmed(), noon)
+	later := noon.Add(time.Second)
+	hear(later, Message{Commit: 1, Index: 1, LogTerm: 4}) // it lacks the entry
+	is.Equal(c.Confirmed(), noon)
+	hear(later, Message{Commit: 1, Entries: []Entry{{Term: 4, Index: 1}}})
+	is.Equal(c.Confirmed(), later)
+}
--- a/src/raft/replicate.go
+++ b/src/raft/replicate.go
@@ -84,6 +84,8 @@
 
 func (c *Core) stepAppend(now time.Time, m Message) {
 	c.followLeader(now, m.From)
+	c.leaderCommit = m.Commit
+	c.confirm()
 	reply := Message{Kind: MsgAppendReply, To: m.From, Round: m.Round}
 	if m.Index < c.commit {
 		// All up to commit is known to agree with any leader.
--- a/src/wire/document.go
+++ b/src/wire/document.go
@@ -78,6 +78,12 @@
 	// Detached is set while the node reaches no majority of the control nodes, or lags
 	// behind them: a gateway follows another one beside it.
 	Detached bool `json:"detached,omitempty"`
+	// Uncertain is set while the node has not known for long that its configuration is the
+	// newest, as without a leader.
+	Uncertain bool `json:"uncertain,omitempty"`
+	// ConfirmedMS is how long ago the node knew that, in ms and at least 1; 0 if it has not
+	// known it since it began.
+	ConfirmedMS int64 `json:"confirmed_ms,omitempty"`
 	// Gateways is the number of gateways that follow the node; for gateways the
 	// number of all.
 	Gateways int `json:"gateways,omitempty"`
