A control node passes on the configuration that another one has applied

Cause: a node in the minority that did not take part in an acknowledgement gets the configuration by consensus only, and so never without a leader. Its gateways turned to other nodes after a second: after a loss of power with two disks lost, all of them to the one that is left; those that reach no other acted on the configuration before. Ruled out: sending each configuration to all nodes beside consensus (twice the bytes of each). Figures: without it TestAControlNodeThatLagsPassesOnWhatAnotherHasApplied never gets version 4.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -20,6 +20,7 @@
 	ConfigInForce    Kind = 203
 	ConfigUncertain  Kind = 204
 	ConfigUnusable   Kind = 205
+	ConfigBorrowed   Kind = 206
 	LeaderElected    Kind = 300
 	LeaderLost       Kind = 301
 	VoterChanged     Kind = 302
@@ -97,6 +98,7 @@
 	{ConfigInForce, "config-in-force", "A process now acts on a newer revision; the control node that gave it is named."},
 	{ConfigUncertain, "config-uncertain", "Whether a change of configuration was accepted is not known; the operator sends it again."},
 	{ConfigUnusable, "config-unusable", "A gateway was given a newer configuration that it can't read; the one before stays in force and the newer one is fetched again."},
+	{ConfigBorrowed, "config-borrowed", "A control node passes on a configuration that another one has applied and it lacks itself."},
 	{LeaderElected, "leader-elected", "A control node became leader of a term."},
 	{LeaderLost, "leader-lost", "A control node stopped being leader, or lost sight of one."},
 	{VoterChanged, "voter-changed", "The set of voting control nodes or learners changed."},
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -196,5 +196,5 @@
 }
 
 func (p *Publisher) document(context.Context, *rpc.Peer, wire.Empty) (wire.Document, error) {
-	return p.cluster.Document(), nil
+	return p.relay.Document(), nil
 }
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -49,6 +49,10 @@
 	state       relayState
 	changed     chan struct{}
 	began       time.Time
+	// borrowed is a configuration that another node has applied and this one lacked, and
+	// borrowing is set while one is fetched.
+	borrowed  wire.Document
+	borrowing bool
 	// lagsSince is since when others are known to have a newer configuration.
 	lagsSince time.Time
 	deltas    holdingsDelta
@@ -152,7 +156,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	next.version = max(next.version, r.borrowed.Version)
 	next.detached = apart(known.Reach, len(next.members)) || r.lags(now, next.version, known.Version)
+	r.borrowIfDue(now)
 	next.confirmedAt = r.cluster.Confirmed(now)
 	next.uncertain = now.Sub(later(r.began, next.confirmedAt)) > uncertainAfter
 	if next.same(&r.state) {
--- a/src/feed/relay_test.go
+++ b/src/feed/relay_test.go
@@ -153,6 +153,31 @@
 	})
 }
 
+// TestAControlNodeThatLagsPassesOnWhatAnotherHasApplied: without a leader it never gets it
+// by consensus, and its gateways may reach no other node.
+func TestAControlNodeThatLagsPassesOnWhatAnotherHasApplied(t *testing.T) {
+	n := newZonedNet(t, "x", "y", "z")
+	cut := &fault.Cut{}
+	f, s := n.gatewayIn("z", cut)
+	eventually(t, "the node of its zone is followed", n.onlyFollows(2))
+	cut.Set([]string{n.nodes[0].server.Address(), n.nodes[1].server.Address()})
+	n.nodes[0].put(4, "four")
+	eventually(t, "version 4 is in force", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.versions) == 1 && s.versions[0] == 4
+	})
+	n.nodes[2].put(5, "five")
+	eventually(t, "what the node applies itself goes on", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.versions) == 2 && s.versions[1] == 5
+	})
+	if f.Live() != 1 {
+		t.Error("only the own zone's node is in reach")
+	}
+}
+
 // TestTwoControlNodesThatDisagree: that a replica leaves counts, whoever says so.
 func TestTwoControlNodesThatDisagree(t *testing.T) {
 	n := newZonedNet(t, "x", "y", "z")
