Few gateways are told at once, and slow control nodes are waited for

Loads and backlogs were told with pauses that fit the few replicas which a node knows when it has just started. Ruled out: registrations (31 to 132 in 2 s), fetches of the configuration. Change: a node that does not answer is waited for 500 ms, one that can't be reached is passed over at once, each further one beside a node that is not sound comes twice as late; sends to gateways take one of 4 places, 200 ms at most; all that is told to gateways keeps the pause that bounds its cost.

--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -41,6 +41,7 @@
 	cluster  Cluster
 	now      func() time.Time
 	gateways atomic.Int64
+	slots    sendSlots
 
 	mu sync.Mutex
 	// subscribers are the gateways that follow this node, with whether each is being
@@ -92,6 +93,7 @@
 		cluster:  cluster,
 		now:      now,
 		began:    now(),
+		slots:    newSendSlots(),
 		state:    relayState{round: 1},
 		changed:  make(chan struct{}),
 		encoded:  map[uint64]json.RawMessage{},
@@ -112,7 +114,7 @@
 		go func() {
 			defer telling.Store(false)
 			// A gateway that is not reached has lost its stream and asks for it anew.
-			_ = peer.Notify(context.Background(), method, params)
+			_ = r.slots.notify(peer, method, params)
 		}()
 	}
 }
@@ -135,12 +137,12 @@
 		case <-news:
 		case <-committed:
 		}
-		time.Sleep(r.join())
+		time.Sleep(r.Join())
 	}
 }
 
-// join is how long news waits for more before all gateways are told.
-func (r *Relay) join() time.Duration {
+// Join is how long news waits for more before all gateways are told.
+func (r *Relay) Join() time.Duration {
 	return max(newsJoin, time.Duration(r.Gateways())*joinPerGateway)
 }
 
@@ -208,7 +210,7 @@
 	for {
 		update, state, changed, err := r.next(told)
 		if err == nil {
-			err = peer.Notify(context.Background(), wire.MethodFeed, update)
+			err = r.slots.notify(peer, wire.MethodFeed, update)
 		}
 		if err != nil {
 			return
--- a/src/feed/source.go
+++ b/src/feed/source.go
@@ -25,15 +25,16 @@
 	// gatewaySilence is feedSilence for a gateway, which has another control node long
 	// before.
 	gatewaySilence = 1500 * time.Millisecond
-	// nextAfter is after how long a gateway that no control node has answered tries a
-	// further one: a node that comes back with all its gateways answers 300 of them in
-	// some 400 ms, and asking all nodes at once made it 1,200.
-	nextAfter = 200 * time.Millisecond
+	// nextAfter is after how long a gateway tries a further control node beside one that has
+	// not answered; one that can't be reached is passed over at once. A node to which all
+	// gateways come back at once is slow, not gone: with 200 ms nearly all gateways asked
+	// nearly all nodes, 240 followers at each of 5.
+	nextAfter = 500 * time.Millisecond
 	// besideAfter is after how long a gateway follows a further control node beside one
-	// that is in reach but not sound: while control nodes find one another none is sound,
-	// and each further stream costs them time for just that. Measured on the large fleet
-	// with all streams at once: 295 followers on a node made for 59, 12,500 updates and
-	// 6 MB in two seconds, and no leader for 2.7 s.
+	// that is in reach but not sound, twice as long for each one more: while control nodes
+	// find one another none is sound, and each further stream costs them time for just that.
+	// Measured on the large fleet with all streams at once: 295 followers on a node made for
+	// 59, 12,500 updates and 6 MB in two seconds, and no leader for 2.7 s.
 	besideAfter = 600 * time.Millisecond
 	// uncertainFollowed is how many control nodes a gateway follows that reach a majority and
 	// don't know that their configuration is the newest: a second one may know it, and where
@@ -55,10 +56,12 @@
 	// startedAt.
 	stop      context.CancelFunc
 	startedAt time.Time
-	version   uint64
-	live      bool
-	leading   bool
-	detached  bool
+	// failed is set while the last try to follow it failed.
+	failed   bool
+	version  uint64
+	live     bool
+	leading  bool
+	detached bool
 	// uncertain is set while the node does not know that its configuration is the newest,
 	// which it last knew at confirmedAt, the zero time if that is not known.
 	uncertain   bool
@@ -167,31 +170,50 @@
 	}
 	ranked := f.ranked()
 	f.noteFirst(now, ranked)
-	found, attached := false, 0
-	var next time.Time
+	pace := startPace{}
 	for _, s := range ranked {
 		switch {
-		case !f.options.Gateway || !found && attached < uncertainFollowed && !now.Before(next):
+		case !f.options.Gateway || pace.mayStart(now):
 			f.start(now, s)
-			next = later(next, f.nextStart(s))
-		case found && now.Sub(f.firstSince) >= settleTime:
+			pace.note(now, s)
+		case pace.found && now.Sub(f.firstSince) >= settleTime:
 			f.leave(s)
-		}
-		found = found || s.sound(now)
-		if s.attached(now) {
-			attached++
+		default:
+			pace.note(now, s)
 		}
 	}
-	f.startNext = next
+	f.startNext = pace.next
 }
 
-// nextStart returns when a further control node may be followed beside one that is not
-// sound.
-func (f *Follower) nextStart(s *source) time.Time {
-	if s.live {
-		return s.startedAt.Add(besideAfter)
+// startPace decides, over the sources from the best one on, how many a gateway follows.
+type startPace struct {
+	// found is set once a sound one was met.
+	found bool
+	// live and attached count those in reach, and of them those in touch with a majority.
+	live, attached int
+	// next is when one more may be followed.
+	next time.Time
+}
+
+// mayStart reports whether the source after those that were noted may be followed.
+func (p *startPace) mayStart(now time.Time) bool {
+	return !p.found && p.attached < uncertainFollowed && !now.Before(p.next)
+}
+
+// note takes in one more source.
+func (p *startPace) note(now time.Time, s *source) {
+	p.found = p.found || s.sound(now)
+	if s.attached(now) {
+		p.attached++
+	}
+	switch {
+	case s.stop == nil || s.failed:
+	case s.live:
+		p.next = later(p.next, s.startedAt.Add(besideAfter<<p.live))
+		p.live++
+	default:
+		p.next = later(p.next, s.startedAt.Add(nextAfter))
 	}
-	return s.startedAt.Add(nextAfter)
 }
 
 func later(a, b time.Time) time.Time {
@@ -245,6 +267,7 @@
 		return
 	}
 	s.startedAt = now
+	s.failed = false
 	ctx, cancel := context.WithCancel(f.context)
 	s.stop = cancel
 	go f.run(ctx, s)
@@ -270,6 +293,7 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := s.client.Call(call, wire.MethodWatchFeed, request, nil)
 		cancel()
+		f.noteTry(s, err)
 		if err == nil {
 			failures = 0
 			select {
@@ -287,6 +311,18 @@
 	}
 }
 
+// noteTry takes in how a try to follow a source ended; another one may be due.
+func (f *Follower) noteTry(s *source, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	failed := err != nil
+	if failed != s.failed {
+		s.failed = failed
+		f.reconsider(f.now())
+		f.check.Raise()
+	}
+}
+
 // resubscribePause is the pause before a stream is asked for again, after so many
 // failures in a row.
 func (f *Follower) resubscribePause(failures int) time.Duration {
--- a/src/feed/source_test.go
+++ b/src/feed/source_test.go
@@ -54,34 +54,49 @@
 	is := is.New(t)
 	f := startingGateway(t, fiveNodes...)
 	now := time.Unix(1_800_000_000, 0)
-	f.reconsiderAt(now)
-	is.Equal(len(f.followed()), 1)
-	f.reconsiderAt(now.Add(nextAfter - 1))
-	is.Equal(len(f.followed()), 1)
-	for i := 1; i < len(fiveNodes); i++ {
-		now = now.Add(nextAfter)
+	for i := 1; i <= len(fiveNodes); i++ {
 		f.reconsiderAt(now)
-		is.Equal(len(f.followed()), 1+i)
+		is.Equal(len(f.followed()), i)
+		f.reconsiderAt(now.Add(nextAfter - 1))
+		is.Equal(len(f.followed()), i)
+		now = now.Add(nextAfter)
 	}
 }
 
-// TestOneThatIsNotSoundIsNotAskedBesideAllOthers: while control nodes find one another none
-// of them is sound.
-func TestOneThatIsNotSoundIsNotAskedBesideAllOthers(t *testing.T) {
+// TestOneThatCannotBeReachedIsPassedOverAtOnce: only slow ones are waited for.
+func TestOneThatCannotBeReachedIsPassedOverAtOnce(t *testing.T) {
 	is := is.New(t)
 	f := startingGateway(t, fiveNodes...)
 	now := time.Unix(1_800_000_000, 0)
+	f.now = func() time.Time { return now }
 	f.reconsiderAt(now)
 	for address := range f.followed() {
-		s := f.sources[address]
-		s.live, s.detached, s.heardAt = true, true, now
+		f.noteTry(f.sources[address], rpc.ErrUnreachable)
 	}
-	f.reconsiderAt(now.Add(besideAfter - 1))
-	is.Equal(len(f.followed()), 1)
-	f.reconsiderAt(now.Add(besideAfter))
 	is.Equal(len(f.followed()), 2)
 }
 
+// TestOneThatIsNotSoundIsNotAskedBesideAllOthers: while control nodes find one another none
+// of them is sound.
+func TestOneThatIsNotSoundIsNotAskedBesideAllOthers(t *testing.T) {
+	is := is.New(t)
+	f := startingGateway(t, fiveNodes...)
+	began := time.Unix(1_800_000_000, 0)
+	followedAt := func(after time.Duration) int {
+		f.reconsiderAt(began.Add(after))
+		for address := range f.followed() {
+			s := f.sources[address]
+			s.live, s.detached, s.heardAt = true, true, began.Add(after)
+		}
+		return len(f.followed())
+	}
+	is.Equal(followedAt(0), 1)
+	is.Equal(followedAt(besideAfter-1), 1)
+	is.Equal(followedAt(besideAfter), 2)
+	is.Equal(followedAt(3*besideAfter-1), 2)
+	is.Equal(followedAt(3*besideAfter), 3)
+}
+
 // TestWhereNobodyIsCertainTwoAreAsked and no more: without a leader no node knows that its
 // configuration is the newest, and all of them with all gateways would delay the election.
 func TestWhereNobodyIsCertainTwoAreAsked(t *testing.T) {
@@ -164,7 +179,7 @@
 func TestTellingCostsABoundedShareWhateverTheGateways(t *testing.T) {
 	is := is.New(t)
 	r, _ := quietRelay(t)
-	is.Equal(r.join(), newsJoin)
+	is.Equal(r.Join(), newsJoin)
 	r.gateways.Store(295)
-	is.Equal(r.join(), 295*joinPerGateway)
+	is.Equal(r.Join(), 295*joinPerGateway)
 }
--- a/src/fleet/share.go
+++ b/src/fleet/share.go
@@ -48,10 +48,15 @@
 				go c.tell(ctx, address, wire.MethodLoadSum, sum)
 			}
 		}
-		time.Sleep(loadview.Pause(c.follower.Gateways(), c.publisher.Replicas()))
+		time.Sleep(c.tellPause(loadview.Pause(c.follower.Gateways(), c.publisher.Replicas())))
 	}
 }
 
+// tellPause returns the pause after gateways were told something, which is no shorter than
+// what telling all of them may cost: a node that has just started knows of few replicas and
+// has all gateways.
+func (c *controlNode) tellPause(pause time.Duration) time.Duration { return max(pause, c.relay.Join()) }
+
 // tell sends a notification to one control node; a lost one is made good by the next.
 func (c *controlNode) tell(ctx context.Context, address, method string, params any) {
 	ctx, cancel := context.WithTimeout(ctx, noteWait)
@@ -101,6 +106,6 @@
 		} else {
 			c.relay.Tell(wire.MethodBacklogs, totals)
 		}
-		time.Sleep(loadview.BacklogPause(c.follower.Gateways(), c.publisher.Replicas()))
+		time.Sleep(c.tellPause(loadview.BacklogPause(c.follower.Gateways(), c.publisher.Replicas())))
 	}
 }
