An address goes back to the incarnation that goes on calling

Cause: an address belonged to the incarnation that a process learned of last, for good. Change: who merges the words of several nodes decides, by state: an owner that is silent loses the address to one that is not. Who follows a merged view is told the owner and takes it.

--- a/src/registry/directory.go
+++ b/src/registry/directory.go
@@ -37,6 +37,8 @@
 	record   Record
 	views    map[string]bool // silent, by source
 	replaced bool
+	// contested is set once another incarnation was told of at the same address.
+	contested bool
 	// doubtful is set until a source is sure that the replica is there.
 	doubtful  bool
 	firstSeen time.Time
@@ -56,6 +58,9 @@
 	entries map[string]*entry
 	order   uint64
 	stamp   uint64
+	// follows is set once a source told who owns an address: it has merged the words of
+	// several nodes and decides.
+	follows bool
 	// changed and removed are the IDs of the replicas that Changes has not returned.
 	changed map[string]bool
 	removed []string
@@ -84,6 +89,10 @@
 	} else {
 		d.merge(known, s)
 	}
+	d.follows = d.follows || s.Owner || s.Replaced
+	if s.Owner {
+		d.give(known)
+	}
 	known.views[source] = s.Silent
 	known.unseenAt = now
 	if known.doubtful && !s.doubtful() {
@@ -98,7 +107,9 @@
 	d.order++
 	added := &entry{record: s.Record, views: map[string]bool{}, replaced: s.Replaced, doubtful: s.doubtful(), firstSeen: now, order: d.order}
 	d.entries[s.Record.ID] = added
-	d.replaceOlder(added)
+	if !s.Owner {
+		d.replaceOlder(added)
+	}
 	d.mark(added)
 	return added
 }
@@ -129,9 +140,49 @@
 
 // markSilence marks a replica that has fallen silent or is heard again.
 func (d *Directory) markSilence(e *entry) {
-	if silent := e.silent(); silent != e.silence {
-		e.silence = silent
-		d.mark(e)
+	silent := e.silent()
+	if silent == e.silence {
+		return
+	}
+	e.silence = silent
+	d.mark(e)
+	if !d.follows {
+		d.restore(e.record.Address)
+	}
+}
+
+// restore gives an address whose owner has fallen silent to another incarnation that goes on
+// calling, if there is one: a late call of an ended incarnation may be heard last, and no
+// request would be sent to the address any more.
+func (d *Directory) restore(address string) {
+	var latest *entry
+	for _, e := range d.entries {
+		switch {
+		case e.record.Address != address || e.silence:
+		case !e.replaced:
+			return
+		case e.record.Leaving():
+		case latest == nil || e.order > latest.order:
+			latest = e
+		}
+	}
+	if latest != nil {
+		d.give(latest)
+	}
+}
+
+// give makes a replica the one that has its address.
+func (d *Directory) give(owner *entry) {
+	owner.contested = true
+	if owner.replaced {
+		owner.replaced = false
+		d.mark(owner)
+	}
+	for _, other := range d.entries {
+		if other != owner && !other.replaced && other.record.Address == owner.record.Address {
+			other.replaced = true
+			d.mark(other)
+		}
 	}
 }
 
@@ -147,8 +198,11 @@
 		if other == latest || other.replaced || other.record.Address != latest.record.Address {
 			continue
 		}
+		latest.contested = true
 		if latest.doubtful && !other.doubtful {
 			latest.replaced = true
+			other.contested = true
+			d.mark(other)
 			return
 		}
 		other.replaced = true
@@ -237,7 +291,7 @@
 	standings := make([]Standing, 0, len(changed))
 	for _, e := range changed {
 		silent := e.silent()
-		standings = append(standings, Standing{Record: e.record.forRequests(), Silent: silent, Recalled: e.doubtful && !silent, Replaced: e.replaced})
+		standings = append(standings, Standing{Record: e.record.forRequests(), Silent: silent, Recalled: e.doubtful && !silent, Replaced: e.replaced, Owner: e.contested && !e.replaced})
 	}
 	return standings
 }
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -24,6 +24,10 @@
 	// Replaced is set when a later incarnation took the replica's address. Only one
 	// who merges the words of several nodes tells it.
 	Replaced bool `json:"replaced,omitempty"`
+	// Owner is set when several incarnations were told of at the replica's address and
+	// this one has it. Only one who merges the words of several nodes tells it: who follows
+	// the merged view must not decide anew, in the order in which it learned of them.
+	Owner bool `json:"owner,omitempty"`
 }
 
 // doubtful reports whether the replica may have ended without the node knowing.
