Steps of the placing leader leave time for consensus

Cause: a step looks at all replicas and was followed by a pause of 20 ms whatever it took. Change: the pause after a step is four times as long as the step, 20 to 200 ms. Conclusion: a leader spends at most a fifth of its processor on steps.

--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -21,6 +21,14 @@
 	// word does, hundreds of times a second at 240 replicas, and a step costs 1 ms there
 	// (BenchmarkStepAtSizes).
 	stepPause = 20 * time.Millisecond
+	// pausesPerStep is how many times a step's own time the pause after it lasts, at the
+	// least: a step looks at all replicas, 20 ms at 3,000 of them (BenchmarkStepAtSizes), and
+	// with 20 ms between steps it took most of a control node of half a core, for which
+	// consensus waited. With this a leader spends at most a fifth of its processor on steps.
+	pausesPerStep = 4
+	// longestStepPause bounds that pause: a copy that requests wait for is not put off for
+	// longer by the size of the installation.
+	longestStepPause = 200 * time.Millisecond
 	// orderTimeout bounds the wait for a replica's answer.
 	orderTimeout = 600 * time.Millisecond
 	// askAgain is the pause between two questions to a replica in doubt: a
@@ -170,13 +178,18 @@
 		case <-p.wake.Raised():
 		}
 		lead := p.options.Leading()
-		if p.due(p.options.Now(), lead) {
+		if began := p.options.Now(); p.due(began, lead) {
 			p.step(ctx, lead)
-			time.Sleep(stepPause)
+			time.Sleep(pauseAfter(p.options.Now().Sub(began)))
 		}
 	}
 }
 
+// pauseAfter returns the pause after a step that took a time.
+func pauseAfter(took time.Duration) time.Duration {
+	return min(max(pausesPerStep*took, stepPause), longestStepPause)
+}
+
 // due reports whether this node may order: it leads, and any earlier holder has
 // been silent for a lease.
 func (p *Placer) due(now time.Time, lead Leading) bool {
--- a/src/placer/placer_bench_test.go
+++ b/src/placer/placer_bench_test.go
@@ -12,8 +12,8 @@
 )
 
 // placerSizes are the replicas of the users' grown and large installations, and of their
-// first letter's size in two years.
-var placerSizes = []int{100, 240, 780}
+// first letter's size in two years, and of 300 hosts with ten each.
+var placerSizes = []int{100, 240, 780, 3000}
 
 // benchPlacer returns a placer that leads replicas with three models and eight adapters
 // each, and a catalog of somewhat fewer models.
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -256,3 +256,12 @@
 		is.True(order.Adapter != "") // no model moved
 	}
 }
+
+// TestStepsLeaveTimeForOtherWork, however long one takes: at 3,000 replicas steps took all
+// that consensus needed.
+func TestStepsLeaveTimeForOtherWork(t *testing.T) {
+	is := is.New(t)
+	is.Equal(pauseAfter(time.Millisecond), stepPause)
+	is.Equal(pauseAfter(12*time.Millisecond), 48*time.Millisecond)
+	is.Equal(pauseAfter(time.Second), longestStepPause)
+}
