Soak: all processes lose power at once, right after an acknowledgement

Cause: the soak struck control nodes one at a time; what disks know when all are down was never played by it. Change: after the strikes and before the last checks a change is acknowledged, all processes are killed, and started again within 1.5 s in any order; every gateway must act on the change again. Conclusion: part of each run.

--- a/soak/main.go
+++ b/soak/main.go
@@ -82,6 +82,7 @@
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
 	in.heal()
 	operators.stop()
+	in.blackout(operators, clients, rand.New(rand.NewPCG(o.Seed, 7)))
 	time.Sleep(settleTime)
 	clients.stop()
 	operators.readBack()
