What many gateways are told is encoded once

Cause: each send of an update that was encoded already went four times through the JSON encoder of the RPC library. Profiles of three restarted control nodes (soak with 120 gateways and 240 backend servers, one processor each, 3 s): 59 % of the processor time is that, 70 % all sending. Ruled out: gathering and encoding of the update itself (done once for all that were told the same), registrations (4 %), consensus. Change: notifications are framed by src/rpc once and written between the library's messages. Conclusion: found by a profile; the processor was full of copies.

--- a/src/capacity/stubs.go
+++ b/src/capacity/stubs.go
@@ -130,7 +130,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers = append(p.peers, peer)
-	return wire.Empty{}, peer.Notify(ctx, wire.MethodRoutes, p.update())
+	return wire.Empty{}, peer.Notify(wire.MethodRoutes, p.update())
 }
 
 func (p *stubPlanner) update() wire.RoutesUpdate {
@@ -152,7 +152,7 @@
 		p.hosts = append(p.hosts, route)
 	}
 	for _, peer := range p.peers {
-		_ = peer.Notify(ctx, wire.MethodRoutes, p.update())
+		_ = peer.Notify(wire.MethodRoutes, p.update())
 	}
 }
 
--- a/src/control/watch.go
+++ b/src/control/watch.go
@@ -88,7 +88,7 @@
 			return
 		}
 		if raw != nil {
-			if err := peer.Notify(context.Background(), wire.MethodUpdate, raw); err != nil {
+			if err := peer.Notify(wire.MethodUpdate, raw); err != nil {
 				return
 			}
 			from = to
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,9 +23,9 @@
 	uncertainAfter = 2500 * time.Millisecond
 	// attachEvery is how often the relay looks whether its node is detached or uncertain.
 	attachEvery = 250 * time.Millisecond
-	// joinPerGateway bounds what telling news costs, whatever the number of gateways: one
-	// message takes some 50 microseconds, so all of them a tenth of a core at the most.
-	// With 15 ms for any number, 295 gateways at a node of half a core took all of it.
+	// joinPerGateway bounds what telling news costs, whatever the number of gateways: with a
+	// wake-up and a write of some 50 microseconds for each, a tenth of a core at the most.
+	// With 15 ms for any number, 295 gateways would take a whole one.
 	joinPerGateway = 500 * time.Microsecond
 )
 
@@ -58,7 +57,7 @@
 	lagsSince time.Time
 	deltas    holdingsDelta
 	// encoded are the updates that lead to the present state, by the round they lead from.
-	encoded map[uint64]json.RawMessage
+	encoded map[uint64]rpc.Notification
 }
 
 // relayState is what gateways are told as of one round; it does not change.
@@ -96,7 +95,7 @@
 		slots:    newSendSlots(),
 		state:    relayState{round: 1},
 		changed:  make(chan struct{}),
-		encoded:  map[uint64]json.RawMessage{},
+		encoded:  map[uint64]rpc.Notification{},
 
 		subscribers: map[*rpc.Peer]*atomic.Bool{},
 	}
@@ -104,7 +103,7 @@
 
 // Tell sends the same to every gateway that follows this node, but for those that have
 // not taken what they were told before.
-func (r *Relay) Tell(method string, params json.RawMessage) {
+func (r *Relay) Tell(n rpc.Notification) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for peer, telling := range r.subscribers {
@@ -114,7 +113,7 @@
 		go func() {
 			defer telling.Store(false)
 			// A gateway that is not reached has lost its stream and asks for it anew.
-			_ = r.slots.notify(peer, method, params)
+			_ = r.slots.send(peer, n)
 		}()
 	}
 }
@@ -210,7 +209,7 @@
 	for {
 		update, state, changed, err := r.next(told)
 		if err == nil {
-			err = r.slots.notify(peer, wire.MethodFeed, update)
+			err = r.slots.send(peer, update)
 		}
 		if err != nil {
 			return
@@ -241,14 +240,14 @@
 
 // next returns the encoded update for a gateway that was told a state, the state that
 // it leads to, and a channel that is closed when there is more.
-func (r *Relay) next(told relayState) (json.RawMessage, relayState, <-chan struct{}, error) {
+func (r *Relay) next(told relayState) (rpc.Notification, relayState, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	update := r.encoded[told.round]
-	if update == nil {
+	update, found := r.encoded[told.round]
+	if !found {
 		var err error
-		if update, err = json.Marshal(r.update(&told)); err != nil {
-			return nil, told, nil, err
+		if update, err = rpc.NewNotification(wire.MethodFeed, r.update(&told)); err != nil {
+			return rpc.Notification{}, told, nil, err
 		}
 		r.encoded[told.round] = update
 	}
--- a/src/feed/relay_test.go
+++ b/src/feed/relay_test.go
@@ -206,15 +206,15 @@
 	is.NoErr(err)
 	again, _, _, err := r.next(relayState{})
 	is.NoErr(err)
-	is.True(&first[0] == &again[0])
+	is.True(&first.Params()[0] == &again.Params()[0])
 	var update wire.FeedUpdate
-	is.NoErr(json.Unmarshal(first, &update))
+	is.NoErr(json.Unmarshal(first.Params(), &update))
 	is.True(update.Full)
 	n.nodes[0].publisher.Hear(context.Background(), registry.Record{ID: "r", Sequence: 1, InMemory: []string{"m"}})
 	eventually(t, "there is a newer state", func() bool {
 		next, _, _, _ := r.next(state)
 		update = wire.FeedUpdate{}
-		_ = json.Unmarshal(next, &update)
+		_ = json.Unmarshal(next.Params(), &update)
 		return len(update.Standings) == 1
 	})
 	is.True(!update.Full)
@@ -232,7 +232,11 @@
 	t.Cleanup(cancel)
 	go f.Run(ctx)
 	eventually(t, "the gateway follows", n.onlyFollows(0))
-	n.nodes[0].relay.Tell(wire.MethodBacklogs, json.RawMessage(`{"p":"AQI="}`))
+	backlogs, err := rpc.NewNotification(wire.MethodBacklogs, json.RawMessage(`{"p":"AQI="}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.nodes[0].relay.Tell(backlogs)
 	if got := <-told; string(got.Packed) != "\x01\x02" {
 		t.Errorf("the gateway was told %v", got.Packed)
 	}
--- a/src/feed/slots.go
+++ b/src/feed/slots.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"context"
 	"time"
 
 	"github.com/moorspool/moorspool/src/rpc"
@@ -23,12 +22,12 @@
 
 func newSendSlots() sendSlots { return make(sendSlots, sendsAtOnce) }
 
-// notify sends a notification once there is a place for it.
-func (s sendSlots) notify(peer *rpc.Peer, method string, params any) error {
+// send sends a notification once there is a place for it.
+func (s sendSlots) send(peer *rpc.Peer, n rpc.Notification) error {
 	if s.take(slotWait) {
 		defer s.release()
 	}
-	return peer.Notify(context.Background(), method, params)
+	return peer.Send(n)
 }
 
 // take waits for a place; it reports whether there was one within a time.
--- a/src/feed/source_test.go
+++ b/src/feed/source_test.go
@@ -171,7 +171,7 @@
 	sign, _, _, err := r.next(told)
 	is.NoErr(err)
 	var update wire.FeedUpdate
-	is.NoErr(json.Unmarshal(sign, &update))
+	is.NoErr(json.Unmarshal(sign.Params(), &update))
 	is.Equal(update.Gateways, 7) // the next sign of life says it
 }
 
--- a/src/feed/stream.go
+++ b/src/feed/stream.go
@@ -33,7 +33,7 @@
 	for {
 		committed := p.cluster.Changed()
 		update, changed := stream.next()
-		if err := peer.Notify(context.Background(), wire.MethodFeed, update); err != nil {
+		if err := peer.Notify(wire.MethodFeed, update); err != nil {
 			return
 		}
 		select {
--- a/src/fleet/share.go
+++ b/src/fleet/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/moorspool/moorspool/src/event"
@@ -18,7 +17,7 @@
 	}
 	c.board.Report(time.Now(), report, func(totals wire.LoadReport) {
 		// A gateway that is not reached has lost its connection and reports anew.
-		_ = peer.Notify(context.Background(), wire.MethodLoadTotals, totals)
+		_ = peer.Notify(wire.MethodLoadTotals, totals)
 	})
 	return wire.Empty{}, nil
 }
@@ -100,11 +99,11 @@
 			return
 		case <-c.backlog.Changed():
 		}
-		totals, err := json.Marshal(c.backlog.Totals(time.Now()))
+		totals, err := rpc.NewNotification(wire.MethodBacklogs, c.backlog.Totals(time.Now()))
 		if err != nil {
 			c.proc.Ring().Add(event.Event{Kind: event.NewsNotSent, Reason: err.Error()})
 		} else {
-			c.relay.Tell(wire.MethodBacklogs, totals)
+			c.relay.Tell(totals)
 		}
 		time.Sleep(c.tellPause(loadview.BacklogPause(c.follower.Gateways(), c.publisher.Replicas())))
 	}
--- a/src/planner/publisher.go
+++ b/src/planner/publisher.go
@@ -113,7 +113,7 @@
 		update := p.runner.zone.routes.since(at, withLoads)
 		p.runner.mu.Unlock()
 		if first || update.Epoch != at.epoch || len(update.Hosts) > 0 || len(update.Loads) > 0 {
-			if err := peer.Notify(context.Background(), wire.MethodRoutes, update); err != nil {
+			if err := peer.Notify(wire.MethodRoutes, update); err != nil {
 				return
 			}
 			first = false
--- a/src/rpc/client.go
+++ b/src/rpc/client.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/moorspool/moorspool/src/fault"
 )
@@ -36,7 +35,7 @@
 	urgent  func() bool
 
 	mu       sync.Mutex
-	conn     *jsonrpc2.Conn
+	conn     *connection
 	dialing  chan struct{}
 	failedAt time.Time
 	closed   bool
@@ -77,18 +76,17 @@
 	return conn.Call(ctx, method, raw, result)
 }
 
-// Notify sends a message that wants no answer.
+// Notify sends a message that wants no answer; the context bounds the wait for a connection.
 func (c *Client) Notify(ctx context.Context, method string, params any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return err
 	}
-	raw, err := encode(params)
+	n, err := NewNotification(method, params)
 	if err != nil {
 		return err
 	}
-	c.meter.sent(method, len(raw))
-	return conn.Notify(ctx, method, raw)
+	return conn.notify(n)
 }
 
 // Done returns a channel that is closed when the present connection ends; it
@@ -124,14 +122,14 @@
 }
 
 // connect returns the live connection, or waits for the one dial under way.
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (c *Client) connect(ctx context.Context) (*connection, error) {
 	pause, timeout := c.pace()
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
 		return nil, ErrUnreachable
 	}
-	if c.conn != nil && !ended(c.conn) {
+	if c.conn != nil && !c.conn.ended() {
 		conn := c.conn
 		c.mu.Unlock()
 		return conn, nil
@@ -153,21 +151,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn == nil || ended(c.conn) {
+	if c.conn == nil || c.conn.ended() {
 		return nil, errors.Wrap(ErrUnreachable, c.address)
 	}
 	return c.conn, nil
 }
 
-func ended(conn *jsonrpc2.Conn) bool {
-	select {
-	case <-conn.DisconnectNotify():
-		return true
-	default:
-		return false
-	}
-}
-
 func (c *Client) dial(done chan struct{}, timeout time.Duration) {
 	raw, err := c.cut.Dial("tcp", c.address, timeout)
 	c.mu.Lock()
@@ -190,7 +179,7 @@
 
 // watch ends a connection whose peer has gone silent, as after a cut. A ping is
 // sent only when nothing else came for a while.
-func (c *Client) watch(conn *jsonrpc2.Conn, raw *meteredConn) {
+func (c *Client) watch(conn *connection, raw *meteredConn) {
 	ticker := time.NewTicker(c.silence)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/src/rpc/notification_test.go
@@ -0,0 +1,143 @@
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// pair returns the two ends of a connection; what arrives at the second one is handled.
+func pair(t testing.TB, mux *Mux) *connection {
+	t.Helper()
+	near, far := net.Pipe()
+	connect(&meteredConn{Conn: far, meter: &Meter{}}, mux)
+	c := connect(&meteredConn{Conn: near, meter: &Meter{}}, NewMux())
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// TestNotificationsAndCallsShareAConnection whoever sends what at the same time: encoded
+// notifications go out beside the library's own messages, never within one.
+func TestNotificationsAndCallsShareAConnection(t *testing.T) {
+	is := is.New(t)
+	const each = 200
+	var mu sync.Mutex
+	told := map[string]bool{}
+	mux := NewMux()
+	mux.Handle("tell", Typed(func(_ context.Context, _ *Peer, text string) (struct{}, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		told[text] = true
+		return struct{}{}, nil
+	}))
+	mux.Handle("echo", Typed(func(_ context.Context, _ *Peer, text string) (string, error) { return text, nil }))
+	c := pair(t, mux)
+	var work sync.WaitGroup
+	for worker := range 4 {
+		work.Add(2)
+		go func() {
+			defer work.Done()
+			for i := range each {
+				n, err := NewNotification("tell", fmt.Sprintf("%d.%d %q <&> %s", worker, i, "é", strings.Repeat("x", i)))
+				if err == nil {
+					err = c.notify(n)
+				}
+				if err != nil {
+					t.Error(err)
+				}
+			}
+		}()
+		go func() {
+			defer work.Done()
+			for i := range each {
+				var answer string
+				asked := fmt.Sprintf("%d.%d", worker, i)
+				if err := c.Call(context.Background(), "echo", asked, &answer); err != nil || answer != asked {
+					t.Errorf("%q, %v", answer, err)
+				}
+			}
+		}()
+	}
+	work.Wait()
+	var answer string
+	is.NoErr(c.Call(context.Background(), "echo", "last", &answer)) // behind all notifications
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(len(told), 4*each)
+}
+
+// TestANotificationKeepsItsParameters, encoded before or not.
+func TestANotificationKeepsItsParameters(t *testing.T) {
+	is := is.New(t)
+	n, err := NewNotification("m", map[string]int{"a": 1})
+	is.NoErr(err)
+	is.Equal(string(n.Params()), `{"a":1}`)
+	again, err := NewNotification("m", n.Params())
+	is.NoErr(err)
+	is.Equal(n.frame, again.frame)
+	_, err = NewNotification("m", func() {})
+	is.True(err != nil)
+}
+
+// TestAnEndedConnectionTellsSo instead of losing what is sent.
+func TestAnEndedConnectionTellsSo(t *testing.T) {
+	is := is.New(t)
+	c := pair(t, NewMux())
+	n, err := NewNotification("m", 1)
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	<-c.DisconnectNotify()
+	is.True(c.notify(n) != nil)
+}
+
+// sink is a connection that takes everything and says nothing.
+type sink struct{ net.Conn }
+
+func (sink) Write(p []byte) (int, error) { return len(p), nil }
+
+// BenchmarkNotify sends news of 10 KB, encoded already, to one peer after the other: only
+// what it costs the sender.
+func BenchmarkNotify(b *testing.B) {
+	raw, err := json.Marshal(map[string]string{"news": strings.Repeat("replica ", 1280)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	once, err := NewNotification("m", json.RawMessage(raw))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ways := []struct {
+		name string
+		send func(c *connection) error
+	}{
+		{"by the library", func(c *connection) error {
+			return c.Conn.Notify(context.Background(), "m", json.RawMessage(raw))
+		}},
+		{"encoded for one", func(c *connection) error {
+			n, err := NewNotification("m", json.RawMessage(raw))
+			if err != nil {
+				return err
+			}
+			return c.notify(n)
+		}},
+		{"encoded for all", func(c *connection) error { return c.notify(once) }},
+	}
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			silent, _ := net.Pipe()
+			c := connect(&meteredConn{Conn: sink{silent}, meter: &Meter{}}, NewMux())
+			b.ReportAllocs()
+			for range b.N {
+				if err := way.send(c); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/src/rpc/server.go
+++ b/src/rpc/server.go
@@ -24,20 +24,21 @@
 // Peer is the process at the other end of a connection; nil stands for a caller
 // over the administration API, which can't be notified.
 type Peer struct {
-	conn  *jsonrpc2.Conn
-	meter *Meter
+	conn *connection
 }
 
 // Notify sends a message that wants no answer.
-func (p *Peer) Notify(ctx context.Context, method string, params any) error {
-	raw, err := encode(params)
+func (p *Peer) Notify(method string, params any) error {
+	n, err := NewNotification(method, params)
 	if err != nil {
 		return err
 	}
-	p.meter.sent(method, len(raw))
-	return p.conn.Notify(ctx, method, raw)
+	return p.Send(n)
 }
 
+// Send sends an encoded notification.
+func (p *Peer) Send(n Notification) error { return p.conn.notify(n) }
+
 // encode returns parameters as JSON; what is JSON already stays as it is.
 func encode(params any) (json.RawMessage, error) {
 	if raw, done := params.(json.RawMessage); done {
@@ -55,7 +56,7 @@
 	meter *Meter
 	ln    net.Listener
 	mu    sync.Mutex
-	conns map[*jsonrpc2.Conn]struct{}
+	conns map[*connection]struct{}
 }
 
 // Listen starts to serve the mux at an address; it fails if the address can't be had.
@@ -64,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{mux: mux, meter: meter, ln: ln, conns: map[*jsonrpc2.Conn]struct{}{}}
+	s := &Server{mux: mux, meter: meter, ln: ln, conns: map[*connection]struct{}{}}
 	go s.accept()
 	return s, nil
 }
@@ -106,19 +107,19 @@
 }
 
 // connect starts JSON-RPC on a connection.
-func connect(raw *meteredConn, mux *Mux) *jsonrpc2.Conn {
-	peer := &Peer{meter: raw.meter}
+func connect(raw *meteredConn, mux *Mux) *connection {
+	stream := newFrameStream(raw)
+	peer := &Peer{}
 	ready := make(chan struct{})
 	handler := handlerFunc(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 		<-ready
 		raw.meter.received(req.Method, paramBytes(req))
 		mux.handle(ctx, peer, conn, req)
 	})
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
 	conn := jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(quietLogger))
-	peer.conn = conn
+	peer.conn = &connection{Conn: conn, stream: stream, meter: raw.meter}
 	close(ready)
-	return conn
+	return peer.conn
 }
 
 func paramBytes(req *jsonrpc2.Request) int {
