--- a/src/control/doc.go
+++ b/src/control/doc.go
@@ -1,4 +1,4 @@
-// Package control node is the replicated state of an installation: accepted
+// Package control is the replicated state of an installation: accepted
 // configuration, planner authority and once claims. State is the pure state
 // machine, Node drives consensus, disk and network around it, and Service
 // answers the control protocol.
--- a/src/discovery/doc.go
+++ b/src/discovery/doc.go
@@ -1,3 +1,3 @@
-// Package platform is the one place that speaks to the platform's list of
+// Package discovery is the one place that speaks to the platform's list of
 // hosts, which lags behind reality.
 package discovery
--- a/src/follow/follower.go
+++ b/src/follow/follower.go
@@ -89,7 +89,7 @@
 	return f.changed
 }
 
-// Control node returns the control node in use, or the first to try.
+// ControlNode returns the control node in use, or the first to try.
 func (f *Follower) ControlNode() *rpc.Client {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/src/gateway/doc.go
+++ b/src/gateway/doc.go
@@ -1,4 +1,4 @@
-// Package entry is the gateway: it takes clients' requests, routes them,
+// Package gateway is the product's own gateway: it takes clients' requests, routes them,
 // queues and retries them, and relays answers whole.
 //
 //	client ──HTTP──▶ Server ─▶ admit (limit.Queues) ─▶ pick (route.Table) ─▶ relay
--- a/src/option/option.go
+++ b/src/option/option.go
@@ -104,7 +104,7 @@
 	TokenWait config.Duration `yaml:"tokenWait"`
 }
 
-// Control node are the settings of moorspool-control.
+// ControlNode are the settings of moorspool-control.
 type ControlNode struct {
 	Common `yaml:",inline"`
 	Folder string `yaml:"folder"`
@@ -165,7 +165,7 @@
 	return options, nil
 }
 
-// LoadEntry reads and checks a gateway's settings; its error is config.Findings for bad ones.
+// LoadGateway reads and checks a gateway's settings; its error is config.Findings for bad ones.
 func LoadGateway(file string) (Gateway, error) {
 	s := Gateway{
 		Common:      defaultCommon(),
--- a/src/wire/process.go
+++ b/src/wire/process.go
@@ -54,7 +54,7 @@
 	Unloads   uint64 `json:"unloads"`
 }
 
-// EntryStatus is a gateway's part of Status.
+// GatewayStatus is a gateway's part of Status.
 type GatewayStatus struct {
 	Requests  uint64 `json:"requests"`
 	InFlight  int64  `json:"inFlight"`
