One way to pass a call on to the leader

Cause: four places in the cluster decided by themselves who leads and called it. Change: passOn; who is told nothing of a leader is told so with the same words everywhere. Conclusion: no change of behaviour but for the reason's words.

--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -184,11 +184,11 @@
 	if lead.Self {
 		return c.putHere(ctx, request)
 	}
-	reply := wire.DocumentReply{Outcome: wire.Unavailable, Reason: "no leader is in reach"}
-	if lead.Address == "" || lead.Address == c.Address() {
-		return reply
-	}
-	if err := c.links.Client(lead.Address).Call(ctx, wire.MethodPutDocument, request, &reply); err != nil {
+	var reply wire.DocumentReply
+	switch err := c.passOn(ctx, lead, wire.MethodPutDocument, request, &reply); {
+	case errors.Is(err, errNoLeader):
+		return wire.DocumentReply{Outcome: wire.Unavailable, Reason: err.Error()}
+	case err != nil:
 		return wire.DocumentReply{Outcome: wire.Unknown, Reason: "the leader gave no answer: " + err.Error()}
 	}
 	return reply
@@ -231,10 +231,8 @@
 		return c.readHere()
 	}
 	var reply wire.Document
-	if lead.Address == "" || lead.Address == c.Address() {
-		return reply
-	}
-	if err := c.links.Client(lead.Address).Call(ctx, wire.MethodReadDocument, wire.Empty{}, &reply); err != nil {
+	if err := c.passOn(ctx, lead, wire.MethodReadDocument, wire.Empty{}, &reply); err != nil {
+		// The caller is told that this node is not sure, and asks another one.
 		return wire.Document{}
 	}
 	return reply
@@ -271,7 +269,11 @@
 
 // CallLeader calls the node that leads, if this one knows it, without waiting for one.
 func (c *Cluster) CallLeader(ctx context.Context, method string, params, result any) error {
-	lead := c.Leadership()
+	return c.passOn(ctx, c.Leadership(), method, params, result)
+}
+
+// passOn calls another node that leads.
+func (c *Cluster) passOn(ctx context.Context, lead Leadership, method string, params, result any) error {
 	if lead.Address == "" || lead.Address == c.Address() {
 		return errNoLeader
 	}
--- a/src/control/join.go
+++ b/src/control/join.go
@@ -69,18 +69,14 @@
 	if lead.Self {
 		return c.letIn(ctx, request), nil
 	}
-	refused := wire.MembersReply{Outcome: wire.Unavailable, Members: c.members(), Reason: "no leader is known here"}
-	if lead.Address == "" || lead.Address == c.Address() {
-		return refused, nil
-	}
+	refused := wire.MembersReply{Outcome: wire.Unavailable, Members: c.members(), Reason: "this node does not lead"}
 	if request.Forwarded {
-		refused.Reason = "this node does not lead"
 		return refused, nil
 	}
 	request.Forwarded = true
 	var reply wire.MembersReply
-	if err := c.links.Client(lead.Address).Call(ctx, wire.MethodMembers, request, &reply); err != nil {
-		refused.Reason = "the leader gave no answer: " + err.Error()
+	if err := c.passOn(ctx, lead, wire.MethodMembers, request, &reply); err != nil {
+		refused.Reason = "it can't be passed on to the leader: " + err.Error()
 		return refused, nil
 	}
 	return reply, nil
