Feed tests take the lock where a background try reads

Cause: tests changed sources while a try to follow them read those; the race detector told. Change: tests only. Conclusion: nothing of the product was concerned.

--- a/src/feed/source_test.go
+++ b/src/feed/source_test.go
@@ -37,6 +37,17 @@
 	return list
 }
 
+// set changes what the gateway knows of the sources that it follows.
+func (f *Follower) set(change func(s *source)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.sources {
+		if s.stop != nil {
+			change(s)
+		}
+	}
+}
+
 func (f *Follower) reconsiderAt(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -84,10 +95,7 @@
 	began := time.Unix(1_800_000_000, 0)
 	followedAt := func(after time.Duration) int {
 		f.reconsiderAt(began.Add(after))
-		for address := range f.followed() {
-			s := f.sources[address]
-			s.live, s.detached, s.heardAt = true, true, began.Add(after)
-		}
+		f.set(func(s *source) { s.live, s.detached, s.heardAt = true, true, began.Add(after) })
 		return len(f.followed())
 	}
 	is.Equal(followedAt(0), 1)
@@ -105,10 +113,7 @@
 	now := time.Unix(1_800_000_000, 0)
 	for range 20 {
 		f.reconsiderAt(now)
-		for address := range f.followed() {
-			s := f.sources[address]
-			s.live, s.uncertain, s.heardAt = true, true, now
-		}
+		f.set(func(s *source) { s.live, s.uncertain, s.heardAt = true, true, now })
 		now = now.Add(besideAfter)
 	}
 	is.Equal(len(f.followed()), uncertainFollowed)
@@ -135,7 +140,9 @@
 	now := time.Unix(1_800_000_000, 0)
 	f.reconsiderAt(now)
 	near := wire.Member{Address: "192.0.2.9:1", Zone: "z"}
+	f.mu.Lock()
 	f.add([]wire.Member{near})
+	f.mu.Unlock()
 	f.reconsiderAt(now.Add(time.Millisecond))
 	is.True(f.followed()[near.Address])
 }
@@ -144,8 +151,10 @@
 func quietRelay(t *testing.T) (*Relay, *source) {
 	t.Helper()
 	f := startingGateway(t, fiveNodes[0])
+	f.mu.Lock()
 	s := f.sources[fiveNodes[0].Address]
 	s.live = true
+	f.mu.Unlock()
 	cluster := Cluster{Version: func() uint64 { return 1 }, Members: func() []string { return []string{s.address} }}
 	cluster.Confirmed = func(now time.Time) time.Time { return now }
 	return NewRelay("n", "z", f, cluster, time.Now), s
