A leader that gives up keeps its certainty; why a node is not let in is logged now and then

Cause: certainty was a follower's only, so that a leader whose lease ended counted as uncertain since it last followed, and would have sent its gateways elsewhere at once. The product's own control nodes still sent votes behind other notifications. Ruled out: nothing. Change: certainty lasts to the end of the lease; event 307 comes at most each 5 s, and when the node is let in; the product's own service has connections for consensus too.

--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -61,9 +61,12 @@
 	leaderAt time.Time
 	// met are the addresses of control nodes that were ever heard of.
 	met map[string]bool
-	// quorum and joinReason are what was logged of them last.
-	quorum     Quorum
-	joinReason string
+	// quorum is what was logged of it last.
+	quorum Quorum
+	// joined and joinReason are what was logged last of asking to be let in, and when.
+	joined       bool
+	joinReason   string
+	joinLoggedAt time.Time
 }
 
 // NewCluster returns the cluster side of a node.
--- a/src/control/join.go
+++ b/src/control/join.go
@@ -41,16 +41,16 @@
 	for _, address := range asked {
 		go func() { answers <- c.askNode(ctx, address) }()
 	}
-	reason := "no other control node is known"
+	accepted, reason := false, "no other control node is known"
 	for range asked {
 		answer := <-answers
 		c.meetMembers(answer.reply.Members)
-		reason = answer.reason()
-		if answer.accepted() {
+		accepted, reason = answer.accepted(), answer.reason()
+		if accepted {
 			break
 		}
 	}
-	c.noteJoin(reason)
+	c.noteJoin(c.now(), accepted, reason)
 }
 
 func (c *Cluster) askNode(ctx context.Context, address string) joinAnswer {
--- a/src/control/join_test.go
+++ b/src/control/join_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/raft"
 	"github.com/moorspool/moorspool/src/rpc"
 	"github.com/moorspool/moorspool/src/wire"
@@ -242,3 +243,27 @@
 	_, known := outside.cluster.Majority()
 	is.True(!known)
 }
+
+// TestWhyANodeIsNotLetInIsLoggedNowAndThen, and at once when it is let in: every node that
+// it asks has a reason of its own.
+func TestWhyANodeIsNotLetInIsLoggedNowAndThen(t *testing.T) {
+	is := is.New(t)
+	ring := event.NewRing("n", 64, nil, time.Now)
+	c := &Cluster{ring: ring}
+	logged := func() int {
+		events, _ := ring.Since(0, "")
+		return len(events)
+	}
+	now := time.Unix(1_800_000_000, 0)
+	for range 25 {
+		c.noteJoin(now, false, "a: no leader")
+		c.noteJoin(now, false, "b: can't be reached")
+		now = now.Add(200 * time.Millisecond)
+	}
+	is.Equal(logged(), 1)
+	c.noteJoin(now, false, "a: no leader")
+	c.noteJoin(now, false, "b: can't be reached")
+	is.Equal(logged(), 2)
+	c.noteJoin(now, true, "accepted by a")
+	is.Equal(logged(), 3)
+}
--- a/src/control/quorum.go
+++ b/src/control/quorum.go
@@ -87,13 +87,17 @@
 	}
 }
 
+// joinLogEvery bounds how often a node that is not let in logs why: each of the nodes that it
+// asks gives a reason of its own, five times a second in all.
+const joinLogEvery = 5 * time.Second
+
 // noteJoin logs what became of asking to be let in, when that has changed.
-func (c *Cluster) noteJoin(reason string) {
+func (c *Cluster) noteJoin(now time.Time, accepted bool, reason string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if reason == c.joinReason {
+	if accepted == c.joined && (reason == c.joinReason || now.Sub(c.joinLoggedAt) < joinLogEvery) {
 		return
 	}
-	c.joinReason = reason
+	c.joined, c.joinReason, c.joinLoggedAt = accepted, reason, now
 	c.ring.Add(event.Event{Kind: event.JoinAsked, Host: c.Address(), Reason: reason})
 }
--- a/src/control/service.go
+++ b/src/control/service.go
@@ -22,8 +22,11 @@
 	ring    *event.Ring
 	now     func() time.Time
 	clients map[string]*rpc.Client
-	nodes   *nodeTable
-	deltas  *deltaCache
+	// messages are the connections for consensus messages: behind other notifications, which
+	// are handled in order, a vote would wait.
+	messages map[string]*rpc.Client
+	nodes    *nodeTable
+	deltas   *deltaCache
 	// changes lets one change at a time be checked and proposed.
 	changes sync.Mutex
 	ledSeen time.Time
@@ -38,9 +41,12 @@
 		clients: map[string]*rpc.Client{},
 		nodes:   newNodeTable(),
 		deltas:  &deltaCache{},
+
+		messages: map[string]*rpc.Client{},
 	}
 	for name, address := range peers {
 		s.clients[name] = rpc.NewClient(address, rpc.NewMux(), meter, cut, silenceLimit)
+		s.messages[name] = rpc.NewClient(address, rpc.NewMux(), meter, cut, messageSilence)
 	}
 	return s
 }
@@ -184,7 +190,7 @@
 // control nodes; messages to a control node that can't be reached are lost, as consensus allows.
 func (s *Service) Send() func(raft.Message) {
 	queues := map[string]chan raft.Message{}
-	for name, client := range s.clients {
+	for name, client := range s.messages {
 		queue := make(chan raft.Message, inboxSize)
 		queues[name] = queue
 		go forward(client, queue)
--- a/src/control/view.go
+++ b/src/control/view.go
@@ -46,8 +46,11 @@
 // confirmed returns when what the node has applied was last known to be the newest
 // accepted, the zero time if it never was.
 func (v *view) confirmed(now time.Time) time.Time {
-	if v.sure(now) {
+	switch {
+	case v.sure(now):
 		return now
+	case v.sureUntil.After(v.confirmedAt):
+		return v.sureUntil
 	}
 	return v.confirmedAt
 }
--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -213,6 +213,17 @@
 	}
 }
 
+// confirmAsLeader keeps until when a leader that gives up was sure of itself.
+func (c *Core) confirmAsLeader(now time.Time) {
+	until := c.ReadSafeUntil()
+	if until.After(now) {
+		until = now
+	}
+	if until.After(c.confirmedAt) {
+		c.confirmedAt = until
+	}
+}
+
 // LedSince returns when this node was elected in the term in which it leads, and
 // the zero time if it does not lead.
 func (c *Core) LedSince() time.Time {
--- a/src/raft/election.go
+++ b/src/raft/election.go
@@ -43,6 +43,7 @@
 }
 
 func (c *Core) becomeFollower(now time.Time, term uint64, leader ID) {
+	c.confirmAsLeader(now)
 	if term > c.term {
 		c.term = term
 		c.vote = ""
