A replica that was sent nothing costs a gateway little memory

Cause: a gateway kept room for 512 prompt parts for each replica, 16 KB. Ruled out: the directory (2 MB), the index of copies (9 MB). Change: the room grows with what was sent. Conclusion: memory by replica is what is known of it.

--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -56,11 +56,11 @@
 	absent map[copyKey]time.Time
 	// failing is the recent share of requests that came to nothing here.
 	failing float64
-	parts   *partCache
+	parts   partCache
 }
 
 func newPeer(record registry.Record, dial dialFunc) *Peer {
-	return &Peer{id: record.ID, service: record.Service, record: record, pool: newPool(record.Address, dial), parts: newPartCache()}
+	return &Peer{id: record.ID, service: record.Service, record: record, pool: newPool(record.Address, dial)}
 }
 
 // ID returns the incarnation's ID.
