--- a/bench/round.sh
+++ b/bench/round.sh
@@ -22,7 +22,7 @@
 # worth FILE prints the mean worth of the days with trouble of a score.
 worth() {
 	[ -s "$1" ] || { echo "-"; return; }
-	awk '$1 ~ /^(trouble|scale)-[0-9]+$/ { sum += $4; n++ } END { if (n) printf "%.3f", sum / n; else printf "-" }' "$1"
+	awk '$1 ~ /^(trouble|scale)-[0-9]+$/ && $2 ~ /^[0-9]+\/[0-9]+$/ { sum += $4; n++ } END { if (n) printf "%.3f", sum / n; else printf "-" }' "$1"
 }
 
 # row DEPLOYMENT DAYS scores a deployment, hunts it and prints its line.
