A test that the product's own changes are known after a loss of power

Ruled out: the tests of the users' path hold it (they go another way to the same node). Change: one test, three nodes with disks in memory, each restarted alone. Conclusion: both ways to acknowledge a change are held.

--- a/src/control/power_test.go
+++ b/src/control/power_test.go
@@ -1,9 +1,18 @@
 package control
 
 import (
+	"context"
+	"math/rand/v2"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/config"
+	"github.com/moorspool/moorspool/src/raft"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
 )
 
 // What users saw: after all power had been lost, requests were handled by the configuration
@@ -70,3 +79,60 @@
 	tc.nodes = map[string]*clusterNode{}
 	return know
 }
+
+// TestTheProductsOwnChangesAreKnownAfterALossOfPowerToo: its control nodes acknowledged in
+// the same way, and each restarted one handed out the configuration before.
+func TestTheProductsOwnChangesAreKnownAfterALossOfPowerToo(t *testing.T) {
+	is := is.New(t)
+	nodes, disks, stop := ownNodes(t)
+	change := config.Change{ID: "c", Put: []config.Object{{
+		Key: config.Key{Kind: config.KindModel, Name: "m"}, Model: &config.Model{Memory: 1, Version: "1"},
+	}}}
+	accepted := false
+	for i := 0; i < 600 && !accepted; i++ {
+		for _, n := range nodes {
+			service := NewService(n, nil, nil, &rpc.Meter{}, nil, time.Now)
+			reply, err := service.apply(t.Context(), nil, wire.ApplyRequest{Change: change})
+			accepted = accepted || err == nil && reply.Outcome == wire.Accepted
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.True(accepted)
+	stop()
+	know := 0
+	for id, disk := range disks {
+		alone, err := NewReplica(id, disk.start, Disk{Save: disk.save, SaveSnapshot: disk.saveSnapshot}, raft.DefaultOptions(), rand.New(rand.NewPCG(1, 1)), nil, time.Now())
+		is.NoErr(err)
+		_, err = alone.Flush(time.Now())
+		is.NoErr(err)
+		if _, again := alone.State().Answered("c"); again {
+			know++
+		}
+	}
+	is.True(know >= 2)
+}
+
+// ownNodes runs three nodes whose messages go from one to the other at once; stop ends them.
+func ownNodes(t *testing.T) (map[raft.ID]*Node, map[raft.ID]*simDisk, func()) {
+	t.Helper()
+	members := raft.Members{Voters: []raft.ID{"a#0", "b#0", "c#0"}}
+	nodes, disks := map[raft.ID]*Node{}, map[raft.ID]*simDisk{}
+	for i, id := range members.Voters {
+		disk := &simDisk{start: raft.Start{Snapshot: raft.Snapshot{Members: members}}}
+		replica, err := NewReplica(id, disk.start, Disk{Save: disk.save, SaveSnapshot: disk.saveSnapshot}, raft.DefaultOptions(), rand.New(rand.NewPCG(uint64(i), 1)), nil, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		disks[id] = disk
+		nodes[id] = NewNode(replica, func(m raft.Message) { nodes[m.To].Deliver(m) }, nil, time.Now)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, n := range nodes {
+		running.Go(func() { _ = n.Run(ctx) })
+	}
+	return nodes, disks, func() {
+		cancel()
+		running.Wait()
+	}
+}
