Sight: replicas that end under requests are seen, with the digests of what was under way

Cause: logs could not tell which requests are the same, nor whether a replica had ended or a connection only, so the incident's hypotheses could not be told apart. Ruled out: a broken connection as the witness: replicas reset connections, links are cut, streams are spoiled. Change: event 711 with the witness (refused dial, later start under the ID, another replica at the address) and the first 32 bits of the digest of each content under way; a counter of ends; the digest in the line of a request whose replica was lost. A record says when its replica started, if the replica tells it. No decision changes. Conclusion: the next loss tells its requests by what they ask for.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -60,6 +60,7 @@
 	RequestFinished  Kind = 704
 	RequestLeft      Kind = 705
 	HostEjected      Kind = 710
+	ReplicaEnded     Kind = 711
 	KeyRefused       Kind = 720
 	QuotaSpent       Kind = 721
 	AdmissionUnsure  Kind = 722
@@ -138,6 +139,7 @@
 	{RequestFinished, "request-finished", "A client got its whole answer."},
 	{RequestLeft, "request-left", "The client closed its connection before the answer was whole."},
 	{HostEjected, "host-ejected", "A gateway avoids a backend server after failures in a row."},
+	{ReplicaEnded, "replica-ended", "A replica ended while requests were under way there; the witness and the digests of the requests' contents are given."},
 	{KeyRefused, "key-refused", "A request carried no key, or one that no client account holds."},
 	{QuotaSpent, "quota-spent", "A request was refused because its client account had nothing left of its limit."},
 	{AdmissionUnsure, "admission-unsure", "A request with a key was refused because nobody in reach could say whether its account had something left, or whether the configuration was still the newest."},
--- a/src/exchange/answer.go
+++ b/src/exchange/answer.go
@@ -40,6 +40,7 @@
 	peer.failed(now, false)
 	if err != nil {
 		a.abort()
+		c.broke = !c.left()
 		c.reason += "; the failure's body broke off"
 		return unknown, nil
 	}
@@ -55,13 +56,14 @@
 	if err != nil {
 		a.abort()
 		if ctx.Err() == nil {
+			c.broke = true
 			peer.failed(now, false)
 		}
 		c.reason += "; the answer broke off: " + err.Error()
 		return unknown
 	}
 	if len(body) > maxKept {
-		return c.passLong(peer, a, body)
+		return c.passLong(ctx, peer, a, body)
 	}
 	a.finish(now)
 	peer.succeeded()
@@ -70,7 +72,7 @@
 }
 
 // passLong passes a long answer on as it comes.
-func (c *call) passLong(peer *Peer, a *answer, begun []byte) outcome {
+func (c *call) passLong(ctx context.Context, peer *Peer, a *answer, begun []byte) outcome {
 	c.copyHeader(a.response.Header)
 	if a.response.ContentLength >= 0 {
 		c.writer.Header().Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
@@ -79,6 +81,8 @@
 	_, err := io.Copy(c.writer, io.MultiReader(bytes.NewReader(begun), a.response.Body))
 	if err != nil {
 		a.abort()
+		c.broke = ctx.Err() == nil
+		c.lostReplica(ctx, peer)
 		c.breakOff("the answer broke off: " + err.Error())
 	}
 	a.finish(c.handler.options.Now())
@@ -239,14 +243,18 @@
 	if len(c.tried) > 0 {
 		host = c.tried[len(c.tried)-1].ID()
 	}
+	content := ""
+	if c.digested {
+		content = ", content " + c.content.String()
+	}
 	first := time.Duration(-1)
 	if !c.first.IsZero() {
 		first = c.first.Sub(c.began)
 	}
 	h.options.Ring.Add(event.Event{
 		Kind: kind, Request: c.facts.ID, Model: modelName(c.facts), Host: host,
-		Reason: fmt.Sprintf("status %d, route %s, service %s, account %q, configuration %d, sent to %d, may have run at %d, first byte %d ms, longest pause %s, took %d ms of %d ms; %s",
-			c.status, route, service, c.accountName(), c.version, c.sends, c.ran, first.Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.began).Milliseconds(), c.reason),
+		Reason: fmt.Sprintf("status %d, route %s, service %s, account %q, configuration %d, sent to %d, may have run at %d, first byte %d ms, longest pause %s, took %d ms of %d ms%s; %s",
+			c.status, route, service, c.accountName(), c.version, c.sends, c.ran, first.Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.began).Milliseconds(), content, c.reason),
 	})
 }
 
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -171,6 +171,7 @@
 		c.ran++
 	}
 	if ctx.Err() == nil {
+		c.broke = sent && !errors.Is(err, errForeign)
 		pause := peer.failed(h.options.Now(), !errors.Is(err, errForeign))
 		h.options.Ring.Add(event.Event{Kind: event.HostEjected, Request: c.facts.ID, Host: peer.ID(), Reason: err.Error() + "; avoided for " + pause.String()})
 	}
--- /dev/null
+++ b/src/exchange/ending_test.go
@@ -0,0 +1,149 @@
+package exchange
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/quarantine"
+	"github.com/moorspool/moorspool/src/registry"
+)
+
+// endingsTest is endings on a clock of the test's, with what dials find, and what they tell.
+type endingsTest struct {
+	endings *endings
+	now     time.Time
+	found   reach
+	told    []toldEnd
+}
+
+type toldEnd struct {
+	life  registry.Incarnation
+	under []quarantine.Digest
+}
+
+func newEndingsTest() *endingsTest {
+	e := &endingsTest{now: time.Unix(1_800_000_000, 0)}
+	e.endings = newEndings(func() time.Time { return e.now }, func(_ time.Time, life registry.Incarnation, under []quarantine.Digest, _ string) {
+		e.told = append(e.told, toldEnd{life: life, under: under})
+	})
+	e.endings.reach = func(context.Context, *Peer) reach { return e.found }
+	return e
+}
+
+// broke breaks a connection and waits for the dial.
+func (e *endingsTest) broke(peer *Peer, digest quarantine.Digest) {
+	<-e.endings.broke(e.now, peer, digest)
+}
+
+func endingPeer(id string, born int64) *Peer {
+	return newPeer(registry.Record{ID: id, Born: born, Address: "192.0.2.1:1"}, nil)
+}
+
+var (
+	firstContent  = quarantine.Content{Target: "/first"}.Digest()
+	secondContent = quarantine.Content{Target: "/second"}.Digest()
+)
+
+// TestARefusedDialProvesTheEnd: all that was under way is named, what broke later too, and
+// each end is told once for a request.
+func TestARefusedDialProvesTheEnd(t *testing.T) {
+	is := is.New(t)
+	e := newEndingsTest()
+	peer := endingPeer("a", 7)
+	e.endings.left(e.now, peer, secondContent)
+	e.found = refused
+	e.broke(peer, firstContent)
+	is.Equal(len(e.told), 1)
+	is.Equal(e.told[0].life, registry.Incarnation{ID: "a", Born: 7})
+	is.Equal(e.told[0].under, []quarantine.Digest{secondContent, firstContent})
+	third := quarantine.Content{Target: "/third"}.Digest()
+	e.broke(peer, third) // its connection was the last to be seen broken
+	is.Equal(len(e.told), 2)
+	is.Equal(e.told[1].under, []quarantine.Digest{third})
+}
+
+// TestABrokenConnectionAloneProvesNothing: a replica that resets connections, or that said
+// that it leaves, has not ended under its requests.
+func TestABrokenConnectionAloneProvesNothing(t *testing.T) {
+	is := is.New(t)
+	e := newEndingsTest()
+	e.found = accepted
+	peer := endingPeer("a", 0)
+	e.broke(peer, firstContent)
+	e.now = e.now.Add(suspectFor + time.Second)
+	e.endings.prove(e.now, registry.Incarnation{ID: "a"}, "later") // too late to say anything of that request
+	leaving := endingPeer("b", 0)
+	leaving.record.Draining = true
+	e.found = refused
+	e.broke(leaving, firstContent)
+	is.Equal(len(e.told), 0)
+}
+
+// TestAnUnreachableReplicaIsProvedByItsNextStart: silence may be a cut; another start at the
+// address, or under the ID, is proof.
+func TestAnUnreachableReplicaIsProvedByItsNextStart(t *testing.T) {
+	is := is.New(t)
+	e := newEndingsTest()
+	e.found = silent
+	peer := endingPeer("a", 7)
+	e.broke(peer, firstContent)
+	is.Equal(len(e.told), 0)
+	e.now = e.now.Add(unreachableFor - time.Second)
+	e.endings.prove(e.now, registry.Incarnation{ID: "a", Born: 7}, "it started again")
+	is.Equal(len(e.told), 1)
+	is.Equal(e.told[0].under, []quarantine.Digest{firstContent})
+	e.now = e.now.Add(unreachableFor + time.Second)
+	e.endings.sweep(e.now)
+	is.Equal(len(e.endings.open), 0)
+}
+
+// TestTheControlNodesWordOnANextStartIsAWitness: what the fleet learns reaches the endings.
+func TestTheControlNodesWordOnANextStartIsAWitness(t *testing.T) {
+	is := is.New(t)
+	fleet := NewFleet("z", nil, nil, time.Now)
+	var ended []registry.Incarnation
+	fleet.onEnd(func(_ time.Time, life registry.Incarnation, _ string) { ended = append(ended, life) })
+	record := registry.Record{ID: "a", Born: 7, Service: "s", Address: "192.0.2.1:1", Zone: "z"}
+	fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: record}}})
+	record.Sequence = 5
+	fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: record}}})
+	is.Equal(len(ended), 0) // a later word of the same start
+	record.Born = 9
+	fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: record}}})
+	is.Equal(ended, []registry.Incarnation{{ID: "a", Born: 7}})
+	fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: record, Replaced: true}}})
+	is.Equal(ended[1:], []registry.Incarnation{{ID: "a", Born: 9}})
+}
+
+// TestAnEndIsSeenOnEachWayOfAnswering: with the head, the body or a stream still to come.
+func TestAnEndIsSeenOnEachWayOfAnswering(t *testing.T) {
+	for _, way := range []struct {
+		name string
+		kind catalog.Kind
+		act  func(a arrival)
+	}{
+		{"before the head", catalog.Unsafe, func(arrival) {}},
+		{"within the body", catalog.Unsafe, func(a arrival) { a.head(); a.chunk("part") }},
+		{"before the first event", catalog.Streaming, func(a arrival) { a.head() }},
+		{"within the stream", catalog.Streaming, func(a arrival) { a.head(); a.event(1) }},
+	} {
+		t.Run(way.name, func(t *testing.T) {
+			is := is.New(t)
+			var f *fakeReplica
+			f = newReplica(t, "a", func(a arrival) bool {
+				_ = f.listener.Close()
+				way.act(a)
+				return false
+			})
+			b := newBench(t, route(way.kind, 1), f)
+			told := make(chan []quarantine.Digest, 4)
+			b.handler.endings.ended = func(_ time.Time, _ registry.Incarnation, under []quarantine.Digest, _ string) { told <- under }
+			b.do("POST", "one", "body")
+			is.Equal(<-told, []quarantine.Digest{quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte("body")}.Digest()})
+		})
+	}
+}
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -37,6 +37,8 @@
 	// byKey are the replicas by their keys in packed backlogs.
 	byKey  map[uint64]*Peer
 	speeds *speeds
+	// ended takes in that a replica has ended, by the control nodes' word.
+	ended func(now time.Time, replica registry.Incarnation, witness string)
 	// sent delivers when this gateway has sent a request that the others should know of.
 	sent wakeup.Flag
 	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
@@ -70,9 +72,15 @@
 		byKey:    map[uint64]*Peer{},
 		speeds:   newSpeeds(),
 		sent:     wakeup.New(),
+		ended:    func(time.Time, registry.Incarnation, string) {},
 	}
 }
 
+// onEnd sets what takes in that a replica has ended; it is called before the first replicas.
+func (f *Fleet) onEnd(ended func(now time.Time, replica registry.Incarnation, witness string)) {
+	f.ended = ended
+}
+
 // SetReplicas takes in what changed of the replicas as the control nodes see them. Its
 // work grows with the changes, not with the replicas.
 func (f *Fleet) SetReplicas(changes registry.Changes) {
@@ -124,6 +132,12 @@
 	before := peer.record
 	peer.record = e.Record
 	peer.mu.Unlock()
+	switch {
+	case e.Replaced:
+		f.ended(f.now(), before.Incarnation(), "another replica has its address")
+	case before.Born != e.Record.Born:
+		f.ended(f.now(), before.Incarnation(), "it started again")
+	}
 	if before.Leaving() == e.Record.Leaving() {
 		return
 	}
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -14,6 +14,7 @@
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/dispatch"
 	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/quarantine"
 )
 
 // The handler's times and bounds.
@@ -68,12 +69,15 @@
 	stopping   atomic.Bool
 	running    atomic.Int64
 	placing    placing
+	endings    *endings
 }
 
 // NewHandler returns a handler without a configuration.
 func NewHandler(options Options) *Handler {
 	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{})}
 	h.gateways.Store(1)
+	h.endings = newEndings(options.Now, h.replicaEnded)
+	options.Fleet.onEnd(h.endings.prove)
 	return h
 }
 
@@ -92,6 +96,9 @@
 // Gateways returns how many gateways share the retry budgets.
 func (h *Handler) Gateways() int { return int(h.gateways.Load()) }
 
+// Tidy forgets what is too old to matter.
+func (h *Handler) Tidy(now time.Time) { h.endings.sweep(now) }
+
 // Stop makes every answer the last one on its connection.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
@@ -129,6 +136,11 @@
 	ran      int
 	// unsent is set if the last attempt sent nothing.
 	unsent bool
+	// broke is set while the last attempt's connection is known to have broken.
+	broke bool
+	// content is the digest of what the request asks for, once digested is set.
+	content  quarantine.Digest
+	digested bool
 	// status is what the client was answered.
 	status int
 	reason string
@@ -255,6 +267,9 @@
 		if ended == answered {
 			return
 		}
+		if ended == unknown || ended == cut {
+			c.lostReplica(ctx, choice.Peer)
+		}
 		if ended == unknown {
 			if choice, chosen = c.goesOn(ctx, choice.Peer); chosen {
 				continue
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -19,7 +19,9 @@
 	KeysRefused tally.Counter
 	QuotaSpent  tally.Counter
 	Unsure      tally.Counter
-	Latency     tally.Histogram
+	// Endings counts the replicas that ended while requests of this gateway were under way.
+	Endings tally.Counter
+	Latency tally.Histogram
 	// Pause holds the longest pause between two events of each stream.
 	Pause tally.Histogram
 }
@@ -36,6 +38,8 @@
 		QuotaSpent:  registry.Count("quota_spent_total"),
 		Unsure:      registry.Count("admissions_unsure_total"),
 
+		Endings: registry.Count("replicas_ended_total"),
+
 		Latency: registry.Latency("request_seconds"),
 		Pause:   registry.Latency("stream_pause_seconds"),
 	}
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -66,6 +66,13 @@
 // ID returns the incarnation's ID.
 func (p *Peer) ID() string { return p.id }
 
+// incarnation returns which start of the replica this is, and whether it said that it leaves.
+func (p *Peer) incarnation() (life registry.Incarnation, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record.Incarnation(), p.record.Leaving()
+}
+
 // zone returns the replica's availability zone.
 func (p *Peer) zone() string {
 	p.mu.Lock()
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -159,6 +159,7 @@
 		c.reason += ": " + err.Error()
 	}
 	if ctx.Err() == nil {
+		c.broke = err != nil
 		peer.failed(c.handler.options.Now(), false)
 	}
 	return unknown
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -258,7 +258,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			g.fleet.Tidy(time.Now())
+			now := time.Now()
+			g.fleet.Tidy(now)
+			g.handler.Tidy(now)
 		}
 	}
 }
--- /dev/null
+++ b/src/quarantine/digest.go
@@ -0,0 +1,49 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// digestBytes is the length of a digest: nobody finds two requests with the same 128 bits.
+const digestBytes = 16
+
+// shownBytes is how much of a digest logs show: enough to tell the requests of a day apart,
+// too little to confirm a guess of what a request held.
+const shownBytes = 4
+
+// Digest names what a request asks for: the same for every request of a client account with
+// the same method, host, path, query and body.
+type Digest [digestBytes]byte
+
+// Content is what a digest is made of. Which model runs the request is not among it: one that
+// ends the replicas of a model must not come back under another model's name.
+type Content struct {
+	// Account is the client account's name, "" without one.
+	Account string
+	Method  string
+	Host    string
+	// Target is the path and query as the client wrote them.
+	Target string
+	Body   []byte
+}
+
+// Digest returns the content's digest. Each part goes in with its length, so that no two
+// contents run together.
+func (c Content) Digest() Digest {
+	h := sha256.New()
+	var length [8]byte
+	for _, part := range [][]byte{[]byte(c.Account), []byte(c.Method), []byte(c.Host), []byte(c.Target), c.Body} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		// A hash takes every byte.
+		_, _ = h.Write(length[:])
+		_, _ = h.Write(part)
+	}
+	var d Digest
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
+// String returns the part of the digest that logs show.
+func (d Digest) String() string { return hex.EncodeToString(d[:shownBytes]) }
--- a/src/registry/record.go
+++ b/src/registry/record.go
@@ -1,11 +1,16 @@
 package registry
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+)
 
 // Record is what a replica last said of itself. One start of a replica is one
 // incarnation with an ID of its own; Sequence grows with each of its calls.
 type Record struct {
-	ID       string `json:"id"`
+	ID string `json:"id"`
+	// Born is the Unix millisecond of the replica's start; 0 if it does not say.
+	Born     int64  `json:"born,omitempty"`
 	Service  string `json:"service"`
 	Address  string `json:"address"`
 	Zone     string `json:"zone"`
@@ -28,6 +33,24 @@
 	OnDisk   []string `json:"onDisk,omitempty"`
 }
 
+// Incarnation is one start of a replica. A replica that says when it started may start again
+// under the ID that it had; of one that does not, every start has an ID of its own.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// Incarnation returns which start of the replica said the record.
+func (r *Record) Incarnation() Incarnation { return Incarnation{ID: r.ID, Born: r.Born} }
+
+// String returns the ID, with the start if it is known.
+func (i Incarnation) String() string {
+	if i.Born == 0 {
+		return i.ID
+	}
+	return i.ID + "@" + strconv.FormatInt(i.Born, 10)
+}
+
 // Held is one model on a replica, with the adapters that are loaded.
 type Held struct {
 	Name     string   `json:"name"`
