Requests under which replicas ended are quarantined on all gateways together

Cause: each arrival of a content was the first of its kind; nothing was kept of a request once its call had ended, so one that ends what runs it went through the fleet. Class: a failure whose cause travels with the request, handled as if the replica were the cause. Ruled out: blame by a broken connection alone (resets, cuts); the model in the digest (the content ends replicas whatever it is called); a longer wait before further tries (bounds the rate, not the number); agreement on each end (a zone that is cut off must go on). Change: package quarantine. Ends under a content add up until a run comes to a good end; after three no gateway sends it: asked right before each send, first or further try, stream that goes on. Gateways tell control nodes, these each other and all gateways; tables merge in any order, are kept on the disk and bounded. What came to a good end in the last 10 s is not blamed. The client gets 429 with the hold as wait. Tests of each way to a replica fail without the question before the send.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -66,6 +66,8 @@
 	AdmissionUnsure  Kind = 722
 	TrustLost        Kind = 723
 	TrustRegained    Kind = 724
+	ContentHeld      Kind = 730
+	ContentFreed     Kind = 731
 	FaultSwitched    Kind = 900
 )
 
@@ -145,6 +147,8 @@
 	{AdmissionUnsure, "admission-unsure", "A request with a key was refused because nobody in reach could say whether its account had something left, or whether the configuration was still the newest."},
 	{TrustLost, "trust-lost", "A gateway has not known for too long that its configuration is the newest; it serves no request with a key."},
 	{TrustRegained, "trust-regained", "A gateway knows again that its configuration is the newest."},
+	{ContentHeld, "content-quarantined", "Requests with one content are refused, because backend servers ended while they ran such requests; the digest, the backend servers and the time are given."},
+	{ContentFreed, "content-freed", "Requests with a content are sent again: a run came to a good end, an operator lifted the quarantine, or its time is over."},
 	{FaultSwitched, "fault-switched", "A test switched a fault on or off; never seen in production."},
 }
 
--- a/src/event/ring.go
+++ b/src/event/ring.go
@@ -67,7 +67,7 @@
 // important kinds tell of failures; their lines are left out last.
 func (k Kind) important() bool {
 	switch k {
-	case RequestRefused, ConfigRefused, StorageFailed, ControlLost, LeaderLost, HostEjected, ProcessStarted, ProcessStopped:
+	case ReplicaEnded, ContentHeld, ContentFreed, RequestRefused, ConfigRefused, StorageFailed, ControlLost, LeaderLost, HostEjected, ProcessStarted, ProcessStopped:
 		return true
 	}
 	return false
--- a/src/exchange/ending.go
+++ b/src/exchange/ending.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/quarantine"
 	"github.com/moorspool/moorspool/src/registry"
 )
@@ -34,8 +31,6 @@
 	// one runs at once.
 	maxEndings  = 512
 	maxSuspects = 256
-	// maxShown bounds the digests in a log line.
-	maxShown = 16
 )
 
 // reach says what a dial to a replica found.
@@ -223,49 +218,3 @@
 	}
 	return under
 }
-
-// digest returns the digest of what the request asks for.
-func (c *call) digest() quarantine.Digest {
-	if !c.digested {
-		content := quarantine.Content{Account: c.accountName(), Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Body: c.body}
-		c.content, c.digested = content.Digest(), true
-	}
-	return c.content
-}
-
-// lostReplica takes in how an attempt ended that got no whole answer. Where the connection
-// broke it waits a moment, so that what follows knows whether the replica has ended.
-func (c *call) lostReplica(ctx context.Context, peer *Peer) {
-	h := c.handler
-	if !c.broke {
-		h.endings.left(h.options.Now(), peer, c.digest())
-		return
-	}
-	c.broke = false
-	timer := time.NewTimer(proofWait)
-	defer timer.Stop()
-	select {
-	case <-h.endings.broke(h.options.Now(), peer, c.digest()):
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// replicaEnded takes in that a replica has ended with requests under way.
-func (h *Handler) replicaEnded(now time.Time, replica registry.Incarnation, under []quarantine.Digest, witness string) {
-	h.options.Metrics.Endings.Inc(1)
-	h.options.Ring.Add(event.Event{Kind: event.ReplicaEnded, Host: replica.ID, Reason: fmt.Sprintf("%s: %s; under way: %s", replica, witness, shown(under))})
-}
-
-// shown lists digests for a log line.
-func shown(digests []quarantine.Digest) string {
-	texts := make([]string, 0, maxShown+1)
-	for i, digest := range digests {
-		if i == maxShown {
-			texts = append(texts, fmt.Sprintf("and %d more", len(digests)-maxShown))
-			break
-		}
-		texts = append(texts, digest.String())
-	}
-	return strings.Join(texts, " ")
-}
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/metric"
+	"github.com/moorspool/moorspool/src/quarantine"
 	"github.com/moorspool/moorspool/src/registry"
 )
 
@@ -186,6 +187,10 @@
 	return true
 }
 
+func newTestGuard() *quarantine.Guard {
+	return quarantine.NewGuard(quarantine.NewTable(func(quarantine.Change) {}))
+}
+
 // bench is a handler in front of fake replicas.
 type bench struct {
 	t       *testing.T
@@ -204,6 +209,7 @@
 	b.fleet = NewFleet("z", Dial, nil, time.Now)
 	b.handler = NewHandler(Options{
 		Codec: testCodec(), Fleet: b.fleet, Budget: BudgetLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
+		Guard:  newTestGuard(),
 		Demand: b.demand, Metrics: NewMetrics(metric.New("test")), Now: time.Now,
 	})
 	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{r}, Services: []catalog.Service{{Name: "s"}}}))
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -50,6 +50,8 @@
 	Admission Admission
 	// Places assigns the places of replicas that are few beside the gateways.
 	Places Places
+	// Guard keeps requests under which replicas ended away from further ones.
+	Guard *quarantine.Guard
 	// Demand learns what requests ask for.
 	Demand  *Demand
 	Ring    *event.Ring
@@ -185,7 +187,7 @@
 	defer c.giveBack()
 	// No place outlasts its request, however that ends.
 	defer c.release(dispatch.Failed)
-	if !c.mayGoOn(r.Context()) {
+	if !c.maySend(r.Context()) {
 		return
 	}
 	h.options.Demand.Ask(c.service, c.facts, false)
@@ -255,7 +257,7 @@
 			c.giveUp(kept, choice)
 			return
 		}
-		if !c.mayGoOn(ctx) {
+		if !c.maySend(ctx) {
 			c.release(dispatch.Full)
 			return
 		}
@@ -265,6 +267,7 @@
 			kept = answer
 		}
 		if ended == answered {
+			c.ranWell()
 			return
 		}
 		if ended == unknown || ended == cut {
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -21,7 +21,10 @@
 	Unsure      tally.Counter
 	// Endings counts the replicas that ended while requests of this gateway were under way.
 	Endings tally.Counter
-	Latency tally.Histogram
+	// Quarantined counts the requests that were refused because replicas ended under others
+	// with the same content.
+	Quarantined tally.Counter
+	Latency     tally.Histogram
 	// Pause holds the longest pause between two events of each stream.
 	Pause tally.Histogram
 }
@@ -38,7 +41,8 @@
 		QuotaSpent:  registry.Count("quota_spent_total"),
 		Unsure:      registry.Count("admissions_unsure_total"),
 
-		Endings: registry.Count("replicas_ended_total"),
+		Endings:     registry.Count("replicas_ended_total"),
+		Quarantined: registry.Count("quarantine_refusals_total"),
 
 		Latency: registry.Latency("request_seconds"),
 		Pause:   registry.Latency("stream_pause_seconds"),
--- /dev/null
+++ b/src/exchange/quarantine_test.go
@@ -0,0 +1,151 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/quarantine"
+	"github.com/moorspool/moorspool/src/registry"
+)
+
+const endingBody = "ends whatever runs it"
+
+// endsUnder makes a replica that ends when it runs endingBody and serves all else.
+func endsUnder(t *testing.T, id string, before func(a arrival)) *fakeReplica {
+	var f *fakeReplica
+	f = newReplica(t, id, func(a arrival) bool {
+		if a.body != endingBody {
+			return whole(a)
+		}
+		_ = f.listener.Close()
+		before(a)
+		return false
+	})
+	return f
+}
+
+func replicaNamed(i int) registry.Incarnation {
+	return registry.Incarnation{ID: fmt.Sprint("ended-", i)}
+}
+
+func ended(replicas []*fakeReplica) int {
+	count := 0
+	for _, f := range replicas {
+		f.mu.Lock()
+		for _, a := range f.arrivals {
+			if a.body == endingBody {
+				count++
+			}
+		}
+		f.mu.Unlock()
+	}
+	return count
+}
+
+// TestNoWayLeadsAQuarantinedContentToAReplica: a first try, tries within one call, a stream
+// that breaks before or within its events: after the third end no replica is reached, and the
+// client is told that nothing ran and when to come back.
+func TestNoWayLeadsAQuarantinedContentToAReplica(t *testing.T) {
+	for _, way := range []struct {
+		name     string
+		kind     catalog.Kind
+		attempts int
+		before   func(a arrival)
+	}{
+		{"one try", catalog.Unsafe, 1, func(arrival) {}},
+		{"tries within a call", catalog.Safe, 5, func(arrival) {}},
+		{"a stream before its first event", catalog.Streaming, 2, func(a arrival) { a.head() }},
+		{"a stream within its events", catalog.Streaming, 2, func(a arrival) { a.head(); a.event(1) }},
+	} {
+		t.Run(way.name, func(t *testing.T) {
+			is := is.New(t)
+			var replicas []*fakeReplica
+			for i := range 8 {
+				replicas = append(replicas, endsUnder(t, fmt.Sprint("r", i), way.before))
+			}
+			b := newBench(t, route(way.kind, way.attempts), replicas...)
+			var last got
+			for i := range 8 {
+				last = b.do("POST", fmt.Sprint("ending-", i), endingBody)
+			}
+			is.Equal(ended(replicas), quarantine.Threshold)
+			is.Equal(last.status, http.StatusTooManyRequests)
+			wait, err := strconv.ParseFloat(last.header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(wait > (30 * time.Minute).Seconds()) // too long to come back in its own time
+			is.Equal(b.do("POST", "other", "harmless").status, http.StatusOK)
+		})
+	}
+}
+
+// TestAStreamIsNotCarriedOnWhereItsReplicaEndedUnderIt: the copy of a run is at another
+// replica, which the content must not end as well once it is quarantined.
+func TestAStreamIsNotCarriedOnWhereItsReplicaEndedUnderIt(t *testing.T) {
+	is := is.New(t)
+	first := endsUnder(t, "first", func(a arrival) { a.head(); a.event(1) })
+	second := endsUnder(t, "second", func(a arrival) { a.head(); a.event(2) })
+	b := newBench(t, route(catalog.Streaming, 1), first)
+	document := catalog.Document{Version: 2, Routes: []catalog.Route{route(catalog.Streaming, 1)}, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Backups: true}}}}
+	b.handler.SetTable(catalog.NewTable(document))
+	b.register(first, second)
+	content := quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte(endingBody)}.Digest()
+	now := time.Now()
+	b.handler.options.Guard.Ended(now, "earlier-1", []quarantine.Digest{content})
+	b.handler.options.Guard.Ended(now, "earlier-2", []quarantine.Digest{content})
+	result := b.do("POST", "stream", endingBody, testModel+": m", testTokens+": 500")
+	is.True(result.err != nil) // it breaks off and can't look complete
+	is.Equal(first.count()+second.count(), 1)
+}
+
+// TestACommonRequestIsNotBlamed: what came to a good end lately is under way on every replica
+// that ever ends; it is served on, however many end, also at a gateway that did not see it.
+func TestACommonRequestIsNotBlamed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, route(catalog.Safe, 2), newReplica(t, "a", whole))
+	other := newBench(t, route(catalog.Safe, 2), newReplica(t, "b", whole))
+	content := quarantine.Content{Method: "GET", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2"}.Digest()
+	is.Equal(b.do("GET", "one", "").status, http.StatusOK)
+	now := time.Now()
+	for i := range 5 {
+		b.handler.replicaEnded(now, replicaNamed(i), []quarantine.Digest{content}, "test")
+		other.handler.replicaEnded(now, replicaNamed(i), []quarantine.Digest{content}, "test")
+	}
+	is.Equal(b.do("GET", "two", "").status, http.StatusOK)
+	is.Equal(other.do("GET", "three", "").status, http.StatusTooManyRequests) // it alone could not know
+	told, _ := other.handler.options.Guard.OwnSince(now, 0)
+	b.handler.options.Guard.Take(now, told)
+	back, _ := b.handler.options.Guard.OwnSince(now, 0)
+	other.handler.options.Guard.Take(now, back)
+	is.Equal(other.do("GET", "four", "").status, http.StatusOK)
+}
+
+// TestAnEndIsLoggedWithWhatWasUnderWay: the line names witness and contents and holds no body.
+func TestAnEndIsLoggedWithWhatWasUnderWay(t *testing.T) {
+	is := is.New(t)
+	f := endsUnder(t, "a", func(arrival) {})
+	b := newBench(t, route(catalog.Unsafe, 1), f)
+	ring := event.NewRing("test", 64, nil, time.Now)
+	b.handler.options.Ring = ring
+	b.do("POST", "one", endingBody)
+	found, _ := ring.Since(0, "a")
+	content := quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte(endingBody)}.Digest()
+	ends := 0
+	for _, e := range found {
+		if e.Kind != event.ReplicaEnded {
+			continue
+		}
+		ends++
+		is.Equal(e.Host, "a")
+		is.True(strings.Contains(e.Reason, "a dial was refused; under way: "+content.String()))
+		is.True(!strings.Contains(e.Reason, endingBody))
+	}
+	is.Equal(ends, 1)
+}
--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -86,7 +86,8 @@
 	for i, zone := range zones {
 		node := &testNode{net: n, changed: make(chan struct{}), cut: &fault.Cut{}}
 		cluster := Cluster{
-			Version: func() uint64 { return node.held().Version },
+			Quarantine: func() *wire.Quarantine { return nil },
+			Version:    func() uint64 { return node.held().Version },
 			Document: func() wire.Document {
 				time.Sleep(time.Duration(node.slow.Load()))
 				return node.held()
@@ -95,8 +96,9 @@
 
 			Confirmed: node.confirmedAt,
 
-			Members:  node.members,
-			Peers:    func() []string { return n.others(node) },
+			Members: node.members,
+			Peers:   func() []string { return n.others(node) },
+
 			Majority: func() (int, bool) { return count / 2, !node.outside.Load() },
 			Leading:  func() bool { return node.leads.Load() },
 			Save:     node.save,
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/fault"
+	"github.com/moorspool/moorspool/src/quarantine"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/rpc"
 	"github.com/moorspool/moorspool/src/wakeup"
@@ -48,6 +49,9 @@
 	Replicas func(registry.Changes)
 	// Holdings takes in newer holdings; nil if they are of no use here.
 	Holdings func(*wire.Holdings)
+	// Quarantine takes in what is known of contents under which replicas ended; nil if it is
+	// of no use here.
+	Quarantine func([]quarantine.Entry)
 	// Gateways takes in the number of gateways; nil if it is of no use here.
 	Gateways func(int)
 	// Loads takes in what all gateways have under way; nil if it is of no use here.
@@ -255,6 +259,9 @@
 		f.tell()
 	}
 	f.takeHoldings(s, update.Holdings)
+	if update.Quarantine != nil && f.sink.Quarantine != nil {
+		f.sink.Quarantine(update.Quarantine.Entries)
+	}
 	if f.sink.Gateways != nil && changed {
 		f.sink.Gateways(f.gateways(now))
 	}
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -41,6 +41,9 @@
 	Majority func() (others int, known bool)
 	// Note tells another node of a replica that leaves.
 	Note func(ctx context.Context, address string, record registry.Record) error
+	// Quarantine returns what is known of contents under which replicas ended, nil if nothing
+	// ever was; the pointer changes with what it points to.
+	Quarantine func() *wire.Quarantine
 	// Save keeps the replicas for the time after a restart; it returns once they
 	// would survive a loss of power.
 	Save func([]registry.Record) error
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -41,6 +42,8 @@
 	now      func() time.Time
 	gateways atomic.Int64
 	slots    sendSlots
+	// woken is raised when the quarantine has changed.
+	woken wakeup.Flag
 
 	mu sync.Mutex
 	// subscribers are the gateways that follow this node, with whether each is being
@@ -68,8 +71,10 @@
 	holdings *wire.Holdings
 	members  []wire.Member
 	version  uint64
-	gateways int
-	detached bool
+	// quarantine is nil as long as no replica ended under a request.
+	quarantine *wire.Quarantine
+	gateways   int
+	detached   bool
 	// uncertain is set while the node has not known for long that its configuration is the
 	// newest, which it last knew at confirmedAt.
 	uncertain   bool
@@ -80,7 +85,7 @@
 // gateways and the age of the configuration's confirmation.
 func (s *relayState) same(other *relayState) bool {
 	return s.stamp == other.stamp && s.holdings == other.holdings && s.version == other.version &&
-		s.detached == other.detached && s.uncertain == other.uncertain && slices.Equal(s.members, other.members)
+		s.quarantine == other.quarantine && s.detached == other.detached && s.uncertain == other.uncertain && slices.Equal(s.members, other.members)
 }
 
 // NewRelay returns a relay of what a follower knows, for a node in an availability zone.
@@ -93,6 +98,7 @@
 		now:      now,
 		began:    now(),
 		slots:    newSendSlots(),
+		woken:    wakeup.New(),
 		state:    relayState{round: 1},
 		changed:  make(chan struct{}),
 		encoded:  map[uint64]rpc.Notification{},
@@ -121,6 +127,9 @@
 // Gateways returns the number of gateways that follow this node.
 func (r *Relay) Gateways() int { return int(r.gateways.Load()) }
 
+// Wake says that the cluster's quarantine has changed.
+func (r *Relay) Wake() { r.woken.Raise() }
+
 // Run joins news into rounds until the context ends.
 func (r *Relay) Run(ctx context.Context) {
 	ticker := time.NewTicker(attachEvery)
@@ -135,6 +144,7 @@
 			continue
 		case <-news:
 		case <-committed:
+		case <-r.woken.Raised():
 		}
 		time.Sleep(r.Join())
 	}
@@ -154,6 +164,8 @@
 		members:  known.members(r.cluster.Members()),
 		version:  r.cluster.Version(),
 		gateways: known.Gateways,
+
+		quarantine: r.cluster.Quarantine(),
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -270,6 +282,9 @@
 	if told.stamp != s.stamp {
 		update.Standings = r.follower.Standings(told.stamp)
 	}
+	if told.quarantine != s.quarantine {
+		update.Quarantine = s.quarantine
+	}
 	if told.holdings != s.holdings {
 		update.Holdings = r.deltas.since(told.holdings, s.holdings)
 	}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,10 +25,12 @@
 	"github.com/moorspool/moorspool/src/option"
 	"github.com/moorspool/moorspool/src/placer"
 	"github.com/moorspool/moorspool/src/process"
+	"github.com/moorspool/moorspool/src/quarantine"
 	"github.com/moorspool/moorspool/src/raft"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/rpc"
 	"github.com/moorspool/moorspool/src/store"
+	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -77,7 +80,15 @@
 	backlog   *loadview.Backlog
 	granter   *admission.Granter
 	desk      *dispatch.Desk
-	signals   <-chan os.Signal
+
+	quarantine *quarantine.Table
+	// toldQuarantine is what gateways are told of it; nil until there is something.
+	toldQuarantine atomic.Pointer[wire.Quarantine]
+	quarantineFile *store.QuarantineFile
+	// toSave is raised when that has changed.
+	toSave wakeup.Flag
+
+	signals <-chan os.Signal
 }
 
 // errStorage means that the node's disk failed and the node has to start anew.
@@ -179,6 +190,9 @@
 		accounts.set(m, c.granter.Used())
 	})
 	times := registry.Times{Silence: silentBeats * c.settings.Heartbeat.Std(), Forget: forgetReplicas}
+	c.quarantine = newTable(c.proc.Ring())
+	c.quarantineFile = folder.Quarantine()
+	c.toSave = wakeup.New()
 	cluster := feed.Cluster{
 		Version:  c.cluster.Version,
 		Document: c.cluster.Document,
@@ -191,7 +205,10 @@
 		Majority: c.cluster.Majority,
 		Leading:  func() bool { return c.cluster.Leadership().Self },
 		Note:     c.noteTo,
-		Save:     c.saveReplicas(folder.Replicas()),
+
+		Quarantine: c.toldQuarantine.Load,
+
+		Save: c.saveReplicas(folder.Replicas()),
 	}
 	c.publisher = feed.NewPublisher(c.settings.Node, c.settings.Zone, times, cluster, time.Now)
 	c.recall(folder.Replicas())
@@ -218,6 +235,10 @@
 	c.backlog = loadview.NewBacklog()
 	c.proc.Mux().Handle(wire.MethodSent, rpc.Typed(c.sent))
 	c.proc.Mux().Handle(wire.MethodSentSum, rpc.Typed(c.sentSum))
+	c.recallQuarantine()
+	c.proc.Mux().Handle(wire.MethodQuarantine, rpc.Typed(c.takeQuarantine))
+	c.proc.Mux().Handle(wire.MethodQuarantineList, rpc.Typed(c.listQuarantine))
+	c.proc.Mux().Handle(wire.MethodQuarantineLift, rpc.Typed(c.liftQuarantine))
 	c.buildGranter()
 	return nil
 }
@@ -260,6 +281,8 @@
 	go c.passUsage(ctx)
 	go c.granter.Run(ctx)
 	go c.relay.Run(ctx)
+	go c.passQuarantine(ctx)
+	go c.keepQuarantine(ctx)
 	go c.follower.Run(ctx)
 	calls, err := listen(c.settings.Calls, c.speak.Calls(c.calls()))
 	if err != nil {
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/moorspool/moorspool/src/metric"
 	"github.com/moorspool/moorspool/src/option"
 	"github.com/moorspool/moorspool/src/process"
+	"github.com/moorspool/moorspool/src/quarantine"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/wire"
 )
@@ -72,6 +73,7 @@
 	demand   *exchange.Demand
 	follower *feed.Follower
 	gate     *admission.Gate
+	guard    *quarantine.Guard
 	stopping atomic.Bool
 	replicas atomic.Bool
 }
@@ -103,6 +105,7 @@
 		Now:   time.Now,
 		Sleep: admission.Sleep,
 	})
+	g.guard = quarantine.NewGuard(newTable(proc.Ring()))
 	g.handler = exchange.NewHandler(exchange.Options{
 		Codec:  speak.Codec,
 		Fleet:  g.fleet,
@@ -114,6 +117,7 @@
 			AwaitTrust: g.gate.AwaitTrust,
 		},
 		Places:  exchange.Places{Ask: g.askPlace, Release: g.releasePlace},
+		Guard:   g.guard,
 		Demand:  g.demand,
 		Ring:    proc.Ring(),
 		Metrics: exchange.NewMetrics(proc.Metrics()),
@@ -145,6 +149,7 @@
 	go g.tidy(ctx)
 	go g.shareLoad(ctx)
 	go g.shareBacklog(ctx)
+	go g.shareEnds(ctx)
 	go g.gate.Run(ctx, g.inForce)
 	for got := range signals {
 		if got == syscall.SIGHUP {
@@ -172,6 +177,8 @@
 		Gateways: g.handler.SetGateways,
 		Loads:    g.fleet.SetLoads,
 		Backlogs: g.fleet.SetBacklogs,
+
+		Quarantine: func(told []quarantine.Entry) { g.guard.Take(time.Now(), told) },
 	}
 	g.follower = feed.NewFollower(options, sink, g.proc.Meter(), nil, g.proc.Ring(), time.Now)
 }
@@ -261,6 +268,7 @@
 			now := time.Now()
 			g.fleet.Tidy(now)
 			g.handler.Tidy(now)
+			g.guard.Sweep(now)
 		}
 	}
 }
--- a/src/quarantine/digest.go
+++ b/src/quarantine/digest.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/pkg/errors"
 )
 
 // digestBytes is the length of a digest: nobody finds two requests with the same 128 bits.
@@ -45,5 +47,17 @@
 	return d
 }
 
+// MarshalText writes the whole digest.
+func (d Digest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText reads a whole digest.
+func (d *Digest) UnmarshalText(text []byte) error {
+	if len(text) != 2*digestBytes {
+		return errors.Errorf("a digest has %d hexadecimal digits, not %d", 2*digestBytes, len(text))
+	}
+	_, err := hex.Decode(d[:], text)
+	return errors.Wrap(err, "reading a digest")
+}
+
 // String returns the part of the digest that logs show.
 func (d Digest) String() string { return hex.EncodeToString(d[:shownBytes]) }
--- a/src/wire/document.go
+++ b/src/wire/document.go
@@ -89,6 +89,8 @@
 	Gateways int `json:"gateways,omitempty"`
 	// Holdings are what the placing node knows beyond the replicas' own words.
 	Holdings *Holdings `json:"holdings,omitempty"`
+	// Quarantine is what the node knows of contents under which replicas ended, when it changed.
+	Quarantine *Quarantine `json:"quarantine,omitempty"`
 }
 
 // Member is a control node.
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -69,6 +69,12 @@
 	MethodRelease = "dispatch.release"
 	// MethodReleased tells the leader so (notification).
 	MethodReleased = "dispatch.released"
+	// MethodQuarantine tells a control node of contents under which replicas ended.
+	MethodQuarantine = "quarantine.told"
+	// MethodQuarantineList asks a control node for all that it knows of.
+	MethodQuarantineList = "quarantine.list"
+	// MethodQuarantineLift asks a control node to let a content through again.
+	MethodQuarantineLift = "quarantine.lift"
 	// MethodStatus asks a process about itself and what it knows.
 	MethodStatus = "process.status"
 	// MethodEvents asks for a process's events.
