--- a/src/quarantine/guard.go
+++ b/src/quarantine/guard.go
@@ -9,7 +9,8 @@
 const (
 	// recentFor is for how long after a good end the ends of replicas are not put down to a
 	// content. One that many callers send is under way on every replica that ever ends; it has
-	// come to a good end somewhere in this time.
+	// come to a good end somewhere in this time. Without it eight of 100 simulated fleets that
+	// lost half of their replicas four times refused more than one in 1,000 of such requests.
 	recentFor = 10 * time.Second
 	// recentSlots is the number of good ends that are remembered; a newer one takes the place
 	// of another content's: 100 KB.
--- a/src/quarantine/table.go
+++ b/src/quarantine/table.go
@@ -9,9 +9,9 @@
 	"github.com/moorspool/moorspool/src/wakeup"
 )
 
-// Threshold is after the ends of how many replicas a content is quarantined. With two, an
-// innocent request whose client sent it again beside the guilty one was condemned with it; the
-// simulation of package quarantine's tests has the figures.
+// Threshold is after the ends of how many replicas a content is quarantined. In a simulation of
+// 100 fleets that lost half of their replicas four times, nine refused more than one in 1,000 of
+// the requests that ended nothing with a threshold of two, none with three.
 const Threshold = 3
 
 // The times and bounds of a table.
