A start of a replica is known by its name and its time, and the later one goes first

Cause: an incarnation was its ID. A replica that starts again under its ID counts anew, so its calls were dropped as late ones, and that its earlier start drained or ended was never taken back. Of starts that share address or name the later by what they say has them, else the last that appeared; a silent one's place goes to one that calls, a later one takes it back. Requests, orders and reports are addressed by the name; a report of another start is dropped. A word of an end, which names no start, is about one that drains. Without a start in what is said all is as before. Gateways are updated before control nodes: an older one would ask for the start's ID.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -131,7 +131,7 @@
 		header[name] = values
 	}
 	attempt := Attempt{
-		Replica:     peer.ID(),
+		Replica:     peer.name(),
 		Backup:      c.backupAddress(now, peer),
 		Remaining:   c.deadline.Sub(now) - answerMargin,
 		Priority:    c.priority(),
--- a/src/exchange/ending.go
+++ b/src/exchange/ending.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/moorspool/moorspool/src/quarantine"
-	"github.com/moorspool/moorspool/src/registry"
 )
 
 // The times and bounds of finding out that a replica has ended.
@@ -46,7 +45,7 @@
 )
 
 // endingFunc takes in that a replica has ended with requests under way.
-type endingFunc func(now time.Time, replica registry.Incarnation, under []quarantine.Digest, witness string)
+type endingFunc func(now time.Time, replica string, under []quarantine.Digest, witness string)
 
 // endings finds out which replicas ended, and which requests were under way there. A broken
 // connection alone proves nothing: replicas reset connections, links are cut, streams are
@@ -57,7 +56,7 @@
 	now   func() time.Time
 
 	mu   sync.Mutex
-	open map[registry.Incarnation]*ending
+	open map[string]*ending
 }
 
 // ending is what is known of one replica that may have ended.
@@ -79,7 +78,7 @@
 }
 
 func newEndings(now func() time.Time, ended endingFunc) *endings {
-	return &endings{reach: reachOf, ended: ended, now: now, open: map[registry.Incarnation]*ending{}}
+	return &endings{reach: reachOf, ended: ended, now: now, open: map[string]*ending{}}
 }
 
 // reachOf dials a replica.
@@ -98,9 +97,9 @@
 // broke takes in that a request's connection to a replica broke. The channel is closed once
 // it is known, as far as a dial tells, whether the replica has ended.
 func (e *endings) broke(now time.Time, peer *Peer, digest quarantine.Digest) <-chan struct{} {
-	life, leaving := peer.incarnation()
+	life := peer.ID()
 	over := make(chan struct{})
-	if leaving {
+	if peer.leaving() {
 		// A replica that said that it leaves ends whatever it runs.
 		close(over)
 		return over
@@ -126,8 +125,8 @@
 
 // left takes in that a request was given up while it was under way at a replica.
 func (e *endings) left(now time.Time, peer *Peer, digest quarantine.Digest) {
-	life, leaving := peer.incarnation()
-	if leaving {
+	life := peer.ID()
+	if peer.leaving() {
 		return
 	}
 	e.mu.Lock()
@@ -138,7 +137,7 @@
 }
 
 // dial looks after a pause whether the replica has ended.
-func (e *endings) dial(peer *Peer, life registry.Incarnation, pause time.Duration) {
+func (e *endings) dial(peer *Peer, life string, pause time.Duration) {
 	time.Sleep(pause)
 	found := e.reach(context.Background(), peer)
 	now := e.now()
@@ -161,7 +160,7 @@
 }
 
 // prove takes in that a replica has ended.
-func (e *endings) prove(now time.Time, life registry.Incarnation, witness string) {
+func (e *endings) prove(now time.Time, life string, witness string) {
 	e.mu.Lock()
 	o := e.open[life]
 	if o == nil || o.proved {
@@ -189,7 +188,7 @@
 }
 
 // of returns what is known of a replica, nil if that is of too many already; the lock is held.
-func (e *endings) of(now time.Time, life registry.Incarnation) *ending {
+func (e *endings) of(now time.Time, life string) *ending {
 	o := e.open[life]
 	if o == nil && len(e.open) < maxEndings {
 		o = &ending{}
--- a/src/exchange/facts.go
+++ b/src/exchange/facts.go
@@ -35,6 +35,7 @@
 
 // Attempt is what one replica is told beyond the client's own words.
 type Attempt struct {
+	// Replica is what the replica calls itself.
 	Replica     string
 	Remaining   time.Duration
 	Priority    int
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -38,7 +38,7 @@
 	byKey  map[uint64]*Peer
 	speeds *speeds
 	// ended takes in that a replica has ended, by the control nodes' word.
-	ended func(now time.Time, replica registry.Incarnation, witness string)
+	ended func(now time.Time, replica string, witness string)
 	// sent delivers when this gateway has sent a request that the others should know of.
 	sent wakeup.Flag
 	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
@@ -72,12 +72,12 @@
 		byKey:    map[uint64]*Peer{},
 		speeds:   newSpeeds(),
 		sent:     wakeup.New(),
-		ended:    func(time.Time, registry.Incarnation, string) {},
+		ended:    func(time.Time, string, string) {},
 	}
 }
 
 // onEnd sets what takes in that a replica has ended; it is called before the first replicas.
-func (f *Fleet) onEnd(ended func(now time.Time, replica registry.Incarnation, witness string)) {
+func (f *Fleet) onEnd(ended func(now time.Time, replica string, witness string)) {
 	f.ended = ended
 }
 
@@ -132,11 +132,8 @@
 	before := peer.record
 	peer.record = e.Record
 	peer.mu.Unlock()
-	switch {
-	case e.Replaced:
-		f.ended(f.now(), before.Incarnation(), "another replica has its address")
-	case before.Born != e.Record.Born:
-		f.ended(f.now(), before.Incarnation(), "it started again")
+	if e.Replaced {
+		f.ended(f.now(), peer.id, "a later start has its address or its name")
 	}
 	if before.Leaving() == e.Record.Leaving() {
 		return
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -66,11 +66,18 @@
 // ID returns the incarnation's ID.
 func (p *Peer) ID() string { return p.id }
 
-// incarnation returns which start of the replica this is, and whether it said that it leaves.
-func (p *Peer) incarnation() (life registry.Incarnation, leaving bool) {
+// name returns what the replica calls itself.
+func (p *Peer) name() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.record.Incarnation(), p.record.Leaving()
+	return p.record.ReplicaName()
+}
+
+// leaving reports whether the replica said that it leaves.
+func (p *Peer) leaving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record.Leaving()
 }
 
 // zone returns the replica's availability zone.
--- a/src/exchange/quarantine.go
+++ b/src/exchange/quarantine.go
@@ -9,7 +9,6 @@
 
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/quarantine"
-	"github.com/moorspool/moorspool/src/registry"
 )
 
 // maxShown bounds the digests in a log line.
@@ -79,10 +78,10 @@
 }
 
 // replicaEnded takes in that a replica has ended with requests under way.
-func (h *Handler) replicaEnded(now time.Time, replica registry.Incarnation, under []quarantine.Digest, witness string) {
-	blamed := h.options.Guard.Ended(now, replica.String(), under)
+func (h *Handler) replicaEnded(now time.Time, replica string, under []quarantine.Digest, witness string) {
+	blamed := h.options.Guard.Ended(now, replica, under)
 	h.options.Metrics.Endings.Inc(1)
-	h.options.Ring.Add(event.Event{Kind: event.ReplicaEnded, Host: replica.ID, Reason: fmt.Sprintf("%s: %s; under way: %s; without a good end of late: %s", replica, witness, shown(under), shown(blamed))})
+	h.options.Ring.Add(event.Event{Kind: event.ReplicaEnded, Host: replica, Reason: fmt.Sprintf("%s; under way: %s; without a good end of late: %s", witness, shown(under), shown(blamed))})
 }
 
 // shown lists digests for a log line.
--- a/src/feed/leave.go
+++ b/src/feed/leave.go
@@ -31,13 +31,14 @@
 	return true
 }
 
-// Remove takes in that a replica has ended or is about to.
-func (p *Publisher) Remove(ctx context.Context, id string) bool {
+// Remove takes in that a replica of a name has ended or is about to. Other nodes may know of its
+// start where this one does not.
+func (p *Publisher) Remove(ctx context.Context, name string) bool {
 	p.mu.Lock()
-	record, found := p.table.Record(id)
+	record, found := p.table.Leaver(name)
 	p.mu.Unlock()
 	if !found {
-		record = registry.Record{ID: id}
+		record = registry.Record{ID: name}
 	}
 	record.Gone = true
 	return p.Hear(ctx, record)
--- a/src/placer/order.go
+++ b/src/placer/order.go
@@ -17,7 +17,9 @@
 
 // Order asks a replica to load or unload a model, or an adapter of one it holds.
 type Order struct {
+	// Replica is the ID of the start that the order is for, Name what the replica calls itself.
 	Replica   string
+	Name      string
 	Address   string
 	Operation Operation
 	Model     string
@@ -52,6 +54,8 @@
 
 // Report is what a replica says when asked.
 type Report struct {
+	// Born is the Unix millisecond of the start that said it; 0 if it does not say.
+	Born     int64
 	Sequence uint64
 	Busy     bool
 	Models   []registry.Held
@@ -59,6 +63,12 @@
 	Pending []AdapterName
 }
 
+// of reports whether the report is of the start that a record is of: the next start under the same
+// name answers at the same address.
+func (r *Report) of(record *registry.Record) bool {
+	return r.Born == 0 || record.Born == 0 || r.Born == record.Born
+}
+
 // AdapterName names an adapter of a model.
 type AdapterName struct {
 	Model   string
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -303,15 +303,15 @@
 func (p *Placer) ask(ctx context.Context, now time.Time, u *unit) {
 	u.sending = true
 	u.askedAt = now
-	id, address := u.record.ID, u.record.Address
+	name, address := u.record.ReplicaName(), u.record.Address
 	p.options.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		report, err := p.options.Calls.Report(ctx, id, address)
+		report, err := p.options.Calls.Report(ctx, name, address)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		u.sending = false
-		if err == nil {
+		if err == nil && report.of(&u.record) {
 			u.takeReport(p.options.Now(), report)
 		}
 		p.wake.Raise()
--- a/src/placer/send.go
+++ b/src/placer/send.go
@@ -15,7 +15,7 @@
 // send orders something; the ledger counts it as begun before it goes out. The
 // lock is held.
 func (p *Placer) send(ctx context.Context, now time.Time, u *unit, order Order) {
-	order.Replica = u.record.ID
+	order.Replica, order.Name = u.record.ID, u.record.ReplicaName()
 	order.Address = u.record.Address
 	order.Holder = p.options.Holder
 	order.Token = p.token
--- a/src/registry/directory.go
+++ b/src/registry/directory.go
@@ -108,7 +108,7 @@
 	added := &entry{record: s.Record, views: map[string]bool{}, replaced: s.Replaced, doubtful: s.doubtful(), firstSeen: now, order: d.order}
 	d.entries[s.Record.ID] = added
 	if !s.Owner {
-		d.replaceOlder(added)
+		d.replaceEarlier(added)
 	}
 	d.mark(added)
 	return added
@@ -146,23 +146,28 @@
 	}
 	e.silence = silent
 	d.mark(e)
-	if !d.follows {
-		d.restore(e.record.Address)
+	if d.follows {
+		return
+	}
+	if silent {
+		d.restore(e)
+		return
 	}
+	d.reclaim(e)
 }
 
-// restore gives an address whose owner has fallen silent to another incarnation that goes on
-// calling, if there is one: a late call of an ended incarnation may be heard last, and no
-// request would be sent to the address any more.
-func (d *Directory) restore(address string) {
+// restore gives the place of a replica that has fallen silent to another start that goes on
+// calling, if there is one: a late call of an ended start may be heard last, or a host's time of
+// day may have been set back, and no request would be sent to that place any more.
+func (d *Directory) restore(silent *entry) {
 	var latest *entry
 	for _, e := range d.entries {
 		switch {
-		case e.record.Address != address || e.silence:
+		case e == silent || e.silence || !e.record.excludes(&silent.record):
 		case !e.replaced:
 			return
 		case e.record.Leaving():
-		case latest == nil || e.order > latest.order:
+		case latest == nil || latest.record.precedes(&e.record) || !e.record.precedes(&latest.record) && e.order > latest.order:
 			latest = e
 		}
 	}
@@ -171,7 +176,27 @@
 	}
 }
 
-// give makes a replica the one that has its address.
+// reclaim gives a replica that is heard again its place back if an earlier start has it.
+func (d *Directory) reclaim(heard *entry) {
+	if !heard.replaced || heard.record.Leaving() {
+		return
+	}
+	earlier := false
+	for _, e := range d.entries {
+		if e == heard || e.replaced || !e.record.excludes(&heard.record) {
+			continue
+		}
+		if !e.record.precedes(&heard.record) {
+			return
+		}
+		earlier = true
+	}
+	if earlier {
+		d.give(heard)
+	}
+}
+
+// give makes a replica the one that has its address and its name.
 func (d *Directory) give(owner *entry) {
 	owner.contested = true
 	if owner.replaced {
@@ -179,27 +204,28 @@
 		d.mark(owner)
 	}
 	for _, other := range d.entries {
-		if other != owner && !other.replaced && other.record.Address == owner.record.Address {
+		if other != owner && !other.replaced && other.record.excludes(&owner.record) {
 			other.replaced = true
 			d.mark(other)
 		}
 	}
 }
 
-// replaceOlder marks earlier incarnations at the same address: an address belongs
-// to the one that appeared last. One that no source is sure of does not take the
-// address from one that was heard of: it is the older one, told of later. One that was
-// replaced before has no address to lose or to keep.
-func (d *Directory) replaceOlder(latest *entry) {
+// replaceEarlier marks earlier starts at the address or under the name of one that was just
+// learned of: by what they say of their starts, else the one that appeared last is the later
+// one. One that no source is sure of does not take the place of one that was heard of: it is the
+// earlier one, told of later. One that was replaced before has no place to lose or to keep.
+func (d *Directory) replaceEarlier(latest *entry) {
 	if latest.replaced {
 		return
 	}
 	for _, other := range d.entries {
-		if other == latest || other.replaced || other.record.Address != latest.record.Address {
+		if other == latest || other.replaced || !other.record.excludes(&latest.record) {
 			continue
 		}
 		latest.contested = true
-		if latest.doubtful && !other.doubtful {
+		later := other.record.precedes(&latest.record)
+		if latest.record.precedes(&other.record) || !later && latest.doubtful && !other.doubtful {
 			latest.replaced = true
 			other.contested = true
 			d.mark(other)
--- a/src/registry/record.go
+++ b/src/registry/record.go
@@ -5,10 +5,12 @@
 	"strconv"
 )
 
-// Record is what a replica last said of itself. One start of a replica is one
-// incarnation with an ID of its own; Sequence grows with each of its calls.
+// Record is what a replica last said of itself; Sequence grows with each of its calls.
 type Record struct {
+	// ID is the incarnation's.
 	ID string `json:"id"`
+	// Name is what the replica calls itself, "" where that is the ID.
+	Name string `json:"name,omitempty"`
 	// Born is the Unix millisecond of the replica's start; 0 if it does not say.
 	Born     int64  `json:"born,omitempty"`
 	Service  string `json:"service"`
@@ -34,21 +36,47 @@
 }
 
 // Incarnation is one start of a replica. A replica that says when it started may start again
-// under the ID that it had; of one that does not, every start has an ID of its own.
+// under the name that it had; of one that does not, every start has a name of its own.
 type Incarnation struct {
-	ID   string
+	// Name is what the replica calls itself.
+	Name string
+	// Born is the Unix millisecond of the start; 0 if the replica does not say it.
 	Born int64
 }
 
+// ID returns what tells this start from every other one: all that is kept of a replica is kept
+// under it, so that nothing of an earlier start is believed of a later one.
+func (i Incarnation) ID() string {
+	if i.Born == 0 {
+		return i.Name
+	}
+	return i.Name + "@" + strconv.FormatInt(i.Born, 10)
+}
+
 // Incarnation returns which start of the replica said the record.
-func (r *Record) Incarnation() Incarnation { return Incarnation{ID: r.ID, Born: r.Born} }
+func (r *Record) Incarnation() Incarnation { return Incarnation{Name: r.ReplicaName(), Born: r.Born} }
 
-// String returns the ID, with the start if it is known.
-func (i Incarnation) String() string {
-	if i.Born == 0 {
-		return i.ID
+// ReplicaName returns what the replica calls itself.
+func (r *Record) ReplicaName() string {
+	if r.Name == "" {
+		return r.ID
+	}
+	return r.Name
+}
+
+// excludes reports whether only one of two records can be of a replica that is still there: they
+// share the address or the name.
+func (r *Record) excludes(other *Record) bool {
+	return r.Address == other.Address || r.ReplicaName() == other.ReplicaName()
+}
+
+// precedes reports whether the other record, which this one excludes, is known to be of a later
+// start. Of one name, a start that is told is later than one that is not.
+func (r *Record) precedes(other *Record) bool {
+	if r.Born >= other.Born {
+		return false
 	}
-	return i.ID + "@" + strconv.FormatInt(i.Born, 10)
+	return r.Born > 0 || r.ReplicaName() == other.ReplicaName()
 }
 
 // Held is one model on a replica, with the adapters that are loaded.
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -111,6 +111,12 @@
 
 func (t *Table) take(now time.Time, record Record, direct bool) bool {
 	known := t.rows[record.ID]
+	if known == nil && record.Gone {
+		if left, found := t.Leaver(record.ReplicaName()); found {
+			left.Gone = true
+			record, known = left, t.rows[left.ID]
+		}
+	}
 	if known == nil {
 		known = &row{standing: Standing{Record: record, Silent: !direct}, heardAt: now, direct: direct}
 		t.add(known)
@@ -185,6 +191,35 @@
 	return known.standing.Record, true
 }
 
+// Leaver returns the start of a replica that a word of its end is about, which does not say when
+// the replica started: one that drains and has not ended, since an earlier start's word may come
+// after a later start's first call; else the latest.
+func (t *Table) Leaver(name string) (Record, bool) {
+	var found *Record
+	for _, known := range t.rows {
+		record := &known.standing.Record
+		if record.ReplicaName() != name {
+			continue
+		}
+		if found == nil || leavesFirst(record, found) {
+			found = record
+		}
+	}
+	if found == nil {
+		return Record{}, false
+	}
+	return *found, true
+}
+
+// leavesFirst reports whether a word of an end is about the first of two starts.
+func leavesFirst(first, second *Record) bool {
+	ends, others := first.Draining && !first.Gone, second.Draining && !second.Gone
+	if ends != others {
+		return ends
+	}
+	return second.precedes(first)
+}
+
 // Sweep marks replicas that fell silent and forgets old ones; it reports
 // whether others must learn of something.
 func (t *Table) Sweep(now time.Time) bool {
