Calls of replicas are read strictly: what another writer sends changes nothing

Cause: a call was decoded leniently and believed whole. One with fields missing emptied a known replica's address or service, an unknown state made it ready, an unknown service took a replica's address, and each kept the name alive. A start keeps its service and address; a new one has a service of the configuration (any before there is one).

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -50,6 +50,7 @@
 	HostGone         Kind = 603
 	ReplicaChanged   Kind = 610
 	ReplicasFound    Kind = 611
+	CallRefused      Kind = 612
 	ControlFound     Kind = 620
 	ControlLost      Kind = 621
 	NewsNotSent      Kind = 622
@@ -131,6 +132,7 @@
 	{HostGone, "host-gone", "A host left the platform's list and answers no more."},
 	{ReplicaChanged, "replica-changed", "What a replica says of itself, or whether it is heard, changed."},
 	{ReplicasFound, "replicas-found", "Replicas that were not known are known now, and how many there are in all."},
+	{CallRefused, "replica-call-refused", "A call in a replica's name was refused, with the place of what is wrong in it; what is known of the replica stays as it was."},
 	{ControlFound, "control-found", "A control node is in reach and its news arrive."},
 	{ControlLost, "control-lost", "A control node is out of reach; its last word counts for a while."},
 	{NewsNotSent, "news-not-sent", "What the followers should be told could not be encoded; they keep to what they know."},
--- a/src/feed/feed_test.go
+++ b/src/feed/feed_test.go
@@ -87,6 +87,8 @@
 		node := &testNode{net: n, changed: make(chan struct{}), cut: &fault.Cut{}}
 		cluster := Cluster{
 			Quarantine: func() *wire.Quarantine { return nil },
+			Serves:     func(string) bool { return true },
+			Misread:    func(string, string) {},
 			Version:    func() uint64 { return node.held().Version },
 			Document: func() wire.Document {
 				time.Sleep(time.Duration(node.slow.Load()))
--- a/src/feed/leave.go
+++ b/src/feed/leave.go
@@ -14,6 +14,11 @@
 // that a gateway learns of it whatever becomes of this node.
 func (p *Publisher) Hear(ctx context.Context, record registry.Record) bool {
 	p.mu.Lock()
+	if fault := p.fault(&record); fault != "" {
+		p.mu.Unlock()
+		p.cluster.Misread(record.ReplicaName(), fault)
+		return false
+	}
 	if p.table.Hear(p.now(), record) {
 		p.wake()
 	}
@@ -31,6 +36,21 @@
 	return true
 }
 
+// fault returns why a call can't be of the replica that it names, "" if it can: a start keeps its
+// service and its address, and one that is new here has a service that is named. The lock is held.
+func (p *Publisher) fault(record *registry.Record) string {
+	known, found := p.table.Record(record.ID)
+	switch {
+	case !found && !record.Leaving() && !p.cluster.Serves(record.Service):
+		return "service " + record.Service + " is not in the configuration"
+	case found && !record.Gone && known.Service != "" && record.Service != known.Service:
+		return "it has another service than before"
+	case found && !record.Gone && known.Address != "" && record.Address != known.Address:
+		return "it has another address than before"
+	}
+	return ""
+}
+
 // Remove takes in that a replica of a name has ended or is about to. Other nodes may know of its
 // start where this one does not.
 func (p *Publisher) Remove(ctx context.Context, name string) bool {
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -44,6 +44,10 @@
 	// Quarantine returns what is known of contents under which replicas ended, nil if nothing
 	// ever was; the pointer changes with what it points to.
 	Quarantine func() *wire.Quarantine
+	// Serves reports whether the configuration names a service.
+	Serves func(service string) bool
+	// Misread learns of a replica's call that is refused, with the reason.
+	Misread func(name, reason string)
 	// Save keeps the replicas for the time after a restart; it returns once they
 	// would survive a loss of power.
 	Save func([]registry.Record) error
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -209,6 +209,9 @@
 		Quarantine: c.toldQuarantine.Load,
 
 		Save: c.saveReplicas(folder.Replicas()),
+
+		Serves:  c.serves,
+		Misread: c.misread,
 	}
 	c.publisher = feed.NewPublisher(c.settings.Node, c.settings.Zone, times, cluster, time.Now)
 	c.recall(folder.Replicas())
@@ -243,6 +246,13 @@
 	return nil
 }
 
+// serves reports whether the configuration names a service; without one every service is taken for
+// named, since replicas may call first.
+func (c *controlNode) serves(service string) bool {
+	table := c.tables.get(c.cluster.Version(), c.cluster.Document)
+	return table == nil || table.Service(service) != nil
+}
+
 func (c *controlNode) leading() placer.Leading {
 	lead := c.cluster.Leadership()
 	return placer.Leading{Self: lead.Self, Token: lead.Term, Since: lead.Since}
@@ -325,11 +335,18 @@
 		Refused: func(reason string) {
 			c.proc.Ring().Add(event.Event{Kind: event.ConfigRefused, Reason: reason})
 		},
-		Hear:   c.publisher.Hear,
-		Remove: c.publisher.Remove,
+		Hear:    c.publisher.Hear,
+		Misread: c.misread,
+		Remove:  c.publisher.Remove,
 	}
 }
 
+// misread notes a replica's call that can't be one: another writer's, whose word changes nothing.
+func (c *controlNode) misread(name, reason string) {
+	c.proc.Metrics().Count("replica_calls_refused_total").Inc(1)
+	c.proc.Ring().Add(event.Event{Kind: event.CallRefused, Host: name, Reason: reason})
+}
+
 func (c *controlNode) put(ctx context.Context, version uint64, raw []byte) bool {
 	reply := c.cluster.Put(ctx, wire.DocumentRequest{Version: version, Packed: wire.Pack(raw)})
 	kind := event.ConfigAccepted
--- a/src/fleet/interface.go
+++ b/src/fleet/interface.go
@@ -34,6 +34,8 @@
 	Refused func(reason string)
 	// Hear takes in a replica's call; it reports whether to acknowledge it.
 	Hear func(ctx context.Context, record registry.Record) bool
+	// Misread learns of a replica's call that could not be read as one, with the reason.
+	Misread func(name, reason string)
 	// Remove takes in that a replica ends.
 	Remove func(ctx context.Context, id string) bool
 }
