Soak: a content that ends replicas, restarts under one ID, calls of another writer

Hypothesis: the mends hold under overlapping signals, restarts, cuts and a blackout. Change: a caller sends one deadly content every 300 ms at the gateways in turn for the whole run; what ended starts again, half of the time under its ID; ten foreign calls a second in names that are known or new. Checked: at most three ends later than the contact time after the third while all is calm, and no foreign call acknowledged.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -65,6 +65,8 @@
 
 func (c *clients) run(ctx context.Context, random *rand.Rand) {
 	ctx, c.cancel = context.WithCancel(ctx)
+	c.work.Add(1)
+	go c.pressDeadly(ctx, rand.New(rand.NewPCG(random.Uint64(), 8)))
 	for _, m := range c.in.gatewayNodes() {
 		for range clientsEach {
 			seed := random.Uint64()
@@ -102,7 +104,15 @@
 }
 
 func (c *clients) do(client *http.Client, m *member, kind, id string) (int, response, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.in.outer(m, c.in.callPort())+"/"+kind+"/x", strings.NewReader("body of "+id))
+	return c.doBody(client, m, kind, id, "body of "+id, rand.IntN(10))
+}
+
+// mainDraw makes carry choose the account without a limit.
+const mainDraw = 9
+
+// doBody sends a request with a body; draw chooses the client account.
+func (c *clients) doBody(client *http.Client, m *member, kind, id, sent string, draw int) (int, response, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.in.outer(m, c.in.callPort())+"/"+kind+"/x", strings.NewReader(sent))
 	if err != nil {
 		return 0, response{}, err
 	}
@@ -112,7 +122,7 @@
 	request.Header.Set(idHeader, id)
 	request.Header.Set("X-Deadline-Ms", "3000")
 	newest, _ := c.check.newest()
-	carry(request.Header, rand.IntN(10), newest)
+	carry(request.Header, draw, newest)
 	got, err := client.Do(request)
 	if err != nil {
 		return 0, response{}, err
--- a/soak/main.go
+++ b/soak/main.go
@@ -72,6 +72,7 @@
 		return nil, err
 	}
 	go replicas.beat(ctx)
+	go replicas.pressForeign(ctx, rand.New(rand.NewPCG(o.Seed, 9)))
 	go replicas.turnOver(ctx, rand.New(rand.NewPCG(o.Seed, 2)))
 	go operators.run(ctx, rand.New(rand.NewPCG(o.Seed, 3)))
 	clients := newClients(in, check)
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -36,11 +36,14 @@
 	mu   sync.Mutex
 	list []*replica
 	next int
+	ends deadlyEnds
 }
 
 // replica is one incarnation.
 type replica struct {
-	id       string
+	id string
+	// born is the Unix millisecond of the start.
+	born     int64
 	host     int
 	address  string
 	server   *http.Server
@@ -60,11 +63,17 @@
 }
 
 // start starts a new incarnation at a host.
-func (r *replicas) start(host int) (*replica, error) {
+func (r *replicas) start(host int) (*replica, error) { return r.startAs(host, "") }
+
+// startAs starts an incarnation at a host, under an ID if that is not "".
+func (r *replicas) startAs(host int, id string) (*replica, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.next++
-	one := &replica{id: fmt.Sprintf("i-%03d", r.next), host: host, address: fmt.Sprintf("%s%d:%d", replicaNet, host, r.in.callPort())}
+	if id == "" {
+		id = fmt.Sprintf("i-%03d", r.next)
+	}
+	one := &replica{id: id, born: time.Now().UnixMilli(), host: host, address: fmt.Sprintf("%s%d:%d", replicaNet, host, r.in.callPort())}
 	listener, err := net.Listen("tcp", one.address)
 	if err != nil {
 		return nil, err
@@ -99,6 +108,10 @@
 	if err != nil {
 		return
 	}
+	if string(body) == deadlyBody {
+		r.dies(one)
+		return
+	}
 	w.Header().Set(stampHeader, one.id+"."+id)
 	switch request.URL.Path[1] {
 	case 'u':
@@ -165,7 +178,7 @@
 	one.sequence++
 	sequence := one.sequence
 	r.mu.Unlock()
-	body, err := json.Marshal(map[string]any{"service": "s", "address": one.address, "zone": fmt.Sprint("zone-", one.host%3), "version": "v1", "slots": 16, "state": state, "sequence": sequence})
+	body, err := json.Marshal(map[string]any{"service": "s", "address": one.address, "zone": fmt.Sprint("zone-", one.host%3), "version": "v1", "slots": 16, "state": state, "sequence": sequence, "born": one.born})
 	if err != nil {
 		return false
 	}
@@ -206,6 +219,10 @@
 		case <-time.After(time.Duration(1500+random.IntN(2500)) * time.Millisecond):
 		}
 		r.mu.Lock()
+		if len(r.list) == 0 {
+			r.mu.Unlock()
+			continue
+		}
 		one := r.list[random.IntN(len(r.list))]
 		r.mu.Unlock()
 		if random.IntN(3) > 0 {
@@ -230,21 +247,9 @@
 
 // replace ends an incarnation and starts the next at its address.
 func (r *replicas) replace(one *replica) {
-	_ = one.server.Close()
-	r.mu.Lock()
-	kept := r.list[:0]
-	for _, other := range r.list {
-		if other != one {
-			kept = append(kept, other)
-		}
-	}
-	r.list = kept
-	r.mu.Unlock()
-	for range 50 {
-		if _, err := r.start(one.host); err == nil {
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
+	if !r.remove(one) {
+		return
 	}
-	r.check.fail("soak", "no replica could be started at host %d", one.host)
+	_ = one.server.Close()
+	r.startAgain(one.host, "")
 }
