A replica that is new is taken in once the configuration names its service

Cause: found by the soak's short seed: a control node that had just started and knew no configuration acknowledged a foreign call in a known name. Change: before there is a configuration only replicas known from before are heard; others call the next node, or again within their heartbeat.

--- a/src/feed/leave.go
+++ b/src/feed/leave.go
@@ -37,7 +37,9 @@
 }
 
 // fault returns why a call can't be of the replica that it names, "" if it can: a start keeps its
-// service and its address, and one that is new here has a service that is named. The lock is held.
+// service and its address, and one that is new here has a service that is named. Before the first
+// configuration no new one can be told from another writer's; replicas call again within their
+// heartbeat, and those known before a restart are recalled. The lock is held.
 func (p *Publisher) fault(record *registry.Record) string {
 	known, found := p.table.Record(record.ID)
 	switch {
--- /dev/null
+++ b/src/feed/leave_test.go
@@ -0,0 +1,59 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// TestACallThatCantBeTheReplicasIsRefused: a new start needs a service that is named, one that is
+// known keeps its service and address, also before there is a configuration after a restart.
+func TestACallThatCantBeTheReplicasIsRefused(t *testing.T) {
+	is := is.New(t)
+	named := map[string]bool{}
+	var refused []string
+	cluster := Cluster{
+		Serves:   func(service string) bool { return named[service] },
+		Misread:  func(name, reason string) { refused = append(refused, name+": "+reason) },
+		Majority: func() (int, bool) { return 0, true },
+		Peers:    func() []string { return nil },
+		Save:     func([]registry.Record) error { return nil },
+
+		Quarantine: func() *wire.Quarantine { return nil },
+	}
+	p := NewPublisher("n", "z", registry.Times{Silence: 5 * time.Second, Forget: time.Minute}, cluster, time.Now)
+	ctx := context.Background()
+	recalled := registry.Record{ID: "i-1", Service: "s", Address: "a:1", Sequence: 5}
+	p.Recall([]registry.Record{recalled})
+	recalled.Sequence++
+	is.True(p.Hear(ctx, recalled))
+	newcomer := registry.Record{ID: "i-2", Service: "s", Address: "a:2", Sequence: 1}
+	is.True(!p.Hear(ctx, newcomer)) // nobody can say yet whether there is such a service
+	named["s"] = true
+	is.True(p.Hear(ctx, newcomer))
+	for _, change := range []func(r *registry.Record){
+		func(r *registry.Record) { r.Service = "t" },
+		func(r *registry.Record) { r.Address = "a:3" },
+		func(r *registry.Record) { r.ID, r.Service = "i-3", "t" },
+	} {
+		foreign := newcomer
+		foreign.Sequence = 99
+		change(&foreign)
+		is.True(!p.Hear(ctx, foreign))
+	}
+	known, _ := p.table.Record("i-2")
+	is.Equal(known.Sequence, uint64(1)) // what is refused changes nothing
+	_, found := p.table.Record("i-3")
+	is.True(!found)
+	newcomer.Draining, newcomer.Sequence = true, 2
+	is.True(p.Hear(ctx, newcomer))
+	is.Equal(refused, []string{
+		"i-2: service s is not in the configuration", "i-2: it has another service than before",
+		"i-2: it has another address than before", "i-3: service t is not in the configuration",
+	})
+}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -246,11 +246,10 @@
 	return nil
 }
 
-// serves reports whether the configuration names a service; without one every service is taken for
-// named, since replicas may call first.
+// serves reports whether the configuration names a service.
 func (c *controlNode) serves(service string) bool {
 	table := c.tables.get(c.cluster.Version(), c.cluster.Document)
-	return table == nil || table.Service(service) != nil
+	return table != nil && table.Service(service) != nil
 }
 
 func (c *controlNode) leading() placer.Leading {
