Leases are measured by a clock that counts the time for which a host was suspended

Cause: leadership, certainty, grants, trust, silence and what else lapses were measured on the steady clock, which stands still while a host is suspended: a holder went on by a lease that all others had seen expire. Ruled out: the time of day, which may be set; reading the clock on each request's path. Change: package clock (CLOCK_BOOTTIME from a time of day at the start), passed in at the existing seams: agreement, membership, feeds, placer, dispatch, granter, gate, load boards, planner. The request path keeps package time, whose deadlines connections go by; only permits and trust of requests with keys are judged by the new clock. Holds of the quarantine stay on the steady clock: a suspension makes them longer. Test changed: the one of a grant that ended moves both clocks. Open: suspended hosts in the soak, rpc's silence (by the time of day).

--- a/src/control/main.go
+++ b/src/control/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/moorspool/moorspool/src/clock"
 	"github.com/moorspool/moorspool/src/option"
 	"github.com/moorspool/moorspool/src/process"
 	"github.com/moorspool/moorspool/src/raft"
@@ -99,13 +100,13 @@
 	}
 	disk := Disk{Save: folder.Save, SaveSnapshot: folder.SaveSnapshot}
 	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid())))
-	replica, err := NewReplica(folder.Identity().ID(), start, disk, raft.DefaultOptions(), random, proc.Ring(), time.Now())
+	replica, err := NewReplica(folder.Identity().ID(), start, disk, raft.DefaultOptions(), random, proc.Ring(), clock.Now())
 	if err != nil {
 		return err
 	}
 	var send func(raft.Message)
-	node := NewNode(replica, func(m raft.Message) { send(m) }, proc.Ring(), time.Now)
-	service = NewService(node, peerAddresses(settings), proc.Ring(), proc.Meter(), proc.Cut(), time.Now)
+	node := NewNode(replica, func(m raft.Message) { send(m) }, proc.Ring(), clock.Now)
+	service = NewService(node, peerAddresses(settings), proc.Ring(), proc.Meter(), proc.Cut(), clock.Now)
 	send = service.Send()
 	if err := checkDisk(ctx, service, settings, folder, start, found); err != nil {
 		return err
--- a/src/exchange/admit.go
+++ b/src/exchange/admit.go
@@ -21,6 +21,9 @@
 	Trusted func(now time.Time, version uint64) bool
 	// AwaitTrust waits until it may, as long as that is expected soon.
 	AwaitTrust func(ctx context.Context, version uint64) bool
+	// Now is the clock that grants and trust are measured by: it counts the time for which the
+	// host was suspended.
+	Now func() time.Time
 }
 
 // admitWithin bounds the wait for an admission, an election included.
@@ -66,7 +69,7 @@
 // was not confirmed lately is confirmed now.
 func (c *call) trusted(table *catalog.Table) bool {
 	h := c.handler
-	if h.options.Admission.Trusted(h.options.Now(), table.Version()) {
+	if h.options.Admission.Trusted(h.options.Admission.Now(), table.Version()) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), admitWithin)
@@ -107,7 +110,7 @@
 
 // paid reports whether the account has granted what a send takes.
 func (c *call) paid(ctx context.Context) bool {
-	if c.account.Limit.Rate <= 0 || c.permit.valid(c.handler.options.Now()) {
+	if c.account.Limit.Rate <= 0 || c.permit.valid(c.handler.options.Admission.Now()) {
 		return true
 	}
 	units := c.account.Cost(c.facts.PromptTokens + c.facts.OutputTokens)
@@ -116,7 +119,7 @@
 	verdict := c.handler.options.Admission.Admit(ctx, c.account, units)
 	if verdict.Admission == wire.Granted {
 		c.permit = permit{units: units, until: verdict.Until}
-		if c.permit.valid(c.handler.options.Now()) {
+		if c.permit.valid(c.handler.options.Admission.Now()) {
 			return true
 		}
 	}
--- a/src/exchange/admit_test.go
+++ b/src/exchange/admit_test.go
@@ -23,6 +23,8 @@
 	returned []float64
 	// onAdmit is called before each answer.
 	onAdmit func()
+	// suspended is for how long the host was suspended.
+	suspended time.Duration
 }
 
 func (f *fakeAdmission) admission() Admission {
@@ -43,6 +45,7 @@
 		},
 		Trusted:    func(time.Time, uint64) bool { return f.trusted },
 		AwaitTrust: func(context.Context, uint64) bool { return f.trusted },
+		Now:        func() time.Time { return time.Now().Add(f.suspended) },
 	}
 }
 
@@ -84,6 +87,17 @@
 	is.Equal(returned, 0)
 }
 
+// TestAGrantLapsesWhileTheHostIsSuspended: the steady clock stands still, the grant's time does not.
+func TestAGrantLapsesWhileTheHostIsSuspended(t *testing.T) {
+	is := is.New(t)
+	r := newReplica(t, "x", whole)
+	f := granting()
+	f.onAdmit = func() { f.suspended += 2 * time.Minute }
+	b := newKeyedBench(t, f, route(catalog.Safe, 2), r)
+	is.Equal(b.do("GET", "one", "", testKey+": k").status, http.StatusServiceUnavailable)
+	is.Equal(r.count(), 0)
+}
+
 func TestAnUnknownKeyIsRefusedWithoutAnAsk(t *testing.T) {
 	is := is.New(t)
 	r := newReplica(t, "x", whole)
@@ -165,7 +179,7 @@
 	const life = 100 * time.Millisecond
 	passed := time.Duration(0)
 	now := func() time.Time { return time.Now().Add(passed) }
-	b.handler.options.Now = now
+	b.handler.options.Now, b.handler.options.Admission.Now = now, now
 	f.onAdmit = func() { f.verdict.Until = now().Add(life) }
 	b.handler.options.Admission.Trusted = func(time.Time, uint64) bool {
 		passed += life // the request waits after it was admitted
--- a/src/fleet/admission.go
+++ b/src/fleet/admission.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/moorspool/moorspool/src/admission"
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/clock"
 	"github.com/moorspool/moorspool/src/feed"
 	"github.com/moorspool/moorspool/src/option"
 	"github.com/moorspool/moorspool/src/quota"
@@ -43,7 +43,7 @@
 		Leadership: c.leadership,
 		Record:     c.cluster.RecordExtension,
 		Table:      c.table,
-		Now:        time.Now,
+		Now:        clock.Now,
 	})
 	mux := c.proc.Mux()
 	mux.Handle(wire.MethodAdmit, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, request wire.AdmitRequest) (wire.AdmitReply, error) {
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -15,6 +15,7 @@
 
 	"github.com/moorspool/moorspool/src/admission"
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/clock"
 	"github.com/moorspool/moorspool/src/control"
 	"github.com/moorspool/moorspool/src/dispatch"
 	"github.com/moorspool/moorspool/src/event"
@@ -174,14 +175,14 @@
 	id := folder.Identity().ID()
 	disk := control.Disk{Save: folder.Save, SaveSnapshot: folder.SaveSnapshot}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	replica, err := control.NewReplica(id, start, disk, raft.DefaultOptions(), random, c.proc.Ring(), time.Now())
+	replica, err := control.NewReplica(id, start, disk, raft.DefaultOptions(), random, c.proc.Ring(), clock.Now())
 	if err != nil {
 		return err
 	}
 	c.links = control.NewLinks(c.proc.Meter(), nil)
-	c.node = control.NewNode(replica, c.links.Send, c.proc.Ring(), time.Now)
+	c.node = control.NewNode(replica, c.links.Send, c.proc.Ring(), clock.Now)
 	options := control.ClusterOptions{ID: id, Voters: 2*c.settings.Tolerance + 1, Seeds: c.settings.SeedPeers()}
-	c.cluster = control.NewCluster(c.node, c.links, options, c.proc.Ring(), time.Now)
+	c.cluster = control.NewCluster(c.node, c.links, options, c.proc.Ring(), clock.Now)
 	c.cluster.Register(c.proc.Mux())
 	accounts := accountGauges{named: map[string]bool{}}
 	c.proc.SetRefresh(func(m *metric.Registry) {
@@ -213,7 +214,7 @@
 		Serves:  c.serves,
 		Misread: c.misread,
 	}
-	c.publisher = feed.NewPublisher(c.settings.Node, c.settings.Zone, times, cluster, time.Now)
+	c.publisher = feed.NewPublisher(c.settings.Node, c.settings.Zone, times, cluster, clock.Now)
 	c.recall(folder.Replicas())
 	c.publisher.Register(c.proc.Mux())
 	c.tables = tables{decode: c.speak.Decode}
@@ -225,7 +226,7 @@
 		Publish: c.publisher.SetHoldings,
 		Lease:   c.settings.Lease.Std(),
 		Ring:    c.proc.Ring(),
-		Now:     time.Now,
+		Now:     clock.Now,
 	})
 	c.buildDesk()
 	c.usage = exchange.NewDemand()
@@ -322,8 +323,8 @@
 		c.placer.SetReplicas(changes)
 		c.desk.SetReplicas(changes)
 	}}
-	c.follower = feed.NewFollower(options, sink, c.proc.Meter(), nil, c.proc.Ring(), time.Now)
-	c.relay = feed.NewRelay(c.settings.Node, c.settings.Zone, c.follower, cluster, time.Now)
+	c.follower = feed.NewFollower(options, sink, c.proc.Meter(), nil, c.proc.Ring(), clock.Now)
+	c.relay = feed.NewRelay(c.settings.Node, c.settings.Zone, c.follower, cluster, clock.Now)
 	c.publisher.SetRelay(c.relay)
 }
 
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/moorspool/moorspool/src/admission"
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/clock"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/exchange"
 	"github.com/moorspool/moorspool/src/feed"
@@ -102,7 +103,7 @@
 		Trust: settings.Trust.Std(),
 		Life:  terms.Life,
 		Ring:  proc.Ring(),
-		Now:   time.Now,
+		Now:   clock.Now,
 		Sleep: admission.Sleep,
 	})
 	g.guard = quarantine.NewGuard(newTable(proc.Ring()))
@@ -115,6 +116,7 @@
 			Return:     g.gate.Return,
 			Trusted:    g.gate.Trusted,
 			AwaitTrust: g.gate.AwaitTrust,
+			Now:        clock.Now,
 		},
 		Places:  exchange.Places{Ask: g.askPlace, Release: g.releasePlace},
 		Guard:   g.guard,
@@ -124,7 +126,7 @@
 		Now:     time.Now,
 	})
 	g.buildFollower()
-	proc.SetRefresh(func(m *metric.Registry) { setGatewayGauges(time.Now(), m, g.handler.Table(), g.follower.Known()) })
+	proc.SetRefresh(func(m *metric.Registry) { setGatewayGauges(clock.Now(), m, g.handler.Table(), g.follower.Known()) })
 	if err := proc.Serve(); err != nil {
 		return err
 	}
@@ -180,7 +182,7 @@
 
 		Quarantine: func(told []quarantine.Entry) { g.guard.Take(time.Now(), told) },
 	}
-	g.follower = feed.NewFollower(options, sink, g.proc.Meter(), nil, g.proc.Ring(), time.Now)
+	g.follower = feed.NewFollower(options, sink, g.proc.Meter(), nil, g.proc.Ring(), clock.Now)
 }
 
 func (g *gateway) setDocument(from string, held wire.Document) error {
--- a/src/fleet/places.go
+++ b/src/fleet/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/moorspool/moorspool/src/clock"
 	"github.com/moorspool/moorspool/src/dispatch"
 	"github.com/moorspool/moorspool/src/feed"
 	"github.com/moorspool/moorspool/src/rpc"
@@ -25,7 +26,7 @@
 
 // buildDesk makes what assigns places while this node leads.
 func (c *controlNode) buildDesk() {
-	c.desk = dispatch.NewDesk(time.Now)
+	c.desk = dispatch.NewDesk(clock.Now)
 	mux := c.proc.Mux()
 	mux.Handle(wire.MethodPlace, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, request wire.PlaceRequest) (wire.PlaceReply, error) {
 		if c.cluster.Leadership().Self {
--- a/src/fleet/share.go
+++ b/src/fleet/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/moorspool/moorspool/src/clock"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/loadview"
 	"github.com/moorspool/moorspool/src/rpc"
@@ -15,7 +16,7 @@
 	if peer == nil {
 		return wire.Empty{}, rpc.ErrUnreachable
 	}
-	c.board.Report(time.Now(), report, func(totals wire.LoadReport) {
+	c.board.Report(clock.Now(), report, func(totals wire.LoadReport) {
 		// A gateway that is not reached has lost its connection and reports anew.
 		_ = peer.Notify(wire.MethodLoadTotals, totals)
 	})
@@ -23,7 +24,7 @@
 }
 
 func (c *controlNode) loadSum(_ context.Context, _ *rpc.Peer, sum wire.LoadReport) (wire.Empty, error) {
-	c.board.TakeSum(time.Now(), sum)
+	c.board.TakeSum(clock.Now(), sum)
 	return wire.Empty{}, nil
 }
 
@@ -37,11 +38,11 @@
 			return
 		case <-c.board.Changed():
 		}
-		totals, sum, tell := c.board.Round(time.Now())
+		totals, sum, tell := c.board.Round(clock.Now())
 		for _, send := range tell {
 			go send(totals)
 		}
-		if sums.Due(time.Now(), sum.Loads) {
+		if sums.Due(clock.Now(), sum.Loads) {
 			sum.Node = c.settings.Node
 			for _, address := range c.cluster.Peers() {
 				go c.tell(ctx, address, wire.MethodLoadSum, sum)
@@ -65,13 +66,13 @@
 
 // sent takes in which prompts a gateway has sent.
 func (c *controlNode) sent(_ context.Context, _ *rpc.Peer, report wire.SentReport) (wire.Empty, error) {
-	c.backlog.Add(time.Now(), report.Sent, true)
+	c.backlog.Add(clock.Now(), report.Sent, true)
 	return wire.Empty{}, nil
 }
 
 // sentSum takes in which prompts the gateways of another control node have sent.
 func (c *controlNode) sentSum(_ context.Context, _ *rpc.Peer, report wire.SentReport) (wire.Empty, error) {
-	c.backlog.Add(time.Now(), report.Sent, false)
+	c.backlog.Add(clock.Now(), report.Sent, false)
 	return wire.Empty{}, nil
 }
 
@@ -99,7 +100,7 @@
 			return
 		case <-c.backlog.Changed():
 		}
-		totals, err := rpc.NewNotification(wire.MethodBacklogs, c.backlog.Totals(time.Now()))
+		totals, err := rpc.NewNotification(wire.MethodBacklogs, c.backlog.Totals(clock.Now()))
 		if err != nil {
 			c.proc.Ring().Add(event.Event{Kind: event.NewsNotSent, Reason: err.Error()})
 		} else {
--- a/src/fleet/usage.go
+++ b/src/fleet/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/moorspool/moorspool/src/clock"
 	"github.com/moorspool/moorspool/src/exchange"
 	"github.com/moorspool/moorspool/src/rpc"
 	"github.com/moorspool/moorspool/src/wire"
@@ -36,7 +37,7 @@
 // gateway, and more rarely the others, what the gateways here ask for.
 func (c *controlNode) passUsage(ctx context.Context) {
 	kept := exchange.NewDemand()
-	othersAt := time.Now()
+	othersAt := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -56,7 +57,7 @@
 		}
 		c.follower.NotifyLeader(ctx, wire.MethodUsageSum, wire.Usage{Node: c.settings.Node, Models: models})
 		kept.Add(withoutMissing(models))
-		if now := time.Now(); now.Sub(othersAt) >= usageOthersEvery {
+		if now := clock.Now(); now.Sub(othersAt) >= usageOthersEvery {
 			othersAt = now
 			c.follower.NotifyOthers(ctx, wire.MethodUsageSum, wire.Usage{Node: c.settings.Node, Models: kept.Drain()})
 		}
--- a/src/planner/main.go
+++ b/src/planner/main.go
@@ -1,10 +1,9 @@
 package planner
 
 import (
-	"time"
-
 	"github.com/google/uuid"
 
+	"github.com/moorspool/moorspool/src/clock"
 	"github.com/moorspool/moorspool/src/discovery"
 	"github.com/moorspool/moorspool/src/engine"
 	"github.com/moorspool/moorspool/src/event"
@@ -46,7 +45,7 @@
 	zone := NewZone(settings.Zone, settings.StoreShare, proc.Ring())
 	// A process that starts again is another holder: it knows nothing of the orders before.
 	holder := settings.Node + "/" + uuid.NewString()[:8]
-	runner = NewRunner(zone, settings.Zone, holder, settings.Control, follower, control, list, proc.Ring(), time.Now)
+	runner = NewRunner(zone, settings.Zone, holder, settings.Control, follower, control, list, proc.Ring(), clock.Now)
 	follower.Register(proc.Mux())
 	runner.Register(proc.Mux())
 	if err := proc.Serve(); err != nil {
