--- a/src/fleet/quarantine.go
+++ b/src/fleet/quarantine.go
@@ -106,7 +106,7 @@
 	entries, _ := c.quarantine.Since(now, 0)
 	var reply wire.LiftReply
 	for _, entry := range entries {
-		if request.Digest == "" || !strings.HasPrefix(entry.Digest.String(), request.Digest) {
+		if !entry.Digest.Begins(request.Digest) {
 			continue
 		}
 		if c.quarantine.Clear(now, entry.Digest) {
--- a/src/quarantine/digest.go
+++ b/src/quarantine/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -59,5 +60,10 @@
 	return errors.Wrap(err, "reading a digest")
 }
 
+// Begins reports whether the digest, in hexadecimal digits, begins with a text.
+func (d Digest) Begins(text string) bool {
+	return text != "" && strings.HasPrefix(hex.EncodeToString(d[:]), text)
+}
+
 // String returns the part of the digest that logs show.
 func (d Digest) String() string { return hex.EncodeToString(d[:shownBytes]) }
