--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -47,13 +47,18 @@
 	return d.late
 }
 
-// dies ends a replica as a crash does: listener and connections are closed at once. It starts
-// again after a while, in half of the cases under its ID.
+// dies ends a replica under the deadly content.
 func (r *replicas) dies(one *replica) {
 	r.check.count("ends under the deadly content")
 	if late := r.ends.end(time.Now(), r.settled("")); late > deadlyAllowed {
 		r.check.late("budget", "%s is the %dth replica to end under one content later than the contact time after the third", one.id, late)
 	}
+	r.crash(one)
+}
+
+// crash closes a replica's listener and connections at once and starts it again after a while, in
+// half of the cases under its ID.
+func (r *replicas) crash(one *replica) {
 	if !r.remove(one) {
 		return
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -21,6 +21,7 @@
 	Bin      string `long:"bin" description:"folder of the programs" default:"target"`
 	Folder   string `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
 	NoBounds bool   `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
+	Measure  string `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, losses, restarts, foreign"`
 	Port     int    `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
 
@@ -32,6 +33,13 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
+	if o.Measure != "" {
+		if err := measure(o); err != nil {
+			fmt.Fprintln(os.Stderr, "soak:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	findings, err := run(o)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -59,7 +67,7 @@
 	go in.endOnSignal()
 	check := newChecker()
 	check.bounds = !o.NoBounds
-	replicas, err := newReplicas(in, check)
+	replicas, err := newReplicas(in, check, replicaCount)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -20,6 +20,9 @@
 	streamEvents = 5
 	eventPause   = 30 * time.Millisecond
 	beatEvery    = 500 * time.Millisecond
+	// longRun is the sequence of the first replicas' calls, as if they had run for long: what
+	// starts again under an ID counts from 1.
+	longRun = 10_000
 	// drainGrace is how long after its acknowledgement a leaving replica may still get requests.
 	drainGrace = 2 * time.Second
 	// stampHeader proves which replica made an answer, for which request.
@@ -52,12 +55,14 @@
 	turn     int
 }
 
-func newReplicas(in *installation, check *checker) (*replicas, error) {
+func newReplicas(in *installation, check *checker, count int) (*replicas, error) {
 	r := &replicas{in: in, check: check, client: &http.Client{Timeout: time.Second}}
-	for i := 1; i <= replicaCount; i++ {
-		if _, err := r.start(i); err != nil {
+	for i := 1; i <= count; i++ {
+		one, err := r.start(i)
+		if err != nil {
 			return nil, err
 		}
+		one.sequence = longRun
 	}
 	return r, nil
 }
