Soak: hosts that are suspended; silence of a peer is measured on the steady clock

Cause: rpc took the time of day for when a peer was last read: set back, a silent peer was waited for all the longer (read from the code, not seen). The soak had no suspensions. Change: silence by the steady clock.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 # soak-processes strikes at the real processes, with a seed.
 SEED ?= 1
 soak-processes:
-	$(GO) build -tags $(TAGS) -o target/ ./cmd/moorspool-fleet-gateway ./cmd/moorspool-fleet-control ./soak
+	$(GO) build -tags $(TAGS),soak -o target/ ./cmd/moorspool-fleet-gateway ./cmd/moorspool-fleet-control ./soak
 	target/soak --seed $(SEED) --seconds $(SECONDS)
 
 # race runs all tests under the race detector.
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -351,6 +351,10 @@
 		time.Sleep(lasts)
 		m.signal(syscall.SIGCONT)
 	}},
+	{name: "suspend", strike: func(_ *installation, m *member, _ time.Duration, _ *rand.Rand) {
+		// The clock of leases goes ahead, the steady one does not: programs built for the soak.
+		m.signal(syscall.SIGUSR2)
+	}},
 	{name: "reload", strike: func(_ *installation, m *member, _ time.Duration, _ *rand.Rand) { m.signal(syscall.SIGHUP) }},
 	{name: "delay", strike: func(_ *installation, m *member, lasts time.Duration, random *rand.Rand) {
 		m.proxied(lasts, trouble{delay: time.Duration(random.IntN(120)) * time.Millisecond})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,7 +23,7 @@
 // checks that bound a time: how fast the machine is, is not known here.
 func TestShortSoak(t *testing.T) {
 	bin := t.TempDir()
-	build := exec.Command("go", "build", "-tags", "stdjson", "-o", bin+string(filepath.Separator), "../cmd/moorspool-fleet-gateway", "../cmd/moorspool-fleet-control")
+	build := exec.Command("go", "build", "-tags", "stdjson,soak", "-o", bin+string(filepath.Separator), "../cmd/moorspool-fleet-gateway", "../cmd/moorspool-fleet-control")
 	build.Stdout, build.Stderr = os.Stdout, os.Stderr
 	if err := build.Run(); err != nil {
 		t.Fatal(err)
--- a/src/clock/clock.go
+++ b/src/clock/clock.go
@@ -42,7 +42,7 @@
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		return 0, err
 	}
-	return time.Duration(t.Nano()), nil
+	return time.Duration(t.Nano()) + shift(), nil
 }
 
 // process is the process's clock, nil on a system that does not have one.
--- a/src/exchange/ending.go
+++ b/src/exchange/ending.go
@@ -45,7 +45,8 @@
 	silent
 )
 
-// endingFunc takes in that a replica has ended with requests under way.
+// endingFunc takes in that a replica has ended with requests under way; more may be told of one
+// end, as connections are seen to have broken.
 type endingFunc func(now time.Time, replica string, under []quarantine.Digest, witness string)
 
 // endings finds out which replicas ended, and which requests were under way there. A broken
--- a/src/rpc/client.go
+++ b/src/rpc/client.go
@@ -188,7 +188,7 @@
 			return
 		case <-ticker.C:
 		}
-		if time.Since(time.Unix(0, raw.readAt.Load())) < c.silence {
+		if raw.silentFor() < c.silence {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), c.silence)
--- a/src/rpc/meter.go
+++ b/src/rpc/meter.go
@@ -92,14 +92,24 @@
 // reading can't hold a sender for long.
 type meteredConn struct {
 	net.Conn
-	meter  *Meter
+	meter *Meter
+	// readAt is when something was read last, as the steady time since started: the time of
+	// day may be set back, and a silent peer would be waited for all the longer.
 	readAt atomic.Int64
 }
 
+// started is when the process started.
+var started = time.Now()
+
+// silentFor returns how long nothing was read.
+func (c *meteredConn) silentFor() time.Duration {
+	return time.Since(started) - time.Duration(c.readAt.Load())
+}
+
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.meter.bytesIn.Add(int64(n))
-	c.readAt.Store(time.Now().UnixNano())
+	c.readAt.Store(int64(time.Since(started)))
 	return n, err
 }
 
