--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -19,7 +19,8 @@
 	KeysRefused tally.Counter
 	QuotaSpent  tally.Counter
 	Unsure      tally.Counter
-	// Endings counts the replicas that ended while requests of this gateway were under way.
+	// Endings counts what was told of ends of replicas under requests of this gateway: one end
+	// counts again where a connection was seen to break after it was proved.
 	Endings tally.Counter
 	// Quarantined counts the requests that were refused because replicas ended under others
 	// with the same content.
--- /dev/null
+++ b/src/store/quarantine_test.go
@@ -0,0 +1,33 @@
+package store
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/quarantine"
+)
+
+// TestTheQuarantineComesBackAsItWasSaved, none if there is none yet, and a damaged file is an error
+// that does not stop the node.
+func TestTheQuarantineComesBackAsItWasSaved(t *testing.T) {
+	is := is.New(t)
+	path := t.TempDir()
+	folder, _, err := Open(options(path))
+	is.NoErr(err)
+	defer folder.Close()
+	file := folder.Quarantine()
+	none, err := file.Load()
+	is.NoErr(err)
+	is.Equal(len(none), 0)
+	entries := []quarantine.Entry{{Digest: quarantine.Content{Target: "/x"}.Digest(), Round: 2, Ends: []string{"i-1@7", "i-2@9"}, AgeMS: 1500}}
+	is.NoErr(file.Save(entries))
+	saved, err := folder.Quarantine().Load()
+	is.NoErr(err)
+	is.Equal(saved, entries)
+	is.NoErr(os.WriteFile(filepath.Join(path, quarantineFile), []byte("damaged"), 0o600))
+	_, err = file.Load()
+	is.True(err != nil)
+}
