--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -51,6 +51,9 @@
 	ReplicaChanged   Kind = 610
 	ReplicasFound    Kind = 611
 	CallRefused      Kind = 612
+	BackoffAsked     Kind = 613
+	BackoffOver      Kind = 614
+	LeavingTold      Kind = 615
 	ControlFound     Kind = 620
 	ControlLost      Kind = 621
 	NewsNotSent      Kind = 622
@@ -133,6 +136,9 @@
 	{ReplicaChanged, "replica-changed", "What a replica says of itself, or whether it is heard, changed."},
 	{ReplicasFound, "replicas-found", "Replicas that were not known are known now, and how many there are in all."},
 	{CallRefused, "replica-call-refused", "A call in a replica's name was refused, with the place of what is wrong in it; what is known of the replica stays as it was."},
+	{BackoffAsked, "backoff-asked", "A backend server turned this gateway away and asked it to send nothing for a time; the time is given."},
+	{BackoffOver, "backoff-over", "A backend server that had asked this gateway to send nothing takes requests again."},
+	{LeavingTold, "leaving-told", "A backend server said in an answer that it leaves; this gateway sends it nothing new."},
 	{ControlFound, "control-found", "A control node is in reach and its news arrive."},
 	{ControlLost, "control-lost", "A control node is out of reach; its last word counts for a while."},
 	{NewsNotSent, "news-not-sent", "What the followers should be told could not be encoded; they keep to what they know."},
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -76,7 +76,8 @@
 	paid := c.spend()
 	h.options.Fleet.Sent(now, peer, c.facts.Model, c.facts.Parts, choice.ReadTime)
 	c.sends++
-	a, err := send(within, peer.pool, o, c.facts.ID, h.options.Codec.Reply, choice.dialWithin(), c.headBy(now), now)
+	read := func(status int, header http.Header) Reply { return c.heard(peer, status, header) }
+	a, err := send(within, peer.pool, o, c.facts.ID, read, choice.dialWithin(), c.headBy(now), now)
 	if err != nil {
 		ended := c.sendFailed(ctx, peer, err)
 		if ended == notRun {
@@ -102,6 +103,16 @@
 	return c.passWhole(ctx, peer, a), nil
 }
 
+// heard reads the head of an answer from a replica, whichever request it belongs to.
+func (c *call) heard(peer *Peer, status int, header http.Header) Reply {
+	reply := c.handler.options.Codec.Reply(status, header)
+	if reply.Backoff > 0 {
+		c.handler.options.Metrics.Backoffs.Inc(1)
+	}
+	c.handler.options.Fleet.heard(peer, &reply)
+	return reply
+}
+
 // headBy is when the head of a replica's answer must be here: where another
 // replica may be tried, early enough for that.
 func (c *call) headBy(now time.Time) time.Time {
@@ -189,7 +200,7 @@
 	} else {
 		a.finish(h.options.Now())
 	}
-	c.reason += "; " + peer.ID() + " did not run it: " + a.response.Status
+	c.reason += "; " + peer.ID() + " did not run it: " + a.response.Status + a.reply.asked()
 	if a.reply.Elsewhere && c.facts.Model != "" {
 		peer.lacks(h.options.Now(), c.facts.Model, c.facts.Adapter)
 	}
--- a/src/exchange/ending_test.go
+++ b/src/exchange/ending_test.go
@@ -104,7 +104,7 @@
 // TestTheControlNodesWordOnANextStartIsAWitness: what the fleet learns reaches the endings.
 func TestTheControlNodesWordOnANextStartIsAWitness(t *testing.T) {
 	is := is.New(t)
-	fleet := NewFleet("z", nil, nil, time.Now)
+	fleet := NewFleet("z", nil, nil, time.Now, time.Now)
 	var ended []string
 	fleet.onEnd(func(_ time.Time, life, _ string) { ended = append(ended, life) })
 	record := registry.Record{ID: "a@7", Name: "a", Born: 7, Service: "s", Address: "192.0.2.1:1", Zone: "z"}
--- a/src/exchange/facts.go
+++ b/src/exchange/facts.go
@@ -66,6 +66,12 @@
 	// Elsewhere is set when another replica, or none with the model, was met.
 	Elsewhere bool
 	Load      Load
+	// Backoff is how long the replica wants no more requests from this gateway, 0 if it did not
+	// ask for that, BackoffFault what could not be read of how long.
+	Backoff      time.Duration
+	BackoffFault string
+	// Leaving is the replica's word that it leaves.
+	Leaving bool
 }
 
 // Codec is one interface's manner of speaking.
@@ -80,3 +86,15 @@
 	// they are the system's to set, and Prepare sets those that an attempt needs.
 	Replace []string
 }
+
+// asked returns what the replica asked for with its refusal, for a log line.
+func (r *Reply) asked() string {
+	text := ""
+	if r.Backoff > 0 {
+		text += ", nothing more for " + r.Backoff.String()
+	}
+	if r.Leaving {
+		text += ", it leaves"
+	}
+	return text
+}
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -206,7 +206,7 @@
 
 func newBench(t *testing.T, r catalog.Route, replicas ...*fakeReplica) *bench {
 	b := &bench{t: t, demand: NewDemand()}
-	b.fleet = NewFleet("z", Dial, nil, time.Now)
+	b.fleet = NewFleet("z", Dial, nil, time.Now, time.Now)
 	b.handler = NewHandler(Options{
 		Codec: testCodec(), Fleet: b.fleet, Budget: BudgetLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
 		Guard:  newTestGuard(),
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -24,6 +24,9 @@
 	dial dialFunc
 	ring *event.Ring
 	now  func() time.Time
+	// bootNow tells the time on a clock that counts the suspensions of this host: what replicas
+	// ask for ends for them while this host stands still.
+	bootNow func() time.Time
 
 	mu    sync.Mutex
 	peers map[string]*Peer
@@ -58,13 +61,15 @@
 // copies are models and adapters; the value says whether the copy is leaving.
 type copies map[copyKey]bool
 
-// NewFleet returns a fleet without replicas for a gateway in an availability zone.
-func NewFleet(zone string, dial dialFunc, ring *event.Ring, now func() time.Time) *Fleet {
+// NewFleet returns a fleet without replicas for a gateway in an availability zone; bootNow tells
+// the time on a clock that counts the suspensions of this host.
+func NewFleet(zone string, dial dialFunc, ring *event.Ring, now, bootNow func() time.Time) *Fleet {
 	return &Fleet{
 		zone:     zone,
 		dial:     dial,
 		ring:     ring,
 		now:      now,
+		bootNow:  bootNow,
 		peers:    map[string]*Peer{},
 		servers:  map[string]*server{},
 		holdings: map[string]copies{},
--- a/src/exchange/fleet_bench_test.go
+++ b/src/exchange/fleet_bench_test.go
@@ -27,7 +27,7 @@
 }
 
 func benchFleet(size int) *Fleet {
-	f := NewFleet("z", Dial, nil, func() time.Time { return noon })
+	f := NewFleet("z", Dial, nil, func() time.Time { return noon }, func() time.Time { return noon })
 	for i := range size {
 		f.SetReplicas(registry.Changes{Entries: []registry.Entry{benchEntry(i, 1)}})
 	}
--- a/src/exchange/fleet_test.go
+++ b/src/exchange/fleet_test.go
@@ -16,7 +16,7 @@
 
 // newTestFleet returns a fleet of replicas in zone z that hold model m.
 func newTestFleet(ids ...string) *Fleet {
-	f := NewFleet("z", Dial, nil, func() time.Time { return noon })
+	f := NewFleet("z", Dial, nil, func() time.Time { return noon }, func() time.Time { return noon })
 	var entries []registry.Entry
 	for _, id := range ids {
 		entries = append(entries, registry.Entry{Record: registry.Record{ID: id, Service: "s", Zone: "z", Slots: 64, Models: []registry.Held{{Name: "m", Adapters: []string{"a1"}}}}})
@@ -91,7 +91,7 @@
 
 func TestOnlyUsableReplicasAreChosen(t *testing.T) {
 	is := is.New(t)
-	f := NewFleet("z", Dial, nil, func() time.Time { return noon })
+	f := NewFleet("z", Dial, nil, func() time.Time { return noon }, func() time.Time { return noon })
 	base := registry.Record{Service: "s", Zone: "z", Slots: 4}
 	record := func(id string) registry.Record { r := base; r.ID = id; return r }
 	draining, gone := record("draining"), record("gone")
@@ -141,7 +141,7 @@
 // made anew from the same words would be.
 func TestChangesOfAReplicaLeaveTheOthersAsTheyAre(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := NewFleet("z", Dial, nil, func() time.Time { return noon })
+		f := NewFleet("z", Dial, nil, func() time.Time { return noon }, func() time.Time { return noon })
 		last := map[string]registry.Entry{}
 		var holdings wire.Holdings
 		for range rapid.IntRange(1, 30).Draw(t, "changes") {
@@ -164,7 +164,7 @@
 				last[id] = e
 			}
 		}
-		anew := NewFleet("z", Dial, nil, func() time.Time { return noon })
+		anew := NewFleet("z", Dial, nil, func() time.Time { return noon }, func() time.Time { return noon })
 		for _, e := range last {
 			anew.SetReplicas(registry.Changes{Entries: []registry.Entry{e}})
 		}
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -25,7 +25,9 @@
 	// Quarantined counts the requests that were refused because replicas ended under others
 	// with the same content.
 	Quarantined tally.Counter
-	Latency     tally.Histogram
+	// Backoffs counts the answers by which replicas asked this gateway to send nothing for a time.
+	Backoffs tally.Counter
+	Latency  tally.Histogram
 	// Pause holds the longest pause between two events of each stream.
 	Pause tally.Histogram
 }
@@ -45,6 +47,8 @@
 		Endings:     registry.Count("replicas_ended_total"),
 		Quarantined: registry.Count("quarantine_refusals_total"),
 
+		Backoffs: registry.Count("backoffs_asked_total"),
+
 		Latency: registry.Latency("request_seconds"),
 		Pause:   registry.Latency("stream_pause_seconds"),
 	}
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -30,6 +30,7 @@
 	id      string
 	service string
 	pool    *pool
+	intake  *intake
 
 	mu     sync.Mutex
 	record registry.Record
@@ -60,7 +61,7 @@
 }
 
 func newPeer(record registry.Record, dial dialFunc) *Peer {
-	return &Peer{id: record.ID, service: record.Service, record: record, pool: newPool(record.Address, dial)}
+	return &Peer{id: record.ID, service: record.Service, record: record, pool: newPool(record.Address, dial), intake: &intake{}}
 }
 
 // ID returns the incarnation's ID.
--- a/src/exchange/start_test.go
+++ b/src/exchange/start_test.go
@@ -15,7 +15,7 @@
 
 // newStartingBench returns a bench whose gateway knows neither configuration nor replicas.
 func newStartingBench(t *testing.T, now func() time.Time) *bench {
-	b := &bench{t: t, demand: NewDemand(), fleet: NewFleet("z", Dial, nil, now)}
+	b := &bench{t: t, demand: NewDemand(), fleet: NewFleet("z", Dial, nil, now, now)}
 	b.handler = NewHandler(Options{
 		Codec: testCodec(), Fleet: b.fleet, Budget: BudgetLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
 		Guard:  newTestGuard(),
@@ -74,7 +74,7 @@
 func TestAGatewayThatKnowsItsReplicasRefusesAtOnce(t *testing.T) {
 	is := is.New(t)
 	began := time.Now()
-	f := NewFleet("z", Dial, nil, func() time.Time { return began })
+	f := NewFleet("z", Dial, nil, func() time.Time { return began }, time.Now)
 	is.True(f.Gathering(began))
 	f.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: "a", Service: "s"}}}})
 	is.True(f.Gathering(began.Add(gatherTime - 1)))
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -96,7 +96,7 @@
 	}
 	g.proc = proc
 	debug.SetGCPercent(gatewayGCPercent)
-	g.fleet = exchange.NewFleet(settings.Zone, exchange.Dial, proc.Ring(), time.Now)
+	g.fleet = exchange.NewFleet(settings.Zone, exchange.Dial, proc.Ring(), time.Now, clock.Now)
 	terms := quotaTerms(settings.Quota)
 	g.gate = admission.NewGate(admission.GateOptions{
 		Ask:   g.askAdmission,
@@ -126,7 +126,10 @@
 		Now:     time.Now,
 	})
 	g.buildFollower()
-	proc.SetRefresh(func(m *metric.Registry) { setGatewayGauges(clock.Now(), m, g.handler.Table(), g.follower.Known()) })
+	proc.SetRefresh(func(m *metric.Registry) {
+		setGatewayGauges(clock.Now(), m, g.handler.Table(), g.follower.Known())
+		setIntakeGauges(m, g.fleet)
+	})
 	if err := proc.Serve(); err != nil {
 		return err
 	}
--- a/src/fleet/gauges.go
+++ b/src/fleet/gauges.go
@@ -8,6 +8,7 @@
 
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/control"
+	"github.com/moorspool/moorspool/src/exchange"
 	"github.com/moorspool/moorspool/src/feed"
 	"github.com/moorspool/moorspool/src/metric"
 )
@@ -81,6 +82,13 @@
 	}
 }
 
+// setIntakeGauges tells how many backend servers take no requests from a gateway by their word.
+func setIntakeGauges(m *metric.Registry, f *exchange.Fleet) {
+	backingOff, leaving := f.BackingOff()
+	m.Gauge("replicas_backing_off", float64(backingOff))
+	m.Gauge("replicas_leaving_told", float64(leaving))
+}
+
 func oneIf(set bool) float64 {
 	if set {
 		return 1
