--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -34,6 +34,9 @@
 	testTokens   = "Tokens-Out"
 	testBackup   = "Copy-To"
 	testContinue = "Go-On-From"
+	testBackoff  = "Back-Off-Ms"
+	testLeaving  = "Going-Away"
+	testOnly     = "Only-For"
 )
 
 func testCodec() Codec {
@@ -60,7 +63,11 @@
 			}
 		},
 		Reply: func(status int, header http.Header) Reply {
-			return Reply{ID: header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Elsewhere: status == http.StatusMisdirectedRequest}
+			ms, _ := strconv.Atoi(header.Get(testBackoff))
+			return Reply{
+				ID: header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Elsewhere: status == http.StatusMisdirectedRequest,
+				Backoff: time.Duration(ms) * time.Millisecond, Leaving: header.Get(testLeaving) != "",
+			}
 		},
 		Replace: []string{testReplica, testDeadline, testAfter, testKey, testAccount},
 	}
@@ -128,10 +135,15 @@
 			}
 			a.body = string(body)
 		}
+		if only := request.Header.Get(testOnly); only != "" && only != f.id {
+			a.answer(http.StatusMisdirectedRequest, "elsewhere")
+			continue
+		}
 		f.mu.Lock()
 		f.arrivals = append(f.arrivals, a)
+		act := f.act
 		f.mu.Unlock()
-		if !f.act(a) {
+		if !act(a) {
 			return
 		}
 		if f.early {
@@ -140,6 +152,13 @@
 	}
 }
 
+// setAct changes what the replica does from now on.
+func (f *fakeReplica) setAct(act behaviour) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.act = act
+}
+
 func (f *fakeReplica) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/src/exchange/intake_ways_test.go
@@ -0,0 +1,209 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/admission"
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/dispatch"
+	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// backingOff is what a replica answers that wants nothing for longer than a test lasts.
+func backingOff(a arrival) bool {
+	a.answer(503, "not now", testNotRun+": 1", testBackoff+": 60000")
+	return true
+}
+
+// closings are the answers by which a replica says that it takes no further requests.
+var closings = map[string]behaviour{
+	"wants nothing for a time": backingOff,
+	"leaves":                   func(a arrival) bool { a.answer(200, "last", testLeaving+": 1"); return true },
+}
+
+// close lets a replica say that it takes nothing, in the answer to a request of its own.
+func (b *bench) close(f *fakeReplica, say behaviour) {
+	b.t.Helper()
+	f.setAct(say)
+	b.do("POST", "closing", "x", testOnly+": "+f.id)
+	if f.count() != 1 {
+		b.t.Fatalf("%s got %d requests", f.id, f.count())
+	}
+	f.setAct(whole)
+}
+
+// TestEveryWayToAReplicaAsksWhetherItTakesRequests: no request reaches a replica that wants
+// nothing, or that leaves, on any way.
+func TestEveryWayToAReplicaAsksWhetherItTakesRequests(t *testing.T) {
+	for closing, say := range closings {
+		for _, way := range []struct {
+			name string
+			play func(t *testing.T, say behaviour) (closed *fakeReplica)
+		}{
+			{"a first try", firstTries},
+			{"a further try within a call", furtherTry},
+			{"a stream that goes on at the copy of its run", goesOnAtCopy},
+			{"a place that was assigned", assignedPlace},
+			{"a request that waited for its account", waitedForAccount},
+			{"a request whose connection was being opened", waitedForConnection},
+			{"the word came with a late answer to another request", lateWord},
+			{"the list of replicas was told anew", toldAnew},
+			{"the configuration has changed", reconfigured},
+		} {
+			t.Run(way.name+", "+closing, func(t *testing.T) {
+				if closed := way.play(t, say); closed.count() != 1 {
+					t.Errorf("%d requests reached it after its word", closed.count()-1)
+				}
+			})
+		}
+	}
+}
+
+func firstTries(t *testing.T, say behaviour) *fakeReplica {
+	closed := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Safe, 2), closed)
+	b.close(closed, say)
+	for i := range 5 {
+		b.do("POST", fmt.Sprint("first-", i), "x")
+		b.do("POST", fmt.Sprint("model-", i), "x", testModel+": m")
+	}
+	return closed
+}
+
+func furtherTry(t *testing.T, say behaviour) *fakeReplica {
+	closed := newReplica(t, "x", whole)
+	fails := newReplica(t, "y", func(a arrival) bool { a.answer(500, "broken"); return true })
+	b := newBench(t, route(catalog.Safe, 3), closed, fails)
+	b.close(closed, say)
+	for i := range 5 {
+		b.do("POST", fmt.Sprint("try-", i), "x")
+	}
+	return closed
+}
+
+// goesOnAtCopy: the replica that keeps the copy closes while the stream runs.
+func goesOnAtCopy(t *testing.T, say behaviour) *fakeReplica {
+	s := newCrashSite(t, func(_ arrival, r *fakeReplica) bool {
+		_ = r.listener.Close()
+		return false
+	})
+	var closed *fakeReplica
+	s.stop = func(_ arrival, r *fakeReplica) bool {
+		closed = s.replicas[0]
+		if r == closed {
+			closed = s.replicas[1]
+		}
+		s.bench.close(closed, say)
+		_ = r.listener.Close()
+		return false
+	}
+	_ = s.ask()
+	return closed
+}
+
+func assignedPlace(t *testing.T, say behaviour) *fakeReplica {
+	closed := newReplica(t, "x", whole)
+	open := newReplica(t, "y", whole)
+	b := newPlacedBench(t, &fakePlaces{err: errors.New("nobody assigns yet")}, closed, open)
+	b.close(closed, say)
+	b.handler.placing.lostUntil.Store(0)
+	unused := make(chan wire.PlaceRelease, 64)
+	b.handler.options.Places = Places{
+		Ask: func(context.Context, wire.PlaceRequest) (wire.PlaceReply, error) {
+			return wire.PlaceReply{Known: true, Replica: "x", Ticket: 3}, nil
+		},
+		Release: func(release wire.PlaceRelease) { unused <- release },
+	}
+	for i := range 5 {
+		if got := b.do("GET", fmt.Sprint("placed-", i), ""); got.status != http.StatusOK {
+			t.Errorf("status %d though another replica is free", got.status)
+		}
+		if release := <-unused; release.Outcome == string(dispatch.Answered) || release.Outcome == string(dispatch.Failed) {
+			t.Errorf("a place that was not used was given back as %s", release.Outcome)
+		}
+	}
+	return closed
+}
+
+// waitedForAccount: the replica closes while the chosen request waits for its admission.
+func waitedForAccount(t *testing.T, say behaviour) *fakeReplica {
+	closed := newReplica(t, "x", whole)
+	f := granting()
+	b := newKeyedBench(t, f, route(catalog.Safe, 2), closed)
+	f.onAdmit = func() {
+		f.onAdmit = nil
+		b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{route(catalog.Safe, 2)}, Services: []catalog.Service{{Name: "s"}}}))
+		b.close(closed, say)
+		b.handler.SetTable(keyedTable(1, route(catalog.Safe, 2), "k"))
+	}
+	f.verdict = admission.Verdict{Admission: wire.Granted, Until: time.Now().Add(time.Minute)}
+	b.do("GET", "waited", "", testKey+": k")
+	return closed
+}
+
+// waitedForConnection: the replica closes while the connection for another request comes up.
+func waitedForConnection(t *testing.T, say behaviour) *fakeReplica {
+	closed := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Safe, 2), closed)
+	peer := b.fleet.Peer("x")
+	dial := peer.pool.dial
+	var dialed atomic.Bool
+	peer.pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if !dialed.Swap(true) {
+			b.close(closed, say)
+		}
+		return dial(ctx, address)
+	}
+	b.do("GET", "waited", "")
+	return closed
+}
+
+// lateWord: the word comes in the place of the next answer, as the answer to an earlier request.
+func lateWord(t *testing.T, say behaviour) *fakeReplica {
+	closed := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Unsafe, 1), closed)
+	closed.setAct(func(a arrival) bool {
+		late := a
+		late.request = a.request.Clone(context.Background())
+		late.request.Header.Set(testID, "earlier")
+		say(late)
+		return whole(a)
+	})
+	b.do("POST", "one", "x")
+	for i := range 3 {
+		b.do("POST", fmt.Sprint("next-", i), "x")
+	}
+	return closed
+}
+
+// toldAnew: the replica is forgotten, as by a control node that was restarted, and heard of again
+// at another place of the list with a later call.
+func toldAnew(t *testing.T, say behaviour) *fakeReplica {
+	closed := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Safe, 2), closed)
+	b.close(closed, say)
+	b.fleet.SetReplicas(registry.Changes{Removed: []string{"x"}})
+	b.fleet.Tidy(time.Now())
+	b.register(closed)
+	b.do("GET", "again", "")
+	return closed
+}
+
+func reconfigured(t *testing.T, say behaviour) *fakeReplica {
+	closed := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Safe, 2), closed)
+	b.close(closed, say)
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{route(catalog.Safe, 4)}, Services: []catalog.Service{{Name: "s"}}}))
+	b.register(closed)
+	b.do("GET", "again", "")
+	return closed
+}
