--- a/src/dispatch/replica.go
+++ b/src/dispatch/replica.go
@@ -64,6 +64,9 @@
 	Full Outcome = "full"
 	// Unreachable means that nothing could be sent to it.
 	Unreachable Outcome = "unreachable"
+	// Unused means that the request was not sent there, which says nothing of the replica. A
+	// dispatcher that does not know this outcome frees the place as well and notes nothing.
+	Unused Outcome = "unused"
 )
 
 // note takes in how a request ended that took so long.
--- a/src/exchange/answer.go
+++ b/src/exchange/answer.go
@@ -131,6 +131,10 @@
 	}
 	reason := "no replica of the service is in reach"
 	switch choice.Verdict {
+	case BackedOff:
+		c.handler.options.Metrics.BackoffRefusals.Inc(1)
+		c.retryIn = spreadReturn(choice.OpensIn)
+		reason = c.handler.options.Fleet.describeClosed(c.want())
 	case Missing:
 		reason = "no replica in reach holds the model"
 	case Crowded:
@@ -161,6 +165,9 @@
 		c.refuse(c.unanswered(), c.reason)
 		return
 	}
+	if choice := c.handler.options.Fleet.Pick(c.handler.options.Now(), c.want(), c.tried); choice.Verdict == BackedOff {
+		c.retryIn = spreadReturn(choice.OpensIn)
+	}
 	c.refuse(http.StatusServiceUnavailable, c.reason)
 }
 
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -27,6 +27,8 @@
 	failed
 	// cut means that the client's answer has begun and can't go on as it was.
 	cut
+	// withheld means that nothing was sent, since the replica takes no requests now.
+	withheld
 )
 
 // again reports whether another replica may be tried.
@@ -37,11 +39,14 @@
 	if c.stream != nil && c.stream.begun && !c.route.Idempotent() {
 		return false
 	}
-	if ended != notRun {
+	if ended != notRun && (ended != withheld || c.ran > 0) {
 		if !c.route.Idempotent() || c.ran >= max(c.route.Attempts, 1) {
 			return false
 		}
 	}
+	if ended == withheld {
+		return true
+	}
 	if c.sends >= maxSends {
 		return false
 	}
@@ -76,8 +81,15 @@
 	paid := c.spend()
 	h.options.Fleet.Sent(now, peer, c.facts.Model, c.facts.Parts, choice.ReadTime)
 	c.sends++
-	read := func(status int, header http.Header) Reply { return c.heard(peer, status, header) }
-	a, err := send(within, peer.pool, o, c.facts.ID, read, choice.dialWithin(), c.headBy(now), now)
+	with := talk{
+		admit: func() bool { return h.options.Fleet.admit(peer) },
+		read:  func(status int, header http.Header) Reply { return c.heard(peer, status, header) },
+	}
+	a, err := send(within, peer.pool, o, c.facts.ID, with, choice.dialWithin(), c.headBy(now), now)
+	if errors.Is(err, errWithheld) {
+		c.withhold(paid)
+		return withheld, nil
+	}
 	if err != nil {
 		ended := c.sendFailed(ctx, peer, err)
 		if ended == notRun {
@@ -103,6 +115,15 @@
 	return c.passWhole(ctx, peer, a), nil
 }
 
+// withhold takes back an attempt that was not sent: it cost nothing and its replica counts as
+// not tried, since it may take the request a little later.
+func (c *call) withhold(paid permit) {
+	c.permit = paid
+	c.sends--
+	c.tried = c.tried[:len(c.tried)-1]
+	c.unsent = true
+}
+
 // heard reads the head of an answer from a replica, whichever request it belongs to.
 func (c *call) heard(peer *Peer, status int, header http.Header) Reply {
 	reply := c.handler.options.Codec.Reply(status, header)
@@ -204,7 +225,9 @@
 	if a.reply.Elsewhere && c.facts.Model != "" {
 		peer.lacks(h.options.Now(), c.facts.Model, c.facts.Adapter)
 	}
-	if !a.reply.Elsewhere {
+	// A replica that asks to be left alone has not failed: it is left alone, and counts as sound
+	// again once it takes requests.
+	if !a.reply.Elsewhere && a.reply.Backoff == 0 {
 		peer.failed(h.options.Now(), false)
 	}
 	h.options.Ring.Add(event.Event{Kind: event.RequestRetried, Request: c.facts.ID, Host: peer.ID(), Model: c.facts.Model, Reason: c.reason})
--- a/src/exchange/backup.go
+++ b/src/exchange/backup.go
@@ -51,7 +51,7 @@
 	zone := others[len(others)-1].zone()
 	var near, far []*Peer
 	for _, c := range f.index.of(want.Service, held) {
-		if wasTried(others, c.peer) || c.peer.lacking(now, held) || c.peer.outlook(now).ejected {
+		if wasTried(others, c.peer) || c.peer.lacking(now, held) || c.peer.outlook(now).ejected || !f.takes(c.peer) {
 			continue
 		}
 		if c.zone == zone {
@@ -82,6 +82,10 @@
 		c.reason += "; " + lost.ID() + " can still be reached"
 		return Choice{}, false
 	}
+	if !c.handler.options.Fleet.takes(backup) {
+		c.reason += "; " + backup.ID() + " keeps a copy of the run and takes no requests now"
+		return Choice{}, false
+	}
 	if !c.handler.budgets.of(c.service).Take(c.handler.options.Now(), c.handler.Gateways()) {
 		c.reason += "; the retry budget is spent"
 		return Choice{}, false
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -49,6 +49,8 @@
 	Crowded
 	// Unread means that no replica would begin the prompt in time.
 	Unread
+	// BackedOff means that every replica that could run it wants nothing for a time.
+	BackedOff
 )
 
 // Choice is a chosen replica with what decided.
@@ -67,7 +69,11 @@
 	Continues bool
 	// Unread is how long the replica needs for the prompts that it was sent before.
 	Unread time.Duration
-	Reason string
+	// OpensIn is, of replicas that want nothing for a time, after how long the first one takes
+	// requests again, and Places how many they work on at once.
+	OpensIn time.Duration
+	Places  int
+	Reason  string
 }
 
 // dialWithin is how long connecting to the chosen replica may take.
@@ -86,6 +92,12 @@
 	var bestLook outlook
 	seen := 0
 	for _, c := range f.index.of(want.Service, held) {
+		if c.peer.intake.restricted.Load() {
+			if wait, taken := f.takesFrom(c.peer); !taken {
+				best.opensIn(wait, c.peer)
+				continue
+			}
+		}
 		if wasTried(tried, c.peer) || c.peer.lacking(now, held) {
 			continue
 		}
@@ -93,10 +105,15 @@
 		cost, read := f.cost(c, &want, &look)
 		seen++
 		if best.Peer == nil || cost < bestCost {
-			best = Choice{Peer: c.peer, Verdict: Chosen, Read: read, ReadTime: f.speeds.readTime(want.Model, read)}
+			best.Peer, best.Verdict = c.peer, Chosen
+			best.Read, best.ReadTime = read, f.speeds.readTime(want.Model, read)
 			bestCost, bestLook = cost, look
 		}
 	}
+	if best.Peer == nil && best.OpensIn > 0 {
+		best.Verdict = BackedOff
+		return best
+	}
 	if best.Peer == nil {
 		best.Verdict = f.verdict(want, tried)
 		return best
@@ -108,6 +125,17 @@
 	return best
 }
 
+// opensIn counts a replica that takes no requests, and does after a time if that is not 0.
+func (c *Choice) opensIn(wait time.Duration, peer *Peer) {
+	if wait == 0 {
+		return
+	}
+	if c.OpensIn == 0 || wait < c.OpensIn {
+		c.OpensIn = wait
+	}
+	c.Places += peer.slots()
+}
+
 // verdict says why there is no choice: no replica of the service is left, or none that
 // is holds the copy.
 func (f *Fleet) verdict(want Want, tried []*Peer) Verdict {
--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -124,6 +124,19 @@
 		return
 	}
 	c.until = now.Add(keep)
+	p.keep(c)
+}
+
+// giveBack keeps a connection on which nothing was sent.
+func (p *pool) giveBack(now time.Time, c *conn) {
+	if !c.reused {
+		c.until = now.Add(idleMargin)
+	}
+	p.keep(c)
+}
+
+// keep keeps an idle connection.
+func (p *pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= maxIdle {
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -30,6 +30,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*Peer
+	// kept are the words of replicas that are not listed any more, by their IDs: one that is
+	// listed again is the same start and has taken nothing back.
+	kept map[string]keptIntake
 	// servers are the replicas that may get requests.
 	servers map[string]*server
 	// holdings are what the placing node knows beyond the replicas' words, by replica.
@@ -71,6 +74,7 @@
 		now:      now,
 		bootNow:  bootNow,
 		peers:    map[string]*Peer{},
+		kept:     map[string]keptIntake{},
 		servers:  map[string]*server{},
 		holdings: map[string]copies{},
 		prompts:  newPrompts(),
@@ -122,6 +126,7 @@
 	found := peer == nil
 	if found {
 		peer = newPeer(e.Record, f.dial)
+		f.recall(peer)
 		f.peers[id] = peer
 		f.byKey[loadview.Key(id)] = peer
 	} else {
@@ -181,6 +186,7 @@
 	}
 	if peer := f.peers[id]; peer != nil {
 		peer.pool.close()
+		f.keep(peer)
 		delete(f.peers, id)
 		delete(f.byKey, loadview.Key(id))
 	}
@@ -234,10 +240,12 @@
 	}
 }
 
-// Tidy closes connections that rested too long.
+// Tidy closes connections that were idle for too long and forgets the words of replicas that are
+// gone for long.
 func (f *Fleet) Tidy(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.forget(now)
 	for _, peer := range f.peers {
 		peer.pool.expire(now)
 	}
--- a/src/exchange/heard.go
+++ b/src/exchange/heard.go
@@ -2,15 +2,58 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
 
 	"github.com/moorspool/moorspool/src/event"
 )
 
+// The bounds of what is kept of replicas that are not listed any more.
+const (
+	// keptFor is how long; a listed one that is silent is forgotten after less.
+	keptFor = longestBackoff
+	// maxUnlisted is for how many, several times the backend servers of the largest installation;
+	// beyond it the word of one that is not listed is not kept.
+	maxUnlisted = 4096
+)
+
+// keptIntake is the word of a replica that has not been listed since a time.
+type keptIntake struct {
+	intake *intake
+	since  time.Time
+}
+
+// keep keeps the word of a replica that is no longer listed; the lock is held.
+func (f *Fleet) keep(peer *Peer) {
+	if peer.intake.restricted.Load() && len(f.kept) < maxUnlisted {
+		f.kept[peer.id] = keptIntake{intake: peer.intake, since: f.now()}
+	}
+}
+
+// recall gives a replica that is listed again its own word back; the lock is held.
+func (f *Fleet) recall(peer *Peer) {
+	if kept, found := f.kept[peer.id]; found {
+		peer.intake = kept.intake
+		delete(f.kept, peer.id)
+	}
+}
+
+// forget forgets the words of replicas that have not been listed for long; the lock is held.
+func (f *Fleet) forget(now time.Time) {
+	for id, kept := range f.kept {
+		if now.Sub(kept.since) > keptFor {
+			delete(f.kept, id)
+		}
+	}
+}
+
 // heard takes in what an answer says of whether its replica takes requests from this gateway.
 // Each head that comes from the replica is taken in, also one that no client gets: its word is
 // about the gateway, not about the request.
 func (f *Fleet) heard(peer *Peer, reply *Reply) {
 	if reply.Leaving && peer.intake.leave() {
+		peer.pool.close()
 		f.ring.Add(event.Event{Kind: event.LeavingTold, Host: peer.ID()})
 	}
 	switch {
@@ -25,6 +68,41 @@
 	}
 }
 
+// admit reports whether a replica takes a request that is sent now.
+func (f *Fleet) admit(peer *Peer) bool {
+	return !peer.intake.restricted.Load() || peer.intake.admit(f.bootNow())
+}
+
+// takes reports whether a replica takes requests now, by its own words.
+func (f *Fleet) takes(peer *Peer) bool {
+	_, taken := f.takesFrom(peer)
+	return taken
+}
+
+// takesFrom returns after what time a replica takes requests, 0 for never, if it takes none now.
+func (f *Fleet) takesFrom(peer *Peer) (wait time.Duration, taken bool) {
+	if !peer.intake.restricted.Load() {
+		return 0, true
+	}
+	now := f.bootNow()
+	from, taken := peer.intake.takes(now)
+	if taken || from.IsZero() {
+		return 0, taken
+	}
+	return max(from.Sub(now), 1), false
+}
+
+// closed returns the IDs of a service's replicas that take no requests now.
+func (f *Fleet) closed(service string) []string {
+	var ids []string
+	for _, c := range f.index.of(service, copyKey{}) {
+		if !f.takes(c.peer) {
+			ids = append(ids, c.peer.ID())
+		}
+	}
+	return ids
+}
+
 // BackingOff returns how many replicas want nothing from this gateway now, and how many have
 // told it that they leave.
 func (f *Fleet) BackingOff() (backingOff, leaving int) {
@@ -41,3 +119,39 @@
 	}
 	return backingOff, leaving
 }
+
+// maxNamed bounds the replicas that a refusal's line names.
+const maxNamed = 8
+
+// describeClosed says which of the replicas that could run a request take none, and until when.
+func (f *Fleet) describeClosed(want Want) string {
+	var named []string
+	more := 0
+	for _, c := range f.index.of(want.Service, copyKey{model: want.Model, adapter: want.Adapter}) {
+		wait, taken := f.takesFrom(c.peer)
+		switch {
+		case taken:
+		case len(named) == maxNamed:
+			more++
+		case wait == 0:
+			named = append(named, c.peer.ID()+" leaves")
+		default:
+			named = append(named, c.peer.ID()+" wants nothing for "+wait.Round(time.Millisecond).String())
+		}
+	}
+	text := "no replica that could run it takes requests: " + strings.Join(named, ", ")
+	if more > 0 {
+		text += fmt.Sprintf(" and %d more", more)
+	}
+	return text
+}
+
+// spreadReturn returns after what time a client should come back that was refused until some
+// replica takes requests: up to half as long again, half a second at the least, since those that
+// were refused together must not come back together to a replica that is on trial.
+func spreadReturn(opensIn time.Duration) time.Duration {
+	return opensIn + time.Duration(rand.Float64()*float64(max(opensIn/2, spreadLeast)))
+}
+
+// spreadLeast is some five doublings of a trial.
+const spreadLeast = 500 * time.Millisecond
--- a/src/exchange/intake.go
+++ b/src/exchange/intake.go
@@ -11,12 +11,26 @@
 // would take a replica away for good, and nobody would see why.
 const longestBackoff = time.Hour
 
+const (
+	// trialPause is after how long the number of requests doubles that a replica gets once its
+	// time is over and it has answered none: a refusal comes within one round trip, some 10 ms
+	// between zones, so that a tenth of a second without one means that the request was taken.
+	trialPause = 100 * time.Millisecond
+	// mostDoublings bounds the doubling; a replica that answers nothing for so long is the
+	// business of ejection.
+	mostDoublings = 16
+)
+
 // intake is what one start of a replica said in its answers of whether it takes requests from
 // this gateway: nothing for a time, or nothing new any more. Its times are those of a clock that
 // counts the suspensions of this host. It is safe for concurrent use.
 //
-// It is a state machine of three states on the path of each request (open, closed for a time,
-// leaving), written out here: a library's would allocate for each question.
+// Once the time is over few requests try whether the replica takes them, before many go: all
+// that waited, at all gateways, would else arrive in one moment and be turned away together. The
+// first answer that asks for nothing opens it.
+//
+// It is a state machine of four states on the path of each request (open, closed for a time, on
+// trial, leaving), written out here: a library's would allocate for each question.
 type intake struct {
 	// restricted is false while the replica takes all, so that asking costs one read.
 	restricted atomic.Bool
@@ -25,6 +39,54 @@
 	leaving bool
 	// until is when the time is over for which the replica wants nothing.
 	until time.Time
+	// trials counts the requests sent since then, firstTrial is when the first one was.
+	trials     int
+	firstTrial time.Time
+}
+
+// takes reports whether the replica takes a request now, and if not, from when on it may, the
+// zero time for never.
+func (i *intake) takes(now time.Time) (from time.Time, taken bool) {
+	if !i.restricted.Load() {
+		return time.Time{}, true
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.look(now)
+}
+
+// admit is takes for a request that is sent now.
+func (i *intake) admit(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.restricted.Load() {
+		return true
+	}
+	if _, taken := i.look(now); !taken {
+		return false
+	}
+	if i.trials == 0 {
+		i.firstTrial = now
+	}
+	i.trials++
+	return true
+}
+
+// look says what takes does; the lock is held.
+func (i *intake) look(now time.Time) (from time.Time, taken bool) {
+	switch {
+	case i.leaving:
+		return time.Time{}, false
+	case now.Before(i.until):
+		return i.until, false
+	case i.trials == 0 || !i.restricted.Load():
+		return time.Time{}, true
+	}
+	doublings := min(int(now.Sub(i.firstTrial)/trialPause), mostDoublings)
+	if i.trials < 1<<doublings {
+		return time.Time{}, true
+	}
+	return i.firstTrial.Add(time.Duration(doublings+1) * trialPause), false
 }
 
 // backOff takes in that the replica wants nothing for a time; the later end holds. It reports
@@ -36,6 +98,7 @@
 	if until := now.Add(min(wait, longestBackoff)); until.After(i.until) {
 		i.until = until
 	}
+	i.trials = 0
 	i.restricted.Store(true)
 	return began
 }
--- a/src/exchange/intake_ways_test.go
+++ b/src/exchange/intake_ways_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
 	"github.com/moorspool/moorspool/src/admission"
@@ -207,3 +209,21 @@
 	b.do("GET", "again", "")
 	return closed
 }
+
+// TestARefusalForWantOfReplicasThatTakeRequestsTellsWhen: nothing has run, and the client is told
+// the earliest end.
+func TestARefusalForWantOfReplicasThatTakeRequestsTellsWhen(t *testing.T) {
+	is := is.New(t)
+	x, y := newReplica(t, "x", whole), newReplica(t, "y", whole)
+	b := newBench(t, route(catalog.Unsafe, 1), x, y)
+	b.close(x, backingOff)
+	b.close(y, func(a arrival) bool {
+		a.answer(503, "not now", testNotRun+": 1", testBackoff+": 30000")
+		return true
+	})
+	got := b.do("POST", "one", "x")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(wait > 25 && wait < 40)
+}
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -27,7 +27,10 @@
 	Quarantined tally.Counter
 	// Backoffs counts the answers by which replicas asked this gateway to send nothing for a time.
 	Backoffs tally.Counter
-	Latency  tally.Histogram
+	// BackoffRefusals counts the requests that were refused because all replicas that could run
+	// them had asked for that.
+	BackoffRefusals tally.Counter
+	Latency         tally.Histogram
 	// Pause holds the longest pause between two events of each stream.
 	Pause tally.Histogram
 }
@@ -47,7 +50,8 @@
 		Endings:     registry.Count("replicas_ended_total"),
 		Quarantined: registry.Count("quarantine_refusals_total"),
 
-		Backoffs: registry.Count("backoffs_asked_total"),
+		Backoffs:        registry.Count("backoffs_asked_total"),
+		BackoffRefusals: registry.Count("backoff_refusals_total"),
 
 		Latency: registry.Latency("request_seconds"),
 		Pause:   registry.Latency("stream_pause_seconds"),
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -74,8 +74,18 @@
 	return p.record.ReplicaName()
 }
 
-// leaving reports whether the replica said that it leaves.
+// slots returns how many requests the replica works on at once.
+func (p *Peer) slots() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.record.Slots, 1)
+}
+
+// leaving reports whether the replica said that it leaves, to a control node or in an answer.
 func (p *Peer) leaving() bool {
+	if p.intake.left() {
+		return true
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.record.Leaving()
--- a/src/exchange/place.go
+++ b/src/exchange/place.go
@@ -48,15 +48,22 @@
 	return places > 0 && places < h.Gateways()
 }
 
-// assigned asks for a place; it reports false if nobody answered, and the gateway has to
-// choose by itself.
+// assigned asks for a place; it reports false if nobody answered, or none of the replicas takes
+// requests from this gateway, and the gateway has to choose by itself.
 func (c *call) assigned(ctx context.Context, now time.Time) (Choice, bool) {
 	h := c.handler
+	closed := h.options.Fleet.closed(c.service)
+	if len(closed) > 0 && len(closed) == len(h.options.Fleet.index.of(c.service, copyKey{})) {
+		return Choice{}, false
+	}
 	within := c.began.Add(c.route.Target).Sub(now)
 	request := wire.PlaceRequest{Service: c.service, Account: c.accountName(), Priority: c.priority(), WithinMS: within.Milliseconds()}
 	for _, peer := range c.tried {
 		request.Tried = append(request.Tried, peer.ID())
 	}
+	// What a replica asked of this gateway says nothing to the others, so that the node that
+	// assigns places learns of it with each ask.
+	request.Tried = append(request.Tried, closed...)
 	ctx, cancel := context.WithTimeout(ctx, max(within, 0)+placeSlack)
 	defer cancel()
 	reply, err := h.options.Places.Ask(ctx, request)
@@ -74,6 +81,10 @@
 		c.release(dispatch.Full)
 		return Choice{}, false
 	}
+	if !h.options.Fleet.takes(peer) {
+		c.release(dispatch.Unused)
+		return Choice{}, false
+	}
 	return Choice{Peer: peer, Verdict: Chosen, Reason: "assigned after " + c.place.began.Sub(now).String()}, true
 }
 
@@ -92,9 +103,7 @@
 func (f *Fleet) Places(service string) int {
 	places := 0
 	for _, c := range f.index.of(service, copyKey{}) {
-		c.peer.mu.Lock()
-		places += max(c.peer.record.Slots, 1)
-		c.peer.mu.Unlock()
+		places += c.peer.slots()
 	}
 	return places
 }
@@ -114,6 +123,8 @@
 	switch {
 	case ended == answered:
 		return dispatch.Answered
+	case ended == withheld:
+		return dispatch.Unused
 	case ended == notRun && c.unsent:
 		return dispatch.Unreachable
 	case ended == notRun:
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -17,6 +17,8 @@
 	errNotSent = errors.New("not sent")
 	// errNoAnswer means that the request was sent and may have run.
 	errNoAnswer = errors.New("no answer")
+	// errWithheld means that not a byte left this host since the replica takes no requests now.
+	errWithheld = errors.New("withheld")
 	// errForeign means that only answers to other requests came.
 	errForeign = errors.New("the answer belongs to another request")
 )
@@ -73,13 +75,26 @@
 	return head.Bytes()
 }
 
+// talk is what is asked and learned of a replica while a request is sent to it.
+type talk struct {
+	// admit reports whether the replica takes the request; it is asked once the connection is
+	// up, right before the first byte.
+	admit func() bool
+	// read reads the head of each answer that comes, whichever request it belongs to.
+	read func(status int, header http.Header) Reply
+}
+
 // send sends a request over a connection that is up within a time, and waits for the
 // head of its answer until the deadline. The context ends the exchange at any time by closing the connection.
-func send(ctx context.Context, p *pool, o *outgoing, id string, read func(int, http.Header) Reply, within time.Duration, deadline, now time.Time) (*answer, error) {
+func send(ctx context.Context, p *pool, o *outgoing, id string, with talk, within time.Duration, deadline, now time.Time) (*answer, error) {
 	c, err := p.get(ctx, within, now)
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
+	if !with.admit() {
+		p.giveBack(now, c)
+		return nil, errWithheld
+	}
 	_ = c.raw.SetDeadline(deadline)
 	a := &answer{conn: c, pool: p, written: make(chan struct{})}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.raw.Close() })
@@ -87,7 +102,7 @@
 		a.abort()
 		return nil, err
 	}
-	if err := a.readHead(o.method, id, read); err != nil {
+	if err := a.readHead(o.method, id, with.read); err != nil {
 		a.abort()
 		return nil, err
 	}
