--- a/src/exchange/intake_test.go
+++ b/src/exchange/intake_test.go
@@ -14,8 +14,11 @@
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/testseed"
 )
 
+func init() { testseed.Fix() }
+
 func taken(i *intake, now time.Time) bool {
 	_, taken := i.takes(now)
 	return taken
@@ -241,8 +244,10 @@
 	return w
 }
 
-// restart begins a new start at a place under the same name and address.
+// restart begins a new start at a place under the same name and address; two starts within one
+// millisecond could not be told apart.
 func (w *intakeWorld) restart(i int) {
+	w.now = w.now.Add(time.Millisecond)
 	born := w.now.UnixMilli()
 	incarnation := registry.Incarnation{Name: fmt.Sprint("i", i), Born: born}
 	record := registry.Record{ID: incarnation.ID(), Name: incarnation.Name, Born: born, Service: "s", Address: fmt.Sprint("192.0.2.1:", i+1), Zone: "z", Slots: 4}
