Control nodes leave replicas alone that ask them to, and order nothing of ones that say they leave

Ruled out: one table for both kinds of process: a word binds the caller that it was told, and they share none. Change: the calls return the answer's word beside their result; the ledger keeps it for each start, and neither orders nor asks within the time; one that leaves counts as gone, so that its models are placed elsewhere.

--- a/src/placer/ledger.go
+++ b/src/placer/ledger.go
@@ -53,6 +53,11 @@
 	// which the ledger knows nothing of: it may take all the room there is.
 	busy    bool
 	askedAt time.Time
+	// quietUntil is until when the replica wants no calls from this node, quiet whether that time
+	// runs; leaving is set once it said in an answer that it leaves, which is never taken back.
+	quietUntil time.Time
+	quiet      bool
+	leaving    bool
 	// sending is set while an order or a question is under way.
 	sending bool
 	copies  map[string]*copyState
@@ -67,6 +72,21 @@
 	return &unit{record: record, copies: map[string]*copyState{}}
 }
 
+// hear takes in what an answer says of whether the replica takes calls from this node. Copies on
+// one that leaves count as gone, so that others come in time.
+func (u *unit) hear(now time.Time, word Word) {
+	if until := now.Add(min(word.Backoff, longestQuiet)); word.Backoff > 0 && until.After(u.quietUntil) {
+		u.quietUntil = until
+	}
+	u.quiet = now.Before(u.quietUntil)
+	u.leaving = u.leaving || word.Leaving
+	u.usable = u.usable && !u.leaving
+}
+
+// longestQuiet bounds the time for which a replica is sent no orders by its word: a value that was
+// meant in another unit must not take it away for good.
+const longestQuiet = time.Hour
+
 const (
 	// settleTime is how long what was ordered to go may still be mentioned.
 	settleTime = 3 * time.Second
--- a/src/placer/order.go
+++ b/src/placer/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/moorspool/moorspool/src/registry"
 )
@@ -61,6 +62,15 @@
 	Models   []registry.Held
 	// Pending are the adapters on their way, as model and adapter.
 	Pending []AdapterName
+	Word    Word
+}
+
+// Word is what an answer says of whether its replica takes calls from this node.
+type Word struct {
+	// Backoff is how long it wants no more calls, 0 if it did not ask for that.
+	Backoff time.Duration
+	// Leaving means that it leaves.
+	Leaving bool
 }
 
 // of reports whether the report is of the start that a record is of: the next start under the same
@@ -77,6 +87,8 @@
 
 // Calls are the calls to replicas.
 type Calls struct {
-	Order  func(ctx context.Context, order Order) Result
+	// Order sends an order; it returns what became of it and what the answer says of the replica.
+	Order func(ctx context.Context, order Order) (Result, Word)
+	// Report asks a replica what it holds; the report's Word is told beside an error too.
 	Report func(ctx context.Context, replica, address string) (Report, error)
 }
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -146,7 +146,7 @@
 		}
 	}
 	u.record = e.Record
-	u.usable = e.Usable()
+	u.usable = e.Usable() && !u.leaving
 	if e.Record.Sequence > u.beat {
 		u.beat = e.Record.Sequence
 		u.reconcile(now, e.Record.Models, false)
@@ -274,6 +274,9 @@
 	if !u.usable {
 		return
 	}
+	if u.quiet = now.Before(u.quietUntil); u.quiet {
+		return
+	}
 	if (!u.known || u.doubt || u.busy) && !u.sending && now.Sub(u.askedAt) >= askAgain {
 		p.ask(ctx, now, u)
 	}
@@ -296,7 +299,7 @@
 const loadPatience = 25 * time.Second
 
 func (p *Placer) mayOrder(u *unit) bool {
-	return u.usable && u.known && !u.doubt && !u.sending
+	return u.usable && u.known && !u.doubt && !u.sending && !u.quiet
 }
 
 // ask gets a replica's report; the lock is held.
@@ -311,6 +314,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		u.sending = false
+		u.hear(p.options.Now(), report.Word)
 		if err == nil && report.of(&u.record) {
 			u.takeReport(p.options.Now(), report)
 		}
--- a/src/placer/placer_bench_test.go
+++ b/src/placer/placer_bench_test.go
@@ -28,7 +28,7 @@
 	p := New(Options{
 		Holder: "h",
 		Calls: Calls{
-			Order: func(context.Context, Order) Result { return Taken },
+			Order: func(context.Context, Order) (Result, Word) { return Taken, Word{} },
 			Report: func(_ context.Context, id, _ string) (Report, error) {
 				return Report{Sequence: 1}, nil
 			},
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -265,3 +265,38 @@
 	is.Equal(pauseAfter(12*time.Millisecond), 48*time.Millisecond)
 	is.Equal(pauseAfter(time.Second), longestStepPause)
 }
+
+// TestAReplicaThatWantsNoCallsGetsNone from this node for the time that it names, neither orders
+// nor questions, and gets orders after it.
+func TestAReplicaThatWantsNoCallsGetsNone(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	w := newWorld(e, newFakeReplica("a", e, "m0"))
+	w.word = Word{Backoff: 8 * time.Second}
+	w.run(2 * time.Second)
+	orders, reports := len(w.orders), w.reports
+	is.Equal(orders+reports, 1) // the question whose answer said so
+	w.word = Word{}
+	w.run(5 * time.Second)
+	is.Equal([]int{len(w.orders), w.reports}, []int{orders, reports})
+	w.run(20 * time.Second)
+	is.True(len(w.orders) > orders)
+}
+
+// TestOneThatSaidInAnAnswerThatItLeavesGetsNoOrders, also where its calls go on as before, and the
+// models that it holds are placed elsewhere.
+func TestOneThatSaidInAnAnswerThatItLeavesGetsNoOrders(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	w := newWorld(e, newFakeReplica("a", e, "m0"))
+	w.word = Word{Leaving: true}
+	w.run(2 * time.Second)
+	calls := len(w.orders) + w.reports
+	w.word = Word{}
+	w.run(10 * time.Second)
+	is.Equal(len(w.orders)+w.reports, calls)
+	next := newFakeReplica("b", e)
+	w.replicas = append(w.replicas, next)
+	w.run(30 * time.Second)
+	is.True(next.models["m0"] != nil)
+}
--- a/src/placer/send.go
+++ b/src/placer/send.go
@@ -23,19 +23,20 @@
 	u.begin(now, order)
 	u.sending = true
 	p.options.Go(func() {
-		result := p.transmit(ctx, order)
+		result, word := p.transmit(ctx, order)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		u.sending = false
+		u.hear(p.options.Now(), word)
 		p.settleOrder(u, order, result)
 		p.wake.Raise()
 	})
 }
 
 // transmit sends an order if this node still leads at that moment.
-func (p *Placer) transmit(ctx context.Context, order Order) Result {
+func (p *Placer) transmit(ctx context.Context, order Order) (Result, Word) {
 	if lead := p.options.Leading(); !lead.Self || lead.Token != order.Token {
-		return Refused
+		return Refused, Word{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/src/placer/world_test.go
+++ b/src/placer/world_test.go
@@ -24,6 +24,9 @@
 	holdings *wire.Holdings
 	orders   []Order
 	entries  map[string]registry.Entry
+	// word is what every answer says of its replica; reports counts the questions.
+	word    Word
+	reports int
 	// service names the service of replicas that are not of "s".
 	service map[string]string
 }
@@ -76,11 +79,11 @@
 	return nil
 }
 
-func (w *world) order(_ context.Context, o Order) Result {
+func (w *world) order(_ context.Context, o Order) (Result, Word) {
 	w.orders = append(w.orders, o)
 	f := w.find(o.Replica)
 	if f == nil {
-		return Lost
+		return Lost, w.word
 	}
 	todo := noFault
 	if w.fault != nil {
@@ -88,27 +91,28 @@
 	}
 	switch todo {
 	case orderLost:
-		return Lost
+		return Lost, w.word
 	case answerLost:
 		f.take(w.now, o)
-		return Lost
+		return Lost, w.word
 	case carriedOutLate:
 		f.late = append(f.late, lateOrder{at: w.now.Add(4 * time.Second), order: o})
-		return Lost
+		return Lost, w.word
 	}
-	return f.take(w.now, o)
+	return f.take(w.now, o), w.word
 }
 
 func (w *world) report(_ context.Context, id, _ string) (Report, error) {
+	w.reports++
 	f := w.find(id)
 	if f == nil {
-		return Report{}, context.DeadlineExceeded
+		return Report{Word: w.word}, context.DeadlineExceeded
 	}
 	if len(f.past) == 0 {
-		return Report{Sequence: f.sequence, Busy: !f.doneAt.IsZero(), Models: f.held()}, nil
+		return Report{Sequence: f.sequence, Busy: !f.doneAt.IsZero(), Models: f.held(), Word: w.word}, nil
 	}
 	stood := f.stood(w.now.Add(-fakeReportLag))
-	return Report{Sequence: stood.sequence, Busy: stood.busy, Models: stood.models}, nil
+	return Report{Sequence: stood.sequence, Busy: stood.busy, Models: stood.models, Word: w.word}, nil
 }
 
 // beat lets a replica register what it holds.
