Soak: replicas that turn gateways away and ask for rest, and that say in answers that they leave

Cause: no replica of a soak said in an answer what it takes, so that nothing could show that nobody listens. Ruled out: telling gateways apart by their addresses: they dial from one; clients name the gateway in a header.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -120,6 +120,7 @@
 	// Without a way to read the body again the library sends the request once only.
 	request.GetBody = nil
 	request.Header.Set(idHeader, id)
+	request.Header.Set(viaHeader, m.name)
 	request.Header.Set("X-Deadline-Ms", "3000")
 	newest, _ := c.check.newest()
 	carry(request.Header, draw, newest)
--- a/soak/main.go
+++ b/soak/main.go
@@ -21,7 +21,7 @@
 	Bin      string `long:"bin" description:"folder of the programs" default:"target"`
 	Folder   string `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
 	NoBounds bool   `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
-	Measure  string `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, losses, restarts, foreign"`
+	Measure  string `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, losses, rest, rest-all, leaving, restarts, foreign"`
 	Port     int    `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
 
@@ -82,6 +82,10 @@
 	go replicas.beat(ctx)
 	go replicas.pressForeign(ctx, rand.New(rand.NewPCG(o.Seed, 9)))
 	go replicas.turnOver(ctx, rand.New(rand.NewPCG(o.Seed, 2)))
+	resting, rested := context.WithCancel(ctx)
+	defer rested()
+	go replicas.rest(resting, rand.New(rand.NewPCG(o.Seed, 10)))
+	go replicas.sayLeaving(ctx, rand.New(rand.NewPCG(o.Seed, 11)))
 	go operators.run(ctx, rand.New(rand.NewPCG(o.Seed, 3)))
 	clients := newClients(in, check)
 	if err := clients.warm(); err != nil {
@@ -90,6 +94,7 @@
 	go clients.run(ctx, rand.New(rand.NewPCG(o.Seed, 4)))
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
 	in.heal()
+	rested()
 	operators.stop()
 	in.blackout(operators, clients, rand.New(rand.NewPCG(o.Seed, 7)))
 	time.Sleep(settleTime)
@@ -98,6 +103,6 @@
 	clients.recovered()
 	in.repaired(check)
 	check.finish(in)
-	fmt.Printf("seed %d: %s\n", o.Seed, check.summary())
+	fmt.Printf("seed %d: %s; %s\n", o.Seed, check.summary(), &replicas.words)
 	return check.findings(), nil
 }
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -40,6 +40,9 @@
 	"none":     func(context.Context, *replicas, *clients) {},
 	"deadly":   pressDeadlyAlone,
 	"losses":   func(ctx context.Context, r *replicas, _ *clients) { r.loseHalves(ctx) },
+	"rest":     restShare(0.5),
+	"rest-all": restShare(1),
+	"leaving":  leaveHalf,
 	"restarts": func(ctx context.Context, r *replicas, _ *clients) { r.restartAll(ctx) },
 	"foreign": func(ctx context.Context, r *replicas, _ *clients) {
 		r.pressForeign(ctx, rand.New(rand.NewPCG(1, 9)))
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -40,6 +40,8 @@
 	list []*replica
 	next int
 	ends deadlyEnds
+	// words sums up what replicas said in answers of whether they take requests.
+	words wordCounts
 }
 
 // replica is one incarnation.
@@ -53,6 +55,8 @@
 	sequence int
 	draining bool
 	turn     int
+	// words is what it says in its answers of whether it takes requests.
+	words words
 }
 
 func newReplicas(in *installation, check *checker, count int) (*replicas, error) {
@@ -109,6 +113,14 @@
 		r.check.late("drain", "%s got request %s %s after its leaving was acknowledged", one.id, id, time.Since(at))
 	}
 	r.check.account(id, request.Header)
+	rest, away, leaves := r.arrived(one, request)
+	if leaves {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if away {
+		turnAway(w, rest)
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
