--- a/soak/installation.go
+++ b/soak/installation.go
@@ -42,7 +42,9 @@
 	folder  string
 	file    string
 	proxies []*proxy
-	log     *os.File
+	// bin is the folder of the member's programs, "" for that of the run.
+	bin string
+	log *os.File
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -161,7 +163,7 @@
 func (in *installation) start(m *member) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	command := exec.Command(filepath.Join(in.options.Bin, m.program), "-c", m.file)
+	command := exec.Command(in.program(m), "-c", m.file)
 	command.Stdout = m.log
 	command.Stderr = m.log
 	if err := command.Start(); err != nil {
