--- a/src/feed/leave.go
+++ b/src/feed/leave.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	go func() { answers <- p.save() }()
 	for _, address := range peers {
-		go func() { answers <- p.cluster.Note(ctx, address, record.Told()) }()
+		go func() { answers <- p.cluster.Note(ctx, address, record) }()
 	}
 	told := 0
 	for range len(peers) + 1 {
--- a/src/registry/directory.go
+++ b/src/registry/directory.go
@@ -83,7 +83,6 @@
 }
 
 func (d *Directory) take(now time.Time, source string, s Standing) {
-	s.Record.Resolve()
 	known := d.entries[s.Record.ID]
 	if known == nil {
 		known = d.add(now, s)
@@ -318,7 +317,7 @@
 	standings := make([]Standing, 0, len(changed))
 	for _, e := range changed {
 		silent := e.silent()
-		standings = append(standings, Standing{Record: e.record.forRequests().Told(), Silent: silent, Recalled: e.doubtful && !silent, Replaced: e.replaced, Owner: e.contested && !e.replaced})
+		standings = append(standings, Standing{Record: e.record.forRequests(), Silent: silent, Recalled: e.doubtful && !silent, Replaced: e.replaced, Owner: e.contested && !e.replaced})
 	}
 	return standings
 }
--- a/src/registry/record.go
+++ b/src/registry/record.go
@@ -7,13 +7,10 @@
 
 // Record is what a replica last said of itself; Sequence grows with each of its calls.
 type Record struct {
-	// ID is the incarnation's; it follows from the name and the start, and is not written.
-	ID string `json:"-"`
+	// ID is the incarnation's.
+	ID string `json:"id"`
 	// Name is what the replica calls itself, "" where that is the ID.
-	Name string `json:"id"`
-	// EarlierName is the name in what a build wrote that had the ID in the place of the name; it
-	// is empty once a record was read.
-	EarlierName string `json:"name,omitempty"`
+	Name string `json:"name,omitempty"`
 	// Born is the Unix millisecond of the replica's start; 0 if it does not say.
 	Born     int64  `json:"born,omitempty"`
 	Service  string `json:"service"`
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -110,7 +110,6 @@
 }
 
 func (t *Table) take(now time.Time, record Record, direct bool) bool {
-	record.Resolve()
 	known := t.rows[record.ID]
 	if known == nil && record.Gone {
 		if left, found := t.Leaver(record.ReplicaName()); found {
@@ -246,9 +245,7 @@
 	var changed []Standing
 	for _, known := range t.sorted() {
 		if known.stamp > stamp {
-			standing := known.standing
-			standing.Record = standing.Record.Told()
-			changed = append(changed, standing)
+			changed = append(changed, known.standing)
 		}
 	}
 	return changed
--- a/src/store/replicas.go
+++ b/src/store/replicas.go
@@ -18,19 +18,7 @@
 }
 
 // Save writes the records and returns once they would survive a loss of power.
-func (r *ReplicaFile) Save(records []registry.Record) error {
-	told := make([]registry.Record, len(records))
-	for i := range records {
-		told[i] = records[i].Told()
-	}
-	return r.list.save(told)
-}
+func (r *ReplicaFile) Save(records []registry.Record) error { return r.list.save(records) }
 
 // Load returns the records that were saved last, none if there are none yet.
-func (r *ReplicaFile) Load() ([]registry.Record, error) {
-	records, err := r.list.load()
-	for i := range records {
-		records[i].Resolve()
-	}
-	return records, err
-}
+func (r *ReplicaFile) Load() ([]registry.Record, error) { return r.list.load() }
