A refusal without a time is no sign that a backend server takes requests again

Cause: the first answer after the time that asked for nothing opened it, also a 503 without Retry-After, and all that waited went there. Ruled out: counting it as a further time: it names none. Change: only an answer to a request that was taken opens; trials go on doubling. A test that fails without it.

--- a/src/exchange/facts.go
+++ b/src/exchange/facts.go
@@ -87,6 +87,9 @@
 	Replace []string
 }
 
+// refused reports whether the replica turned the request away, and not because of what it holds.
+func (r *Reply) refused() bool { return r.NotRun && !r.Elsewhere }
+
 // asked returns what the replica asked for with its refusal, for a log line.
 func (r *Reply) asked() string {
 	text := ""
--- a/src/exchange/heard.go
+++ b/src/exchange/heard.go
@@ -62,6 +62,8 @@
 		}
 	case reply.BackoffFault != "":
 		f.ring.Add(event.Event{Kind: event.BackoffAsked, Host: peer.ID(), Reason: "for a time that can't be read, so for none: " + reply.BackoffFault})
+	case reply.refused():
+		// A refusal without a time is no sign that the replica takes requests again.
 	case peer.intake.restricted.Load() && peer.intake.answered(f.bootNow()):
 		f.ring.Add(event.Event{Kind: event.BackoffOver, Host: peer.ID()})
 	}
--- a/src/exchange/intake.go
+++ b/src/exchange/intake.go
@@ -27,7 +27,7 @@
 //
 // Once the time is over few requests try whether the replica takes them, before many go: all
 // that waited, at all gateways, would else arrive in one moment and be turned away together. The
-// first answer that asks for nothing opens it.
+// first answer to a request that it took opens it.
 //
 // It is a state machine of four states on the path of each request (open, closed for a time, on
 // trial, leaving), written out here: a library's would allocate for each question.
@@ -103,7 +103,7 @@
 	return began
 }
 
-// answered takes in an answer that asks for nothing. It reports whether the replica takes
+// answered takes in an answer to a request that the replica took. It reports whether the replica takes
 // requests again with it.
 func (i *intake) answered(now time.Time) bool {
 	if !i.restricted.Load() {
--- a/src/exchange/intake_test.go
+++ b/src/exchange/intake_test.go
@@ -87,6 +87,23 @@
 	is.True(!taken(&i, noon.Add(200*time.Millisecond)))
 }
 
+// TestARefusalWithoutATimeOpensNothing: the next trials still come one after the other.
+func TestARefusalWithoutATimeOpensNothing(t *testing.T) {
+	is := is.New(t)
+	now := noon
+	f := NewFleet("z", Dial, nil, func() time.Time { return now }, func() time.Time { return now })
+	f.SetReplicas(registry.Changes{Entries: []registry.Entry{benchEntry(0, 1)}})
+	peer := f.Peer("i-0")
+	f.heard(peer, &Reply{Backoff: time.Second, NotRun: true})
+	now = now.Add(time.Second)
+	is.True(f.admit(peer))
+	f.heard(peer, &Reply{NotRun: true})
+	is.True(!f.admit(peer))
+	f.heard(peer, &Reply{NotRun: true, Elsewhere: true}) // it took the request up and lacks the model
+	is.True(f.admit(peer))
+	is.True(f.admit(peer))
+}
+
 // TestLeavingIsNeverTakenBack by a good answer, by time or by a further word.
 func TestLeavingIsNeverTakenBack(t *testing.T) {
 	is := is.New(t)
@@ -168,6 +185,7 @@
 	backingOff, leaving := f.BackingOff()
 	is.Equal([]int{backingOff, leaving}, []int{1, 0})
 	now = now.Add(time.Second)
+	f.heard(peer, &Reply{NotRun: true})
 	f.heard(peer, &Reply{})
 	f.heard(peer, &Reply{})
 	f.heard(peer, &Reply{BackoffFault: "neither seconds nor a date: \"x\""})
