A word on a connection that still stands is that of the later start

Change: where the connection of the word still stands once the later start is told, it is that start's: connections of a start end with it. A test that fails without it.

--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -140,17 +140,19 @@
 	p.breaks++
 }
 
-// lookForBreaks counts a break if an idle connection was broken, and returns how many there were.
-func (p *pool) lookForBreaks() int {
+// lookForBreaks counts a break if an idle connection was broken; it returns how many breaks there
+// were, and whether an idle connection still stands.
+func (p *pool) lookForBreaks() (breaks int, stands bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle {
 		if !quiet(c) {
 			p.breaks++
-			break
+			return p.breaks, false
 		}
+		stands = true
 	}
-	return p.breaks
+	return p.breaks, stands
 }
 
 // giveBack keeps a connection on which nothing was sent.
--- a/src/exchange/heard.go
+++ b/src/exchange/heard.go
@@ -42,15 +42,16 @@
 // succeed gives a start that is new here the time that was asked for in its predecessor's place: it
 // answers at the same address and to the same name, so that its first words are taken for those of
 // the one that ended, until a control node tells of it. A word is the later start's if connections
-// broke before it and none since: those of a start end with it. That a start leaves is never passed
+// broke before it and none since, or one stands that is as old as the word: those of a start end
+// with it. That a start leaves is never passed
 // on, since it would take the later one out for good. The lock is held.
 func (f *Fleet) succeed(peer *Peer) {
 	for _, earlier := range f.peers {
 		if earlier.pool.address != peer.pool.address || earlier.name() != peer.name() || !earlier.intake.restricted.Load() {
 			continue
 		}
-		said := earlier.saidAfter.Load()
-		if said > 0 && said == int64(earlier.pool.lookForBreaks()) {
+		breaks, stands := earlier.pool.lookForBreaks()
+		if said := earlier.saidAfter.Load(); said == int64(breaks) && (said > 0 || stands) {
 			peer.intake.takeOver(earlier.intake)
 		}
 	}
@@ -75,7 +76,8 @@
 	}
 	switch {
 	case reply.Backoff > 0:
-		peer.saidAfter.Store(int64(peer.pool.lookForBreaks()))
+		breaks, _ := peer.pool.lookForBreaks()
+		peer.saidAfter.Store(int64(breaks))
 		if peer.intake.backOff(f.bootNow(), reply.Backoff, rand.Float64()) {
 			f.ring.Add(event.Event{Kind: event.BackoffAsked, Host: peer.ID(), Reason: fmt.Sprintf("for %s", min(reply.Backoff, longestBackoff))})
 		}
--- a/src/exchange/intake_ways_test.go
+++ b/src/exchange/intake_ways_test.go
@@ -264,6 +264,18 @@
 	is.Equal(x.count(), 1)
 }
 
+// TestAWordOnAConnectionThatStandsIsTheLaterStarts: this gateway saw no end of the earlier start, with
+// which it had no connection; the one on which the word came would have broken with its end.
+func TestAWordOnAConnectionThatStandsIsTheLaterStarts(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Safe, 1), x)
+	b.close(x, backingOff)
+	b.startAgain(x)
+	is.Equal(b.do("POST", "after", "x").status, http.StatusServiceUnavailable)
+	is.Equal(x.count(), 1)
+}
+
 // TestAWordSaidBeforeTheEndBindsNoLaterStart: the connections of the start that said it broke.
 func TestAWordSaidBeforeTheEndBindsNoLaterStart(t *testing.T) {
 	is := is.New(t)
