An operator drains an availability zone, or ends that: agreed on, told to all, asked on every way to a replica

Ruled out: a field of the configuration (its versions are the operator's); telling an order by its text alone: it names nothing that tells a copy from a new one. Refusing what may be a copy for good (409): the next true order of the same kind within the resend time would be lost; it is put off until no copy can be sent any more. The leader gives a ticket (term, the zone's revision, its own clock) and takes an order on it for 2 s, so that an order that is held up on its way changes nothing; one that would change the zone, while an equal one was carried out less than the resend time ago, gets 503 with the time to wait. An order whose caller has hung up is dropped. The newest state that any node has applied goes to gateways with the feed, before replicas, and is never taken back. Asked where a replica's own words are asked for, last right before the first byte; the leader's dispatch and placement leave the zone out, so that its models come elsewhere within the store's rate. `moorspool zone`. The nine ways to a replica pass with a drained zone as with a replica's own word.

--- a/src/cli/main.go
+++ b/src/cli/main.go
@@ -66,6 +66,7 @@
 	add("watch", "follow the events of all processes", "Streams events of all processes as they happen; a WORD keeps those about one request, model, host, availability zone or kind of event.", &watchCommand{})
 	add("explain", "tell what happened to a request, model or host", "Strings together the kept events of all processes about a request, model or host.", &explainCommand{})
 	add("drain", "move everything off a backend server", "Tells the planner of the host's availability zone to move all models off it; --undo takes that back.", &drainCommand{})
+	add("zone", "show, drain or refill availability zones", "Shows the availability zones whose backend servers get nothing new. --drain empties one, --end lets it take requests again; either may be sent again until it is accepted.", &zoneCommand{})
 	add("quarantine", "show or lift what is not sent to backend servers any more", "Shows the contents of requests under which backend servers ended, by the beginning of their digest as logs show it. With three ends a content is refused everywhere; --lift lets it through again.", &quarantineCommand{})
 	add("plan", "show what planners would do for changed files", "Asks every planner what it would load and drop if the files were applied, without doing it.", &planCommand{})
 	add("check", "check configuration files", "Checks the files of a folder as a whole, without asking anybody.", &checkCommand{})
--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -45,6 +45,9 @@
 	Voters int
 	// Seeds are addresses at which other control nodes may be found.
 	Seeds []string
+	// ResendZoneOrders is for how long an operator sends an order about a zone again that got
+	// no answer.
+	ResendZoneOrders time.Duration
 }
 
 // Cluster is a control node whose peers are named by their addresses, found
@@ -84,6 +87,8 @@
 	mux.Handle(wire.MethodPutDocument, rpc.Typed(c.putDocument))
 	mux.Handle(wire.MethodReadDocument, rpc.Typed(c.readDocument))
 	mux.Handle(wire.MethodMembers, rpc.Typed(c.changeMembers))
+	mux.Handle(wire.MethodZoneTicket, rpc.Typed(c.giveTicket))
+	mux.Handle(wire.MethodZoneOrder, rpc.Typed(c.takeZoneOrder))
 }
 
 // Address returns the node's own address.
--- a/src/control/command.go
+++ b/src/control/command.go
@@ -22,6 +22,8 @@
 	Document *documentCommand `cbor:"6,keyasint,omitempty"`
 	// Extension records how much a client account may use at once beyond its rate.
 	Extension *extensionCommand `cbor:"7,keyasint,omitempty"`
+	// Zone drains an availability zone or ends that.
+	Zone *zoneCommand `cbor:"8,keyasint,omitempty"`
 }
 
 // changeCommand is a change that the leader has checked against the
@@ -83,6 +85,8 @@
 	// renewed names the zone whose lease the entry granted or renewed.
 	renewed string
 	reason  string
+	// ordered is the zone order that the entry carried, nil for any other entry.
+	ordered *zoneCommand
 	// version is the document's version in force after the entry.
 	version uint64
 }
--- a/src/control/node.go
+++ b/src/control/node.go
@@ -41,8 +41,10 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	seen    uint64
-	// seenVersion is the document's version when subscribers were last woken.
+	// seenVersion and seenDrains are the revisions of the document and of the drained zones when
+	// subscribers were last woken.
 	seenVersion uint64
+	seenDrains  uint64
 }
 
 // arrival is something for the loop with when it came.
@@ -161,11 +163,13 @@
 func (n *Node) announce() {
 	index := n.replica.state.Set().Revision().Index
 	version := n.replica.state.document.Version
-	if index == n.seen && version == n.seenVersion {
+	drains := n.replica.state.drains.Revision
+	if index == n.seen && version == n.seenVersion && drains == n.seenDrains {
 		return
 	}
 	n.seen = index
 	n.seenVersion = version
+	n.seenDrains = drains
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	close(n.changed)
--- a/src/control/replica.go
+++ b/src/control/replica.go
@@ -47,6 +47,9 @@
 	publish func()
 	// renewedAt is when this control node saw a zone's lease renewed, by its own clock.
 	renewedAt map[string]time.Time
+	// orderedAt is when this control node applied the last order of each kind about a zone, by
+	// its own clock.
+	orderedAt map[zoneCommand]time.Time
 }
 
 type waiter struct {
@@ -74,6 +77,7 @@
 		every:     snapshotEvery,
 		hardState: start.HardState,
 		renewedAt: map[string]time.Time{},
+		orderedAt: map[zoneCommand]time.Time{},
 	}
 	r.stampAll(now)
 	return r, nil
@@ -85,9 +89,12 @@
 // State returns the state machine.
 func (r *Replica) State() *State { return r.state }
 
-// stampAll counts every lease as renewed just now: how long ago it really was
-// is not known after a restart or a snapshot, and waiting longer is safe.
+// stampAll counts every lease as renewed and every zone order as given just now: how long ago
+// it really was is not known after a restart or a snapshot, and waiting longer is safe.
 func (r *Replica) stampAll(now time.Time) {
+	for _, order := range r.state.zones.given() {
+		r.orderedAt[order] = now
+	}
 	for zone := range r.state.renewed {
 		r.renewedAt[zone] = now
 	}
@@ -176,6 +183,9 @@
 		if applied.renewed != "" {
 			r.renewedAt[applied.renewed] = now
 		}
+		if applied.ordered != nil {
+			r.orderedAt[applied.ordered.kind()] = now
+		}
 		if entry.Kind == raft.EntryMembers {
 			r.ring.Add(event.Event{Kind: event.VoterChanged, Reason: membersText(*entry.Members)})
 		}
--- a/src/control/state.go
+++ b/src/control/state.go
@@ -42,6 +42,8 @@
 	Document  document          `cbor:"8,keyasint"`
 	// Extensions are left out by versions that have no client accounts.
 	Extensions map[string]float64 `cbor:"9,keyasint,omitempty"`
+	// Zones are left out by versions that can't drain zones.
+	Zones zoneStates `cbor:"10,keyasint,omitempty"`
 }
 
 // State is the replicated state machine: the same entries in the same order
@@ -60,6 +62,9 @@
 	// extensions are what client accounts may use at once beyond their rates, in units.
 	// The map is replaced and never changed, so that others may read it.
 	extensions map[string]float64
+	// zones are the zones that were ever ordered about; drains is what others read of them.
+	zones  zoneStates
+	drains *wire.ZoneDrains
 }
 
 // NewState returns the state before the first entry.
@@ -69,6 +74,8 @@
 		byID:    map[string]config.Revision{},
 		renewed: map[string]uint64{},
 		claims:  newClaims(),
+		zones:   zoneStates{},
+		drains:  &wire.ZoneDrains{},
 	}
 }
 
@@ -105,6 +112,8 @@
 		return s.document.apply(cmd.Document)
 	case cmd.Extension != nil:
 		return s.applyExtension(cmd.Extension)
+	case cmd.Zone != nil:
+		return s.applyZone(cmd.Zone)
 	}
 	return result{outcome: wire.Refused, reason: "the command is of a later version"}
 }
@@ -243,6 +252,7 @@
 		Document:  s.document,
 
 		Extensions: s.extensions,
+		Zones:      s.zones,
 	}
 	data, err := saveMode.Marshal(saved)
 	return data, errors.Wrap(err, "encoding the state")
@@ -288,5 +298,9 @@
 	s.claims.restore()
 	s.document = saved.Document
 	s.extensions = saved.Extensions
+	if saved.Zones != nil {
+		s.zones = saved.Zones
+	}
+	s.drains = s.zones.drains()
 	return s, nil
 }
--- a/src/control/view.go
+++ b/src/control/view.go
@@ -18,6 +18,7 @@
 	term       uint64
 	ledSince   time.Time
 	extensions map[string]float64
+	drains     *wire.ZoneDrains
 	// sureUntil is until when the node is sure that what it has applied is the newest: it
 	// leads, and its lease lasts. It is the zero time if it is not.
 	sureUntil time.Time
@@ -34,6 +35,7 @@
 		term:       r.core.Term(),
 		ledSince:   r.core.LedSince(),
 		extensions: r.state.extensions,
+		drains:     r.state.drains,
 		sureUntil:  r.core.ReadSafeUntil(),
 
 		confirmedAt: r.core.Confirmed(),
--- a/src/dispatch/desk.go
+++ b/src/dispatch/desk.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/wire"
 )
 
 // Desk has a dispatcher for each service that is asked for; it is safe for concurrent use.
@@ -13,8 +14,11 @@
 	now func() time.Time
 
 	mu sync.Mutex
-	// replicas are the usable replicas' places, by service.
+	// listed are the replicas that are there, replicas the places of those among them whose zone
+	// is not drained, by service.
+	listed   map[string]registry.Record
 	replicas map[string]map[string]int
+	drains   *wire.ZoneDrains
 	// serviceOf are the services of these replicas.
 	serviceOf   map[string]string
 	dispatchers map[string]*Dispatcher
@@ -22,7 +26,7 @@
 
 // NewDesk returns a desk that knows no replica.
 func NewDesk(now func() time.Time) *Desk {
-	return &Desk{now: now, replicas: map[string]map[string]int{}, serviceOf: map[string]string{}, dispatchers: map[string]*Dispatcher{}}
+	return &Desk{now: now, listed: map[string]registry.Record{}, replicas: map[string]map[string]int{}, serviceOf: map[string]string{}, dispatchers: map[string]*Dispatcher{}}
 }
 
 // SetReplicas takes in what changed of the replicas.
@@ -33,12 +37,35 @@
 	for i := range changes.Entries {
 		entry := &changes.Entries[i]
 		if entry.Usable() {
-			d.set(now, &entry.Record)
+			d.listed[entry.Record.ID] = entry.Record
 		} else {
-			d.remove(entry.Record.ID)
+			delete(d.listed, entry.Record.ID)
 		}
+		d.settle(now, entry.Record.ID)
 	}
 	for _, id := range changes.Removed {
+		delete(d.listed, id)
+		d.settle(now, id)
+	}
+}
+
+// SetDrains takes in the zones whose replicas get nothing new.
+func (d *Desk) SetDrains(drains *wire.ZoneDrains) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drains = drains
+	now := d.now()
+	for id := range d.listed {
+		d.settle(now, id)
+	}
+}
+
+// settle lets a replica have requests or not, as it is listed now; the lock is held.
+func (d *Desk) settle(now time.Time, id string) {
+	record, listed := d.listed[id]
+	if listed && !d.drains.Drained(record.Zone) {
+		d.set(now, &record)
+	} else {
 		d.remove(id)
 	}
 }
--- a/src/dispatch/dispatcher_test.go
+++ b/src/dispatch/dispatcher_test.go
@@ -11,7 +11,9 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/testseed"
+	"github.com/moorspool/moorspool/src/wire"
 )
 
 func init() { testseed.Fix() }
@@ -256,3 +258,29 @@
 	slices.Sort(s.took)
 	return s.took[int(part*float64(len(s.took)-1))]
 }
+
+// TestNoPlaceIsAssignedInADrainedZone, whether replicas are told of before the drain or after it.
+func TestNoPlaceIsAssignedInADrainedZone(t *testing.T) {
+	is := is.New(t)
+	desk := NewDesk(time.Now)
+	list := func(id, zone string) registry.Changes {
+		return registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: id, Service: "s", Zone: zone, Slots: 4}}}}
+	}
+	place := func() string {
+		got, err := desk.Ask(t.Context(), "s", Ask{Within: time.Second})
+		is.NoErr(err)
+		desk.Release("s", got.Ticket, Answered, time.Millisecond)
+		return got.Replica
+	}
+	desk.SetReplicas(list("a", "x"))
+	is.Equal(place(), "a")
+	desk.SetDrains(&wire.ZoneDrains{Revision: 1, Zones: []string{"x"}})
+	is.Equal(place(), "")
+	desk.SetReplicas(list("b", "x"))
+	is.Equal(place(), "")
+	desk.SetReplicas(list("c", "y"))
+	is.Equal(place(), "c")
+	desk.SetDrains(&wire.ZoneDrains{Revision: 2})
+	desk.SetReplicas(registry.Changes{Removed: []string{"b", "c"}})
+	is.Equal(place(), "a")
+}
--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -21,6 +21,9 @@
 	ConfigUncertain  Kind = 204
 	ConfigUnusable   Kind = 205
 	ConfigBorrowed   Kind = 206
+	ZoneOrdered      Kind = 210
+	ZoneOrderRefused Kind = 211
+	ZonesDrained     Kind = 212
 	LeaderElected    Kind = 300
 	LeaderLost       Kind = 301
 	VoterChanged     Kind = 302
@@ -106,6 +109,9 @@
 	{ConfigUncertain, "config-uncertain", "Whether a change of configuration was accepted is not known; the operator sends it again."},
 	{ConfigUnusable, "config-unusable", "A gateway was given a newer configuration that it can't read; the one before stays in force and the newer one is fetched again."},
 	{ConfigBorrowed, "config-borrowed", "A control node passes on a configuration that another one has applied and it lacks itself."},
+	{ZoneOrdered, "zone-ordered", "An operator's order to drain an availability zone, or to end that, was acknowledged: a majority of the control nodes keeps it."},
+	{ZoneOrderRefused, "zone-order-refused", "An order about an availability zone was not acknowledged; the reason is given, and whether it may be carried out all the same."},
+	{ZonesDrained, "zones-drained", "A process acts on newer orders about availability zones from now on; the drained ones are named."},
 	{LeaderElected, "leader-elected", "A control node became leader of a term."},
 	{LeaderLost, "leader-lost", "A control node stopped being leader, or lost sight of one."},
 	{VoterChanged, "voter-changed", "The set of voting control nodes or learners changed."},
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -92,11 +92,9 @@
 	var bestLook outlook
 	seen := 0
 	for _, c := range f.index.of(want.Service, held) {
-		if c.peer.intake.restricted.Load() {
-			if wait, taken := f.takesFrom(c.peer); !taken {
-				best.opensIn(wait, c.peer)
-				continue
-			}
+		if wait, taken := f.takesFrom(c.peer); !taken {
+			best.opensIn(wait, c.peer)
+			continue
 		}
 		if wasTried(tried, c.peer) || c.peer.lacking(now, held) {
 			continue
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -89,6 +89,7 @@
 // fakeReplica is a replica that does what a test says.
 type fakeReplica struct {
 	id       string
+	zone     string
 	listener net.Listener
 	mu       sync.Mutex
 	arrivals []arrival
@@ -104,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fakeReplica{id: id, listener: listener, act: act, gone: make(chan struct{}, 16)}
+	f := &fakeReplica{id: id, zone: "z", listener: listener, act: act, gone: make(chan struct{}, 16)}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -241,7 +242,7 @@
 func (b *bench) register(replicas ...*fakeReplica) {
 	var entries []registry.Entry
 	for _, f := range replicas {
-		entries = append(entries, registry.Entry{Record: registry.Record{ID: f.id, Service: "s", Address: f.listener.Addr().String(), Zone: "z", Slots: 4, Models: []registry.Held{{Name: "m"}}}})
+		entries = append(entries, registry.Entry{Record: registry.Record{ID: f.id, Service: "s", Address: f.listener.Addr().String(), Zone: f.zone, Slots: 4, Models: []registry.Held{{Name: "m"}}}})
 	}
 	b.fleet.SetReplicas(registry.Changes{Entries: entries})
 }
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -47,6 +47,8 @@
 	ended func(now time.Time, replica string, witness string)
 	// sent delivers when this gateway has sent a request that the others should know of.
 	sent wakeup.Flag
+	// drains are the zones whose replicas get nothing new; nil if there is none.
+	drains atomic.Pointer[wire.ZoneDrains]
 	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
 	begunAt atomic.Int64
 }
--- a/src/exchange/heard.go
+++ b/src/exchange/heard.go
@@ -92,10 +92,13 @@
 
 // admit reports whether a replica takes a request that is sent now.
 func (f *Fleet) admit(peer *Peer) bool {
+	if f.drained(peer) {
+		return false
+	}
 	return !peer.intake.restricted.Load() || peer.intake.admit(f.bootNow())
 }
 
-// takes reports whether a replica takes requests now, by its own words.
+// takes reports whether a replica takes requests now, by its own words and the operators'.
 func (f *Fleet) takes(peer *Peer) bool {
 	_, taken := f.takesFrom(peer)
 	return taken
@@ -103,6 +106,9 @@
 
 // takesFrom returns after what time a replica takes requests, 0 for never, if it takes none now.
 func (f *Fleet) takesFrom(peer *Peer) (wait time.Duration, taken bool) {
+	if f.drained(peer) {
+		return 0, false
+	}
 	if !peer.intake.restricted.Load() {
 		return 0, true
 	}
@@ -155,6 +161,8 @@
 		case taken:
 		case len(named) == maxNamed:
 			more++
+		case f.drained(c.peer):
+			named = append(named, c.peer.ID()+" is in a drained zone")
 		case wait == 0:
 			named = append(named, c.peer.ID()+" leaves")
 		default:
--- a/src/exchange/intake_ways_test.go
+++ b/src/exchange/intake_ways_test.go
@@ -26,30 +26,49 @@
 	return true
 }
 
-// closings are the answers by which a replica says that it takes no further requests.
-var closings = map[string]behaviour{
-	"wants nothing for a time": backingOff,
-	"leaves":                   func(a arrival) bool { a.answer(200, "last", testLeaving+": 1"); return true },
+// closing is how it comes that a replica takes no further requests.
+type closing struct {
+	// say answers one request.
+	say behaviour
+	// order is called with that answer; nil for a replica that closes by its own word.
+	order func(b *bench, f *fakeReplica)
 }
 
-// close lets a replica say that it takes nothing, in the answer to a request of its own.
-func (b *bench) close(f *fakeReplica, say behaviour) {
+// closings are all of them.
+var closings = map[string]closing{
+	"wants nothing for a time": {say: backingOff},
+	"leaves":                   {say: func(a arrival) bool { a.answer(200, "last", testLeaving+": 1"); return true }},
+	"is in a drained zone":     {say: whole, order: drainZone},
+}
+
+// drainZone drains the zone of one replica.
+func drainZone(b *bench, f *fakeReplica) {
+	f.zone = "drained"
+	b.register(f)
+	b.fleet.SetDrains(&wire.ZoneDrains{Revision: 1, Zones: []string{f.zone}})
+}
+
+// close lets a replica take nothing from the answer to a request of its own on.
+func (b *bench) close(f *fakeReplica, how closing) {
 	b.t.Helper()
-	f.setAct(say)
+	f.setAct(how.say)
 	b.do("POST", "closing", "x", testOnly+": "+f.id)
 	if f.count() != 1 {
 		b.t.Fatalf("%s got %d requests", f.id, f.count())
 	}
+	if how.order != nil {
+		how.order(b, f)
+	}
 	f.setAct(whole)
 }
 
 // TestEveryWayToAReplicaAsksWhetherItTakesRequests: no request reaches a replica that wants
 // nothing, or that leaves, on any way.
 func TestEveryWayToAReplicaAsksWhetherItTakesRequests(t *testing.T) {
-	for closing, say := range closings {
+	for name, how := range closings {
 		for _, way := range []struct {
 			name string
-			play func(t *testing.T, say behaviour) (closed *fakeReplica)
+			play func(t *testing.T, how closing) (closed *fakeReplica)
 		}{
 			{"a first try", firstTries},
 			{"a further try within a call", furtherTry},
@@ -61,8 +80,8 @@
 			{"the list of replicas was told anew", toldAnew},
 			{"the configuration has changed", reconfigured},
 		} {
-			t.Run(way.name+", "+closing, func(t *testing.T) {
-				if closed := way.play(t, say); closed.count() != 1 {
+			t.Run(way.name+", "+name, func(t *testing.T) {
+				if closed := way.play(t, how); closed.count() != 1 {
 					t.Errorf("%d requests reached it after its word", closed.count()-1)
 				}
 			})
@@ -70,10 +89,10 @@
 	}
 }
 
-func firstTries(t *testing.T, say behaviour) *fakeReplica {
+func firstTries(t *testing.T, how closing) *fakeReplica {
 	closed := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Safe, 2), closed)
-	b.close(closed, say)
+	b.close(closed, how)
 	for i := range 5 {
 		b.do("POST", fmt.Sprint("first-", i), "x")
 		b.do("POST", fmt.Sprint("model-", i), "x", testModel+": m")
@@ -81,11 +100,11 @@
 	return closed
 }
 
-func furtherTry(t *testing.T, say behaviour) *fakeReplica {
+func furtherTry(t *testing.T, how closing) *fakeReplica {
 	closed := newReplica(t, "x", whole)
 	fails := newReplica(t, "y", func(a arrival) bool { a.answer(500, "broken"); return true })
 	b := newBench(t, route(catalog.Safe, 3), closed, fails)
-	b.close(closed, say)
+	b.close(closed, how)
 	for i := range 5 {
 		b.do("POST", fmt.Sprint("try-", i), "x")
 	}
@@ -93,7 +112,7 @@
 }
 
 // goesOnAtCopy: the replica that keeps the copy closes while the stream runs.
-func goesOnAtCopy(t *testing.T, say behaviour) *fakeReplica {
+func goesOnAtCopy(t *testing.T, how closing) *fakeReplica {
 	s := newCrashSite(t, func(_ arrival, r *fakeReplica) bool {
 		_ = r.listener.Close()
 		return false
@@ -104,7 +123,7 @@
 		if r == closed {
 			closed = s.replicas[1]
 		}
-		s.bench.close(closed, say)
+		s.bench.close(closed, how)
 		_ = r.listener.Close()
 		return false
 	}
@@ -112,11 +131,11 @@
 	return closed
 }
 
-func assignedPlace(t *testing.T, say behaviour) *fakeReplica {
+func assignedPlace(t *testing.T, how closing) *fakeReplica {
 	closed := newReplica(t, "x", whole)
 	open := newReplica(t, "y", whole)
 	b := newPlacedBench(t, &fakePlaces{err: errors.New("nobody assigns yet")}, closed, open)
-	b.close(closed, say)
+	b.close(closed, how)
 	b.handler.placing.lostUntil.Store(0)
 	unused := make(chan wire.PlaceRelease, 64)
 	b.handler.options.Places = Places{
@@ -137,14 +156,14 @@
 }
 
 // waitedForAccount: the replica closes while the chosen request waits for its admission.
-func waitedForAccount(t *testing.T, say behaviour) *fakeReplica {
+func waitedForAccount(t *testing.T, how closing) *fakeReplica {
 	closed := newReplica(t, "x", whole)
 	f := granting()
 	b := newKeyedBench(t, f, route(catalog.Safe, 2), closed)
 	f.onAdmit = func() {
 		f.onAdmit = nil
 		b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{route(catalog.Safe, 2)}, Services: []catalog.Service{{Name: "s"}}}))
-		b.close(closed, say)
+		b.close(closed, how)
 		b.handler.SetTable(keyedTable(1, route(catalog.Safe, 2), "k"))
 	}
 	f.verdict = admission.Verdict{Admission: wire.Granted, Until: time.Now().Add(time.Minute)}
@@ -153,7 +172,7 @@
 }
 
 // waitedForConnection: the replica closes while the connection for another request comes up.
-func waitedForConnection(t *testing.T, say behaviour) *fakeReplica {
+func waitedForConnection(t *testing.T, how closing) *fakeReplica {
 	closed := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Safe, 2), closed)
 	peer := b.fleet.Peer("x")
@@ -161,7 +180,7 @@
 	var dialed atomic.Bool
 	peer.pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		if !dialed.Swap(true) {
-			b.close(closed, say)
+			b.close(closed, how)
 		}
 		return dial(ctx, address)
 	}
@@ -170,14 +189,17 @@
 }
 
 // lateWord: the word comes in the place of the next answer, as the answer to an earlier request.
-func lateWord(t *testing.T, say behaviour) *fakeReplica {
+func lateWord(t *testing.T, how closing) *fakeReplica {
 	closed := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Unsafe, 1), closed)
 	closed.setAct(func(a arrival) bool {
 		late := a
 		late.request = a.request.Clone(context.Background())
 		late.request.Header.Set(testID, "earlier")
-		say(late)
+		how.say(late)
+		if how.order != nil {
+			how.order(b, closed)
+		}
 		return whole(a)
 	})
 	b.do("POST", "one", "x")
@@ -189,10 +211,10 @@
 
 // toldAnew: the replica is forgotten, as by a control node that was restarted, and heard of again
 // at another place of the list with a later call.
-func toldAnew(t *testing.T, say behaviour) *fakeReplica {
+func toldAnew(t *testing.T, how closing) *fakeReplica {
 	closed := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Safe, 2), closed)
-	b.close(closed, say)
+	b.close(closed, how)
 	b.fleet.SetReplicas(registry.Changes{Removed: []string{"x"}})
 	b.fleet.Tidy(time.Now())
 	b.register(closed)
@@ -200,10 +222,10 @@
 	return closed
 }
 
-func reconfigured(t *testing.T, say behaviour) *fakeReplica {
+func reconfigured(t *testing.T, how closing) *fakeReplica {
 	closed := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Safe, 2), closed)
-	b.close(closed, say)
+	b.close(closed, how)
 	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{route(catalog.Safe, 4)}, Services: []catalog.Service{{Name: "s"}}}))
 	b.register(closed)
 	b.do("GET", "again", "")
@@ -216,11 +238,11 @@
 	is := is.New(t)
 	x, y := newReplica(t, "x", whole), newReplica(t, "y", whole)
 	b := newBench(t, route(catalog.Unsafe, 1), x, y)
-	b.close(x, backingOff)
-	b.close(y, func(a arrival) bool {
+	b.close(x, closing{say: backingOff})
+	b.close(y, closing{say: func(a arrival) bool {
 		a.answer(503, "not now", testNotRun+": 1", testBackoff+": 30000")
 		return true
-	})
+	}})
 	got := b.do("POST", "one", "x")
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
@@ -258,7 +280,7 @@
 	b := newBench(t, route(catalog.Safe, 1), x)
 	is.Equal(b.do("POST", "before", "x").status, http.StatusOK)
 	b.end(x)
-	b.close(x, backingOff)
+	b.close(x, closing{say: backingOff})
 	b.startAgain(x)
 	is.Equal(b.do("POST", "after", "x").status, http.StatusServiceUnavailable)
 	is.Equal(x.count(), 1)
@@ -270,7 +292,7 @@
 	is := is.New(t)
 	x := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Safe, 1), x)
-	b.close(x, backingOff)
+	b.close(x, closing{say: backingOff})
 	b.startAgain(x)
 	is.Equal(b.do("POST", "after", "x").status, http.StatusServiceUnavailable)
 	is.Equal(x.count(), 1)
@@ -282,7 +304,7 @@
 	x := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Safe, 1), x)
 	b.end(x)
-	b.close(x, backingOff)
+	b.close(x, closing{say: backingOff})
 	idle := x.last().conn
 	_ = idle.Close()
 	is.Equal(b.do("POST", "refused", "x").status, http.StatusServiceUnavailable)
--- a/src/feed/choice_test.go
+++ b/src/feed/choice_test.go
@@ -155,7 +155,7 @@
 	s := f.sources[fiveNodes[0].Address]
 	s.live = true
 	f.mu.Unlock()
-	cluster := Cluster{Quarantine: func() *wire.Quarantine { return nil }, Version: func() uint64 { return 1 }, Members: func() []string { return []string{s.address} }}
+	cluster := Cluster{Quarantine: func() *wire.Quarantine { return nil }, Drains: func() *wire.ZoneDrains { return nil }, Version: func() uint64 { return 1 }, Members: func() []string { return []string{s.address} }}
 	cluster.Confirmed = func(now time.Time) time.Time { return now }
 	return NewRelay("n", "z", f, cluster, time.Now), s
 }
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -52,6 +52,9 @@
 	// Quarantine takes in what is known of contents under which replicas ended; nil if it is
 	// of no use here.
 	Quarantine func([]quarantine.Entry)
+	// Drains takes in newer drained zones, before the replicas of the same update; nil if they
+	// are of no use here.
+	Drains func(*wire.ZoneDrains)
 	// Gateways takes in the number of gateways; nil if it is of no use here.
 	Gateways func(int)
 	// Loads takes in what all gateways have under way; nil if it is of no use here.
@@ -84,6 +87,7 @@
 	directory *registry.Directory
 	version   uint64
 	holdings  *wire.Holdings
+	drains    *wire.ZoneDrains
 	fetching  bool
 	context   context.Context
 	// changed is closed when something is known that was not before.
@@ -254,6 +258,7 @@
 		s.confirmedAt = now.Add(-time.Duration(update.ConfirmedMS) * time.Millisecond)
 	}
 	s.gateways = update.Gateways
+	f.takeDrains(update.Drains)
 	if len(update.Standings) > 0 {
 		f.directory.Take(now, s.address, update.Standings)
 		f.tell()
@@ -275,6 +280,20 @@
 	f.fetch()
 }
 
+// takeDrains takes in drained zones that a source told of, unless they are older than what is
+// known: a source may lag behind the one before it. What any node has applied is committed, so
+// that it may be acted on. The lock is held.
+func (f *Follower) takeDrains(told *wire.ZoneDrains) {
+	if told == nil || told.Revision == 0 || f.drains != nil && told.Revision <= f.drains.Revision {
+		return
+	}
+	f.drains = told
+	f.wake()
+	if f.sink.Drains != nil {
+		f.sink.Drains(told)
+	}
+}
+
 func (f *Follower) takeHoldings(s *source, h *wire.Holdings) {
 	if h == nil {
 		return
--- a/src/feed/known.go
+++ b/src/feed/known.go
@@ -12,6 +12,8 @@
 	// Stamp is that of the newest change of a replica.
 	Stamp    uint64
 	Holdings *wire.Holdings
+	// Drains are the newest that any control node told of, nil if none did.
+	Drains *wire.ZoneDrains
 	// Version is the newest configuration that any control node in reach has applied.
 	Version uint64
 	// Confirmed is when the newest of these was last known to be the newest accepted, as its
@@ -38,7 +40,7 @@
 func (f *Follower) Known() Known {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := Known{Stamp: f.directory.Stamp(), Holdings: f.holdings, Reach: f.live(), Gateways: f.gateways(f.now()), Zones: map[string]string{}}
+	known := Known{Stamp: f.directory.Stamp(), Holdings: f.holdings, Drains: f.drains, Reach: f.live(), Gateways: f.gateways(f.now()), Zones: map[string]string{}}
 	for _, s := range f.sources {
 		if s.live {
 			known.take(s)
--- a/src/feed/leave_test.go
+++ b/src/feed/leave_test.go
@@ -25,6 +25,7 @@
 		Save:     func([]registry.Record) error { return nil },
 
 		Quarantine: func() *wire.Quarantine { return nil },
+		Drains:     func() *wire.ZoneDrains { return nil },
 	}
 	p := NewPublisher("n", "z", registry.Times{Silence: 5 * time.Second, Forget: time.Minute}, cluster, time.Now)
 	ctx := context.Background()
--- a/src/feed/net_test.go
+++ b/src/feed/net_test.go
@@ -34,6 +34,8 @@
 	outside atomic.Bool
 	// unconfirmed lets the node not know whether its configuration is the newest.
 	unconfirmed atomic.Bool
+	// drains are the drained zones that the node has applied.
+	drains atomic.Pointer[wire.ZoneDrains]
 	// failing lets the node's disk refuse writes.
 	failing atomic.Bool
 
@@ -84,6 +86,7 @@
 		node := &testNode{net: n, changed: make(chan struct{}), cut: &fault.Cut{}}
 		cluster := Cluster{
 			Quarantine: func() *wire.Quarantine { return nil },
+			Drains:     node.drains.Load,
 			Serves:     func(string) bool { return true },
 			Misread:    func(string, string) {},
 			Version:    func() uint64 { return node.held().Version },
@@ -173,6 +176,15 @@
 	return n.changed
 }
 
+// drain lets the node apply an order about zones.
+func (n *testNode) drain(revision uint64, zones ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.drains.Store(&wire.ZoneDrains{Revision: revision, Zones: zones})
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
 func (n *testNode) put(version uint64, raw string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -188,6 +200,7 @@
 	entries  map[string]registry.Entry
 	gateways int
 	holdings *wire.Holdings
+	drains   *wire.ZoneDrains
 	// refuse is how many configurations can't be taken in.
 	refuse int
 }
@@ -214,6 +227,7 @@
 		Document: s.takeDocument,
 		Replicas: s.take,
 		Holdings: func(h *wire.Holdings) { s.with(func() { s.holdings = h }) },
+		Drains:   func(d *wire.ZoneDrains) { s.with(func() { s.drains = d }) },
 		Gateways: func(n int) { s.with(func() { s.gateways = n }) },
 	}
 }
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -44,6 +44,9 @@
 	// Quarantine returns what is known of contents under which replicas ended, nil if nothing
 	// ever was; the pointer changes with what it points to.
 	Quarantine func() *wire.Quarantine
+	// Drains returns the drained zones that this node has applied; the pointer changes with what
+	// it points to.
+	Drains func() *wire.ZoneDrains
 	// Serves reports whether the configuration names a service.
 	Serves func(service string) bool
 	// Misread learns of a replica's call that is refused, with the reason.
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -73,8 +73,10 @@
 	version  uint64
 	// quarantine is nil as long as no replica ended under a request.
 	quarantine *wire.Quarantine
-	gateways   int
-	detached   bool
+	// drains are the drained zones that this node or another has applied, whichever is newer.
+	drains   *wire.ZoneDrains
+	gateways int
+	detached bool
 	// uncertain is set while the node has not known for long that its configuration is the
 	// newest, which it last knew at confirmedAt.
 	uncertain   bool
@@ -85,7 +87,7 @@
 // gateways and the age of the configuration's confirmation.
 func (s *relayState) same(other *relayState) bool {
 	return s.stamp == other.stamp && s.holdings == other.holdings && s.version == other.version &&
-		s.quarantine == other.quarantine && s.detached == other.detached && s.uncertain == other.uncertain && slices.Equal(s.members, other.members)
+		s.quarantine == other.quarantine && s.drains == other.drains && s.detached == other.detached && s.uncertain == other.uncertain && slices.Equal(s.members, other.members)
 }
 
 // NewRelay returns a relay of what a follower knows, for a node in an availability zone.
@@ -166,6 +168,7 @@
 		gateways: known.Gateways,
 
 		quarantine: r.cluster.Quarantine(),
+		drains:     r.cluster.Drains().Newer(known.Drains),
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -285,6 +288,9 @@
 	if told.quarantine != s.quarantine {
 		update.Quarantine = s.quarantine
 	}
+	if told.drains != s.drains {
+		update.Drains = s.drains
+	}
 	if told.holdings != s.holdings {
 		update.Holdings = r.deltas.since(told.holdings, s.holdings)
 	}
--- a/src/feed/stream.go
+++ b/src/feed/stream.go
@@ -73,6 +73,7 @@
 	stamp     uint64
 	holdings  *wire.Holdings
 	members   []string
+	drains    *wire.ZoneDrains
 	deltas    holdingsDelta
 }
 
@@ -88,6 +89,10 @@
 		s.members = members
 		update.Members = asMembers(members)
 	}
+	if drains := p.cluster.Drains(); drains != s.drains {
+		s.drains = drains
+		update.Drains = drains
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	update.Full = s.first
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -181,13 +181,14 @@
 	}
 	c.links = control.NewLinks(c.proc.Meter(), nil)
 	c.node = control.NewNode(replica, c.links.Send, c.proc.Ring(), clock.Now)
-	options := control.ClusterOptions{ID: id, Voters: 2*c.settings.Tolerance + 1, Seeds: c.settings.SeedPeers()}
+	options := control.ClusterOptions{ID: id, Voters: 2*c.settings.Tolerance + 1, Seeds: c.settings.SeedPeers(), ResendZoneOrders: c.settings.ResendOrders.Std()}
 	c.cluster = control.NewCluster(c.node, c.links, options, c.proc.Ring(), clock.Now)
 	c.cluster.Register(c.proc.Mux())
 	accounts := accountGauges{named: map[string]bool{}}
 	c.proc.SetRefresh(func(m *metric.Registry) {
 		setQuorumGauges(m, c.cluster.Quorum())
 		setDelayGauges(m, c.node.Delays())
+		m.Gauge("zones_drained", float64(len(c.cluster.Drains().Zones)))
 		accounts.set(m, c.granter.Used())
 	})
 	times := registry.Times{Silence: silentBeats * c.settings.Heartbeat.Std(), Forget: forgetReplicas}
@@ -208,6 +209,7 @@
 		Note:     c.noteTo,
 
 		Quarantine: c.toldQuarantine.Load,
+		Drains:     c.cluster.Drains,
 
 		Save: c.saveReplicas(folder.Replicas()),
 
@@ -243,6 +245,7 @@
 	c.proc.Mux().Handle(wire.MethodQuarantine, rpc.Typed(c.takeQuarantine))
 	c.proc.Mux().Handle(wire.MethodQuarantineList, rpc.Typed(c.listQuarantine))
 	c.proc.Mux().Handle(wire.MethodQuarantineLift, rpc.Typed(c.liftQuarantine))
+	c.registerZones()
 	c.buildGranter()
 	return nil
 }
@@ -319,10 +322,13 @@
 // and what passes that on to gateways.
 func (c *controlNode) buildFollower(cluster feed.Cluster) {
 	options := feed.Options{Node: c.settings.Node, Zone: c.settings.Zone, Seeds: c.settings.SeedPeers()}
-	sink := feed.Sink{Replicas: func(changes registry.Changes) {
-		c.placer.SetReplicas(changes)
-		c.desk.SetReplicas(changes)
-	}}
+	sink := feed.Sink{
+		Replicas: func(changes registry.Changes) {
+			c.placer.SetReplicas(changes)
+			c.desk.SetReplicas(changes)
+		},
+		Drains: c.takeDrains,
+	}
 	c.follower = feed.NewFollower(options, sink, c.proc.Meter(), nil, c.proc.Ring(), clock.Now)
 	c.relay = feed.NewRelay(c.settings.Node, c.settings.Zone, c.follower, cluster, clock.Now)
 	c.publisher.SetRelay(c.relay)
@@ -335,9 +341,10 @@
 		Refused: func(reason string) {
 			c.proc.Ring().Add(event.Event{Kind: event.ConfigRefused, Reason: reason})
 		},
-		Hear:    c.publisher.Hear,
-		Misread: c.misread,
-		Remove:  c.publisher.Remove,
+		OrderZone: c.orderZone,
+		Hear:      c.publisher.Hear,
+		Misread:   c.misread,
+		Remove:    c.publisher.Remove,
 	}
 }
 
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -179,6 +179,7 @@
 			}
 		},
 		Holdings: g.fleet.SetHoldings,
+		Drains:   g.fleet.SetDrains,
 		Gateways: g.handler.SetGateways,
 		Loads:    g.fleet.SetLoads,
 		Backlogs: g.fleet.SetBacklogs,
--- a/src/fleet/gauges.go
+++ b/src/fleet/gauges.go
@@ -87,6 +87,7 @@
 	backingOff, leaving := f.BackingOff()
 	m.Gauge("replicas_backing_off", float64(backingOff))
 	m.Gauge("replicas_leaving_told", float64(leaving))
+	m.Gauge("zones_drained", float64(f.DrainedZones()))
 }
 
 func oneIf(set bool) float64 {
--- a/src/fleet/interface.go
+++ b/src/fleet/interface.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/exchange"
@@ -24,6 +25,18 @@
 	Calls func(Calls) http.Handler
 }
 
+// ZoneAnswer is what an operator is answered to an order about an availability zone.
+type ZoneAnswer struct {
+	// Done is set once the order is durable.
+	Done bool
+	// Unknown is set if there is no such zone; the order must not be sent again.
+	Unknown bool
+	// Reason says why it was not done.
+	Reason string
+	// RetryAfter is after how long to send it again, 0 if at once.
+	RetryAfter time.Duration
+}
+
 // Calls are the functions behind the calls of operators and replicas.
 type Calls struct {
 	// Put puts a configuration in force; it reports whether that is certain.
@@ -32,6 +45,8 @@
 	Read func(ctx context.Context) (raw []byte, known bool)
 	// Refused learns of an invalid configuration.
 	Refused func(reason string)
+	// OrderZone drains an availability zone, or ends that.
+	OrderZone func(ctx context.Context, zone string, drain bool) ZoneAnswer
 	// Hear takes in a replica's call; it reports whether to acknowledge it.
 	Hear func(ctx context.Context, record registry.Record) bool
 	// Misread learns of a replica's call that could not be read as one, with the reason.
--- /dev/null
+++ b/src/fleet/zone.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// callerWait is how long an order about a zone waits to learn that its caller has hung up: the
+// order of a caller that gave up a while ago, on a host that was suspended or cut off, reaches
+// this process together with the end of its connection. Reading both takes less than 1 ms.
+const callerWait = 20 * time.Millisecond
+
+// orderZone carries out an operator's order to drain an availability zone, or to end that.
+func (c *controlNode) orderZone(ctx context.Context, zone string, drain bool) ZoneAnswer {
+	if _, known := c.settings.Zones[zone]; !known && len(c.settings.Zones) > 0 {
+		reason := fmt.Sprintf("there is no availability zone %q", zone)
+		c.noteZoneOrder(event.ZoneOrderRefused, zone, drain, reason)
+		return ZoneAnswer{Unknown: true, Reason: reason}
+	}
+	select {
+	case <-ctx.Done():
+		c.noteZoneOrder(event.ZoneOrderRefused, zone, drain, "its caller has hung up")
+		return ZoneAnswer{Reason: "the caller has hung up"}
+	case <-time.After(callerWait):
+	}
+	reply := c.cluster.OrderZone(ctx, zone, drain)
+	if reply.Outcome != wire.Accepted {
+		c.noteZoneOrder(event.ZoneOrderRefused, zone, drain, string(reply.Outcome)+": "+reply.Reason)
+		return ZoneAnswer{Reason: reply.Reason, RetryAfter: time.Duration(reply.RetryMS) * time.Millisecond}
+	}
+	c.noteZoneOrder(event.ZoneOrdered, zone, drain, "")
+	return ZoneAnswer{Done: true}
+}
+
+func (c *controlNode) noteZoneOrder(kind event.Kind, zone string, drain bool, reason string) {
+	what := "drain"
+	if !drain {
+		what = "end the drain"
+	}
+	if reason != "" {
+		what += ": " + reason
+	}
+	c.proc.Ring().Add(event.Event{Kind: kind, Zone: zone, Reason: what})
+}
+
+// takeDrains lets nothing new be placed in drained zones.
+func (c *controlNode) takeDrains(drains *wire.ZoneDrains) {
+	c.placer.SetDrains(drains)
+	c.desk.SetDrains(drains)
+}
+
+// registerZones adds the operator's methods on our own interface.
+func (c *controlNode) registerZones() {
+	c.proc.Mux().Handle(wire.MethodZoneDrain, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, request wire.ZoneDrainRequest) (wire.ZoneReply, error) {
+		got := c.orderZone(ctx, request.Zone, request.Drain)
+		reply := wire.ZoneReply{Outcome: wire.Accepted, Reason: got.Reason, RetryMS: got.RetryAfter.Milliseconds()}
+		switch {
+		case got.Unknown:
+			reply.Outcome = wire.Refused
+		case !got.Done:
+			reply.Outcome = wire.Unavailable
+		}
+		return reply, nil
+	}))
+	c.proc.Mux().Handle(wire.MethodZoneDrains, rpc.Typed(func(context.Context, *rpc.Peer, wire.Empty) (wire.ZoneDrains, error) {
+		return *c.cluster.Drains(), nil
+	}))
+}
--- a/src/option/fleet.go
+++ b/src/option/fleet.go
@@ -23,6 +23,9 @@
 	PeerPort int `yaml:"peerPort"`
 	// AdminPort is where metrics, status and events are read.
 	AdminPort int `yaml:"adminPort"`
+	// Zones are the availability zones of the installation with the region of each; left out,
+	// nothing is known of regions, and orders about any zone are taken.
+	Zones map[string]string `yaml:"zones"`
 	// Seeds are addresses of hosts on which control nodes may be found; their ports do not count.
 	Seeds []string `yaml:"seeds"`
 	// MemoryMB is what the process may use, 0 for no limit.
@@ -121,6 +124,8 @@
 	Lease config.Duration `yaml:"lease"`
 	// Store bounds loads from the weight store beyond their rate.
 	Store StoreSetting `yaml:"store"`
+	// ResendOrders is for how long an operator sends an order about a zone again.
+	ResendOrders config.Duration `yaml:"resendOrders"`
 	// Quota says how exactly limits of client accounts are kept; gateways have the same.
 	Quota QuotaSetting `yaml:"quota"`
 }
@@ -141,6 +146,7 @@
 	defaultLease       = 3 * time.Second
 	defaultStoreWindow = 5 * time.Second
 	defaultTolerance   = 1
+	defaultResend      = 8 * time.Second
 	defaultQuotaWindow = 10 * time.Second
 	defaultOverage     = 0.1
 	defaultAdminPort   = 7399
@@ -187,6 +193,8 @@
 		Lease:     config.Duration(defaultLease),
 		Store:     StoreSetting{Window: config.Duration(defaultStoreWindow), Overage: 1},
 		Quota:     defaultQuota(),
+
+		ResendOrders: config.Duration(defaultResend),
 	}
 	return s, load(file, &s, func(c *checks) {
 		c.seeded(s.Seeded)
@@ -197,6 +205,9 @@
 		if s.Tolerance < 0 {
 			c.add("tolerance", "must not be below 0")
 		}
+		if s.ResendOrders < 0 {
+			c.add("resendOrders", "must not be below 0")
+		}
 		if s.Heartbeat <= 0 || s.Lease <= 0 || s.Store.Window <= 0 {
 			c.add("lease", "must be above 0, as heartbeat and store.window")
 		}
--- a/src/placer/fake_test.go
+++ b/src/placer/fake_test.go
@@ -13,6 +13,8 @@
 // fakeReplica carries orders out as the engines do: one model order at a time,
 // adapters beside it, an adapter in use goes only when its last request ends.
 type fakeReplica struct {
+	// zone is "" where zones are of no matter.
+	zone     string
 	id       string
 	engine   *catalog.Engine
 	sequence uint64
--- a/src/placer/ledger.go
+++ b/src/placer/ledger.go
@@ -42,7 +42,10 @@
 
 // unit is the ledger of one replica.
 type unit struct {
-	record   registry.Record
+	record registry.Record
+	// listed is set while control nodes list the replica as there; usable is set if in addition
+	// nothing else keeps orders and copies from it.
+	listed   bool
 	usable   bool
 	sequence uint64
 	// known is set once a report told the count of orders taken.
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -99,6 +99,8 @@
 	eldest   time.Time
 	gathered bool
 	unplaced map[modelKey]bool
+	// drains are the zones whose replicas get nothing new; nil if there is none.
+	drains *wire.ZoneDrains
 	// lost are the models without a copy, with since when.
 	lost map[modelKey]time.Time
 }
@@ -146,13 +148,31 @@
 		}
 	}
 	u.record = e.Record
-	u.usable = e.Usable() && !u.leaving
+	u.listed = e.Usable()
+	p.setUsable(u)
 	if e.Record.Sequence > u.beat {
 		u.beat = e.Record.Sequence
 		u.reconcile(now, e.Record.Models, false)
 	}
 }
 
+// setUsable brings up to date whether a replica may be ordered to, and counts as a place for
+// copies: what a drained zone holds has to come elsewhere, as if it were lost. The lock is held.
+func (p *Placer) setUsable(u *unit) {
+	u.usable = u.listed && !u.leaving && !p.drains.Drained(u.record.Zone)
+}
+
+// SetDrains takes in the zones whose replicas get nothing new, no orders either.
+func (p *Placer) SetDrains(drains *wire.ZoneDrains) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drains = drains
+	for _, u := range p.units {
+		p.setUsable(u)
+	}
+	p.wake.Raise()
+}
+
 // TakeUsage takes in what a gateway's requests ask for.
 func (p *Placer) TakeUsage(usage wire.Usage) {
 	p.mu.Lock()
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strconv"
 	"testing"
@@ -9,6 +10,9 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/wire"
 )
 
 func TestEveryModelAndAdapterGetsAPlace(t *testing.T) {
@@ -300,3 +304,37 @@
 	w.run(30 * time.Second)
 	is.True(next.models["m0"] != nil)
 }
+
+// TestWhatADrainedZoneHeldComesElsewhere, within the store's rate, and nothing is ordered in the
+// zone; once the drain ends nothing is loaded there that it still holds.
+func TestWhatADrainedZoneHeldComesElsewhere(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	e.WeightsMB, e.LoadsPerSecond = 500, 1
+	x := newFakeReplica("x1", e, "m0", "m1", "m2", "m3", "m4")
+	y, z := newFakeReplica("y1", e), newFakeReplica("z1", e)
+	x.zone, y.zone, z.zone = "x", "y", "z"
+	w := newWorld(e, x, y, z)
+	w.run(5 * time.Second)
+	orders := x.sequence
+	w.placer.SetDrains(&wire.ZoneDrains{Revision: 1, Zones: []string{"x"}})
+	for range 60 {
+		for i := range 5 {
+			w.ask(fmt.Sprint("m", i), "", 2, 400, 1)
+		}
+		w.run(500 * time.Millisecond)
+	}
+	for i := range 5 {
+		model := fmt.Sprint("m", i)
+		is.True(holds(y, model) || holds(z, model)) // it serves again
+	}
+	is.Equal(x.sequence, orders)
+	held := len(x.held())
+	w.placer.SetDrains(&wire.ZoneDrains{Revision: 2})
+	w.run(5 * time.Second)
+	is.True(len(x.held()) <= held)
+}
+
+func holds(f *fakeReplica, model string) bool {
+	return slices.ContainsFunc(f.held(), func(h registry.Held) bool { return h.Name == model })
+}
--- a/src/placer/world_test.go
+++ b/src/placer/world_test.go
@@ -126,7 +126,7 @@
 	if f.beatLag > 0 && len(f.past) > 0 {
 		models = f.stood(w.now.Add(-f.beatLag)).models
 	}
-	w.entries[f.id] = registry.Entry{Record: registry.Record{ID: f.id, Service: service, Address: f.id, Sequence: f.beat, Slots: 8, Models: models}}
+	w.entries[f.id] = registry.Entry{Record: registry.Record{ID: f.id, Service: service, Address: f.id, Zone: f.zone, Sequence: f.beat, Slots: 8, Models: models}}
 	w.tell()
 }
 
--- a/src/wire/document.go
+++ b/src/wire/document.go
@@ -91,6 +91,8 @@
 	Holdings *Holdings `json:"holdings,omitempty"`
 	// Quarantine is what the node knows of contents under which replicas ended, when it changed.
 	Quarantine *Quarantine `json:"quarantine,omitempty"`
+	// Drains are the drained zones, when they changed.
+	Drains *ZoneDrains `json:"drains,omitempty"`
 }
 
 // Member is a control node.
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -30,6 +30,14 @@
 	MethodPutDocument = "document.put"
 	// MethodReadDocument asks the leader for the newest accepted configuration.
 	MethodReadDocument = "document.read"
+	// MethodZoneTicket asks the leader for what an order about a zone has to name.
+	MethodZoneTicket = "zone.ticket"
+	// MethodZoneOrder asks the leader to drain a zone or to end that.
+	MethodZoneOrder = "zone.order"
+	// MethodZoneDrain asks any control node for that, for an operator.
+	MethodZoneDrain = "zone.drain"
+	// MethodZoneDrains asks a control node which zones are drained.
+	MethodZoneDrains = "zone.drains"
 	// MethodWatchFeed starts a stream of MethodFeed notifications.
 	MethodWatchFeed = "feed.watch"
 	// MethodFeed carries a FeedUpdate (notification).
