Cold replicas get requests by permits that the leader issues, one bound over all gateways

Change: the leader spaces the permits of each cold replica and issues them 0.5 s ahead; a gateway asks for the request that had better go there, waits for the permit's time, at most half of the target, and uses it once, by the time at which it asked. A new leader issues none until those of the one before are over. Coldness is taken from calls and answers, is news when it begins anew, outlasts being forgotten, and counts for 3 s in a zone whose drain has ended. Asked on every way to a replica, as for its own words; copies of runs don't go on there. Found on the way: a replica that was forgotten and listed anew was taken for warm.

--- a/src/catalog/document.go
+++ b/src/catalog/document.go
@@ -66,6 +66,9 @@
 	HealthPath string
 	// Connections bounds the connections that one replica accepts from all callers.
 	Connections int
+	// ColdRate is how many requests a second a replica bears over all gateways while it is cold, 0
+	// for no bound.
+	ColdRate float64
 	// Engine is set for services whose replicas run models.
 	Engine *Engine
 }
--- a/src/exchange/admit_test.go
+++ b/src/exchange/admit_test.go
@@ -58,7 +58,7 @@
 // keyedTable has one route and a client account that holds the keys.
 func keyedTable(version uint64, r catalog.Route, keys ...catalog.Key) *catalog.Table {
 	return catalog.NewTable(catalog.Document{
-		Version: version, Routes: []catalog.Route{r}, Services: []catalog.Service{{Name: "s"}}, Keyed: true,
+		Version: version, Routes: []catalog.Route{r}, Services: testServices(), Keyed: true,
 		Accounts: []catalog.Account{{Name: "a", Keys: keys, Limit: catalog.Limit{Unit: catalog.Requests, Rate: 1}}},
 	})
 }
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -82,7 +82,7 @@
 	h.options.Fleet.Sent(now, peer, c.facts.Model, c.facts.Parts, choice.ReadTime)
 	c.sends++
 	with := talk{
-		admit: func() bool { return h.options.Fleet.admit(peer) },
+		admit: func() bool { return c.admitsCold(peer) && h.options.Fleet.admit(peer) },
 		read:  func(status int, header http.Header) Reply { return c.heard(peer, status, header) },
 	}
 	a, err := send(within, peer.pool, o, c.facts.ID, with, choice.dialWithin(), c.headBy(now), now)
--- a/src/exchange/backup_test.go
+++ b/src/exchange/backup_test.go
@@ -30,7 +30,7 @@
 	rt := route(catalog.Streaming, 1)
 	s.bench = newBench(t, rt, s.replicas...)
 	s.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{rt},
-		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Backups: true, Models: []catalog.Model{{Name: "m"}}}}}}))
+		Services: []catalog.Service{{Name: "s", ColdRate: 4, Engine: &catalog.Engine{Backups: true, Models: []catalog.Model{{Name: "m"}}}}}}))
 	return s
 }
 
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -32,6 +32,9 @@
 	Adapter string
 	Prompt  int
 	Parts   []Part
+	// PermitWithin is how long the request can wait for a permit for a cold replica, below 0 if it
+	// asks for none.
+	PermitWithin time.Duration
 }
 
 // Verdict says how a choice came out.
@@ -96,11 +99,21 @@
 			best.opensIn(wait, c.peer)
 			continue
 		}
+		wait, cold := time.Duration(0), f.cold(c.peer)
+		if cold {
+			if wait = f.permitIn(c.peer); wait > want.PermitWithin {
+				best.opensIn(max(wait, time.Millisecond), c.peer)
+				continue
+			}
+		}
 		if wasTried(tried, c.peer) || c.peer.lacking(now, held) {
 			continue
 		}
 		look := c.peer.outlook(now)
 		cost, read := f.cost(c, &want, &look)
+		if cold {
+			cost += coldCost + milliseconds(wait)
+		}
 		seen++
 		if best.Peer == nil || cost < bestCost {
 			best.Peer, best.Verdict = c.peer, Chosen
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -20,6 +20,7 @@
 	}
 	for {
 		now := h.options.Now()
+		want.PermitWithin = c.permitWithin(now)
 		choice := h.options.Fleet.Pick(now, want, c.tried)
 		if choice.Verdict == Chosen && c.behind(now) {
 			choice = Choice{Verdict: BackedOff, Places: choice.Peer.slots(), OpensIn: time.Millisecond}
@@ -42,6 +43,9 @@
 			}
 			continue
 		}
+		if choice.Verdict == Chosen && !c.permitted(ctx, choice.Peer, want.PermitWithin) {
+			continue
+		}
 		if choice.Verdict == Chosen || len(c.tried) > 0 || !now.Before(c.began.Add(c.patience(now, choice.Verdict))) {
 			return choice
 		}
--- /dev/null
+++ b/src/exchange/cold_test.go
@@ -0,0 +1,122 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/warmup"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// coldBench is a bench with one cold replica and permits that a function gives.
+func coldBench(t *testing.T, ask func(wire.WarmupRequest) (wire.WarmupReply, error), others ...*fakeReplica) (*bench, *fakeReplica) {
+	t.Helper()
+	cold := newReplica(t, "x", whole)
+	cold.coldMS = 60000
+	r := route(catalog.Safe, 2)
+	r.Target = 2 * time.Second
+	b := newBench(t, r, append(others, cold)...)
+	b.handler.options.Warmup.Ask = func(_ context.Context, request wire.WarmupRequest) (wire.WarmupReply, error) { return ask(request) }
+	return b, cold
+}
+
+func TestAColdReplicaGetsRequestsWithPermits(t *testing.T) {
+	is := is.New(t)
+	asked := 0
+	b, cold := coldBench(t, func(request wire.WarmupRequest) (wire.WarmupReply, error) {
+		asked++
+		is.Equal(request.Replica, "x")
+		is.Equal(request.WithinMS, warmup.Ahead.Milliseconds())
+		return wire.WarmupReply{Known: true, Granted: true}, nil
+	})
+	for i := range 3 {
+		is.Equal(b.do("POST", fmt.Sprint("r", i), "x").status, http.StatusOK)
+	}
+	is.Equal(cold.count(), 3)
+	is.Equal(asked, 3)
+}
+
+// TestAWarmReplicaServesWhatGetsNoPermit, and a request for which there is none is refused with the
+// time at which there is a permit.
+func TestAWarmReplicaServesWhatGetsNoPermit(t *testing.T) {
+	is := is.New(t)
+	refuse := func(wire.WarmupRequest) (wire.WarmupReply, error) {
+		return wire.WarmupReply{Known: true, WaitUS: 30_000_000}, nil
+	}
+	warm := newReplica(t, "y", whole)
+	b, cold := coldBench(t, refuse, warm)
+	for i := range 20 {
+		is.Equal(b.do("POST", fmt.Sprint("r", i), "x").status, http.StatusOK)
+	}
+	is.Equal(cold.count(), 0)
+	b, cold = coldBench(t, refuse)
+	began := time.Now()
+	got := b.do("POST", "alone", "x")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") > "2") // 30 s and more
+	is.True(time.Since(began) < time.Second)     // it is not held for what won't come
+	is.Equal(cold.count(), 0)
+}
+
+// TestAPermitThatComesTooLateIsNotUsed: its answer was on the way, or this host suspended, for longer
+// than it lasts.
+func TestAPermitThatComesTooLateIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	var slept atomic.Int64
+	b, cold := coldBench(t, func(wire.WarmupRequest) (wire.WarmupReply, error) {
+		slept.Add(int64(warmup.Life))
+		return wire.WarmupReply{Known: true, Granted: true}, nil
+	})
+	clock := b.fleet.bootNow
+	b.fleet.bootNow = func() time.Time { return clock().Add(time.Duration(slept.Load())) }
+	is.Equal(b.do("POST", "late", "x").status, http.StatusServiceUnavailable)
+	is.Equal(cold.count(), 0)
+}
+
+// TestAPermitIsUsedOnce and for one replica only.
+func TestAPermitIsUsedOnce(t *testing.T) {
+	is := is.New(t)
+	b, cold := coldBench(t, func(wire.WarmupRequest) (wire.WarmupReply, error) { return wire.WarmupReply{}, nil })
+	peer := b.fleet.Peer("x")
+	c := &call{handler: b.handler, cold: coldPermit{peer: peer, until: b.fleet.bootNow().Add(time.Minute)}}
+	is.True(c.admitsCold(peer))
+	is.True(!c.admitsCold(peer))
+	c.cold = coldPermit{peer: newPeer(peer.record, nil), until: b.fleet.bootNow().Add(time.Minute)}
+	is.True(!c.admitsCold(peer))
+	is.Equal(cold.count(), 0)
+}
+
+// TestAZoneWhoseDrainEndsFillsWithPermits: its replicas may have become cold, which they tell with
+// their next call.
+func TestAZoneWhoseDrainEndsFillsWithPermits(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	x.zone = "drained"
+	b := newBench(t, route(catalog.Safe, 2), x)
+	b.fleet.SetDrains(&wire.ZoneDrains{Revision: 1, Zones: []string{"drained"}})
+	is.True(!b.fleet.takes(b.fleet.Peer("x")))
+	b.fleet.SetDrains(&wire.ZoneDrains{Revision: 2})
+	is.True(b.fleet.cold(b.fleet.Peer("x")))
+	is.Equal(b.do("POST", "early", "x").status, http.StatusServiceUnavailable)
+	clock := b.fleet.bootNow
+	b.fleet.bootNow = func() time.Time { return clock().Add(refillTime) }
+	is.Equal(b.do("POST", "later", "x").status, http.StatusOK)
+	is.Equal(x.count(), 1)
+}
+
+// TestAServiceThatBoundsNothingNeedsNoPermits.
+func TestAServiceThatBoundsNothingNeedsNoPermits(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	x.coldMS = 60000
+	b := newBench(t, route(catalog.Safe, 2), x)
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{route(catalog.Safe, 2)}, Services: []catalog.Service{{Name: "s"}}}))
+	is.Equal(b.do("POST", "one", "x").status, http.StatusOK)
+}
--- a/src/exchange/drained.go
+++ b/src/exchange/drained.go
@@ -12,6 +12,8 @@
 // goes on. Each way to a replica asks for it where it asks for the replica's own words, last right
 // before the first byte of a request.
 func (f *Fleet) SetDrains(drains *wire.ZoneDrains) {
+	// Before the zone is open again: nothing may be sent there in between.
+	f.refill(f.drains.Load(), drains)
 	if len(drains.Zones) == 0 {
 		f.drains.Store(nil)
 	} else {
--- a/src/exchange/facts.go
+++ b/src/exchange/facts.go
@@ -72,6 +72,8 @@
 	BackoffFault string
 	// Leaving is the replica's word that it leaves.
 	Leaving bool
+	// Cold is for how much longer the replica bears few requests only, 0 if it does not say so.
+	Cold time.Duration
 }
 
 // Codec is one interface's manner of speaking.
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -36,9 +36,13 @@
 	testContinue = "Go-On-From"
 	testBackoff  = "Back-Off-Ms"
 	testLeaving  = "Going-Away"
+	testCold     = "Cold-Ms"
 	testOnly     = "Only-For"
 )
 
+// testServices is the one service of the tests, which bounds what a cold replica gets.
+func testServices() []catalog.Service { return []catalog.Service{{Name: "s", ColdRate: 4}} }
+
 func testCodec() Codec {
 	return Codec{
 		Facts: func(r *http.Request) Facts {
@@ -64,8 +68,10 @@
 		},
 		Reply: func(status int, header http.Header) Reply {
 			ms, _ := strconv.Atoi(header.Get(testBackoff))
+			cold, _ := strconv.Atoi(header.Get(testCold))
 			return Reply{
-				ID: header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Elsewhere: status == http.StatusMisdirectedRequest,
+				Cold: time.Duration(cold) * time.Millisecond,
+				ID:   header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Elsewhere: status == http.StatusMisdirectedRequest,
 				Backoff: time.Duration(ms) * time.Millisecond, Leaving: header.Get(testLeaving) != "",
 			}
 		},
@@ -90,6 +96,7 @@
 type fakeReplica struct {
 	id       string
 	zone     string
+	coldMS   int64
 	listener net.Listener
 	mu       sync.Mutex
 	arrivals []arrival
@@ -232,7 +239,7 @@
 		Guard:  newTestGuard(),
 		Demand: b.demand, Metrics: NewMetrics(metric.New("test")), Now: time.Now,
 	})
-	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{r}, Services: []catalog.Service{{Name: "s"}}}))
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{r}, Services: testServices()}))
 	b.register(replicas...)
 	b.server = httptest.NewServer(b.handler)
 	t.Cleanup(b.server.Close)
@@ -242,7 +249,7 @@
 func (b *bench) register(replicas ...*fakeReplica) {
 	var entries []registry.Entry
 	for _, f := range replicas {
-		entries = append(entries, registry.Entry{Record: registry.Record{ID: f.id, Service: "s", Address: f.listener.Addr().String(), Zone: f.zone, Slots: 4, Models: []registry.Held{{Name: "m"}}}})
+		entries = append(entries, registry.Entry{Record: registry.Record{ID: f.id, Service: "s", Address: f.listener.Addr().String(), Zone: f.zone, ColdMS: f.coldMS, Slots: 4, Models: []registry.Held{{Name: "m"}}}})
 	}
 	b.fleet.SetReplicas(registry.Changes{Entries: entries})
 }
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -49,6 +49,8 @@
 	sent wakeup.Flag
 	// drains are the zones whose replicas get nothing new; nil if there is none.
 	drains atomic.Pointer[wire.ZoneDrains]
+	// bounded are the services that bound the requests that a cold replica gets.
+	bounded atomic.Pointer[map[string]bool]
 	// begunAt is when the first replicas were learned of, in nanoseconds; 0 before.
 	begunAt atomic.Int64
 }
@@ -135,6 +137,9 @@
 	} else {
 		f.renew(peer, e)
 	}
+	if e.Record.ColdMS > 0 {
+		peer.chill(f.bootNow(), time.Duration(e.Record.ColdMS)*time.Millisecond)
+	}
 	f.place(peer, e)
 	return found
 }
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -50,6 +50,8 @@
 	Admission Admission
 	// Places assigns the places of replicas that are few beside the gateways.
 	Places Places
+	// Warmup issues permits for requests to cold replicas.
+	Warmup Warmup
 	// Guard keeps requests under which replicas ended away from further ones.
 	Guard *quarantine.Guard
 	// Demand learns what requests ask for.
@@ -86,6 +88,7 @@
 
 // SetTable puts a configuration in force.
 func (h *Handler) SetTable(t *catalog.Table) {
+	h.options.Fleet.boundCold(t)
 	h.table.Store(t)
 	h.configure.Do(func() { close(h.configured) })
 }
@@ -125,6 +128,9 @@
 	account *catalog.Account
 	permit  permit
 	place   place
+	// cold is the permit for a cold replica, permitAsks how many were asked for.
+	cold       coldPermit
+	permitAsks int
 	// standing is its place among those that wait for replicas which take nothing now.
 	standing standing
 	body     []byte
--- a/src/exchange/heard.go
+++ b/src/exchange/heard.go
@@ -21,13 +21,17 @@
 // keptIntake is the word of a replica that has not been listed since a time.
 type keptIntake struct {
 	intake *intake
-	since  time.Time
+	// coldUntil is the peer's.
+	coldUntil int64
+	since     time.Time
 }
 
 // keep keeps the word of a replica that is no longer listed; the lock is held.
 func (f *Fleet) keep(peer *Peer) {
-	if peer.intake.restricted.Load() && len(f.kept) < maxUnlisted {
-		f.kept[peer.id] = keptIntake{intake: peer.intake, since: f.now()}
+	cold := peer.coldUntil.Load()
+	restricted := peer.intake.restricted.Load() || cold > f.bootNow().UnixNano()
+	if restricted && len(f.kept) < maxUnlisted {
+		f.kept[peer.id] = keptIntake{intake: peer.intake, coldUntil: cold, since: f.now()}
 	}
 }
 
@@ -35,6 +39,7 @@
 func (f *Fleet) recall(peer *Peer) {
 	if kept, found := f.kept[peer.id]; found {
 		peer.intake = kept.intake
+		peer.coldUntil.Store(kept.coldUntil)
 		delete(f.kept, peer.id)
 	}
 }
@@ -74,6 +79,9 @@
 		peer.pool.close()
 		f.ring.Add(event.Event{Kind: event.LeavingTold, Host: peer.ID()})
 	}
+	if reply.Cold > 0 {
+		peer.chill(f.bootNow(), reply.Cold)
+	}
 	switch {
 	case reply.Backoff > 0:
 		breaks, _ := peer.pool.lookForBreaks()
@@ -98,10 +106,11 @@
 	return !peer.intake.restricted.Load() || peer.intake.admit(f.bootNow())
 }
 
-// takes reports whether a replica takes requests now, by its own words and the operators'.
+// takes reports whether a replica takes requests now without a permit, by its own words and the
+// operators'.
 func (f *Fleet) takes(peer *Peer) bool {
 	_, taken := f.takesFrom(peer)
-	return taken
+	return taken && !f.cold(peer)
 }
 
 // takesFrom returns after what time a replica takes requests, 0 for never, if it takes none now.
--- a/src/exchange/intake_ways_test.go
+++ b/src/exchange/intake_ways_test.go
@@ -39,6 +39,14 @@
 	"wants nothing for a time": {say: backingOff},
 	"leaves":                   {say: func(a arrival) bool { a.answer(200, "last", testLeaving+": 1"); return true }},
 	"is in a drained zone":     {say: whole, order: drainZone},
+	"is cold, by its call":     {say: whole, order: registerCold},
+	"is cold, by its answer":   {say: func(a arrival) bool { a.answer(200, "slow", testCold+": 60000"); return true }},
+}
+
+// registerCold lets a replica tell the control nodes that it is cold; nobody issues permits.
+func registerCold(b *bench, f *fakeReplica) {
+	f.coldMS = 60000
+	b.register(f)
 }
 
 // drainZone drains the zone of one replica.
@@ -162,7 +170,7 @@
 	b := newKeyedBench(t, f, route(catalog.Safe, 2), closed)
 	f.onAdmit = func() {
 		f.onAdmit = nil
-		b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{route(catalog.Safe, 2)}, Services: []catalog.Service{{Name: "s"}}}))
+		b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{route(catalog.Safe, 2)}, Services: testServices()}))
 		b.close(closed, how)
 		b.handler.SetTable(keyedTable(1, route(catalog.Safe, 2), "k"))
 	}
@@ -226,7 +234,7 @@
 	closed := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Safe, 2), closed)
 	b.close(closed, how)
-	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{route(catalog.Safe, 4)}, Services: []catalog.Service{{Name: "s"}}}))
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{route(catalog.Safe, 4)}, Services: testServices()}))
 	b.register(closed)
 	b.do("GET", "again", "")
 	return closed
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -30,7 +30,9 @@
 	// BackoffRefusals counts the requests that were refused because all replicas that could run
 	// them had asked for that.
 	BackoffRefusals tally.Counter
-	Latency         tally.Histogram
+	// PermitsLost counts the asks for permits for cold replicas that nobody answered.
+	PermitsLost tally.Counter
+	Latency     tally.Histogram
 	// Pause holds the longest pause between two events of each stream.
 	Pause tally.Histogram
 }
@@ -52,6 +54,7 @@
 
 		Backoffs:        registry.Count("backoffs_asked_total"),
 		BackoffRefusals: registry.Count("backoff_refusals_total"),
+		PermitsLost:     registry.Count("cold_permits_lost_total"),
 
 		Latency: registry.Latency("request_seconds"),
 		Pause:   registry.Latency("stream_pause_seconds"),
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -34,6 +34,10 @@
 	intake  *intake
 	// saidAfter is how many connections had broken when the replica last asked to be sent nothing.
 	saidAfter atomic.Int64
+	// coldUntil is until when the replica is cold, permitFrom from when on it may get a request, as
+	// was told last, in nanoseconds of the clock that counts suspensions; 0 for neither.
+	coldUntil  atomic.Int64
+	permitFrom atomic.Int64
 
 	mu     sync.Mutex
 	record registry.Record
--- a/src/exchange/quarantine_test.go
+++ b/src/exchange/quarantine_test.go
@@ -90,7 +90,7 @@
 	first := endsUnder(t, "first", func(a arrival) { a.head(); a.event(1) })
 	second := endsUnder(t, "second", func(a arrival) { a.head(); a.event(2) })
 	b := newBench(t, route(catalog.Streaming, 1), first)
-	document := catalog.Document{Version: 2, Routes: []catalog.Route{route(catalog.Streaming, 1)}, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Backups: true}}}}
+	document := catalog.Document{Version: 2, Routes: []catalog.Route{route(catalog.Streaming, 1)}, Services: []catalog.Service{{Name: "s", ColdRate: 4, Engine: &catalog.Engine{Backups: true}}}}
 	b.handler.SetTable(catalog.NewTable(document))
 	b.register(first, second)
 	content := quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte(endingBody)}.Digest()
--- a/src/exchange/start_test.go
+++ b/src/exchange/start_test.go
@@ -27,7 +27,7 @@
 }
 
 func (b *bench) configure(r catalog.Route) {
-	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{r}, Services: []catalog.Service{{Name: "s"}}}))
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{r}, Services: testServices()}))
 }
 
 func TestARequestThatComesBeforeTheConfigurationIsServed(t *testing.T) {
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -32,6 +32,7 @@
 	"github.com/moorspool/moorspool/src/rpc"
 	"github.com/moorspool/moorspool/src/store"
 	"github.com/moorspool/moorspool/src/wakeup"
+	"github.com/moorspool/moorspool/src/warmup"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -81,6 +82,7 @@
 	backlog   *loadview.Backlog
 	granter   *admission.Granter
 	desk      *dispatch.Desk
+	issuer    *warmup.Issuer
 
 	quarantine *quarantine.Table
 	// toldQuarantine is what gateways are told of it; nil until there is something.
@@ -246,6 +248,7 @@
 	c.proc.Mux().Handle(wire.MethodQuarantineList, rpc.Typed(c.listQuarantine))
 	c.proc.Mux().Handle(wire.MethodQuarantineLift, rpc.Typed(c.liftQuarantine))
 	c.registerZones()
+	c.buildIssuer()
 	c.buildGranter()
 	return nil
 }
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -119,6 +119,7 @@
 			Now:        clock.Now,
 		},
 		Places:  exchange.Places{Ask: g.askPlace, Release: g.releasePlace},
+		Warmup:  exchange.Warmup{Ask: g.askWarmup},
 		Guard:   g.guard,
 		Demand:  g.demand,
 		Ring:    proc.Ring(),
--- a/src/fleet/gauges.go
+++ b/src/fleet/gauges.go
@@ -88,6 +88,7 @@
 	m.Gauge("replicas_backing_off", float64(backingOff))
 	m.Gauge("replicas_leaving_told", float64(leaving))
 	m.Gauge("zones_drained", float64(f.DrainedZones()))
+	m.Gauge("replicas_cold", float64(f.Cold()))
 }
 
 func oneIf(set bool) float64 {
--- a/src/registry/record.go
+++ b/src/registry/record.go
@@ -25,7 +25,7 @@
 	Gone bool `json:"gone,omitempty"`
 	// RemainingMS is how long a replica that is taken away at short notice still runs; 0 if unknown.
 	RemainingMS int64 `json:"remainingMs,omitempty"`
-	// ColdMS is how much longer a replica stays slow after its start.
+	// ColdMS is for how much longer a replica bears few requests only, after its start or later.
 	ColdMS int64  `json:"coldMs,omitempty"`
 	Stage  string `json:"stage,omitempty"`
 	// Models are on the accelerators now.
@@ -113,10 +113,10 @@
 		slices.Equal(a.InMemory, b.InMemory) && slices.Equal(a.OnDisk, b.OnDisk)
 }
 
-// sameForRequests reports whether two records are alike in all that decides where
-// requests go.
+// sameForRequests reports whether two records of a replica, the later one last, are alike in all that
+// decides where requests go. A cold time that runs out says nothing new.
 func sameForRequests(a, b *Record) bool {
-	return a.Draining == b.Draining && a.Gone == b.Gone && a.Address == b.Address && a.Slots == b.Slots &&
+	return b.ColdMS <= a.ColdMS && a.Draining == b.Draining && a.Gone == b.Gone && a.Address == b.Address && a.Slots == b.Slots &&
 		a.Service == b.Service && slices.EqualFunc(a.Models, b.Models, sameHeld)
 }
 
@@ -124,7 +124,7 @@
 func (r *Record) forRequests() Record {
 	slim := *r
 	slim.Version, slim.Stage = "", ""
-	slim.RemainingMS, slim.ColdMS = 0, 0
+	slim.RemainingMS = 0
 	slim.InMemory, slim.OnDisk = nil, nil
 	return slim
 }
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -185,3 +185,25 @@
 	is.Equal(usable(d), map[string]bool{"i-new": true})
 	is.Equal(len(d.Since(d.Stamp()-1)), 1) // and gateways are told
 }
+
+// TestABackendServerThatIsColdAgainIsNews, and one that warms up is none.
+func TestABackendServerThatIsColdAgainIsNews(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Times{Silence: time.Minute, Forget: time.Hour})
+	directory := NewDirectory(time.Hour)
+	now := time.Unix(1_800_000_000, 0)
+	say := func(sequence uint64, coldMS int64) (news bool) {
+		news = table.Hear(now, Record{ID: "r", Sequence: sequence, ColdMS: coldMS})
+		stamp := directory.Stamp()
+		directory.Take(now, "a", table.Since(0))
+		is.Equal(directory.Stamp() != stamp, news)
+		return news
+	}
+	is.True(say(1, 3000))
+	is.True(!say(2, 1800))
+	is.True(!say(3, 0))
+	is.True(say(4, 3000))
+	is.Equal(directory.Since(0)[0].Record.ColdMS, int64(3000))
+	is.True(!say(5, 1000))
+	is.True(say(6, 2500)) // cold anew before it was warm
+}
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -77,6 +77,10 @@
 	MethodRelease = "dispatch.release"
 	// MethodReleased tells the leader so (notification).
 	MethodReleased = "dispatch.released"
+	// MethodWarmup asks a control node for a permit for a request to a cold replica.
+	MethodWarmup = "warmup.permit"
+	// MethodWarmupIssue asks the leader for it.
+	MethodWarmupIssue = "warmup.issue"
 	// MethodQuarantine tells a control node of contents under which replicas ended.
 	MethodQuarantine = "quarantine.told"
 	// MethodQuarantineList asks a control node for all that it knows of.
