A model that requests wait for displaces the last copy of one that nobody asks for

Cause: the last copy of a model made way only while no model at all had two copies, and then only for one with much work waiting. Change: a last copy of a model that nobody has asked for during 10 s, and of which no work is expected, makes way for a model without a copy that requests lately waited for; of several, the one that was asked for longest ago. It comes back when it is asked for.

--- a/src/placer/demand.go
+++ b/src/placer/demand.go
@@ -52,6 +52,8 @@
 	adapters map[adapterKey]*rate
 	// missing are adapters and models that requests wait for, with when they last did.
 	missing map[adapterKey]time.Time
+	// since is when the first request was told of, the zero time before.
+	since time.Time
 }
 
 func newDemand() *demand {
@@ -59,6 +61,9 @@
 }
 
 func (d *demand) take(now time.Time, usage wire.Usage) {
+	if d.since.IsZero() {
+		d.since = now
+	}
 	for _, asked := range usage.Models {
 		model := modelKey{asked.Service, asked.Model}
 		add(d.tokens, model, now, float64(asked.Tokens))
@@ -91,6 +96,18 @@
 	return known.get(now) / tokensPerSecond
 }
 
+// idleFor returns for how long no request has asked for a model, as far as is known here.
+func (d *demand) idleFor(now time.Time, model modelKey) time.Duration {
+	asked := d.since
+	if known := d.requests[model]; known != nil {
+		asked = known.at
+	}
+	if asked.IsZero() {
+		return 0
+	}
+	return now.Sub(asked)
+}
+
 // known reports whether any request for a service's models was ever told of.
 func (d *demand) known(service string) bool {
 	for key := range d.tokens {
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/wire"
 )
@@ -338,3 +339,49 @@
 func holds(f *fakeReplica, model string) bool {
 	return slices.ContainsFunc(f.held(), func(h registry.Held) bool { return h.Name == model })
 }
+
+// TestWhatIsAskedForHasACopyInTheEnd: with a place for each model that is asked for, all of them are
+// served soon after the demand has moved, whatever the places held before, and none is loaded again
+// as long as it is asked for.
+func TestWhatIsAskedForHasACopyInTheEnd(t *testing.T) {
+	const models, places = 14, 9
+	rapid.Check(t, func(t *rapid.T) {
+		e := testEngine()
+		e.Models = e.Models[:0]
+		for i := range models {
+			e.Models = append(e.Models, catalog.Model{Name: "m" + strconv.Itoa(i), WeightsMB: 70, AdapterMB: 1, Load: 2 * time.Second})
+		}
+		a, b, c := newFakeReplica("a", e, "m0", "m1", "m2"), newFakeReplica("b", e, "m3", "m4", "m5"), newFakeReplica("c", e, "m6", "m7", "m0")
+		w := newWorld(e, a, b, c)
+		w.run(3 * time.Second)
+		for range rapid.IntRange(1, 4).Draw(t, "moves of the demand") {
+			asked := rapid.SliceOfNDistinct(rapid.IntRange(0, models-1), 1, places, rapid.ID).Draw(t, "asked for")
+			orders := len(w.orders)
+			served := func(model int) bool {
+				name := "m" + strconv.Itoa(model)
+				return holds(a, name) || holds(b, name) || holds(c, name)
+			}
+			for range 90 {
+				for _, model := range asked {
+					missing := 1
+					if served(model) {
+						missing = 0
+					}
+					w.ask("m"+strconv.Itoa(model), "", 1, 150, missing)
+				}
+				w.run(500 * time.Millisecond)
+			}
+			loads := map[string]int{}
+			for _, order := range w.orders[orders:] {
+				if order.Operation == Load && order.Adapter == "" {
+					loads[order.Model]++
+				}
+			}
+			for _, model := range asked {
+				if name := "m" + strconv.Itoa(model); !served(model) || loads[name] > 2 {
+					t.Fatalf("%s, asked for with %v, is served: %v, loads %d", name, asked, served(model), loads[name])
+				}
+			}
+		}
+	})
+}
--- a/src/placer/plan.go
+++ b/src/placer/plan.go
@@ -57,8 +57,11 @@
 		shares = priorShares(s.Engine, units)
 	}
 	shares = forecast(shares)
+	waited := p.waitedFor(now, s.Name)
 	for i, model := range s.Engine.Models {
 		in.Models = append(in.Models, rebalance.Model{
+			Waited:    waited[model.Name],
+			IdleFor:   p.demand.idleFor(now, modelKey{s.Name, model.Name}),
 			Name:      model.Name,
 			Footprint: model.WeightsMB,
 			Work:      shares[i],
@@ -71,6 +74,17 @@
 	return in
 }
 
+// waitedFor returns the models that requests lately found no copy of.
+func (p *Placer) waitedFor(now time.Time, service string) map[string]bool {
+	models := map[string]bool{}
+	for _, key := range p.demand.missingLately(now, missingSpan) {
+		if key.service == service {
+			models[key.model] = true
+		}
+	}
+	return models
+}
+
 // lostFor is for how long a model has had no copy on a usable replica, coming ones
 // included.
 func (p *Placer) lostFor(now time.Time, model modelKey, units []*unit) time.Duration {
--- a/src/rebalance/input.go
+++ b/src/rebalance/input.go
@@ -11,6 +11,10 @@
 	Work float64
 	// LostFor is for how long it has had no copy.
 	LostFor time.Duration
+	// Waited is set if requests for it lately found no copy.
+	Waited bool
+	// IdleFor is for how long no request has asked for it, 0 if that is not known.
+	IdleFor time.Duration
 }
 
 // Phase is where a copy stands.
--- a/src/rebalance/plan.go
+++ b/src/rebalance/plan.go
@@ -32,6 +32,12 @@
 	leastGain = 0.03
 	// steadiness is by how much a copy must be worth more than the one that makes way.
 	steadiness = 1.25
+	// idleAfter is for how long nobody must have asked for a model whose last copy makes way for a
+	// model that is waited for. It is longer than a load from the store takes, so that models that
+	// are asked for by turns keep what they were loaded for.
+	idleAfter = 10 * time.Second
+	// idleWork is the work up to which a model counts as idle then: more is expected soon.
+	idleWork = 0.02
 	// horizon is for how long a decision is expected to hold: a copy that takes long
 	// to come is worth less of it, while the one that makes way is gone at once.
 	horizon = 10 * time.Second
@@ -229,7 +235,13 @@
 			candidates = append(candidates, other)
 		}
 	}
-	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].loss() < candidates[j].loss() })
+	sort.SliceStable(candidates, func(i, j int) bool {
+		a, b := candidates[i], candidates[j]
+		if lossA, lossB := a.lossTo(model), b.lossTo(model); lossA != lossB {
+			return lossA < lossB
+		}
+		return a.IdleFor > b.IdleFor
+	})
 	need := model.Footprint - r.Free
 	for _, other := range candidates {
 		if need <= 0 {
@@ -237,7 +249,7 @@
 		}
 		need -= other.Footprint
 		displaced += other.share()
-		lost += other.loss()
+		lost += other.lossTo(model)
 		drop = append(drop, other.Name)
 	}
 	return drop, displaced, lost, need <= 0
@@ -256,10 +268,25 @@
 	return part
 }
 
-// spare reports whether a copy may make way: never the last that serves, but where
-// there are fewer places than models, for a lost one that has more work waiting.
+// yieldsTo reports whether a model that nobody asks for gives its last copy up for one that requests
+// wait for, however many copies others have. It comes back when it is asked for.
+func (m *modelState) yieldsTo(model *modelState) bool {
+	return m.all == 1 && m.IdleFor >= idleAfter && m.Work <= idleWork && model.all == 0 && model.Waited
+}
+
+// lossTo is what one copy less costs if another model takes its place.
+func (m *modelState) lossTo(model *modelState) float64 {
+	if m.yieldsTo(model) {
+		return 0
+	}
+	return m.loss()
+}
+
+// spare reports whether a copy may make way: never the last that serves, but of an idle model for one
+// that is waited for and, where there are fewer places than models, for a lost one that has more work
+// waiting.
 func (s *state) spare(other, model *modelState) bool {
-	if other.ready > 1 {
+	if other.ready > 1 || other.yieldsTo(model) {
 		return true
 	}
 	return s.scarce && model.all == 0 && other.all == 1 && model.first()*leastLasting > other.first()*steadiness
--- a/src/rebalance/plan_test.go
+++ b/src/rebalance/plan_test.go
@@ -284,3 +284,42 @@
 	in.Models[1].Work = 0.05 // its copies are idle now
 	is.Equal(len(Plan(in).Moves), 1)
 }
+
+// TestAnIdleLastCopyMakesWayForAModelThatIsWaitedFor
+//
+// Models that were asked for all day were never served: each place held the last copy of a model that
+// nobody asked for, and none of these made way as long as any model had two copies.
+func TestAnIdleLastCopyMakesWayForAModelThatIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	input := func() Input {
+		rare := model("rare", 0.03)
+		rare.Waited = true
+		idle := model("idle", 0)
+		idle.IdleFor = time.Minute
+		longer := model("longer", 0)
+		longer.IdleFor = time.Hour
+		asked := model("asked", 0.01)
+		asked.IdleFor = time.Second
+		return Input{
+			Models:     []Model{model("busy", 2), rare, idle, longer, asked},
+			Servers:    []Server{server("a", "x", 3, "idle", "longer", "asked"), server("b", "x", 1, "busy"), server("c", "x", 1, "busy")},
+			StoreLoads: 1,
+		}
+	}
+	is.Equal(Plan(input()).Moves, []Move{{Server: 0, Model: "rare", Drop: []string{"longer"}, Reason: Plan(input()).Moves[0].Reason}})
+	for name, change := range map[string]func(*Input){
+		"nobody waits for it":         func(in *Input) { in.Models[1].Waited = false },
+		"it has a copy":               func(in *Input) { in.Servers = append(in.Servers, server("d", "x", 1, "rare")) },
+		"the others were asked for":   func(in *Input) { in.Models[2].IdleFor, in.Models[3].IdleFor = time.Second, time.Second },
+		"it is not known of them":     func(in *Input) { in.Models[2].IdleFor, in.Models[3].IdleFor = 0, 0 },
+		"demand for them is expected": func(in *Input) { in.Models[2].Work, in.Models[3].Work = 0.5, 0.5 },
+	} {
+		in := input()
+		change(&in)
+		for _, move := range Plan(in).Moves {
+			if move.Model == "rare" {
+				t.Errorf("%s: %+v", name, move)
+			}
+		}
+	}
+}
