Requests are served in the regions that their route and client account allow

Cause: allowed regions of routes and tenants were not read: a request could be sent to a replica in any region. Ruled out: leaving it to the cost of another zone (12 ms): a bound is no preference. Change: the regions of the zones come with the settings; both bounds hold for first and further tries, assigned places, copies of runs and what is waited for. Of a zone whose region is not known a bound request keeps away; without a replica in its regions it is refused at once. Open: the leader places models without knowing of regions: a model that only bound requests ask for, and that has its copies elsewhere, gets none in their region.

--- a/src/catalog/account.go
+++ b/src/catalog/account.go
@@ -48,7 +48,9 @@
 	Keys []Key
 	// Priority goes before the route's, nil if the account has none.
 	Priority *int
-	Limit    Limit
+	// Regions are those in which its requests may be served, empty for all.
+	Regions []string
+	Limit   Limit
 	// DefaultTokens is what a request counts that does not tell its tokens.
 	DefaultTokens int
 }
--- a/src/catalog/document.go
+++ b/src/catalog/document.go
@@ -47,6 +47,8 @@
 	Resumable bool
 	// Anonymous routes serve requests without a key too.
 	Anonymous bool
+	// Regions are those in which its requests may be served, empty for all.
+	Regions []string
 }
 
 // Idempotent reports whether a request of the route may run more than once.
--- a/src/exchange/backup.go
+++ b/src/exchange/backup.go
@@ -51,7 +51,7 @@
 	zone := others[len(others)-1].zone()
 	var near, far []*Peer
 	for _, c := range f.index.of(want.Service, held) {
-		if wasTried(others, c.peer) || c.peer.lacking(now, held) || c.peer.outlook(now).ejected || !f.takes(c.peer) {
+		if !f.resides(&want, c.zone) || wasTried(others, c.peer) || c.peer.lacking(now, held) || c.peer.outlook(now).ejected || !f.takes(c.peer) {
 			continue
 		}
 		if c.zone == zone {
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/moorspool/moorspool/src/catalog"
 )
 
 // The estimates of a choice, in milliseconds.
@@ -32,6 +34,8 @@
 	Adapter string
 	Prompt  int
 	Parts   []Part
+	// Residency says in which regions the request may be served.
+	Residency catalog.Residency
 	// PermitWithin is how long the request can wait for a permit for a cold replica, below 0 if it
 	// asks for none.
 	PermitWithin time.Duration
@@ -95,6 +99,9 @@
 	var bestLook outlook
 	seen := 0
 	for _, c := range f.index.of(want.Service, held) {
+		if !f.resides(&want, c.zone) {
+			continue
+		}
 		if wait, taken := f.takesFrom(c.peer); !taken {
 			best.opensIn(wait, c.peer)
 			continue
@@ -151,7 +158,7 @@
 // is holds the copy.
 func (f *Fleet) verdict(want Want, tried []*Peer) Verdict {
 	for _, c := range f.index.of(want.Service, copyKey{}) {
-		if want.Model != "" && !wasTried(tried, c.peer) {
+		if want.Model != "" && !wasTried(tried, c.peer) && f.resides(&want, c.zone) {
 			return Missing
 		}
 	}
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/moorspool/moorspool/src/catalog"
 )
 
 // choose picks a replica; it waits a while for a copy that is not there yet, or for a replica that
@@ -93,5 +95,5 @@
 }
 
 func (c *call) want() Want {
-	return Want{Service: c.service, Model: c.facts.Model, Adapter: c.facts.Adapter, Prompt: c.facts.PromptTokens, Parts: c.facts.Parts}
+	return Want{Service: c.service, Model: c.facts.Model, Adapter: c.facts.Adapter, Prompt: c.facts.PromptTokens, Parts: c.facts.Parts, Residency: catalog.ResidencyOf(c.route, c.account)}
 }
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -21,9 +21,11 @@
 // Fleet is every replica that this gateway knows; it is safe for concurrent use.
 type Fleet struct {
 	zone string
-	dial dialFunc
-	ring *event.Ring
-	now  func() time.Time
+	// regions are the regions of the availability zones, as far as they are known.
+	regions map[string]string
+	dial    dialFunc
+	ring    *event.Ring
+	now     func() time.Time
 	// bootNow tells the time on a clock that counts the suspensions of this host: what replicas
 	// ask for ends for them while this host stands still.
 	bootNow func() time.Time
@@ -89,6 +91,15 @@
 	}
 }
 
+// SetRegions sets the regions of the availability zones; it is called before the first replicas.
+func (f *Fleet) SetRegions(regions map[string]string) { f.regions = regions }
+
+// resides reports whether a request may be served in a replica's zone. Of a zone whose region is not
+// known a request that is bound to regions keeps away.
+func (f *Fleet) resides(want *Want, zone string) bool {
+	return !want.Residency.Bound() || want.Residency.Allows(f.regions[zone])
+}
+
 // onEnd sets what takes in that a replica has ended; it is called before the first replicas.
 func (f *Fleet) onEnd(ended func(now time.Time, replica string, witness string)) {
 	f.ended = ended
--- a/src/exchange/heard.go
+++ b/src/exchange/heard.go
@@ -129,11 +129,12 @@
 	return max(from.Sub(now), 1), false
 }
 
-// closed returns the IDs of a service's replicas that take no requests now.
-func (f *Fleet) closed(service string) []string {
+// closed returns the IDs of the replicas that could run a request and take none now, or must not
+// take this one.
+func (f *Fleet) closed(want *Want) []string {
 	var ids []string
-	for _, c := range f.index.of(service, copyKey{}) {
-		if !f.takes(c.peer) {
+	for _, c := range f.index.of(want.Service, copyKey{}) {
+		if !f.takes(c.peer) || !f.resides(want, c.zone) {
 			ids = append(ids, c.peer.ID())
 		}
 	}
@@ -167,7 +168,7 @@
 	for _, c := range f.index.of(want.Service, copyKey{model: want.Model, adapter: want.Adapter}) {
 		wait, taken := f.takesFrom(c.peer)
 		switch {
-		case taken:
+		case taken || !f.resides(&want, c.zone):
 		case len(named) == maxNamed:
 			more++
 		case f.drained(c.peer):
--- a/src/exchange/place.go
+++ b/src/exchange/place.go
@@ -52,7 +52,8 @@
 // requests from this gateway, and the gateway has to choose by itself.
 func (c *call) assigned(ctx context.Context, now time.Time) (Choice, bool) {
 	h := c.handler
-	closed := h.options.Fleet.closed(c.service)
+	want := c.want()
+	closed := h.options.Fleet.closed(&want)
 	if len(closed) > 0 && len(closed) == len(h.options.Fleet.index.of(c.service, copyKey{})) {
 		return Choice{}, false
 	}
@@ -81,7 +82,7 @@
 		c.release(dispatch.Full)
 		return Choice{}, false
 	}
-	if !h.options.Fleet.takes(peer) {
+	if !h.options.Fleet.takes(peer) || !h.options.Fleet.resides(&want, peer.zone()) {
 		c.release(dispatch.Unused)
 		return Choice{}, false
 	}
--- /dev/null
+++ b/src/exchange/residency_test.go
@@ -0,0 +1,101 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// abroad is a replica in a zone of another region.
+func abroad(t *testing.T, id string, act behaviour) *fakeReplica {
+	f := newReplica(t, id, act)
+	f.zone = "far"
+	return f
+}
+
+// inRegions sets the regions of the tests' zones and lets a route's requests be served in some.
+func (b *bench) inRegions(r catalog.Route, regions ...string) {
+	b.fleet.SetRegions(map[string]string{"z": "here", "far": "there"})
+	r.Regions = regions
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{r}, Services: testServices()}))
+}
+
+// TestARequestIsServedInItsRegionsOnly: first and further tries, copies of runs and assigned places.
+func TestARequestIsServedInItsRegionsOnly(t *testing.T) {
+	is := is.New(t)
+	r := route(catalog.Safe, 3)
+	far := abroad(t, "x", whole)
+	near := newReplica(t, "y", func(a arrival) bool { a.answer(500, "broken"); return true })
+	b := newBench(t, r, far, near)
+	b.inRegions(r, "here")
+	for i := range 5 {
+		is.Equal(b.do("POST", fmt.Sprint("try-", i), "x").status, 500)
+		is.Equal(b.do("POST", fmt.Sprint("model-", i), "x", testModel+": m").status, 500)
+	}
+	is.Equal(far.count(), 0)
+	want := Want{Service: "s", Model: "m", Residency: catalog.ResidencyOf(&catalog.Route{Regions: []string{"here"}}, nil)}
+	is.True(b.fleet.backup(time.Now(), want, []*Peer{b.fleet.Peer("y")}) == nil)
+	var tried []string
+	b.handler.options.Places = Places{
+		Ask: func(_ context.Context, request wire.PlaceRequest) (wire.PlaceReply, error) {
+			tried = request.Tried
+			return wire.PlaceReply{Known: true, Replica: "x", Ticket: 3}, nil
+		},
+		Release: func(wire.PlaceRelease) {},
+	}
+	b.handler.SetGateways(100)
+	b.do("GET", "placed", "")
+	is.Equal(tried, []string{"x"})
+	is.Equal(far.count(), 0)
+	b.handler.options.Places = Places{}
+	b.inRegions(r, "there")
+	is.Equal(b.do("POST", "abroad", "x").status, http.StatusOK)
+	is.Equal(far.count(), 1)
+}
+
+// TestARequestWithoutAReplicaInItsRegionsIsRefusedAtOnce, also where a zone's region is not known.
+func TestARequestWithoutAReplicaInItsRegionsIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := route(catalog.Safe, 3)
+	far := abroad(t, "x", whole)
+	b := newBench(t, r, far)
+	b.fleet.begunAt.Store(1)
+	b.inRegions(r, "here")
+	began := time.Now()
+	is.Equal(b.do("POST", "one", "x").status, http.StatusServiceUnavailable)
+	is.True(time.Since(began) < r.Target/2)
+	b.inRegions(r, "there")
+	b.fleet.SetRegions(nil)
+	is.Equal(b.do("POST", "two", "x").status, http.StatusServiceUnavailable)
+	is.Equal(far.count(), 0)
+}
+
+// TestTheRegionsOfAClientAccountBindBesideTheRoutes.
+func TestTheRegionsOfAClientAccountBindBesideTheRoutes(t *testing.T) {
+	is := is.New(t)
+	r := route(catalog.Safe, 1)
+	r.Regions = []string{"here", "there"}
+	far := abroad(t, "x", whole)
+	b := newKeyedBench(t, granting(), r, far)
+	b.fleet.SetRegions(map[string]string{"z": "here", "far": "there"})
+	set := func(regions ...string) {
+		b.handler.SetTable(catalog.NewTable(catalog.Document{
+			Version: 2, Routes: []catalog.Route{r}, Services: testServices(), Keyed: true,
+			Accounts: []catalog.Account{{Name: "a", Keys: []catalog.Key{"k"}, Regions: regions}},
+		}))
+	}
+	set("here")
+	is.Equal(b.do("POST", "one", "x", testKey+": k").status, http.StatusServiceUnavailable)
+	set("there")
+	is.Equal(b.do("POST", "two", "x", testKey+": k").status, http.StatusOK)
+	set()
+	is.Equal(b.do("POST", "three", "x", testKey+": k").status, http.StatusOK)
+	is.Equal(far.count(), 2)
+}
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -97,6 +97,7 @@
 	g.proc = proc
 	debug.SetGCPercent(gatewayGCPercent)
 	g.fleet = exchange.NewFleet(settings.Zone, exchange.Dial, proc.Ring(), time.Now, clock.Now)
+	g.fleet.SetRegions(settings.Zones)
 	terms := quotaTerms(settings.Quota)
 	g.gate = admission.NewGate(admission.GateOptions{
 		Ask:   g.askAdmission,
