A request waits for the copy of its model that is being loaded, if it can be answered before its client leaves

Ruled out: a longer share for all (who can't be served is held in vain); guessing from the model's load time alone (whether a load is under way is the leader's to know). Change: the leader tells with its holdings which models without a copy are being loaded or have room made for them, and after how long each is expected to serve; a request waits for that if it can be answered before its deadline and before its client leaves, and is refused at once with that time if not.

--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -48,7 +48,10 @@
 		if choice.Verdict == Chosen && !c.permitted(ctx, choice.Peer, want.PermitWithin) {
 			continue
 		}
-		if choice.Verdict == Chosen || len(c.tried) > 0 || !now.Before(c.began.Add(c.patience(now, choice.Verdict))) {
+		if choice.Verdict == Chosen || len(c.tried) > 0 {
+			return choice
+		}
+		if !now.Before(c.began.Add(c.patience(now, choice.Verdict))) && (choice.Verdict != Missing || !c.outwaits(now)) {
 			return choice
 		}
 		if choice.Verdict == Missing && !asked {
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -39,9 +39,11 @@
 	servers map[string]*server
 	// holdings are what the placing node knows beyond the replicas' words, by replica.
 	holdings map[string]copies
-	index    copyIndex
-	tellers  tellers
-	prompts  *prompts
+	// coming is when the first copies of models are expected to serve that have none.
+	coming  map[indexKey]time.Time
+	index   copyIndex
+	tellers tellers
+	prompts *prompts
 	// byKey are the replicas by their keys in packed backlogs.
 	byKey  map[uint64]*Peer
 	speeds *speeds
@@ -237,6 +239,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.coming = make(map[indexKey]time.Time, len(h.Coming))
+	for _, c := range h.Coming {
+		f.coming[indexKey{c.Service, copyKey{model: c.Model}}] = f.now().Add(time.Duration(c.InMS) * time.Millisecond)
+	}
 	before := f.holdings
 	f.holdings = next
 	for id := range before {
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -90,7 +90,9 @@
 	version uint64
 	// told are the copies that gateways were told of last.
 	told []wire.Holding
-	wake wakeup.Flag
+	// toldComing are the models that they were told of last as being loaded.
+	toldComing []modelKey
+	wake       wakeup.Flag
 	// planned is when each service's models were last planned.
 	planned map[string]time.Time
 	// newest is when a replica was last heard of for the first time, eldest when the
--- a/src/placer/send.go
+++ b/src/placer/send.go
@@ -160,10 +160,16 @@
 			holdings.Copies = append(holdings.Copies, u.holdings()...)
 		}
 	}
-	if p.version > 0 && slices.Equal(holdings.Copies, p.told) {
+	coming := p.coming(now)
+	for _, c := range coming {
+		holdings.Coming = append(holdings.Coming, wire.Coming{Service: c.service, Model: c.model, InMS: c.in.Milliseconds()})
+	}
+	names := comingModels(coming)
+	if p.version > 0 && slices.Equal(holdings.Copies, p.told) && slices.Equal(names, p.toldComing) {
 		return
 	}
 	p.told = holdings.Copies
+	p.toldComing = names
 	p.version++
 	holdings.Version = p.version
 	p.options.Publish(holdings)
--- a/src/wire/holdings.go
+++ b/src/wire/holdings.go
@@ -12,6 +12,17 @@
 	Copies []Holding `json:"copies,omitempty"`
 	// Gone are copies of the base of which nothing is said any more.
 	Gone []Holding `json:"gone,omitempty"`
+	// Coming are the models without a copy of which one is being loaded, all of them in each
+	// message.
+	Coming []Coming `json:"coming,omitempty"`
+}
+
+// Coming is a model of which the first copy is being loaded.
+type Coming struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	// InMS is after how many milliseconds it is expected to serve, as of the message.
+	InMS int64 `json:"inMs"`
 }
 
 // Holding is one model, or an adapter of it, on a replica.
@@ -31,7 +42,7 @@
 
 // Since returns what turns earlier whole holdings of the same term into these.
 func (h *Holdings) Since(earlier *Holdings) *Holdings {
-	delta := &Holdings{Term: h.Term, Version: h.Version, Base: earlier.Version}
+	delta := &Holdings{Term: h.Term, Version: h.Version, Base: earlier.Version, Coming: h.Coming}
 	known := make(map[Holding]bool, len(earlier.Copies))
 	for _, held := range earlier.Copies {
 		known[held.key()] = held.Leaving
@@ -62,7 +73,7 @@
 	for _, held := range delta.Gone {
 		changed[held.key()] = true
 	}
-	next := &Holdings{Term: delta.Term, Version: delta.Version}
+	next := &Holdings{Term: delta.Term, Version: delta.Version, Coming: delta.Coming}
 	for _, held := range h.Copies {
 		if !changed[held.key()] {
 			next.Copies = append(next.Copies, held)
