Soak: zones drained and filled again, with late copies of the orders; replicas and zones that become cold

Change: an operator drains zones and ends that through all strikes, at times with a copy of the first order after the end; a drain has to outlast the loss of all power. What starts is cold, and now and then all of a zone. Checks: nothing reaches a drained zone 2 s after its acknowledgement, no copy is carried out after the end, no cold replica gets more than 20 in a second that a calm installation knows of.

--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -91,7 +91,8 @@
 // startAgain starts a replica at a host, under an ID if that is not "".
 func (r *replicas) startAgain(host int, id string) {
 	for range 50 {
-		if _, err := r.startAs(host, id); err == nil {
+		if one, err := r.startAs(host, id); err == nil {
+			one.cold.begin()
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/soak/main.go
+++ b/soak/main.go
@@ -69,7 +69,8 @@
 	go in.endOnSignal()
 	check := newChecker()
 	check.bounds = !o.NoBounds
-	replicas, err := newReplicas(in, check, replicaCount)
+	zones := newZoneOrders()
+	replicas, err := newReplicas(in, check, zones, replicaCount)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +78,7 @@
 	if err := in.startAll(); err != nil {
 		return nil, err
 	}
-	operators := newOperators(in, check)
+	operators := newOperators(in, check, zones)
 	if err := operators.found(); err != nil {
 		return nil, err
 	}
@@ -88,6 +89,9 @@
 	defer rested()
 	go replicas.rest(resting, rand.New(rand.NewPCG(o.Seed, 10)))
 	go replicas.sayLeaving(ctx, rand.New(rand.NewPCG(o.Seed, 11)))
+	go replicas.coolZones(resting, rand.New(rand.NewPCG(o.Seed, 12)))
+	operators.work.Add(1)
+	go operators.drainZones(resting, rand.New(rand.NewPCG(o.Seed, 13)))
 	go operators.run(ctx, rand.New(rand.NewPCG(o.Seed, 3)))
 	clients := newClients(in, check)
 	if err := clients.warm(); err != nil {
@@ -98,6 +102,7 @@
 	in.heal()
 	rested()
 	operators.stop()
+	operators.drainLast()
 	in.blackout(operators, clients, rand.New(rand.NewPCG(o.Seed, 7)))
 	time.Sleep(settleTime)
 	clients.stop()
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -76,7 +76,7 @@
 	defer in.end()
 	go in.endOnSignal()
 	check := newChecker()
-	r, err := newReplicas(in, check, measureReplicas)
+	r, err := newReplicas(in, check, newZoneOrders(), measureReplicas)
 	if err != nil {
 		return err
 	}
@@ -88,7 +88,7 @@
 	for _, m := range in.members {
 		m.calm()
 	}
-	operators := newOperators(in, check)
+	operators := newOperators(in, check, newZoneOrders())
 	if err := operators.found(); err != nil {
 		return err
 	}
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -20,12 +20,13 @@
 	check   *checker
 	client  *http.Client
 	version atomic.Uint64
+	zones   *zoneOrders
 	done    chan struct{}
 	work    sync.WaitGroup
 }
 
-func newOperators(in *installation, check *checker) *operators {
-	return &operators{in: in, check: check, client: &http.Client{Timeout: 1200 * time.Millisecond}, done: make(chan struct{})}
+func newOperators(in *installation, check *checker, zones *zoneOrders) *operators {
+	return &operators{in: in, check: check, zones: zones, client: &http.Client{Timeout: 1200 * time.Millisecond}, done: make(chan struct{})}
 }
 
 // document returns the configuration of a version: the routes that always are
@@ -38,7 +39,7 @@
 		fmt.Sprintf(route, "events", "/e/", "streaming", true),
 		fmt.Sprintf(route, "version", fmt.Sprintf("/v/%d/", version), "safe", false),
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health"}],"limits":{"max_body_bytes":1048576},"tenants":[%s]}`, version, strings.Join(routes, ","), accountsOf(version))
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health","cold_per_s":%d}],"limits":{"max_body_bytes":1048576},"tenants":[%s]}`, version, strings.Join(routes, ","), coldRate, accountsOf(version))
 }
 
 // found sends the first configuration until it is taken.
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -36,10 +36,11 @@
 	check  *checker
 	client *http.Client
 
-	mu   sync.Mutex
-	list []*replica
-	next int
-	ends deadlyEnds
+	mu    sync.Mutex
+	list  []*replica
+	next  int
+	ends  deadlyEnds
+	zones *zoneOrders
 	// words sums up what replicas said in answers of whether they take requests.
 	words wordCounts
 }
@@ -57,10 +58,11 @@
 	turn     int
 	// words is what it says in its answers of whether it takes requests.
 	words words
+	cold  coldness
 }
 
-func newReplicas(in *installation, check *checker, count int) (*replicas, error) {
-	r := &replicas{in: in, check: check, client: &http.Client{Timeout: time.Second}}
+func newReplicas(in *installation, check *checker, zones *zoneOrders, count int) (*replicas, error) {
+	r := &replicas{in: in, check: check, zones: zones, client: &http.Client{Timeout: time.Second}}
 	for i := 1; i <= count; i++ {
 		one, err := r.start(i)
 		if err != nil {
@@ -112,6 +114,8 @@
 	if at := r.check.drainedAt(one.id); !at.IsZero() && time.Since(at) > drainGrace && r.settled(request.RemoteAddr) {
 		r.check.late("drain", "%s got request %s %s after its leaving was acknowledged", one.id, id, time.Since(at))
 	}
+	r.checkZone(one, id)
+	r.checkCold(one)
 	rest, away, leaves := r.arrived(one, request)
 	r.check.account(id, request.Header, !away)
 	if leaves {
@@ -195,11 +199,15 @@
 	one.sequence++
 	sequence := one.sequence
 	r.mu.Unlock()
-	body, err := json.Marshal(map[string]any{"service": "s", "address": one.address, "zone": fmt.Sprint("zone-", one.host%3), "version": "v1", "slots": 16, "state": state, "sequence": sequence, "born": one.born})
-	if err != nil {
+	cold := one.cold.left()
+	body, err := json.Marshal(map[string]any{"service": "s", "address": one.address, "zone": zoneOf(one.host), "version": "v1", "slots": 16, "state": state, "sequence": sequence, "born": one.born, "cold_remaining_ms": cold.Milliseconds()})
+	if err != nil || !r.call(one, http.MethodPut, body) {
 		return false
 	}
-	return r.call(one, http.MethodPut, body)
+	if cold > 0 {
+		one.cold.told()
+	}
+	return true
 }
 
 func (r *replicas) call(one *replica, method string, body []byte) bool {
