What a gateway keeps of bodies and answers is bounded over all requests

Cause: what is kept for one answer was bounded (1 MiB), over all requests it was not: two hundred clients that read slowly, or replicas that do, could take more than a small host has. Ruled out: a smaller bound for one answer: an answer that is kept whole can be replaced when its replica breaks off. Change: bodies and answers together keep at most a quarter of the process's memory. A body for which there is no room is refused as not run; an answer is passed on as it comes from there on. Figures: sixteen clients that read 160 KB slowly from a gateway that may keep 512 KB: all get their whole answers, others are served meanwhile, never more is kept; nothing is left after.

--- a/src/exchange/answer.go
+++ b/src/exchange/answer.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/moorspool/moorspool/src/event"
 )
 
@@ -52,7 +54,11 @@
 
 // passWhole passes a plain answer on once all of it is here.
 func (c *call) passWhole(ctx context.Context, peer *Peer, a *answer) outcome {
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxKept+1))
+	body, err := io.ReadAll(&retainingReader{call: c, from: io.LimitReader(a.response.Body, maxKept+1)})
+	if errors.Is(err, errRetention) {
+		// It can't be replaced any more if it breaks off, which is better than to keep all of it.
+		return c.passLong(ctx, peer, a, body)
+	}
 	now := c.handler.options.Now()
 	if err != nil {
 		a.abort()
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -59,6 +59,8 @@
 	Ring    *event.Ring
 	Metrics *Metrics
 	Now     func() time.Time
+	// RetainBytes bounds what is kept of bodies and answers over all requests, 0 for no bound.
+	RetainBytes int64
 }
 
 // Handler serves clients' requests; it is safe for concurrent use.
@@ -75,11 +77,12 @@
 	placing    placing
 	endings    *endings
 	lines      *lines
+	retention  retention
 }
 
 // NewHandler returns a handler without a configuration.
 func NewHandler(options Options) *Handler {
-	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), lines: newLines()}
+	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), lines: newLines(), retention: retention{limit: options.RetainBytes}}
 	h.gateways.Store(1)
 	h.endings = newEndings(options.Now, h.replicaEnded)
 	options.Fleet.onEnd(h.endings.prove)
@@ -134,6 +137,8 @@
 	// standing is its place among those that wait for replicas which take nothing now.
 	standing standing
 	body     []byte
+	// retained are the bytes that are kept of it.
+	retained int64
 	began    time.Time
 	// deadline is when the client must have its answer.
 	deadline time.Time
@@ -172,6 +177,7 @@
 	c := &call{handler: h, writer: w, request: r, began: h.options.Now()}
 	c.deadline = c.began.Add(defaultTimeout)
 	defer c.note()
+	defer c.giveRetained()
 	table := c.awaitTable()
 	if table == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration yet")
@@ -236,7 +242,11 @@
 	}
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(c.began.Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, int64(limit)))
+	body, err := io.ReadAll(&retainingReader{call: c, from: http.MaxBytesReader(c.writer, c.request.Body, int64(limit))})
+	if errors.Is(err, errRetention) {
+		c.refuse(http.StatusServiceUnavailable, err.Error())
+		return false
+	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- /dev/null
+++ b/src/exchange/retention_test.go
@@ -0,0 +1,114 @@
+package exchange
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+)
+
+// retainedMost watches what a gateway keeps until the returned function is called, which returns the
+// most that it kept.
+func (b *bench) retainedMost() func() int64 {
+	stop, most := make(chan struct{}), make(chan int64)
+	go func() {
+		largest := int64(0)
+		for {
+			select {
+			case <-stop:
+				most <- largest
+				return
+			case <-time.After(time.Millisecond):
+				largest = max(largest, b.handler.retention.used.Load())
+			}
+		}
+	}()
+	return func() int64 {
+		close(stop)
+		return <-most
+	}
+}
+
+// TestSlowClientsKeepABoundedPartOfAGateway: sixteen clients ask for answers of 160 KB and read them
+// slowly; all are whole, the gateway keeps no more than it may, and others are served meanwhile.
+func TestSlowClientsKeepABoundedPartOfAGateway(t *testing.T) {
+	const (
+		clients = 16
+		length  = 160 << 10
+		limit   = 512 << 10
+	)
+	is := is.New(t)
+	text := strings.Repeat("0123456789abcdef", length/16)
+	x := newReplica(t, "x", func(a arrival) bool {
+		if a.request.URL.Path == "/p/long" {
+			a.answer(200, text)
+			return true
+		}
+		return whole(a)
+	})
+	r := route(catalog.Safe, 1)
+	r.Timeout = 20 * time.Second
+	b := newBench(t, r, x)
+	b.handler.retention.limit = limit
+	most := b.retainedMost()
+	var slow sync.WaitGroup
+	for i := range clients {
+		slow.Go(func() {
+			got, err := readSlowly(b.server.Listener.Addr().String(), fmt.Sprint("slow-", i))
+			if err != nil || got != text {
+				t.Errorf("client %d got %d bytes: %v", i, len(got), err)
+			}
+		})
+	}
+	for i := range 10 {
+		is.Equal(b.do("POST", fmt.Sprint("other-", i), "x").status, http.StatusOK)
+	}
+	slow.Wait()
+	if kept := most(); kept > limit {
+		t.Errorf("%d bytes kept, %d allowed", kept, limit)
+	}
+	is.Equal(b.handler.retention.used.Load(), int64(0))
+}
+
+// readSlowly asks for the long answer and reads it in small pieces.
+func readSlowly(address, id string) (string, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		return "", err
+	}
+	if _, err := fmt.Fprintf(conn, "GET /p/long HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n\r\n", testID, id); err != nil {
+		return "", err
+	}
+	time.Sleep(300 * time.Millisecond)
+	response, err := http.ReadResponse(bufio.NewReaderSize(conn, 4<<10), nil)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+// TestABodyForWhichThereIsNoRoomIsRefusedAsNotRun.
+func TestABodyForWhichThereIsNoRoomIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Unsafe, 1), x)
+	b.handler.retention.limit = 64 << 10
+	is.Equal(b.do("POST", "large", strings.Repeat("x", 100<<10)).status, http.StatusServiceUnavailable)
+	is.Equal(x.count(), 0)
+	is.Equal(b.do("POST", "small", "x").status, http.StatusOK)
+	is.Equal(b.handler.retention.used.Load(), int64(0))
+}
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -50,6 +50,9 @@
 	gatewayGCPercent = 100
 	// memoryShare is the part of a process's memory that the heap aims at.
 	memoryShare = 0.7
+	// retainShare is the part that bodies and answers may take together: the rest is for the view of
+	// the installation and the connections.
+	retainShare = 0.25
 )
 
 // GatewayMain runs moorspool-fleet-gateway and returns its exit code.
@@ -126,6 +129,8 @@
 		Ring:    proc.Ring(),
 		Metrics: exchange.NewMetrics(proc.Metrics()),
 		Now:     time.Now,
+
+		RetainBytes: int64(retainShare * float64(settings.MemoryMB) * (1 << 20)),
 	})
 	g.buildFollower()
 	proc.SetRefresh(func(m *metric.Registry) {
