--- a/src/control/node.go
+++ b/src/control/node.go
@@ -71,7 +71,7 @@
 }
 
 // publish makes what the replica knows now the node's view.
-func (n *Node) publish() { n.view.Store(viewOf(n.replica)) }
+func (n *Node) publish() { n.view.Store(viewOf(n.replica, n.now())) }
 
 // known returns what the node knew after its last turn.
 func (n *Node) known() *view { return n.view.Load() }
--- a/src/control/quorum.go
+++ b/src/control/quorum.go
@@ -30,12 +30,9 @@
 	return fmt.Sprintf("%d of %d voters heard, %d learners", q.Heard, q.Voters, q.Learners)
 }
 
-// Quorum returns how this node sees the membership now.
-func (c *Cluster) Quorum() Quorum {
-	var q Quorum
-	c.node.Do(func(now time.Time) { q = quorumOf(c.node.replica, now) })
-	return q
-}
+// Quorum returns how this node saw the membership after its last turn. It does not wait for a turn,
+// which may wait for the disk: metrics have to be there just when a disk is slow.
+func (c *Cluster) Quorum() Quorum { return c.node.known().quorum }
 
 func quorumOf(r *Replica, now time.Time) Quorum {
 	core := r.core
--- a/src/control/view.go
+++ b/src/control/view.go
@@ -19,6 +19,7 @@
 	ledSince   time.Time
 	extensions map[string]float64
 	drains     *wire.ZoneDrains
+	quorum     Quorum
 	// sureUntil is until when the node is sure that what it has applied is the newest: it
 	// leads, and its lease lasts. It is the zero time if it is not.
 	sureUntil time.Time
@@ -27,7 +28,7 @@
 }
 
 // viewOf returns what a replica knows now.
-func viewOf(r *Replica) *view {
+func viewOf(r *Replica, now time.Time) *view {
 	return &view{
 		document:   r.state.document,
 		members:    r.core.Members(),
@@ -36,6 +37,7 @@
 		ledSince:   r.core.LedSince(),
 		extensions: r.state.extensions,
 		drains:     r.state.drains,
+		quorum:     quorumOf(r, now),
 		sureUntil:  r.core.ReadSafeUntil(),
 
 		confirmedAt: r.core.Confirmed(),
--- a/src/control/zoneorder.go
+++ b/src/control/zoneorder.go
@@ -70,7 +70,7 @@
 	c.node.Do(func(now time.Time) {
 		r := c.node.replica
 		ticket = wire.ZoneTicket{
-			Known:    viewOf(r).sure(now),
+			Known:    viewOf(r, now).sure(now),
 			Term:     r.core.Term(),
 			Revision: r.state.zones[zone].Revision,
 			IssuedMS: now.UnixMilli(),
