The last copy of an idle model makes way for a busy one if it is back within a second

Cause: on a work with 104 models in 120 places two busy models shared one server (324 of the 6,216 requests of a third of the gateways in 36 s, the mean 107), whose runs paused 0.2 to 0.4 s, while the places of others held last copies of models that nobody asked for. Ruled out: more worth for further copies (there is no room to take); giving up copies that come back from the store. Change: a model that nobody has asked for during 10 s, and of which no work is expected, counts as idle; its last copy may make way where the server holds its weights in memory. An idle model without a copy takes no place from others by age alone; once requests wait for it, it does. A property found that moves did not end where an idle model was waited for at the same time; such a model is not idle.

--- a/src/rebalance/plan.go
+++ b/src/rebalance/plan.go
@@ -26,7 +26,7 @@
 	lostGain = 0.05
 	lostWork = 1.5
 	// lostAging is what each second without a copy adds: however busy the others
-	// are, a model does not stay without one.
+	// are, a model does not stay without one, unless nobody asks for it.
 	lostAging = 0.02
 	// leastGain is what a copy must be worth at least to be loaded.
 	leastGain = 0.03
@@ -38,6 +38,9 @@
 	idleAfter = 10 * time.Second
 	// idleWork is the work up to which a model counts as idle then: more is expected soon.
 	idleWork = 0.02
+	// returnsWithin is within what time the last copy of an idle model has to be able to come back to
+	// its server, without the weight store, to make way for a further copy of a busy one.
+	returnsWithin = time.Second
 	// horizon is for how long a decision is expected to hold: a copy that takes long
 	// to come is worth less of it, while the one that makes way is gone at once.
 	horizon = 10 * time.Second
@@ -74,6 +77,9 @@
 
 // gain is what one more copy is worth.
 func (m *modelState) gain() float64 {
+	if m.all == 0 && m.idle() {
+		return m.first()
+	}
 	if m.all == 0 {
 		return m.first() + lostAging*m.LostFor.Seconds()
 	}
@@ -231,7 +237,7 @@
 func (s *state) victims(model *modelState, r *Server) (drop []string, displaced, lost float64, enough bool) {
 	var candidates []*modelState
 	for _, held := range r.Copies {
-		if other := s.models[held.Model]; other != nil && held.Phase == Ready && s.spare(other, model) {
+		if other := s.models[held.Model]; other != nil && held.Phase == Ready && (s.spare(other, model) || other.returns(r)) {
 			candidates = append(candidates, other)
 		}
 	}
@@ -268,10 +274,25 @@
 	return part
 }
 
+// idle reports whether nobody asks for a model, or is expected to.
+func (m *modelState) idle() bool {
+	return m.IdleFor >= idleAfter && m.Work <= idleWork && !m.Waited
+}
+
 // yieldsTo reports whether a model that nobody asks for gives its last copy up for one that requests
 // wait for, however many copies others have. It comes back when it is asked for.
 func (m *modelState) yieldsTo(model *modelState) bool {
-	return m.all == 1 && m.IdleFor >= idleAfter && m.Work <= idleWork && model.all == 0 && model.Waited
+	return m.all == 1 && m.idle() && model.all == 0 && model.Waited
+}
+
+// returns reports whether an idle model's last copy may make way on its server for a further copy of
+// a busy one, since it is back within a moment once it is asked for.
+func (m *modelState) returns(r *Server) bool {
+	if m.all != 1 || !m.idle() {
+		return false
+	}
+	wait, fromStore := r.LoadTime(m.Name)
+	return !fromStore && wait <= returnsWithin
 }
 
 // lossTo is what one copy less costs if another model takes its place.
