--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -337,45 +336,6 @@
 	c.publisher.SetRelay(c.relay)
 }
 
-func (c *controlNode) calls() Calls {
-	return Calls{
-		Put:  c.put,
-		Read: c.read,
-		Refused: func(reason string) {
-			c.proc.Ring().Add(event.Event{Kind: event.ConfigRefused, Reason: reason})
-		},
-		OrderZone: c.orderZone,
-		Hear:      c.publisher.Hear,
-		Misread:   c.misread,
-		Remove:    c.publisher.Remove,
-	}
-}
-
-// misread notes a replica's call that can't be one: another writer's, whose word changes nothing.
-func (c *controlNode) misread(name, reason string) {
-	c.proc.Metrics().Count("replica_calls_refused_total").Inc(1)
-	c.proc.Ring().Add(event.Event{Kind: event.CallRefused, Host: name, Reason: reason})
-}
-
-func (c *controlNode) put(ctx context.Context, version uint64, raw []byte) bool {
-	reply := c.cluster.Put(ctx, wire.DocumentRequest{Version: version, Packed: wire.Pack(raw)})
-	kind := event.ConfigAccepted
-	if reply.Outcome != wire.Accepted {
-		kind = event.ConfigUncertain
-	}
-	c.proc.Ring().Add(event.Event{Kind: kind, Reason: "version " + strconv.FormatUint(version, 10) + ", in force " + strconv.FormatUint(reply.Version, 10) + " " + reply.Reason})
-	return reply.Outcome == wire.Accepted
-}
-
-func (c *controlNode) read(ctx context.Context) ([]byte, bool) {
-	held := c.cluster.Read(ctx)
-	if !held.Known {
-		return nil, false
-	}
-	raw, err := wire.Unpack(held.Packed)
-	return raw, err == nil
-}
-
 func (c *controlNode) reload() {
 	settings, err := option.LoadFleetControl(c.file)
 	if err != nil {
--- a/src/fleet/zone.go
+++ b/src/fleet/zone.go
@@ -17,35 +17,45 @@
 
 // orderZone carries out an operator's order to drain an availability zone, or to end that.
 func (c *controlNode) orderZone(ctx context.Context, zone string, drain bool) ZoneAnswer {
+	return c.orderZoneBy(ctx, zone, drain, "a call")
+}
+
+// orderZoneBy is orderZone with who asks, for the log.
+func (c *controlNode) orderZoneBy(ctx context.Context, zone string, drain bool, by string) ZoneAnswer {
+	note := func(kind event.Kind, reason string) {
+		c.proc.Ring().Add(event.Event{Kind: kind, Zone: zone, Reason: describeOrder(drain, by, reason)})
+	}
 	if _, known := c.settings.Zones[zone]; !known && len(c.settings.Zones) > 0 {
 		reason := fmt.Sprintf("there is no availability zone %q", zone)
-		c.noteZoneOrder(event.ZoneOrderRefused, zone, drain, reason)
+		note(event.ZoneOrderRefused, reason)
 		return ZoneAnswer{Unknown: true, Reason: reason}
 	}
 	select {
 	case <-ctx.Done():
-		c.noteZoneOrder(event.ZoneOrderRefused, zone, drain, "its caller has hung up")
+		note(event.ZoneOrderRefused, "the caller has hung up")
 		return ZoneAnswer{Reason: "the caller has hung up"}
 	case <-time.After(callerWait):
 	}
 	reply := c.cluster.OrderZone(ctx, zone, drain)
 	if reply.Outcome != wire.Accepted {
-		c.noteZoneOrder(event.ZoneOrderRefused, zone, drain, string(reply.Outcome)+": "+reply.Reason)
+		note(event.ZoneOrderRefused, string(reply.Outcome)+": "+reply.Reason)
 		return ZoneAnswer{Reason: reply.Reason, RetryAfter: time.Duration(reply.RetryMS) * time.Millisecond}
 	}
-	c.noteZoneOrder(event.ZoneOrdered, zone, drain, "")
+	note(event.ZoneOrdered, "")
 	return ZoneAnswer{Done: true}
 }
 
-func (c *controlNode) noteZoneOrder(kind event.Kind, zone string, drain bool, reason string) {
+// describeOrder says in a log line what was ordered by whom, and why it was not done.
+func describeOrder(drain bool, by, reason string) string {
 	what := "drain"
 	if !drain {
 		what = "end the drain"
 	}
+	what += ", by " + by
 	if reason != "" {
 		what += ": " + reason
 	}
-	c.proc.Ring().Add(event.Event{Kind: kind, Zone: zone, Reason: what})
+	return what
 }
 
 // takeDrains lets nothing new be placed in drained zones.
@@ -57,7 +67,7 @@
 // registerZones adds the operator's methods on our own interface.
 func (c *controlNode) registerZones() {
 	c.proc.Mux().Handle(wire.MethodZoneDrain, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, request wire.ZoneDrainRequest) (wire.ZoneReply, error) {
-		got := c.orderZone(ctx, request.Zone, request.Drain)
+		got := c.orderZoneBy(ctx, request.Zone, request.Drain, request.By)
 		reply := wire.ZoneReply{Outcome: wire.Accepted, Reason: got.Reason, RetryMS: got.RetryAfter.Milliseconds()}
 		switch {
 		case got.Unknown:
