Soak: clients that ask for long answers and read them late; what gateways take is watched

Cause: slow readers were proved by one test, not beside strikes. Change: six clients at each gateway ask for 600 KB and read 1.5 s late; whole answers have to be their own; the resident memory of no gateway may exceed its setting. Programs are unchanged. Conclusion: stays.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -73,6 +73,10 @@
 			c.work.Add(1)
 			go c.press(ctx, m, rand.New(rand.NewPCG(seed, 7)))
 		}
+		for range slowEach {
+			c.work.Add(1)
+			go c.readSlowly(ctx, m)
+		}
 		c.work.Add(1)
 		go c.probe(ctx, m)
 	}
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -140,8 +140,8 @@
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s%d:%d", outerNet, i, in.callPort())))
 	}
 	quota := fmt.Sprintf("quota: {window: %s, overage: %v, slack: %d}\n", quotaWindow, quotaOverage, quotaSlack)
-	text := fmt.Sprintf("node: %s\nzone: zone-%d\naddress: %s%d\nlisten: %s%d\npeerPort: %d\nadminPort: %d\nseeds: [%s]\nmemoryMB: 200\n",
-		m.name, m.host%3, outerNet, m.host, innerNet, m.host, in.peerPort(), in.adminPort(), strings.Join(seeds, ", "))
+	text := fmt.Sprintf("node: %s\nzone: zone-%d\naddress: %s%d\nlisten: %s%d\npeerPort: %d\nadminPort: %d\nseeds: [%s]\nmemoryMB: %d\n",
+		m.name, m.host%3, outerNet, m.host, innerNet, m.host, in.peerPort(), in.adminPort(), strings.Join(seeds, ", "), memoryMB)
 	if m.control {
 		text += fmt.Sprintf("calls: %s\nfolder: %s\nfound: %v\ntolerance: %d\nheartbeat: 500ms\nlease: 1s\n"+quota, in.inner(m, in.callPort()), m.folder, found, tolerance)
 	} else {
--- a/soak/main.go
+++ b/soak/main.go
@@ -97,6 +97,7 @@
 	if err := clients.warm(); err != nil {
 		return nil, err
 	}
+	go in.watchMemory(ctx, check)
 	go clients.run(ctx, rand.New(rand.NewPCG(o.Seed, 4)))
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
 	in.heal()
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -36,6 +36,7 @@
 	routes := []string{
 		fmt.Sprintf(route, "unsafe", "/u/", "unsafe", false),
 		fmt.Sprintf(route, "safe", "/s/", "safe", false),
+		fmt.Sprintf(route, "long", "/l/", "safe", false),
 		fmt.Sprintf(route, "events", "/e/", "streaming", true),
 		fmt.Sprintf(route, "version", fmt.Sprintf("/v/%d/", version), "safe", false),
 	}
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -141,6 +141,8 @@
 		_, _ = fmt.Fprintf(w, "%s:%s", id, body)
 	case 'e':
 		r.stream(w, request, id)
+	case 'l':
+		_, _ = io.WriteString(w, longBody(id))
 	default:
 		_, _ = fmt.Fprintf(w, "%s:%s", id, body)
 	}
