A gateway that stops holds no request for a copy that is being loaded

Cause: found in reading: a request may wait for its copy for up to four targets, longer than a planned stop takes, and would then have ended without an answer. Ruled out: ending the wait a margin before the stop limit: the balancer's other gateways can take it at once. Figures: the test fails without it (answered after the 2 s that the copy was to take). Conclusion: stays.

--- a/src/exchange/coming.go
+++ b/src/exchange/coming.go
@@ -28,10 +28,11 @@
 
 // outwaits reports whether a request without a copy of its model can wait for the one that is being
 // loaded. Its answer is late, which is worth more to its client than none; one that can't be in time
-// to be of any use is refused at once instead, and told when the copy serves.
+// to be of any use is refused at once instead, and told when the copy serves. A gateway that stops
+// holds none: it may end before the copy is there.
 func (c *call) outwaits(now time.Time) bool {
 	at, known := c.handler.options.Fleet.comingAt(now, c.service, c.facts.Model)
-	if !known {
+	if !known || c.handler.stopping.Load() {
 		return false
 	}
 	wait := max(at.Sub(now), 0)
--- a/src/exchange/coming_test.go
+++ b/src/exchange/coming_test.go
@@ -37,3 +37,26 @@
 	is.Equal(b.do("POST", "waits", "x", testModel+": n").status, http.StatusOK)
 	is.Equal(x.count(), 1)
 }
+
+// TestAGatewayThatStopsHoldsNoRequestForACopy: one that was held is refused as not run while there is
+// time for its answer.
+func TestAGatewayThatStopsHoldsNoRequestForACopy(t *testing.T) {
+	is := is.New(t)
+	r := route(catalog.Unsafe, 1)
+	x := newReplica(t, "x", whole)
+	b := newBench(t, r, x)
+	b.fleet.begunAt.Store(1)
+	b.fleet.SetHoldings(&wire.Holdings{Term: 1, Version: 1, Coming: []wire.Coming{{Service: "s", Model: "n", InMS: 2000}}})
+	answered := make(chan got, 1)
+	go func() { answered <- b.do("POST", "held", "x", testModel+": n") }()
+	select {
+	case early := <-answered:
+		t.Fatalf("answered %d before the gateway stopped", early.status)
+	case <-time.After(r.Target / 2):
+	}
+	b.handler.Stop()
+	stopped := time.Now()
+	is.Equal((<-answered).status, http.StatusServiceUnavailable)
+	is.True(time.Since(stopped) < time.Second)
+	is.Equal(x.count(), 0)
+}
