--- a/src/warmup/issuer_test.go
+++ b/src/warmup/issuer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -88,3 +89,22 @@
 		}
 	}
 }
+
+// BenchmarkTake is what the leader does for one ask, beside so many cold backend servers.
+func BenchmarkTake(b *testing.B) {
+	for _, servers := range []int{10, 1000, 10000} {
+		b.Run(strconv.Itoa(servers), func(b *testing.B) {
+			now := time.Unix(1_800_000_000, 0)
+			lead := Leadership{Self: true, Term: 1, Since: now.Add(-time.Hour)}
+			i := NewIssuer(func() Leadership { return lead })
+			names := make([]string, servers)
+			for n := range names {
+				names[n] = "i-" + strconv.Itoa(n)
+			}
+			for n := 0; b.Loop(); n++ {
+				now = now.Add(10 * time.Microsecond)
+				i.Take(now, names[n%servers], 11, time.Second)
+			}
+		})
+	}
+}
