--- a/src/control/zone_test.go
+++ b/src/control/zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"sort"
 	"testing"
 	"time"
@@ -262,3 +263,20 @@
 	is.NoErr(err)
 	is.Equal(restored.drains.Revision, uint64(0))
 }
+
+// TestOrdersAndSnapshotsKeepTheirForm: later builds read the logs and snapshots of this one, and
+// control nodes of both run side by side.
+func TestOrdersAndSnapshotsKeepTheirForm(t *testing.T) {
+	is := is.New(t)
+	order, err := command{At: time.Unix(1_800_000_000, 0).UTC(), Zone: &zoneCommand{Zone: "x", Drain: true, Base: 3}}.encode()
+	is.NoErr(err)
+	is.Equal(hex.EncodeToString(order), "a2011a6b49d20008a301617802f50303")
+	s := NewState()
+	s.zones = zoneStates{"x": {Drained: true, Revision: 3, Changes: 3}, "y": {Revision: 2, Changes: 2}}
+	saved, err := saveMode.Marshal(map[int]any{10: s.zones})
+	is.NoErr(err)
+	is.Equal(hex.EncodeToString(saved), "a10aa26178a301f5020303036179a301f402020302")
+	restored, err := RestoreState(saved)
+	is.NoErr(err)
+	is.Equal(restored.zones, s.zones)
+}
