Soak: slow and hanging disks of control nodes among the strikes

Change: builds for the soak delay each sync of a data folder by what a file beside it says. Bounds on time do not hold during a spell.

--- a/soak/blackout.go
+++ b/soak/blackout.go
@@ -32,6 +32,7 @@
 		m.trouble()
 		m.signal(syscall.SIGKILL)
 	}
+	defer in.dullDisks(random)()
 	var starts sync.WaitGroup
 	for _, m := range in.members {
 		dark := time.Duration(random.Int64N(int64(longestDark)))
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -60,6 +60,34 @@
 type installation struct {
 	options options
 	members []*member
+	disks   spells
+}
+
+// spells counts the spells of slow disks under way and remembers when the last one ended.
+type spells struct {
+	mu      sync.Mutex
+	open    int
+	endedAt time.Time
+}
+
+func (s *spells) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open++
+}
+
+func (s *spells) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	s.endedAt = time.Now()
+}
+
+// over returns when the last spell ended; none is false while one is under way.
+func (s *spells) over() (endedAt time.Time, none bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endedAt, s.open == 0
 }
 
 func newInstallation(o options) (*installation, error) {
@@ -238,9 +266,13 @@
 
 func (in *installation) gatewayNodes() []*member { return in.members[controls:] }
 
-// coreCalmSince returns since when all control nodes have been calm, zero if one is not.
+// coreCalmSince returns since when all control nodes and their disks have been calm, zero if one is
+// not.
 func (in *installation) coreCalmSince() time.Time {
-	var latest time.Time
+	latest, none := in.disks.over()
+	if !none {
+		return time.Time{}
+	}
 	for _, m := range in.controlNodes() {
 		_, since := m.state()
 		if since.IsZero() {
--- a/soak/main.go
+++ b/soak/main.go
@@ -15,16 +15,18 @@
 )
 
 type options struct {
-	Seed     uint64 `long:"seed" description:"the run's seed" required:"yes"`
-	Seconds  int    `long:"seconds" description:"how long faults are injected" default:"20"`
-	Gateways int    `long:"gateways" description:"number of gateways" default:"4"`
-	Bin      string `long:"bin" description:"folder of the programs" default:"target"`
-	Folder   string `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
-	NoBounds bool   `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
-	Measure  string `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, upgrade, back"`
-	Old      string `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
-	Order    string `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
-	Port     int    `long:"port" description:"first of the ports used on every address" default:"17400"`
+	Seed     uint64        `long:"seed" description:"the run's seed" required:"yes"`
+	Seconds  int           `long:"seconds" description:"how long faults are injected" default:"20"`
+	Gateways int           `long:"gateways" description:"number of gateways" default:"4"`
+	Bin      string        `long:"bin" description:"folder of the programs" default:"target"`
+	Folder   string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
+	NoBounds bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
+	Measure  string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, upgrade, back"`
+	Old      string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
+	Order    string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
+	SyncWait time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
+	OldDisks bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
+	Port     int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
 
 // settleTime is how long the installation has after the last fault.
@@ -100,7 +102,12 @@
 	}
 	go in.watchMemory(ctx, check)
 	go clients.run(ctx, rand.New(rand.NewPCG(o.Seed, 4)))
+	slowed, swift := context.WithCancel(ctx)
+	defer swift()
+	disks := in.playDisks(slowed, rand.New(rand.NewPCG(o.Seed, 15)))
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
+	swift()
+	disks.Wait()
 	in.heal()
 	rested()
 	operators.stop()
--- a/src/store/folder.go
+++ b/src/store/folder.go
@@ -184,6 +184,7 @@
 		return errors.Wrap(err, "syncing the data folder")
 	}
 	defer folder.Close()
+	delaySync(f.path)
 	return errors.Wrap(folder.Sync(), "syncing the data folder")
 }
 
--- a/src/store/save.go
+++ b/src/store/save.go
@@ -50,6 +50,7 @@
 	if _, err := f.segment.Write(buf); err != nil {
 		return errors.Wrap(err, "writing the log")
 	}
+	delaySync(f.path)
 	if err := f.segment.Sync(); err != nil {
 		return errors.Wrap(err, "syncing the log")
 	}
