Writes under way stand in the status; what a suspended host measures of a write is bounded

Cause: found in reading: a host that is suspended during a write takes the whole suspension for the write's time, and would wait twice as long for votes.

Change: what a write tells of the next one is at most 5 s, the time for the votes of others at most 30 s. moorspool status shows a write that has been under way for a second.

--- a/src/cli/show.go
+++ b/src/cli/show.go
@@ -107,6 +107,9 @@
 	return show(all, func() { table(all.write) })
 }
 
+// shownWrite is from when on a write that is under way stands in the table.
+const shownWrite = time.Second
+
 func (s fleetStatus) write(w *tabwriter.Writer) {
 	fmt.Fprintln(w, "PROCESS\tROLE\tZONE\tREVISION\tHEARD\tSTATE\tCPU\tRESIDENT\tANONYMOUS\tCONTROL B/S")
 	for _, controlNode := range s.ControlNodes {
@@ -114,6 +117,9 @@
 		if !controlNode.ControlNode.CaughtUp {
 			state += ", not caught up"
 		}
+		if under := time.Duration(controlNode.ControlNode.WriteMS) * time.Millisecond; under >= shownWrite {
+			state += ", a write under way for " + under.String()
+		}
 		fmt.Fprintf(w, "%s\tcontrol\t%s\t%s\tnow\t%s\t%s\n", controlNode.Node, controlNode.Zone, revisionText(controlNode.Revision), state, costText(controlNode.Control))
 	}
 	for _, node := range s.Nodes {
--- a/src/control/service.go
+++ b/src/control/service.go
@@ -181,7 +181,7 @@
 		status.Members = core.Members()
 		status.Claims = s.node.replica.state.Claims()
 		status.CaughtUp = core.Members().IsVoter(core.ID()) && core.Leader() != "" && core.Commit() == core.LastIndex()
-		_ = now
+		status.WriteMS = core.WriteAge(now).Milliseconds()
 	})
 	return status
 }
--- a/src/raft/durable.go
+++ b/src/raft/durable.go
@@ -5,8 +5,14 @@
 // writeMemory is for how long the time that a write took tells what the next one will take.
 const writeMemory = 10 * time.Second
 
-// maxDoublings bounds how often the time for the votes of others doubles.
-const maxDoublings = 4
+const (
+	// maxDoublings and longestVoteWait bound the time that is left for the votes of others.
+	maxDoublings    = 4
+	longestVoteWait = 30 * time.Second
+	// longestWrite bounds what a write tells of the next one: a host may have been suspended
+	// during it.
+	longestWrite = 5 * time.Second
+)
 
 // writing is what the core knows of the writes that it hands out, one at a time.
 type writing struct {
@@ -30,9 +36,10 @@
 
 // end notes that the write under way has ended.
 func (w *writing) end(now time.Time) {
-	w.took = max(now.Sub(w.beganAt), w.usual(now)/2)
-	w.endedAt = now
+	took := now.Sub(w.beganAt)
 	w.busy = false
+	w.took = max(took, w.usual(now)/2)
+	w.endedAt = now
 }
 
 // usual returns how long writes take, as far as the last ones and the one under way tell.
@@ -41,7 +48,7 @@
 	if now.Sub(w.endedAt) < writeMemory {
 		longest = w.took
 	}
-	return max(longest, w.age(now))
+	return min(max(longest, w.age(now)), longestWrite)
 }
 
 // age returns for how long the write under way has been, 0 if there is none.
@@ -159,7 +166,8 @@
 // durable. Other nodes may have to end a write before they write their votes, and their disks may
 // be slower than this one: each election without a result doubles the time that is left to them.
 func (c *Core) awaitVotes(now time.Time) {
-	wait := c.options.Election + 2*c.disk.usual(now)<<min(c.failed, maxDoublings)
+	others := min(2*c.disk.usual(now)<<min(c.failed, maxDoublings), longestVoteWait)
+	wait := c.options.Election + others
 	c.failed++
 	c.electionAt = now.Add(wait + time.Duration(c.rand.Int64N(int64(wait))))
 	if c.role == Candidate && c.savedState.Term == c.term {
--- a/src/wire/process.go
+++ b/src/wire/process.go
@@ -39,7 +39,9 @@
 	CaughtUp bool         `json:"caughtUp"`
 	Claims   int          `json:"claims"`
 	Syncs    uint64       `json:"syncs"`
-	Nodes    []NodeStatus `json:"nodes,omitempty"`
+	// WriteMS is for how many milliseconds a write to the data folder has been under way, 0 if none is.
+	WriteMS int64        `json:"writeMs,omitempty"`
+	Nodes   []NodeStatus `json:"nodes,omitempty"`
 }
 
 // PlannerStatus is a planner's part of Status.
