--- a/soak/disks.go
+++ b/soak/disks.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"regexp"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -85,6 +88,56 @@
 	}
 }
 
+// slowDiskSpan is how long changes are sent while all disks are slow.
+const slowDiskSpan = 40 * time.Second
+
+// changeOnSlowDisks sends one change after the other, each again until it is acknowledged, while each
+// sync of each control node waits, and prints how long they took.
+func changeOnSlowDisks(ctx context.Context, _ *replicas, c *clients) {
+	in := c.in
+	for _, m := range in.controlNodes() {
+		m.setSync(in.options.SyncWait)
+	}
+	o := newOperators(in, c.check, newZoneOrders())
+	before := in.newestTerm()
+	var took []time.Duration
+	for version := uint64(2); ctx.Err() == nil; version++ {
+		began := time.Now()
+		c.check.send(version, document(version))
+		for !o.putVersion(version, int(version)) && ctx.Err() == nil {
+			pause(ctx, 50*time.Millisecond)
+		}
+		if ctx.Err() == nil {
+			took = append(took, time.Since(began))
+		}
+	}
+	slices.Sort(took)
+	fmt.Printf("syncs of %s: %d changes acknowledged, %d terms gone by", in.options.SyncWait, len(took), in.newestTerm()-before)
+	if n := len(took); n > 0 {
+		fmt.Printf(", a change took %s, %s at the most", took[n/2].Round(time.Millisecond), took[n-1].Round(time.Millisecond))
+	}
+	fmt.Println()
+}
+
+var termSeen = regexp.MustCompile(`in term (\d+),`)
+
+// newestTerm returns the newest term that stands in the control nodes' logs.
+func (in *installation) newestTerm() int {
+	newest := 0
+	for _, m := range in.controlNodes() {
+		text, err := os.ReadFile(m.log.Name())
+		if err != nil {
+			continue
+		}
+		for _, seen := range termSeen.FindAllSubmatch(text, -1) {
+			if term, err := strconv.Atoi(string(seen[1])); err == nil {
+				newest = max(newest, term)
+			}
+		}
+	}
+	return newest
+}
+
 // playDisks begins the spells of slow disks, or one that lasts for the whole run.
 func (in *installation) playDisks(ctx context.Context, random *rand.Rand) *sync.WaitGroup {
 	var playing sync.WaitGroup
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -47,6 +47,7 @@
 	"limit":       limitShareOf(0.5, 5, nil),
 	"limit-all":   limitShareOf(1, 1, nil),
 	"limit-kills": limitShareOf(1, 20, killControlNodes),
+	"slow-disk":   changeOnSlowDisks,
 	"rest-all":    restShare(1),
 	"leaving":     leaveHalf,
 	"restarts":    func(ctx context.Context, r *replicas, _ *clients) { r.restartAll(ctx) },
@@ -69,6 +70,9 @@
 			first, trouble = o.Bin, upgrade(old)
 		}
 	}
+	if o.Measure == "slow-disk" {
+		span = slowDiskSpan
+	}
 	if trouble == nil {
 		return errors.Errorf("there is nothing to measure that is called %q", o.Measure)
 	}
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -57,8 +57,13 @@
 // put sends the next version to control nodes in turn until one acknowledges it.
 func (o *operators) put(first int) bool {
 	version := o.version.Add(1)
+	o.check.send(version, document(version))
+	return o.putVersion(version, first)
+}
+
+// putVersion sends a version to control nodes in turn until one acknowledges it.
+func (o *operators) putVersion(version uint64, first int) bool {
 	body := document(version)
-	o.check.send(version, body)
 	for turn := first; turn < first+2*controls; turn++ {
 		status, _ := o.call(http.MethodPut, turn%controls, body)
 		if status == http.StatusOK {
