--- a/src/control/doc.go
+++ b/src/control/doc.go
@@ -5,7 +5,7 @@
 //
 //	rpc ──call──▶ Service ──propose──▶ Node ──Step/Propose──▶ raft.Core
 //	                 ▲                  │  ▲                      │ Ready
-//	                 │ result           │  └──── Persisted ◀── store.Save (sync)
+//	                 │ result           │  └──── Persisted ◀── writer ◀── store.Save (sync)
 //	                 └── State.Apply ◀──┘ committed           └─▶ peers (rpc)
 //	                        │
 //	                        └─ changed ─▶ one goroutine per subscriber ─▶ config.update
--- a/src/raft/doc.go
+++ b/src/raft/doc.go
@@ -11,8 +11,11 @@
 //	  Step(now, message) ───────────────▶  term, votes, log, progress
 //	  Tick(now) ────────────────────────▶  elections, heartbeats, lease
 //	  Propose(now, data) ───────────────▶  entry appended in memory
-//	  Ready() ◀──────────────────────────  writes, messages, committed entries
-//	  (write and sync the writes)
-//	  Persisted(now, ready) ────────────▶  the leader counts its own copy
-//	  (send the messages, apply the committed entries)
+//	  Ready(now) ◀───────────────────────  a write, messages, committed entries
+//	  (begin the write; send the messages, apply the entries)
+//	  Persisted(now, ready) ────────────▶  messages that waited for it, the own copy counts
+//
+// One write is under way at a time, and the core goes on meanwhile: storage beside the core, with its
+// completion as an input, is chapter 10.2.1 of the dissertation. A message that tells a term, a vote or
+// the acceptance of entries is held with the write that makes it durable.
 package raft
