--- a/src/raft/durable_test.go
+++ b/src/raft/durable_test.go
@@ -113,3 +113,20 @@
 	is.Equal(s.settled, uint64(4))
 	is.Equal(len(s.marks), 0)
 }
+
+// TestEntriesReplacedDuringTheirWriteAreWrittenAgain: the disk then holds others in their places.
+func TestEntriesReplacedDuringTheirWriteAreWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	c := restarted(3, 3)
+	c.Step(noon, Message{Kind: MsgAppend, From: "b", To: "a", Term: 3, Index: 3, LogTerm: 3, Entries: []Entry{{Term: 3, Index: 4}, {Term: 3, Index: 5}}})
+	first := c.Ready(noon)
+	replaced := []Entry{{Term: 4, Index: 4}, {Term: 4, Index: 5}}
+	c.Step(noon, Message{Kind: MsgAppend, From: "c", To: "a", Term: 4, Index: 3, LogTerm: 3, Entries: replaced})
+	c.Persisted(noon, first)
+	second := c.Ready(noon)
+	is.Equal(len(second.Messages), 0) // the acceptance of the first ones is of an earlier term
+	is.Equal(second.Entries, replaced)
+	is.Equal(second.HardState.Term, uint64(4))
+	c.Persisted(noon, second)
+	is.Equal(c.Ready(noon).Messages[0].Index, uint64(5))
+}
