Changes wait for slow disks as long as their callers do, and copies share one entry

What operators saw: with syncs of 0.5 s and more each call ended unanswered after 0.85 s, so that a change took as many copies as fit into its syncs, and copies added entries whose writes the first one's end had to wait for.

Change: a change of the configuration is waited for up to 10 s; a leader without a majority answers in its lease's time and one that is gone is found out by its link, as before. A copy of a configuration or a zone order waits for the entry of the one under way, and what settles a change is waited for if it is under way. A zone order is no copy of one that came before the opposite order.

Ruled out: a longer limit for zone orders, whose tickets count on it.

Measured: TestACallThatWaitsIsAnsweredOnceItsSyncsAreDone fails on the code before; go test ./src/control passes.

--- a/src/control/apply.go
+++ b/src/control/apply.go
@@ -43,7 +43,7 @@
 		if prepared == nil {
 			return s.settled(ctx, reply)
 		}
-		applied, err := s.node.proposeSettled(ctx, command{At: s.now(), Change: prepared})
+		applied, err := s.node.proposeSettled(ctx, command{At: s.now(), Change: prepared}, proposalKey{})
 		if err != nil {
 			return wire.ApplyReply{Outcome: wire.Unavailable, Reason: err.Error()}
 		}
--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -25,6 +25,10 @@
 	// forwardTimeout bounds a request that is passed on to the leader: callers
 	// turn to another node after a second.
 	forwardTimeout = 850 * time.Millisecond
+	// changeTimeout bounds a change of the configuration instead: a caller that waits longer gets
+	// its answer as soon as slow disks have it. A leader without a majority answers in its
+	// lease's time, one that is gone is found out by its link.
+	changeTimeout = 10 * time.Second
 	// voterSilence is after how long without contact a caught-up learner takes a voter's place.
 	voterSilence = 2500 * time.Millisecond
 	// learnerSilence is after how long without contact a learner is forgotten: machines
@@ -186,7 +190,7 @@
 // Put puts a document in force if its version is the highest; it returns once
 // that is durable on a majority, or with an outcome that promises nothing.
 func (c *Cluster) Put(ctx context.Context, request wire.DocumentRequest) wire.DocumentReply {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	lead := c.awaitLeader(ctx)
 	if lead.Self {
@@ -203,7 +207,7 @@
 }
 
 func (c *Cluster) putDocument(ctx context.Context, _ *rpc.Peer, request wire.DocumentRequest) (wire.DocumentReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	if !c.Leadership().Self {
 		return wire.DocumentReply{Outcome: wire.Unavailable, Reason: "this node does not lead"}, nil
@@ -228,7 +232,8 @@
 		}), nil
 	}
 	document := &documentCommand{Version: request.Version, Packed: request.Packed}
-	return c.node.proposeSettled(ctx, command{At: c.now(), Document: document})
+	key := proposalKey{version: request.Version}
+	return c.node.proposeSettled(ctx, command{At: c.now(), Document: document}, key)
 }
 
 // Read returns the newest accepted document; Known is false if this node and
--- a/src/control/node.go
+++ b/src/control/node.go
@@ -19,7 +19,8 @@
 	batchLimit = 1024
 	// tickEvery is how often the core is shown the time.
 	tickEvery = 20 * time.Millisecond
-	// proposeTimeout is how long a caller waits for a quorum before it is told unknown.
+	// proposeTimeout is how long a caller that names no time of its own waits for a quorum before
+	// it is told unknown.
 	proposeTimeout = 3 * time.Second
 )
 
@@ -283,12 +284,17 @@
 // propose hands a command to consensus and waits for its result. The outcome
 // is unknown when the wait ends before that.
 func (n *Node) propose(ctx context.Context, cmd command) (result, error) {
+	return n.proposeOnce(ctx, cmd, proposalKey{})
+}
+
+// proposeOnce is propose for a command of which copies may come, told by their key.
+func (n *Node) proposeOnce(ctx context.Context, cmd command, key proposalKey) (result, error) {
 	data, err := cmd.encode()
 	if err != nil {
 		return result{}, err
 	}
 	return n.await(ctx, func(now time.Time, done func(result, error)) {
-		n.replica.Propose(now, data, done)
+		n.replica.proposeOnce(now, key, data, done)
 	})
 }
 
@@ -297,8 +303,8 @@
 // with the next entry, so an empty one follows each accepted command. Without it all control
 // nodes that come back after a loss of power apply the state before the command until a
 // leader is elected, and nothing bounds how long that takes.
-func (n *Node) proposeSettled(ctx context.Context, cmd command) (result, error) {
-	applied, err := n.propose(ctx, cmd)
+func (n *Node) proposeSettled(ctx context.Context, cmd command, key proposalKey) (result, error) {
+	applied, err := n.proposeOnce(ctx, cmd, key)
 	if err != nil || applied.outcome != wire.Accepted {
 		return applied, err
 	}
@@ -313,7 +319,11 @@
 			done(result{outcome: wire.Accepted}, nil)
 			return
 		}
-		n.replica.Propose(now, nil, done)
+		index := applied.index
+		if index == 0 {
+			index = n.replica.applied
+		}
+		n.replica.proposeSettling(now, index, done)
 	})
 	if err != nil || followed.outcome != wire.Accepted {
 		return result{outcome: wire.Unknown, reason: "applied, but a majority may not know that it is committed"}
@@ -331,15 +341,19 @@
 	case <-n.ended:
 		return result{}, raft.ErrNotLeader
 	}
-	timer := time.NewTimer(proposeTimeout)
-	defer timer.Stop()
+	var late <-chan time.Time
+	if _, bounded := ctx.Deadline(); !bounded {
+		timer := time.NewTimer(proposeTimeout)
+		defer timer.Stop()
+		late = timer.C
+	}
 	select {
 	case o := <-outcomes:
 		if errors.Is(o.err, errOvertaken) {
 			return result{outcome: wire.Unavailable, reason: o.err.Error()}, nil
 		}
 		return o.result, o.err
-	case <-timer.C:
+	case <-late:
 	case <-ctx.Done():
 	case <-n.ended:
 	}
--- a/src/control/replica.go
+++ b/src/control/replica.go
@@ -21,11 +21,13 @@
 // Replica is one control node's consensus, disk and state machine, without goroutines
 // and without a clock of its own. It is not safe for concurrent use.
 type Replica struct {
-	core     *raft.Core
-	state    *State
-	disk     Disk
-	ring     *event.Ring
-	waiting  map[uint64]waiter
+	core    *raft.Core
+	state   *State
+	disk    Disk
+	ring    *event.Ring
+	waiting map[uint64]waiter
+	// proposed are the entries under way that copies of their commands wait for.
+	proposed map[proposalKey]uint64
 	snapshot uint64
 	applied  uint64
 	every    uint64
@@ -45,9 +47,11 @@
 	orderedAt map[zoneCommand]time.Time
 }
 
+// waiter is those that wait for an entry of a term.
 type waiter struct {
 	term uint64
-	done func(result, error)
+	done []func(result, error)
+	key  proposalKey
 }
 
 // errOvertaken means that another leader's entry took a proposal's place.
@@ -65,6 +69,7 @@
 		disk:      disk,
 		ring:      ring,
 		waiting:   map[uint64]waiter{},
+		proposed:  map[proposalKey]uint64{},
 		snapshot:  start.Snapshot.Index,
 		applied:   start.Snapshot.Index,
 		every:     snapshotEvery,
@@ -97,12 +102,21 @@
 // Propose hands a command to consensus; done is called once, with its result or
 // with errOvertaken.
 func (r *Replica) Propose(now time.Time, data []byte, done func(result, error)) {
+	r.propose(now, proposalKey{}, data, done)
+}
+
+// propose is Propose of a command with a key; it reports whether the command is under way.
+func (r *Replica) propose(now time.Time, key proposalKey, data []byte, done func(result, error)) bool {
 	term, index, err := r.core.Propose(now, data)
 	if err != nil {
 		done(result{}, err)
-		return
+		return false
+	}
+	r.waiting[index] = waiter{term: term, key: key, done: []func(result, error){done}}
+	if key != (proposalKey{}) {
+		r.proposed[key] = index
 	}
-	r.waiting[index] = waiter{term: term, done: done}
+	return true
 }
 
 // ProposeMembers hands a change of members to consensus.
@@ -112,7 +126,7 @@
 		done(result{}, err)
 		return
 	}
-	r.waiting[index] = waiter{term: term, done: done}
+	r.waiting[index] = waiter{term: term, done: []func(result, error){done}}
 }
 
 // Advance applies what is committed and returns the messages that may be sent now and what is to be
@@ -210,12 +224,12 @@
 	if !found {
 		return
 	}
-	delete(r.waiting, entry.Index)
+	r.forget(entry.Index)
 	if waiting.term != entry.Term {
-		waiting.done(result{}, errOvertaken)
+		waiting.tell(result{}, errOvertaken)
 		return
 	}
-	waiting.done(applied, nil)
+	waiting.tell(applied, nil)
 }
 
 // snapshotDue reports whether enough was applied since the last snapshot.
@@ -280,8 +294,8 @@
 // abandon answers all that wait: what they proposed may still be committed.
 func (r *Replica) abandon() {
 	for index, waiting := range r.waiting {
-		delete(r.waiting, index)
-		waiting.done(result{outcome: wire.Unknown}, nil)
+		r.forget(index)
+		waiting.tell(result{outcome: wire.Unknown}, nil)
 	}
 }
 
--- a/src/control/slow_disk_test.go
+++ b/src/control/slow_disk_test.go
@@ -122,3 +122,53 @@
 	cancel()
 	is.NoErr(<-ended)
 }
+
+// TestACallThatWaitsIsAnsweredOnceItsSyncsAreDone, by its first copy: a caller that is patient enough
+// must not be told that nobody knows.
+func TestACallThatWaitsIsAnsweredOnceItsSyncsAreDone(t *testing.T) {
+	is := is.New(t)
+	members := raft.Members{Voters: []raft.ID{"a#0"}}
+	disk := &simDisk{start: raft.Start{Snapshot: raft.Snapshot{Members: members}}}
+	save := func(state *raft.HardState, entries []raft.Entry) error {
+		time.Sleep(forwardTimeout + 150*time.Millisecond)
+		return disk.save(state, entries)
+	}
+	replica, err := NewReplica("a#0", disk.start, Disk{Save: save}, raft.DefaultOptions(), rand.New(rand.NewPCG(1, 1)), nil, time.Now())
+	is.NoErr(err)
+	node := NewNode(replica, func(raft.Message) {}, nil, time.Now)
+	cluster := NewCluster(node, nil, ClusterOptions{ID: "a#0", Voters: 1}, nil, time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	for !cluster.Leadership().Self {
+		time.Sleep(leaderPoll)
+	}
+	is.Equal(cluster.Put(ctx, wire.DocumentRequest{Version: 1, Packed: []byte("one")}).Outcome, wire.Accepted)
+	cancel()
+	is.NoErr(<-ended)
+}
+
+// TestCopiesOfACommandShareItsEntry while it is under way, and orders that come after the opposite
+// one do not.
+func TestCopiesOfACommandShareItsEntry(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, "k1", "k2", "k3")
+	s.run(2 * time.Second)
+	r := s.leader().replica
+	answers := 0
+	answered := func(result, error) { answers++ }
+	before := r.core.LastIndex()
+	for range 3 {
+		r.proposeOnce(s.now, proposalKey{version: 7}, nil, answered)
+	}
+	is.Equal(r.core.LastIndex(), before+1)
+	drain, end := proposalKey{zone: "x", drain: true}, proposalKey{zone: "x"}
+	for _, key := range []proposalKey{drain, drain, end, drain, drain} {
+		r.proposeOnce(s.now, key, nil, answered)
+	}
+	is.Equal(r.core.LastIndex(), before+4)
+	s.run(time.Second)
+	is.Equal(answers, 8)
+	is.Equal(len(r.proposed), 0)
+	is.Equal(len(r.waiting), 0)
+}
--- a/src/control/zoneorder.go
+++ b/src/control/zoneorder.go
@@ -151,5 +151,5 @@
 		done(result{}, err)
 		return
 	}
-	r.Propose(now, data, done)
+	r.proposeOnce(now, proposalKey{zone: order.Zone, drain: order.Drain}, data, done)
 }
--- a/src/raft/settle.go
+++ b/src/raft/settle.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// SettledBy returns an entry under way that carries that all up to an index is committed, 0 for none.
+func (c *Core) SettledBy(index uint64) uint64 {
+	if c.role != Leader {
+		return 0
+	}
+	for _, m := range c.settling.marks {
+		if m.commit >= index {
+			return m.index
+		}
+	}
+	return 0
+}
+
 // Settled returns the last index of which this leader knows that a majority's disks hold it and know
 // that it is committed, 0 if this node does not lead.
 func (c *Core) Settled() uint64 {
