--- a/soak/disks.go
+++ b/soak/disks.go
@@ -88,8 +88,12 @@
 	}
 }
 
-// slowDiskSpan is how long changes are sent while all disks are slow.
-const slowDiskSpan = 40 * time.Second
+// slowDiskSpan is how long changes are sent while all disks are slow, patience how long their sender
+// waits for an answer before it sends a copy to another control node.
+const (
+	slowDiskSpan = 40 * time.Second
+	patience     = 15 * time.Second
+)
 
 // changeOnSlowDisks sends one change after the other, each again until it is acknowledged, while each
 // sync of each control node waits, and prints how long they took.
@@ -99,6 +103,7 @@
 		m.setSync(in.options.SyncWait)
 	}
 	o := newOperators(in, c.check, newZoneOrders())
+	o.client.Timeout = patience
 	before := in.newestTerm()
 	var took []time.Duration
 	for version := uint64(2); ctx.Err() == nil; version++ {
