--- a/src/control/replica.go
+++ b/src/control/replica.go
@@ -133,7 +133,11 @@
 // written, nil if there is nothing or a write is under way. Whoever writes it calls Written then.
 func (r *Replica) Advance(now time.Time) ([]raft.Message, *write, error) {
 	var out []raft.Message
-	var next *write
+	// A snapshot that is due goes first: there may be something else to write at all times.
+	next, err := r.beginSnapshot(now)
+	if err != nil {
+		return nil, nil, err
+	}
 	for {
 		ready := r.core.Ready(now)
 		if ready.Empty() {
@@ -146,13 +150,6 @@
 		out = append(out, ready.Messages...)
 		r.apply(now, ready.Committed)
 	}
-	if next == nil && r.snapshotDue() && r.core.BeginCompact(now) {
-		snapshot, err := r.takeSnapshot()
-		if err != nil {
-			return nil, nil, err
-		}
-		next = snapshot
-	}
 	r.noteRole()
 	r.noteLeader()
 	return out, next, nil
@@ -237,8 +234,12 @@
 	return r.applied > r.snapshot && (r.applied-r.snapshot >= r.every || r.unsaved >= snapshotBytes)
 }
 
-// takeSnapshot returns the write of a snapshot of all that is applied.
-func (r *Replica) takeSnapshot() (*write, error) {
+// beginSnapshot returns the write of a snapshot of all that is applied, nil if none is due or the
+// disk has another write.
+func (r *Replica) beginSnapshot(now time.Time) (*write, error) {
+	if !r.snapshotDue() || !r.core.BeginCompact(now) {
+		return nil, nil
+	}
 	data, err := r.state.Save()
 	if err != nil {
 		return nil, err
--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -97,8 +97,10 @@
 	applied uint64
 	stable  uint64
 
-	savedState   HardState
-	disk         writing
+	savedState HardState
+	disk       writing
+	// unwritten is the size in bytes of the entries that are not durable.
+	unwritten    int
 	newSnapshot  *Snapshot
 	messages     []Message
 	votes        map[ID]bool
@@ -214,7 +216,7 @@
 	if c.role != Leader || c.transferTo != "" {
 		return 0, 0, ErrNotLeader
 	}
-	if c.unwritten() > c.options.MaxUnwritten {
+	if c.unwritten > c.options.MaxUnwritten {
 		return 0, 0, ErrDiskBehind
 	}
 	return c.appendOwn(now, Entry{Kind: EntryCommand, Data: data})
@@ -252,6 +254,7 @@
 	entry.Term = c.term
 	entry.Index = c.log.lastIndex() + 1
 	c.log.append([]Entry{entry})
+	c.unwritten += len(entry.Data)
 	c.timing.appended(now, entry.Index)
 	c.settling.appended(entry.Index, c.commit)
 	c.trackMembers(now)
--- a/src/raft/durable.go
+++ b/src/raft/durable.go
@@ -159,6 +159,7 @@
 	last := r.Entries[len(r.Entries)-1]
 	if term, found := c.log.term(last.Index); found && term == last.Term {
 		c.stable = max(c.stable, last.Index)
+		c.countUnwritten()
 	}
 }
 
@@ -177,9 +178,10 @@
 }
 
 // BeginCompact tells the core that the caller writes a snapshot of its own, and reports whether it
-// may: no write is under way, and none is handed out until Compact.
+// may: no write is under way and no snapshot of the leader's waits for one. No write is handed out
+// until Compact.
 func (c *Core) BeginCompact(now time.Time) bool {
-	if c.disk.busy {
+	if c.disk.busy || c.newSnapshot != nil {
 		return false
 	}
 	c.disk.begin(now)
@@ -192,6 +194,7 @@
 	if snapshot.Index > c.log.snapshot.Index && snapshot.Index <= c.applied {
 		c.log.compact(snapshot)
 		c.stable = max(c.stable, snapshot.Index)
+		c.countUnwritten()
 	}
 }
 
@@ -219,13 +222,12 @@
 	return c.stable
 }
 
-// unwritten returns the size in bytes of the entries that are not durable.
-func (c *Core) unwritten() int {
-	size := 0
+// countUnwritten counts the bytes of the entries that are not durable.
+func (c *Core) countUnwritten() {
+	c.unwritten = 0
 	for _, entry := range c.log.after(c.stable) {
-		size += len(entry.Data)
+		c.unwritten += len(entry.Data)
 	}
-	return size
 }
 
 // send lets a message go, or holds it until the term or the vote that it tells is durable.
--- a/src/raft/replicate.go
+++ b/src/raft/replicate.go
@@ -94,7 +94,7 @@
 		c.send(Message{Kind: MsgAppendReply, To: m.From, Round: m.Round, Reject: true, Index: min(c.log.lastIndex(), m.Index-1)})
 		return
 	}
-	if c.unwritten() > c.options.MaxUnwritten {
+	if c.unwritten > c.options.MaxUnwritten {
 		// The leader sends them again.
 		m.Entries = nil
 		last = max(m.Index, min(c.commit, last))
@@ -126,6 +126,7 @@
 		return false
 	}
 	c.stable = min(c.stable, changed-1)
+	c.countUnwritten()
 	return true
 }
 
@@ -164,6 +165,7 @@
 		c.newSnapshot = &snapshot
 		c.commit = snapshot.Index
 		c.stable = snapshot.Index
+		c.countUnwritten()
 	}
 	c.sendDurable(Message{Kind: MsgAppendReply, To: m.From, Round: m.Round, Index: c.commit})
 }
