A copy of a command joins an entry of the present term only

Change: a copy joins an entry that was proposed in the present term under the same key.

Measured: TestCopiesOfACommandShareItsEntry fails without it (one entry fewer); the tests of copies, zones, the matrix and the histories pass.

--- a/src/control/proposal.go
+++ b/src/control/proposal.go
@@ -24,7 +24,7 @@
 // more would begin a write that what comes after the first one has to wait for. What comes after the
 // opposite order is no copy.
 func (r *Replica) proposeOnce(now time.Time, key proposalKey, data []byte, done func(result, error)) {
-	if index, again := r.proposed[key]; again {
+	if index, again := r.proposed[key]; again && r.underWay(index) && r.waiting[index].key == key {
 		r.join(index, done)
 		return
 	}
@@ -37,7 +37,7 @@
 // or an empty one.
 func (r *Replica) proposeSettling(now time.Time, index uint64, done func(result, error)) {
 	by := r.core.SettledBy(index)
-	if _, waited := r.waiting[by]; !waited {
+	if !r.underWay(by) {
 		r.Propose(now, nil, done)
 		return
 	}
@@ -50,6 +50,13 @@
 	})
 }
 
+// underWay reports whether somebody waits for an entry that this node proposed in the present term: a
+// node that led an earlier one may have proposed another command in its place.
+func (r *Replica) underWay(index uint64) bool {
+	waiting, waited := r.waiting[index]
+	return waited && waiting.term == r.core.Term()
+}
+
 // join waits for an entry that others wait for.
 func (r *Replica) join(index uint64, done func(result, error)) {
 	waiting := r.waiting[index]
--- a/src/control/slow_disk_test.go
+++ b/src/control/slow_disk_test.go
@@ -167,8 +167,13 @@
 		r.proposeOnce(s.now, key, nil, answered)
 	}
 	is.Equal(r.core.LastIndex(), before+4)
+	// What an earlier term proposed in a place says nothing of what stands there now.
+	stale := proposalKey{version: 9}
+	r.proposed[stale] = before + 1
+	r.proposeOnce(s.now, stale, nil, answered)
+	is.Equal(r.core.LastIndex(), before+5)
 	s.run(time.Second)
-	is.Equal(answers, 8)
+	is.Equal(answers, 9)
 	is.Equal(len(r.proposed), 0)
 	is.Equal(len(r.waiting), 0)
 }
