--- a/src/control/slow_disk_test.go
+++ b/src/control/slow_disk_test.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// clusterOfOne runs a cluster's only node, whose writes each take as long as sync; stop ends it.
+func clusterOfOne(t *testing.T, sync time.Duration) (c *Cluster, stop func()) {
+	t.Helper()
+	disk := &simDisk{start: raft.Start{Snapshot: raft.Snapshot{Members: raft.Members{Voters: []raft.ID{"a#0"}}}}}
+	save := func(state *raft.HardState, entries []raft.Entry) error {
+		time.Sleep(sync)
+		return disk.save(state, entries)
+	}
+	replica, err := NewReplica("a#0", disk.start, Disk{Save: save}, raft.DefaultOptions(), rand.New(rand.NewPCG(1, 1)), nil, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	node := NewNode(replica, func(raft.Message) {}, nil, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	options := ClusterOptions{ID: "a#0", Voters: 1, ResendZoneOrders: time.Minute}
+	return NewCluster(node, nil, options, nil, time.Now), func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // acceptedBy reports whether a node that leads accepts a version.
 func acceptedBy(t *testing.T, nodes map[raft.ID]*Node, version uint64) bool {
 	t.Helper()
@@ -94,19 +119,8 @@
 // acted on them; this test, in which 12 copies of each change were sent.
 func TestAChangeIsAcknowledgedThoughASyncOutlastsItsCalls(t *testing.T) {
 	is := is.New(t)
-	members := raft.Members{Voters: []raft.ID{"a#0"}}
-	disk := &simDisk{start: raft.Start{Snapshot: raft.Snapshot{Members: members}}}
-	save := func(state *raft.HardState, entries []raft.Entry) error {
-		time.Sleep(forwardTimeout + 150*time.Millisecond)
-		return disk.save(state, entries)
-	}
-	replica, err := NewReplica("a#0", disk.start, Disk{Save: save}, raft.DefaultOptions(), rand.New(rand.NewPCG(1, 1)), nil, time.Now())
-	is.NoErr(err)
-	node := NewNode(replica, func(raft.Message) {}, nil, time.Now)
-	cluster := NewCluster(node, nil, ClusterOptions{ID: "a#0", Voters: 1, ResendZoneOrders: time.Minute}, nil, time.Now)
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- node.Run(ctx) }()
+	cluster, stop := clusterOfOne(t, forwardTimeout+150*time.Millisecond)
+	defer stop()
 	sent := func(send func() wire.Outcome) bool {
 		for range 12 {
 			if send() == wire.Accepted {
@@ -116,36 +130,21 @@
 		return false
 	}
 	is.True(sent(func() wire.Outcome {
-		return cluster.Put(ctx, wire.DocumentRequest{Version: 1, Packed: []byte("one")}).Outcome
+		return cluster.Put(t.Context(), wire.DocumentRequest{Version: 1, Packed: []byte("one")}).Outcome
 	}))
-	is.True(sent(func() wire.Outcome { return cluster.OrderZone(ctx, "x", true).Outcome }))
-	cancel()
-	is.NoErr(<-ended)
+	is.True(sent(func() wire.Outcome { return cluster.OrderZone(t.Context(), "x", true).Outcome }))
 }
 
 // TestACallThatWaitsIsAnsweredOnceItsSyncsAreDone, by its first copy: a caller that is patient enough
 // must not be told that nobody knows.
 func TestACallThatWaitsIsAnsweredOnceItsSyncsAreDone(t *testing.T) {
 	is := is.New(t)
-	members := raft.Members{Voters: []raft.ID{"a#0"}}
-	disk := &simDisk{start: raft.Start{Snapshot: raft.Snapshot{Members: members}}}
-	save := func(state *raft.HardState, entries []raft.Entry) error {
-		time.Sleep(forwardTimeout + 150*time.Millisecond)
-		return disk.save(state, entries)
-	}
-	replica, err := NewReplica("a#0", disk.start, Disk{Save: save}, raft.DefaultOptions(), rand.New(rand.NewPCG(1, 1)), nil, time.Now())
-	is.NoErr(err)
-	node := NewNode(replica, func(raft.Message) {}, nil, time.Now)
-	cluster := NewCluster(node, nil, ClusterOptions{ID: "a#0", Voters: 1}, nil, time.Now)
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- node.Run(ctx) }()
+	cluster, stop := clusterOfOne(t, forwardTimeout+150*time.Millisecond)
+	defer stop()
 	for !cluster.Leadership().Self {
 		time.Sleep(leaderPoll)
 	}
-	is.Equal(cluster.Put(ctx, wire.DocumentRequest{Version: 1, Packed: []byte("one")}).Outcome, wire.Accepted)
-	cancel()
-	is.NoErr(<-ended)
+	is.Equal(cluster.Put(t.Context(), wire.DocumentRequest{Version: 1, Packed: []byte("one")}).Outcome, wire.Accepted)
 }
 
 // TestCopiesOfACommandShareItsEntry while it is under way, and orders that come after the opposite
--- a/src/control/slow_history_test.go
+++ b/src/control/slow_history_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -16,34 +15,13 @@
 // in every turn.
 func TestRandomHistoriesOnSlowDisks(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"), "k1", "k2", "k3")
-		for i, name := range s.names() {
-			s.nodes[name].drift = 1 + float64(rapid.IntRange(-4, 4).Draw(rt, fmt.Sprint("drift", i)))/100
-		}
-		for i := range rapid.IntRange(3, 12).Draw(rt, "events") {
+		randomHistory(rt, func(rt *rapid.T, s *sim) {
 			if rapid.Bool().Draw(rt, "disk") {
 				slowEvent(rt, s)
-			} else {
-				randomEvent(rt, s)
-			}
-			for j := range 6 {
-				s.change(fmt.Sprint("h", i, j), fmt.Sprint("l", j))
-				s.claim(fmt.Sprint("k", rapid.IntRange(0, 5).Draw(rt, "key")), fmt.Sprint("t", i, j))
-				s.grant(fmt.Sprint("p", rapid.IntRange(0, 2).Draw(rt, "holder")))
-				s.document(uint64(s.sent))
-				s.run(time.Duration(rapid.IntRange(10, 900).Draw(rt, "pause")) * time.Millisecond)
-				s.tend()
+				return
 			}
-		}
-		s.effects = nil
-		s.heal()
-		s.disarm()
-		s.fastDisks()
-		revive(s, "")
-		if !s.until(90*time.Second, func() bool { s.tend(); return s.settled() }) {
-			rt.Fatal("the control nodes did not settle" + s.describe())
-		}
-		s.check()
+			randomEvent(rt, s)
+		})
 	})
 }
 
