--- a/soak/blackout.go
+++ b/soak/blackout.go
@@ -32,7 +32,7 @@
 		m.trouble()
 		m.signal(syscall.SIGKILL)
 	}
-	defer in.dullDisks(random)()
+	defer in.slowRestart(rand.New(rand.NewPCG(in.options.Seed, 16)))()
 	var starts sync.WaitGroup
 	for _, m := range in.members {
 		dark := time.Duration(random.Int64N(int64(longestDark)))
--- a/soak/disks.go
+++ b/soak/disks.go
@@ -22,8 +22,8 @@
 	hungSync = time.Minute
 	// hangEvery is one in how many spells a sync hangs.
 	hangEvery = 4
-	// dullSync bounds the wait of each sync while all processes come back after a loss of power.
-	dullSync = 400 * time.Millisecond
+	// restartSync bounds the wait of each sync while all processes start after a loss of power.
+	restartSync = 400 * time.Millisecond
 )
 
 // setSync makes each sync of a control node's data folder wait, by a file that builds for the soak
@@ -157,10 +157,10 @@
 	return &playing
 }
 
-// dullDisks makes the disks of all control nodes slow in every other run, until the function that it
-// returns is called.
-func (in *installation) dullDisks(random *rand.Rand) (end func()) {
-	wait := time.Duration(1 + random.Int64N(int64(dullSync)))
+// slowRestart makes the disks of all control nodes slow in about half of the runs, until the function
+// that it returns is called.
+func (in *installation) slowRestart(random *rand.Rand) (end func()) {
+	wait := time.Duration(1 + random.Int64N(int64(restartSync)))
 	if random.IntN(2) == 0 || in.options.OldDisks || in.options.SyncWait > 0 {
 		return func() {}
 	}
--- a/src/control/node.go
+++ b/src/control/node.go
@@ -121,7 +121,7 @@
 			return err
 		}
 	}
-	n.noteHang(now)
+	n.noteSlowWrite(now)
 	n.replica.core.Tick(now)
 	return n.advance(now)
 }
@@ -185,8 +185,8 @@
 	return longest
 }
 
-// noteHang logs that writes take long, once until they are fast again.
-func (n *Node) noteHang(now time.Time) {
+// noteSlowWrite logs that writes take long, once until they are fast again.
+func (n *Node) noteSlowWrite(now time.Time) {
 	age := n.replica.core.WriteAge(now)
 	if age < slowWrite {
 		return
@@ -311,8 +311,8 @@
 	return n.settle(ctx, applied, func(settled uint64) bool { return applied.index <= settled }), nil
 }
 
-// settle returns the result of a command once it is settled, by what covered says of all up to an
-// index, or all that is applied here is; the outcome is unknown if that is not certain.
+// settle returns the result of a command once it is settled: at once if covered says so of all that
+// is settled already, else by an entry that settles it. The outcome is unknown if that is not certain.
 func (n *Node) settle(ctx context.Context, applied result, covered func(settled uint64) bool) result {
 	followed, err := n.await(ctx, func(now time.Time, done func(result, error)) {
 		if settled := n.replica.core.Settled(); settled > 0 && covered(settled) {
--- a/src/control/settled.go
+++ b/src/control/settled.go
@@ -5,11 +5,12 @@
 
 // changes remembers which entries brought the newest configurations and zone orders, so that a copy
 // of a change is acknowledged as soon as its entry is settled, whichever copy settled it: where a
-// sync outlasts a call, no call lives to see its own entry settled.
+// sync outlasts a call, no call lasts until its own entry is settled.
 type changes struct {
 	// versions are the newest versions that were in force, oldest first.
 	versions []versionEntry
-	// zones are the entries of the last orders about zones; any other zone's is from restored or before.
+	// zones are the entries of the last orders about zones; those of other zones are not later than
+	// restored.
 	zones    map[string]uint64
 	restored uint64
 }
--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -46,7 +46,8 @@
 	MaxEntries int
 	// MaxUnwritten bounds the entries, in bytes, that wait for the disk.
 	MaxUnwritten int
-	// HandOver is after how long a write, which others have done long ago, a leader hands over.
+	// HandOver is for how long a leader's write may be under way that others have ended long before;
+	// then it hands over.
 	HandOver time.Duration
 }
 
