A control node applies what its disk knows before anybody can ask it

Cause: NewReplica read the log and left it to the loop to apply what is committed. Ruled out: that the loop always comes first. The relay and the calls start beside it.

Change: NewReplica applies all that the disk knows to be committed (raft.Core.RecoverCommitted), which needs no write.

Before: TestNodeKnowsItsDiskBeforeItsLoopRuns found version 0 at all three nodes. After: it passes, and src/control, src/raft, src/fleet. Conclusion: no moment is left in which a node tells less than its disk knows to be committed.

--- a/src/control/power_test.go
+++ b/src/control/power_test.go
@@ -12,6 +12,7 @@
 	"github.com/moorspool/moorspool/src/config"
 	"github.com/moorspool/moorspool/src/raft"
 	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/store"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -143,3 +144,27 @@
 		running.Wait()
 	}
 }
+
+// A node that was started read its disk but applied it only in the first iteration of its event loop. What
+// asked in between was told the state of the last snapshot, and gateways may act on that.
+func TestNodeKnowsItsDiskBeforeItsLoopRuns(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t, 3)
+	tc.put(tc.nodes[tc.seeds[0]], 5, "five")
+	know := 0
+	for _, seed := range tc.seeds {
+		tc.nodes[seed].kill()
+	}
+	for _, seed := range tc.seeds {
+		disk, start, err := store.Open(store.Options{Path: tc.nodes[seed].folder, Cluster: "c", Name: seed})
+		is.NoErr(err)
+		replica, err := NewReplica(disk.Identity().ID(), start, Disk{}, raft.DefaultOptions(), rand.New(rand.NewPCG(1, 1)), nil, time.Now())
+		is.NoErr(err)
+		if NewNode(replica, nil, nil, time.Now).currentView().document.Version == 5 {
+			know++
+		}
+		is.NoErr(disk.Close())
+	}
+	tc.nodes = map[string]*clusterNode{}
+	is.True(know >= 2)
+}
--- a/src/control/replica.go
+++ b/src/control/replica.go
@@ -81,10 +81,23 @@
 		orderedAt:    map[zoneCommand]time.Time{},
 		changeIndex:  newChangeIndex(state, start.Snapshot.Index),
 	}
-	r.resetTimestamps(now)
+	r.recover(now)
 	return r, nil
 }
 
+// recover applies everything that the disk knows to be committed, so that nobody is told an older state
+// than that, not even before the first iteration of the event loop.
+func (r *Replica) recover(now time.Time) {
+	for {
+		entries := r.core.RecoverCommitted()
+		if len(entries) == 0 {
+			break
+		}
+		r.apply(now, entries)
+	}
+	r.resetTimestamps(now)
+}
+
 // Core returns the consensus core.
 func (r *Replica) Core() *raft.Core { return r.core }
 
--- a/src/raft/durable.go
+++ b/src/raft/durable.go
@@ -77,6 +77,16 @@
 	w.heldForNext = append(w.heldForNext, m)
 }
 
+// RecoverCommitted returns the next entries that the disk knew to be committed at the start, which can be
+// applied without a write; there are none if the result is empty.
+func (c *Core) RecoverCommitted() []Entry {
+	entries := c.committedUnapplied()
+	if n := len(entries); n > 0 {
+		c.applied = entries[n-1].Index
+	}
+	return entries
+}
+
 // Ready returns the work to be done. The caller does it and calls Persisted once the writes are
 // durable. No further writes are returned before that.
 func (c *Core) Ready(now time.Time) Ready {
