A control node answers before its first sync

Cause: store.Open began a new log file and synced the folder, so that a control node was silent for one sync. Gateways followed the only node that answered, which lacked the configuration. Ruled out: a lost leader alone (the nodes that answer serve the version without one); a fetch that hangs (the version came as soon as the two nodes answered).

Change: Open reads only. The first write truncates a torn record, opens the newest log file and syncs the folder together with the log, so that it still takes one sync. Until then nothing is confirmed: no vote, no election, no acceptance of entries (raft.InitialState.Unsynced). That also ends a fault of before: what a process left whose sync hung as it was killed counted as durable for its successor. After a disk failure the node is rebuilt only once its folder can be written, as before.

Conclusion: what a disk holds is told at once, whatever its syncs take.

--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -101,8 +101,8 @@
 // process.
 func RunControl(settings option.FleetControl, file string, external Interface, signals <-chan os.Signal) error {
 	limitMemory(settings.MemoryMB)
-	for {
-		err := runControlOnce(settings, file, external, signals)
+	for diskFailed := false; ; diskFailed = true {
+		err := runControlOnce(settings, file, external, signals, diskFailed)
 		if !errors.Is(err, errStorage) {
 			return err
 		}
@@ -119,8 +119,9 @@
 // storageError marks an error as a disk failure.
 func storageError(err error) error { return errors.Wrap(errStorage, err.Error()) }
 
-// runControlOnce builds and runs a control node until a signal or a disk failure.
-func runControlOnce(settings option.FleetControl, file string, external Interface, signals <-chan os.Signal) error {
+// runControlOnce builds and runs a control node until a signal or a disk failure. After a disk failure it
+// first checks that the disk works again.
+func runControlOnce(settings option.FleetControl, file string, external Interface, signals <-chan os.Signal, diskFailed bool) error {
 	c := &controlNode{settings: settings, file: file, external: external, signals: signals}
 	proc, err := process.New("control", settings.Common(), func(*wire.Status) {})
 	if err != nil {
@@ -134,6 +135,8 @@
 		Name:     settings.Peer(),
 		Founder:  settings.Found && isFounder(settings),
 		Founders: founders(settings),
+
+		CheckWritable: diskFailed,
 	})
 	if err != nil {
 		proc.Ring().Add(event.Event{Kind: event.StorageFailed, Reason: err.Error()})
--- a/src/raft/core.go
+++ b/src/raft/core.go
@@ -99,7 +99,9 @@
 	stable  uint64
 
 	durableState HardState
-	writes       writeState
+	// synced is set once the state loaded at the start is durable.
+	synced bool
+	writes writeState
 	// unwrittenBytes is the total data size of the log entries that are not durable.
 	unwrittenBytes    int
 	unwrittenSnapshot *Snapshot
@@ -134,6 +136,9 @@
 	HardState HardState
 	Snapshot  Snapshot
 	Entries   []Entry
+	// Unsynced is set if the state may not be durable: a process that was killed during a sync leaves
+	// data that can be read and would still be lost with the power. The first write makes it durable.
+	Unsynced bool
 }
 
 // New returns a Core for control node id that resumes from the state on its disk. random is the
@@ -146,6 +151,7 @@
 		term:         start.HardState.Term,
 		vote:         start.HardState.Vote,
 		durableState: start.HardState,
+		synced:       !start.Unsynced,
 		log:          memoryLog{snapshot: start.Snapshot, entries: start.Entries},
 		commit:       start.Snapshot.Index,
 		applied:      start.Snapshot.Index,
--- a/src/raft/durable.go
+++ b/src/raft/durable.go
@@ -144,6 +144,7 @@
 	c.writes.end(now)
 	voted := r.HardState.Vote != "" && (r.HardState.Term != c.durableState.Term || r.HardState.Vote != c.durableState.Vote)
 	c.durableState = *r.HardState
+	c.synced = true
 	c.advanceStable(r)
 	heldForCurrent := c.writes.heldForCurrent
 	c.writes.heldForCurrent = nil
@@ -224,12 +225,13 @@
 
 // hardStateDurable reports whether the current term and vote are durable.
 func (c *Core) hardStateDurable() bool {
-	return c.durableState.Term == c.term && c.durableState.Vote == c.vote
+	return c.synced && c.durableState.Term == c.term && c.durableState.Vote == c.vote
 }
 
-// durableIndex returns the last durable index, or 0 while a received snapshot is replacing the log.
+// durableIndex returns the last durable index, or 0 while a received snapshot is replacing the log or
+// before the state loaded at the start is durable.
 func (c *Core) durableIndex() uint64 {
-	if c.unwrittenSnapshot != nil {
+	if c.unwrittenSnapshot != nil || !c.synced {
 		return 0
 	}
 	return c.stable
@@ -271,7 +273,7 @@
 	case MsgVote, MsgVoteReply:
 		return !c.hardStateDurable()
 	case MsgAppendReply:
-		return c.durableState.Term != c.term
+		return !c.synced || c.durableState.Term != c.term
 	}
 	return false
 }
--- a/src/store/folder.go
+++ b/src/store/folder.go
@@ -73,8 +73,13 @@
 	size     int
 	segments []string
 	sequence uint64
-	failure  error
-	syncs    uint64
+	// tornAt is the length to which the newest log file has to be truncated before the first write, or
+	// -1 if it is whole.
+	tornAt int64
+	// folderSynced is set once the names of all files are known to be durable.
+	folderSynced bool
+	failure      error
+	syncs        uint64
 }
 
 // Options configures Open.
@@ -88,16 +93,23 @@
 	Founders []raft.ID
 	// OpenFile opens a log file for appending; nil means a file on disk.
 	OpenFile func(name string) (File, error)
+	// CheckWritable makes Open return only once the folder could be prepared for writing, which takes a
+	// sync.
+	CheckWritable bool
 }
 
 func openAppend(name string) (File, error) {
 	return os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
 }
 
-// Open opens a data folder, initializes it if it is empty, and returns its contents. A torn
-// record at the end is truncated. Open fails with ErrForeign, ErrVersion or ErrDamaged.
+// Open opens a data folder, initializes it if it is empty, and returns its contents without a torn
+// record at the end. Open fails with ErrForeign, ErrVersion or ErrDamaged.
+//
+// The contents are read without a sync, which may take as long as a disk hangs: until then a control
+// node can already report what it knows to be committed. The first write truncates a torn record and
+// makes durable what was read.
 func Open(options Options) (*Folder, raft.InitialState, error) {
-	f := &Folder{path: options.Path, openFile: options.OpenFile}
+	f := &Folder{path: options.Path, openFile: options.OpenFile, tornAt: -1}
 	if f.openFile == nil {
 		f.openFile = openAppend
 	}
@@ -114,8 +126,11 @@
 	if start.Snapshot.Index == 0 && len(f.identity.Founders) > 0 {
 		start.Snapshot.Members = raft.Members{Voters: f.identity.Founders}
 	}
-	if err := f.openSegment(); err != nil {
-		return nil, raft.InitialState{}, err
+	start.Unsynced = true
+	if options.CheckWritable {
+		if err := f.checkWritable(); err != nil {
+			return nil, raft.InitialState{}, err
+		}
 	}
 	return f, start, nil
 }
--- a/src/store/load.go
+++ b/src/store/load.go
@@ -48,19 +48,20 @@
 	return nil
 }
 
-// loadSegment reads one log file. A torn record at the end of the newest file is
-// truncated: it was never acknowledged.
+// loadSegment reads one log file. A torn record at the end of the newest file is left out: it was never
+// acknowledged.
 func (f *Folder) loadSegment(name string, newest bool, start *raft.InitialState) error {
 	path := filepath.Join(f.path, name)
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "reading the log")
 	}
+	f.size = len(data)
 	rest := data
 	for len(rest) > 0 {
 		body, after, ok := nextFrame(rest)
 		if !ok {
-			return f.truncateTail(path, rest, len(data)-len(rest), newest)
+			return f.noteTornTail(name, rest, len(data)-len(rest), newest)
 		}
 		var r record
 		if err := cbor.Unmarshal(body, &r); err != nil {
@@ -74,21 +75,15 @@
 	return nil
 }
 
-// truncateTail removes a torn record at the end of the log. If a valid record follows, the corruption
-// is not at the end and acknowledged entries may be lost, so it returns ErrDamaged.
-func (f *Folder) truncateTail(path string, rest []byte, offset int, newest bool) error {
+// noteTornTail records that the log ends with a torn record, which the first write removes. If a valid
+// record follows, the corruption is not at the end and acknowledged entries may be lost, so it returns
+// ErrDamaged.
+func (f *Folder) noteTornTail(name string, rest []byte, offset int, newest bool) error {
 	if !newest || validRecordFollows(rest) {
-		return errors.Wrapf(ErrDamaged, "%s at byte %d", filepath.Base(path), offset)
+		return errors.Wrapf(ErrDamaged, "%s at byte %d", name, offset)
 	}
-	if err := os.Truncate(path, int64(offset)); err != nil {
-		return errors.Wrap(err, "truncating a torn record")
-	}
-	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
-	if err != nil {
-		return errors.Wrap(err, "truncating a torn record")
-	}
-	defer file.Close()
-	return errors.Wrap(file.Sync(), "truncating a torn record")
+	f.tornAt, f.size = int64(offset), offset
+	return nil
 }
 
 func validRecordFollows(rest []byte) bool {
--- a/src/store/save.go
+++ b/src/store/save.go
@@ -10,6 +10,41 @@
 	"github.com/moorspool/moorspool/src/raft"
 )
 
+// prepareWrites prepares a loaded folder for its first write: it truncates a torn record and opens the
+// newest log file.
+func (f *Folder) prepareWrites() error {
+	if f.segment != nil {
+		return nil
+	}
+	if len(f.segments) == 0 {
+		return f.openSegment()
+	}
+	path := filepath.Join(f.path, f.segments[len(f.segments)-1])
+	if f.tornAt >= 0 {
+		if err := os.Truncate(path, f.tornAt); err != nil {
+			return errors.Wrap(err, "truncating a torn record")
+		}
+	}
+	file, err := f.openFile(path)
+	if err != nil {
+		return errors.Wrap(err, "opening a log file")
+	}
+	f.segment = file
+	return nil
+}
+
+// checkWritable prepares a loaded folder for its first write and syncs it.
+func (f *Folder) checkWritable() error {
+	if err := f.prepareWrites(); err != nil {
+		return err
+	}
+	if f.folderSynced {
+		return nil
+	}
+	f.folderSynced = true
+	return f.syncFolder()
+}
+
 // openSegment starts the next log file.
 func (f *Folder) openSegment() error {
 	if f.segment != nil {
@@ -26,6 +61,7 @@
 	f.segment = file
 	f.size = 0
 	f.segments = append(f.segments, name)
+	f.folderSynced = true
 	return f.syncFolder()
 }
 
@@ -43,6 +79,9 @@
 }
 
 func (f *Folder) save(state *raft.HardState, entries []raft.Entry) error {
+	if err := f.prepareWrites(); err != nil {
+		return err
+	}
 	buf, err := appendRecord(nil, record{HardState: state, Entries: entries})
 	if err != nil {
 		return err
@@ -50,9 +89,8 @@
 	if _, err := f.segment.Write(buf); err != nil {
 		return errors.Wrap(err, "writing the log")
 	}
-	delaySync(f.path)
-	if err := f.segment.Sync(); err != nil {
-		return errors.Wrap(err, "syncing the log")
+	if err := f.syncLog(); err != nil {
+		return err
 	}
 	f.syncs++
 	f.size += len(buf)
@@ -62,6 +100,27 @@
 	return f.openSegment()
 }
 
+// syncLog syncs the log file. The first sync after the start also covers the folder, since the names of
+// files that were read then may not be durable; on a slow disk the two take as long as one.
+func (f *Folder) syncLog() error {
+	names := make(chan error, 1)
+	if f.folderSynced {
+		names <- nil
+	} else {
+		go func() { names <- f.syncFolder() }()
+	}
+	delaySync(f.path)
+	err := f.segment.Sync()
+	if namesErr := <-names; namesErr != nil {
+		return namesErr
+	}
+	if err != nil {
+		return errors.Wrap(err, "syncing the log")
+	}
+	f.folderSynced = true
+	return nil
+}
+
 // SaveSnapshot makes a snapshot durable and then removes the log files it covers. It also writes state
 // and the entries after the snapshot, since the removed files may hold their only copy.
 func (f *Folder) SaveSnapshot(snapshot raft.Snapshot, state raft.HardState, after []raft.Entry) error {
@@ -73,6 +132,9 @@
 }
 
 func (f *Folder) saveSnapshot(snapshot raft.Snapshot, state raft.HardState, after []raft.Entry) error {
+	if err := f.prepareWrites(); err != nil {
+		return err
+	}
 	body, err := cbor.Marshal(snapshot)
 	if err != nil {
 		return errors.Wrap(err, "encoding the snapshot")
@@ -98,5 +160,8 @@
 
 // Close closes the log file.
 func (f *Folder) Close() error {
+	if f.segment == nil {
+		return nil
+	}
 	return errors.Wrap(f.segment.Close(), "closing the log")
 }
