Control nodes confirm their state by a majority while no leader does

Callers saw: while disks are slow no leader lasts, or none is elected for as long as several syncs take. Until then no control node could tell whether its configuration is the newest, and a gateway not whether the node that it follows lags.

Cause: only a leader confirmed. What is acknowledged is however known to be committed on a majority's disks, and each majority of the voters has a node in common with that one; so the newest of any majority is the newest that was acknowledged, without a leader and without a sync. Ruled out: counting the streams between control nodes (what they carry may be seconds old after a cut; a question that was sent at a time answers for that time); voters that disagree on the membership (majorities of two memberships need not meet, so they are not counted together).

--- a/src/control/cluster.go
+++ b/src/control/cluster.go
@@ -67,6 +67,8 @@
 	mu sync.Mutex
 	// leaderKnownAt is when this node last knew a leader.
 	leaderKnownAt time.Time
+	// majorityState is the latest state that a majority of the voters confirmed.
+	majorityState stateConfirmation
 	// knownAddresses are the addresses of all control nodes this node has ever learned of.
 	knownAddresses map[string]bool
 	// loggedQuorum is the most recently logged quorum.
@@ -93,6 +95,7 @@
 	mux.Handle(wire.MethodPutDocument, rpc.Typed(c.putDocument))
 	mux.Handle(wire.MethodReadDocument, rpc.Typed(c.readDocument))
 	mux.Handle(wire.MethodMembers, rpc.Typed(c.changeMembers))
+	mux.Handle(wire.MethodApplied, rpc.Typed(c.handleApplied))
 	mux.Handle(wire.MethodZoneTicket, rpc.Typed(c.zoneTicket))
 	mux.Handle(wire.MethodZoneOrder, rpc.Typed(c.zoneOrder))
 }
--- a/src/control/cluster_test.go
+++ b/src/control/cluster_test.go
@@ -37,6 +37,26 @@
 	t     *testing.T
 	seeds []string
 	nodes map[string]*clusterNode
+	// hang makes the writes of nodes that are started from now on wait until it is closed.
+	hang chan struct{}
+}
+
+// disk returns the storage of a node in a data folder.
+func (tc *testCluster) disk(folder *store.Folder) Disk {
+	hang := tc.hang
+	if hang == nil {
+		return Disk{Save: folder.Save, SaveSnapshot: folder.SaveSnapshot}
+	}
+	return Disk{
+		Save: func(state *raft.HardState, entries []raft.Entry) error {
+			<-hang
+			return folder.Save(state, entries)
+		},
+		SaveSnapshot: func(snapshot raft.Snapshot, state raft.HardState, after []raft.Entry) error {
+			<-hang
+			return folder.SaveSnapshot(snapshot, state, after)
+		},
+	}
 }
 
 func newTestCluster(t *testing.T, founders int) *testCluster {
@@ -78,7 +98,7 @@
 	n := &clusterNode{address: address, folder: folder, disk: disk, cut: &fault.Cut{}, ended: make(chan struct{})}
 	n.committed = min(start.HardState.Commit, start.LastIndex())
 	id := disk.Identity().ID()
-	replica, err := NewReplica(id, start, Disk{Save: disk.Save, SaveSnapshot: disk.SaveSnapshot}, raft.DefaultOptions(), rand.New(rand.NewPCG(uint64(len(tc.nodes)), 7)), nil, time.Now())
+	replica, err := NewReplica(id, start, tc.disk(disk), raft.DefaultOptions(), rand.New(rand.NewPCG(uint64(len(tc.nodes)), 7)), nil, time.Now())
 	if err != nil {
 		tc.t.Fatal(err)
 	}
@@ -98,6 +118,7 @@
 		close(n.ended)
 	}()
 	go n.cluster.MaintainMembership(ctx)
+	go n.cluster.MaintainConfirmation(ctx)
 	tc.nodes[address] = n
 	return n
 }
--- a/src/feed/net_test.go
+++ b/src/feed/net_test.go
@@ -96,7 +96,8 @@
 			},
 			Changed: node.configChanged,
 
-			Confirmed: node.confirmedAt,
+			Confirmed:         node.confirmedAt,
+			MajorityConfirmed: func(uint64, uint64) time.Time { return time.Time{} },
 
 			Members: node.members,
 			Peers:   func() []string { return n.others(node) },
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -30,6 +30,9 @@
 	// Confirmed returns when the applied configuration was last known to be the newest, the zero
 	// time if it never was.
 	Confirmed func(now time.Time) time.Time
+	// MajorityConfirmed returns when a majority of the voters was last known to have applied nothing
+	// newer than a configuration and a revision of the drained zones, the zero time if it never was.
+	MajorityConfirmed func(version, drains uint64) time.Time
 	// Changed returns a channel that is closed when the applied configuration changes.
 	Changed func() <-chan struct{}
 	// Members returns the addresses of all control nodes, Peers those of the others.
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -83,6 +83,14 @@
 	confirmedAt time.Time
 }
 
+// drainsRevision returns the revision of the drained zones.
+func (s *relayState) drainsRevision() uint64 {
+	if s.drains == nil {
+		return 0
+	}
+	return s.drains.Revision
+}
+
 // equivalent reports whether two states differ at most in the number of gateways and in when the
 // configuration was confirmed.
 func (s *relayState) equivalent(other *relayState) bool {
@@ -175,7 +183,7 @@
 	next.version = max(next.version, r.peerDocument.Version)
 	next.detached = withoutMajority(known.ConnectedNodes, len(next.members)) || r.lagging(now, next.version, known.Version)
 	r.fetchFromPeerIfDue(now)
-	next.confirmedAt = r.cluster.Confirmed(now)
+	next.confirmedAt = later(r.cluster.Confirmed(now), r.cluster.MajorityConfirmed(next.version, next.drainsRevision()))
 	next.uncertain = now.Sub(later(r.startedAt, next.confirmedAt)) > uncertainAfter
 	if next.equivalent(&r.state) {
 		r.refreshKeepalive(next)
--- a/src/feed/relay_test.go
+++ b/src/feed/relay_test.go
@@ -256,3 +256,27 @@
 		t.Error("a gateway that left is remembered")
 	}
 }
+
+// TestRelayReportsTheConfirmationOfAMajority: without a leader a gateway would take the state of a node for
+// unconfirmed, although a majority of the voters has nothing newer. What counts is the state that the relay
+// passes on, with the drained zones.
+func TestRelayReportsTheConfirmationOfAMajority(t *testing.T) {
+	is := is.New(t)
+	r, _ := newManualRelay(t)
+	now := time.Unix(1_800_000_000, 0)
+	r.now = func() time.Time { return now }
+	newest := uint64(1)
+	r.cluster.Confirmed = func(time.Time) time.Time { return time.Time{} }
+	r.cluster.Drains = func() *wire.ZoneDrains { return &wire.ZoneDrains{Revision: 4} }
+	r.cluster.MajorityConfirmed = func(version, drains uint64) time.Time {
+		if version < newest || drains < 4 {
+			return time.Time{}
+		}
+		return now.Add(-time.Second)
+	}
+	r.round(now)
+	is.Equal(r.update(&relayState{}).ConfirmedMS, int64(1000))
+	newest = 2
+	r.round(now)
+	is.Equal(r.update(&relayState{}).ConfirmedMS, int64(0))
+}
--- a/src/feed/selection_test.go
+++ b/src/feed/selection_test.go
@@ -159,6 +159,7 @@
 	f.mu.Unlock()
 	cluster := Cluster{Quarantine: func() *wire.Quarantine { return nil }, Drains: func() *wire.ZoneDrains { return nil }, Version: func() uint64 { return 1 }, Members: func() []string { return []string{s.address} }}
 	cluster.Confirmed = func(now time.Time) time.Time { return now }
+	cluster.MajorityConfirmed = func(uint64, uint64) time.Time { return time.Time{} }
 	return NewRelay("n", "z", f, cluster, time.Now), s
 }
 
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -207,7 +207,8 @@
 		Document: c.cluster.Document,
 		Changed:  c.cluster.Changed,
 
-		Confirmed: c.cluster.Confirmed,
+		Confirmed:         c.cluster.Confirmed,
+		MajorityConfirmed: c.cluster.MajorityConfirmed,
 
 		Members:       c.cluster.Members,
 		Peers:         c.cluster.Peers,
@@ -312,6 +313,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- c.node.Run(ctx) }()
 	go c.cluster.MaintainMembership(ctx)
+	go c.cluster.MaintainConfirmation(ctx)
 	go c.publisher.Run(ctx)
 	go c.placer.Run(ctx)
 	go c.shareLoad(ctx)
--- a/src/wire/document.go
+++ b/src/wire/document.go
@@ -126,3 +126,13 @@
 	// Missing is the number of requests for which no copy was available.
 	Missing int `json:"missing,omitempty"`
 }
+
+// AppliedState is what a control node has applied, all of which is committed.
+type AppliedState struct {
+	// ID is the node's Raft ID, Voters the sorted IDs of the voters in the node's log.
+	ID     string   `json:"id"`
+	Voters []string `json:"voters"`
+	// Version is the version of the configuration, Drains the revision of the drained zones.
+	Version uint64 `json:"version,omitempty"`
+	Drains  uint64 `json:"drains,omitempty"`
+}
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -31,6 +31,8 @@
 	MethodPutDocument = "document.put"
 	// MethodReadDocument asks the leader for the newest accepted configuration.
 	MethodReadDocument = "document.read"
+	// MethodApplied asks a control node what it has applied.
+	MethodApplied = "control.applied"
 	// MethodZoneTicket asks the leader for the ticket that an order for a zone must include.
 	MethodZoneTicket = "zone.ticket"
 	// MethodZoneOrder asks the leader to start or stop draining a zone.
