A gateway that has just started waits for the newest configuration

Cause: a gateway put the first configuration that it could get into force, also of a control node that reaches no majority and whose configuration nobody confirmed; and it refused for good by it.

Ways weighed for what a started gateway does with a configuration that nobody confirmed: - use it (before): serves a zone that is cut off, and answers 404 and by old routes where an acknowledged version says otherwise; - never use it: right in both, and serves nothing where two of three control nodes stay down; - keep the version on a disk of its own: gateways have none, and a version without its configuration could only refuse; - learn it from other gateways: they lost it in the same loss of power; - wait for a confirmation for a bounded time, then use it, but refuse nothing for good by it (taken): 10 s for a configuration that was never confirmed since its control node started, 1 s for one that was confirmed before its node was cut off (the gateways of that zone use it anyway), nothing for a recent one.

Change: feed.Follower holds the first configuration (hold.go); a gateway whose configuration was not known to be the newest within 5 s answers 503 with Retry-After instead of 404 for unknown routes and 401 for unknown keys. What it allows is served. Events 207 (held) and 208 (not fetched, with the reason); 203 says which control node sent the version and when that one last knew it to be the newest.

TestUnconfirmedConfigurationRefusesNothingForGood, TestConfirmationOfTheConfigurationInForceExpires.

Conclusion: a definite no rests on a configuration that was the newest within seconds.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -21,6 +21,8 @@
 	ConfigUncertain    Kind = 204
 	ConfigUnusable     Kind = 205
 	ConfigForwarded    Kind = 206
+	ConfigHeld         Kind = 207
+	ConfigNotFetched   Kind = 208
 	ZoneOrdered        Kind = 210
 	ZoneOrderRefused   Kind = 211
 	ZonesDrained       Kind = 212
@@ -109,10 +111,12 @@
 	{ConfigAccepted, "config-accepted", "The control nodes accepted a configuration change."},
 	{ConfigRefused, "config-refused", "A configuration change was invalid and was refused as a whole."},
 	{ConfigConflict, "config-conflict", "A configuration change was based on an older revision of an object that it changes."},
-	{ConfigInForce, "config-in-force", "A process uses a newer configuration; the control node that sent it is given."},
+	{ConfigInForce, "config-in-force", "A process uses a newer configuration; the control node that sent it is given, and when that one last knew the configuration to be the newest."},
 	{ConfigUncertain, "config-uncertain", "It is unknown whether a configuration change was accepted; the operator must send it again."},
 	{ConfigUnusable, "config-unusable", "A gateway received a newer configuration that it can't decode; it keeps the previous one and fetches the newer one again."},
 	{ConfigForwarded, "config-borrowed", "A control node forwards a configuration that another control node has applied but it has not."},
+	{ConfigHeld, "config-held", "A gateway that has just started does not use the configuration of a control node yet, because it is not known to be the newest."},
+	{ConfigNotFetched, "config-not-fetched", "A gateway could not fetch a newer configuration that a control node announced; it tries again."},
 	{ZoneOrdered, "zone-ordered", "An operator's order to drain an availability zone, or to end the drain, was acknowledged: a majority of the control nodes has stored it."},
 	{ZoneOrderRefused, "zone-order-refused", "An order about an availability zone was not acknowledged; the reason is given, and whether it may still take effect."},
 	{ZonesDrained, "zones-drained", "A process uses a newer set of drained availability zones; they are listed."},
--- a/src/exchange/admit.go
+++ b/src/exchange/admit.go
@@ -49,7 +49,7 @@
 	if c.account != nil || c.route.Anonymous {
 		return true
 	}
-	if !c.configTrusted(table) {
+	if !c.configTrusted(table) || !c.configConfirmed() {
 		c.refuseUndecided("the configuration was not known to be the newest for too long")
 		return false
 	}
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -63,6 +63,9 @@
 	Now     func() time.Time
 	// Unknown is called with the names of unknown headers in a replica's response. It may be nil.
 	Unknown func(replica string, names []string)
+	// ConfigConfirmed reports whether the active configuration was lately known to be the newest; nil
+	// means that it always is.
+	ConfigConfirmed func() bool
 	// MaxRetainedBytes limits the buffered bytes of bodies and responses over all requests; 0 means
 	// no limit.
 	MaxRetainedBytes int64
@@ -195,7 +198,7 @@
 	c.version = table.Version()
 	c.route = table.RouteFor(r.Host, r.URL.EscapedPath())
 	if c.route == nil {
-		c.refuse(http.StatusNotFound, "no route")
+		c.refuseUnknownRoute()
 		return
 	}
 	c.service = c.route.Pick(rand.Float64())
@@ -218,6 +221,23 @@
 	c.run()
 }
 
+// refuseUnknownRoute refuses a request for which there is no route. If a newer configuration may have one,
+// the client is told to come back.
+func (c *call) refuseUnknownRoute() {
+	if c.configConfirmed() {
+		c.refuse(http.StatusNotFound, "no route")
+		return
+	}
+	c.refuseUndecided("no route, and the configuration is not known to be the newest")
+}
+
+// configConfirmed reports whether the active configuration was lately known to be the newest, so that a
+// request may be refused for good because of it.
+func (c *call) configConfirmed() bool {
+	confirmed := c.handler.options.ConfigConfirmed
+	return confirmed == nil || confirmed()
+}
+
 // awaitTable returns the active configuration. If there is none yet, it waits up to maxConfigWait
 // for the first one.
 func (c *call) awaitTable() *catalog.Table {
--- a/src/exchange/start_test.go
+++ b/src/exchange/start_test.go
@@ -84,3 +84,31 @@
 	is.Equal(c.maxReplicaWait(began.Add(discoveryTime), NoReplica), time.Duration(0))
 	is.True(c.maxReplicaWait(began, NoReplica) > 0)
 }
+
+// TestUnconfirmedConfigurationRefusesNothingForGood: a gateway that serves from a configuration that may be
+// old answered 404 and 401 for routes and keys of a newer, acknowledged one. The client can come back.
+func TestUnconfirmedConfigurationRefusesNothingForGood(t *testing.T) {
+	is := is.New(t)
+	a := newReplica(t, "a", whole)
+	b := newKeyedBench(t, granting(), route(catalog.Safe, 2), a)
+	confirmed := false
+	b.handler.options.ConfigConfirmed = func() bool { return confirmed }
+	unknownRoute := func() (int, string) {
+		request, _ := http.NewRequest("GET", b.server.URL+"/elsewhere", nil)
+		request.Host = "h.example"
+		response, err := b.server.Client().Do(request)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		return response.StatusCode, response.Header.Get("Retry-After")
+	}
+	status, retry := unknownRoute()
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(retry != "")
+	is.Equal(b.do("GET", "one", "", testKey+": other").status, http.StatusServiceUnavailable)
+	is.Equal(b.do("GET", "one", "", testKey+": k").status, http.StatusOK) // what it allows is served
+
+	confirmed = true
+	status, _ = unknownRoute()
+	is.Equal(status, http.StatusNotFound)
+	is.Equal(b.do("GET", "one", "", testKey+": other").status, http.StatusUnauthorized)
+}
--- a/src/feed/fetch.go
+++ b/src/feed/fetch.go
@@ -16,8 +16,8 @@
 	maxRefetchDelay = 2 * time.Second
 )
 
-// fetchIfNewer starts to fetch the configuration if a newer one was announced. The caller holds the
-// lock.
+// fetchIfNewer starts to fetch the configuration if a newer one was announced that may be used. The caller
+// holds the lock.
 func (f *Follower) fetchIfNewer() {
 	if f.fetching || f.sink.Document == nil || !f.newerAnnounced() {
 		return
@@ -28,7 +28,7 @@
 
 func (f *Follower) newerAnnounced() bool {
 	for _, s := range f.sources {
-		if s.live && s.version > f.version {
+		if s.live && s.version > f.version && f.mayUse(f.now(), s) {
 			return true
 		}
 	}
@@ -77,7 +77,7 @@
 	bestRank := 0
 	for _, s := range f.sources {
 		near := s.zone == f.options.Zone
-		if !s.live || s.version <= f.version || !near && !otherZones {
+		if !s.live || s.version <= f.version || !near && !otherZones || !f.mayUse(f.now(), s) {
 			continue
 		}
 		rank := 1
@@ -121,17 +121,23 @@
 	defer f.mu.Unlock()
 	if err != nil {
 		s.fetchFailedAt = f.now()
+		f.ring.Add(event.Event{Kind: event.ConfigNotFetched, Host: s.address, Zone: s.zone, Reason: s.describeVersion(f.now(), s.version) + ": " + err.Error()})
 		return false
 	}
-	if document.Version <= f.version {
+	if document.Version < s.version {
+		// It was restarted since: what it confirmed is not what it has now.
 		s.version = document.Version
+		s.confirmedAt = time.Time{}
+	}
+	if document.Version <= f.version || !f.mayUse(f.now(), s) {
 		return false
 	}
-	if err := f.sink.Document(s.address, document); err != nil {
+	if err := f.sink.Document(document); err != nil {
 		s.fetchFailedAt = f.now()
 		f.ring.Add(event.Event{Kind: event.ConfigUnusable, Host: s.address, Reason: err.Error()})
 		return false
 	}
 	f.version = document.Version
+	f.ring.Add(event.Event{Kind: event.ConfigInForce, Host: s.address, Zone: s.zone, Reason: s.describeVersion(f.now(), f.version)})
 	return true
 }
--- a/src/feed/follower.go
+++ b/src/feed/follower.go
@@ -43,9 +43,9 @@
 
 // Sink holds a follower's callbacks. They are called one at a time. All but Replicas may be nil.
 type Sink struct {
-	// Document applies a newer configuration from the control node at an address. After an error
-	// the previous one stays in force, and the newer one is fetched again.
-	Document func(from string, held wire.Document) error
+	// Document applies a newer configuration. After an error the previous one stays in force, and the
+	// newer one is fetched again.
+	Document func(held wire.Document) error
 	// Replicas receives the changes of the merged replicas.
 	Replicas func(registry.Changes)
 	// Holdings receives newer holdings.
@@ -90,7 +90,11 @@
 	holdings  *wire.Holdings
 	drains    *wire.ZoneDrains
 	fetching  bool
-	context   context.Context
+	// firstContactAt is when a control node first answered, heldLogged whether it was logged that a
+	// configuration is not used yet.
+	firstContactAt time.Time
+	heldLogged     bool
+	context        context.Context
 	// changed is closed at the next change of the merged view.
 	changed chan struct{}
 	// check wakes Run to check the selection of sources.
@@ -260,6 +264,9 @@
 		s.holdings = nil
 	}
 	s.heardAt = now
+	if f.firstContactAt.IsZero() {
+		f.firstContactAt = now
+	}
 	s.version = update.Version
 	s.leading = update.Leading
 	s.detached = update.Detached
@@ -288,6 +295,7 @@
 		f.updateFollowed(now)
 		f.check.Raise()
 	}
+	f.noteHeld(now, s)
 	f.fetchIfNewer()
 }
 
--- a/src/feed/net_test.go
+++ b/src/feed/net_test.go
@@ -234,7 +234,7 @@
 }
 
 // takeDocument rejects as many configurations as rejections says and records the others.
-func (s *recordingSink) takeDocument(_ string, d wire.Document) error {
+func (s *recordingSink) takeDocument(d wire.Document) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rejections > 0 {
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -132,6 +132,7 @@
 		Now:     time.Now,
 		Unknown: newUnknownNames(proc).record,
 
+		ConfigConfirmed:  func() bool { return g.follower.Confirmed() },
 		MaxRetainedBytes: int64(retainShare * float64(settings.MemoryMB) * (1 << 20)),
 	})
 	g.buildFollower()
@@ -201,13 +202,12 @@
 }
 
 // setDocument decodes a configuration and puts it into use.
-func (g *gateway) setDocument(from string, held wire.Document) error {
+func (g *gateway) setDocument(held wire.Document) error {
 	document, err := decode(held, g.external.Decode)
 	if err != nil {
 		return errors.Wrap(err, "version "+strconv.FormatUint(held.Version, 10))
 	}
 	g.handler.SetTable(catalog.NewTable(document))
-	g.proc.Ring().Add(event.Event{Kind: event.ConfigInForce, Host: from, Reason: "version " + strconv.FormatUint(held.Version, 10)})
 	return nil
 }
 
