Soak: a loss of power after which those that hold the last change come back late

Processes counted as free of faults once they were spawned.

After each loss of power a 404 for a route of the acknowledged version is a finding of every run, from the first answer on. A member's log says when it serves after its start; each finding "does not have version" names the state of all members. As the product now answers 503 where it can't confirm its configuration, such an answer counts as an absent version like 404 did (isAbsent), also while a gateway has no configuration: stricter than before.

Conclusion: the moment is played with a seed, not left to luck.

--- a/soak/blackout.go
+++ b/soak/blackout.go
@@ -22,8 +22,14 @@
 // after a random outage. Until a leader is elected, the configuration has to be recovered from the
 // disks.
 func (in *installation) blackout(operators *operators, clients *clients, random *rand.Rand) {
+	lagging := in.laggingNode()
+	endSilence := func() {}
+	if lagging != nil {
+		endSilence = lagging.silence()
+	}
 	version, acknowledged := operators.changeUntilAcknowledged()
 	if !acknowledged {
+		endSilence()
 		clients.check.fail("blackout", "no change was acknowledged in %d", maxBlackoutChanges)
 		return
 	}
@@ -32,10 +38,15 @@
 		m.beginFault()
 		m.signal(syscall.SIGKILL)
 	}
+	endSilence()
+	defer clients.watchForDenials(version)()
 	defer in.slowDisksForRestart(rand.New(rand.NewPCG(in.options.Seed, 16)))()
 	var starts sync.WaitGroup
 	for _, m := range in.members {
 		outage := time.Duration(random.Int64N(int64(maxOutage)))
+		if lagging != nil {
+			outage = in.lateMajority(m, lagging)
+		}
 		starts.Add(1)
 		go func() {
 			defer starts.Done()
@@ -63,9 +74,9 @@
 
 // waitForVersion waits until a gateway serves by a version again.
 func (c *clients) waitForVersion(m *member, version uint64) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newProbeClient()
 	for end := time.Now().Add(recoveryTimeout); time.Now().Before(end); time.Sleep(probeInterval) {
-		if c.probeVersion(client, m, version) == http.StatusOK {
+		if c.probeVersion(client, m, version).status == http.StatusOK {
 			c.check.count("blackouts made up for")
 			return
 		}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -183,7 +183,7 @@
 // before in the same process, and the newest one within applyLimit of its acknowledgement.
 func (c *clients) probeConfigurations(ctx context.Context, m *member) {
 	defer c.work.Done()
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newProbeClient()
 	startCount, seen := 0, uint64(0)
 	for ctx.Err() == nil {
 		time.Sleep(probeInterval)
@@ -193,12 +193,12 @@
 		}
 		newest, ackedAt := c.check.newest()
 		began := time.Now()
-		status := c.probeVersion(client, m, newest)
+		answer := c.probeVersion(client, m, newest)
 		after, sinceAfter := m.state()
-		if after != startCount || status == 0 {
+		if after != startCount || answer.status == 0 {
 			continue
 		}
-		if status == http.StatusOK {
+		if answer.status == http.StatusOK {
 			seen = max(seen, newest)
 			c.check.count("versions seen in force")
 		}
@@ -209,10 +209,10 @@
 		faultFree := !since.IsZero() && since == sinceAfter && began.Sub(since) > contactTime
 		controlSince := c.in.controlFaultFreeSince()
 		faultFree = faultFree && !controlSince.IsZero() && began.Sub(controlSince) > contactTime
-		if status == http.StatusNotFound && faultFree && began.Sub(ackedAt) > applyLimit && c.isNewestSent(newest) {
-			c.check.late("apply", "%s does not have version %d, acknowledged %s before", m.name, newest, began.Sub(ackedAt))
+		if answer.absent && faultFree && began.Sub(ackedAt) > applyLimit && c.isNewestSent(newest) {
+			c.check.late("apply", "%s does not have version %d, acknowledged %s before; %s", m.name, newest, began.Sub(ackedAt), c.in.describeMembers())
 		}
-		if seen > 1 && c.probeVersion(client, m, seen-1) == http.StatusOK {
+		if seen > 1 && c.probeVersion(client, m, seen-1).status == http.StatusOK {
 			if now, _ := m.state(); now == startCount {
 				c.check.fail("regress", "%s serves version %d after %d", m.name, seen-1, seen)
 			}
@@ -224,10 +224,12 @@
 // if it was not acknowledged.
 func (c *clients) isNewestSent(version uint64) bool { return c.check.content(version+1) == "" }
 
-func (c *clients) probeVersion(client *http.Client, m *member, version uint64) int {
+// probeVersion sends a request on the route that only one version has; the result is empty if there is no
+// answer.
+func (c *clients) probeVersion(client *http.Client, m *member, version uint64) versionProbe {
 	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v/%d/x", c.in.proxyAddress(m, c.in.callPort()), version), nil)
 	if err != nil {
-		return 0
+		return versionProbe{}
 	}
 	request.Host = "a.example"
 	request.Header.Set(idHeader, c.id())
@@ -235,11 +237,12 @@
 	request.Header.Set(keyHeader, mainKey)
 	got, err := client.Do(request)
 	if err != nil {
-		return 0
+		return versionProbe{}
 	}
-	_, _ = io.Copy(io.Discard, got.Body)
-	_ = got.Body.Close()
-	return got.StatusCode
+	defer got.Body.Close()
+	// A body that ends early still tells that the gateway answered.
+	body, _ := io.ReadAll(got.Body)
+	return versionProbe{status: got.StatusCode, absent: isAbsent(got.StatusCode, string(body))}
 }
 
 // checkRecovery checks that every gateway served requests again after the last fault.
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -51,9 +51,11 @@
 	process *exec.Cmd
 	ended   chan struct{}
 	// startCount counts the process starts; faultFreeSince is the end of the member's last fault.
-	startCount      int
-	faultFreeSince  time.Time
-	faultActive     bool
+	startCount     int
+	faultFreeSince time.Time
+	faultActive    bool
+	// servesSince is when the process began to serve, the zero time if it does not yet.
+	servesSince     time.Time
 	exitExpected    bool
 	unexpectedExits int
 }
@@ -202,14 +204,19 @@
 	m.process = command
 	m.startCount++
 	m.exitExpected = false
+	m.servesSince = time.Time{}
 	m.ended = make(chan struct{})
 	ended := m.ended
+	go in.logWhenServing(m, ended)
 	go func() {
 		_ = command.Wait()
 		m.mu.Lock()
 		if !m.exitExpected && m.process == command {
 			m.unexpectedExits++
 		}
+		if m.process == command {
+			m.servesSince = time.Time{}
+		}
 		m.mu.Unlock()
 		close(ended)
 	}()
--- a/soak/main.go
+++ b/soak/main.go
@@ -15,18 +15,19 @@
 )
 
 type options struct {
-	Seed     uint64        `long:"seed" description:"the run's seed" required:"yes"`
-	Seconds  int           `long:"seconds" description:"how long faults are injected" default:"20"`
-	Gateways int           `long:"gateways" description:"number of gateways" default:"4"`
-	Bin      string        `long:"bin" description:"folder of the programs" default:"target"`
-	Folder   string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
-	NoBounds bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
-	Measure  string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, upgrade, back"`
-	Old      string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
-	Order    string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
-	SyncWait time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
-	OldDisks bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
-	Port     int           `long:"port" description:"first of the ports used on every address" default:"17400"`
+	Seed        uint64        `long:"seed" description:"the run's seed" required:"yes"`
+	Seconds     int           `long:"seconds" description:"how long faults are injected" default:"20"`
+	Gateways    int           `long:"gateways" description:"number of gateways" default:"4"`
+	Bin         string        `long:"bin" description:"folder of the programs" default:"target"`
+	Folder      string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
+	NoBounds    bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
+	Measure     string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, upgrade, back"`
+	Old         string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
+	Order       string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
+	SyncWait    time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
+	OldDisks    bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
+	LaggingNode string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang or started late" choice:"hung-disks" choice:"late-start"`
+	Port        int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
 
 // settleTime is how long the processes have to recover after the last fault.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,13 +22,21 @@
 // TestShortSoak builds the real programs and runs one seed on them. Time limits are not checked, as
 // the speed of the machine is unknown.
 func TestShortSoak(t *testing.T) {
-	bin := t.TempDir()
-	build := exec.Command("go", "build", "-tags", "stdjson,soak", "-o", bin+string(filepath.Separator), "../cmd/moorspool-fleet-gateway", "../cmd/moorspool-fleet-control")
-	build.Stdout, build.Stderr = os.Stdout, os.Stderr
-	if err := build.Run(); err != nil {
+	bin := buildPrograms(t)
+	findings, err := run(options{Seed: testSeed, Seconds: testSeconds, Gateways: testGateways, Bin: bin, NoBounds: true, Folder: filepath.Join(t.TempDir(), "soak"), Port: testPort + os.Getpid()%400*8})
+	if err != nil {
 		t.Fatal(err)
 	}
-	findings, err := run(options{Seed: testSeed, Seconds: testSeconds, Gateways: testGateways, Bin: bin, NoBounds: true, Folder: filepath.Join(t.TempDir(), "soak"), Port: testPort + os.Getpid()%400*8})
+	for _, finding := range findings {
+		t.Error(finding)
+	}
+}
+
+// TestShortSoakWithLaggingNode runs the loss of power in which the disks of the control nodes that hold the
+// last change hang: gateways followed the one that lacked it and answered 404 for its routes.
+func TestShortSoakWithLaggingNode(t *testing.T) {
+	bin := buildPrograms(t)
+	findings, err := run(options{Seed: testSeed, Seconds: 1, Gateways: testGateways, Bin: bin, NoBounds: true, LaggingNode: laggingHungDisks, Folder: filepath.Join(t.TempDir(), "soak"), Port: testPort + 3200 + os.Getpid()%100*8})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,6 +45,18 @@
 	}
 }
 
+// buildPrograms builds the real programs into a folder and returns it.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-tags", "stdjson,soak", "-o", bin+string(filepath.Separator), "../cmd/moorspool-fleet-gateway", "../cmd/moorspool-fleet-control")
+	build.Stdout, build.Stderr = os.Stdout, os.Stderr
+	if err := build.Run(); err != nil {
+		t.Fatal(err)
+	}
+	return bin
+}
+
 // TestCheckerReportsViolations checks that a violation of each rule is reported.
 func TestCheckerReportsViolations(t *testing.T) {
 	broken := map[string]func(c *checker){
@@ -91,3 +111,24 @@
 		t.Error("a run began on addresses that another process has")
 	}
 }
+
+// TestAbsentVersionIsRecognised: a gateway that can't confirm its configuration answers 503 instead of 404
+// for a route that it does not have. Taken for an answer of the version asked for, that would hide a version
+// that is not in force.
+func TestAbsentVersionIsRecognised(t *testing.T) {
+	for _, test := range []struct {
+		status int
+		body   string
+		absent bool
+	}{
+		{404, "no route\n", true},
+		{503, "no route, and the configuration is not known to be the newest\n", true},
+		{503, "no configuration yet\n", true},
+		{503, "no backend server accepts the request\n", false},
+		{200, "q1:body of q1", false},
+	} {
+		if got := isAbsent(test.status, test.body); got != test.absent {
+			t.Errorf("%d %q: absent is %v", test.status, test.body, got)
+		}
+	}
+}
