A started control node collects the quarantine from each other one

Callers see nothing; backend servers may end under a content that all other gateways hold back.

Cause, by reading: a control node sends what it restored to the others once as it starts. One that starts after them misses that and has to wait until one of the others draws it for its exchange, once a second each; meanwhile its gateways serve. Ruled out: that its own file suffices (it may have been cut off as the content was recorded).

Change: a control node asks each other one for its entries after its start until each has answered once.

Conclusion: an entry that any reachable control node holds is at the started one within a call.

--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -324,6 +324,7 @@
 	go c.granter.Run(ctx)
 	go c.relay.Run(ctx)
 	go c.forwardQuarantine(ctx)
+	go c.collectQuarantine(ctx)
 	go c.saveQuarantine(ctx)
 	go c.follower.Run(ctx)
 	calls, err := listen(c.settings.Calls, c.external.Calls(c.calls()))
--- a/src/fleet/quarantine.go
+++ b/src/fleet/quarantine.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/moorspool/moorspool/src/admission"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/feed"
 	"github.com/moorspool/moorspool/src/quarantine"
@@ -28,6 +31,10 @@
 	// exchangeInterval is how often a control node sends all entries to another one, which may have
 	// been restarted or disconnected.
 	exchangeInterval = time.Second
+	// collectInterval is the interval at which a control node that has started asks those others for
+	// their entries that gave none yet, collectDuration how long it goes on.
+	collectInterval = 200 * time.Millisecond
+	collectDuration = time.Minute
 	// minSharedEnds is the least number of crashes for which a content is sent to gateways and saved.
 	minSharedEnds = 2
 )
@@ -144,6 +151,46 @@
 	}
 }
 
+// collectQuarantine gets the entries of each other control node once after a start. What others forwarded
+// while this node was down is lost, and the exchange may take seconds to reach it: a gateway that follows
+// this node would send a quarantined content to further backend servers until then.
+func (c *controlNode) collectQuarantine(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, collectDuration)
+	defer cancel()
+	collectFromAll(ctx, c.cluster.Peers, func(ctx context.Context, address string) bool {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		var known wire.Quarantine
+		if err := c.links.Client(address).Call(ctx, wire.MethodQuarantineList, wire.Empty{}, &known); err != nil {
+			return false
+		}
+		c.quarantine.Merge(time.Now(), known.Entries)
+		return true
+	})
+}
+
+// collectFromAll calls collect for each peer until it has returned true once for all present peers, or the
+// context ends.
+func collectFromAll(ctx context.Context, peers func() []string, collect func(ctx context.Context, address string) bool) {
+	collected := map[string]bool{}
+	for ctx.Err() == nil {
+		missing := slices.DeleteFunc(slices.Clone(peers()), func(address string) bool { return collected[address] })
+		if len(missing) == 0 {
+			return
+		}
+		answered := make([]bool, len(missing))
+		var calls sync.WaitGroup
+		for i, address := range missing {
+			calls.Go(func() { answered[i] = collect(ctx, address) })
+		}
+		calls.Wait()
+		for i, address := range missing {
+			collected[address] = answered[i]
+		}
+		admission.Sleep(ctx, collectInterval)
+	}
+}
+
 // notifyRandomPeer sends all entries to one other control node.
 func (c *controlNode) notifyRandomPeer(ctx context.Context) {
 	peers := c.cluster.Peers()
