A new leader confirms nothing before it has committed an entry of its term

A control node told its gateways that its configuration was the newest right after an election, though it lacked one that the leader before had acknowledged; with syncs of 15 s for as long as the new leader's first entry takes.

Cause: a follower compared what it had applied with the commit index of its leader. A new leader holds all that was committed, but knows how far only once it has committed an entry of its own term. Ruled out: that the leader's own confirmation has the same fault (HasReadLease asks for such an entry).

Change: a follower's state is confirmed only if the entry at the leader's commit index is of the leader's term. TestFollowerConfirmsOnlyAppliedCommits held the wrong assumption in its first step: it took the empty message of a leader of term 4 for a confirmation. It now asks for an entry of that term, before and after, which includes all steps of before; on the code before it fails in its first.

Conclusion: a confirmation covers what earlier leaders acknowledged.

--- a/src/raft/core_test.go
+++ b/src/raft/core_test.go
@@ -94,7 +94,9 @@
 }
 
 // TestFollowerConfirmsOnlyAppliedCommits: Confirmed must not advance when the leader has
-// committed entries that this node does not have.
+// committed entries that this node does not have, nor before the leader has committed an entry of its term:
+// a follower that lagged as the leader before was lost took the commit index of its successor, who did not
+// know yet what had been acknowledged, for the newest.
 func TestFollowerConfirmsOnlyAppliedCommits(t *testing.T) {
 	is := is.New(t)
 	c := restartedCore(0, 0)
@@ -107,10 +109,14 @@
 		}
 	}
 	receiveAppend(startTime, Message{})
+	is.True(c.ConfirmedAt().IsZero())
+	receiveAppend(startTime, Message{Commit: 1, Entries: []Entry{{Term: 3, Index: 1}, {Term: 4, Index: 2}}})
+	is.True(c.ConfirmedAt().IsZero())
+	receiveAppend(startTime, Message{Commit: 2, Index: 2, LogTerm: 4})
 	is.Equal(c.ConfirmedAt(), startTime)
 	later := startTime.Add(time.Second)
-	receiveAppend(later, Message{Commit: 1, Index: 1, LogTerm: 4}) // entry 1 is missing
+	receiveAppend(later, Message{Commit: 3, Index: 3, LogTerm: 4}) // entry 3 is missing
 	is.Equal(c.ConfirmedAt(), startTime)
-	receiveAppend(later, Message{Commit: 1, Entries: []Entry{{Term: 4, Index: 1}}})
+	receiveAppend(later, Message{Commit: 3, Index: 2, LogTerm: 4, Entries: []Entry{{Term: 4, Index: 3}}})
 	is.Equal(c.ConfirmedAt(), later)
 }
--- a/src/raft/lease.go
+++ b/src/raft/lease.go
@@ -25,9 +25,13 @@
 // leader use HasReadLease.
 func (c *Core) ConfirmedAt() time.Time { return c.confirmedAt }
 
-// confirmApplied updates confirmedAt if everything the leader last reported as committed is applied.
+// confirmApplied updates confirmedAt if everything the leader last reported as committed is applied. A new
+// leader may not know all that was committed before until it has committed an entry of its own term.
 func (c *Core) confirmApplied() {
-	if c.role == Follower && c.leader != "" && c.applied >= c.leaderCommit {
+	if c.role != Follower || c.leader == "" || c.applied < c.leaderCommit {
+		return
+	}
+	if term, found := c.log.term(c.leaderCommit); found && term == c.term {
 		c.confirmedAt = c.leaderSeenAt
 	}
 }
