Keys are confirmed without a leader while a majority has nothing newer

But callers with a key were refused until a leader had committed an entry, although a majority was in reach.

Cause: a gateway serves a key as long as its configuration was the newest within the trust period, and only reports to a leader told when it was. Ruled out: limits. What an account has left is known to a leader and to those that hold a share of it.

Change: what a majority of the voters confirms counts for keys as well, for the version that the control node passes on, which on a node that lags is another one's. An older confirmation never replaces a later one: a version that a node has just applied would count as old until the leader's next report (TestOldMajorityConfirmationDoesNotReplaceALaterOne, fails without the comparison).

--- a/src/admission/admission_test.go
+++ b/src/admission/admission_test.go
@@ -27,6 +27,9 @@
 	hasMajority bool
 	// leaderReachable and nodeReachable are unset while calls fail.
 	leaderReachable, nodeReachable bool
+	// appliedVersion is what the control node has applied, majorityAt when a majority confirmed it.
+	appliedVersion uint64
+	majorityAt     time.Time
 	// nodeDelay and leaderDelay are the delays of answers.
 	nodeDelay, leaderDelay time.Duration
 	// recordError is returned when an extension is recorded.
@@ -53,7 +56,10 @@
 		Record: func(context.Context, string, float64) error { return n.recordError },
 		Leader: Leader{Lease: func(_ context.Context, r wire.LeaseRequest) (wire.LeaseReply, error) { return n.leader.Lease(r), nil }},
 	})
-	n.node = NewGranter(GranterOptions{Node: "n", Parameters: terms, Now: clock, Leader: Leader{Lease: n.lease, Reserve: n.draw}})
+	n.node = NewGranter(GranterOptions{
+		Node: "n", Parameters: terms, Now: clock, Leader: Leader{Lease: n.lease, Reserve: n.draw},
+		Confirmed: func() (uint64, time.Time) { return n.appliedVersion, n.majorityAt },
+	})
 	n.gate = NewGate(GateOptions{Request: n.ask, Trust: trustTime, GrantTTL: terms.GrantTTL, Now: clock, Sleep: func(_ context.Context, d time.Duration) bool {
 		n.now = n.now.Add(d)
 		if n.onSleep != nil {
@@ -274,3 +280,44 @@
 	is.Equal(n.now, began)
 	is.True(later.RetryAfter > first.RetryAfter)
 }
+
+// After a loss of all power requests with a key were refused until a leader had been elected, which takes as
+// long as several syncs: 11 s with syncs of 3 s. A majority that has nothing newer confirms the keys as
+// well; a control node that lags, or that reaches no majority, confirms none.
+func TestKeysAreTrustedWithoutALeader(t *testing.T) {
+	is := is.New(t)
+	n := newTestCluster()
+	n.leaderReachable = false
+	n.appliedVersion = 6
+	n.run(time.Second)
+	is.True(!n.gate.Confirmed(n.now, 6))
+
+	n.appliedVersion, n.majorityAt = 7, n.now
+	n.run(time.Second)
+	is.True(n.trusted())
+	is.True(!n.gate.Confirmed(n.now, 6))
+	n.run(trustTime) // the majority is out of reach since
+	is.True(!n.trusted())
+}
+
+// What a client account has left is only known to a leader and to who holds a share of the limit.
+func TestLimitsAreNotGrantedWithoutALeader(t *testing.T) {
+	is := is.New(t)
+	n := newTestCluster()
+	n.leaderReachable = false
+	n.appliedVersion, n.majorityAt = 7, n.now
+	n.run(time.Second)
+	is.Equal(n.gate.Admit(context.Background(), &n.account, 1).Admission, wire.AdmissionUnknown)
+}
+
+// A newer version that the node has applied must not inherit an old confirmation of a majority: it would
+// count as old until the leader confirms it, and requests with a key would wait.
+func TestOldMajorityConfirmationDoesNotReplaceALaterOne(t *testing.T) {
+	is := is.New(t)
+	n := newTestCluster()
+	n.appliedVersion, n.majorityAt = 7, n.now
+	n.run(2 * trustTime)
+	n.appliedVersion = 8
+	n.gate.Confirm(context.Background())
+	is.True(n.gate.Confirmed(n.now, 8))
+}
--- a/src/admission/granter.go
+++ b/src/admission/granter.go
@@ -55,6 +55,9 @@
 	Parameters  quota.Parameters
 	Leader      Leader
 	Leadership  func() Leadership
+	// Confirmed returns the version that the node passes on to gateways and when a majority was last known
+	// to have nothing newer, the zero time if never. It serves while there is no leader and may be nil.
+	Confirmed func() (version uint64, at time.Time)
 	// Record records an account's extension on a majority of disks.
 	Record func(ctx context.Context, account string, units float64) error
 	// Table returns the newest configuration that the node has applied, nil if there is none.
@@ -171,9 +174,13 @@
 	if request.Account != "" {
 		reply.Admission, reply.WaitMS = g.grant(ctx, request)
 	}
+	confirmedVersion, confirmedAt := g.confirmedByMajority()
 	now := g.options.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if _, known := g.freshness.Newest(); confirmedAt.After(known) {
+		g.freshness.Confirm(confirmedVersion, confirmedAt)
+	}
 	if version, at := g.freshness.Newest(); version > 0 {
 		reply.Version = version
 		// Rounded up, so that the configuration never seems more recent than it is.
@@ -182,6 +189,18 @@
 	return reply
 }
 
+// confirmedByMajority returns the version that a majority confirmed and when, 0 if none is known.
+func (g *Granter) confirmedByMajority() (version uint64, at time.Time) {
+	if g.options.Confirmed == nil {
+		return 0, time.Time{}
+	}
+	version, at = g.options.Confirmed()
+	if at.IsZero() {
+		return 0, time.Time{}
+	}
+	return version, at
+}
+
 // grant takes units from the node's share, or else from the units that are not leased.
 func (g *Granter) grant(ctx context.Context, request wire.AdmitRequest) (wire.Admission, int64) {
 	now := g.options.Now()
--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -205,6 +205,14 @@
 	clear(r.encoded)
 }
 
+// MajorityConfirmed returns the version that gateways are sent and when a majority of the voters was last
+// known to have nothing newer, the zero time if never. A node that lags sends what another one has applied.
+func (r *Relay) MajorityConfirmed() (version uint64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.version, r.cluster.MajorityConfirmed(r.state.version, r.state.drainsRevision())
+}
+
 // withoutMajority reports whether a node reaches no majority of the members. A node that knows no
 // members reaches none: it has lost its disk and has not been readmitted yet.
 func withoutMajority(reach, members int) bool { return members == 0 || reach*2 <= members }
--- a/src/feed/relay_test.go
+++ b/src/feed/relay_test.go
@@ -276,7 +276,17 @@
 	}
 	r.round(now)
 	is.Equal(r.update(&relayState{}).ConfirmedMS, int64(1000))
+	version, at := r.MajorityConfirmed()
+	is.Equal(version, uint64(1))
+	is.Equal(at, now.Add(-time.Second))
 	newest = 2
 	r.round(now)
 	is.Equal(r.update(&relayState{}).ConfirmedMS, int64(0))
+	_, at = r.MajorityConfirmed()
+	is.True(at.IsZero())
+	r.peerDocument = wire.Document{Version: 2} // fetched from another node
+	r.round(now)
+	version, at = r.MajorityConfirmed()
+	is.Equal(version, uint64(2))
+	is.Equal(at, now.Add(-time.Second))
 }
--- a/src/fleet/admission.go
+++ b/src/fleet/admission.go
@@ -42,6 +42,7 @@
 		Parameters:  quotaParameters(c.settings.Quota),
 		Leader:      admission.Leader{Lease: c.askLease, Reserve: c.askDraw},
 		Leadership:  c.leadership,
+		Confirmed:   c.relay.MajorityConfirmed,
 		Record:      c.cluster.RecordExtension,
 		Table:       c.table,
 		Now:         clock.Now,
