--- a/soak/lagging.go
+++ b/soak/lagging.go
@@ -12,13 +12,18 @@
 // Kinds of --lagging-node: what keeps the control nodes that hold the last change from starting as early as
 // the one that lacks it.
 const (
-	laggingHungDisks = "hung-disks"
-	laggingLateStart = "late-start"
+	laggingHungDisks  = "hung-disks"
+	laggingLateStart  = "late-start"
+	laggingStuckSyncs = "stuck-syncs"
 )
 
 const (
 	// lateMajorityTime is how long they are kept.
 	lateMajorityTime = 15 * time.Second
+	// stuckExitTime is how long a process whose sync is stuck in the kernel takes to exit after it was
+	// killed, stuckSyncTime how long syncs hang after the next start.
+	stuckExitTime = 13 * time.Second
+	stuckSyncTime = 8 * time.Second
 	// silenceTime is how long a control node is silent before the change that it is to lack.
 	silenceTime = 500 * time.Millisecond
 	// promptOutage is how long processes that start early have no power.
@@ -57,12 +62,20 @@
 		return promptOutage
 	case in.options.LaggingNode == laggingLateStart:
 		return lateMajorityTime
+	case in.options.LaggingNode == laggingStuckSyncs:
+		m.hangSyncs(stuckExitTime + stuckSyncTime)
+		return stuckExitTime
 	}
-	m.setSyncWait(hangingSyncWait)
-	time.AfterFunc(lateMajorityTime, func() { m.setSyncWait(0) })
+	m.hangSyncs(lateMajorityTime)
 	return promptOutage
 }
 
+// hangSyncs makes the syncs of a control node hang for a while.
+func (m *member) hangSyncs(duration time.Duration) {
+	m.setSyncWait(hangingSyncWait)
+	time.AfterFunc(duration, func() { m.setSyncWait(0) })
+}
+
 // watchForDenials checks until the returned function is called that no gateway refuses a request for good
 // whose route the acknowledged version has.
 func (c *clients) watchForDenials(version uint64) (end func()) {
--- a/soak/main.go
+++ b/soak/main.go
@@ -26,7 +26,7 @@
 	Order       string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
 	SyncWait    time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
 	OldDisks    bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
-	LaggingNode string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang or started late" choice:"hung-disks" choice:"late-start"`
+	LaggingNode string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
 	Port        int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
 
