--- a/src/feed/hold_test.go
+++ b/src/feed/hold_test.go
@@ -132,3 +132,21 @@
 	f.mu.Unlock()
 	is.True(!f.Confirmed())
 }
+
+// A gateway that started with a node that lagged would send requests to zones that had been drained since. A
+// confirmation covers the drained zones of the same update, which have to be known before a configuration
+// that lets requests pass.
+func TestStartedGatewayKnowsDrainsBeforeItsConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := newDisconnectedGateway(t, fiveNodes[0])
+	var drains *wire.ZoneDrains
+	f.sink.Drains = func(d *wire.ZoneDrains) {
+		is.True(!f.fetching)
+		drains = d
+	}
+	s := f.sources[fiveNodes[0].Address]
+	s.stop = func() {}
+	f.handleUpdate(s, wire.FeedUpdate{Version: 5, ConfirmedMS: 1, Drains: &wire.ZoneDrains{Revision: 3, Zones: []string{"z"}}})
+	is.True(f.isFetching())
+	is.Equal(drains.Zones, []string{"z"})
+}
