A node is rebuilt after a disk failure only once a write succeeds

Since a control node whose disk is full would serve and fail in turns, once a second, and its gateways would lose their streams each time: the check before the rebuild opened a file and synced the folder, which a full disk allows, and the first write failed.

Cause: the check was weaker than what follows it. Change: the check is the first write itself: the term and vote that were read, with its sync. What was read is durable after it. TestOpenChecksThatTheDiskWorksAgain has a disk that refuses writes; it fails on the code before. Conclusion: after a failure a node comes back when its disk does, as before.

--- a/src/store/folder.go
+++ b/src/store/folder.go
@@ -92,8 +92,7 @@
 	Founders []raft.ID
 	// OpenFile opens a log file for appending; nil means a file on disk.
 	OpenFile func(name string) (File, error)
-	// CheckWritable makes Open return only once the folder could be prepared for writing, which takes a
-	// sync.
+	// CheckWritable makes Open write and sync a record before it returns.
 	CheckWritable bool
 }
 
@@ -127,9 +126,10 @@
 	}
 	start.Unsynced = true
 	if options.CheckWritable {
-		if err := f.checkWritable(); err != nil {
+		if err := f.Save(&start.HardState, nil); err != nil {
 			return nil, raft.InitialState{}, err
 		}
+		start.Unsynced = false
 	}
 	return f, start, nil
 }
--- a/src/store/save.go
+++ b/src/store/save.go
@@ -33,18 +33,6 @@
 	return nil
 }
 
-// checkWritable prepares a loaded folder for its first write and syncs it.
-func (f *Folder) checkWritable() error {
-	if err := f.prepareWrites(); err != nil {
-		return err
-	}
-	if f.folderSynced {
-		return nil
-	}
-	f.folderSynced = true
-	return f.syncFolder()
-}
-
 // openSegment starts the next log file.
 func (f *Folder) openSegment() error {
 	if f.segment != nil {
--- a/src/store/start_test.go
+++ b/src/store/start_test.go
@@ -53,15 +53,25 @@
 	}
 }
 
-// TestOpenChecksThatTheDiskWorksAgain: a node is rebuilt after a disk failure only once its folder can be
-// written, so that it does not serve and fail in turns.
+// TestOpenChecksThatTheDiskWorksAgain: a node is rebuilt after a disk failure only once a write succeeds. On a
+// full disk files can be opened and folders synced, so that a node that checked no more than that would serve
+// and fail each second.
 func TestOpenChecksThatTheDiskWorksAgain(t *testing.T) {
 	is := is.New(t)
 	path := t.TempDir()
 	writeRecords(t, path)
 	o := testOptions(path)
 	o.CheckWritable = true
-	o.OpenFile = func(string) (File, error) { return nil, errors.New("input/output error") }
+	o.OpenFile = func(name string) (File, error) {
+		file, err := openAppend(name)
+		return &failingFile{File: file, syncs: 9}, err
+	}
 	_, _, err := Open(o)
 	is.True(err != nil)
+	o.OpenFile = nil
+	f, start, err := Open(o)
+	is.NoErr(err)
+	is.Equal(start.HardState, raft.HardState{Term: 3, Vote: "k2#0"})
+	is.True(!start.Unsynced)
+	is.NoErr(f.Save(nil, makeEntries(7, 7)))
 }
