Routes of a zone never go back to older ones

Operators and callers see: a gateway that starts sends requests to backend servers that its planner has taken out since, until the next change; or serves nothing though another gateway knows the routes.

Cause: an update was refused only if its epoch was older, so that a late one of the same epoch, from a peer or from the planner's last connection, replaced a newer one; what a peer sent was checked under one lock and applied under another; and the first peer's answer was taken although it knew no routes. Ruled out: a planner that sends an older position on purpose (its epoch rises with each start).

Change: positions are compared by epoch and sequence, the check and the update are one step (applyIf), and peers that know no routes are passed over.

Before: TestRoutesNeverGoBack, TestOlderUpdateOfAnEpochIsIgnored and TestRoutesAreFetchedFromAPeerThatKnowsAny fail with the comparisons of before. After: 3 times each, and with the race detector. The two locks alone no longer show once positions are compared; they are joined all the same.

Conclusion: what a gateway believes of a zone's routes is the newest that it was told.

--- a/src/gateway/routes.go
+++ b/src/gateway/routes.go
@@ -63,6 +63,15 @@
 	seq   uint64
 }
 
+// before reports whether a position is older than another one.
+func (p position) before(other position) bool {
+	return p.epoch < other.epoch || p.epoch == other.epoch && p.seq < other.seq
+}
+
+func positionOf(update wire.RoutesUpdate) position {
+	return position{epoch: update.Epoch, seq: update.Seq}
+}
+
 // NewRoutes returns the routes of a gateway in a zone. It calls onChange after
 // each change of the routing table.
 func NewRoutes(node, zone string, follower *follow.Follower, meter *rpc.Meter, cut *fault.Cut, now func() time.Time, onChange func()) *Routes {
@@ -108,19 +117,27 @@
 	return reply, nil
 }
 
-// apply applies an update of a zone's routes. It ignores updates of older
-// epochs. A newly started planner sends a full update.
+// apply applies an update of a zone's routes from its planner. A newly started
+// planner sends a full update.
 func (r *Routes) apply(update wire.RoutesUpdate) {
+	r.applyIf(update, func(at position, _ bool) bool { return !positionOf(update).before(at) })
+}
+
+// applyIf applies an update if it may follow the position at which the zone's
+// routes are; known is false if there are none yet. The check and the update are
+// one step: an update that another one overtakes in between would replace newer
+// routes.
+func (r *Routes) applyIf(update wire.RoutesUpdate, mayFollow func(at position, known bool) bool) {
 	r.mu.Lock()
-	at := r.position[update.Zone]
-	if update.Epoch < at.epoch {
+	_, known := r.known[update.Zone]
+	if !mayFollow(r.position[update.Zone], known) {
 		r.mu.Unlock()
 		return
 	}
 	if r.known[update.Zone] == nil || update.Full {
 		r.known[update.Zone] = map[string]wire.HostRoute{}
 	}
-	r.position[update.Zone] = position{epoch: update.Epoch, seq: update.Seq}
+	r.position[update.Zone] = positionOf(update)
 	for _, host := range update.Hosts {
 		r.known[update.Zone][host.Host] = host
 		r.updateHost(host)
@@ -240,12 +257,17 @@
 // FetchFromPeers fetches the routes from other gateways of the zone, so that a
 // gateway can start while a planner can't be reached.
 func (r *Routes) FetchFromPeers(ctx context.Context) {
-	for _, peer := range r.follower.Peers() {
+	r.fetchFrom(ctx, r.follower.Peers())
+}
+
+// fetchFrom fetches the routes from the first peer that knows any.
+func (r *Routes) fetchFrom(ctx context.Context, peers []*rpc.Client) {
+	for _, peer := range peers {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		var reply wire.RoutesReply
 		err := peer.Call(callCtx, wire.MethodPeerRoutes, wire.Empty{}, &reply)
 		cancel()
-		if err != nil {
+		if err != nil || len(reply.Zones) == 0 {
 			continue
 		}
 		for _, update := range reply.Zones {
@@ -257,12 +279,7 @@
 
 // applyFromPeer applies the routes of a zone of which none are known yet.
 func (r *Routes) applyFromPeer(update wire.RoutesUpdate) {
-	r.mu.Lock()
-	_, known := r.known[update.Zone]
-	r.mu.Unlock()
-	if !known {
-		r.apply(update)
-	}
+	r.applyIf(update, func(_ position, known bool) bool { return !known })
 }
 
 // Served counts a finished request for the demand report; busy is its duration.
