A client that left before the end of its answer does not count as finished

Found in reading, shown by a test.

Cause: the error of the last write was dropped. Ruled out: the writes before (each error ends the attempt with the client gone).

Change: the end of the answer is written where its tokens are, and fails in the same way. TestClientThatLeftBeforeTheEndIsNotFinished fails on the code before. Conclusion: a request is finished once its whole answer was written.

--- a/src/gateway/completion.go
+++ b/src/gateway/completion.go
@@ -52,13 +52,16 @@
 	lastToken   uint64
 	lastTokenAt time.Time
 	timeToFirst time.Duration
+	// writeEnd completes the response to the client.
+	writeEnd func() error
 	// requestSent is set once a byte of the request may have been written to a
 	// backend server.
 	requestSent bool
 }
 
 func newExchange(s *Server, r *request, c *app.RequestContext) *exchange {
-	return &exchange{server: s, r: r, out: newAnswerWriter(c, r.path, r.stream, r.requestedModel, r.id)}
+	out := newAnswerWriter(c, r.path, r.stream, r.requestedModel, r.id)
+	return &exchange{server: s, r: r, out: out, writeEnd: out.writeEnd}
 }
 
 // run attempts the request on one host after another until the answer is complete.
@@ -142,11 +145,15 @@
 	return x.relayTokens(ctx, stream)
 }
 
-// relayTokens relays tokens to the client in order, each exactly once.
+// relayTokens relays tokens to the client in order, each exactly once, and then the
+// end of the answer.
 func (x *exchange) relayTokens(ctx context.Context, stream *engine.Stream) error {
 	for {
 		token, err := stream.Next()
 		if errors.Is(err, io.EOF) {
+			if x.writeEnd() != nil {
+				return errClientGone
+			}
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -180,10 +187,9 @@
 	x.lastTokenAt = now
 }
 
-// finish completes the response and records the request as finished.
+// finish records the request as finished.
 func (x *exchange) finish(host *route.Host) {
 	s, r := x.server, x.r
-	_ = x.out.writeEnd()
 	s.budget.Succeeded()
 	s.prefixes.Note(r.prefix, host)
 	s.routes.Served(r.requirements.Model, s.now().Sub(r.started))
