The demand of a model is the time on backend servers

Operators saw: planners are told more demand the longer requests wait, so that a model whose requests queue seems to need more copies than it does. Found in reading, shown by a test; placement was not measured.

Cause: the gateway reported the time since the request's arrival, with its queue and its failed attempts; the message's field says the time on backend servers. Change: the time of the attempt that completed the request. TestDemandCountsTheTimeOnTheBackendServer fails on the code before. Conclusion: the report is what its field says. What is unserved is reported apart, as before.

--- a/src/gateway/completion.go
+++ b/src/gateway/completion.go
@@ -52,6 +52,8 @@
 	lastToken   uint64
 	lastTokenAt time.Time
 	timeToFirst time.Duration
+	// hostTime is how long the last attempt took.
+	hostTime time.Duration
 	// writeEnd completes the response to the client.
 	writeEnd func() error
 	// requestSent is set once a byte of the request may have been written to a
@@ -104,10 +106,11 @@
 	r.tried.Add(host)
 	s.ring.Add(event.Event{Kind: event.RequestRouted, Request: r.id, Model: r.requirements.Model, Host: host.Name(), Zone: host.Zone()})
 	err := x.relay(ctx, host, span.Traceparent())
+	x.hostTime = s.now().Sub(start)
 	if err != nil {
 		host.EndUnanswered()
 	} else {
-		host.End(s.now().Sub(start), x.attainedByHost(start))
+		host.End(x.hostTime, x.attainedByHost(start))
 	}
 	s.queues.Release(r.queueName())
 	span.End(err)
@@ -192,7 +195,7 @@
 	s, r := x.server, x.r
 	s.budget.Succeeded()
 	s.prefixes.Note(r.prefix, host)
-	s.routes.Served(r.requirements.Model, s.now().Sub(r.started))
+	s.routes.Served(r.requirements.Model, x.hostTime)
 	s.metrics.finished.Inc(1)
 	if x.lastToken > 1 {
 		s.metrics.tokenInterval.RecordDuration(x.meanTokenInterval())
--- a/src/gateway/completion_test.go
+++ b/src/gateway/completion_test.go
@@ -45,3 +45,16 @@
 	is.Equal(refusal.NotRun, DidRun)
 	is.Equal(b.server.routes.demandFor("m").Requests, 0)
 }
+
+// The demand that planners place models by is the time on backend servers. It contained the time in the queue
+// and of failed attempts, so that a model whose requests waited seemed to need more copies than it does.
+func TestDemandCountsTheTimeOnTheBackendServer(t *testing.T) {
+	is := is.New(t)
+	b := newTestGateway(t)
+	b.addEngine("h1", "a")
+	x := b.newTestExchange(time.Now().Add(-time.Hour)) // it has waited for an hour
+	is.True(x.run(context.Background()) == nil)
+	demand := b.server.routes.demandFor("m")
+	is.Equal(demand.Requests, 1)
+	is.True(demand.Busy < time.Hour.Milliseconds())
+}
--- a/src/gateway/routes.go
+++ b/src/gateway/routes.go
@@ -282,7 +282,8 @@
 	r.applyIf(update, func(_ position, known bool) bool { return !known })
 }
 
-// Served counts a finished request for the demand report; busy is its duration.
+// Served counts a finished request for the demand report; busy is the time that it
+// spent on the backend server that completed it.
 func (r *Routes) Served(model string, busy time.Duration) {
 	r.count(model, func(d *wire.ModelDemand) {
 		d.Requests++
