moorspool drain fails unless every planner was told

Operators saw: "told 1 planners" and success, though the planner of the host's zone was out of reach, so that the models stayed on a host that was then taken down.

Cause: the order goes to all planners, of which one acts; the command succeeded if any was reached. Change: it names those that were not reached and exits with "unavailable". Conclusion: success means that the planner of the zone was told.

--- a/src/cli/hosts.go
+++ b/src/cli/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/moorspool/moorspool/src/config"
@@ -34,17 +35,32 @@
 	if err != nil {
 		return err
 	}
-	reached := 0
+	request := wire.DrainRequest{Host: c.Args.Host, Undo: c.Undo}
+	err = tellPlanners(all, func(address string) error {
+		return cl.callProcess(ctx, address, wire.MethodDrain, request, nil)
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("told %d planners; follow it with moorspool watch %s\n", len(all), c.Args.Host)
+	return nil
+}
+
+// tellPlanners calls every planner and returns an error that names those that were
+// not reached: the one that has to act may be among them.
+func tellPlanners(all []config.Object, call func(address string) error) error {
+	var missed []string
 	for _, planner := range all {
-		request := wire.DrainRequest{Host: c.Args.Host, Undo: c.Undo}
-		if err := cl.callProcess(ctx, planner.Authority.Address, wire.MethodDrain, request, nil); err == nil {
-			reached++
+		if err := call(planner.Authority.Address); err != nil {
+			missed = append(missed, fmt.Sprintf("%s (%v)", planner.Key.Name, err))
 		}
 	}
-	if reached == 0 {
-		return exitWith(ExitUnavailable, "no planner could be reached; see moorspool status")
+	switch {
+	case len(all) == 0:
+		return exitWith(ExitUnavailable, "no planner is known; see moorspool status")
+	case len(missed) > 0:
+		return exitWith(ExitUnavailable, "told %d of %d planners; send it again, as these were not reached: %s", len(all)-len(missed), len(all), strings.Join(missed, ", "))
 	}
-	fmt.Printf("told %d planners; follow it with moorspool watch %s\n", reached, c.Args.Host)
 	return nil
 }
 
