A configuration that is too large to unpack is an error

Operators saw: nothing yet, since the platform's calls take 16 MiB at the most; a larger one would have been cut off at 64 MiB and decoded in part. Found in reading, shown by a test.

Change: Unpack reads one byte more than its limit and returns an error if there is one.

--- a/src/wire/document.go
+++ b/src/wire/document.go
@@ -25,8 +25,14 @@
 
 // Unpack reverses Pack.
 func Unpack(packed []byte) ([]byte, error) {
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked))
-	return raw, errors.Wrap(err, "unpacking a configuration")
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpacking a configuration")
+	}
+	if len(raw) > maxUnpacked {
+		return nil, errors.Errorf("the configuration has more than %d bytes", maxUnpacked)
+	}
+	return raw, nil
 }
 
 // DocumentRequest asks to put a complete configuration into effect under a version.
--- a/src/wire/document_test.go
+++ b/src/wire/document_test.go
@@ -23,3 +23,13 @@
 		t.Error("Unpack accepted a truncated configuration")
 	}
 }
+
+// A configuration above the limit was cut off there without an error.
+func TestUnpackRefusesWhatIsTooLarge(t *testing.T) {
+	if raw, err := Unpack(Pack(make([]byte, maxUnpacked))); err != nil || len(raw) != maxUnpacked {
+		t.Errorf("%d bytes, %v", len(raw), err)
+	}
+	if raw, err := Unpack(Pack(make([]byte, maxUnpacked+1))); err == nil {
+		t.Errorf("%d bytes of %d were returned without an error", len(raw), maxUnpacked+1)
+	}
+}
