A control node reports a configuration that it can't decode

Operators saw: nothing. A control node that has applied a configuration that it can't decode, as one of a later build, places and admits by the one before, and decoded the new one again with each question. Found in reading, shown by a test.

TestUnusableConfigurationIsReportedOnce; on the code before there was nothing to report it with.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -113,7 +113,7 @@
 	{ConfigConflict, "config-conflict", "A configuration change was based on an older revision of an object that it changes."},
 	{ConfigInForce, "config-in-force", "A process uses a newer configuration; the control node that sent it is given, and when that one last knew the configuration to be the newest."},
 	{ConfigUncertain, "config-uncertain", "It is unknown whether a configuration change was accepted; the operator must send it again."},
-	{ConfigUnusable, "config-unusable", "A gateway received a newer configuration that it can't decode; it keeps the previous one and fetches the newer one again."},
+	{ConfigUnusable, "config-unusable", "A gateway received a newer configuration that it can't decode, keeps the previous one and fetches the newer one again; or a control node has applied one that it can't decode and places and admits by the previous one."},
 	{ConfigForwarded, "config-borrowed", "A control node forwards a configuration that another control node has applied but it has not."},
 	{ConfigHeld, "config-held", "A gateway that has just started does not use the configuration of a control node yet, because it is not known to be the newest."},
 	{ConfigNotFetched, "config-not-fetched", "A gateway could not fetch a newer configuration that a control node announced; it tries again."},
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -228,7 +229,9 @@
 	c.publisher = feed.NewPublisher(c.settings.Node, c.settings.Zone, times, cluster, clock.Now)
 	c.restoreReplicas(folder.Replicas())
 	c.publisher.Register(c.proc.Mux())
-	c.tableCache = tableCache{decode: c.external.Decode}
+	c.tableCache = tableCache{decode: c.external.Decode, unusable: func(version uint64, err error) {
+		c.proc.Ring().Add(event.Event{Kind: event.ConfigUnusable, Reason: "version " + strconv.FormatUint(version, 10) + ": " + err.Error()})
+	}}
 	c.placer = placer.New(placer.Options{
 		Holder:  c.settings.Node,
 		Calls:   c.external.Orders(orderClient()),
