Soak: time limits are checked from a member's start on, and its state is read under its lock

What was wrong: a member that never had a fault counted as faulty, so that the checks of time limits were off until each control node had had one; the choice of the next fault read other members' state without the lock; the end of a run waited 5 s for each member that was never started. Found in reading.

Change: a member is free of faults from its first start on (TestMemberIsFreeOfFaultsFromItsStart, fails on the code before, where the time is zero).

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// controlFaultPause is how long after the end of a control node's fault none of them gets the next one.
+const controlFaultPause = 3 * time.Second
+
 // inject starts random faults for a while; faults on different members overlap.
 func (in *installation) inject(span time.Duration, random *rand.Rand) {
 	end := time.Now().Add(span)
@@ -39,14 +42,15 @@
 // mayInject allows one fault at a time on a member, and one faulty control node at a time, so that a
 // majority of the control nodes stays healthy.
 func (in *installation) mayInject(m *member) bool {
-	if _, since := m.state(); since.IsZero() && m.startCount > 0 && m.faultActive {
+	if active, _ := m.lastFault(); active {
 		return false
 	}
 	if !m.control {
 		return true
 	}
 	for _, other := range in.controlNodes() {
-		if other != m && other.faultActive || time.Since(other.faultFreeSince) < 3*time.Second && !other.faultFreeSince.IsZero() {
+		active, endedAt := other.lastFault()
+		if other != m && active || !endedAt.IsZero() && time.Since(endedAt) < controlFaultPause {
 			return false
 		}
 	}
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -50,8 +50,10 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
-	// startCount counts the process starts; faultFreeSince is the end of the member's last fault.
+	// startCount counts the process starts, the first of which was at firstStartedAt; faultFreeSince is
+	// the end of the member's last fault.
 	startCount     int
+	firstStartedAt time.Time
 	faultFreeSince time.Time
 	faultActive    bool
 	// servesSince is when the process began to serve, the zero time if it does not yet.
@@ -203,6 +205,9 @@
 	}
 	m.process = command
 	m.startCount++
+	if m.startCount == 1 {
+		m.firstStartedAt = time.Now()
+	}
 	m.exitExpected = false
 	m.servesSince = time.Time{}
 	m.ended = make(chan struct{})
@@ -240,6 +245,9 @@
 	m.mu.Lock()
 	ended := m.ended
 	m.mu.Unlock()
+	if ended == nil {
+		return true // it was never started
+	}
 	select {
 	case <-ended:
 		return true
@@ -263,16 +271,27 @@
 }
 
 // state returns how often the member was started and since when it has been free of faults, the zero
-// time while a fault is active.
+// time while a fault is active. A member that never had one has been free of them since its start.
 func (m *member) state() (startCount int, faultFreeSince time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.faultActive {
 		return m.startCount, time.Time{}
 	}
+	if m.faultFreeSince.IsZero() {
+		return m.startCount, m.firstStartedAt
+	}
 	return m.startCount, m.faultFreeSince
 }
 
+// lastFault returns whether a fault is active, and when the last one ended, the zero time if there was
+// none.
+func (m *member) lastFault() (active bool, endedAt time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faultActive, m.faultFreeSince
+}
+
 func (in *installation) controlNodes() []*member { return in.members[:controlNodeCount] }
 
 func (in *installation) gatewayNodes() []*member { return in.members[controlNodeCount:] }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Options of the short run that is part of the tests. Seeds that failed are kept here with the
@@ -132,3 +133,20 @@
 		}
 	}
 }
+
+// TestMemberIsFreeOfFaultsFromItsStart: a member that never had a fault counted as faulty, so that the checks of
+// time limits were off until each control node had had one.
+func TestMemberIsFreeOfFaultsFromItsStart(t *testing.T) {
+	m := &member{startCount: 1, firstStartedAt: time.Now().Add(-time.Minute)}
+	if _, since := m.state(); since != m.firstStartedAt {
+		t.Errorf("free of faults since %s", since)
+	}
+	m.beginFault()
+	if _, since := m.state(); !since.IsZero() {
+		t.Errorf("free of faults during one, since %s", since)
+	}
+	m.endFault()
+	if _, since := m.state(); time.Since(since) > time.Minute/2 {
+		t.Errorf("free of faults since %s", since)
+	}
+}
