A gateway drops what it keeps of accounts that send no more requests

Operators saw: memory of gateways that grows with each account that was ever refused and then removed. Found in reading, shown by a test.

Cause: grants, known exhaustion and outages of an account were removed by its next request only. Conclusion: the memory is bounded by the accounts of the last minute.

--- a/src/admission/admission_test.go
+++ b/src/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -321,3 +322,23 @@
 	n.gate.Confirm(context.Background())
 	is.True(n.gate.Confirmed(n.now, 8))
 }
+
+// What a gate keeps of an account stayed until the account's next request, and for ever when the account was
+// removed from the configuration.
+func TestStateOfRemovedAccountsIsDropped(t *testing.T) {
+	is := is.New(t)
+	n := newTestCluster()
+	n.run(time.Second)
+	for i := range 100_000 {
+		account := fmt.Sprint("account ", i)
+		n.gate.grants.Put(n.now, account, 1, n.now.Add(time.Second))
+		n.gate.grants.SetExhausted(account, n.now.Add(time.Second), time.Second)
+		n.gate.noteUnsure(n.now, account)
+	}
+	is.Equal(n.gate.grants.Accounts(), 200_000)
+	n.gate.sweep(n.now.Add(time.Second))
+	is.Equal(n.gate.grants.Accounts(), 0)
+	is.Equal(len(n.gate.unsure), 100_000) // clients that return are told to wait longer
+	n.gate.sweep(n.now.Add(unsureRetention + time.Millisecond))
+	is.Equal(len(n.gate.unsure), 0)
+}
--- a/src/admission/gate.go
+++ b/src/admission/gate.go
@@ -44,6 +44,9 @@
 	// minUnsureRetryAfter is the shortest wait told to a client whose request no node could admit:
 	// an election takes half a second to one. A longer outage is expected to last as long again.
 	minUnsureRetryAfter = 500 * time.Millisecond
+	// unsureRetention is how long after its last request an account's outage is remembered. Clients return
+	// within a few seconds.
+	unsureRetention = time.Minute
 )
 
 // AskFunc calls a control node.
@@ -82,16 +85,23 @@
 	grants    *quota.Grants
 	// unreachableUntil is until when no calls are made.
 	unreachableUntil time.Time
-	// unsureSince is since when an account's requests can't be admitted; "" stands for the
+	// unsure holds the outages of accounts whose requests can't be admitted; "" stands for the
 	// confirmation of the configuration.
-	unsureSince map[string]time.Time
+	unsure map[string]outage
 	// trusted is the state that was logged last.
 	trusted bool
 }
 
+// outage is the time in which an account's requests could not be admitted.
+type outage struct {
+	since time.Time
+	// lastAt is when a request was last refused because of it.
+	lastAt time.Time
+}
+
 // NewGate returns a gate without a confirmed configuration.
 func NewGate(options GateOptions) *Gate {
-	return &Gate{options: options, grants: quota.NewGrants(), unsureSince: map[string]time.Time{}}
+	return &Gate{options: options, grants: quota.NewGrants(), unsure: map[string]outage{}}
 }
 
 // Run keeps the configuration confirmed until the context ends. inForce returns the version that
@@ -105,6 +115,7 @@
 		case <-time.After(pause):
 		}
 		pause = confirmInterval
+		g.sweep(g.options.Now())
 		version, keyed := inForce()
 		if !keyed {
 			continue
@@ -120,6 +131,19 @@
 	}
 }
 
+// sweep removes expired state. Accounts that are removed from the configuration send no request that would
+// remove theirs.
+func (g *Gate) sweep(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.grants.Sweep(now)
+	for account, unsure := range g.unsure {
+		if now.Sub(unsure.lastAt) > unsureRetention {
+			delete(g.unsure, account)
+		}
+	}
+}
+
 // Confirm asks a control node when the configuration was last the newest; it reports whether there
 // was an answer.
 func (g *Gate) Confirm(ctx context.Context) bool {
@@ -238,7 +262,7 @@
 // than an election takes.
 func (g *Gate) waitForElection(ctx context.Context, account string) bool {
 	g.mu.Lock()
-	since := g.unsureSince[account]
+	since := g.unsure[account].since
 	g.mu.Unlock()
 	if g.options.Now().Sub(since) >= electionWait {
 		return false
@@ -277,18 +301,19 @@
 func (g *Gate) noteUnsure(now time.Time, account string) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	since, known := g.unsureSince[account]
+	unsure, known := g.unsure[account]
 	if !known {
-		since = now
-		g.unsureSince[account] = now
+		unsure.since = now
 	}
-	return addJitter(max(now.Sub(since), minUnsureRetryAfter))
+	unsure.lastAt = now
+	g.unsure[account] = unsure
+	return addJitter(max(now.Sub(unsure.since), minUnsureRetryAfter))
 }
 
 func (g *Gate) clearUnsure(account string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.unsureSince, account)
+	delete(g.unsure, account)
 }
 
 // Return gives back the units of a granted request that was not run.
--- a/src/quota/grants.go
+++ b/src/quota/grants.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Grants holds the units that were granted to a gateway and not spent. It is not safe for
 // concurrent use.
@@ -78,3 +82,19 @@
 	}
 	return last.wait
 }
+
+// Sweep removes what has expired.
+func (g *Grants) Sweep(now time.Time) {
+	for account, grants := range g.accounts {
+		kept := slices.DeleteFunc(grants, func(one grant) bool { return !now.Before(one.until) })
+		if len(kept) == 0 {
+			delete(g.accounts, account)
+		} else {
+			g.accounts[account] = kept
+		}
+	}
+	maps.DeleteFunc(g.exhausted, func(_ string, last exhaustion) bool { return !now.Before(last.until) })
+}
+
+// Accounts returns the number of accounts about which something is kept.
+func (g *Grants) Accounts() int { return len(g.accounts) + len(g.exhausted) }
