--- a/src/emulator/engine.go
+++ b/src/emulator/engine.go
@@ -183,12 +183,13 @@
 
 func (e *Engine) stats(_ context.Context, c *app.RequestContext) {
 	r := e.memory.report("")
+	loads, unloads := e.memory.orderCounts()
 	c.JSON(consts.StatusOK, Stats{
 		Host:     e.options.Host,
 		Runs:     e.runCounts.list(),
 		Breaches: r.Breaches,
-		Loads:    e.memory.loads,
-		Unloads:  e.memory.unloads,
+		Loads:    loads,
+		Unloads:  unloads,
 		Late:     int(e.faultState.late.Load()),
 	})
 }
--- a/src/emulator/memory.go
+++ b/src/emulator/memory.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// orderCounts returns the numbers of loads and unloads so far.
+func (m *memory) orderCounts() (loads, unloads int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loads, m.unloads
+}
+
 // report returns the engine's report without its load. If known is the current version, the report
 // omits everything that this version covers.
 func (m *memory) report(known string) engine.Report {
