Capacity: samples of a series that the page does not have are an error

Operators saw: the page's idle memory and traffic of gateways stayed those of an earlier run.

Cause: two series were written under the names of before a renaming, which the page does not read. Found in reading. Change: the names, and an error for samples of a series that is not known (TestSamplesOfUnknownSeriesAreRefused). make capacity was not run; the page's figures are unchanged.

--- a/src/capacity/sample.go
+++ b/src/capacity/sample.go
@@ -4,6 +4,7 @@
 	"encoding/csv"
 	"fmt"
 	"os"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -47,8 +48,22 @@
 	{"gateway: processor time of 1,000 requests", "tokens each", "ms", 375},
 }
 
-// WriteCSV writes samples to a file in the order in which they were taken.
+// checkSeries returns an error if samples are of a series that the page does not have.
+func checkSeries(samples []Sample) error {
+	for _, s := range samples {
+		if !slices.ContainsFunc(allSeries, func(kind series) bool { return kind.name == s.Series }) {
+			return errors.Errorf("there is no series %q", s.Series)
+		}
+	}
+	return nil
+}
+
+// WriteCSV writes samples to a file in the order in which they were taken. It writes none if the page does
+// not have the series of one.
 func WriteCSV(file string, samples []Sample) error {
+	if err := checkSeries(samples); err != nil {
+		return err
+	}
 	out, err := os.Create(file)
 	if err != nil {
 		return errors.Wrap(err, "writing the samples")
--- a/src/capacity/sample_test.go
+++ b/src/capacity/sample_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -37,3 +38,15 @@
 		}
 	}
 }
+
+// Samples of two series were written under names that the page does not read, so that it kept showing those
+// of the run before.
+func TestSamplesOfUnknownSeriesAreRefused(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "samples.csv")
+	if err := WriteCSV(file, []Sample{{Series: "entry: control traffic, idle", Size: 1, Value: 1}}); err == nil {
+		t.Error("a sample of an unknown series was written")
+	}
+	if err := WriteCSV(file, []Sample{{Series: "gateway: control traffic, idle", Size: 1, Value: 1}}); err != nil {
+		t.Error(err)
+	}
+}
--- a/src/capacity/stubs.go
+++ b/src/capacity/stubs.go
@@ -173,7 +173,7 @@
 	for _, size := range routeSizes {
 		m.stub.announceHosts(ctx, size, "127.0.0.1:1")
 		time.Sleep(2 * settleTime)
-		if err := m.measureIdle(ctx, m.target.Gateway, size, "gateway: processor share, idle", "entry: anonymous memory, idle", "entry: control traffic, idle"); err != nil {
+		if err := m.measureIdle(ctx, m.target.Gateway, size, "gateway: processor share, idle", "gateway: anonymous memory, idle", "gateway: control traffic, idle"); err != nil {
 			return err
 		}
 	}
