Grants, settlements and membership changes answer "unknown" when the leader's answer is lost

Callers saw: an error for some calls and the outcome unknown for others, for the same event. Who takes an error for "not done" is wrong, since the leader may have acted. Found in reading, shown by a test.

Cause: apply and claim turned a lost answer into Unknown; grant, settle and members passed the error on. Ruled out: callers that rely on the error (the planner ignores both, the gateway sends a settlement again on both, a node that joins asks the next control node on both).

Change: all five answer Unknown where the leader was called and gave no answer, Unavailable where none is known. TestOutcomeIsUnknownWhenTheLeadersAnswerIsLost: settle and grant and members gave the error before. Conclusion: an outcome says what a caller may conclude.

--- a/src/control/grant.go
+++ b/src/control/grant.go
@@ -25,8 +25,11 @@
 	lead := s.leaderInfo()
 	if !lead.self {
 		reply := wire.GrantReply{Outcome: wire.Unavailable, Reason: "no leader among the control nodes is in reach"}
-		_, err := s.callLeader(ctx, lead.leader, wire.MethodGrant, request, &reply)
-		return reply, err
+		reached, err := s.callLeader(ctx, lead.leader, wire.MethodGrant, request, &reply)
+		if reached && err != nil {
+			return wire.GrantReply{Outcome: wire.Unknown, Reason: answerLost}, nil
+		}
+		return reply, nil
 	}
 	var cmd *grantCommand
 	var reason string
--- a/src/control/members.go
+++ b/src/control/members.go
@@ -27,8 +27,11 @@
 	lead := s.leaderInfo()
 	if !lead.self {
 		reply := wire.MembersReply{Outcome: wire.Unavailable, Reason: "no leader among the control nodes is in reach"}
-		_, err := s.callLeader(ctx, lead.leader, wire.MethodMembers, request, &reply)
-		return reply, err
+		reached, err := s.callLeader(ctx, lead.leader, wire.MethodMembers, request, &reply)
+		if reached && err != nil {
+			return wire.MembersReply{Outcome: wire.Unknown, Reason: answerLost}, nil
+		}
+		return reply, nil
 	}
 	var next raft.Members
 	s.node.Do(func(time.Time) { next = membersAfter(s.node.replica.core.Members(), request) })
--- a/src/control/service.go
+++ b/src/control/service.go
@@ -96,8 +96,13 @@
 	return l
 }
 
+// answerLost is the reason of an Unknown outcome when the leader gave no answer. The caller may send the
+// request again: claims and settlements are recognized by their token, changes by their ID, a grant to the
+// same holder renews it, and a membership change that was made changes nothing.
+const answerLost = "the leader's answer was lost; it may have acted on the request"
+
 // callLeader forwards a request to the leader. It returns false if no connection to a leader is
-// configured.
+// configured: the request was not sent then, and its outcome is Unavailable.
 func (s *Service) callLeader(ctx context.Context, leader, method string, request, reply any) (bool, error) {
 	client := s.clients[leader]
 	if client == nil {
@@ -160,8 +165,11 @@
 	lead := s.leaderInfo()
 	if !lead.self {
 		reply := wire.SettleReply{Outcome: wire.Unavailable}
-		_, err := s.callLeader(ctx, lead.leader, wire.MethodSettle, request, &reply)
-		return reply, err
+		reached, err := s.callLeader(ctx, lead.leader, wire.MethodSettle, request, &reply)
+		if reached && err != nil {
+			return wire.SettleReply{Outcome: wire.Unknown}, nil
+		}
+		return reply, nil
 	}
 	cmd := command{At: s.now(), Settle: &settleCommand{Key: request.Key, Token: request.Token, State: request.State, Released: request.Released}}
 	applied, err := s.node.propose(ctx, cmd)
