Aborting a response closes its own connection

Callers saw: an answer broken off in the middle although its backend server and client were well.

Cause: connections were registered by their local address alone. The operating system may use one local address for connections to several backend servers, so that the later one replaced the earlier; aborting the earlier's response, as when its client leaves, closed the later's connection. Ruled out: reuse after a close (the entry is removed by its connection).

Change: connections are registered by both addresses. TestAbortClosesTheConnectionOfItsResponse fails with the local address alone. The fleet programs do not use this client. Conclusion: an abort concerns the response that it names.

--- a/src/dial/dialer.go
+++ b/src/dial/dialer.go
@@ -59,7 +59,7 @@
 
 // New returns a client. cut simulates network partitions in tests and may be nil.
 func New(cut *fault.Cut, options Options) (*Client, error) {
-	d := &dialer{Dialer: cut.NewDialer(), conns: map[string]network.Conn{}}
+	d := &dialer{Dialer: cut.NewDialer(), conns: map[endpoints]network.Conn{}}
 	c, err := client.NewClient(
 		client.WithDialer(d),
 		client.WithDialTimeout(options.Dial),
@@ -80,52 +80,63 @@
 // Abort closes the connection of a response. Reading the response fails at once, and the
 // connection is not reused.
 func (c *Client) Abort(response *protocol.Response) {
-	if address := response.LocalAddr(); address != nil {
-		c.dialer.abort(address.String())
+	if local, remote := response.LocalAddr(), response.RemoteAddr(); local != nil && remote != nil {
+		c.dialer.abort(endpointsOf(local, remote))
 	}
 }
 
+// endpoints identify a connection. The operating system may use one local address for connections to several
+// remote ones at a time, so that neither of them does alone.
+type endpoints struct {
+	local  string
+	remote string
+}
+
+func endpointsOf(local, remote net.Addr) endpoints {
+	return endpoints{local: local.String(), remote: remote.String()}
+}
+
 type dialer struct {
 	network.Dialer
 	mu    sync.Mutex
-	conns map[string]network.Conn
+	conns map[endpoints]network.Conn
 }
 
-// DialConnection connects and registers the connection by its local address.
+// DialConnection connects and registers the connection by its endpoints.
 func (d *dialer) DialConnection(n, address string, timeout time.Duration, tlsConfig *tls.Config) (network.Conn, error) {
 	conn, err := d.Dialer.DialConnection(n, address, timeout, tlsConfig)
 	if err != nil {
 		return nil, &Error{address: address, cause: err}
 	}
-	local := conn.LocalAddr().String()
-	tracked := &trackedConn{Conn: conn, dialer: d, local: local}
+	ends := endpointsOf(conn.LocalAddr(), conn.RemoteAddr())
+	tracked := &trackedConn{Conn: conn, dialer: d, ends: ends}
 	d.mu.Lock()
-	d.conns[local] = tracked
+	d.conns[ends] = tracked
 	d.mu.Unlock()
 	return tracked, nil
 }
 
-func (d *dialer) abort(local string) {
+func (d *dialer) abort(ends endpoints) {
 	d.mu.Lock()
-	conn := d.conns[local]
+	conn := d.conns[ends]
 	d.mu.Unlock()
 	if conn != nil {
 		_ = conn.Close()
 	}
 }
 
-func (d *dialer) remove(local string, conn network.Conn) {
+func (d *dialer) remove(ends endpoints, conn network.Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.conns[local] == conn {
-		delete(d.conns, local)
+	if d.conns[ends] == conn {
+		delete(d.conns, ends)
 	}
 }
 
 type trackedConn struct {
 	network.Conn
 	dialer *dialer
-	local  string
+	ends   endpoints
 	once   sync.Once
 	closed atomic.Bool
 	err    error
@@ -135,7 +146,7 @@
 func (c *trackedConn) Close() error {
 	c.once.Do(func() {
 		c.closed.Store(true)
-		c.dialer.remove(c.local, c)
+		c.dialer.remove(c.ends, c)
 		c.err = c.Conn.Close()
 	})
 	return c.err
