Feed: the tests' manual clock is read and set atomically

The race detector reported the clock of startedGateway, which the goroutine that fetches reads: a race of the test, not of the product. go test -race on src/raft, store, admission, fleet, feed, gateway, quota, dial, cli, emulator and platform found nothing else; the tests of a started gateway pass with it now.

--- a/src/feed/hold_test.go
+++ b/src/feed/hold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,8 +48,10 @@
 	t.Helper()
 	members := fiveNodes[:2]
 	f = newDisconnectedGateway(t, members...)
-	now := time.Unix(1_800_000_000, 0)
-	f.now = func() time.Time { return now }
+	var now atomic.Pointer[time.Time]
+	start := time.Unix(1_800_000_000, 0)
+	now.Store(&start)
+	f.now = func() time.Time { return *now.Load() }
 	s := f.sources[members[0].Address]
 	s.stop = func() {}
 	announce := func() {
@@ -60,7 +63,8 @@
 	}
 	announce()
 	return f, func(d time.Duration) {
-		now = now.Add(d)
+		next := now.Load().Add(d)
+		now.Store(&next)
 		if confirmed > 0 {
 			confirmed += d
 		}
