--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -254,7 +254,7 @@
 	case e.Silent:
 		state = "silent"
 	}
-	return fmt.Sprintf("%s, service %s at %s, sequence %d, %d models", state, e.Record.Service, e.Record.Address, e.Record.Sequence, len(e.Record.Models))
+	return fmt.Sprintf("%s, service %s at %s, software %q, sequence %d, %d models", state, e.Record.Service, e.Record.Address, e.Record.SoftwareVersion, e.Record.Sequence, len(e.Record.Models))
 }
 
 // SetHoldings sets the copies known to the placing node beyond those that the replicas reported,
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -91,6 +91,13 @@
 	return p.record.ReplicaName()
 }
 
+// softwareVersion returns the version of the replica's software, "" if it is not known.
+func (p *Peer) softwareVersion() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.record.SoftwareVersion
+}
+
 // slots returns how many requests the replica runs at once.
 func (p *Peer) slots() int {
 	p.mu.Lock()
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -278,12 +278,13 @@
 	if c.pauses.longest > 0 {
 		h.options.Metrics.Pause.RecordDuration(c.pauses.longest)
 	}
-	route, service, host := "", c.service, ""
+	route, service, host, software := "", c.service, "", ""
 	if c.route != nil {
 		route = c.route.Name
 	}
 	if len(c.tried) > 0 {
-		host = c.tried[len(c.tried)-1].ID()
+		last := c.tried[len(c.tried)-1]
+		host, software = last.ID(), last.softwareVersion()
 	}
 	content := ""
 	if c.digested {
@@ -295,8 +296,8 @@
 	}
 	h.options.Ring.Add(event.Event{
 		Kind: kind, Request: c.requestInfo.ID, Model: modelName(c.requestInfo), Host: host,
-		Reason: fmt.Sprintf("status %d, route %s, service %s, account %q, configuration %d, sent to %d, may have run at %d, end %s, first byte %d ms, longest pause %s, took %d ms of %d ms%s; %s",
-			c.status, route, service, c.accountName(), c.version, c.sends, c.possibleRuns, c.bodyEnd, firstByte.Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.startedAt).Milliseconds(), content, c.reason),
+		Reason: fmt.Sprintf("status %d, route %s, service %s, account %q, configuration %d, sent to %d, last to software %q, may have run at %d, end %s, first byte %d ms, longest pause %s, took %d ms of %d ms%s; %s",
+			c.status, route, service, c.accountName(), c.version, c.sends, software, c.possibleRuns, c.bodyEnd, firstByte.Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.startedAt).Milliseconds(), content, c.reason),
 	})
 }
 
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -144,7 +145,7 @@
 		return unknown
 	}
 	c.reason += "; " + peer.ID() + " broke the stream off after event " + c.stream.lastEventID
-	c.reason += ": " + err.Error()
+	c.reason += " of software " + strconv.Quote(peer.softwareVersion()) + ": " + err.Error()
 	if ctx.Err() == nil {
 		c.connectionBroke = !errors.Is(err, errEventTooLarge)
 		peer.failed(c.handler.options.Now(), false)
--- a/src/registry/builds_test.go
+++ b/src/registry/builds_test.go
@@ -29,9 +29,9 @@
 // StartedMS.
 func storedRecord() Record {
 	return Record{
-		ID: "i-1@1800000000123", Name: "i-1", StartedMS: 1_800_000_000_123, Service: "s", Address: "192.0.2.1:8080", Zone: "z", Version: "v1",
+		ID: "i-1@1800000000123", Name: "i-1", StartedMS: 1_800_000_000_123, Service: "s", Address: "192.0.2.1:8080", Zone: "z", SoftwareVersion: "v1",
 		Slots: 8, Sequence: 41, Draining: true, RemainingMS: 2000, ColdMS: 300, Stage: "both",
-		Models: []Held{{Name: "m", Version: 2, Adapters: []string{"a1"}}}, InMemory: []string{"n"}, OnDisk: []string{"m", "n"},
+		Models: []Held{{Name: "m", WeightsVersion: 2, Adapters: []string{"a1"}}}, InMemory: []string{"n"}, OnDisk: []string{"m", "n"},
 	}
 }
 
--- a/src/registry/record.go
+++ b/src/registry/record.go
@@ -17,9 +17,10 @@
 	Service   string `json:"service"`
 	Address   string `json:"address"`
 	Zone      string `json:"zone"`
-	Version   string `json:"version,omitempty"`
-	Slots     int    `json:"slots"`
-	Sequence  uint64 `json:"sequence"`
+	// SoftwareVersion is the version of the replica's software, "" if it does not report it.
+	SoftwareVersion string `json:"version,omitempty"`
+	Slots           int    `json:"slots"`
+	Sequence        uint64 `json:"sequence"`
 	// Draining is set when the replica accepts no new requests.
 	Draining bool `json:"draining,omitempty"`
 	// Gone is set when the replica has ended or has announced that it will.
@@ -87,9 +88,9 @@
 
 // Held is a model loaded on a replica, with its loaded adapters.
 type Held struct {
-	Name     string   `json:"name"`
-	Version  int      `json:"version,omitempty"`
-	Adapters []string `json:"adapters,omitempty"`
+	Name           string   `json:"name"`
+	WeightsVersion int      `json:"version,omitempty"`
+	Adapters       []string `json:"adapters,omitempty"`
 }
 
 // Holds reports whether the replica has the model loaded, and the adapter too unless it is "".
@@ -123,18 +124,19 @@
 // that affects request routing. A shorter remaining cold time is not a change.
 func sameRouting(a, b *Record) bool {
 	return b.ColdMS <= a.ColdMS && a.Draining == b.Draining && a.Gone == b.Gone && a.Address == b.Address && a.Slots == b.Slots &&
+		a.SoftwareVersion == b.SoftwareVersion &&
 		a.Service == b.Service && slices.EqualFunc(a.Models, b.Models, sameModel)
 }
 
 // routingRecord returns a copy of the record without the fields that only placement needs.
 func (r *Record) routingRecord() Record {
 	routing := *r
-	routing.Version, routing.Stage = "", ""
+	routing.Stage = ""
 	routing.RemainingMS = 0
 	routing.InMemory, routing.OnDisk = nil, nil
 	return routing
 }
 
 func sameModel(a, b Held) bool {
-	return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+	return a.Name == b.Name && a.WeightsVersion == b.WeightsVersion && slices.Equal(a.Adapters, b.Adapters)
 }
