ORDER: gateways find the software version of a stream that a client takes up

What callers saw: a stream that a client took up at another gateway went on at another software version than the one that began it. Cause: the version of the first event's writer was known to its gateway only, and nothing of it was kept after the answer; Resumes was not read. Weighed: a record at the gateway only (lost with it); at a second gateway by rendezvous (gateways know some others only, 8 a zone, different ones each); at every control node (each record times the number of control nodes); nothing kept (a service with two versions could resume nothing). Change: a gateway records the origin of each stream of a resumable route with its first event, under a digest of account, route and attempt, in its own table and, within 2 ms and without waiting, at two control nodes of two zones; renewed while the stream lasts. A gateway that has no record asks the nearest control node, which asks the others; it asks again after 10, 30 and 70 ms, as a client may be back before the record, 200 ms in all. What is unknown then is refused as not run, without a time to return, on a connection that closes. An ID with two origins has none.

--- a/src/feed/notify.go
+++ b/src/feed/notify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/moorspool/moorspool/src/rpc"
@@ -33,6 +34,41 @@
 	}
 }
 
+// NotifyTwo sends a notification to the most preferred healthy control node and to one of another
+// availability zone, so that what it tells outlasts the loss of one. It does not wait for either.
+func (f *Follower) NotifyTwo(ctx context.Context, method string, params any) {
+	for _, client := range f.twoClients() {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			_ = client.Notify(ctx, method, params)
+		}()
+	}
+}
+
+// twoClients returns the client of the best control node and that of the most preferred one of another
+// availability zone, or of another one if there is no other zone.
+func (f *Follower) twoClients() []*rpc.Client {
+	first := f.bestClient()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ranked := f.ranked()
+	at := slices.IndexFunc(ranked, func(s *source) bool { return s.client == first })
+	if at < 0 {
+		return nil
+	}
+	clients := []*rpc.Client{first}
+	others := slices.Delete(ranked, at, at+1)
+	for _, needOtherZone := range []bool{true, false} {
+		for _, s := range others {
+			if !needOtherZone || s.zone != f.options.Zone {
+				return append(clients, s.client)
+			}
+		}
+	}
+	return clients
+}
+
 // NotifyConnected sends a notification to every connected control node.
 func (f *Follower) NotifyConnected(ctx context.Context, method string, params any) {
 	leaders, others := f.leaders()
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -30,6 +30,7 @@
 	"github.com/moorspool/moorspool/src/quarantine"
 	"github.com/moorspool/moorspool/src/raft"
 	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/resume"
 	"github.com/moorspool/moorspool/src/rpc"
 	"github.com/moorspool/moorspool/src/store"
 	"github.com/moorspool/moorspool/src/wakeup"
@@ -88,6 +89,7 @@
 	queues      *owner.Queues
 	router      *owner.Router
 	permits     permits
+	origins     *resume.Table
 	unknown     *unknownNames
 
 	quarantine *quarantine.Table
@@ -266,6 +268,7 @@
 	c.proc.Mux().Handle(wire.MethodQuarantine, rpc.Typed(c.handleQuarantine))
 	c.proc.Mux().Handle(wire.MethodQuarantineList, rpc.Typed(c.listQuarantine))
 	c.proc.Mux().Handle(wire.MethodQuarantineLift, rpc.Typed(c.liftQuarantine))
+	c.registerOrigins()
 	c.registerZones()
 	c.buildPermits()
 	c.buildGranter()
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -84,6 +84,7 @@
 	unitReturns *unitReturns
 	tracker     *quarantine.Tracker
 	releases    queueReleases
+	origins     *streamOrigins
 	peer        peerState
 	stopping    atomic.Bool
 	// replicas is set once any replica is known.
@@ -109,6 +110,7 @@
 	debug.SetGCPercent(gatewayGCPercent)
 	g.fleet = exchange.NewFleet(settings.Zone, simulateCuts(file, external.Dial), proc.Ring(), time.Now, clock.Now)
 	g.fleet.SetRegions(settings.Zones)
+	g.origins = newStreamOrigins(maxGatewayOrigins)
 	terms := quotaParameters(settings.Quota)
 	g.unitReturns = newUnitReturns()
 	g.gate = admission.NewGate(admission.GateOptions{
@@ -135,6 +137,7 @@
 		Slots:   exchange.Slots{Request: g.requestSlot, Release: g.releaseSlot},
 		Places:  exchange.Places{Request: g.requestPlace, Release: g.releasePlace},
 		Permits: exchange.Permits{Request: g.askPermit},
+		Origins: exchange.Origins{Store: g.storeOrigin, Find: g.findOrigin},
 		Tracker: g.tracker,
 		Demand:  g.demand,
 		Ring:    proc.Ring(),
@@ -187,6 +190,7 @@
 	go g.shareBacklog(ctx)
 	go g.shareEnds(ctx)
 	go g.sendReleases(ctx)
+	go g.sendOrigins(ctx)
 	go g.gate.Run(ctx, g.inForce)
 	go g.giveUnitsBack(ctx)
 	for got := range signals {
--- /dev/null
+++ b/src/fleet/origins.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/moorspool/moorspool/src/admission"
+	"github.com/moorspool/moorspool/src/clock"
+	"github.com/moorspool/moorspool/src/feed"
+	"github.com/moorspool/moorspool/src/resume"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wakeup"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// The sharing of the origins of streams.
+const (
+	// originBatchDelay is how long a gateway collects origins. A client needs longer to come back.
+	originBatchDelay = 2 * time.Millisecond
+	// originAskTimeout bounds the question of a control node to the others.
+	originAskTimeout = 80 * time.Millisecond
+	// maxGatewayOrigins and maxControlOrigins bound the records of a gateway and of a control node. One
+	// takes some 150 bytes, and there may be twice as many.
+	maxGatewayOrigins = 1 << 13
+	maxControlOrigins = 1 << 16
+)
+
+// originAskDelays are the pauses before a control node that has no record is asked again: a client may be
+// back before the record of its stream has arrived.
+var originAskDelays = []time.Duration{10 * time.Millisecond, 20 * time.Millisecond, 40 * time.Millisecond}
+
+// streamOrigins holds the origins of this gateway's streams, and those that control nodes are to be
+// told. It is safe for concurrent use.
+type streamOrigins struct {
+	table *resume.Table
+
+	mu      sync.Mutex
+	pending map[resume.Origin][]resume.Key
+	added   wakeup.Flag
+}
+
+func newStreamOrigins(limit int) *streamOrigins {
+	return &streamOrigins{table: resume.NewTable(limit), pending: map[resume.Origin][]resume.Key{}, added: wakeup.New()}
+}
+
+// put records an origin.
+func (s *streamOrigins) put(now time.Time, key resume.Key, origin resume.Origin) {
+	s.table.Put(now, key, origin)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending[origin] = append(s.pending[origin], key)
+	s.added.Raise()
+}
+
+// takePending returns the origins that were recorded since the last call.
+func (s *streamOrigins) takePending() wire.StreamOrigins {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var told wire.StreamOrigins
+	for origin, keys := range s.pending {
+		told.Groups = append(told.Groups, wire.StreamOriginGroup{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion, Keys: keys})
+	}
+	clear(s.pending)
+	return told
+}
+
+// storeOrigin records the origin of a stream here and, soon, at two control nodes.
+func (g *gateway) storeOrigin(key resume.Key, origin resume.Origin) {
+	g.origins.put(clock.Now(), key, origin)
+}
+
+// sendOrigins tells control nodes the origins of streams. What is lost on the way is known here only.
+func (g *gateway) sendOrigins(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.origins.added.Raised():
+		}
+		time.Sleep(originBatchDelay)
+		g.follower.NotifyTwo(ctx, wire.MethodStreamOrigins, g.origins.takePending())
+	}
+}
+
+// findOrigin returns the origin of a stream that this gateway or another one began.
+func (g *gateway) findOrigin(ctx context.Context, key resume.Key) (resume.Origin, resume.Evidence, bool) {
+	if origin, _, known := g.origins.table.Get(clock.Now(), key); known {
+		return origin, resume.OwnRecord, true
+	}
+	origin, known := g.askForOrigin(ctx, key)
+	for _, delay := range originAskDelays {
+		if known || !admission.Sleep(ctx, delay) {
+			break
+		}
+		origin, known = g.askForOrigin(ctx, key)
+	}
+	return origin, resume.SharedRecord, known
+}
+
+// askForOrigin asks the control nodes for the origin of a stream.
+func (g *gateway) askForOrigin(ctx context.Context, key resume.Key) (resume.Origin, bool) {
+	reply, err := feed.CallHedged[wire.StreamOriginReply](ctx, g.follower, wire.MethodStreamOrigin, wire.StreamOriginRequest{Key: key})
+	if err != nil || reply.Service == "" {
+		return resume.Origin{}, false
+	}
+	return resume.Origin{Service: reply.Service, SoftwareVersion: reply.SoftwareVersion}, true
+}
+
+// registerOrigins registers the methods for the origins of streams.
+func (c *controlNode) registerOrigins() {
+	c.origins = resume.NewTable(maxControlOrigins)
+	c.proc.Mux().Handle(wire.MethodStreamOrigins, rpc.Typed(c.handleOrigins))
+	c.proc.Mux().Handle(wire.MethodStreamOrigin, rpc.Typed(c.handleOrigin))
+}
+
+// handleOrigins records the origins of a gateway's streams.
+func (c *controlNode) handleOrigins(_ context.Context, _ *rpc.Peer, told wire.StreamOrigins) (wire.Empty, error) {
+	now := clock.Now()
+	for _, group := range told.Groups {
+		origin := resume.Origin{Service: group.Service, SoftwareVersion: group.SoftwareVersion}
+		for _, key := range group.Keys {
+			c.origins.Put(now, key, origin)
+		}
+	}
+	return wire.Empty{}, nil
+}
+
+// handleOrigin returns the origin of a stream. A node that has no record asks the others, since each
+// gateway tells two of them, and a restarted one has lost what it was told.
+func (c *controlNode) handleOrigin(ctx context.Context, _ *rpc.Peer, request wire.StreamOriginRequest) (wire.StreamOriginReply, error) {
+	origin, _, known := c.origins.Get(clock.Now(), request.Key)
+	if known || request.Forwarded {
+		return wire.StreamOriginReply{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion}, nil
+	}
+	return c.askForOrigin(ctx, request.Key), nil
+}
+
+// askForOrigin asks all other control nodes for the origin of a stream and returns the first one known.
+func (c *controlNode) askForOrigin(ctx context.Context, key resume.Key) wire.StreamOriginReply {
+	ctx, cancel := context.WithTimeout(ctx, originAskTimeout)
+	defer cancel()
+	peers := c.cluster.Peers()
+	replies := make(chan wire.StreamOriginReply, len(peers))
+	for _, address := range peers {
+		go func() {
+			var reply wire.StreamOriginReply
+			// A node that does not answer has no record to offer in time.
+			_ = c.links.Client(address).Call(ctx, wire.MethodStreamOrigin, wire.StreamOriginRequest{Key: key, Forwarded: true}, &reply)
+			replies <- reply
+		}()
+	}
+	for range peers {
+		if reply := <-replies; reply.Service != "" {
+			return reply
+		}
+	}
+	return wire.StreamOriginReply{}
+}
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -95,6 +95,10 @@
 	MethodQueueList = "queue.list"
 	// MethodQueueProbe asks whether a control node gives such places.
 	MethodQueueProbe = "queue.probe"
+	// MethodStreamOrigins tells a control node which software began streams (notification).
+	MethodStreamOrigins = "stream.origins"
+	// MethodStreamOrigin asks a control node which software began a stream.
+	MethodStreamOrigin = "stream.origin"
 	// MethodPermit asks a control node for a permit to send a request to a cold or limited replica.
 	MethodPermit = "warmup.permit"
 	// MethodPermitIssue asks the leader for such a permit.
--- /dev/null
+++ b/src/wire/origin.go
@@ -0,0 +1,29 @@
+package wire
+
+import "github.com/moorspool/moorspool/src/resume"
+
+// StreamOrigins are the origins of streams that a gateway has begun to pass on.
+type StreamOrigins struct {
+	Groups []StreamOriginGroup `json:"g"`
+}
+
+// StreamOriginGroup holds the streams of one origin.
+type StreamOriginGroup struct {
+	Service string `json:"s"`
+	// SoftwareVersion is "" for streams whose origin has turned out not to be certain.
+	SoftwareVersion string       `json:"v"`
+	Keys            []resume.Key `json:"k"`
+}
+
+// StreamOriginRequest asks for the origin of a stream.
+type StreamOriginRequest struct {
+	Key resume.Key `json:"k"`
+	// Forwarded is set by a control node that has no record; the asked one asks no other.
+	Forwarded bool `json:"f,omitempty"`
+}
+
+// StreamOriginReply is the origin of a stream; Service is "" if it is not known.
+type StreamOriginReply struct {
+	Service         string `json:"s,omitempty"`
+	SoftwareVersion string `json:"v,omitempty"`
+}
