ORDER: a settled list of one software version needs no record

What callers saw: clients that name no attempt, or whose gateway is of an earlier build, were refused in a gateway's first minute although their service has one version only. Cause: the rule of the only version asked for a minute without a change, counted from the gateway's start. Ruled out: none of it for such clients, as a stream that goes on at the only version there has been is safe. Change: the list of replicas keeps those that ended for two minutes, so a version that is not on it has begun no stream of a route of up to a minute; 10 s without a change cover what a started gateway has yet to hear. Streams of routes that may not be resumed are not logged as not resumed.

--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -88,7 +88,7 @@
 			return
 		}
 	}
-	if len(c.route.Splits) != 1 || !c.configConfirmed() {
+	if len(c.route.Splits) != 1 || c.route.Timeout > resume.Retention || !c.configConfirmed() {
 		return
 	}
 	now := h.options.Now()
@@ -195,8 +195,8 @@
 	p.software.Learn(version)
 }
 
-// soleVersion returns the only software version that the replicas of a service have had for longer
-// than any stream lasts.
+// soleVersion returns the only software version of the replicas that may have begun a stream of a service
+// which still lasts.
 func (f *Fleet) soleVersion(now time.Time, service string) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -190,7 +190,9 @@
 		c.abortResponse("the client left")
 	}
 	if ended == truncated || c.stream != nil && c.stream.started {
-		c.logOrigin(event.StreamNotResumed, "no further attempt is made")
+		if c.route.Idempotent() {
+			c.logOrigin(event.StreamNotResumed, "no further attempt is made")
+		}
 		c.abortResponse("the stream can't go on")
 	}
 	if lastError != nil {
--- a/src/resume/binding.go
+++ b/src/resume/binding.go
@@ -17,7 +17,7 @@
 	SharedRecord
 	// Forwarded means that another gateway forwarded the request with the origin.
 	Forwarded
-	// SoleVersion means that the service has had a single version for longer than any stream lasts.
+	// SoleVersion means that all replicas which may have begun a stream that still lasts have one version.
 	SoleVersion
 )
 
--- a/src/resume/software.go
+++ b/src/resume/software.go
@@ -29,11 +29,17 @@
 	return s.version
 }
 
-// Census counts the replicas of one service by software version. It is not safe for concurrent use.
+// SettleTime is how long the versions of a census must not have changed. After a start, a gateway has
+// heard of all replicas within that time.
+const SettleTime = 10 * time.Second
+
+// Census counts the listed replicas of one service by software version. As replicas stay listed for
+// longer than Retention after their end, a version that is not counted has begun no stream that still
+// lasts. It is not safe for concurrent use.
 type Census struct {
 	counts map[string]int
-	// soleSince is when the only version became the only one.
-	soleSince time.Time
+	// changedAt is when a version was last added or removed.
+	changedAt time.Time
 }
 
 // Add counts a replica; its version is "" if it is not known.
@@ -42,7 +48,7 @@
 		c.counts = map[string]int{}
 	}
 	if c.counts[version] == 0 {
-		c.soleSince = now
+		c.changedAt = now
 	}
 	c.counts[version]++
 }
@@ -54,13 +60,13 @@
 		return
 	}
 	delete(c.counts, version)
-	c.soleSince = now
+	c.changedAt = now
 }
 
 // Sole returns the only software version of the service. It returns false if there are several, one is
-// not known, or the last change of versions was less than Retention ago.
+// not known, or the versions changed less than SettleTime ago.
 func (c *Census) Sole(now time.Time) (string, bool) {
-	if len(c.counts) != 1 || now.Sub(c.soleSince) < Retention {
+	if len(c.counts) != 1 || now.Sub(c.changedAt) < SettleTime {
 		return "", false
 	}
 	for version := range c.counts {
