Soak: replicas of two software versions, streams that break off and clients that take them up

Each start of a replica draws one of two software versions, also under the ID that it had before; each event names the version. Two checks: events of two versions are a finding in one answer and over the tries; at calm gateways, while two unrestricted replicas of the version serve, 12 or more streams taken up go on at least half as often as new ones begin.

--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -52,7 +52,7 @@
 	switch {
 	case draw < 2:
 		header.Set(keyHeader, limitedKey)
-	case draw < 4:
+	case !isMainAccount(draw):
 		header.Set(keyHeader, versionedKey(version))
 		header.Set(keyVersionHeader, strconv.FormatUint(version, 10))
 	default:
@@ -60,6 +60,9 @@
 	}
 }
 
+// isMainAccount reports whether a draw chooses the account without a limit.
+func isMainAccount(draw int) bool { return draw >= 4 }
+
 // accountChecks checks what replicas see of client accounts. It is safe for concurrent use.
 type accountChecks struct {
 	mu sync.Mutex
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -31,6 +31,8 @@
 	accounts *accountChecks
 	// links checks what gateways without links to replicas serve.
 	links linkChecks
+	// resumes checks the streams that clients take up.
+	resumes resumeChecks
 }
 
 func newChecker() *checker {
@@ -152,6 +154,9 @@
 	if violation := c.links.violation(); violation != "" {
 		c.failLocked("recover", "%s", violation)
 	}
+	if violation := c.resumes.violation(); violation != "" {
+		c.failLocked("lost", "%s", violation)
+	}
 	for _, m := range in.members {
 		m.mu.Lock()
 		if m.unexpectedExits > 0 {
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -32,14 +32,15 @@
 type clients struct {
 	in          *installation
 	check       *checker
+	replicas    *replicas
 	next        atomic.Uint64
 	cancel      context.CancelFunc
 	work        sync.WaitGroup
 	lastSuccess sync.Map // time of the last success by gateway name
 }
 
-func newClients(in *installation, check *checker) *clients {
-	return &clients{in: in, check: check}
+func newClients(in *installation, check *checker, replicas *replicas) *clients {
+	return &clients{in: in, check: check, replicas: replicas}
 }
 
 // waitUntilServing waits until every gateway has answered a request.
@@ -95,9 +96,12 @@
 		time.Sleep(clientPause)
 		id := c.id()
 		kind := []string{"u", "u", "s", "e"}[random.IntN(4)]
-		sentAt := time.Now()
-		status, answer, err := c.send(client, m, kind, id)
+		sentAt, draw := time.Now(), rand.IntN(10)
+		status, answer, err := c.sendBody(client, m, kind, id, "body of "+id, draw)
 		c.checkAnswer(m, kind, id, status, answer, err)
+		if kind == "e" {
+			c.followStream(client, m, id, sentAt, status, answer, draw)
+		}
 		if c.calm(m, sentAt) {
 			c.check.links.recordTry(m.name, sentAt, err == nil && status == http.StatusOK && answer.whole)
 		}
@@ -130,6 +134,11 @@
 
 // sendBody sends a request with a body; draw chooses the client account.
 func (c *clients) sendBody(client *http.Client, m *member, kind, id, sent string, draw int) (int, response, error) {
+	return c.sendWith(client, m, kind, id, sent, draw)
+}
+
+// sendWith sends a request with further headers, given as names and values in turn.
+func (c *clients) sendWith(client *http.Client, m *member, kind, id, sent string, draw int, headers ...string) (int, response, error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.in.proxyAddress(m, c.in.callPort())+"/"+kind+"/x", strings.NewReader(sent))
 	if err != nil {
 		return 0, response{}, err
@@ -140,6 +149,9 @@
 	request.Header.Set(idHeader, id)
 	request.Header.Set(gatewayHeader, m.name)
 	request.Header.Set("X-Deadline-Ms", "3000")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
 	newest, _ := c.check.newest()
 	setAccountHeaders(request.Header, draw, newest)
 	got, err := client.Do(request)
@@ -183,10 +195,7 @@
 	}
 	want := fmt.Sprintf("%s:body of %s", id, id)
 	if kind == "e" {
-		want = ""
-		for n := 1; n <= streamEvents; n++ {
-			want += fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
-		}
+		want = wantedStream(id, 0, parseStream(got.body).software)
 	}
 	if !got.framed && got.body != want && mayBeCutOff(kind, got.body, want) {
 		c.check.count(cutOffAnswers)
--- a/soak/main.go
+++ b/soak/main.go
@@ -98,7 +98,7 @@
 	operators.work.Add(1)
 	go operators.drainZones(faultCtx, rand.New(rand.NewPCG(o.Seed, 13)))
 	go operators.run(ctx, rand.New(rand.NewPCG(o.Seed, 3)))
-	clients := newClients(in, check)
+	clients := newClients(in, check, replicas)
 	if err := clients.waitUntilServing(); err != nil {
 		return nil, err
 	}
@@ -121,6 +121,6 @@
 	clients.checkRecovery()
 	in.checkMembership(check)
 	check.checkAtEnd(in)
-	fmt.Printf("seed %d: %s; %s; %s; %s\n", o.Seed, check.summary(), &replicas.notices, &replicas.limits, &check.links)
+	fmt.Printf("seed %d: %s; %s; %s; %s; %s\n", o.Seed, check.summary(), &replicas.notices, &replicas.limits, &check.links, &check.resumes)
 	return check.findings(), nil
 }
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	go r.sendHeartbeats(ctx)
-	c := newClients(in, check)
+	c := newClients(in, check, r)
 	if err := c.waitUntilServing(); err != nil {
 		return err
 	}
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -51,6 +51,8 @@
 // replica is one start of a backend server.
 type replica struct {
 	id string
+	// software is the version of the software that this start runs.
+	software string
 	// startedMs is the time of the start in Unix milliseconds.
 	startedMs       int64
 	host            int
@@ -88,7 +90,7 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%03d", r.started)
 	}
-	rep := &replica{id: id, startedMs: time.Now().UnixMilli(), host: host, address: fmt.Sprintf("%s%d:%d", replicaNet, host, r.in.callPort())}
+	rep := &replica{id: id, software: drawSoftware(), startedMs: time.Now().UnixMilli(), host: host, address: fmt.Sprintf("%s%d:%d", replicaNet, host, r.in.callPort())}
 	listener, err := net.Listen("tcp", rep.address)
 	if err != nil {
 		return nil, err
@@ -147,7 +149,7 @@
 		time.Sleep(10 * time.Millisecond)
 		_, _ = fmt.Fprintf(w, "%s:%s", id, body)
 	case 'e':
-		r.stream(w, request, id)
+		r.stream(rep, w, request, id)
 	case 'l':
 		_, _ = io.WriteString(w, longBody(id))
 	default:
@@ -170,11 +172,18 @@
 	return true
 }
 
-func (r *replicas) stream(w http.ResponseWriter, request *http.Request, id string) {
+func (r *replicas) stream(rep *replica, w http.ResponseWriter, request *http.Request, id string) {
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	brokenAfter := streamEvents
+	if rand.IntN(100) < breakOffPercent {
+		brokenAfter = after + 1 + rand.IntN(streamEvents)
+	}
 	for n := after + 1; n <= streamEvents; n++ {
-		_, err := fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", n, id, n)
+		if n > brokenAfter {
+			panic(http.ErrAbortHandler)
+		}
+		_, err := io.WriteString(w, streamEvent(id, n, rep.software))
 		if err != nil || http.NewResponseController(w).Flush() != nil {
 			return
 		}
@@ -209,7 +218,7 @@
 	sequence := rep.sequence
 	r.mu.Unlock()
 	cold := rep.cold.remaining()
-	body, err := json.Marshal(map[string]any{"service": "s", "address": rep.address, "zone": zoneOf(rep.host), "version": "v1", "slots": 16, "state": state, "sequence": sequence, "born": rep.startedMs, "cold_remaining_ms": cold.Milliseconds()})
+	body, err := json.Marshal(map[string]any{"service": "s", "address": rep.address, "zone": zoneOf(rep.host), "version": rep.software, "slots": 16, "state": state, "sequence": sequence, "born": rep.startedMs, "cold_remaining_ms": cold.Milliseconds()})
 	if err != nil || !r.call(rep, http.MethodPut, body) {
 		return false
 	}
