ORDER: a start that was not yet listed does not lend its events the earlier start's version

What callers would see: a replica starts again under its name and address with other software; until its gateway is told, what it writes counts as the earlier start's, and a stream that it began goes on at replicas of the earlier version. Cause: X-Expected-Replica names a replica, not its start, and no answer names a software version; a record says which version a start has, not which start answers on a connection. Weighed: asking each new connection for the start (a probe each, dear at some installations). Change: once a later start with other software is listed under a name, streams that the earlier one began in the 10 s before are of an unknown origin: they do not go on in their answer, and their records are withdrawn. Before and after: two tests fail without noteRestart and pass with it. Open: a stream that begins, breaks off and is taken up before anybody heard of the later start.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -37,6 +37,7 @@
 	if ctx.Err() != nil || c.handler.options.Now().Add(responseMargin).After(c.deadline) {
 		return false
 	}
+	c.revokeDoubted()
 	if c.stream != nil && c.stream.started && !c.route.Idempotent() || c.origin.Unresolved() {
 		return false
 	}
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -47,6 +47,10 @@
 	// without any copy.
 	expectedCopies map[indexKey]time.Time
 	index          copyIndex
+	// latestStarts holds the last start of each replica that reports its start, by name, and onDoubt is
+	// called with streams whose origin turns out not to be certain.
+	latestStarts map[string]*Peer
+	onDoubt      func([]resume.Key)
 	// census counts the listed replicas by service and software version.
 	census        map[string]*resume.Census
 	loadReporters loadReporters
@@ -110,6 +114,8 @@
 		usable:       map[string]*indexedReplica{},
 		placerCopies: map[string]copies{},
 		census:       map[string]*resume.Census{},
+		latestStarts: map[string]*Peer{},
+		onDoubt:      func([]resume.Key) {},
 		sentPrompts:  newSentPrompts(),
 		loadReports:  newLoadReports(),
 		byBacklogKey: map[uint64]*Peer{},
@@ -180,6 +186,7 @@
 		f.inheritState(peer)
 		f.peers[id] = peer
 		f.byBacklogKey[loadview.Key(id)] = peer
+		f.noteRestart(peer, &e.Record)
 	} else {
 		f.updateRecord(peer, e)
 	}
@@ -243,6 +250,7 @@
 	if peer := f.peers[id]; peer != nil {
 		peer.pool.close()
 		f.uncountVersion(peer)
+		f.forgetStart(peer)
 		f.saveState(peer)
 		delete(f.peers, id)
 		delete(f.byBacklogKey, loadview.Key(id))
--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -121,6 +121,7 @@
 
 // mayWrite reports whether the writer of a response may write to the client's stream.
 func (c *call) mayWrite(peer *Peer, origin resume.Origin) bool {
+	c.revokeDoubted()
 	if c.origin.Allows(origin) {
 		return true
 	}
@@ -142,6 +143,7 @@
 func (c *call) bindOrigin(peer *Peer, origin resume.Origin) {
 	if c.origin.Unbound() {
 		c.origin.writer = peer
+		peer.noteBegun(c.handler.options.Now(), c.origin.key)
 	}
 	c.origin.Bind(c.handler.options.Now(), origin, resume.Written)
 	if c.forwarded && origin.Known() {
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -307,3 +307,51 @@
 	b.handler.options.ConfigConfirmed = func() bool { return false }
 	is.Equal(ask("cut-off"), http.StatusServiceUnavailable)
 }
+
+// restartedBench has a replica that reports its start, with an other one of the same software version, and
+// starts again under its name with other software before its gateway is told.
+func restartedBench(t *testing.T, act func(tellRestart func()) behaviour) (b *bench, store *originStore, other *fakeReplica) {
+	other = versionedReplica(t, "b", "v1", streaming(4))
+	restarted := versionedReplica(t, "a", "v1", whole)
+	b, store = newOriginBench(t, resumable(3))
+	entry := func(started int64, software string) registry.Entry {
+		id := registry.Incarnation{Name: "a", StartedMS: started}.ID()
+		return registry.Entry{Record: registry.Record{ID: id, Name: "a", StartedMS: started, Service: "s", Address: restarted.listener.Addr().String(), Zone: "z", SoftwareVersion: software, Slots: 4}}
+	}
+	restarted.setAct(act(func() {
+		b.register(other)
+		replaced := entry(1, "v1")
+		replaced.Replaced = true
+		b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{replaced, entry(2, "v2")}})
+	}))
+	b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{entry(1, "v1")}})
+	return b, store, other
+}
+
+func TestAStreamOfAStartThatWasNotYetListedDoesNotGoOnAtTheEarlierVersion(t *testing.T) {
+	is := is.New(t)
+	b, _, other := restartedBench(t, func(tellRestart func()) behaviour {
+		return func(a arrival) bool {
+			a.head()
+			a.event(1)
+			time.Sleep(20 * time.Millisecond)
+			tellRestart()
+			return false
+		}
+	})
+	is.True(b.do("POST", "one", "").err != nil)
+	is.Equal(other.count(), 0)
+}
+
+func TestTheRecordOfAStartThatWasNotYetListedIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	var tell func()
+	b, _, other := restartedBench(t, func(tellRestart func()) behaviour {
+		tell = tellRestart
+		return breaking(2)
+	})
+	is.True(b.do("POST", "begun", "").err != nil)
+	tell()
+	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
+	is.Equal(other.count(), 0)
+}
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -57,6 +57,10 @@
 	record registry.Record
 	// software is what the incarnation reported of its software.
 	software resume.Software
+	// begun holds the streams that it has lately begun, and doubtedFrom since when a later start may have
+	// written what is attributed to it, the zero time if none may.
+	begun       []begunStream
+	doubtedFrom time.Time
 	// running is the number of this gateway's requests in progress. backlog is the expected prefill
 	// time of those prompts among them that are not known to be read yet.
 	running int
--- a/src/resume/resume_test.go
+++ b/src/resume/resume_test.go
@@ -1,6 +1,7 @@
 package resume
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -157,3 +158,10 @@
 	_, sole = c.Sole(start.Add(2 * SettleTime))
 	is.True(!sole)
 }
+
+func BenchmarkRecordAStream(b *testing.B) {
+	table := NewTable(1 << 13)
+	for i := 0; b.Loop(); i++ {
+		table.Put(start.Add(time.Duration(i)*time.Millisecond), NewKey("account", "route", strconv.Itoa(i)), v1)
+	}
+}
