RECOVER: a gateway whose replicas want nothing from it leaves a forwarded request to another one

Cause: a refusal said that another gateway may take the request only if the route, the links or the gateway itself was the reason; a backoff holds for one gateway alone. Ruled out: limits and cold permits, which hold for all gateways: those refusals stay final. Change: such a refusal carries Moorspool-Not-Sent: backoff. The first gateway offers the request to the next one, does not avoid the one that refused (it serves other requests), and if none takes it tells the client the shortest of their times to return. Before and after: a case of TestAnotherGatewayIsTriedIfOneDoesNotTakeTheRequest (503 for 200) and TestARequestThatNoGatewayMaySendTellsWhenToReturn (one gateway asked, not two) fail before, pass now.

--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -35,10 +35,18 @@
 	headerForwardService  = "Moorspool-Forward-Service"
 	headerForwardSoftware = "Moorspool-Forward-Software"
 	// headerNotSent is set in a response if nothing was sent to a replica and another gateway may take
-	// the request.
+	// the request. Its value is the reason.
 	headerNotSent = "Moorspool-Not-Sent"
 )
 
+// The reasons for which a gateway does not take a request.
+const (
+	// notSentUnable means that the gateway can't serve the request's service now.
+	notSentUnable = "1"
+	// notSentBackoff means that the replicas have asked that gateway for a backoff, each gateway by itself.
+	notSentBackoff = "backoff"
+)
+
 // errNotTaken means that a gateway sent the request to no replica.
 var errNotTaken = errors.New("it did not take the request")
 
@@ -127,7 +135,7 @@
 	}
 	if err == nil && a.response.Header.Get(headerNotSent) != "" {
 		a.abort()
-		to.failed(c.handler.options.Now(), true)
+		c.noteNotTaken(to, a.response.Header)
 		return notRun, errNotTaken
 	}
 	c.countForwarded(to)
@@ -141,6 +149,21 @@
 	return c.relayForwarded(ctx, to, a, silenceWatch), nil
 }
 
+// noteNotTaken handles the refusal of a gateway that sent the request to no replica. One whose replicas
+// want nothing from it for now serves other requests, and knows when to come back.
+func (c *call) noteNotTaken(by *Peer, header http.Header) {
+	if header.Get(headerNotSent) != notSentBackoff {
+		by.failed(c.handler.options.Now(), true)
+		return
+	}
+	if wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err == nil && wait > 0 {
+		retryIn := time.Duration(wait * float64(time.Second))
+		if c.retryIn == 0 || retryIn < c.retryIn {
+			c.retryIn = retryIn
+		}
+	}
+}
+
 // countForwarded counts a request that another gateway has taken. A replica there may run it.
 func (c *call) countForwarded(to *Peer) {
 	h := c.handler
@@ -205,7 +228,7 @@
 	h.options.Metrics.ForwardedServed.Inc(1)
 	w.Header().Set(headerForwardID, r.Header.Get(headerForwardID))
 	if running > maxForwardedRunning || h.stopping.Load() {
-		w.Header().Set(headerNotSent, "1")
+		w.Header().Set(headerNotSent, notSentUnable)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -234,6 +257,10 @@
 		return
 	}
 	if c.route == nil || c.unconnected > 0 || c.handler.options.Fleet.links.Unreachable(c.service) {
-		c.writer.Header().Set(headerNotSent, "1")
+		c.writer.Header().Set(headerNotSent, notSentUnable)
+		return
+	}
+	if want := c.requirements(); c.handler.options.Fleet.anyBackingOff(&want) {
+		c.writer.Header().Set(headerNotSent, notSentBackoff)
 	}
 }
--- a/src/exchange/forward_test.go
+++ b/src/exchange/forward_test.go
@@ -184,6 +184,11 @@
 		{"it has an older configuration", func(g *forwardGateway) {
 			g.handler.SetTable(catalog.NewTable(catalog.Document{Version: 0, Services: testServices()}))
 		}},
+		{"all replicas want nothing from it", func(g *forwardGateway) {
+			for _, id := range []string{"a", "b"} {
+				g.fleet.applyReply(g.fleet.Peer(id), &Reply{NotRun: true, Backoff: time.Minute})
+			}
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -201,6 +206,24 @@
 	}
 }
 
+// If replicas want nothing from any gateway, the client is told when the first of them may take it.
+func TestARequestThatNoGatewayMaySendTellsWhenToReturn(t *testing.T) {
+	is := is.New(t)
+	a := newReplica(t, "a", whole)
+	n := newForwardNet(t, route(catalog.Unsafe, 1), 2, a)
+	for _, g := range n.others {
+		g.fleet.applyReply(g.fleet.Peer("a"), &Reply{NotRun: true, Backoff: 20 * time.Second})
+	}
+	n.loseLinks()
+	got := n.do("POST", "one", "")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds > 19)
+	is.Equal(a.count(), 0)
+	is.Equal(n.taken(), 2)
+}
+
 func TestGatewaysThatCannotTakeARequestAreNotAsked(t *testing.T) {
 	for _, c := range []struct {
 		name   string
