--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -355,3 +355,30 @@
 	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
 	is.Equal(other.count(), 0)
 }
+
+func TestAStreamDoesNotGoOnAtAReplicaThatLeavesOrWantsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply Reply
+	}{
+		{"leaving", Reply{Leaving: true}},
+		{"backoff", Reply{NotRun: true, Backoff: time.Minute}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a, other := versionedReplica(t, "a", "v1", breaking(2)), versionedReplica(t, "b", "v1", streaming(4))
+			b, _ := newOriginBench(t, resumable(3), a)
+			a.setAct(func(at arrival) bool {
+				b.register(other)
+				b.fleet.applyReply(b.fleet.Peer("b"), &c.reply)
+				return breaking(2)(at)
+			})
+			begun := time.Now()
+			is.True(b.do("POST", "begun", "").err != nil)
+			b.fleet.SetReplicas(registry.Changes{Removed: []string{"a"}})
+			is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
+			is.Equal(other.count(), 0)
+			is.True(time.Since(begun) < time.Second)
+		})
+	}
+}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -206,6 +206,7 @@
 		setQuorumGauges(m, c.cluster.Quorum())
 		setDelayGauges(m, c.node.Delays())
 		m.Gauge("zones_drained", float64(len(c.cluster.Drains().Zones)))
+		m.Gauge(gaugeStreamOrigins, float64(c.origins.Len()))
 		accounts.set(m, c.granter.DemandRates())
 	})
 	times := registry.Times{Silence: silentHeartbeats * c.settings.Heartbeat.Std(), Forget: forgetReplicas}
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -160,6 +160,7 @@
 		setGatewayGauges(clock.Now(), m, g.handler.Table(), g.follower.View())
 		setAvailabilityGauges(m, g.fleet)
 		setLoadViewGauges(time.Now(), m, g.fleet)
+		m.Gauge(gaugeStreamOrigins, float64(g.origins.table.Len()))
 	})
 	if err := proc.Serve(); err != nil {
 		return err
--- a/src/fleet/origins.go
+++ b/src/fleet/origins.go
@@ -26,6 +26,9 @@
 	maxControlOrigins = 1 << 16
 )
 
+// gaugeStreamOrigins is the number of records of a process.
+const gaugeStreamOrigins = "stream_origins"
+
 // originAskDelays are the pauses before a control node that has no record is asked again: a client may be
 // back before the record of its stream has arrived.
 var originAskDelays = []time.Duration{10 * time.Millisecond, 20 * time.Millisecond, 40 * time.Millisecond}
