--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -382,3 +382,16 @@
 		})
 	}
 }
+
+func TestAForwardedStreamIsTakenUpAtTheServiceThatBeganIt(t *testing.T) {
+	is := is.New(t)
+	r := resumable(1)
+	r.Splits = []catalog.Split{{Service: "s", Weight: 1}, {Service: "t", Weight: 1_000_000}}
+	n := newForwardNet(t, r, 1, versionedReplica(t, "a", "v1", streaming(4)))
+	n.loseLinks()
+	store := &originStore{table: resume.NewTable(100)}
+	store.table.Put(time.Now(), resume.NewKey("", "r", "begun"), resume.Origin{Service: "s", SoftwareVersion: "v1"})
+	n.handler.options.Origins = store.origins()
+	is.Equal(n.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusOK)
+	is.Equal(n.taken(), 1)
+}
