--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -22,8 +22,8 @@
 type Origins struct {
 	// Store records the origin of a stream. It must not block.
 	Store func(key resume.Key, origin resume.Origin)
-	// Find returns the origin of a stream, and false if it is not known.
-	Find func(ctx context.Context, key resume.Key) (resume.Origin, resume.Evidence, bool)
+	// Find finds the origin of a stream, and returns false if it is not known.
+	Find func(ctx context.Context, key resume.Key) (resume.Finding, bool)
 }
 
 // streamOrigin is what a call knows of the origin of its stream.
@@ -82,21 +82,25 @@
 	if find := h.options.Origins.Find; find != nil && c.requestInfo.Resumes != "" {
 		ctx, cancel := context.WithTimeout(c.request.Context(), originFindTimeout)
 		defer cancel()
-		origin, evidence, found := find(ctx, c.attemptKey(c.requestInfo.Resumes))
-		if found {
-			c.origin.Bind(h.options.Now(), origin, evidence)
+		if finding, found := find(ctx, c.attemptKey(c.requestInfo.Resumes)); found {
+			c.bindFinding(finding)
 			return
 		}
 	}
 	if len(c.route.Splits) != 1 || c.route.Timeout > resume.Retention || !c.configConfirmed() {
 		return
 	}
-	now := h.options.Now()
-	if version, sole := h.options.Fleet.soleVersion(now, c.service); sole {
-		c.origin.Bind(now, resume.Origin{Service: c.service, SoftwareVersion: version}, resume.SoleVersion)
+	if version, age, sole := h.options.Fleet.soleVersion(h.options.Now(), c.service); sole {
+		origin := resume.Origin{Service: c.service, SoftwareVersion: version}
+		c.bindFinding(resume.Finding{Origin: origin, Evidence: resume.SoleVersion, Age: age})
 	}
 }
 
+// bindFinding binds the stream to an origin that was found, as of the time of the evidence.
+func (c *call) bindFinding(f resume.Finding) {
+	c.origin.Bind(c.handler.options.Now().Add(-f.Age), f.Origin, f.Evidence)
+}
+
 // refuseResume refuses a request that takes up a stream which can't go on at this gateway, however
 // long the client waits. Another gateway may know more, so the connection is closed.
 func (c *call) refuseResume(reason string) {
@@ -168,14 +172,12 @@
 
 // setForwardedOrigin takes over the origin that the gateway which forwarded the request knows.
 func (c *call) setForwardedOrigin() {
-	header := c.request.Header
-	origin := resume.Origin{Service: header.Get(headerForwardService), SoftwareVersion: header.Get(headerForwardSoftware)}
-	if origin.Known() {
+	if origin := forwardedOrigin(c.request.Header); origin.Known() {
 		c.origin.Bind(c.handler.options.Now(), origin, resume.Forwarded)
 	}
 }
 
-// forwardedOrigin returns the origin of the response of another gateway.
+// forwardedOrigin returns the origin in the headers of another gateway.
 func forwardedOrigin(header http.Header) resume.Origin {
 	return resume.Origin{Service: header.Get(headerForwardService), SoftwareVersion: header.Get(headerForwardSoftware)}
 }
@@ -198,13 +200,13 @@
 }
 
 // soleVersion returns the only software version of the replicas that may have begun a stream of a service
-// which still lasts.
-func (f *Fleet) soleVersion(now time.Time, service string) (string, bool) {
+// which still lasts, and for how long it has been the only one.
+func (f *Fleet) soleVersion(now time.Time, service string) (version string, age time.Duration, sole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	census := f.census[service]
 	if census == nil {
-		return "", false
+		return "", 0, false
 	}
 	return census.Sole(now)
 }
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -51,9 +51,9 @@
 func (s *originStore) origins() Origins {
 	return Origins{
 		Store: func(key resume.Key, origin resume.Origin) { s.stored++; s.table.Put(time.Now(), key, origin) },
-		Find: func(_ context.Context, key resume.Key) (resume.Origin, resume.Evidence, bool) {
-			origin, _, known := s.table.Get(time.Now(), key)
-			return origin, resume.SharedRecord, known
+		Find: func(_ context.Context, key resume.Key) (resume.Finding, bool) {
+			origin, age, known := s.table.Get(time.Now(), key)
+			return resume.Finding{Origin: origin, Evidence: resume.SharedRecord, Age: age}, known
 		},
 	}
 }
--- a/src/fleet/origins.go
+++ b/src/fleet/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/moorspool/moorspool/src/admission"
@@ -24,6 +25,9 @@
 	// takes some 150 bytes, and there may be twice as many.
 	maxGatewayOrigins = 1 << 13
 	maxControlOrigins = 1 << 16
+	// maxOriginSearches is how many origins a gateway asks for at a time. Clients that name attempts at
+	// random must not keep the control nodes busy.
+	maxOriginSearches = 64
 )
 
 // gaugeStreamOrigins is the number of records of a process.
@@ -41,6 +45,8 @@
 	mu      sync.Mutex
 	pending map[resume.Origin][]resume.Key
 	added   wakeup.Flag
+
+	searches atomic.Int64
 }
 
 func newStreamOrigins(limit int) *streamOrigins {
@@ -87,27 +93,35 @@
 }
 
 // findOrigin returns the origin of a stream that this gateway or another one began.
-func (g *gateway) findOrigin(ctx context.Context, key resume.Key) (resume.Origin, resume.Evidence, bool) {
-	if origin, _, known := g.origins.table.Get(clock.Now(), key); known {
-		return origin, resume.OwnRecord, true
+func (g *gateway) findOrigin(ctx context.Context, key resume.Key) (resume.Finding, bool) {
+	if origin, age, known := g.origins.table.Get(clock.Now(), key); known {
+		return resume.Finding{Origin: origin, Evidence: resume.OwnRecord, Age: age}, true
+	}
+	defer g.origins.searches.Add(-1)
+	if g.origins.searches.Add(1) > maxOriginSearches {
+		return resume.Finding{}, false
 	}
-	origin, known := g.askForOrigin(ctx, key)
+	finding, known := g.askForOrigin(ctx, key)
 	for _, delay := range originAskDelays {
 		if known || !admission.Sleep(ctx, delay) {
 			break
 		}
-		origin, known = g.askForOrigin(ctx, key)
+		finding, known = g.askForOrigin(ctx, key)
 	}
-	return origin, resume.SharedRecord, known
+	return finding, known
 }
 
 // askForOrigin asks the control nodes for the origin of a stream.
-func (g *gateway) askForOrigin(ctx context.Context, key resume.Key) (resume.Origin, bool) {
+func (g *gateway) askForOrigin(ctx context.Context, key resume.Key) (resume.Finding, bool) {
 	reply, err := feed.CallHedged[wire.StreamOriginReply](ctx, g.follower, wire.MethodStreamOrigin, wire.StreamOriginRequest{Key: key})
 	if err != nil || reply.Service == "" {
-		return resume.Origin{}, false
+		return resume.Finding{}, false
 	}
-	return resume.Origin{Service: reply.Service, SoftwareVersion: reply.SoftwareVersion}, true
+	return resume.Finding{
+		Origin:   resume.Origin{Service: reply.Service, SoftwareVersion: reply.SoftwareVersion},
+		Evidence: resume.SharedRecord,
+		Age:      time.Duration(reply.AgeMS) * time.Millisecond,
+	}, true
 }
 
 // registerOrigins registers the methods for the origins of streams.
@@ -132,9 +146,9 @@
 // handleOrigin returns the origin of a stream. A node that has no record asks the others, since each
 // gateway tells two of them, and a restarted one has lost what it was told.
 func (c *controlNode) handleOrigin(ctx context.Context, _ *rpc.Peer, request wire.StreamOriginRequest) (wire.StreamOriginReply, error) {
-	origin, _, known := c.origins.Get(clock.Now(), request.Key)
+	origin, age, known := c.origins.Get(clock.Now(), request.Key)
 	if known || request.Forwarded {
-		return wire.StreamOriginReply{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion}, nil
+		return wire.StreamOriginReply{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion, AgeMS: age.Milliseconds()}, nil
 	}
 	return c.askForOrigin(ctx, request.Key), nil
 }
--- /dev/null
+++ b/src/fleet/origins_test.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/clock"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/feed"
+	"github.com/moorspool/moorspool/src/resume"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+var (
+	firstOrigin  = resume.Origin{Service: "s", SoftwareVersion: "v1"}
+	secondOrigin = resume.Origin{Service: "s", SoftwareVersion: "v2"}
+)
+
+// newOriginGateway returns a gateway that reaches no control node.
+func newOriginGateway() *gateway {
+	ring := event.NewRing("test", 16, nil, time.Now)
+	follower := feed.NewFollower(feed.Options{Node: "g", Zone: "z", Gateway: true}, feed.Sink{}, &rpc.Meter{}, nil, ring, clock.Now)
+	return &gateway{origins: newStreamOrigins(10), follower: follower}
+}
+
+func TestAGatewayFindsItsOwnStreamsWithoutControlNodes(t *testing.T) {
+	is := is.New(t)
+	g := newOriginGateway()
+	g.storeOrigin(resume.NewKey("a", "r", "one"), firstOrigin)
+	finding, known := g.findOrigin(context.Background(), resume.NewKey("a", "r", "one"))
+	is.True(known)
+	is.Equal(finding.Origin, firstOrigin)
+	is.Equal(finding.Evidence, resume.OwnRecord)
+	_, known = g.findOrigin(context.Background(), resume.NewKey("a", "r", "other"))
+	is.True(!known)
+	is.Equal(g.origins.searches.Load(), int64(0))
+}
+
+func TestOriginsAreToldOnceAndByVersion(t *testing.T) {
+	is := is.New(t)
+	s := newStreamOrigins(10)
+	now := time.Now()
+	s.put(now, resume.NewKey("a", "r", "one"), firstOrigin)
+	s.put(now, resume.NewKey("a", "r", "two"), firstOrigin)
+	s.put(now, resume.NewKey("a", "r", "three"), secondOrigin)
+	keys := map[string]int{}
+	for _, group := range s.takePending().Groups {
+		keys[group.SoftwareVersion] += len(group.Keys)
+	}
+	is.Equal(keys, map[string]int{"v1": 2, "v2": 1})
+	is.Equal(len(s.takePending().Groups), 0)
+}
+
+// Clients that name attempts at random must not keep the control nodes busy.
+func TestSearchesForOriginsAreBounded(t *testing.T) {
+	is := is.New(t)
+	g := newOriginGateway()
+	g.origins.searches.Store(maxOriginSearches)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, known := g.findOrigin(ctx, resume.NewKey("a", "r", "one"))
+	is.True(!known)
+	is.Equal(g.origins.searches.Load(), int64(maxOriginSearches))
+}
+
+func TestAControlNodeTellsWhatItWasTold(t *testing.T) {
+	is := is.New(t)
+	c := &controlNode{origins: resume.NewTable(10)}
+	key := resume.NewKey("a", "r", "one")
+	tell := func(origin resume.Origin) {
+		_, err := c.handleOrigins(context.Background(), nil, wire.StreamOrigins{Groups: []wire.StreamOriginGroup{
+			{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion, Keys: []resume.Key{key}},
+		}})
+		is.NoErr(err)
+	}
+	ask := func() wire.StreamOriginReply {
+		reply, err := c.handleOrigin(context.Background(), nil, wire.StreamOriginRequest{Key: key, Forwarded: true})
+		is.NoErr(err)
+		return reply
+	}
+	is.Equal(ask().Service, "")
+	tell(firstOrigin)
+	is.Equal(ask().SoftwareVersion, "v1")
+	tell(resume.Origin{})
+	is.Equal(ask().Service, "") // withdrawn
+}
--- a/src/resume/binding.go
+++ b/src/resume/binding.go
@@ -38,6 +38,14 @@
 	return "nothing"
 }
 
+// Finding is what is known of the origin of a stream that a client takes up.
+type Finding struct {
+	Origin   Origin
+	Evidence Evidence
+	// Age is how long ago the evidence was recorded.
+	Age time.Duration
+}
+
 // state is the state of a Binding.
 type state uint8
 
--- a/src/resume/resume_test.go
+++ b/src/resume/resume_test.go
@@ -133,7 +133,7 @@
 	is := is.New(t)
 	var c Census
 	sole := func(at time.Duration) string {
-		version, _ := c.Sole(start.Add(at))
+		version, _, _ := c.Sole(start.Add(at))
 		return version
 	}
 	is.Equal(sole(0), "")
@@ -152,10 +152,10 @@
 	is := is.New(t)
 	var c Census
 	c.Add(start, "")
-	_, sole := c.Sole(start.Add(2 * SettleTime))
+	_, _, sole := c.Sole(start.Add(2 * SettleTime))
 	is.True(!sole)
 	c.Add(start, "v1")
-	_, sole = c.Sole(start.Add(2 * SettleTime))
+	_, _, sole = c.Sole(start.Add(2 * SettleTime))
 	is.True(!sole)
 }
 
--- a/src/resume/software.go
+++ b/src/resume/software.go
@@ -63,14 +63,15 @@
 	c.changedAt = now
 }
 
-// Sole returns the only software version of the service. It returns false if there are several, one is
-// not known, or the versions changed less than SettleTime ago.
-func (c *Census) Sole(now time.Time) (string, bool) {
-	if len(c.counts) != 1 || now.Sub(c.changedAt) < SettleTime {
-		return "", false
+// Sole returns the only software version of the service and how long it has been the only one. It
+// returns false if there are several, one is not known, or the versions changed less than SettleTime ago.
+func (c *Census) Sole(now time.Time) (version string, age time.Duration, sole bool) {
+	age = now.Sub(c.changedAt)
+	if len(c.counts) != 1 || age < SettleTime {
+		return "", 0, false
 	}
 	for version := range c.counts {
-		return version, version != ""
+		return version, age, version != ""
 	}
-	return "", false
+	return "", 0, false
 }
--- a/src/wire/origin.go
+++ b/src/wire/origin.go
@@ -26,4 +26,6 @@
 type StreamOriginReply struct {
 	Service         string `json:"s,omitempty"`
 	SoftwareVersion string `json:"v,omitempty"`
+	// AgeMS is how long ago the origin was recorded.
+	AgeMS int64 `json:"a,omitempty"`
 }
