--- a/src/fleet/origins.go
+++ b/src/fleet/origins.go
@@ -74,6 +74,23 @@
 	return told
 }
 
+// search asks for an origin until it is known, up to len(originAskDelays) times more. It asks for none if too
+// many searches are under way.
+func (s *streamOrigins) search(ctx context.Context, ask func() (resume.Finding, bool)) (resume.Finding, bool) {
+	defer s.searches.Add(-1)
+	if s.searches.Add(1) > maxOriginSearches {
+		return resume.Finding{}, false
+	}
+	finding, known := ask()
+	for _, delay := range originAskDelays {
+		if known || !admission.Sleep(ctx, delay) {
+			break
+		}
+		finding, known = ask()
+	}
+	return finding, known
+}
+
 // storeOrigin records the origin of a stream here and, soon, at two control nodes.
 func (g *gateway) storeOrigin(key resume.Key, origin resume.Origin) {
 	g.origins.put(clock.Now(), key, origin)
@@ -97,18 +114,7 @@
 	if origin, age, known := g.origins.table.Get(clock.Now(), key); known {
 		return resume.Finding{Origin: origin, Evidence: resume.OwnRecord, Age: age}, true
 	}
-	defer g.origins.searches.Add(-1)
-	if g.origins.searches.Add(1) > maxOriginSearches {
-		return resume.Finding{}, false
-	}
-	finding, known := g.askForOrigin(ctx, key)
-	for _, delay := range originAskDelays {
-		if known || !admission.Sleep(ctx, delay) {
-			break
-		}
-		finding, known = g.askForOrigin(ctx, key)
-	}
-	return finding, known
+	return g.origins.search(ctx, func() (resume.Finding, bool) { return g.askForOrigin(ctx, key) })
 }
 
 // askForOrigin asks the control nodes for the origin of a stream.
--- a/src/fleet/origins_test.go
+++ b/src/fleet/origins_test.go
@@ -58,13 +58,21 @@
 // Clients that name attempts at random must not keep the control nodes busy.
 func TestSearchesForOriginsAreBounded(t *testing.T) {
 	is := is.New(t)
-	g := newOriginGateway()
-	g.origins.searches.Store(maxOriginSearches)
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_, known := g.findOrigin(ctx, resume.NewKey("a", "r", "one"))
+	s := newStreamOrigins(10)
+	asked := 0
+	ask := func() (resume.Finding, bool) {
+		asked++
+		return resume.Finding{Origin: firstOrigin}, asked == 2
+	}
+	s.searches.Store(maxOriginSearches)
+	_, known := s.search(context.Background(), ask)
 	is.True(!known)
-	is.Equal(g.origins.searches.Load(), int64(maxOriginSearches))
+	is.Equal(asked, 0)
+	s.searches.Store(maxOriginSearches - 1)
+	_, known = s.search(context.Background(), ask)
+	is.True(known) // asked again
+	is.Equal(asked, 2)
+	is.Equal(s.searches.Load(), int64(maxOriginSearches-1))
 }
 
 func TestAControlNodeTellsWhatItWasTold(t *testing.T) {
