RECOVER: a client that leaves does not make another gateway count as down

What callers saw: none of their requests is forwarded to a gateway for up to a probe, since a client left while its request was connecting there. Cause: the dial ends with the client's context, and each failed dial counted as a gateway out of reach. Change: none is marked down once the client has left.

--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -130,7 +130,9 @@
 	}
 	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.headDeadline(now), now)
 	if errors.Is(err, errNotSent) {
-		c.handler.gatewayList.markDown(to)
+		if !c.clientLeft() {
+			c.handler.gatewayList.markDown(to)
+		}
 		return notRun, err
 	}
 	if err == nil && a.response.Header.Get(headerNotSent) != "" {
--- a/src/exchange/forward_test.go
+++ b/src/exchange/forward_test.go
@@ -461,3 +461,32 @@
 	n.handler.ProbeLinks(context.Background())
 	is.Equal(n.do("POST", "back", "").status, 200)
 }
+
+func TestAGatewayIsNotDownBecauseAClientLeft(t *testing.T) {
+	is := is.New(t)
+	n := newForwardNet(t, route(catalog.Unsafe, 1), 1, newReplica(t, "a", whole))
+	dialing := make(chan struct{})
+	var slow atomic.Bool
+	slow.Store(true)
+	n.handler.gatewayList = newOtherGateways("g0", "z", func(ctx context.Context, address string) (net.Conn, error) {
+		if slow.Load() {
+			close(dialing)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return Dial(ctx, address)
+	})
+	n.list()
+	n.loseLinks()
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-dialing
+		slow.Store(false)
+		leave()
+	}()
+	is.True(n.doIn(ctx, "POST", "one", "").err != nil)
+	for n.handler.Running() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(n.do("POST", "two", "").status, http.StatusOK)
+}
