ORDER: a forwarded stream is offered to the next gateway if one knows none of its version

What callers saw: their gateway had lost its links, the one that it forwarded to had not yet heard of a replica of the stream's version, and the stream was refused although another gateway could have gone on with it. Cause: as with a backoff, the refusal did not say that it holds for that gateway alone.

--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -43,8 +43,9 @@
 const (
 	// notSentUnable means that the gateway can't serve the request's service now.
 	notSentUnable = "1"
-	// notSentBackoff means that the replicas have asked that gateway for a backoff, each gateway by itself.
-	notSentBackoff = "backoff"
+	// notSentHere means that the reason holds for this request at that gateway: the replicas have asked it
+	// for a backoff, or it knows none with the software that began the stream.
+	notSentHere = "here"
 )
 
 // errNotTaken means that a gateway sent the request to no replica.
@@ -151,10 +152,10 @@
 	return c.relayForwarded(ctx, to, a, silenceWatch), nil
 }
 
-// noteNotTaken handles the refusal of a gateway that sent the request to no replica. One whose replicas
-// want nothing from it for now serves other requests, and knows when to come back.
+// noteNotTaken handles the refusal of a gateway that sent the request to no replica. One that refuses
+// this request alone is not avoided, and may know when to come back.
 func (c *call) noteNotTaken(by *Peer, header http.Header) {
-	if header.Get(headerNotSent) != notSentBackoff {
+	if header.Get(headerNotSent) != notSentHere {
 		by.failed(c.handler.options.Now(), true)
 		return
 	}
@@ -262,7 +263,7 @@
 		c.writer.Header().Set(headerNotSent, notSentUnable)
 		return
 	}
-	if want := c.requirements(); c.handler.options.Fleet.anyBackingOff(&want) {
-		c.writer.Header().Set(headerNotSent, notSentBackoff)
+	if want := c.requirements(); c.noReturn || c.handler.options.Fleet.anyBackingOff(&want) {
+		c.writer.Header().Set(headerNotSent, notSentHere)
 	}
 }
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -395,3 +395,18 @@
 	is.Equal(n.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusOK)
 	is.Equal(n.taken(), 1)
 }
+
+func TestAForwardedStreamIsOfferedToTheNextGatewayIfNoneOfItsVersionIsKnown(t *testing.T) {
+	is := is.New(t)
+	a, other := versionedReplica(t, "a", "v1", streaming(4)), versionedReplica(t, "b", "v2", streaming(4))
+	n := newForwardNet(t, resumable(1), 2, a, other)
+	n.others[0].fleet.SetReplicas(registry.Changes{Removed: []string{"a"}})
+	n.loseLinks()
+	store := &originStore{table: resume.NewTable(100)}
+	store.table.Put(time.Now(), resume.NewKey("", "r", "begun"), resume.Origin{Service: "s", SoftwareVersion: "v1"})
+	n.handler.options.Origins = store.origins()
+	for i := range 8 {
+		is.Equal(n.do("POST", fmt.Sprint("back-", i), "", testResumes+": begun", testAfter+": 2").status, http.StatusOK)
+	}
+	is.Equal(a.count(), 8)
+}
