Names: limits of rejections in place of the users' word

No change of behaviour, of the number of event 618 or of what is on the wire; the event's name is rejections-limited.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -63,7 +63,7 @@
 	ShutdownAnnounced  Kind = 615
 	RateLimitChanged   Kind = 616
 	UnknownName        Kind = 617
-	ReplicaBrittle     Kind = 618
+	RejectionsLimited  Kind = 618
 	ControlFound       Kind = 620
 	ControlLost        Kind = 621
 	UpdateNotEncoded   Kind = 622
@@ -168,7 +168,7 @@
 	{ShutdownAnnounced, "leaving-told", "A backend server announced its shutdown in a response; this gateway sends it no new requests."},
 	{RateLimitChanged, "limit-told", "A backend server set, changed or ended its rate limit for all gateways together; the values and their age are given."},
 	{UnknownName, "word-unknown", "A response or heartbeat of a backend server contains an unknown header or field; each name is logged once."},
-	{ReplicaBrittle, "replica-brittle", "A backend server said that it fails when it rejects too many requests in a second; each gateway sends the servers of its service no more than its share of their slots."},
+	{RejectionsLimited, "rejections-limited", "A backend server said that it fails when it rejects too many requests in a second; each gateway sends the servers of its service no more than its share of their slots."},
 	{ControlFound, "control-found", "A control node is reachable and its updates arrive."},
 	{ControlLost, "control-lost", "A control node is unreachable; its last update stays valid for a while."},
 	{UpdateNotEncoded, "news-not-sent", "An update for the followers could not be encoded; they keep their previous state."},
--- a/src/exchange/codec.go
+++ b/src/exchange/codec.go
@@ -83,8 +83,8 @@
 	Cold time.Duration
 	// Limit is the replica's rate limit over all gateways.
 	Limit RateLimit
-	// Brittle is what the response says of how many rejections the replica bears.
-	Brittle Brittleness
+	// RejectionLimit is what the response says of how many rejections the replica bears.
+	RejectionLimit RejectionLimit
 	// Unknown lists the names of headers that are meant for gateways and not known to this one.
 	Unknown []string
 }
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -22,25 +22,25 @@
 
 // Headers of the test codec.
 const (
-	testID       = "Request-Name"
-	testNotRun   = "Not-Run"
-	testReplica  = "For-Replica"
-	testDeadline = "Time-Left"
-	testModel    = "Wanted-Model"
-	testAfter    = "After-Event"
-	testStamp    = "Stamp"
-	testKey      = "Client-Key"
-	testAccount  = "Client-Account"
-	testTokens   = "Tokens-Out"
-	testBackup   = "Copy-To"
-	testContinue = "Go-On-From"
-	testBackoff  = "Back-Off-Ms"
-	testLeaving  = "Going-Away"
-	testCold     = "Cold-Ms"
-	testOnly     = "Only-For"
-	testLimit    = "Most-A-Second"
-	testBrittle  = "Bears-A-Second"
-	testResumes  = "Goes-On-With"
+	testID         = "Request-Name"
+	testNotRun     = "Not-Run"
+	testReplica    = "For-Replica"
+	testDeadline   = "Time-Left"
+	testModel      = "Wanted-Model"
+	testAfter      = "After-Event"
+	testStamp      = "Stamp"
+	testKey        = "Client-Key"
+	testAccount    = "Client-Account"
+	testTokens     = "Tokens-Out"
+	testBackup     = "Copy-To"
+	testContinue   = "Go-On-From"
+	testBackoff    = "Back-Off-Ms"
+	testLeaving    = "Going-Away"
+	testCold       = "Cold-Ms"
+	testOnly       = "Only-For"
+	testLimit      = "Most-A-Second"
+	testRejections = "Bears-A-Second"
+	testResumes    = "Goes-On-With"
 )
 
 // testServices returns the only service of the tests. It limits the requests to cold replicas.
@@ -78,10 +78,10 @@
 			cold, _ := strconv.Atoi(header.Get(testCold))
 			limit, err := strconv.ParseFloat(header.Get(testLimit), 64)
 			return Reply{
-				Brittle: Brittleness{Told: header.Get(testBrittle) != ""},
-				Cold:    time.Duration(cold) * time.Millisecond,
-				Limit:   RateLimit{Valid: err == nil, PerSecond: limit},
-				ID:      header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Misdirected: status == http.StatusMisdirectedRequest,
+				RejectionLimit: RejectionLimit{Told: header.Get(testRejections) != ""},
+				Cold:           time.Duration(cold) * time.Millisecond,
+				Limit:          RateLimit{Valid: err == nil, PerSecond: limit},
+				ID:             header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Misdirected: status == http.StatusMisdirectedRequest,
 				Backoff: time.Duration(ms) * time.Millisecond, Leaving: header.Get(testLeaving) != "",
 			}
 		},
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -64,10 +64,10 @@
 	// outputs and typical are learned from streams of engines with small batches.
 	outputs *work.Outputs
 	typical *work.Typical
-	// brittle tells which services have replicas that fail when they reject too many requests, gateways
+	// rejections tells which services have replicas that fail when they reject too many requests, gateways
 	// who else sends to them.
-	brittle  brittleServices
-	gateways gatewaySet
+	rejections rejectionLimits
+	gateways   gatewaySet
 	// links tells which services this gateway can't connect to.
 	links *reach.Monitor
 	// onCrash is called when the control nodes report that a replica has ended.
@@ -123,7 +123,7 @@
 		outputs:      work.NewOutputs(),
 		typical:      work.NewTypical(),
 		links:        reach.New(),
-		brittle:      brittleServices{toldAt: map[string]time.Time{}},
+		rejections:   rejectionLimits{toldAt: map[string]time.Time{}},
 		requestSent:  wakeup.New(),
 		onCrash:      func(time.Time, string, string) {},
 	}
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -44,9 +44,9 @@
 	nextPermitAt atomic.Int64
 	// sharedLimit is the rate limit that the replica named.
 	sharedLimit *sharedLimit
-	// brittle is what the last answer said of how many rejections the replica bears, nil if no replica
+	// rejections is what the last answer said of how many rejections the replica bears, nil if no replica
 	// ever said anything of it.
-	brittle atomic.Pointer[brittleAnswer]
+	rejections atomic.Pointer[rejectionAnswer]
 
 	// counted is set while the replica is counted by its software version, countedVersion. The lock of
 	// the fleet guards both.
--- a/src/exchange/brittle.go
+++ b/src/exchange/rejectionlimit.go
@@ -12,16 +12,16 @@
 )
 
 const (
-	// brittleTTL is how long an answer tells whether its replica, or any of its service, is brittle. It
-	// is longer than the pauses between the answers of a service that is in use.
-	brittleTTL = 5 * time.Second
-	// brittleRetry is when a request looks again for a replica at which this gateway has its share under
-	// way.
-	brittleRetry = 50 * time.Millisecond
+	// rejectionLimitTTL is how long an answer tells whether its replica, or any of its service, bears few
+	// rejections. It is longer than the pauses between the answers of a service that is in use.
+	rejectionLimitTTL = 5 * time.Second
+	// rejectionLimitRetry is when a request looks again for a replica at which this gateway has its share
+	// under way.
+	rejectionLimitRetry = 50 * time.Millisecond
 )
 
-// Brittleness is what a response says of how many rejections its replica bears.
-type Brittleness struct {
+// RejectionLimit is what a response says of how many rejections its replica bears.
+type RejectionLimit struct {
 	// Told is set if the replica fails when it has to reject too many requests in a second.
 	Told bool
 	// PerSecond is how many it may reject in a second without failing, 0 if that can't be read.
@@ -30,9 +30,9 @@
 	ParseError string
 }
 
-// brittleServices holds which services have replicas that fail when they reject too many requests. It
+// rejectionLimits holds which services have replicas that fail when they reject too many requests. It
 // is safe for concurrent use.
-type brittleServices struct {
+type rejectionLimits struct {
 	// any is set once a replica has said so.
 	any atomic.Bool
 
@@ -41,63 +41,63 @@
 }
 
 // told records that a replica of a service said so, and reports whether none had lately.
-func (b *brittleServices) told(now time.Time, service string) bool {
+func (b *rejectionLimits) told(now time.Time, service string) bool {
 	b.any.Store(true)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before, known := b.toldAt[service]
 	b.toldAt[service] = now
-	return !known || now.Sub(before) > brittleTTL
+	return !known || now.Sub(before) > rejectionLimitTTL
 }
 
-func (b *brittleServices) lately(now time.Time, service string) bool {
+func (b *rejectionLimits) lately(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at, known := b.toldAt[service]
-	return known && now.Sub(at) <= brittleTTL
+	return known && now.Sub(at) <= rejectionLimitTTL
 }
 
-// brittleAnswer is what the last answer of a replica said.
-type brittleAnswer struct {
+// rejectionAnswer is what the last answer of a replica said.
+type rejectionAnswer struct {
 	at   time.Time
 	told bool
 }
 
-// noteBrittle records what an answer says of its replica.
-func (f *Fleet) noteBrittle(peer *Peer, said Brittleness) {
-	if !said.Told && !f.brittle.any.Load() {
+// noteRejectionLimit records what an answer says of its replica.
+func (f *Fleet) noteRejectionLimit(peer *Peer, said RejectionLimit) {
+	if !said.Told && !f.rejections.any.Load() {
 		return
 	}
 	now := f.now()
-	peer.brittle.Store(&brittleAnswer{at: now, told: said.Told})
-	if !said.Told || !f.brittle.told(now, peer.service) {
+	peer.rejections.Store(&rejectionAnswer{at: now, told: said.Told})
+	if !said.Told || !f.rejections.told(now, peer.service) {
 		return
 	}
 	reason := fmt.Sprintf("service %s: it bears %g rejections a second", peer.service, said.PerSecond)
 	if said.ParseError != "" {
 		reason += "; " + said.ParseError
 	}
-	f.ring.Add(event.Event{Kind: event.ReplicaBrittle, Host: peer.ID(), Reason: reason})
+	f.ring.Add(event.Event{Kind: event.RejectionsLimited, Host: peer.ID(), Reason: reason})
 }
 
-// isBrittle reports whether a replica must not have to reject requests: its last answer decides, or those
-// of its service if it has not answered lately.
-func (f *Fleet) isBrittle(peer *Peer) bool {
-	if !f.brittle.any.Load() {
+// limitsRejections reports whether a replica must not have to reject requests: its last answer decides, or
+// those of its service if it has not answered lately.
+func (f *Fleet) limitsRejections(peer *Peer) bool {
+	if !f.rejections.any.Load() {
 		return false
 	}
 	now := f.now()
-	if last := peer.brittle.Load(); last != nil && now.Sub(last.at) <= brittleTTL {
+	if last := peer.rejections.Load(); last != nil && now.Sub(last.at) <= rejectionLimitTTL {
 		return last.told
 	}
-	return f.brittle.lately(now, peer.service)
+	return f.rejections.lately(now, peer.service)
 }
 
-// shareTaken reports whether this gateway has its share of a brittle replica's slots under way, if it
-// sends further requests there. The shares of all gateways together never exceed the slots, so that
+// shareTaken reports whether this gateway has its share of the slots of a replica that bears few rejections
+// under way, if it sends further requests there. The shares of all gateways together never exceed the slots, so that
 // the replica has none to reject, and need nobody who assigns them.
 func (f *Fleet) shareTaken(peer *Peer, further int) bool {
-	return f.isBrittle(peer) && peer.underWay()+further > f.gatewayShare(peer)
+	return f.limitsRejections(peer) && peer.underWay()+further > f.gatewayShare(peer)
 }
 
 // gatewayShare returns how many of a replica's slots are this gateway's.
--- a/src/exchange/brittle_test.go
+++ b/src/exchange/rejectionlimit_test.go
@@ -15,23 +15,23 @@
 
 const testSlots = 4
 
-// brittleReplica runs testSlots requests at once and rejects all others.
-type brittleReplica struct {
+// rejectionLimitedReplica runs testSlots requests at once and rejects all others.
+type rejectionLimitedReplica struct {
 	*fakeReplica
 	running, rejected atomic.Int64
 }
 
-func newBrittleReplica(t *testing.T, id string) *brittleReplica {
-	r := &brittleReplica{}
+func newRejectionLimitedReplica(t *testing.T, id string) *rejectionLimitedReplica {
+	r := &rejectionLimitedReplica{}
 	r.fakeReplica = newReplica(t, id, func(a arrival) bool {
 		defer r.running.Add(-1)
 		if r.running.Add(1) > testSlots {
 			r.rejected.Add(1)
-			a.answer(503, "full", testNotRun+": 1", testBrittle+": 0")
+			a.answer(503, "full", testNotRun+": 1", testRejections+": 0")
 			return true
 		}
 		time.Sleep(5 * time.Millisecond)
-		a.answer(200, "whole", testBrittle+": 0")
+		a.answer(200, "whole", testRejections+": 0")
 		return true
 	})
 	return r
@@ -54,11 +54,11 @@
 	return int(served.Load())
 }
 
-func TestBrittleReplicasRejectNothingOfManyGatewaysTogether(t *testing.T) {
+func TestReplicasThatLimitRejectionsRejectNothingOfManyGatewaysTogether(t *testing.T) {
 	for _, count := range []int{1, 2, 3, 4, 6} {
 		t.Run(fmt.Sprint(count, " gateways"), func(t *testing.T) {
 			is := is.New(t)
-			replicas := []*brittleReplica{newBrittleReplica(t, "a"), newBrittleReplica(t, "b"), newBrittleReplica(t, "c")}
+			replicas := []*rejectionLimitedReplica{newRejectionLimitedReplica(t, "a"), newRejectionLimitedReplica(t, "b"), newRejectionLimitedReplica(t, "c")}
 			var gateways []*bench
 			var listed []wire.GatewayPeer
 			for g := range count {
@@ -103,7 +103,7 @@
 	}
 }
 
-func TestAReplicaThatIsNoLongerBrittleIsUsedInFull(t *testing.T) {
+func TestAReplicaThatNoLongerLimitsRejectionsIsUsedInFull(t *testing.T) {
 	is := is.New(t)
 	f := NewFleet("z", nil, nil, time.Now, time.Now)
 	f.gateways.setNumber(4)
@@ -115,11 +115,11 @@
 		peer.startRequest(0)
 	}
 	is.True(!f.shareTaken(told, 1))
-	f.noteBrittle(told, Brittleness{Told: true})
+	f.noteRejectionLimit(told, RejectionLimit{Told: true})
 	is.True(f.shareTaken(told, 1))
 	is.True(f.shareTaken(silent, 1)) // it is of the same service
-	f.noteBrittle(told, Brittleness{})
+	f.noteRejectionLimit(told, RejectionLimit{})
 	is.True(!f.shareTaken(told, 1))
-	now = now.Add(brittleTTL + time.Second)
+	now = now.Add(rejectionLimitTTL + time.Second)
 	is.True(!f.shareTaken(silent, 1))
 }
--- a/src/exchange/replicastate.go
+++ b/src/exchange/replicastate.go
@@ -92,7 +92,7 @@
 		peer.pool.close()
 		f.ring.Add(event.Event{Kind: event.ShutdownAnnounced, Host: peer.ID()})
 	}
-	f.noteBrittle(peer, reply.Brittle)
+	f.noteRejectionLimit(peer, reply.RejectionLimit)
 	if reply.Cold > 0 {
 		peer.markCold(f.bootNow(), reply.Cold)
 	}
@@ -134,7 +134,7 @@
 		return 0, false
 	}
 	if f.shareTaken(peer, 1) {
-		return brittleRetry, false
+		return rejectionLimitRetry, false
 	}
 	if !peer.backoffState.restricted.Load() {
 		return 0, true
