ORDER: a stream goes on only at a start of a replica that is confirmed

Ruled out: a wrong binding; the lines show the right version asked for and a record that has it. Change: a replica whose record has a start time is asked for its report on the connection over which a stream is to go on, before the request; the start must be the one on the list. When a stream breaks off, the replica that began it is asked at its address: another start there makes the origin unknown and withdraws the record; none that answers is taken for the start on the list. 100 ms at the most each, only for streams that broke off, only where starts are told. The soak's replicas answer reports. Before and after: the three new tests; without the question before the request two cases of TestAStreamGoesOnOnlyAtAStartThatIsConfirmed fail, without the one after a break TestAStreamThatALaterStartOfItsReplicaMayHaveBegunDoesNotGoOn. Still open: a start that nobody was told of, which has begun a stream and ended before it is asked.

--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -112,11 +112,17 @@
 // answer runs a request; the first letter of its path selects the kind.
 func (r *replicas) answer(rep *replica, w http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get(idHeader)
-	w.Header().Set(idHeader, id)
+	if id != "" {
+		w.Header().Set(idHeader, id)
+	}
 	if expected := request.Header.Get("X-Expected-Replica"); expected != "" && expected != rep.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.URL.Path == "/-/report" {
+		_, _ = fmt.Fprintf(w, `{"born":%d}`, rep.startedMs)
+		return
+	}
 	if at := r.check.drainAcknowledgedAt(rep.id); !at.IsZero() && time.Since(at) > drainGrace && r.faultFree(request.RemoteAddr) {
 		r.check.late("drain", "%s got request %s %s after its leaving was acknowledged", rep.id, id, time.Since(at))
 	}
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -94,11 +94,22 @@
 		},
 		read: func(status int, header http.Header) Reply { return c.applyReply(peer, status, header, sent) },
 	}
+	if c.needsStartCheck(choice) {
+		hooks.confirm = func(conn *conn) error {
+			return conn.confirmStart(&h.options.Codec, peer, h.options.Now().Add(startCheckTimeout))
+		}
+	}
 	a, err := send(attemptCtx, peer.pool, o, c.requestInfo.ID, hooks, choice.connectTimeout(), c.headDeadline(now), now)
 	if errors.Is(err, errNotAccepted) {
 		c.undoAttempt(spent)
 		return notAccepted, nil
 	}
+	if errors.Is(err, errOtherStart) {
+		c.grant = spent
+		c.notSent = true
+		c.reason += "; " + peer.ID() + ": " + err.Error()
+		return notRun, nil
+	}
 	if err != nil {
 		ended := c.handleSendError(ctx, peer, err)
 		if ended == notRun {
--- a/src/exchange/codec.go
+++ b/src/exchange/codec.go
@@ -109,6 +109,8 @@
 	EncodeForwarded func(header http.Header, remaining time.Duration, resumeAfter string)
 	// Reply decodes the head of a replica's response.
 	Reply func(status int, header http.Header) Reply
+	// Start reads when a replica started.
+	Start StartCodec
 	// ReservedHeaders lists the client headers that are not passed on, in canonical form. Only the
 	// gateway may set them, and EncodeRequest sets those that an attempt needs.
 	ReservedHeaders []string
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -41,6 +41,7 @@
 	testLimit      = "Most-A-Second"
 	testRejections = "Bears-A-Second"
 	testResumes    = "Goes-On-With"
+	testReport     = "/report"
 )
 
 // testServices returns the only service of the tests. It limits the requests to cold replicas.
@@ -85,6 +86,14 @@
 				Backoff: time.Duration(ms) * time.Millisecond, Leaving: header.Get(testLeaving) != "",
 			}
 		},
+		Start: StartCodec{
+			Target: testReport,
+			Encode: func(header http.Header, replica string) { header.Set(testReplica, replica) },
+			Parse: func(status int, body []byte) (int64, bool) {
+				ms, err := strconv.ParseInt(string(body), 10, 64)
+				return ms, err == nil && status == http.StatusOK && ms > 0
+			},
+		},
 		ReservedHeaders: []string{testReplica, testDeadline, testAfter, testKey, testAccount},
 	}
 }
@@ -116,6 +125,8 @@
 	// early makes the replica respond before it has read the body.
 	early bool
 	gone  chan struct{}
+	// startedMS is the start that its report tells.
+	startedMS int64
 }
 
 func newReplica(t *testing.T, id string, act behaviour) *fakeReplica {
@@ -155,6 +166,10 @@
 			}
 			a.body = string(body)
 		}
+		if request.URL.Path == testReport {
+			a.answer(200, strconv.FormatInt(f.startedMS, 10))
+			continue
+		}
 		if only := request.Header.Get(testOnly); only != "" && only != f.id {
 			a.answer(http.StatusMisdirectedRequest, "elsewhere")
 			continue
--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -33,6 +33,8 @@
 	key resume.Key
 	// writer is the replica that wrote the first event, nil if it was not passed on by this gateway.
 	writer *Peer
+	// checked is set once the start of the writer was asked for.
+	checked bool
 	// storedAt is when the origin was last recorded.
 	storedAt time.Time
 }
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -410,3 +410,67 @@
 	}
 	is.Equal(a.count(), 8)
 }
+
+// startedReplica lists a replica that reports its start, which its process may not be any more.
+func (b *bench) startedReplica(f *fakeReplica, listedMS, runningMS int64) {
+	f.startedMS = runningMS
+	id := registry.Incarnation{Name: f.id, StartedMS: listedMS}.ID()
+	b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: id, Name: f.id, StartedMS: listedMS, Service: "s", Address: f.listener.Addr().String(), Zone: "z", SoftwareVersion: f.software, Slots: 4}}}})
+}
+
+// A replica that has started again under its name and address may run other software than the list says.
+func TestAStreamGoesOnOnlyAtAStartThatIsConfirmed(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		runningMS int64
+		goesOn    bool
+	}{{"the listed start", 5, true}, {"a later start", 6, false}, {"a start that is not told", 0, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			first, other := versionedReplica(t, "a", "v1", breaking(2)), versionedReplica(t, "b", "v1", streaming(4))
+			b, _ := newOriginBench(t, resumable(3), first)
+			first.setAct(func(a arrival) bool {
+				b.startedReplica(other, 5, c.runningMS)
+				return breaking(2)(a)
+			})
+			got := b.do("POST", "begun", "")
+			is.Equal(got.err == nil, c.goesOn)
+			is.Equal(other.count() == 1, c.goesOn)
+		})
+	}
+}
+
+func TestAStreamThatALaterStartOfItsReplicaMayHaveBegunDoesNotGoOn(t *testing.T) {
+	for _, runningMS := range []int64{5, 6} {
+		t.Run(fmt.Sprint("running start ", runningMS), func(t *testing.T) {
+			is := is.New(t)
+			first, other := versionedReplica(t, "a", "v1", breaking(2)), versionedReplica(t, "b", "v1", streaming(4))
+			b, _ := newOriginBench(t, resumable(3))
+			b.startedReplica(first, 5, runningMS)
+			first.setAct(func(a arrival) bool {
+				b.register(other)
+				return breaking(2)(a)
+			})
+			got := b.do("POST", "begun", "")
+			is.Equal(got.err == nil, runningMS == 5)
+			is.Equal(other.count() == 1, runningMS == 5)
+			back := b.do("POST", "back", "", testResumes+": begun", testAfter+": 2")
+			is.Equal(back.status == http.StatusOK, runningMS == 5)
+		})
+	}
+}
+
+func TestAStartIsConfirmedOnAKeptConnection(t *testing.T) {
+	is := is.New(t)
+	first, other := versionedReplica(t, "a", "v1", breaking(2)), versionedReplica(t, "b", "v1", whole)
+	b, _ := newOriginBench(t, resumable(3))
+	b.startedReplica(other, 5, 5)
+	is.NoErr(b.do("POST", "before", "").err) // leaves a connection
+	other.setAct(streaming(4))
+	b.register(first)
+	for i := range 4 {
+		got := b.do("POST", fmt.Sprint("begun-", i), "")
+		is.NoErr(got.err)
+		is.Equal(len(events(got.body)), 4)
+	}
+}
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -92,6 +92,9 @@
 	// admit reports whether the replica accepts the request. It is called once the connection is
 	// established, right before the first byte.
 	admit func() bool
+	// confirm returns an error if the request must not be sent on a connection. It is called before admit and
+	// may use the connection. It may be nil.
+	confirm func(*conn) error
 	// read decodes the head of each response that arrives, whichever request it belongs to.
 	read func(status int, header http.Header) Reply
 }
@@ -104,6 +107,12 @@
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
+	if hooks.confirm != nil {
+		if err := hooks.confirm(c); err != nil {
+			_ = c.raw.Close()
+			return nil, err
+		}
+	}
 	if !hooks.admit() {
 		p.putUnused(now, c)
 		return nil, errNotAccepted
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -123,7 +123,7 @@
 	case a.end == endByClose && !c.stream.started && c.resumeAfter() == "":
 		return c.handleBrokenStream(ctx, peer, a, errNoEvent)
 	case a.end == endByClose && c.stream.started && !c.endsByClose:
-		return c.handleUnprovenEnd(peer, a)
+		return c.handleUnprovenEnd(ctx, peer, a)
 	}
 	if rest := c.stream.rest(); len(rest) > 0 || !c.stream.started {
 		if !c.writeEvents(peer, a, rest) {
@@ -140,9 +140,10 @@
 // handleUnprovenEnd handles the part of a stream that ends with its connection in a response that
 // was begun with chunks, whose last one would state that the stream is complete. Another replica may
 // prove it by having nothing to add. The replica has not failed.
-func (c *call) handleUnprovenEnd(peer *Peer, a *replicaResponse) outcome {
+func (c *call) handleUnprovenEnd(ctx context.Context, peer *Peer, a *replicaResponse) outcome {
 	a.abort()
 	c.reason += "; " + peer.ID() + " ended the stream after event " + c.stream.lastEventID + " by closing the connection, which proves nothing"
+	c.checkWriter(ctx)
 	return unknown
 }
 
@@ -159,5 +160,6 @@
 		c.connectionBroke = !errors.Is(err, errEventTooLarge)
 		peer.failed(c.handler.options.Now(), false)
 	}
+	c.checkWriter(ctx)
 	return unknown
 }
