RECOVER: a forwarded request goes on to the next gateway wherever no replica accepts it from one

Cause, from the lines of 00:31:44 to 47: gateway-2 refused all, as it knew a limit of 0.5 requests a second at each replica; gateway-3 served all but those of accounts beyond their limits, as it knew none. A gateway that refuses at once has the fewest requests under way, so that it is preferred for forwarding. A refusal for limits counted as final. Before and after: a new case of TestAnotherGatewayIsTriedIfOneDoesNotTakeTheRequest: 503 for 200 before, passes now. Why gateway-3 knew no limits was not looked at: they are told again with each answer.

--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -43,8 +43,8 @@
 const (
 	// notSentUnable means that the gateway can't serve the request's service now.
 	notSentUnable = "1"
-	// notSentHere means that the reason holds for this request at that gateway: the replicas have asked it
-	// for a backoff, or it knows none with the software that began the stream.
+	// notSentHere means that the reason holds for this request at that gateway: no replica accepts it from
+	// there now, or none is known with the software that began the stream.
 	notSentHere = "here"
 )
 
@@ -263,7 +263,7 @@
 		c.writer.Header().Set(headerNotSent, notSentUnable)
 		return
 	}
-	if want := c.requirements(); c.noReturn || c.handler.options.Fleet.anyBackingOff(&want) {
+	if c.noReturn || c.notAccepted {
 		c.writer.Header().Set(headerNotSent, notSentHere)
 	}
 }
--- a/src/exchange/forward_test.go
+++ b/src/exchange/forward_test.go
@@ -184,6 +184,11 @@
 		{"it has an older configuration", func(g *forwardGateway) {
 			g.handler.SetTable(catalog.NewTable(catalog.Document{Version: 0, Services: testServices()}))
 		}},
+		{"it alone knows limits of all replicas", func(g *forwardGateway) {
+			g.fleet.SetLimits(wire.Limits{Term: 1, Version: 1, Limits: []wire.ReplicaLimit{
+				{Replica: "a", Limited: true, PerSecond: 1e-6}, {Replica: "b", Limited: true, PerSecond: 1e-6},
+			}})
+		}},
 		{"all replicas want nothing from it", func(g *forwardGateway) {
 			for _, id := range []string{"a", "b"} {
 				g.fleet.applyReply(g.fleet.Peer(id), &Reply{NotRun: true, Backoff: time.Minute})
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -239,6 +239,8 @@
 	// status is the status of the response to the client, 0 if the response was aborted.
 	status int
 	reason string
+	// notAccepted is set if no replica accepts the request from this gateway now.
+	notAccepted bool
 	// noReturn is set if a refused client gains nothing by coming back.
 	noReturn bool
 	// retryIn is the value of Retry-After for a refused client, 0 for the default of the reason.
--- a/src/exchange/replicastate.go
+++ b/src/exchange/replicastate.go
@@ -159,18 +159,6 @@
 	return ids
 }
 
-// anyBackingOff reports whether a replica that could run a request has a backoff in effect for this
-// gateway.
-func (f *Fleet) anyBackingOff(want *Requirements) bool {
-	now := f.bootNow()
-	for _, c := range f.index.lookup(want.Service, copyKey{model: want.Model, adapter: want.Adapter}) {
-		if c.peer.backoffState.backingOff(now) && f.mayServe(want, c.zone, c.peer) {
-			return true
-		}
-	}
-	return false
-}
-
 // BackingOff returns the number of replicas with a backoff in effect for this gateway, and the
 // number of those that announced that they are leaving.
 func (f *Fleet) BackingOff() (backingOff, leaving int) {
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -161,6 +161,7 @@
 	reason := "no replica of the service is in reach"
 	switch choice.Verdict {
 	case NotAccepting:
+		c.notAccepted = true
 		c.handler.options.Metrics.BackoffRefusals.Inc(1)
 		c.retryIn = jitterRetry(choice.AcceptsIn, rand.Float64())
 		reason = c.handler.options.Fleet.describeUnavailable(c.requirements())
