--- a/soak/resume.go
+++ b/soak/resume.go
@@ -29,8 +29,8 @@
 type resumeChecks struct {
 	mu                              sync.Mutex
 	tried, begun, returned, resumed int
-	// severed counts the streams that clients took up, calm or not, joined those of two versions.
-	severed, joined int
+	// takenUp counts the streams that clients took up, calm or not, joined those that hold events of two versions.
+	takenUp, joined int
 }
 
 // drawSoftware returns the software version of a replica that starts.
@@ -117,7 +117,7 @@
 func (k *resumeChecks) recordReturn(comparable, resumed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.severed++
+	k.takenUp++
 	if comparable {
 		k.returned++
 		k.resumed += asNumber(resumed)
@@ -138,7 +138,7 @@
 func (k *resumeChecks) String() string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return fmt.Sprintf("streams taken up %d, calm %d of %d, begun %d of %d, of two versions %d", k.severed, k.resumed, k.returned, k.begun, k.tried, k.joined)
+	return fmt.Sprintf("streams taken up %d, calm %d of %d, begun %d of %d, of two versions %d", k.takenUp, k.resumed, k.returned, k.begun, k.tried, k.joined)
 }
 
 // followStream counts a new stream, and takes it up if it broke off.
