RECOVER: a gateway with an older configuration is not avoided for it

Cause, from the lines of 00:52:42 to 44: both gateways in reach refused some forwarded requests, as the one that forwarded them had a newer configuration (slow disks, it spread in steps); each such refusal counted as a failure, so both were avoided for 0.4 s and twice that with each further one, and requests ended at the cut gateway's own links. Ruled out: limits and backoffs: the two served their own clients, and forwarded requests whenever they were asked. Change: that refusal is one that holds for this request alone, too: the next gateway is asked, this one is not avoided. Before and after: TestAGatewayWithAnOlderConfigurationIsNotAvoidedOnceItHasTheNewOne: 503 for 200 before, passes now.

--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -44,7 +44,8 @@
 	// notSentUnable means that the gateway can't serve the request's service now.
 	notSentUnable = "1"
 	// notSentHere means that the reason holds for this request at that gateway: no replica accepts it from
-	// there now, or none is known with the software that began the stream.
+	// there now, none is known with the software that began the stream, or the configuration is an older
+	// one.
 	notSentHere = "here"
 )
 
@@ -259,11 +260,11 @@
 	if !c.forwarded || status != http.StatusServiceUnavailable || c.possibleArrivals > 0 {
 		return
 	}
-	if c.route == nil || c.unconnected > 0 || c.handler.options.Fleet.links.Unreachable(c.service) {
+	if c.unconnected > 0 || c.handler.options.Fleet.links.Unreachable(c.service) {
 		c.writer.Header().Set(headerNotSent, notSentUnable)
 		return
 	}
-	if c.noReturn || c.notAccepted {
+	if c.route == nil || c.noReturn || c.notAccepted {
 		c.writer.Header().Set(headerNotSent, notSentHere)
 	}
 }
--- a/src/exchange/forward_test.go
+++ b/src/exchange/forward_test.go
@@ -495,3 +495,18 @@
 	}
 	is.Equal(n.do("POST", "two", "").status, http.StatusOK)
 }
+
+// A configuration reaches gateways one after the other.
+func TestAGatewayWithAnOlderConfigurationIsNotAvoidedOnceItHasTheNewOne(t *testing.T) {
+	is := is.New(t)
+	n := newForwardNet(t, route(catalog.Unsafe, 1), 1, newReplica(t, "a", whole))
+	other := n.others[0].handler
+	newer := other.Table()
+	n.loseLinks()
+	for range 3 {
+		other.SetTable(catalog.NewTable(catalog.Document{Version: 0, Services: testServices()}))
+		is.Equal(n.do("POST", "early", "").status, http.StatusServiceUnavailable)
+		other.SetTable(newer)
+		is.Equal(n.do("POST", "later", "").status, http.StatusOK)
+	}
+}
