ORDER: a forwarded stream in doubt does not go on at the first gateway

Cause, from the lines: gateway-1 had forwarded the stream to gateway-4, which told it the origin with its first event, found as the replica reset the connection that it had started again, revoked the origin and broke its answer off; gateway-1 knew nothing of that and went on at another replica of the first version. Weighed: asking the control nodes before a forwarded stream goes on (a question in the middle of a stream, and none that answers leaves it to a guess); a trailer (a broken answer has none). Change: the response does not name an origin that may be revoked, that is, one of a replica that reports its start and began the stream in this answer. The first gateway then breaks off too, and the client takes the stream up. Before and after: TestAForwardedStreamInDoubtDoesNotGoOnAtTheFirstGateway fails before, passes now; TestAForwardedStreamIsTakenUpAtAReplicaThatConfirmsItsStart passes both ways.

--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -151,12 +151,14 @@
 
 // bindOrigin binds the stream to the writer of the first event that is passed on, and records it.
 func (c *call) bindOrigin(peer *Peer, origin resume.Origin) {
+	// The origin may be revoked as the stream breaks off, which the gateway that forwarded it would not learn.
+	revocable := c.origin.Unbound() && peer.startedMS() != 0
 	if c.origin.Unbound() {
 		c.origin.writer = peer
 		peer.noteBegun(c.handler.options.Now(), c.origin.key)
 	}
 	c.origin.Bind(c.handler.options.Now(), origin, resume.Written)
-	if c.forwarded && origin.Known() {
+	if c.forwarded && origin.Known() && !revocable {
 		c.writer.Header().Set(headerForwardService, origin.Service)
 		c.writer.Header().Set(headerForwardSoftware, origin.SoftwareVersion)
 	}
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -482,3 +482,36 @@
 		is.Equal(len(events(got.body)), 4)
 	}
 }
+
+// A gateway that has sent a forwarded stream may find only as it breaks off that its origin is in doubt.
+func TestAForwardedStreamInDoubtDoesNotGoOnAtTheFirstGateway(t *testing.T) {
+	is := is.New(t)
+	first, other := versionedReplica(t, "a", "v1", nil), versionedReplica(t, "b", "v1", streaming(4))
+	n := newForwardNet(t, resumable(3), 2)
+	n.startedReplica(first, 5, 6)
+	n.loseLinks()
+	for _, g := range n.others {
+		g.startedReplica(first, 5, 6)
+	}
+	first.setAct(func(a arrival) bool {
+		for _, g := range n.others {
+			g.startedReplica(other, 5, 5)
+		}
+		return breaking(2)(a)
+	})
+	is.True(n.do("POST", "begun", "").err != nil)
+	is.Equal(other.count(), 0)
+}
+
+func TestAForwardedStreamIsTakenUpAtAReplicaThatConfirmsItsStart(t *testing.T) {
+	is := is.New(t)
+	a := versionedReplica(t, "a", "v1", streaming(4))
+	n := newForwardNet(t, resumable(1), 1)
+	n.startedReplica(a, 5, 5)
+	n.loseLinks()
+	n.others[0].startedReplica(a, 5, 5)
+	store := &originStore{table: resume.NewTable(100)}
+	store.table.Put(time.Now(), resume.NewKey("", "r", "begun"), resume.Origin{Service: "s", SoftwareVersion: "v1"})
+	n.handler.options.Origins = store.origins()
+	is.Equal(n.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusOK)
+}
