Soak: tries without a gateway to forward to are not compared

Three of four gateways had lost their links from 42.6 to 49.6; the fourth was paused from 45.6 to 48.7, and the compared time began at 45.6. Change: a try at a gateway without links counts only if a gateway with links has been free of faults since before it. Before and after: TestTriesWithoutAGatewayToForwardToAreNotCompared is new with it. The bounds are as they were.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -102,12 +103,23 @@
 		if kind == "e" {
 			c.followStream(client, m, id, sentAt, status, answer, draw)
 		}
-		if c.calm(m, sentAt) {
+		if c.calm(m, sentAt) && c.mayBeServed(m, sentAt) {
 			c.check.links.recordTry(m.name, sentAt, err == nil && status == http.StatusOK && answer.whole)
 		}
 	}
 }
 
+// mayBeServed reports whether a gateway without links to replicas has another one to forward to: one with
+// links that has been free of faults since before a time.
+func (c *clients) mayBeServed(m *member, since time.Time) bool {
+	if !c.check.links.isCut(m.name) {
+		return true
+	}
+	return slices.ContainsFunc(c.in.gatewayNodes(), func(other *member) bool {
+		return !c.check.links.isCut(other.name) && c.calm(other, since)
+	})
+}
+
 // calm reports whether a gateway and the control nodes have been free of faults since before a time.
 func (c *clients) calm(m *member, since time.Time) bool {
 	_, free := m.state()
--- a/soak/links.go
+++ b/soak/links.go
@@ -88,6 +88,14 @@
 	l.endedAt[gateway] = time.Now()
 }
 
+// isCut reports whether a gateway has lost its links.
+func (l *linkChecks) isCut(gateway string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, cut := l.cutAt[gateway]
+	return cut
+}
+
 // forwardTime is how long after a cut a gateway may still forward requests.
 const forwardTime = 6 * time.Second
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -240,3 +240,29 @@
 		}
 	}
 }
+
+// TestTriesWithoutAGatewayToForwardToAreNotCompared: all gateways but one had lost their links, and that one was
+// paused.
+func TestTriesWithoutAGatewayToForwardToAreNotCompared(t *testing.T) {
+	in := &installation{members: make([]*member, controlNodeCount)}
+	start := time.Now()
+	for i := range in.members {
+		in.members[i] = &member{startCount: 1, firstStartedAt: start}
+	}
+	cut, other := &member{name: "cut", startCount: 1, firstStartedAt: start}, &member{name: "other", startCount: 1, firstStartedAt: start}
+	in.members = append(in.members, cut, other)
+	c := newClients(in, newChecker(), nil)
+	c.check.links.begin("cut")
+	sentAt := time.Now()
+	if !c.mayBeServed(cut, sentAt) || !c.mayBeServed(other, sentAt) {
+		t.Error("a try is not compared although the other gateway is free of faults")
+	}
+	other.beginFault()
+	if c.mayBeServed(cut, sentAt) {
+		t.Error("a try is compared although no gateway could take it")
+	}
+	other.endFault()
+	if c.mayBeServed(cut, sentAt) || !c.mayBeServed(cut, time.Now()) {
+		t.Error("a fault before and one after the try are not told apart")
+	}
+}
