ORDER: a test's counter of stored records is atomic

The race detector, run on the final code, found it in TestAStreamOfAStartThatWasNotYetListedDoesNotGoOnAtTheEarlierVersion: the test's own store counted from two goroutines. Nothing else was reported in exchange, resume, fleet, feed and owner.

--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -46,13 +46,13 @@
 // originStore is what a handler's Origins record.
 type originStore struct {
 	table     *resume.Table
-	stored    int
+	stored    atomic.Int64
 	withdrawn atomic.Bool
 }
 
 func (s *originStore) origins() Origins {
 	return Origins{
-		Store: func(key resume.Key, origin resume.Origin) { s.stored++; s.table.Put(time.Now(), key, origin) },
+		Store: func(key resume.Key, origin resume.Origin) { s.stored.Add(1); s.table.Put(time.Now(), key, origin) },
 		Withdraw: func(_ context.Context, key resume.Key) {
 			time.Sleep(20 * time.Millisecond)
 			s.table.Put(time.Now(), key, resume.Origin{})
@@ -260,7 +260,7 @@
 	is := is.New(t)
 	b, store := newOriginBench(t, route(catalog.Streaming, 1), versionedReplica(t, "a", "v1", streaming(2)))
 	is.NoErr(b.do("POST", "begun", "").err)
-	is.Equal(store.stored, 0)
+	is.Equal(store.stored.Load(), int64(0))
 }
 
 func TestAForwardedStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
@@ -272,7 +272,7 @@
 	n.handler.options.Origins = store.origins()
 	got := n.do("POST", "begun", "")
 	is.NoErr(got.err)
-	is.Equal(store.stored, 1) // the first gateway knows the version from the response
+	is.Equal(store.stored.Load(), int64(1)) // the first gateway knows the version from the response
 	version := "v" + map[string]string{"a": "1", "b": "2"}[got.header.Get(testStamp)[:1]]
 	for i := range 8 {
 		before := a.count()
