--- a/src/fleet/origins.go
+++ b/src/fleet/origins.go
@@ -21,8 +21,8 @@
 	originBatchDelay = 2 * time.Millisecond
 	// originAskTimeout bounds the question of a control node to the others.
 	originAskTimeout = 80 * time.Millisecond
-	// maxGatewayOrigins and maxControlOrigins bound the records of a gateway and of a control node. One
-	// takes some 150 bytes, and there may be twice as many.
+	// maxGatewayOrigins and maxControlOrigins bound a generation of the records of a gateway and of a
+	// control node; there are two.
 	maxGatewayOrigins = 1 << 13
 	maxControlOrigins = 1 << 16
 	// maxOriginSearches is how many origins a gateway asks for at a time. Clients that name attempts at
