--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -184,7 +184,7 @@
 	{StreamResumed, "stream-resumed", "A stream goes on at a replica with the software that began it; how that is known and since when is given."},
 	{StreamNotResumed, "stream-not-resumed", "A stream does not go on: no replica with the software that began it is left, or that software is not known."},
 	{HostEjected, "host-ejected", "A gateway avoids a backend server after consecutive failures."},
-	{ReplicaEnded, "replica-ended", "A replica ended while it ran requests; the observation and the digests of the requests' contents are given."},
+	{ReplicaEnded, "replica-ended", "A replica ended while it ran requests; the observation, the digests of the requests' contents and the parts of their prompts are given, each part with the number of these requests."},
 	{ServiceUnreachable, "service-unreachable", "A gateway can connect to no backend server of a service that control nodes list; the evidence and its age are given. Its requests are forwarded to other gateways."},
 	{ServiceReachable, "service-reachable", "A gateway can connect to the backend servers of a service again; how long it could not is given."},
 	{KeyRefused, "key-refused", "A request had no API key, or one that belongs to no client account."},
--- a/src/exchange/crash.go
+++ b/src/exchange/crash.go
@@ -48,7 +48,7 @@
 
 // crashFunc is called when a replica has crashed with requests in flight. It is called again for
 // the same crash when further connections are found broken.
-type crashFunc func(now time.Time, replica string, inFlight []quarantine.Digest, evidence string)
+type crashFunc func(now time.Time, replica string, inFlight []quarantine.Request, evidence string)
 
 // crashDetector finds out which replicas crashed and which requests were in flight there. A broken
 // connection alone is no proof, since replicas reset connections, links fail and streams are
@@ -77,8 +77,8 @@
 
 // suspect is a request that was in flight.
 type suspect struct {
-	digest quarantine.Digest
-	until  time.Time
+	request quarantine.Request
+	until   time.Time
 }
 
 func newCrashDetector(now func() time.Time, onCrash crashFunc) *crashDetector {
@@ -100,7 +100,7 @@
 
 // connectionBroke records that a request's connection to a replica broke. The returned channel is
 // closed once a dial has shown whether the replica crashed, as far as a dial can show it.
-func (e *crashDetector) connectionBroke(now time.Time, peer *Peer, digest quarantine.Digest) <-chan struct{} {
+func (e *crashDetector) connectionBroke(now time.Time, peer *Peer, request quarantine.Request) <-chan struct{} {
 	replica := peer.ID()
 	checked := make(chan struct{})
 	if peer.leaving() {
@@ -113,13 +113,13 @@
 	if o == nil || o.confirmed {
 		e.mu.Unlock()
 		if o != nil {
-			e.onCrash(now, replica, []quarantine.Digest{digest}, o.evidence)
+			e.onCrash(now, replica, []quarantine.Request{request}, o.evidence)
 		}
 		close(checked)
 		return checked
 	}
 	defer e.mu.Unlock()
-	o.add(now, digest)
+	o.add(now, request)
 	if o.probe == nil {
 		o.probe = checked
 		go e.checkReplica(peer, replica, o.probedAt.Add(probeInterval).Sub(now))
@@ -129,7 +129,7 @@
 
 // addSuspect records that a request may be in flight at a replica although its response ended: it was
 // cancelled, or the connection was closed in order, as the host of a crashed replica does.
-func (e *crashDetector) addSuspect(now time.Time, peer *Peer, digest quarantine.Digest) {
+func (e *crashDetector) addSuspect(now time.Time, peer *Peer, request quarantine.Request) {
 	replica := peer.ID()
 	if peer.leaving() {
 		return
@@ -137,7 +137,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if o := e.candidate(now, replica); o != nil {
-		o.add(now, digest)
+		o.add(now, request)
 	}
 }
 
@@ -214,19 +214,20 @@
 	return o
 }
 
-func (o *crashCandidate) add(now time.Time, digest quarantine.Digest) {
+func (o *crashCandidate) add(now time.Time, request quarantine.Request) {
 	o.suspects = slices.DeleteFunc(o.suspects, func(s suspect) bool { return s.until.Before(now) })
 	if len(o.suspects) < maxSuspects {
-		o.suspects = append(o.suspects, suspect{digest: digest, until: now.Add(suspectTTL)})
+		o.suspects = append(o.suspects, suspect{request: request, until: now.Add(suspectTTL)})
 	}
 }
 
-// inFlight returns the digests of the requests that count as in flight, without duplicates.
-func (o *crashCandidate) inFlight(now time.Time) []quarantine.Digest {
-	var inFlight []quarantine.Digest
+// inFlight returns the requests that count as in flight, one for each content.
+func (o *crashCandidate) inFlight(now time.Time) []quarantine.Request {
+	var inFlight []quarantine.Request
 	for _, s := range o.suspects {
-		if !s.until.Before(now) && !slices.Contains(inFlight, s.digest) {
-			inFlight = append(inFlight, s.digest)
+		known := func(r quarantine.Request) bool { return r.Content == s.request.Content }
+		if !s.until.Before(now) && !slices.ContainsFunc(inFlight, known) {
+			inFlight = append(inFlight, s.request)
 		}
 	}
 	return inFlight
--- a/src/exchange/crash_test.go
+++ b/src/exchange/crash_test.go
@@ -23,12 +23,12 @@
 
 type reportedCrash struct {
 	replica  string
-	inFlight []quarantine.Digest
+	inFlight []quarantine.Request
 }
 
 func newCrashTest() *crashTest {
 	e := &crashTest{now: time.Unix(1_800_000_000, 0)}
-	e.crashDetector = newCrashDetector(func() time.Time { return e.now }, func(_ time.Time, replica string, inFlight []quarantine.Digest, _ string) {
+	e.crashDetector = newCrashDetector(func() time.Time { return e.now }, func(_ time.Time, replica string, inFlight []quarantine.Request, _ string) {
 		e.reported = append(e.reported, reportedCrash{replica: replica, inFlight: inFlight})
 	})
 	e.crashDetector.dialResult = func(context.Context, *Peer) dialResult { return e.found }
@@ -36,8 +36,8 @@
 }
 
 // connectionBroke breaks a connection and waits for the result of the dial.
-func (e *crashTest) connectionBroke(peer *Peer, digest quarantine.Digest) {
-	<-e.crashDetector.connectionBroke(e.now, peer, digest)
+func (e *crashTest) connectionBroke(peer *Peer, request quarantine.Request) {
+	<-e.crashDetector.connectionBroke(e.now, peer, request)
 }
 
 func crashPeer(id string) *Peer {
@@ -45,8 +45,8 @@
 }
 
 var (
-	firstContent  = quarantine.Content{Target: "/first"}.Digest()
-	secondContent = quarantine.Content{Target: "/second"}.Digest()
+	firstContent  = quarantine.Request{Content: quarantine.Content{Target: "/first"}.Digest()}
+	secondContent = quarantine.Request{Content: quarantine.Content{Target: "/second"}.Digest()}
 )
 
 // TestRefusedDialConfirmsCrash: the crash is reported with all requests in flight, also with one
@@ -60,11 +60,11 @@
 	e.connectionBroke(peer, firstContent)
 	is.Equal(len(e.reported), 1)
 	is.Equal(e.reported[0].replica, "a@7")
-	is.Equal(e.reported[0].inFlight, []quarantine.Digest{secondContent, firstContent})
-	third := quarantine.Content{Target: "/third"}.Digest()
+	is.Equal(e.reported[0].inFlight, []quarantine.Request{secondContent, firstContent})
+	third := quarantine.Request{Content: quarantine.Content{Target: "/third"}.Digest()}
 	e.connectionBroke(peer, third) // its connection is found broken after the crash was confirmed
 	is.Equal(len(e.reported), 2)
-	is.Equal(e.reported[1].inFlight, []quarantine.Digest{third})
+	is.Equal(e.reported[1].inFlight, []quarantine.Request{third})
 }
 
 // TestBrokenConnectionAloneIsNoCrash: a replica that resets connections, or that announced to
@@ -96,7 +96,7 @@
 	e.now = e.now.Add(unreachableSuspectTTL - time.Second)
 	e.crashDetector.confirm(e.now, "a@7", "it started again")
 	is.Equal(len(e.reported), 1)
-	is.Equal(e.reported[0].inFlight, []quarantine.Digest{firstContent})
+	is.Equal(e.reported[0].inFlight, []quarantine.Request{firstContent})
 	e.now = e.now.Add(unreachableSuspectTTL + time.Second)
 	e.crashDetector.expire(e.now)
 	is.Equal(len(e.crashDetector.candidates), 0)
@@ -141,10 +141,10 @@
 				return false
 			})
 			b := newBench(t, route(way.kind, 1), f)
-			told := make(chan []quarantine.Digest, 4)
-			b.handler.crashDetector.onCrash = func(_ time.Time, _ string, inFlight []quarantine.Digest, _ string) { told <- inFlight }
+			told := make(chan []quarantine.Request, 4)
+			b.handler.crashDetector.onCrash = func(_ time.Time, _ string, inFlight []quarantine.Request, _ string) { told <- inFlight }
 			b.do("POST", "one", "body")
-			is.Equal(<-told, []quarantine.Digest{quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte("body")}.Digest()})
+			is.Equal(<-told, []quarantine.Request{{Content: quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte("body")}.Digest()}})
 		})
 	}
 }
@@ -162,8 +162,8 @@
 		looked <- struct{}{}
 		return dialTimedOut
 	}
-	told := make(chan []quarantine.Digest, 4)
-	b.handler.crashDetector.onCrash = func(_ time.Time, _ string, inFlight []quarantine.Digest, _ string) { told <- inFlight }
+	told := make(chan []quarantine.Request, 4)
+	b.handler.crashDetector.onCrash = func(_ time.Time, _ string, inFlight []quarantine.Request, _ string) { told <- inFlight }
 	is.Equal(b.do("POST", "one", "body", testDeadline+": 60").status, 504)
 	<-looked
 	record := registry.Record{ID: "a", Service: "s", Address: f.listener.Addr().String(), Zone: "z"}
--- a/src/exchange/quarantine.go
+++ b/src/exchange/quarantine.go
@@ -1,9 +1,12 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,9 +14,12 @@
 	"github.com/moorspool/moorspool/src/quarantine"
 )
 
-// maxLoggedDigests bounds the digests in a log line.
+// maxLoggedDigests bounds the digests in a log line, and the parts of prompts.
 const maxLoggedDigests = 16
 
+// maxLoggedPart is how many bytes of the ID of a part a log line shows.
+const maxLoggedPart = 32
+
 // digest returns the digest of the request's content.
 func (c *call) digest() quarantine.Digest {
 	if !c.digested {
@@ -23,6 +29,16 @@
 	return c.content
 }
 
+// quarantineRequest returns what of the request may crash replicas. The last part of a prompt is the
+// request's own.
+func (c *call) quarantineRequest() quarantine.Request {
+	request := quarantine.Request{Content: c.digest()}
+	for i := 0; i+1 < len(c.requestInfo.Parts); i++ {
+		request.Parts = append(request.Parts, c.requestInfo.Parts[i].ID)
+	}
+	return request
+}
+
 // maySend reports whether the request may be sent to a replica now. It is called before every
 // attempt: the first, a retry and the continuation of a stream. If not, it responds to the client.
 func (c *call) maySend(ctx context.Context) bool {
@@ -65,7 +81,7 @@
 
 func (c *call) noteUnprovenRun(peer *Peer) {
 	h, digest := c.handler, c.digest()
-	h.crashDetector.addSuspect(h.options.Now(), peer, digest)
+	h.crashDetector.addSuspect(h.options.Now(), peer, c.quarantineRequest())
 	if !c.succeeded() {
 		return
 	}
@@ -89,10 +105,10 @@
 	h := c.handler
 	switch {
 	case c.clientLeft():
-		h.crashDetector.addSuspect(h.options.Now(), peer, c.digest())
+		h.crashDetector.addSuspect(h.options.Now(), peer, c.quarantineRequest())
 		return
 	case ctx.Err() != nil:
-		h.crashDetector.connectionBroke(h.options.Now(), peer, c.digest())
+		h.crashDetector.connectionBroke(h.options.Now(), peer, c.quarantineRequest())
 		return
 	case !c.connectionBroke:
 		return
@@ -102,28 +118,53 @@
 	timer := time.NewTimer(crashCheckTimeout)
 	defer timer.Stop()
 	select {
-	case <-h.crashDetector.connectionBroke(h.options.Now(), peer, c.digest()):
+	case <-h.crashDetector.connectionBroke(h.options.Now(), peer, c.quarantineRequest()):
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
 // noteCrash records that a replica has crashed with requests in flight.
-func (h *Handler) noteCrash(now time.Time, replica string, inFlight []quarantine.Digest, evidence string) {
-	suspected := h.options.Tracker.AttributeFailure(now, replica, inFlight)
+func (h *Handler) noteCrash(now time.Time, replica string, inFlight []quarantine.Request, evidence string) {
+	var contents []quarantine.Digest
+	var parts []string
+	for _, request := range inFlight {
+		contents = append(contents, request.Content)
+		parts = append(parts, request.Parts...)
+	}
+	suspected := h.options.Tracker.AttributeFailure(now, replica, contents)
 	h.options.Metrics.Crashes.Inc(1)
-	h.options.Ring.Add(event.Event{Kind: event.ReplicaEnded, Host: replica, Reason: fmt.Sprintf("%s; under way: %s; without a good end of late: %s", evidence, formatDigests(inFlight), formatDigests(suspected))})
+	h.options.Ring.Add(event.Event{Kind: event.ReplicaEnded, Host: replica, Reason: fmt.Sprintf("%s; under way: %s; without a good end of late: %s; parts of their prompts: %s",
+		evidence, formatList(digestTexts(contents)), formatList(digestTexts(suspected)), formatList(countedTexts(parts)))})
 }
 
-// formatDigests lists digests for a log line.
-func formatDigests(digests []quarantine.Digest) string {
-	texts := make([]string, 0, maxLoggedDigests+1)
-	for i, digest := range digests {
-		if i == maxLoggedDigests {
-			texts = append(texts, fmt.Sprintf("and %d more", len(digests)-maxLoggedDigests))
-			break
-		}
+func digestTexts(digests []quarantine.Digest) []string {
+	texts := make([]string, 0, len(digests))
+	for _, digest := range digests {
 		texts = append(texts, digest.String())
 	}
+	return texts
+}
+
+// countedTexts returns the different texts, the most frequent ones first and with their number.
+func countedTexts(texts []string) []string {
+	counts := map[string]int{}
+	for _, text := range texts {
+		counts[text]++
+	}
+	different := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	for i, text := range different {
+		different[i] = fmt.Sprintf("%.*s (%d)", maxLoggedPart, text, counts[text])
+	}
+	return different
+}
+
+// formatList lists texts for a log line.
+func formatList(texts []string) string {
+	if len(texts) > maxLoggedDigests {
+		texts = append(slices.Clone(texts[:maxLoggedDigests]), fmt.Sprintf("and %d more", len(texts)-maxLoggedDigests))
+	}
 	return strings.Join(texts, " ")
 }
--- a/src/exchange/quarantine_test.go
+++ b/src/exchange/quarantine_test.go
@@ -114,8 +114,8 @@
 	is.Equal(b.do("GET", "one", "").status, http.StatusOK)
 	now := time.Now()
 	for i := range 5 {
-		b.handler.noteCrash(now, replicaNamed(i), []quarantine.Digest{content}, "test")
-		other.handler.noteCrash(now, replicaNamed(i), []quarantine.Digest{content}, "test")
+		b.handler.noteCrash(now, replicaNamed(i), []quarantine.Request{{Content: content}}, "test")
+		other.handler.noteCrash(now, replicaNamed(i), []quarantine.Request{{Content: content}}, "test")
 	}
 	is.Equal(b.do("GET", "two", "").status, http.StatusOK)
 	is.Equal(other.do("GET", "three", "").status, http.StatusTooManyRequests) // this gateway did not see the content run
