--- a/src/exchange/crash_test.go
+++ b/src/exchange/crash_test.go
@@ -125,12 +125,14 @@
 		name string
 		kind catalog.Kind
 		act  func(a arrival)
+		// begun is whether the client has the beginning of the response.
+		begun bool
 	}{
-		{"before the head", catalog.Unsafe, func(arrival) {}},
-		{"within the body", catalog.Unsafe, func(a arrival) { a.head(); a.chunk("part") }},
-		{"before the first event", catalog.Streaming, func(a arrival) { a.head() }},
-		{"within the stream", catalog.Streaming, func(a arrival) { a.head(); a.event(1) }},
-		{"within an event of a stream without chunks", catalog.Streaming, func(a arrival) { unframed(200, "id: 1\nda", false)(a) }},
+		{"before the head", catalog.Unsafe, func(arrival) {}, false},
+		{"within the body", catalog.Unsafe, func(a arrival) { a.head(); a.chunk("part") }, false},
+		{"before the first event", catalog.Streaming, func(a arrival) { a.head() }, false},
+		{"within the stream", catalog.Streaming, func(a arrival) { a.head(); a.event(1) }, true},
+		{"within an event of a stream without chunks", catalog.Streaming, func(a arrival) { unframed(200, "id: 1\nda", false)(a) }, false},
 	} {
 		t.Run(way.name, func(t *testing.T) {
 			is := is.New(t)
@@ -144,7 +146,7 @@
 			told := make(chan []quarantine.Request, 4)
 			b.handler.crashDetector.onCrash = func(_ time.Time, _ string, inFlight []quarantine.Request, _ string) { told <- inFlight }
 			b.do("POST", "one", "body")
-			is.Equal(<-told, []quarantine.Request{{Content: quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte("body")}.Digest()}})
+			is.Equal(<-told, []quarantine.Request{{Content: quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte("body")}.Digest(), Begun: way.begun}})
 		})
 	}
 }
@@ -186,7 +188,7 @@
 	content := quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte(crashBody)}.Digest()
 	b.handler.crashDetector.confirm(time.Now(), "a", "it started again")
 	check() // the run does not count as successful
-	is.Equal(b.handler.options.Tracker.AttributeFailure(time.Now(), "other", []quarantine.Digest{content}), []quarantine.Digest{content})
+	is.Equal(b.handler.options.Tracker.AttributeFailure(time.Now(), "other", []quarantine.Request{{Content: content}}), []quarantine.Key{{Digest: content}})
 	is.Equal(b.handler.options.Tracker.Empty(), false)
 }
 
@@ -199,5 +201,5 @@
 	check := <-later
 	content := quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte(crashBody)}.Digest()
 	check()
-	is.Equal(len(b.handler.options.Tracker.AttributeFailure(time.Now(), "other", []quarantine.Digest{content})), 0)
+	is.Equal(len(b.handler.options.Tracker.AttributeFailure(time.Now(), "other", []quarantine.Request{{Content: content}})), 0)
 }
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -42,6 +42,7 @@
 	testRejections = "Bears-A-Second"
 	testResumes    = "Goes-On-With"
 	testReport     = "/report"
+	testParts      = "Prompt-Parts"
 )
 
 // testServices returns the only service of the tests. It limits the requests to cold replicas.
@@ -52,7 +53,11 @@
 		RequestInfo: func(r *http.Request) RequestInfo {
 			ms, _ := strconv.Atoi(r.Header.Get(testDeadline))
 			tokens, _ := strconv.Atoi(r.Header.Get(testTokens))
-			return RequestInfo{OutputTokens: tokens, ID: r.Header.Get(testID), Model: r.Header.Get(testModel), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get(testAfter), Resumes: r.Header.Get(testResumes), Key: catalog.Key(r.Header.Get(testKey))}
+			var parts []Part
+			for _, id := range splitList(r.Header.Get(testParts)) {
+				parts = append(parts, Part{ID: id})
+			}
+			return RequestInfo{Parts: parts, OutputTokens: tokens, ID: r.Header.Get(testID), Model: r.Header.Get(testModel), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get(testAfter), Resumes: r.Header.Get(testResumes), Key: catalog.Key(r.Header.Get(testKey))}
 		},
 		EncodeRequest: func(header http.Header, _ RequestInfo, a Attempt) {
 			header.Set(testReplica, a.Replica)
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -232,6 +232,10 @@
 	// content is the digest of the request's content. It is valid once digested is set.
 	content  quarantine.Digest
 	digested bool
+	// partKeys are the keys of the parts of its prompt that other requests may share, nil until needed.
+	partKeys []quarantine.Key
+	// trial is what the request may be sent with although replicas crashed.
+	trial quarantine.Trial
 	// bodyEnd is how the end of the last response of a replica is known.
 	bodyEnd bodyEnd
 	// endsByClose is set if the response to the client ends with its connection.
--- a/src/exchange/quarantine.go
+++ b/src/exchange/quarantine.go
@@ -17,9 +17,6 @@
 // maxLoggedDigests bounds the digests in a log line, and the parts of prompts.
 const maxLoggedDigests = 16
 
-// maxLoggedPart is how many bytes of the ID of a part a log line shows.
-const maxLoggedPart = 32
-
 // digest returns the digest of the request's content.
 func (c *call) digest() quarantine.Digest {
 	if !c.digested {
@@ -29,14 +26,22 @@
 	return c.content
 }
 
-// quarantineRequest returns what of the request may crash replicas. The last part of a prompt is the
-// request's own.
-func (c *call) quarantineRequest() quarantine.Request {
-	request := quarantine.Request{Content: c.digest()}
-	for i := 0; i+1 < len(c.requestInfo.Parts); i++ {
-		request.Parts = append(request.Parts, c.requestInfo.Parts[i].ID)
+// sharedParts returns the parts of the request's prompt that other requests may share: all but the last
+// one, which is the request's own.
+func (c *call) sharedParts() []quarantine.Key {
+	if shared := len(c.requestInfo.Parts) - 1; shared > 0 && c.partKeys == nil {
+		ids := make([]string, 0, shared)
+		for _, part := range c.requestInfo.Parts[:shared] {
+			ids = append(ids, part.ID)
+		}
+		c.partKeys = quarantine.PartKeys(ids)
 	}
-	return request
+	return c.partKeys
+}
+
+// quarantineRequest returns what of the request may crash replicas.
+func (c *call) quarantineRequest() quarantine.Request {
+	return quarantine.Request{Content: c.digest(), Parts: c.sharedParts(), Begun: !c.firstByte.IsZero()}
 }
 
 // maySend reports whether the request may be sent to a replica now. It is called before every
@@ -46,7 +51,7 @@
 }
 
 // quarantined reports whether the request must not be sent because replicas crashed while running
-// requests with the same content. If so, it responds to the client.
+// requests with the same content or with a part of its prompt. If so, it responds to the client.
 //
 // The check is made right before each send and not when the request arrives: the third crash may be
 // detected while the request waits, or this request may itself have caused it. The status is 429,
@@ -57,16 +62,26 @@
 	if tracker.Empty() {
 		return false
 	}
-	left, held := tracker.Held(c.handler.options.Now(), c.digest())
-	if !held {
+	now := c.handler.options.Now()
+	key, left, blocked := tracker.Blocked(now, c.quarantineRequest(), &c.trial)
+	if !blocked {
 		return false
 	}
 	c.handler.options.Metrics.Quarantined.Inc(1)
 	c.retryIn = left
-	c.deny(http.StatusTooManyRequests, "backend servers ended while they ran requests with this content ("+c.content.String()+"); it is not sent to further ones")
+	c.deny(http.StatusTooManyRequests, quarantineReason(key))
 	return true
 }
 
+// quarantineReason returns what the client of a quarantined request is told.
+func quarantineReason(key quarantine.Key) string {
+	what := "content (" + key.Digest.String() + ")"
+	if key.Part != "" {
+		what = "part of their prompts (" + key.Part + ")"
+	}
+	return "backend servers ended while they ran requests with this " + what + "; it is not sent to further ones"
+}
+
 // noteRun records that the request ran without a crash. If the replica's answer ended with its
 // connection, the replica may just have crashed, which shows only later.
 func (c *call) noteRun(peer *Peer) {
@@ -75,27 +90,46 @@
 		return
 	}
 	if c.succeeded() {
-		c.handler.options.Tracker.RecordSuccess(c.handler.options.Now(), c.digest())
+		c.handler.recordSuccess(c.sharedParts(), c.trackedContent())
 	}
 }
 
 func (c *call) noteUnprovenRun(peer *Peer) {
-	h, digest := c.handler, c.digest()
+	h := c.handler
 	h.crashDetector.addSuspect(h.options.Now(), peer, c.quarantineRequest())
 	if !c.succeeded() {
 		return
 	}
+	parts, content := c.sharedParts(), c.trackedContent()
 	h.crashDetector.after(suspectTTL, func() {
 		if !h.crashDetector.crashed(peer.ID()) {
-			h.options.Tracker.RecordSuccess(h.options.Now(), digest)
+			h.recordSuccess(parts, content)
 		}
 	})
 }
 
-// succeeded reports whether the client has a successful response to content that is tracked.
+// succeeded reports whether the client has a successful response.
 func (c *call) succeeded() bool {
-	success := c.status >= http.StatusOK && c.status < http.StatusMultipleChoices
-	return success && c.handler.options.Tracker.TracksBody(len(c.body))
+	return c.status >= http.StatusOK && c.status < http.StatusMultipleChoices
+}
+
+// trackedContent returns the digest of the request's content, nil if contents of its length are not
+// tracked.
+func (c *call) trackedContent() *quarantine.Digest {
+	if !c.handler.options.Tracker.TracksBody(len(c.body)) {
+		return nil
+	}
+	content := c.digest()
+	return &content
+}
+
+// recordSuccess records that a request ran without a crash; content is nil if it is not tracked.
+func (h *Handler) recordSuccess(parts []quarantine.Key, content *quarantine.Digest) {
+	now := h.options.Now()
+	h.options.Tracker.RecordPartSuccess(now, parts)
+	if content != nil {
+		h.options.Tracker.RecordSuccess(now, *content)
+	}
 }
 
 // noteLostReplica handles an attempt without a complete response. If the connection broke, it waits
@@ -126,24 +160,19 @@
 
 // noteCrash records that a replica has crashed with requests in flight.
 func (h *Handler) noteCrash(now time.Time, replica string, inFlight []quarantine.Request, evidence string) {
-	var contents []quarantine.Digest
-	var parts []string
+	var contents, parts, suspected []string
 	for _, request := range inFlight {
-		contents = append(contents, request.Content)
-		parts = append(parts, request.Parts...)
+		contents = append(contents, request.Content.String())
+		for _, part := range request.Parts {
+			parts = append(parts, part.Part)
+		}
+	}
+	for _, key := range h.options.Tracker.AttributeFailure(now, replica, inFlight) {
+		suspected = append(suspected, key.Name())
 	}
-	suspected := h.options.Tracker.AttributeFailure(now, replica, contents)
 	h.options.Metrics.Crashes.Inc(1)
 	h.options.Ring.Add(event.Event{Kind: event.ReplicaEnded, Host: replica, Reason: fmt.Sprintf("%s; under way: %s; without a good end of late: %s; parts of their prompts: %s",
-		evidence, formatList(digestTexts(contents)), formatList(digestTexts(suspected)), formatList(countedTexts(parts)))})
-}
-
-func digestTexts(digests []quarantine.Digest) []string {
-	texts := make([]string, 0, len(digests))
-	for _, digest := range digests {
-		texts = append(texts, digest.String())
-	}
-	return texts
+		evidence, formatList(contents), formatList(suspected), formatList(countedTexts(parts)))})
 }
 
 // countedTexts returns the different texts, the most frequent ones first and with their number.
@@ -156,7 +185,7 @@
 		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
 	})
 	for i, text := range different {
-		different[i] = fmt.Sprintf("%.*s (%d)", maxLoggedPart, text, counts[text])
+		different[i] = fmt.Sprintf("%s (%d)", text, counts[text])
 	}
 	return different
 }
--- a/src/fleet/quarantine.go
+++ b/src/fleet/quarantine.go
@@ -17,7 +17,7 @@
 	"github.com/moorspool/moorspool/src/wire"
 )
 
-// The intervals of sharing the digests of contents that crash replicas. Nothing is sent while there
+// The intervals of sharing the contents and parts of prompts that crash replicas. Nothing is sent while there
 // are none.
 const (
 	// reportTimeout bounds one report of a gateway, reportRetry is the pause after one that no
@@ -35,7 +35,7 @@
 	// their entries that gave none yet, collectDuration how long it goes on.
 	collectInterval = 200 * time.Millisecond
 	collectDuration = time.Minute
-	// minSharedEnds is the least number of crashes for which a content is sent to gateways and saved.
+	// minSharedEnds is the least number of crashes for which a content or part is sent to gateways and saved.
 	minSharedEnds = 2
 )
 
@@ -44,11 +44,11 @@
 	return quarantine.NewTable(func(change quarantine.Change) {
 		switch {
 		case change.Held:
-			ring.Add(event.Event{Kind: event.ContentQuarantined, Reason: fmt.Sprintf("content %s for %s; ended under it: %s", change.Digest, change.For, strings.Join(change.Failures, " "))})
+			ring.Add(event.Event{Kind: event.ContentQuarantined, Reason: fmt.Sprintf("%s for %s; ended under it: %s", change.Key, change.For, strings.Join(change.Failures, " "))})
 		case len(change.Failures) > 0:
-			ring.Add(event.Event{Kind: event.ContentReleased, Reason: fmt.Sprintf("content %s: the quarantine expired; ended under it: %s", change.Digest, strings.Join(change.Failures, " "))})
+			ring.Add(event.Event{Kind: event.ContentReleased, Reason: fmt.Sprintf("%s: the quarantine expired, or the backend servers ended for another reason; ended under it: %s", change.Key, strings.Join(change.Failures, " "))})
 		default:
-			ring.Add(event.Event{Kind: event.ContentReleased, Reason: fmt.Sprintf("content %s: a run succeeded, or an operator lifted the quarantine", change.Digest)})
+			ring.Add(event.Event{Kind: event.ContentReleased, Reason: fmt.Sprintf("%s: a run succeeded, or an operator lifted the quarantine", change.Key)})
 		}
 	})
 }
@@ -112,18 +112,18 @@
 	return wire.Quarantine{Entries: entries}, nil
 }
 
-// liftQuarantine lifts the quarantine of contents for an operator.
+// liftQuarantine lifts the quarantine of contents and parts of prompts for an operator.
 func (c *controlNode) liftQuarantine(_ context.Context, _ *rpc.Peer, request wire.LiftRequest) (wire.LiftReply, error) {
 	now := time.Now()
 	entries, _ := c.quarantine.Since(now, 0)
 	var reply wire.LiftReply
 	for _, entry := range entries {
-		if !entry.Digest.HasPrefix(request.Digest) {
+		if !entry.Digest.HasPrefix(request.Digest) && !entry.IsPart(request.Digest) {
 			continue
 		}
 		if c.quarantine.Clear(now, entry.Digest) {
 			reply.Lifted = append(reply.Lifted, entry.Digest)
-			c.proc.Ring().Add(event.Event{Kind: event.ContentReleased, Reason: fmt.Sprintf("content %s: lifted by %s", entry.Digest, request.By)})
+			c.proc.Ring().Add(event.Event{Kind: event.ContentReleased, Reason: fmt.Sprintf("%s: lifted by %s", entry.Key(), request.By)})
 		}
 	}
 	return reply, nil
--- a/src/quarantine/fleet_test.go
+++ b/src/quarantine/fleet_test.go
@@ -24,7 +24,9 @@
 // simRequest is a running request.
 type simRequest struct {
 	content     Digest
+	parts       []Key
 	gateway     int
+	beginsAt    time.Time
 	completesAt time.Time
 	poison      bool
 	// retries is how often its client sends it again.
@@ -58,13 +60,22 @@
 	// partitionedUntil is until when the first gateway is disconnected.
 	partitionedUntil time.Time
 
+	// runTime is how long a request runs, beginTime after which time its response begins.
+	runTime, beginTime time.Duration
+	// affinity is the share of requests that go to the replica of their first part.
+	affinity float64
+	// messageLoss is the share of messages that are lost.
+	messageLoss float64
+
 	poisonFailures []time.Time
+	// refusedParts counts the refused harmless requests by the part that was held.
+	refusedParts map[string]int
 	// wronglyRefused counts refused requests whose content is harmless.
 	wronglyRefused, sent int
 }
 
 func newSimFleet(seed uint64, gateways, replicas int) *simFleet {
-	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), now: noon, control: newTestTable(), sentVersions: make([]uint64, gateways)}
+	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), now: noon, control: newTestTable(), sentVersions: make([]uint64, gateways), runTime: simRunTime, beginTime: simRunTime, refusedParts: map[string]int{}}
 	for range gateways {
 		f.gateways = append(f.gateways, NewTracker(newTestTable()))
 	}
@@ -81,12 +92,18 @@
 
 // send sends a request through a gateway to an available replica.
 func (f *simFleet) send(gateway int, content Digest, poison bool, retries int) {
-	if !poison {
+	f.sendRequest(simRequest{content: content, gateway: gateway, poison: poison, retries: retries})
+}
+
+func (f *simFleet) sendRequest(request simRequest) {
+	if !request.poison {
 		f.sent++
 	}
-	if _, held := f.gateways[gateway].Held(f.now, content); held {
-		if !poison {
+	by, _, blocked := f.gateways[request.gateway].Blocked(f.now, Request{Content: request.content, Parts: request.parts}, &Trial{})
+	if blocked {
+		if !request.poison {
 			f.wronglyRefused++
+			f.refusedParts[by.Name()]++
 		}
 		return
 	}
@@ -100,7 +117,11 @@
 		return
 	}
 	r := available[f.random.IntN(len(available))]
-	r.running = append(r.running, simRequest{content: content, gateway: gateway, completesAt: f.now.Add(simRunTime), poison: poison, retries: retries})
+	if len(request.parts) > 0 && f.affinity > 0 && f.random.Float64() < f.affinity {
+		r = available[int(request.parts[0].Digest[0])%len(available)]
+	}
+	request.beginsAt, request.completesAt = f.now.Add(f.beginTime), f.now.Add(f.runTime)
+	r.running = append(r.running, request)
 }
 
 // step advances the time by simStep.
@@ -115,7 +136,7 @@
 // runRequests completes the requests of a replica that are due.
 func (f *simFleet) runRequests(r *simReplica) {
 	for _, request := range r.running {
-		if request.poison && !f.now.Before(request.completesAt) {
+		if request.poison && !f.now.Before(request.beginsAt) {
 			f.poisonFailures = append(f.poisonFailures, f.now)
 			f.failReplica(r)
 			return
@@ -128,6 +149,7 @@
 			continue
 		}
 		f.gateways[request.gateway].RecordSuccess(f.now, request.content)
+		f.gateways[request.gateway].RecordPartSuccess(f.now, request.parts)
 	}
 	r.running = left
 }
@@ -137,10 +159,10 @@
 	running, incarnation := r.running, r.incarnation
 	r.running, r.incarnation, r.availableAt = nil, f.newIncarnation(), f.now.Add(simRestartTime)
 	for i, guard := range f.gateways {
-		var mine []Digest
+		var mine []Request
 		for _, request := range running {
 			if request.gateway == i {
-				mine = append(mine, request.content)
+				mine = append(mine, Request{Content: request.content, Parts: request.parts, Begun: !request.poison && f.now.After(request.beginsAt)})
 			}
 		}
 		if len(mine) > 0 {
@@ -149,7 +171,8 @@
 	}
 	for _, request := range running {
 		if !request.poison && request.retries > 0 {
-			f.send(f.random.IntN(len(f.gateways)), request.content, false, request.retries-1)
+			request.gateway, request.retries = f.random.IntN(len(f.gateways)), request.retries-1
+			f.sendRequest(request)
 		}
 	}
 }
@@ -173,6 +196,9 @@
 			f.enqueue(simMessage{gateway: guard}, f.control.Entries(f.now, 2))
 		}
 	}
+	if f.messageLoss > 0 && f.now.Sub(noon)%time.Second == 0 {
+		f.repeatMessages()
+	}
 	kept := f.messages[:0]
 	for _, n := range f.messages {
 		switch {
@@ -187,8 +213,18 @@
 	f.messages = kept
 }
 
+// repeatMessages sends the recent observations of gateways and all entries of control nodes again.
+func (f *simFleet) repeatMessages() {
+	for i, guard := range f.gateways {
+		if i > 0 || !f.now.Before(f.partitionedUntil) {
+			f.enqueue(simMessage{to: f.control}, guard.OwnWithin(f.now, 10*time.Second))
+			f.enqueue(simMessage{gateway: guard}, f.control.Entries(f.now, 2))
+		}
+	}
+}
+
 func (f *simFleet) enqueue(n simMessage, entries []Entry) {
-	if len(entries) == 0 {
+	if len(entries) == 0 || f.messageLoss > 0 && f.random.Float64() < f.messageLoss {
 		return
 	}
 	n.at = f.now.Add(time.Duration(f.random.Int64N(int64(simMaxDelay))))
@@ -197,10 +233,13 @@
 }
 
 // lateFailures returns how many replicas failed later than simPropagationLimit after the third.
-func (f *simFleet) lateFailures() int {
+func (f *simFleet) lateFailures() int { return f.lateAfter(3) }
+
+// lateAfter returns how many replicas failed later than simPropagationLimit after the given one.
+func (f *simFleet) lateAfter(number int) int {
 	late := 0
 	for _, at := range f.poisonFailures {
-		if len(f.poisonFailures) >= 3 && at.After(f.poisonFailures[2].Add(simPropagationLimit)) {
+		if len(f.poisonFailures) >= number && at.After(f.poisonFailures[number-1].Add(simPropagationLimit)) {
 			late++
 		}
 	}
--- a/src/quarantine/table.go
+++ b/src/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,33 +15,62 @@
 // harmless requests with a threshold of two, and none with three.
 const Threshold = 3
 
+// ProvenThreshold is the same for a part of prompts that requests were served with not long before. Many
+// requests share such a part, and more than one of them may be under way at replicas that crash for
+// another reason.
+const ProvenThreshold = 5
+
 // Limits of a table.
 const (
 	// suspectTTL is how long failures below the threshold are remembered.
 	suspectTTL = 10 * time.Minute
-	// maxFailures is the number of failures kept for a content; those beyond the threshold
+	// maxFailures is the number of failures kept for an entry; those beyond the threshold
 	// determine how long it is held.
-	maxFailures = 8
-	// maxEntries is the number of contents kept, since callers can create any number of them. The
+	maxFailures = 16
+	// maxEntries is the number of entries kept, since callers can create any number of them. The
 	// entry with the fewest failures is evicted first, and of these the one with the oldest
-	// failure. 512 entries of 100 bytes are 50 KB for a gateway to receive.
-	maxEntries = 512
+	// failure. 1,024 entries of 100 bytes are 100 KB for a gateway to receive.
+	maxEntries = 1024
+	// evictionBatch is how many entries are selected for eviction at a time, so that not each new entry
+	// searches the whole table.
+	evictionBatch = maxEntries / 8
 )
 
 // holdDurations is how long a content is held after its last failure, by the number of failures
-// beyond the threshold. After that it is let through once more, so that one that was quarantined by
-// mistake can clear itself. Of the three requests that may be sent after the third failure at all,
+// beyond the threshold. After that a gateway sends one request with it at a time, so that one that was
+// quarantined by mistake can clear itself. Of the three requests that may be sent after the third failure at all,
 // two are used for that.
 var holdDurations = []time.Duration{time.Hour, 24 * time.Hour, 7 * 24 * time.Hour}
 
-// holdDuration returns how long a content with that many failures is held.
-func holdDuration(failures int) time.Duration {
-	return holdDurations[min(max(failures-Threshold, 0), len(holdDurations)-1)]
+// partHoldDurations is the same for a part of prompts. More requests share it, so that a mistake must
+// end sooner.
+var partHoldDurations = []time.Duration{10 * time.Minute, time.Hour, 24 * time.Hour, 7 * 24 * time.Hour}
+
+// doubtfulHold is how long a part is held whose failures may all have another cause. If it is a second
+// one that crashes replicas, three more failures tell.
+const doubtfulHold = 10 * time.Second
+
+// holdDuration returns how long the entry is held.
+func (e *entry) holdDuration() time.Duration {
+	if e.verdict == doubtful {
+		return doubtfulHold
+	}
+	durations := holdDurations
+	if e.part != "" {
+		durations = partHoldDurations
+	}
+	return durations[min(max(len(e.failures)-e.threshold(), 0), len(durations)-1)]
 }
 
-// Entry is the state of one content as processes exchange it.
+// Entry is the state of one content or part of prompts as processes exchange it.
 type Entry struct {
 	Digest Digest `json:"d"`
+	// Part is the ID of the part, shortened, "" for a content.
+	Part string `json:"p,omitempty"`
+	// Position is the part's position in its prompt from 1; the last one if prompts differ.
+	Position int `json:"o,omitempty"`
+	// Proven is set if requests with the part were served not long before its failures, or since.
+	Proven bool `json:"g,omitempty"`
 	// Round grows when the content is cleared by a completed request or by an operator; failures of
 	// earlier rounds no longer count.
 	Round uint64 `json:"r,omitempty"`
@@ -51,10 +81,22 @@
 	AgeMS int64 `json:"a,omitempty"`
 }
 
-// entry is the state of one content in a table.
+// Key returns what the entry is about.
+func (e *Entry) Key() Key { return Key{Digest: e.Digest, Part: e.Part, Position: e.Position} }
+
+// IsPart reports whether the entry is about the part with the given ID, as logs show it.
+func (e *Entry) IsPart(id string) bool { return id != "" && e.Part == id }
+
+// entry is the state of one content or part in a table.
 type entry struct {
-	round    uint64
-	failures []string
+	part     string
+	position int
+	proven   bool
+	verdict  verdict
+	// trialUntil is when another request may be sent on trial at the earliest.
+	trialUntil time.Time
+	round      uint64
+	failures   []string
 	// changedAt is the time of the last failure, or when the content was cleared.
 	changedAt time.Time
 	// version is the table's version at the last change, localVersion at the last change that this
@@ -66,41 +108,49 @@
 }
 
 func (e *entry) held(now time.Time) bool {
-	return len(e.failures) >= Threshold && now.Before(e.changedAt.Add(holdDuration(len(e.failures))))
+	return e.verdict != cleared && now.Before(e.changedAt.Add(e.holdDuration()))
 }
 
 // expired reports whether an entry can be removed. One that was held is kept twice as long, so that
 // the next failure does not count as the first.
 func (e *entry) expired(now time.Time) bool {
 	ttl := suspectTTL
-	if len(e.failures) >= Threshold {
-		ttl = 2 * holdDuration(len(e.failures))
+	if len(e.failures) >= e.threshold() {
+		ttl = max(ttl, 2*e.holdDuration())
 	}
 	return now.Sub(e.changedAt) > ttl
 }
 
-// Table holds the suspected and quarantined contents that a process knows of; it is safe for
-// concurrent use. Each change increases its version.
+// Table holds the suspected and quarantined contents and parts of prompts that a process knows of; it is
+// safe for concurrent use. Each change increases its version.
 type Table struct {
 	report func(Change)
 	size   atomic.Int64
 
 	mu      sync.Mutex
 	entries map[Digest]*entry
+	// evictable are entries that may be evicted next, the first one last.
+	evictable []evictable
+	version   uint64
+	changed   wakeup.Flag
+}
+
+// evictable is an entry that was selected for eviction in its present version.
+type evictable struct {
+	digest  Digest
 	version uint64
-	changed wakeup.Flag
 }
 
-// Change reports that a content was quarantined or released.
+// Change reports that a content or a part was quarantined or released.
 type Change struct {
-	Digest   Digest
+	Key      Key
 	Held     bool
 	Failures []string
 	// For is how long it is held.
 	For time.Duration
 }
 
-// NewTable returns an empty table; report is called for each content that is quarantined or
+// NewTable returns an empty table; report is called for each content or part that is quarantined or
 // released.
 func NewTable(report func(Change)) *Table {
 	return &Table{report: report, entries: map[Digest]*entry{}, changed: wakeup.New()}
@@ -112,28 +162,76 @@
 // Changed returns a channel that receives after the table has changed.
 func (t *Table) Changed() <-chan struct{} { return t.changed.Raised() }
 
-// RecordFailure records that a replica ended while it ran requests with the given contents.
-func (t *Table) RecordFailure(now time.Time, replica string, running []Digest) {
-	var changes []Change
+// RecordFailure records that a replica ended while it ran requests with the given contents and parts.
+func (t *Table) RecordFailure(now time.Time, replica string, running []Key) {
+	failures := make([]failure, 0, len(running))
+	for _, key := range running {
+		failures = append(failures, failure{key: key})
+	}
+	t.recordFailures(now, replica, failures)
+}
+
+// failure is a key that a failure is attributed to.
+type failure struct {
+	key Key
+	// proven is set if requests with the part were served not long before.
+	proven bool
+}
+
+func (t *Table) recordFailures(now time.Time, replica string, failures []failure) {
 	t.mu.Lock()
-	for _, digest := range running {
-		known := t.getOrCreate(now, digest)
-		if known == nil || slices.Contains(known.failures, replica) || len(known.failures) >= maxFailures {
+	changed := false
+	for _, failed := range failures {
+		known := t.getOrCreate(now, failed.key.Digest)
+		if known == nil {
+			continue
+		}
+		known.identify(failed.key.Part, failed.key.Position)
+		added := !slices.Contains(known.failures, replica) && len(known.failures) < maxFailures
+		proves := failed.proven && !known.proven
+		if !added && !proves {
 			continue
 		}
-		known.failures = append(known.failures, replica)
-		known.changedAt = now
+		if added {
+			known.failures = append(known.failures, replica)
+			known.changedAt = now
+		}
+		known.proven = known.proven || failed.proven
 		t.markChanged(known)
 		known.localVersion = t.version
-		changes = known.appendChange(now, digest, changes)
+		changed = true
+	}
+	t.judgeAndUnlock(now, changed)
+}
+
+// judgeAndUnlock releases the lock. If entries changed, it decides before which are held, and reports
+// the changes after.
+func (t *Table) judgeAndUnlock(now time.Time, changed bool) {
+	var changes []Change
+	if changed {
+		changes = t.judge(now, nil)
 	}
 	t.mu.Unlock()
 	t.reportChanges(changes)
 }
 
-// Clear removes a content's failures after a request with it completed or an operator lifted its
-// quarantine. It reports whether there were any.
-func (t *Table) Clear(now time.Time, digest Digest) bool {
+// identify adds what is known of the entry's part.
+func (e *entry) identify(part string, position int) {
+	if e.part == "" {
+		e.part = part
+	}
+	e.position = max(e.position, position)
+}
+
+// Clear removes the failures of a content or part after an operator lifted its quarantine. It reports
+// whether there were any.
+func (t *Table) Clear(now time.Time, digest Digest) bool { return t.clear(now, digest, false) }
+
+// ClearProven removes the failures after a request with the content or part completed. It reports whether
+// there were any.
+func (t *Table) ClearProven(now time.Time, digest Digest) bool { return t.clear(now, digest, true) }
+
+func (t *Table) clear(now time.Time, digest Digest, proven bool) bool {
 	t.mu.Lock()
 	known := t.entries[digest]
 	if known == nil || len(known.failures) == 0 {
@@ -142,15 +240,28 @@
 	}
 	known.round++
 	known.failures = nil
+	known.proven = proven
 	known.changedAt = now
 	t.markChanged(known)
 	known.localVersion = t.version
-	changes := known.appendChange(now, digest, nil)
-	t.mu.Unlock()
-	t.reportChanges(changes)
+	t.judgeAndUnlock(now, true)
 	return true
 }
 
+// MarkProven records that requests with a part were served not long before its failures.
+func (t *Table) MarkProven(now time.Time, digest Digest) {
+	t.mu.Lock()
+	known := t.entries[digest]
+	if known == nil || known.proven || len(known.failures) == 0 {
+		t.mu.Unlock()
+		return
+	}
+	known.proven = true
+	t.markChanged(known)
+	known.localVersion = t.version
+	t.judgeAndUnlock(now, true)
+}
+
 // Merge merges the entries of another process. It returns the contents with failures that changed
 // here.
 func (t *Table) Merge(now time.Time, received []Entry) []Digest {
@@ -165,12 +276,13 @@
 
 func (t *Table) mergeAll(now time.Time, received []Entry, own bool) []Digest {
 	var updated []Digest
-	var changes []Change
+	changed := false
 	t.mu.Lock()
 	for i := range received {
 		if !t.merge(now, &received[i]) {
 			continue
 		}
+		changed = true
 		known := t.entries[received[i].Digest]
 		if own {
 			known.localVersion = known.version
@@ -178,10 +290,8 @@
 		if len(known.failures) > 0 {
 			updated = append(updated, received[i].Digest)
 		}
-		changes = known.appendChange(now, received[i].Digest, changes)
 	}
-	t.mu.Unlock()
-	t.reportChanges(changes)
+	t.judgeAndUnlock(now, changed)
 	return updated
 }
 
@@ -190,7 +300,7 @@
 	changedAt := now.Add(-time.Duration(max(received.AgeMS, 0)) * time.Millisecond)
 	known := t.entries[received.Digest]
 	if known == nil {
-		incoming := entry{failures: received.Failures, changedAt: changedAt}
+		incoming := entry{part: received.Part, proven: received.Proven, failures: received.Failures, changedAt: changedAt}
 		if incoming.expired(now) {
 			return false
 		}
@@ -202,9 +312,14 @@
 	if received.Round < known.round {
 		return false
 	}
+	known.identify(received.Part, received.Position)
 	added := false
 	if received.Round > known.round {
-		known.round, known.failures, known.changedAt = received.Round, nil, changedAt
+		known.round, known.failures, known.proven, known.changedAt = received.Round, nil, received.Proven, changedAt
+		added = true
+	}
+	if received.Proven && !known.proven {
+		known.proven = true
 		added = true
 	}
 	for _, replica := range received.Failures {
@@ -229,7 +344,8 @@
 		return changes
 	}
 	e.reportedHeld = held
-	return append(changes, Change{Digest: digest, Held: held, Failures: slices.Clone(e.failures), For: holdDuration(len(e.failures))})
+	key := Key{Digest: digest, Part: e.part, Position: e.position}
+	return append(changes, Change{Key: key, Held: held, Failures: slices.Clone(e.failures), For: e.holdDuration()})
 }
 
 func (t *Table) reportChanges(changes []Change) {
@@ -257,18 +373,37 @@
 // evict removes the entry with the fewest failures. It reports false if all are quarantined. The
 // lock is held.
 func (t *Table) evict() bool {
-	var victim Digest
-	var victimEntry *entry
+	for range 2 {
+		for len(t.evictable) > 0 {
+			last := len(t.evictable) - 1
+			next := t.evictable[last]
+			t.evictable = t.evictable[:last]
+			if known := t.entries[next.digest]; known != nil && known.version == next.version {
+				delete(t.entries, next.digest)
+				return true
+			}
+		}
+		t.selectEvictable()
+	}
+	return false
+}
+
+// selectEvictable selects the entries to evict next: those with the fewest failures, and of these the
+// ones that changed first.
+func (t *Table) selectEvictable() {
+	var candidates []candidate
 	for digest, known := range t.entries {
-		if victimEntry == nil || len(known.failures) < len(victimEntry.failures) || len(known.failures) == len(victimEntry.failures) && known.changedAt.Before(victimEntry.changedAt) {
-			victim, victimEntry = digest, known
+		if len(known.failures) < Threshold {
+			candidates = append(candidates, candidate{digest: digest, entry: known})
 		}
 	}
-	if len(victimEntry.failures) >= Threshold {
-		return false
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(len(a.entry.failures), len(b.entry.failures)), a.entry.changedAt.Compare(b.entry.changedAt))
+	})
+	candidates = candidates[:min(len(candidates), evictionBatch)]
+	for _, c := range slices.Backward(candidates) {
+		t.evictable = append(t.evictable, evictable{digest: c.digest, version: c.entry.version})
 	}
-	delete(t.entries, victim)
-	return true
 }
 
 func (t *Table) markChanged(e *entry) {
@@ -285,7 +420,7 @@
 	if known == nil || !known.held(now) {
 		return 0, false
 	}
-	return known.changedAt.Add(holdDuration(len(known.failures))).Sub(now), true
+	return known.changedAt.Add(known.holdDuration()).Sub(now), true
 }
 
 // Suspected reports whether a content has failures and was not cleared since.
@@ -340,19 +475,18 @@
 	var entries []Entry
 	for digest, known := range t.entries {
 		if wanted(known) {
-			entries = append(entries, Entry{Digest: digest, Round: known.round, Failures: slices.Clone(known.failures), AgeMS: now.Sub(known.changedAt).Milliseconds()})
+			entries = append(entries, Entry{Digest: digest, Part: known.part, Position: known.position, Proven: known.proven, Round: known.round, Failures: slices.Clone(known.failures), AgeMS: now.Sub(known.changedAt).Milliseconds()})
 		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return slices.Compare(a.Digest[:], b.Digest[:]) })
 	return entries, t.version
 }
 
-// Sweep removes expired entries and reports the contents that are no longer held.
+// Sweep removes expired entries and reports those that are no longer held.
 func (t *Table) Sweep(now time.Time) {
-	var changes []Change
 	t.mu.Lock()
+	changes := t.judge(now, nil)
 	for digest, known := range t.entries {
-		changes = known.appendChange(now, digest, changes)
 		if known.expired(now) {
 			delete(t.entries, digest)
 		}
--- a/src/quarantine/table_test.go
+++ b/src/quarantine/table_test.go
@@ -20,7 +20,7 @@
 // quarantineDigest quarantines a content.
 func quarantineDigest(t *Table, now time.Time, digest Digest) {
 	for i := range Threshold {
-		t.RecordFailure(now, fmt.Sprint("r-", i), []Digest{digest})
+		t.RecordFailure(now, fmt.Sprint("r-", i), []Key{{Digest: digest}})
 	}
 }
 
@@ -31,12 +31,12 @@
 	var changes []Change
 	table := NewTable(func(c Change) { changes = append(changes, c) })
 	content := testDigest(1)
-	table.RecordFailure(noon, "a", []Digest{content})
-	table.RecordFailure(noon, "a", []Digest{content}) // reported for another request
-	table.RecordFailure(noon, "b", []Digest{content})
+	table.RecordFailure(noon, "a", []Key{{Digest: content}})
+	table.RecordFailure(noon, "a", []Key{{Digest: content}}) // reported for another request
+	table.RecordFailure(noon, "b", []Key{{Digest: content}})
 	_, held := table.Held(noon, content)
 	is.True(!held)
-	table.RecordFailure(noon, "c", []Digest{content, testDigest(2)})
+	table.RecordFailure(noon, "c", []Key{{Digest: content}, {Digest: testDigest(2)}})
 	left, held := table.Held(noon, content)
 	is.True(held)
 	is.Equal(left, holdDurations[0])
@@ -68,7 +68,7 @@
 		table.Sweep(now)
 		_, held = table.Held(now, content)
 		is.True(!held) // it may clear itself if it was quarantined by mistake
-		table.RecordFailure(now, fmt.Sprint("later-", i), []Digest{content})
+		table.RecordFailure(now, fmt.Sprint("later-", i), []Key{{Digest: content}})
 	}
 	left, held := table.Held(now, content)
 	is.True(held)
@@ -81,10 +81,10 @@
 	table := newTestTable()
 	held, almostHeld := testDigest(-1), testDigest(-2)
 	quarantineDigest(table, noon, held)
-	table.RecordFailure(noon, "a", []Digest{almostHeld})
-	table.RecordFailure(noon, "b", []Digest{almostHeld})
+	table.RecordFailure(noon, "a", []Key{{Digest: almostHeld}})
+	table.RecordFailure(noon, "b", []Key{{Digest: almostHeld}})
 	for i := range 4 * maxEntries {
-		table.RecordFailure(noon.Add(time.Duration(i)*time.Millisecond), "z", []Digest{testDigest(i)})
+		table.RecordFailure(noon.Add(time.Duration(i)*time.Millisecond), "z", []Key{{Digest: testDigest(i)}})
 	}
 	entries, _ := table.Since(noon, 0)
 	is.Equal(len(entries), maxEntries)
@@ -136,7 +136,7 @@
 			content := testDigest(rapid.IntRange(0, 2).Draw(t, "content"))
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1:
-				table.RecordFailure(noon, fmt.Sprint("r-", rapid.IntRange(0, 3).Draw(t, "replica")), []Digest{content})
+				table.RecordFailure(noon, fmt.Sprint("r-", rapid.IntRange(0, 3).Draw(t, "replica")), []Key{{Digest: content}})
 			case 2:
 				table.Clear(noon, content)
 			case 3:
@@ -172,7 +172,7 @@
 		b.Run(fmt.Sprint(entries), func(b *testing.B) {
 			guard := NewTracker(newTestTable())
 			for i := range entries {
-				guard.RecordFailure(noon, "a", []Digest{testDigest(i)})
+				guard.RecordFailure(noon, "a", []Key{{Digest: testDigest(i)}})
 			}
 			content := testDigest(-1)
 			b.ReportAllocs()
--- a/src/quarantine/tracker.go
+++ b/src/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -18,9 +19,12 @@
 	// maxTrackedBody is the longest body that is remembered: requests that many callers send alike
 	// are short, and a digest of 64 KB takes some 50 microseconds.
 	maxTrackedBody = 64 << 10
+	// provenTTL is how long after a request completed the parts of its prompt count as proven. It is
+	// longer than the pauses between the requests of rarely used parts.
+	provenTTL = 10 * time.Minute
 )
 
-// recentSuccesses remembers the contents that completed recently.
+// recentSuccesses remembers the contents or parts that completed recently.
 type recentSuccesses struct {
 	mu    sync.Mutex
 	slots []success
@@ -41,55 +45,97 @@
 	*r.slot(digest) = success{digest: digest, at: now}
 }
 
-func (r *recentSuccesses) contains(now time.Time, digest Digest) bool {
+// within reports whether the digest completed within the time before now.
+func (r *recentSuccesses) within(now time.Time, digest Digest, ttl time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last := r.slot(digest)
-	return last.digest == digest && now.Sub(last.at) < successTTL
+	return last.digest == digest && now.Sub(last.at) < ttl
 }
 
-// Tracker combines a gateway's table with its recently completed contents; it is safe for
-// concurrent use.
+// Tracker combines a gateway's table with its recently completed contents and parts of prompts; it is
+// safe for concurrent use.
 type Tracker struct {
 	*Table
-	recentSuccesses recentSuccesses
+	contents recentSuccesses
+	parts    recentSuccesses
+	trials   trials
 }
 
 // NewTracker returns a Tracker for a table.
 func NewTracker(table *Table) *Tracker {
-	return &Tracker{Table: table, recentSuccesses: recentSuccesses{slots: make([]success, successSlots)}}
+	return &Tracker{Table: table, contents: newRecentSuccesses(), parts: newRecentSuccesses(), trials: trials{delay: rand.Float64()}}
+}
+
+func newRecentSuccesses() recentSuccesses {
+	return recentSuccesses{slots: make([]success, successSlots)}
 }
 
 // TracksBody reports whether completed requests with bodies of that length are remembered.
 func (g *Tracker) TracksBody(bytes int) bool { return bytes <= maxTrackedBody || !g.Empty() }
 
-// AttributeFailure records that a replica ended while it ran requests with the given contents. It
-// returns the contents that the failure is attributed to: those that did not complete recently.
-func (g *Tracker) AttributeFailure(now time.Time, replica string, running []Digest) []Digest {
-	var blamed []Digest
-	for _, digest := range running {
-		if !g.recentSuccesses.contains(now, digest) {
-			blamed = append(blamed, digest)
+// AttributeFailure records that a replica ended while it ran the given requests. It returns the contents
+// and parts that the failure is attributed to: those that did not complete recently.
+func (g *Tracker) AttributeFailure(now time.Time, replica string, running []Request) []Key {
+	var failures []failure
+	for _, request := range running {
+		if !g.contents.within(now, request.Content, successTTL) {
+			failures = append(failures, failure{key: Key{Digest: request.Content}})
+		}
+		for _, part := range request.Parts {
+			if !g.parts.within(now, part.Digest, successTTL) {
+				proven := request.Begun || g.parts.within(now, part.Digest, provenTTL)
+				failures = append(failures, failure{key: part, proven: proven})
+			}
 		}
 	}
-	g.RecordFailure(now, replica, blamed)
-	return blamed
+	g.recordFailures(now, replica, failures)
+	return blamedKeys(failures)
+}
+
+// blamedKeys returns the keys of failures, each once.
+func blamedKeys(failures []failure) []Key {
+	var keys []Key
+	seen := map[Digest]bool{}
+	for _, failed := range failures {
+		if !seen[failed.key.Digest] {
+			seen[failed.key.Digest] = true
+			keys = append(keys, failed.key)
+		}
+	}
+	return keys
 }
 
 // RecordSuccess records that a request with the content completed.
 func (g *Tracker) RecordSuccess(now time.Time, digest Digest) {
-	g.recentSuccesses.add(now, digest)
+	g.contents.add(now, digest)
 	if !g.Empty() {
 		g.Clear(now, digest)
 	}
 }
 
-// MergeFromControl merges the entries sent by control nodes. A content that completed here recently
-// is cleared for all gateways, since those that recorded its failures did not know.
+// RecordPartSuccess records that a request with the parts in its prompt completed.
+func (g *Tracker) RecordPartSuccess(now time.Time, parts []Key) {
+	for _, part := range parts {
+		g.parts.add(now, part.Digest)
+		if !g.Empty() {
+			g.ClearProven(now, part.Digest)
+		}
+	}
+}
+
+// MergeFromControl merges the entries sent by control nodes. What completed here recently is cleared for
+// all gateways, since those that recorded its failures did not know; a part that completed longer ago is
+// marked as proven.
 func (g *Tracker) MergeFromControl(now time.Time, entries []Entry) {
 	for _, digest := range g.Merge(now, entries) {
-		if g.recentSuccesses.contains(now, digest) {
+		switch {
+		case g.contents.within(now, digest, successTTL):
 			g.Clear(now, digest)
+		case g.parts.within(now, digest, successTTL):
+			g.ClearProven(now, digest)
+		case g.parts.within(now, digest, provenTTL):
+			g.MarkProven(now, digest)
 		}
 	}
 }
