Soak: requests with parts of prompts that crash replicas, and their measurement

Each run sends requests that share one or two deadly parts, at any of three positions, one or four at a time; all other requests have prompts of shared parts. Checks: at most three more crashes under a part later than the contact time after the fifth while all is calm; at most one in 100 harmless requests refused for a part. --no-parts plays as before. The count of crashes under the deadly content takes its threshold as a field; its test checks the same.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -31,13 +31,15 @@
 
 // clients send requests to every gateway over connections that are kept open until they break.
 type clients struct {
-	in          *installation
-	check       *checker
-	replicas    *replicas
-	next        atomic.Uint64
-	cancel      context.CancelFunc
-	work        sync.WaitGroup
-	lastSuccess sync.Map // time of the last success by gateway name
+	in       *installation
+	check    *checker
+	replicas *replicas
+	next     atomic.Uint64
+	// sendsDeadlyParts makes clients send requests with deadly parts in a run.
+	sendsDeadlyParts bool
+	cancel           context.CancelFunc
+	work             sync.WaitGroup
+	lastSuccess      sync.Map // time of the last success by gateway name
 }
 
 func newClients(in *installation, check *checker, replicas *replicas) *clients {
@@ -82,6 +84,10 @@
 		c.work.Add(1)
 		go c.probeConfigurations(ctx, m)
 	}
+	if c.sendsDeadlyParts {
+		c.work.Add(1)
+		go drawDeadlyParts(rand.New(rand.NewPCG(random.Uint64(), 17))).send(ctx, c)
+	}
 }
 
 func (c *clients) stop() {
@@ -100,6 +106,7 @@
 		sentAt, draw := time.Now(), rand.IntN(10)
 		status, answer, err := c.sendBody(client, m, kind, id, "body of "+id, draw)
 		c.checkAnswer(m, kind, id, status, answer, err)
+		c.check.checkPartRefusal(status, answer.body)
 		if kind == "e" {
 			c.followStream(client, m, id, sentAt, status, answer, draw)
 		}
@@ -161,6 +168,7 @@
 	request.Header.Set(idHeader, id)
 	request.Header.Set(gatewayHeader, m.name)
 	request.Header.Set("X-Deadline-Ms", "3000")
+	request.Header.Set(promptHeader, prompt(id, harmlessParts(id)))
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -23,29 +23,66 @@
 	malformedCallPause = 100 * time.Millisecond
 )
 
-// crashCounts counts the replicas that crashed on the deadly content. It is safe for concurrent use.
+// deadlyContentCrashes is the number of crashes from which on the deadly content may crash few replicas.
+const deadlyContentCrashes = 3
+
+// crashCounts counts the replicas that crashed for one reason. It is safe for concurrent use.
 type crashCounts struct {
+	// threshold is the number of crashes from which on few may follow.
+	threshold int
+
 	mu    sync.Mutex
 	count int
-	third time.Time
-	late  int
+	// reached is when the threshold was reached.
+	reached time.Time
+	late    int
 }
 
-// record counts a crash and returns how many happened later than contactTime after the third while
-// no fault was active.
+// record counts a crash and returns how many happened later than contactTime after the threshold was
+// reached while no fault was active.
 func (c *crashCounts) record(now time.Time, faultFree bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
-	if c.count == 3 {
-		c.third = now
+	if c.count == c.threshold {
+		c.reached = now
 	}
-	if c.count > 3 && faultFree && now.Sub(c.third) > contactTime {
+	if c.count > c.threshold && faultFree && now.Sub(c.reached) > contactTime {
 		c.late++
 	}
 	return c.late
 }
 
+// partCrashCounts counts the replicas that crashed on deadly parts. It is safe for concurrent use.
+type partCrashCounts struct {
+	mu     sync.Mutex
+	byPart map[string]*crashCounts
+}
+
+// record counts a crash under a part as crashCounts does.
+func (p *partCrashCounts) record(part string, now time.Time, faultFree bool) int {
+	p.mu.Lock()
+	counts := p.byPart[part]
+	if counts == nil {
+		counts = &crashCounts{threshold: deadlyPartCrashes}
+		p.byPart[part] = counts
+	}
+	p.mu.Unlock()
+	return counts.record(now, faultFree)
+}
+
+// totals returns the number of crashes under all parts, and of late ones.
+func (p *partCrashCounts) totals() (count, late int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, counts := range p.byPart {
+		counts.mu.Lock()
+		count, late = count+counts.count, late+counts.late
+		counts.mu.Unlock()
+	}
+	return count, late
+}
+
 // crashOnContent crashes a replica that runs the deadly content.
 func (r *replicas) crashOnContent(rep *replica) {
 	r.check.count("ends under the deadly content")
@@ -56,10 +93,10 @@
 }
 
 // crash closes a replica's listener and connections at once and restarts it after crashDowntime, in
-// half of the cases under the same ID.
-func (r *replicas) crash(rep *replica) {
+// half of the cases under the same ID. It reports whether the replica was still running.
+func (r *replicas) crash(rep *replica) bool {
 	if !r.remove(rep) {
-		return
+		return false
 	}
 	_ = rep.server.Close()
 	r.mu.Lock()
@@ -72,6 +109,7 @@
 		time.Sleep(crashDowntime)
 		r.startAgain(rep.host, id)
 	}()
+	return true
 }
 
 // remove takes a replica off the list; it returns false if the replica was not on it.
--- a/soak/crashing_test.go
+++ b/soak/crashing_test.go
@@ -11,7 +11,7 @@
 // during a fault, are not counted.
 func TestOnlyLateFaultFreeCrashesCount(t *testing.T) {
 	is := is.New(t)
-	var d crashCounts
+	d := crashCounts{threshold: deadlyContentCrashes}
 	now := time.Unix(1_800_000_000, 0)
 	for range 5 {
 		is.Equal(d.record(now, true), 0)
--- a/soak/main.go
+++ b/soak/main.go
@@ -21,11 +21,12 @@
 	Bin         string        `long:"bin" description:"folder of the programs" default:"target"`
 	Folder      string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
 	NoBounds    bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
-	Measure     string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, upgrade, back"`
+	Measure     string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, upgrade, back"`
 	Old         string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
 	Order       string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
 	SyncWait    time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
 	OldDisks    bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
+	NoParts     bool          `long:"no-parts" description:"leave out the requests with parts of prompts that crash replicas, as in runs of earlier builds of this program"`
 	LaggingNode string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
 	Port        int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
@@ -99,6 +100,7 @@
 	go operators.drainZones(faultCtx, rand.New(rand.NewPCG(o.Seed, 13)))
 	go operators.run(ctx, rand.New(rand.NewPCG(o.Seed, 3)))
 	clients := newClients(in, check, replicas)
+	clients.sendsDeadlyParts = !o.NoParts
 	if err := clients.waitUntilServing(); err != nil {
 		return nil, err
 	}
@@ -121,6 +123,7 @@
 	clients.checkRecovery()
 	in.checkMembership(check)
 	check.checkAtEnd(in)
+	check.checkParts()
 	fmt.Printf("seed %d: %s; %s; %s; %s; %s\n", o.Seed, check.summary(), &replicas.notices, &replicas.limits, &check.links, &check.resumes)
 	return check.findings(), nil
 }
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -45,6 +45,11 @@
 	"none":        func(context.Context, *replicas, *clients) {},
 	"deadly":      measureDeadly,
 	"losses":      func(ctx context.Context, r *replicas, _ *clients) { r.crashHalves(ctx) },
+	"part":        measureParts(deadlyParts{number: 1, position: 1, burst: 1, pause: partRequestPause}, false),
+	"part-losses": measureParts(deadlyParts{number: 1, position: 1, burst: 1, pause: partRequestPause}, true),
+	"parts-first": measureParts(deadlyParts{number: 2, position: 0, burst: 1, pause: 3 * partRequestPause / 2}, false),
+	"part-burst":  measureParts(deadlyParts{number: 1, position: 1, burst: 6, pause: 3 * partRequestPause}, false),
+	"some-losses": measureParts(deadlyParts{}, true),
 	"rest":        measureBackoff(0.5),
 	"limit":       measureLimits(0.5, 5, nil),
 	"limit-all":   measureLimits(1, 1, nil),
@@ -114,6 +119,8 @@
 	r.crashes.mu.Lock()
 	defer r.crashes.mu.Unlock()
 	fmt.Printf("of %d requests from %s on %d were served\n", m.afterLimitSent.Load(), measuredLimitStart+measuredLimitDuration+limitRecoveryTime, m.afterLimitServed.Load())
+	partCrashes, latePartCrashes := r.partCrashes.totals()
+	fmt.Printf("%d replicas ended under deadly parts, %d later than %s after the fifth\n", partCrashes, latePartCrashes, contactTime)
 	fmt.Printf("%s: %d replicas ended under the deadly content, %d later than %s after the third; of others' requests served %.4f, in the second half %.4f, refused as deadly %d\n",
 		o.Measure, r.crashes.count, r.crashes.late, contactTime, m.share(0, 1), m.share(1), m.refusedAsDeadly.Load())
 	return nil
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -37,11 +37,12 @@
 	check  *checker
 	client *http.Client
 
-	mu      sync.Mutex
-	list    []*replica
-	started int
-	crashes crashCounts
-	zones   *zoneDrains
+	mu          sync.Mutex
+	list        []*replica
+	started     int
+	crashes     crashCounts
+	partCrashes partCrashCounts
+	zones       *zoneDrains
 	// notices are the totals of what replicas announced in their answers.
 	notices noticeCounts
 	// limits are the totals of the announced limits.
@@ -68,7 +69,7 @@
 }
 
 func newReplicas(in *installation, check *checker, zones *zoneDrains, count int) (*replicas, error) {
-	r := &replicas{in: in, check: check, zones: zones, client: &http.Client{Timeout: time.Second}}
+	r := &replicas{crashes: crashCounts{threshold: deadlyContentCrashes}, partCrashes: partCrashCounts{byPart: map[string]*crashCounts{}}, in: in, check: check, zones: zones, client: &http.Client{Timeout: time.Second}}
 	for i := 1; i <= count; i++ {
 		rep, err := r.start(i)
 		if err != nil {
@@ -147,6 +148,10 @@
 		r.crashOnContent(rep)
 		return
 	}
+	if part := deadlyPart(request); part != "" {
+		r.crashOnPart(rep, part)
+		return
+	}
 	w.Header().Set(stampHeader, rep.id+"."+id)
 	w = drawFraming(w)
 	switch request.URL.Path[1] {
