ORDER: what answers after a refused dial is not taken for the listed start

Ruled out: the record's way and the second gateway, which did as they were told. The gateway had had its dials refused since the first end, which proves that the start on the list had ended.

Change: after a refused dial the writer's software is not known until the start on the list has answered, on the connection of a resumed stream or to a question on a connection of its own as soon as dials are accepted again. Such streams are served, but not recorded.

Conclusion: what is left is a start that this gateway never had a refused dial to.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -96,7 +96,11 @@
 	}
 	if c.needsStartCheck(choice) {
 		hooks.confirm = func(conn *conn) error {
-			return conn.confirmStart(&h.options.Codec, peer, h.options.Now().Add(startCheckTimeout))
+			err := conn.confirmStart(&h.options.Codec, peer, h.options.Now().Add(startCheckTimeout))
+			if err == nil {
+				peer.noteConfirmedStart()
+			}
+			return err
 		}
 	}
 	a, err := send(attemptCtx, peer.pool, o, c.requestInfo.ID, hooks, choice.connectTimeout(), c.headDeadline(now), now)
@@ -121,7 +125,7 @@
 	c.notSent = false
 	h.options.Fleet.noteContact(peer)
 	c.bodyEnd = a.end
-	a.origin = peer.origin()
+	a.origin = peer.writerOrigin()
 	_ = a.conn.raw.SetDeadline(c.deadline)
 	h.options.Fleet.UpdateLoad(h.options.Now(), peer, a.reply.Load)
 	if a.reply.NotRun {
--- a/src/exchange/backup.go
+++ b/src/exchange/backup.go
@@ -143,7 +143,7 @@
 		c.reason += "; " + lost.ID() + " can still be reached"
 		return Choice{}, false
 	}
-	if !c.mayWrite(backup, backup.origin()) {
+	if !c.mayWrite(backup, backup.writerOrigin()) {
 		return Choice{}, false
 	}
 	fleet := c.handler.options.Fleet
--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -49,8 +49,8 @@
 type pool struct {
 	address string
 	dial    func(ctx context.Context, address string) (net.Conn, error)
-	// dialed is told the result of each attempt to connect; it may be nil.
-	dialed func(connected bool)
+	// dialed is told the error of each attempt to connect, or nil; it may be nil itself.
+	dialed func(err error)
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -71,8 +71,17 @@
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // Dial opens a TCP connection for requests.
-func Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+func Dial(ctx context.Context, address string) (net.Conn, error) { return dialFrom(ctx, nil, address) }
+
+// DialFrom returns a function that opens TCP connections for requests from a local address.
+func DialFrom(local net.IP) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialFrom(ctx, &net.TCPAddr{IP: local}, address)
+	}
+}
+
+func dialFrom(ctx context.Context, local net.Addr, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, LocalAddr: local}
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
@@ -113,7 +122,7 @@
 func (p *pool) connect(ctx context.Context, timeout time.Duration) (net.Conn, error) {
 	raw, err := p.dialUntil(ctx, timeout)
 	if p.dialed != nil && (err == nil || ctx.Err() == nil) {
-		p.dialed(err == nil)
+		p.dialed(err)
 	}
 	return raw, err
 }
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -136,7 +136,12 @@
 
 func newReplica(t *testing.T, id string, act behaviour) *fakeReplica {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return newReplicaAt(t, id, "127.0.0.1:0", act)
+}
+
+func newReplicaAt(t *testing.T, id, address string, act behaviour) *fakeReplica {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -72,6 +72,8 @@
 	links *reach.Monitor
 	// onCrash is called when the control nodes report that a replica has ended.
 	onCrash func(now time.Time, replica string, evidence string)
+	// onReturn is called when a replica accepts connections again after it refused one.
+	onReturn func(*Peer)
 	// requestSent is raised when this gateway has sent a request that the other gateways should
 	// know of.
 	requestSent wakeup.Flag
@@ -116,6 +118,7 @@
 		census:       map[string]*resume.Census{},
 		latestStarts: map[string]*Peer{},
 		onDoubt:      func([]resume.Key) {},
+		onReturn:     func(*Peer) {},
 		sentPrompts:  newSentPrompts(),
 		loadReports:  newLoadReports(),
 		byBacklogKey: map[uint64]*Peer{},
@@ -181,7 +184,10 @@
 	found := peer == nil
 	if found {
 		peer = newPeer(e.Record, f.dial)
-		peer.pool.dialed = func(connected bool) { f.noteDial(peer, connected) }
+		peer.pool.dialed = func(err error) {
+			f.noteDial(peer, err == nil)
+			f.noteRefusal(peer, err)
+		}
 		f.restoreState(peer)
 		f.inheritState(peer)
 		f.peers[id] = peer
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -117,6 +117,7 @@
 	h.crashDetector = newCrashDetector(options.Now, h.noteCrash)
 	options.Fleet.setCrashHandler(h.crashDetector.confirm)
 	options.Fleet.onDoubt = h.disputeOrigins
+	options.Fleet.onReturn = h.confirmReturn
 	return h
 }
 
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -61,6 +61,10 @@
 	// written what is attributed to it, the zero time if none may.
 	begun       []begunStream
 	doubtedFrom time.Time
+	// refusedDial is set after a dial was refused: what answers at the address later may be another start.
+	// askingStart is set while it is asked.
+	refusedDial bool
+	askingStart bool
 	// running is the number of this gateway's requests in progress. backlog is the expected prefill
 	// time of those prompts among them that are not known to be read yet.
 	running int
