Soak: replicas tell gateways apart by the address that they send from

The check went by the gateway that the client had named. Programs built for the soak send from their own address now, so that the check knows the sender of forwarded requests too, which it passed over or mistook before; its bounds and its exceptions for gateways without links are as they were. A unit test shows the three cases.

--- a/soak/links.go
+++ b/soak/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -25,6 +26,9 @@
 
 // linkChecks counts first tries while some gateways have no links to replicas.
 type linkChecks struct {
+	// senders holds the names of the gateways by the address from which they send.
+	senders map[string]string
+
 	mu sync.Mutex
 	// cutAt holds since when the links of a gateway are cut.
 	cutAt map[string]time.Time
@@ -100,9 +104,14 @@
 const forwardTime = 6 * time.Second
 
 // senderOf returns the gateway that sent a request to a replica, "" if that is not known: a gateway
-// without links forwards the requests of its clients to others, which alone see the replica's answers.
+// without links may not see the replica's answers. Programs of earlier builds do not send from their own
+// address: what their clients named is used then.
 func (l *linkChecks) senderOf(request *http.Request) string {
-	gateway := request.Header.Get(gatewayHeader)
+	host, _, _ := net.SplitHostPort(request.RemoteAddr)
+	gateway := l.senders[host]
+	if gateway == "" {
+		gateway = request.Header.Get(gatewayHeader)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, cut := l.cutAt[gateway]; cut || time.Since(l.endedAt[gateway]) < forwardTime {
@@ -111,6 +120,15 @@
 	return gateway
 }
 
+// senders returns the names of the gateways by the address from which they send requests.
+func (in *installation) senders() map[string]string {
+	senders := map[string]string{}
+	for _, m := range in.gatewayNodes() {
+		senders[fmt.Sprint(processNet, m.host)] = m.name
+	}
+	return senders
+}
+
 // recordTry counts a first try that was sent at a time to a gateway without other faults.
 func (l *linkChecks) recordTry(gateway string, sentAt time.Time, served bool) {
 	l.mu.Lock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -73,6 +73,7 @@
 	go in.shutDownOnSignal()
 	check := newChecker()
 	check.timeBounds = !o.NoBounds
+	check.links.senders = in.senders()
 	zones := newZoneDrains()
 	replicas, err := newReplicas(in, check, zones, replicaCount)
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -266,3 +266,22 @@
 		t.Error("a fault before and one after the try are not told apart")
 	}
 }
+
+// TestTheSenderOfAForwardedRequestIsTheGatewayThatSentIt guards against putting what a replica told one gateway
+// down to the one that forwarded the request to it.
+func TestTheSenderOfAForwardedRequestIsTheGatewayThatSentIt(t *testing.T) {
+	links := linkChecks{senders: map[string]string{"127.20.2.12": "gateway-2"}, cutAt: map[string]time.Time{}, endedAt: map[string]time.Time{}}
+	request := &http.Request{Header: http.Header{}, RemoteAddr: "127.20.2.12:4711"}
+	request.Header.Set(gatewayHeader, "gateway-1")
+	if sender := links.senderOf(request); sender != "gateway-2" {
+		t.Errorf("sent by %q", sender)
+	}
+	links.begin("gateway-2")
+	if sender := links.senderOf(request); sender != "" {
+		t.Errorf("sent by %q without links", sender)
+	}
+	request.RemoteAddr = "127.0.0.1:4711"
+	if sender := links.senderOf(request); sender != "gateway-1" {
+		t.Errorf("sent by %q of an earlier build", sender)
+	}
+}
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -108,7 +108,7 @@
 	}
 	g.proc = proc
 	debug.SetGCPercent(gatewayGCPercent)
-	g.fleet = exchange.NewFleet(settings.Zone, simulateCuts(file, external.Dial), proc.Ring(), time.Now, clock.Now)
+	g.fleet = exchange.NewFleet(settings.Zone, simulateCuts(file, settings.ListenAddress(), external.Dial), proc.Ring(), time.Now, clock.Now)
 	g.fleet.SetRegions(settings.Zones)
 	g.origins = newStreamOrigins(maxGatewayOrigins)
 	terms := quotaParameters(settings.Quota)
--- a/src/fleet/links.go
+++ b/src/fleet/links.go
@@ -6,4 +6,4 @@
 
 // simulateCuts returns the function that opens connections to replicas unchanged. Only soak test
 // builds simulate cut links.
-func simulateCuts(_ string, dial fault.DialFunc) fault.DialFunc { return dial }
+func simulateCuts(_, _ string, dial fault.DialFunc) fault.DialFunc { return dial }
--- a/src/fleet/links_soak.go
+++ b/src/fleet/links_soak.go
@@ -3,10 +3,12 @@
 package fleet
 
 import (
+	"net"
 	"os"
 	"strings"
 	"time"
 
+	"github.com/moorspool/moorspool/src/exchange"
 	"github.com/moorspool/moorspool/src/fault"
 )
 
@@ -17,9 +19,10 @@
 // linkPollInterval is how often that file is read.
 const linkPollInterval = 20 * time.Millisecond
 
-// simulateCuts returns a function that opens connections as the file beside the settings allows.
-func simulateCuts(settingsFile string, dial fault.DialFunc) fault.DialFunc {
-	links := fault.NewLinks(dial)
+// simulateCuts returns a function that opens connections as the file beside the settings allows, from the
+// gateway's own address, by which replicas tell the gateways apart.
+func simulateCuts(settingsFile, address string, _ fault.DialFunc) fault.DialFunc {
+	links := fault.NewLinks(exchange.DialFrom(net.ParseIP(address)))
 	go func() {
 		for {
 			// Without a file the text is empty, which stands for links that are up.
