LIMIT, BUDGET: nothing is sent to a start of a replica that was replaced

Meanwhile the later start under that name and address was listed, and the request reached that one. Its word to want nothing for 1.97 s was kept for the earlier start, which it is passed on from only at the moment of listing. Ruled out: a lost answer (event 613 stands in the gateway's log, under the earlier start).

Change: a start with a later one at its address accepts nothing any more, so that a request that waited for it is chosen for anew. Words on open connections count for the start that they were told for, as before. If the later one is no longer listed, the earlier one is used again: a host's clock may have gone back.

--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -254,6 +254,7 @@
 		delete(f.usable, id)
 	}
 	if peer := f.peers[id]; peer != nil {
+		peer.unlisted.Store(true)
 		peer.pool.close()
 		f.uncountVersion(peer)
 		f.forgetStart(peer)
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -34,6 +34,10 @@
 	service      string
 	pool         *pool
 	backoffState *backoffState
+	// later is a later start with the replica's name and address, nil if none is known. unlisted is set once
+	// the replica is no longer listed.
+	later    atomic.Pointer[Peer]
+	unlisted atomic.Bool
 	// brokenAtRequest is the number of broken connections when the replica last asked for a backoff
 	// or a limit.
 	brokenAtRequest atomic.Int64
--- a/src/exchange/replicastate.go
+++ b/src/exchange/replicastate.go
@@ -114,7 +114,7 @@
 
 // admit reports whether a replica accepts a request that is sent now, and counts it.
 func (f *Fleet) admit(peer *Peer) bool {
-	if f.drained(peer) || f.shareTaken(peer, 0) {
+	if f.drained(peer) || peer.replaced() || f.shareTaken(peer, 0) {
 		return false
 	}
 	return !peer.backoffState.restricted.Load() || peer.backoffState.admit(f.bootNow())
@@ -130,7 +130,7 @@
 // acceptsIn reports whether a replica accepts requests now. If not, it returns the time until it
 // may, 0 for never.
 func (f *Fleet) acceptsIn(peer *Peer) (wait time.Duration, accepted bool) {
-	if f.drained(peer) {
+	if f.drained(peer) || peer.replaced() {
 		return 0, false
 	}
 	if f.shareTaken(peer, 1) {
@@ -192,6 +192,8 @@
 			more++
 		case f.drained(c.peer):
 			descriptions = append(descriptions, c.peer.ID()+" is in a drained zone")
+		case c.peer.replaced():
+			descriptions = append(descriptions, c.peer.ID()+" has started again")
 		case accepted:
 			descriptions = append(descriptions, c.peer.ID()+f.describePermitNeed(c.peer))
 		case wait == 0:
--- a/src/exchange/restart.go
+++ b/src/exchange/restart.go
@@ -65,8 +65,12 @@
 	}
 	earlier := f.latestStarts[peer.name()]
 	if earlier != nil && earlier.startedMS() > record.StartedMS {
+		peer.noteReplacement(earlier)
 		return
 	}
+	if earlier != nil {
+		earlier.noteReplacement(peer)
+	}
 	f.latestStarts[peer.name()] = peer
 	if earlier == nil || earlier.origin() == peer.origin() {
 		return
@@ -76,6 +80,20 @@
 	}
 }
 
+// noteReplacement records a later start of the replica. If it has the same address, it would get what is sent
+// to this one.
+func (p *Peer) noteReplacement(later *Peer) {
+	if p.pool.address == later.pool.address {
+		p.later.Store(later)
+	}
+}
+
+// replaced reports whether a later start that is still listed would get what is sent to the replica.
+func (p *Peer) replaced() bool {
+	later := p.later.Load()
+	return later != nil && !later.unlisted.Load()
+}
+
 // forgetStart drops a replica that is no longer listed from the last starts; the lock is held.
 func (f *Fleet) forgetStart(peer *Peer) {
 	if name := peer.name(); f.latestStarts[name] == peer {
