--- a/src/quarantine/table.go
+++ b/src/quarantine/table.go
@@ -24,8 +24,7 @@
 const (
 	// suspectTTL is how long failures below the threshold are remembered.
 	suspectTTL = 10 * time.Minute
-	// maxFailures is the number of failures kept for an entry; those beyond the threshold
-	// determine how long it is held.
+	// maxFailures is the number of failures kept for an entry.
 	maxFailures = 16
 	// maxEntries is the number of entries kept, since callers can create any number of them. The
 	// entry with the fewest failures is evicted first, and of these the one with the oldest
@@ -36,8 +35,8 @@
 	evictionBatch = maxEntries / 8
 )
 
-// holdDurations is how long a content is held after its last failure, by the number of failures
-// beyond the threshold. After that a gateway sends one request with it at a time, so that one that was
+// holdDurations is how long a content is held after its last failure, by the number of failed trials.
+// After that a gateway sends one request with it at a time, so that one that was
 // quarantined by mistake can clear itself. Of the three requests that may be sent after the third failure at all,
 // two are used for that.
 var holdDurations = []time.Duration{time.Hour, 24 * time.Hour, 7 * 24 * time.Hour}
@@ -46,6 +45,10 @@
 // end sooner.
 var partHoldDurations = []time.Duration{10 * time.Minute, time.Hour, 24 * time.Hour, 7 * 24 * time.Hour}
 
+// provenHoldDurations is the same for a part that requests were served with not long before. If all replicas
+// of a service crash for a while, parts that most requests have are condemned, and must be served soon after.
+var provenHoldDurations = []time.Duration{time.Minute, 10 * time.Minute, time.Hour, 24 * time.Hour}
+
 // doubtfulHold is how long a part is held whose failures may all have another cause. If it is a second
 // one that crashes replicas, three more failures tell.
 const doubtfulHold = 10 * time.Second
@@ -56,10 +59,13 @@
 		return doubtfulHold
 	}
 	durations := holdDurations
-	if e.part != "" {
+	switch {
+	case e.part != "" && e.proven:
+		durations = provenHoldDurations
+	case e.part != "":
 		durations = partHoldDurations
 	}
-	return durations[min(max(len(e.failures)-e.threshold(), 0), len(durations)-1)]
+	return durations[min(e.failedTrials, len(durations)-1)]
 }
 
 // Entry is the state of one content or part of prompts as processes exchange it.
@@ -71,6 +77,8 @@
 	Position int `json:"o,omitempty"`
 	// Proven is set if requests with the part were served not long before its failures, or since.
 	Proven bool `json:"g,omitempty"`
+	// FailedTrials is how often a replica ended under the content or part after its hold was over.
+	FailedTrials int `json:"t,omitempty"`
 	// Round grows when the content is cleared by a completed request or by an operator; failures of
 	// earlier rounds no longer count.
 	Round uint64 `json:"r,omitempty"`
@@ -93,6 +101,8 @@
 	position int
 	proven   bool
 	verdict  verdict
+	// failedTrials is the number of failures that began a new hold.
+	failedTrials int
 	// trialUntil is when another request may be sent on trial at the earliest.
 	trialUntil time.Time
 	round      uint64
@@ -187,15 +197,10 @@
 			continue
 		}
 		known.identify(failed.key.Part, failed.key.Position)
-		added := !slices.Contains(known.failures, replica) && len(known.failures) < maxFailures
 		proves := failed.proven && !known.proven
-		if !added && !proves {
+		if !known.addFailure(now, replica) && !proves {
 			continue
 		}
-		if added {
-			known.failures = append(known.failures, replica)
-			known.changedAt = now
-		}
 		known.proven = known.proven || failed.proven
 		t.markChanged(known)
 		known.localVersion = t.version
@@ -204,6 +209,27 @@
 	t.judgeAndUnlock(now, changed)
 }
 
+// addFailure adds a failure and reports whether that changed the entry. Failures beyond those that are kept
+// count if they end a trial.
+func (e *entry) addFailure(now time.Time, replica string) bool {
+	if slices.Contains(e.failures, replica) {
+		return false
+	}
+	failedTrial := e.verdict == condemned && !e.held(now)
+	full := len(e.failures) >= maxFailures
+	if full && !failedTrial {
+		return false
+	}
+	if failedTrial {
+		e.failedTrials++
+	}
+	if !full {
+		e.failures = append(e.failures, replica)
+	}
+	e.changedAt = now
+	return true
+}
+
 // judgeAndUnlock releases the lock. If entries changed, it decides before which are held, and reports
 // the changes after.
 func (t *Table) judgeAndUnlock(now time.Time, changed bool) {
@@ -239,7 +265,7 @@
 		return false
 	}
 	known.round++
-	known.failures = nil
+	known.failures, known.failedTrials = nil, 0
 	known.proven = proven
 	known.changedAt = now
 	t.markChanged(known)
@@ -300,7 +326,7 @@
 	changedAt := now.Add(-time.Duration(max(received.AgeMS, 0)) * time.Millisecond)
 	known := t.entries[received.Digest]
 	if known == nil {
-		incoming := entry{part: received.Part, proven: received.Proven, failures: received.Failures, changedAt: changedAt}
+		incoming := entry{part: received.Part, proven: received.Proven, failedTrials: received.FailedTrials, failures: received.Failures, changedAt: changedAt}
 		if incoming.expired(now) {
 			return false
 		}
@@ -316,6 +342,11 @@
 	added := false
 	if received.Round > known.round {
 		known.round, known.failures, known.proven, known.changedAt = received.Round, nil, received.Proven, changedAt
+		known.failedTrials = 0
+		added = true
+	}
+	if received.FailedTrials > known.failedTrials {
+		known.failedTrials = received.FailedTrials
 		added = true
 	}
 	if received.Proven && !known.proven {
@@ -475,7 +506,7 @@
 	var entries []Entry
 	for digest, known := range t.entries {
 		if wanted(known) {
-			entries = append(entries, Entry{Digest: digest, Part: known.part, Position: known.position, Proven: known.proven, Round: known.round, Failures: slices.Clone(known.failures), AgeMS: now.Sub(known.changedAt).Milliseconds()})
+			entries = append(entries, Entry{Digest: digest, Part: known.part, Position: known.position, Proven: known.proven, FailedTrials: known.failedTrials, Round: known.round, Failures: slices.Clone(known.failures), AgeMS: now.Sub(known.changedAt).Milliseconds()})
 		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return slices.Compare(a.Digest[:], b.Digest[:]) })
--- a/src/quarantine/trial_test.go
+++ b/src/quarantine/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -71,3 +72,47 @@
 		}
 	})
 }
+
+// TestABurstOfFailuresDoesNotLengthenTheHold: several requests with a part crash their replicas before its
+// quarantine is known everywhere. Only a failed trial lengthens it.
+func TestABurstOfFailuresDoesNotLengthenTheHold(t *testing.T) {
+	is := is.New(t)
+	g := NewTracker(newTestTable())
+	for i := range 2 * maxFailures {
+		recordCrash(g, noon, fmt.Sprint("r-", i), "poison")
+	}
+	left, held := g.Held(noon, partKey("poison").Digest)
+	is.True(held)
+	is.Equal(left, partHoldDurations[0])
+	now := noon.Add(left)
+	recordCrash(g, now, "r-trial", "poison")
+	left, held = g.Held(now, partKey("poison").Digest)
+	is.True(held)
+	is.Equal(left, partHoldDurations[1])
+	other := newTestTable()
+	other.Merge(now, g.Entries(now, 2))
+	left, _ = other.Held(now, partKey("poison").Digest)
+	is.Equal(left, partHoldDurations[1])
+}
+
+// TestACommonPartIsServedSoonAfterAnOutage: all replicas crash for half a minute for another reason, so that
+// nothing is served and a part of most requests has the most failures.
+func TestACommonPartIsServedSoonAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	g := NewTracker(newTestTable())
+	g.RecordPartSuccess(noon.Add(-successTTL), []Key{partKey("common")})
+	now := noon
+	for i := range 60 {
+		now = now.Add(500 * time.Millisecond)
+		recordCrash(g, now, fmt.Sprint("r-", i), "common", fmt.Sprint("rare-", i))
+	}
+	_, left, blocked := g.Blocked(now, Request{Parts: []Key{partKey("common")}}, &Trial{})
+	is.True(blocked)
+	is.True(left <= 2*time.Minute)
+	now = now.Add(left)
+	_, _, blocked = g.Blocked(now, Request{Parts: []Key{partKey("common")}}, &Trial{})
+	is.True(!blocked)
+	g.RecordPartSuccess(now, []Key{partKey("common")})
+	_, _, blocked = g.Blocked(now, Request{Parts: []Key{partKey("common")}}, &Trial{})
+	is.True(!blocked)
+}
