--- a/src/cli/quarantine.go
+++ b/src/cli/quarantine.go
@@ -54,6 +54,6 @@
 	fmt.Fprintln(w, "DIGEST\tPART\tENDS\tSERVED\tLAST\tBACKEND SERVERS")
 	for _, entry := range quarantined.Entries {
 		last := (time.Duration(entry.AgeMS) * time.Millisecond).Round(time.Second)
-		fmt.Fprintf(w, "%s\t%s\t%d\t%t\t%s ago\t%s\n", entry.Digest, cmp.Or(entry.Part, "-"), len(entry.Failures), entry.Proven, last, strings.Join(entry.Failures, " "))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%t\t%s ago\t%s\n", entry.Digest, cmp.Or(entry.Part, "-"), len(entry.Failures), entry.Served, last, strings.Join(entry.Failures, " "))
 	}
 }
--- a/src/quarantine/judgement.go
+++ b/src/quarantine/attribution.go
@@ -6,61 +6,64 @@
 	"time"
 )
 
-// judge decides which entries are condemned and appends the changes since the last time. The lock is held.
+// evaluate decides which entries are quarantined and returns what changed since the last time. The lock is
+// held.
 //
 // When a replica crashes, everything under way there is a suspect. Of entries that share crashes, the one
 // with the most crashes is taken as their cause, and these crashes no longer count against parts of
-// prompts: one that stands beside a part that crashes replicas would be condemned with it otherwise.
+// prompts: one that stands beside a part that crashes replicas would be quarantined with it otherwise.
 // The result depends on the entries alone, not on the order in which they came.
-func (t *Table) judge(now time.Time, changes []Change) []Change {
+func (t *Table) evaluate(now time.Time) []Change {
 	var candidates []candidate
 	for digest, known := range t.entries {
-		known.verdict = cleared
+		known.status = cleared
 		if len(known.failures) >= Threshold {
 			candidates = append(candidates, candidate{digest: digest, entry: known})
 		}
 	}
 	slices.SortFunc(candidates, compareCandidates)
-	explained := map[string]bool{}
+	// attributed holds the replicas whose failures have a cause already.
+	attributed := map[string]bool{}
 	for _, c := range candidates {
-		c.entry.verdict = c.entry.judge(explained)
-		if c.entry.verdict != condemned {
+		c.entry.status = c.entry.evaluate(attributed)
+		if c.entry.status != quarantined {
 			continue
 		}
 		for _, replica := range c.entry.failures {
-			explained[replica] = true
+			attributed[replica] = true
 		}
 	}
+	var changes []Change
 	for digest, known := range t.entries {
 		changes = known.appendChange(now, digest, changes)
 	}
 	return changes
 }
 
-// verdict is what the failures of an entry amount to.
-type verdict uint8
+// status is what the failures of an entry amount to.
+type status uint8
 
 const (
 	// cleared means that requests with the content or part may be sent.
-	cleared verdict = iota
-	// doubtful means that each failure may have another cause, but no request with the part ever completed.
-	doubtful
-	// condemned means that the failures are put down to the entry.
-	condemned
+	cleared status = iota
+	// ambiguous means that each failure may have another cause, but no request with the part ever completed.
+	ambiguous
+	// quarantined means that the failures are attributed to the entry.
+	quarantined
 )
 
-// judge returns the verdict on an entry, given the failures that have another cause.
-func (e *entry) judge(explained map[string]bool) verdict {
+// evaluate returns the status of an entry, given the failures that are attributed to others.
+func (e *entry) evaluate(attributed map[string]bool) status {
 	switch {
-	case e.part == "" || e.unexplained(explained) >= e.threshold():
-		return condemned
-	case e.proven:
+	case e.part == "" || e.unattributed(attributed) >= e.threshold():
+		return quarantined
+	case e.served:
 		return cleared
 	}
-	return doubtful
+	return ambiguous
 }
 
-// candidate is an entry that may be condemned.
+// candidate is an entry that may be quarantined.
 type candidate struct {
 	digest Digest
 	entry  *entry
@@ -71,7 +74,7 @@
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(len(b.entry.failures), len(a.entry.failures)),
-		compareBool(a.entry.proven, b.entry.proven),
+		compareBool(a.entry.served, b.entry.served),
 		compareBool(a.entry.part != "", b.entry.part != ""),
 		cmp.Compare(b.entry.position, a.entry.position),
 		slices.Compare(a.digest[:], b.digest[:]),
@@ -89,21 +92,21 @@
 	return 1
 }
 
-// unexplained returns the number of crashes that are not in the given set.
-func (e *entry) unexplained(explained map[string]bool) int {
+// unattributed returns the number of crashes that are not in the given set.
+func (e *entry) unattributed(attributed map[string]bool) int {
 	count := 0
 	for _, replica := range e.failures {
-		if !explained[replica] {
+		if !attributed[replica] {
 			count++
 		}
 	}
 	return count
 }
 
-// threshold returns the number of crashes after which the entry is condemned.
+// threshold returns the number of crashes after which the entry is quarantined.
 func (e *entry) threshold() int {
-	if e.part != "" && e.proven {
-		return ProvenThreshold
+	if e.part != "" && e.served {
+		return ServedThreshold
 	}
 	return Threshold
 }
--- a/src/quarantine/judgement_test.go
+++ b/src/quarantine/attribution_test.go
@@ -51,9 +51,9 @@
 		release time.Duration
 	}{
 		{"served shortly before", successTTL / 2, []string{"beside", "poison"}, false, 0},
-		{"served long before", provenTTL / 2, []string{"beside", "poison"}, false, 0},
-		{"served long before, behind it", provenTTL / 2, []string{"poison", "beside"}, false, 0},
-		{"never served, before it", 0, []string{"beside", "poison"}, true, doubtfulHold},
+		{"served long before", servedTTL / 2, []string{"beside", "poison"}, false, 0},
+		{"served long before, behind it", servedTTL / 2, []string{"poison", "beside"}, false, 0},
+		{"never served, before it", 0, []string{"beside", "poison"}, true, ambiguousHold},
 	} {
 		t.Run(way.name, func(t *testing.T) {
 			is := is.New(t)
@@ -75,7 +75,7 @@
 func TestABegunResponseCountsForItsParts(t *testing.T) {
 	is := is.New(t)
 	g := NewTracker(newTestTable())
-	for i := range ProvenThreshold {
+	for i := range ServedThreshold {
 		is.True(!isHeld(g.Table, noon, "begun"))
 		g.AttributeFailure(noon, fmt.Sprint("r-", i), []Request{{Content: testDigest(i), Parts: []Key{partKey("begun")}, Begun: true}})
 	}
@@ -92,12 +92,12 @@
 	}
 	_, held := g.Held(noon, content)
 	is.True(held)
-	after := noon.Add(doubtfulHold)
+	after := noon.Add(ambiguousHold)
 	is.True(!isHeld(g.Table, after, "a"))
 	is.True(!isHeld(g.Table, after, "b"))
 	recordCrash(g, after, "r-other", "c", "b") // another content with the part
 	is.True(isHeld(g.Table, after, "b"))
-	is.Equal(g.Table.entries[partKey("b").Digest].verdict, condemned)
+	is.Equal(g.Table.entries[partKey("b").Digest].status, quarantined)
 }
 
 // TestTwoPoisonousPartsAreBothQuarantined: both are under way at the same replicas at first, so that the
@@ -111,12 +111,12 @@
 	is.True(isHeld(g.Table, noon, "one") && isHeld(g.Table, noon, "two")) // one of them in doubt
 	now := noon
 	for i := range Threshold {
-		now = now.Add(2 * doubtfulHold)
+		now = now.Add(2 * ambiguousHold)
 		recordCrash(g, now, fmt.Sprint("one-", i), "one")
 		recordCrash(g, now, fmt.Sprint("two-", i), "two")
 	}
 	for _, id := range []string{"one", "two"} {
-		is.Equal(g.Table.entries[partKey(id).Digest].verdict, condemned)
+		is.Equal(g.Table.entries[partKey(id).Digest].status, quarantined)
 	}
 }
 
@@ -125,7 +125,7 @@
 func TestPartsAreLearnedFromOtherGateways(t *testing.T) {
 	is := is.New(t)
 	failed, served := NewTracker(newTestTable()), NewTracker(newTestTable())
-	served.RecordPartSuccess(noon.Add(-provenTTL/2), []Key{partKey("known")})
+	served.RecordPartSuccess(noon.Add(-servedTTL/2), []Key{partKey("known")})
 	served.RecordPartSuccess(noon.Add(-successTTL/2), []Key{partKey("common")})
 	for i := range Threshold {
 		recordCrash(failed, noon, fmt.Sprint("r-", i), "known")
@@ -142,9 +142,9 @@
 	}
 }
 
-// TestMergedTablesJudgePartsAlikeInAnyOrder: processes agree on what is held, whatever they observed and in
+// TestMergedTablesAttributeFailuresAlikeInAnyOrder: processes agree on what is held, whatever they observed and in
 // whatever order they exchange entries.
-func TestMergedTablesJudgePartsAlikeInAnyOrder(t *testing.T) {
+func TestMergedTablesAttributeFailuresAlikeInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tables := make([]*Table, rapid.IntRange(2, 4).Draw(t, "processes"))
 		for i := range tables {
@@ -159,9 +159,9 @@
 				keys := PartKeys([]string{id, fmt.Sprint("part-", rapid.IntRange(0, 3).Draw(t, "other"))})
 				table.RecordFailure(noon, replica, keys)
 			case 3:
-				table.ClearProven(noon, partKey(id).Digest)
+				table.ClearServed(noon, partKey(id).Digest)
 			case 4:
-				table.MarkProven(noon, partKey(id).Digest)
+				table.MarkServed(noon, partKey(id).Digest)
 			}
 		}
 		random := rand.New(rand.NewPCG(1, 2))
--- a/src/quarantine/parts_fleet_test.go
+++ b/src/quarantine/parts_fleet_test.go
@@ -161,8 +161,8 @@
 	}
 }
 
-// TestLossesCondemnNoPart ends replicas again and again while no part crashes any.
-func TestLossesCondemnNoPart(t *testing.T) {
+// TestLossesQuarantineNoPart ends replicas again and again while no part crashes any.
+func TestLossesQuarantineNoPart(t *testing.T) {
 	const fleets, duration = 30, 15 * time.Second
 	refused, sent := 0, 0
 	for seed := range uint64(fleets) {
--- a/src/quarantine/tracker.go
+++ b/src/quarantine/tracker.go
@@ -19,9 +19,9 @@
 	// maxTrackedBody is the longest body that is remembered: requests that many callers send alike
 	// are short, and a digest of 64 KB takes some 50 microseconds.
 	maxTrackedBody = 64 << 10
-	// provenTTL is how long after a request completed the parts of its prompt count as proven. It is
+	// servedTTL is how long after a request completed the parts of its prompt count as served. It is
 	// longer than the pauses between the requests of rarely used parts.
-	provenTTL = 10 * time.Minute
+	servedTTL = 10 * time.Minute
 )
 
 // recentSuccesses remembers the contents or parts that completed recently.
@@ -84,8 +84,8 @@
 		}
 		for _, part := range request.Parts {
 			if !g.parts.within(now, part.Digest, successTTL) {
-				proven := request.Begun || g.parts.within(now, part.Digest, provenTTL)
-				failures = append(failures, failure{key: part, proven: proven})
+				served := request.Begun || g.parts.within(now, part.Digest, servedTTL)
+				failures = append(failures, failure{key: part, served: served})
 			}
 		}
 	}
@@ -119,23 +119,23 @@
 	for _, part := range parts {
 		g.parts.add(now, part.Digest)
 		if !g.Empty() {
-			g.ClearProven(now, part.Digest)
+			g.ClearServed(now, part.Digest)
 		}
 	}
 }
 
 // MergeFromControl merges the entries sent by control nodes. What completed here recently is cleared for
 // all gateways, since those that recorded its failures did not know; a part that completed longer ago is
-// marked as proven.
+// marked as served.
 func (g *Tracker) MergeFromControl(now time.Time, entries []Entry) {
 	for _, digest := range g.Merge(now, entries) {
 		switch {
 		case g.contents.within(now, digest, successTTL):
 			g.Clear(now, digest)
 		case g.parts.within(now, digest, successTTL):
-			g.ClearProven(now, digest)
-		case g.parts.within(now, digest, provenTTL):
-			g.MarkProven(now, digest)
+			g.ClearServed(now, digest)
+		case g.parts.within(now, digest, servedTTL):
+			g.MarkServed(now, digest)
 		}
 	}
 }
--- a/src/quarantine/trial.go
+++ b/src/quarantine/trial.go
@@ -40,7 +40,7 @@
 // blocked reports whether a key blocks a request. The lock is held.
 func (g *Tracker) blocked(now time.Time, key Key, trial *Trial) (left time.Duration, blocked bool) {
 	known := g.entries[key.Digest]
-	if known == nil || known.verdict == cleared || slices.Contains(trial.granted, key.Digest) && !known.held(now) {
+	if known == nil || known.status == cleared || slices.Contains(trial.granted, key.Digest) && !known.held(now) {
 		return 0, false
 	}
 	hold := known.holdDuration()
--- a/src/wire/inventory_test.go
+++ b/src/wire/inventory_test.go
@@ -16,7 +16,7 @@
 // serializedFiles are the files with structs that other builds read: messages between processes, commands
 // in the replicated log, snapshots and files on disk.
 var serializedFiles = []string{
-	"../wire/*.go", "../registry/*.go", "../quarantine/table.go", "../control/*.go", "../raft/*.go", "../store/*.go", "../config/*.go",
+	"../wire/*.go", "../registry/*.go", "../quarantine/entry.go", "../control/*.go", "../raft/*.go", "../store/*.go", "../config/*.go",
 }
 
 // untaggedStructs are the structs in these files that are serialized under their Go field names.
