--- a/soak/measure.go
+++ b/soak/measure.go
@@ -36,6 +36,10 @@
 	// a limit on.
 	afterLimitSent, afterLimitServed atomic.Int64
 	duration                         time.Duration
+	// oneGateway makes all requests go to one gateway, each on a new connection, in the third quarter.
+	oneGateway bool
+	// surgeSent and surgeServed count these, from contactTime after the beginning on.
+	surgeSent, surgeServed atomic.Int64
 	// refusedAsDeadly counts the requests that were refused as content that crashes replicas.
 	refusedAsDeadly atomic.Int64
 }
@@ -50,6 +54,7 @@
 	"parts-first": measureParts(deadlyParts{number: 2, position: 0, burst: 1, pause: 3 * partRequestPause / 2}, false),
 	"part-burst":  measureParts(deadlyParts{number: 1, position: 1, burst: 6, pause: 3 * partRequestPause}, false),
 	"some-losses": measureParts(deadlyParts{}, true),
+	"one-gateway": func(context.Context, *replicas, *clients) {},
 	"rest":        measureBackoff(0.5),
 	"limit":       measureLimits(0.5, 5, nil),
 	"limit-all":   measureLimits(1, 1, nil),
@@ -114,10 +119,11 @@
 		return err
 	}
 	time.Sleep(2 * heartbeatInterval)
-	m := measurement{duration: duration}
+	m := measurement{duration: duration, oneGateway: o.Measure == "one-gateway"}
 	m.run(ctx, c, func(ctx context.Context) { fault(ctx, r, c) })
 	r.crashes.mu.Lock()
 	defer r.crashes.mu.Unlock()
+	fmt.Printf("of %d requests to the one gateway %d were served\n", m.surgeSent.Load(), m.surgeServed.Load())
 	fmt.Printf("of %d requests from %s on %d were served\n", m.afterLimitSent.Load(), measuredLimitStart+measuredLimitDuration+limitRecoveryTime, m.afterLimitServed.Load())
 	partCrashes, latePartCrashes := r.partCrashes.totals()
 	fmt.Printf("%d replicas ended under deadly parts, %d later than %s after the fifth\n", partCrashes, latePartCrashes, contactTime)
@@ -164,6 +170,11 @@
 			half = 1
 		}
 		gateway := gateways[turn%len(gateways)]
+		surge, counted := m.surge(time.Since(began))
+		sender := client
+		if surge {
+			gateway, sender = gateways[0], &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+		}
 		if _, since := gateway.state(); since.IsZero() {
 			continue
 		}
@@ -173,12 +184,17 @@
 			kind, body = "u", "body of "+id
 		}
 		m.sent[half].Add(1)
-		status, got, err := c.sendBody(client, gateway, kind, id, body, mainAccountDraw)
+		status, got, err := c.sendBody(sender, gateway, kind, id, body, mainAccountDraw)
+		served := err == nil && status == http.StatusOK && got.whole
+		if counted {
+			m.surgeSent.Add(1)
+			m.surgeServed.Add(int64(asNumber(served)))
+		}
 		afterLimit := time.Since(began) > measuredLimitStart+measuredLimitDuration+limitRecoveryTime
 		if afterLimit {
 			m.afterLimitSent.Add(1)
 		}
-		if err == nil && status == http.StatusOK && got.whole {
+		if served {
 			m.served[half].Add(1)
 			if afterLimit {
 				m.afterLimitServed.Add(1)
@@ -190,6 +206,14 @@
 	}
 }
 
+// surge reports whether all requests go to one gateway at a time after the beginning, and whether they are
+// counted.
+func (m *measurement) surge(elapsed time.Duration) (active, counted bool) {
+	start := m.duration / 2
+	active = m.oneGateway && elapsed >= start && elapsed < start+m.duration/4+contactTime
+	return active, active && elapsed >= start+contactTime
+}
+
 // share returns the share of requests served in the given halves.
 func (m *measurement) share(halves ...int) float64 {
 	sent, served := 0.0, 0.0
