Soak: a request that crashes its replica is never answered

Cause: of two deadly requests at one replica the later one found it removed from the list already and its handler returned, so that the HTTP library answered 200 with no body before the connections were closed: a good end, which cleared the part at all gateways. The handler aborts its connection now, for the deadly content too.

The checks are as they were.

--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -146,11 +146,13 @@
 	}
 	if string(body) == crashBody {
 		r.crashOnContent(rep)
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if part := deadlyPart(request); part != "" {
 		r.crashOnPart(rep, part)
-		return
+		// Of two requests that crash the replica at once, the later one must not be answered before its
+		// connection closes.
+		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(stampHeader, rep.id+"."+id)
 	w = drawFraming(w)
