--- a/src/quarantine/table.go
+++ b/src/quarantine/table.go
@@ -11,7 +11,7 @@
 
 // maxEntries is the number of entries kept, since callers can create any number of them. The
 // entry with the fewest failures is evicted first, and of these the one with the oldest
-// failure. 1,024 entries of 100 bytes are 100 KB for a gateway to receive.
+// failure. 1,024 parts with three failures each are 160 KB for a gateway to receive.
 const maxEntries = 1024
 
 // Table holds the suspected and quarantined contents and parts of prompts that a process knows of; it is
