--- /dev/null
+++ b/review/harness/replica.go
@@ -0,0 +1,196 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// replica is a stand-in of one replica: it sends heartbeats and answers what its handler makes of a request.
+type replica struct {
+	cluster *cluster
+	id      string
+	address string
+	zone    string
+	service string
+	slots   int
+	models  []map[string]any
+	handle  func(r *replica, w http.ResponseWriter, request *http.Request)
+
+	server  *http.Server
+	stopped chan struct{}
+
+	mu       sync.Mutex
+	sequence int
+	state    string
+	// drainAckedAt is when a control node acknowledged that the replica is draining.
+	drainAckedAt time.Time
+	// next is the control node that gets the next heartbeat.
+	next   int
+	orders int
+}
+
+// addReplica starts a replica and registers it.
+func (c *cluster) addReplica(id, service string, slots int, models []map[string]any, handle func(r *replica, w http.ResponseWriter, request *http.Request)) *replica {
+	i := len(c.replicas)
+	r := &replica{
+		cluster: c, id: id, address: fmt.Sprintf("%s%d:%d", c.network, 101+i, replicaPort), zone: zoneNames[i%3], service: service,
+		slots: slots, models: models, handle: handle, state: "ready", stopped: make(chan struct{}), next: i,
+	}
+	listener, err := net.Listen("tcp", r.address)
+	check(err)
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go func() { _ = r.server.Serve(listener) }()
+	c.replicas = append(c.replicas, r)
+	record.write("replica %s started at %s", id, r.address)
+	go r.sendHeartbeats()
+	return r
+}
+
+func (r *replica) serve(w http.ResponseWriter, request *http.Request) {
+	if id := request.Header.Get("X-Attempt-Id"); id != "" {
+		w.Header().Set("X-Attempt-Id", id)
+	}
+	if expected := request.Header.Get("X-Expected-Replica"); expected != "" && expected != r.id {
+		w.Header().Set("X-Replica-Id", r.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch request.URL.Path {
+	case "/-/report":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		writeJSON(w, map[string]any{"stage": "both", "models": r.models, "busy": false, "sequence": r.orders, "waiting": 0, "running": 0, "kv_cache_used": 0, "kv_cache_total": 130000, "handles": 0})
+	case "/-/order":
+		// Everything that the cases need is loaded at the start, so every order is answered as done.
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.orders++
+		w.WriteHeader(http.StatusOK)
+	case "/health":
+		w.Header().Set("X-Replica-Id", r.id)
+	default:
+		r.handle(r, w, request)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	check(json.NewEncoder(w).Encode(value))
+}
+
+// sendHeartbeats sends a heartbeat every 1.2 s.
+func (r *replica) sendHeartbeats() {
+	for {
+		r.beat()
+		select {
+		case <-r.stopped:
+			return
+		case <-time.After(1200 * time.Millisecond):
+		}
+	}
+}
+
+// beat sends a heartbeat to the control nodes in turn until one acknowledges it.
+func (r *replica) beat() bool {
+	r.mu.Lock()
+	r.sequence++
+	state := r.state
+	body := map[string]any{
+		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state,
+		"cold_remaining_ms": 0, "stage": "both", "models": r.models, "sequence": r.sequence,
+	}
+	r.mu.Unlock()
+	raw, err := json.Marshal(body)
+	check(err)
+	for range r.cluster.controls {
+		r.mu.Lock()
+		n := r.cluster.controls[r.next%len(r.cluster.controls)]
+		r.mu.Unlock()
+		status, _ := r.cluster.call(n, http.MethodPut, "/-/replicas/"+r.id, raw)
+		if status >= 200 && status < 300 {
+			if state == "draining" {
+				r.noteDrain(n)
+			}
+			return true
+		}
+		r.mu.Lock()
+		r.next++
+		r.mu.Unlock()
+	}
+	return false
+}
+
+func (r *replica) noteDrain(by *node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.drainAckedAt.IsZero() {
+		r.drainAckedAt = time.Now()
+		record.write("replica %s: draining acknowledged by %s", r.id, by.name)
+	}
+}
+
+// drain announces that the replica leaves, and returns when that is acknowledged.
+func (r *replica) drain() {
+	r.mu.Lock()
+	r.state = "draining"
+	r.mu.Unlock()
+	for range 20 {
+		if r.beat() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	cannotRun("the draining of %s was not acknowledged", r.id)
+}
+
+// drainedFor returns how long ago the draining was acknowledged, 0 if it was not.
+func (r *replica) drainedFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.drainAckedAt.IsZero() {
+		return 0
+	}
+	return time.Since(r.drainAckedAt)
+}
+
+// deregister says that the replica ends.
+func (r *replica) deregister() {
+	for _, n := range r.cluster.controls {
+		if status, _ := r.cluster.call(n, http.MethodDelete, "/-/replicas/"+r.id, nil); status == http.StatusOK {
+			return
+		}
+	}
+}
+
+// crash ends the replica: its connections close and its port refuses connections.
+func (r *replica) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.stopped:
+		return
+	default:
+	}
+	close(r.stopped)
+	_ = r.server.Close()
+	record.write("replica %s ended", r.id)
+}
+
+// holds reports whether the replica holds a model.
+func (r *replica) holds(model string) bool {
+	if model == "" {
+		return true
+	}
+	for _, held := range r.models {
+		if held["name"] == model {
+			return true
+		}
+	}
+	return false
+}
