--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -25,12 +25,16 @@
 	free    chan struct{}
 	runs    map[string]time.Time
 	ends    map[string]time.Time
+	// lastWork is when it last made an event of a request.
+	lastWork map[string]time.Time
+	// keepsOn is set if it does not drop a request when its connection closes.
+	keepsOn bool
 	// onArrival is called with each request, before anything else.
 	onArrival func(r *replica, request *http.Request)
 }
 
 func newEngine(slots, queue, events int, pace time.Duration) *engine {
-	e := &engine{slots: slots, queue: queue, events: events, pace: pace, free: make(chan struct{}, slots), runs: map[string]time.Time{}, ends: map[string]time.Time{}}
+	e := &engine{slots: slots, queue: queue, events: events, pace: pace, free: make(chan struct{}, slots), runs: map[string]time.Time{}, ends: map[string]time.Time{}, lastWork: map[string]time.Time{}}
 	for range slots {
 		e.free <- struct{}{}
 	}
@@ -72,19 +76,40 @@
 	record.write("replica %s: runs %s from event %d", r.id, id, after+1)
 	for n := after + 1; n <= e.events; n++ {
 		select {
-		case <-request.Context().Done():
+		case <-e.cancelled(request):
 			record.write("replica %s: %s was cancelled before event %d", r.id, id, n)
 			return
 		case <-r.stopped:
 			panic(http.ErrAbortHandler)
 		case <-time.After(e.pace):
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 40)); err != nil || http.NewResponseController(w).Flush() != nil {
+		r.silence.wait()
+		e.noteWork(id)
+		_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 40))
+		if err == nil {
+			err = http.NewResponseController(w).Flush()
+		}
+		if err != nil && !e.keepsOn {
 			return
 		}
 	}
 }
 
+// cancelled returns a channel that is closed when the engine drops a request.
+func (e *engine) cancelled(request *http.Request) <-chan struct{} {
+	if e.keepsOn {
+		return nil
+	}
+	return request.Context().Done()
+}
+
+// noteWork records that the engine makes an event of a request.
+func (e *engine) noteWork(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastWork[id] = time.Now()
+}
+
 // enter waits for a slot. It returns false if the request is rejected.
 func (e *engine) enter(request *http.Request) bool {
 	e.mu.Lock()
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -20,10 +20,12 @@
 	service string
 	slots   int
 	models  []map[string]any
-	handle  func(r *replica, w http.ResponseWriter, request *http.Request)
+	handle  handler
 
 	server  *http.Server
 	stopped chan struct{}
+	// silence holds up everything that the replica does.
+	silence silence
 
 	mu       sync.Mutex
 	sequence int
@@ -35,24 +37,45 @@
 	orders int
 }
 
-// addReplica starts a replica and registers it.
-func (c *cluster) addReplica(id, service string, slots int, models []map[string]any, handle func(r *replica, w http.ResponseWriter, request *http.Request)) *replica {
+// handler is what a replica does with a request.
+type handler func(r *replica, w http.ResponseWriter, request *http.Request)
+
+// newReplica returns a replica that does not run yet.
+func (c *cluster) newReplica(id, service string, slots int, models []map[string]any, handle handler) *replica {
 	i := len(c.replicas)
-	r := &replica{
+	return &replica{
 		cluster: c, id: id, address: fmt.Sprintf("%s%d:%d", c.network, 101+i, replicaPort), zone: zoneNames[i%3], service: service,
 		slots: slots, models: models, handle: handle, state: "ready", stopped: make(chan struct{}), next: i,
 	}
+}
+
+// addReplica starts a replica and registers it.
+func (c *cluster) addReplica(id, service string, slots int, models []map[string]any, handle handler) *replica {
+	r := c.newReplica(id, service, slots, models, handle)
 	listener, err := net.Listen("tcp", r.address)
 	check(err)
+	r.run(listener)
+	return r
+}
+
+// addShortReplica is addReplica for a replica with a short queue of new connections.
+func (c *cluster) addShortReplica(id, service string, slots, backlog int, models []map[string]any, handle handler) *replica {
+	r := c.newReplica(id, service, slots, models, handle)
+	r.run(silentListener{listenShort(r.address, backlog), &r.silence})
+	return r
+}
+
+// run serves a listener and begins to send heartbeats.
+func (r *replica) run(listener net.Listener) {
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = r.server.Serve(listener) }()
-	c.replicas = append(c.replicas, r)
-	record.write("replica %s started at %s", id, r.address)
+	r.cluster.replicas = append(r.cluster.replicas, r)
+	record.write("replica %s started at %s", r.id, r.address)
 	go r.sendHeartbeats()
-	return r
 }
 
 func (r *replica) serve(w http.ResponseWriter, request *http.Request) {
+	r.silence.wait()
 	if id := request.Header.Get("X-Attempt-Id"); id != "" {
 		w.Header().Set("X-Attempt-Id", id)
 	}
@@ -87,6 +110,7 @@
 // sendHeartbeats sends a heartbeat every 1.2 s.
 func (r *replica) sendHeartbeats() {
 	for {
+		r.silence.wait()
 		r.beat()
 		select {
 		case <-r.stopped:
