--- a/review/harness/backup.go
+++ b/review/harness/backup.go
@@ -18,6 +18,8 @@
 	backupEvents = 150
 	backupPace   = 40 * time.Millisecond
 	backupCount  = 12
+	// otherReplicas hold another model: one of nine replicas crashes and one is replaced.
+	otherReplicas = 6
 	// A leaving replica serves for drain_ms after the acknowledgement and a little longer.
 	drainTime  = 2 * time.Second
 	lingerTime = time.Second
@@ -29,6 +31,7 @@
 func backup(c *cluster) bool {
 	c.start(3, 2)
 	models := []map[string]any{{"name": "daka510000", "weights_mb": 72700.0, "load_s": 9.0, "adapters": 0, "adapter_mb": 66.0, "warm_s": 0.81, "disk_s": 2.3}}
+	configured := append(append([]map[string]any{}, models...), map[string]any{"name": "daka510001", "weights_mb": 72700.0, "load_s": 9.0, "adapters": 0, "adapter_mb": 66.0, "warm_s": 0.81, "disk_s": 2.3})
 	c.putConfiguration(map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
@@ -40,14 +43,13 @@
 			"engine": map[string]any{
 				"slots": backupSlots, "kv_cache_tokens": 132029, "kv_bytes": 163840.0, "link_mbps": 280000.0, "moves": true, "backups": true, "stride": 2,
 				"maximum": 12, "host_mb": 150000.0, "disk_mb": 440000.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
-				"models": models, "weights_mb": 220000.0, "adapter_slots": 8, "loads_per_s": 1.4,
+				"models": configured, "weights_mb": 220000.0, "adapter_slots": 8, "loads_per_s": 1.4,
 			},
 		}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	var mu sync.Mutex
 	late := 0
-	var replicas []*replica
 	add := func(id string) *replica {
 		e := newEngine(backupSlots, backupQueue, backupEvents, backupPace)
 		e.onArrival = func(r *replica, request *http.Request) {
@@ -61,10 +63,12 @@
 			}
 		}
 		r := c.addReplica(id, "form-readers", backupSlots, []map[string]any{{"name": "daka510000", "version": 1, "adapters": []string{}}}, e.handle)
-		replicas = append(replicas, r)
 		return r
 	}
 	crashing, leaving := add("i-a"), add("i-b")
+	for n := range otherReplicas {
+		c.addReplica(fmt.Sprintf("i-other-%d", n+1), "form-readers", backupSlots, []map[string]any{{"name": "daka510001", "version": 1, "adapters": []string{}}}, newEngine(backupSlots, backupQueue, backupEvents, backupPace).handle)
+	}
 	c.awaitReady()
 	time.Sleep(3 * time.Second)
 
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -33,8 +34,11 @@
 	// drainAckedAt is when a control node acknowledged that the replica is draining.
 	drainAckedAt time.Time
 	// next is the control node that gets the next heartbeat.
-	next   int
-	orders int
+	next int
+	// orders counts the orders taken, fence is the highest token seen, loading is set while one is under way.
+	orders  int
+	fence   int
+	loading bool
 }
 
 // handler is what a replica does with a request.
@@ -88,13 +92,9 @@
 	case "/-/report":
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		writeJSON(w, map[string]any{"stage": "both", "models": r.models, "busy": false, "sequence": r.orders, "waiting": 0, "running": 0, "kv_cache_used": 0, "kv_cache_total": 130000, "handles": 0})
+		writeJSON(w, map[string]any{"stage": "both", "models": r.models, "busy": r.loading, "sequence": r.orders, "waiting": 0, "running": 0, "kv_cache_used": 0, "kv_cache_total": 130000, "handles": 0})
 	case "/-/order":
-		// Everything that the cases need is loaded at the start, so every order is answered as done.
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.orders++
-		w.WriteHeader(http.StatusOK)
+		r.order(w, request)
 	case "/health":
 		w.Header().Set("X-Replica-Id", r.id)
 	default:
@@ -102,6 +102,54 @@
 	}
 }
 
+// loadTime is how long the load of a model takes; every model of the cases is loaded from the store.
+const loadTime = 9 * time.Second
+
+// order answers an order as the platform's page says. Adapters are not needed by the cases.
+func (r *replica) order(w http.ResponseWriter, request *http.Request) {
+	var body struct {
+		Operation string `json:"operation"`
+		Model     string `json:"model"`
+		Token     int    `json:"fencing_token"`
+		Expected  *int   `json:"expected_count"`
+	}
+	if json.NewDecoder(request.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	held := r.holds(body.Model)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status := http.StatusAccepted
+	switch {
+	case body.Token < r.fence:
+		status = http.StatusPreconditionFailed
+	case r.loading || body.Expected != nil && *body.Expected != r.orders:
+		status = http.StatusConflict
+	case held == (body.Operation == "load"):
+		status = http.StatusOK
+	case body.Operation == "load":
+		r.loading = true
+		time.AfterFunc(loadTime, func() { r.loaded(body.Model) })
+	default:
+		r.models = slices.DeleteFunc(slices.Clone(r.models), func(m map[string]any) bool { return m["name"] == body.Model })
+	}
+	r.fence = max(r.fence, body.Token)
+	if status == http.StatusAccepted {
+		r.orders++
+	}
+	record.write("replica %s: order to %s %s, %d", r.id, body.Operation, body.Model, status)
+	w.WriteHeader(status)
+}
+
+// loaded ends the load of a model.
+func (r *replica) loaded(model string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loading = false
+	r.models = append(slices.Clone(r.models), map[string]any{"name": model, "version": 1, "adapters": []string{}})
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	check(json.NewEncoder(w).Encode(value))
@@ -211,6 +259,8 @@
 	if model == "" {
 		return true
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, held := range r.models {
 		if held["name"] == model {
 			return true
