--- /dev/null
+++ b/review/standins-2/client.go
@@ -0,0 +1,115 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const hostName = "desk.example"
+
+// attempt is one request of a client and what came of it.
+type attempt struct {
+	id      string
+	gateway string
+	sentAt  time.Time
+	endedAt time.Time
+	status  int
+	err     string
+}
+
+// load sends requests to gateways at a steady rate until it is stopped.
+type load struct {
+	in   *installation
+	path string
+
+	mu       sync.Mutex
+	attempts map[string]*attempt
+	number   int
+	running  sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+func startLoad(in *installation, path string, perSecond int) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{in: in, path: path, attempts: map[string]*attempt{}, stop: cancel}
+	clients := map[string]*http.Client{}
+	for _, g := range in.gateways {
+		address := in.clientAddress(g)
+		clients[g.name] = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", address)
+		}, MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
+	}
+	l.running.Add(1)
+	go func() {
+		defer l.running.Done()
+		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			g := in.gateways[l.number%len(in.gateways)]
+			l.running.Add(1)
+			go func(number int) {
+				defer l.running.Done()
+				l.send(clients[g.name], g.name, number)
+			}(l.number)
+			l.number++
+		}
+	}()
+	return l
+}
+
+func (l *load) send(client *http.Client, gateway string, number int) {
+	a := &attempt{id: fmt.Sprintf("%016x", 0x5000+number), gateway: gateway, sentAt: time.Now()}
+	l.mu.Lock()
+	l.attempts[a.id] = a
+	l.mu.Unlock()
+	status, err := do(client, a.id, l.path, []byte(a.id))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.endedAt, a.status = time.Now(), status
+	if err != nil {
+		a.err = err.Error()
+	}
+}
+
+// do sends one request and reads its answer.
+func do(client *http.Client, id, path string, body []byte) (int, error) {
+	const deadline = 4 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hostName+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// end stops the load and returns all attempts by their IDs.
+func (l *load) end() map[string]*attempt {
+	l.stop()
+	l.running.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.attempts
+}
