--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -27,6 +27,8 @@
 	sequence int
 	state    string
 	stopped  bool
+	// leaving is set once the server has announced its end; its answers say so too.
+	leaving  bool
 	arrivals []arrival
 	cut      int
 	http     *http.Server
@@ -57,6 +59,9 @@
 	if id != "" {
 		w.Header().Set("X-Attempt-Id", id)
 	}
+	if s.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expected := r.Header.Get("X-Expected-Replica"); expected != "" && expected != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -80,10 +85,19 @@
 	case <-r.Context().Done():
 		return
 	}
+	if s.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	w.Header().Set("X-Response-Stamp", s.id+"."+id)
 	_, _ = io.WriteString(w, id)
 }
 
+func (s *server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // heartbeat sends one heartbeat, to the next control node if one gives no acknowledgement.
 func (s *server) heartbeat() bool {
 	for range s.controls {
@@ -119,7 +133,7 @@
 // the notice was acknowledged, the zero time if it was not.
 func (s *server) deregister(to *process) time.Time {
 	s.mu.Lock()
-	s.stopped = true
+	s.stopped, s.leaving = true, true
 	s.mu.Unlock()
 	status := s.in.call(to, http.MethodDelete, "/-/replicas/"+s.id, nil, time.Second)
 	at := time.Now()
