--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]func(*installation, options) (broken bool, err error){
 	"restarted": runRestarted,
+	"crowded":   runCrowded,
 	"surplus":   runSurplus,
 }
 
