--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/moorspool-fleet-gateway ] && [ -x target/moorspool-fleet-control ] && [ -x review/bin/standins-2 ] || exit 2
-exec review/bin/standins-2 -case restarted -programs target -record review/4/record.txt
+exec review/bin/standins-2 -case runaway -programs target -record review/4/record.txt
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -29,6 +29,7 @@
 	"restarted": runRestarted,
 	"crowded":   runCrowded,
 	"surplus":   runSurplus,
+	"runaway":   runRunaway,
 }
 
 func main() { os.Exit(run()) }
