--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -30,6 +30,7 @@
 	"crowded":   runCrowded,
 	"surplus":   runSurplus,
 	"runaway":   runRunaway,
+	"retired":   runRetired,
 }
 
 func main() { os.Exit(run()) }
