--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -35,7 +35,9 @@
 	attempts map[string]*attempt
 	number   int
 	clients  map[string]*http.Client
-	running  sync.WaitGroup
+	// pick returns the gateway of the next request; nil means the gateways in turn.
+	pick    func() int
+	running sync.WaitGroup
 }
 
 func newLoad(in *installation, path string) *load {
@@ -44,22 +46,27 @@
 		address := in.clientAddress(g)
 		l.clients[g.name] = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", address)
-		}, MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
+		}, MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
 	}
 	return l
 }
 
 // wave sends a number of requests within a time, to the gateways in turn, and does not wait for the answers.
 func (l *load) wave(count int, within time.Duration) {
-	for range count {
-		g := l.in.gateways[l.number%len(l.in.gateways)]
+	began := time.Now()
+	for i := range count {
+		to := l.number % len(l.in.gateways)
+		if l.pick != nil {
+			to = l.pick()
+		}
+		g := l.in.gateways[to]
 		l.running.Add(1)
 		go func(number int) {
 			defer l.running.Done()
 			l.send(l.clients[g.name], g.name, number)
 		}(l.number)
 		l.number++
-		time.Sleep(within / time.Duration(count))
+		time.Sleep(time.Until(began.Add(within * time.Duration(i+1) / time.Duration(count))))
 	}
 }
 
@@ -73,7 +80,7 @@
 	l.mu.Lock()
 	l.attempts[a.id] = a
 	l.mu.Unlock()
-	status, err := do(client, a.id, l.path, []byte(a.id))
+	status, err := do(client, gateway, a.id, l.path, []byte(a.id))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a.endedAt, a.status = time.Now(), status
@@ -83,7 +90,7 @@
 }
 
 // do sends one request and reads its answer.
-func do(client *http.Client, id, path string, body []byte) (int, error) {
+func do(client *http.Client, gateway, id, path string, body []byte) (int, error) {
 	const deadline = 4 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -92,6 +99,7 @@
 		return 0, err
 	}
 	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set(headerVia, gateway)
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	response, err := client.Do(request)
 	if err != nil {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -29,6 +29,7 @@
 	"restarted": runRestarted,
 	"crowded":   runCrowded,
 	"surplus":   runSurplus,
+	"brittle":   runBrittle,
 	"runaway":   runRunaway,
 	"retired":   runRetired,
 }
