FAULT: the head of a backend server's response is read up to a limit

Cause: http.ReadResponse has no limit of its own, and readHead (send.go) and askStart (startcheck.go) called it on an unlimited reader.

Change: both read through one responseReader, which takes 32 KB at most from the connection for all heads that precede the response to a request. Beyond that the connection is closed, the server is avoided as after a reset, and it is no evidence of a crash. Whether the request ran is unknown: another server is tried if it may be repeated, else the client gets 502 at once.

TestHeadsWithoutEndAreCutOff (6 places) and TestStartReportsWithoutEndAreCutOff fail before, pass now (20 and 5 times in a row).

Conclusion: the limit must lie in the reader that all responses share, not at a call.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -109,6 +109,9 @@
 		return notAccepted, nil
 	}
 	if errors.Is(err, errOtherStart) {
+		if c.noteTooLong(peer, err) {
+			peer.failed(h.options.Now(), true)
+		}
 		c.grant = spent
 		c.notSent = true
 		c.reason += "; " + peer.ID() + ": " + err.Error()
@@ -230,6 +233,7 @@
 	if !c.clientLeft() {
 		c.reason += "; " + err.Error()
 	}
+	tooLong := c.noteTooLong(peer, err)
 	sent := !errors.Is(err, errNotSent)
 	c.notSent = !sent
 	if !sent && !c.clientLeft() {
@@ -240,7 +244,7 @@
 		c.possibleRuns++
 	}
 	if ctx.Err() == nil {
-		c.connectionBroke = sent && !errors.Is(err, errOtherRequest)
+		c.connectionBroke = sent && !tooLong && !errors.Is(err, errOtherRequest)
 		pause := peer.failed(h.options.Now(), !errors.Is(err, errOtherRequest))
 		h.options.Ring.Add(event.Event{Kind: event.HostEjected, Request: c.requestInfo.ID, Host: peer.ID(), Reason: err.Error() + "; avoided for " + pause.String()})
 	}
@@ -250,6 +254,18 @@
 	return notRun
 }
 
+// noteTooLong records that a replica sent more than is read in one place of a response. It returns false
+// for any other error.
+func (c *call) noteTooLong(peer *Peer, err error) bool {
+	var tooLong *limitError
+	if !errors.As(err, &tooLong) {
+		return false
+	}
+	c.handler.options.Metrics.ResponsesTooLong.Inc(1)
+	c.handler.options.Ring.Add(event.Event{Kind: event.ResponseTooLong, Request: c.requestInfo.ID, Host: peer.ID(), Reason: tooLong.Error()})
+	return true
+}
+
 // handleRejection discards the response of a replica that did not run the request.
 func (c *call) handleRejection(peer *Peer, a *replicaResponse) outcome {
 	h := c.handler
--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -28,14 +27,13 @@
 	// used while the replica closes it.
 	idleMargin = time.Second
 	// maxIdleConns is the maximum number of idle connections to one replica.
-	maxIdleConns    = 32
-	readBufferBytes = 4096
+	maxIdleConns = 32
 )
 
 // conn is a connection to a replica. It serves one request at a time.
 type conn struct {
 	raw    net.Conn
-	reader *bufio.Reader
+	reader *responseReader
 	reused bool
 	// reusableUntil is until when the idle connection can be used. The replica may close it after
 	// that.
@@ -115,7 +113,7 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	return &conn{raw: raw, reader: newResponseReader(raw)}
 }
 
 // connect dials until a connection is established, one is refused, or the time is over.
@@ -249,7 +247,7 @@
 // openAndSilent reports whether an idle connection is open and has received nothing. Bytes that
 // arrive without a request belong to no request.
 func openAndSilent(c *conn) bool {
-	if c.reader.Buffered() > 0 {
+	if !c.reader.empty() {
 		return false
 	}
 	sys, ok := c.raw.(syscall.Conn)
--- /dev/null
+++ b/src/exchange/endless_test.go
@@ -0,0 +1,138 @@
+package exchange
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/registry"
+)
+
+const (
+	// endlessBytes is what an endless sender sends at most, so that a test without limits ends.
+	endlessBytes = 64 << 20
+	// maxEndlessAllocs is what the process may allocate, and maxEndlessSent what a sender may get rid
+	// of, before its connection is closed: a few times the largest body that is kept.
+	maxEndlessAllocs = 8 * maxBufferedBytes
+	maxEndlessSent   = 16 * maxBufferedBytes
+)
+
+// endless sends a text, then another one again and again until the connection is closed. It returns
+// the number of bytes sent.
+func (a arrival) endless(first, repeated string) int {
+	sent, _ := io.WriteString(a.conn, first)
+	repeated = strings.Repeat(repeated, 1+(16<<10)/len(repeated))
+	for sent < endlessBytes {
+		n, err := io.WriteString(a.conn, repeated)
+		sent += n
+		if err != nil {
+			break
+		}
+	}
+	return sent
+}
+
+// endlessHead is a response of a replica that does not end before its body, or that belongs to no
+// request.
+type endlessHead struct {
+	name            string
+	first, repeated string
+}
+
+// endlessHeads lists the places before the body of a response.
+var endlessHeads = []endlessHead{
+	{"status line", "", "x"},
+	{"header field", "HTTP/1.1 200 OK\r\nField: ", "x"},
+	{"header fields", "HTTP/1.1 200 OK\r\n", "Field: x\r\n"},
+	{"folded header field", "HTTP/1.1 200 OK\r\nField: x\r\n", " x\r\n"},
+	{"header fields of an interim response", "HTTP/1.1 103 Early Hints\r\n", "Field: x\r\n"},
+	{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+}
+
+// allocated returns the bytes that the process allocates while a function runs.
+func allocated(run func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// TestHeadsWithoutEndAreCutOff: a replica that sent a head without end took a gateway over its memory. The
+// connection is closed at a limit; a request that may be repeated is served by another replica, one that
+// may not gets its failure, which does not state that it has not run.
+func TestHeadsWithoutEndAreCutOff(t *testing.T) {
+	for _, endless := range endlessHeads {
+		t.Run(endless.name, func(t *testing.T) {
+			testEndlessHead(t, endless, catalog.Safe, http.StatusOK)
+			testEndlessHead(t, endless, catalog.Unsafe, http.StatusBadGateway)
+		})
+	}
+}
+
+func testEndlessHead(t *testing.T, endless endlessHead, kind catalog.Kind, want int) {
+	is := is.New(t)
+	sent := make(chan int, 4)
+	faulty := newReplica(t, "faulty", func(a arrival) bool {
+		sent <- a.endless(endless.first, endless.repeated)
+		return false
+	})
+	b := newBench(t, route(kind, 2), faulty)
+	sound := newReplica(t, "sound", whole)
+	if kind == catalog.Safe {
+		b.register(faulty, sound)
+	}
+	// The faulty replica is chosen for one of two requests at the latest.
+	for i := 0; faulty.count() == 0; i++ {
+		is.True(i < 50)
+		var got clientResponse
+		allocs := allocated(func() { got = b.do("POST", fmt.Sprint("request-", i), "x") })
+		is.Equal(got.status, want)
+		if allocs > maxEndlessAllocs {
+			t.Errorf("%v: %d bytes allocated, %d are allowed", kind, allocs, maxEndlessAllocs)
+		}
+	}
+	if n := <-sent; n > maxEndlessSent {
+		t.Errorf("%v: %d bytes sent, %d are allowed", kind, n, maxEndlessSent)
+	}
+	is.True(b.fleet.Peer("faulty").loadEstimate(b.handler.options.Now()).ejected)
+	is.Equal(len(b.handler.crashDetector.candidates), 0) // no evidence of a crash
+}
+
+// TestStartReportsWithoutEndAreCutOff: the question for a replica's start is asked in the middle of a
+// stream, and read its response without a limit as well.
+func TestStartReportsWithoutEndAreCutOff(t *testing.T) {
+	for _, endless := range endlessHeads {
+		t.Run(endless.name, func(t *testing.T) {
+			is := is.New(t)
+			here, there := net.Pipe()
+			defer here.Close()
+			a := arrival{conn: there}
+			go func() {
+				defer there.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(there))
+				a.endless(endless.first, endless.repeated)
+			}()
+			codec := testCodec()
+			var err error
+			allocs := allocated(func() {
+				_, err = newConn(here).askStart(&codec, newPeer(registry.Record{}, Dial), time.Now().Add(time.Minute))
+			})
+			var tooLong *limitError
+			is.True(errors.As(err, &tooLong))
+			if allocs > maxEndlessAllocs {
+				t.Errorf("%d bytes allocated, %d are allowed", allocs, maxEndlessAllocs)
+			}
+		})
+	}
+}
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -38,6 +38,8 @@
 	// BackoffRefusals counts requests that were refused because no replica that could run them
 	// accepted requests.
 	BackoffRefusals tally.Counter
+	// ResponsesTooLong counts responses of backend servers that were cut off at a limit.
+	ResponsesTooLong tally.Counter
 	// PermitsLost counts permit requests that no issuer answered.
 	PermitsLost tally.Counter
 	// PlaceWait records how long requests waited for a place, PlacesRefused counts those that got
@@ -75,6 +77,8 @@
 		BackoffRefusals: registry.Count("backoff_refusals_total"),
 		PermitsLost:     registry.Count("cold_permits_lost_total"),
 
+		ResponsesTooLong: registry.Count("responses_too_long_total"),
+
 		PlaceWait:     registry.Latency("place_wait_seconds"),
 		PlacesRefused: registry.Count("places_refused_total"),
 		PlacesAlone:   registry.Count("places_alone_total"),
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -26,9 +25,9 @@
 	errOtherRequest = errors.New("the answer belongs to another request")
 )
 
-// maxStaleResponses is the number of late responses to earlier requests that are skipped on a
+// maxLateResponses is the number of late responses to earlier requests that are skipped on a
 // connection.
-const maxStaleResponses = 2
+const maxLateResponses = 2
 
 // maxInlineBodyBytes is the largest body that is written before the response is read. A larger one
 // is written concurrently, since the replica may respond before it has read all of it.
@@ -176,32 +175,24 @@
 	return nil
 }
 
-// readHead reads response heads until one belongs to the request. Late responses to earlier
-// requests on the connection are skipped.
+// readHead reads the head of the response to the request. A limitError is returned as it is.
 func (a *replicaResponse) readHead(method, id string, read func(int, http.Header) Reply) error {
-	for passed := 0; ; passed++ {
-		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return errors.Wrap(errNoResponse, err.Error())
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		reply := read(response.StatusCode, response.Header)
-		if reply.ID == id || reply.ID == "" && reply.NotRun {
-			a.response = response
-			a.end = bodyEndOf(method, response)
-			a.reply = reply
-			a.headRead.Store(true)
-			return nil
-		}
-		if passed == maxStaleResponses || response.Close || response.ContentLength < 0 {
-			return errOtherRequest
-		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return errors.Wrap(errNoResponse, err.Error())
-		}
+	belongs := func(response *http.Response) bool {
+		a.reply = read(response.StatusCode, response.Header)
+		return a.reply.ID == id || a.reply.ID == "" && a.reply.NotRun
 	}
+	response, err := a.conn.reader.next(method, belongs)
+	var tooLong *limitError
+	switch {
+	case errors.Is(err, errOtherRequest), errors.As(err, &tooLong):
+		return err
+	case err != nil:
+		return errors.Wrap(errNoResponse, err.Error())
+	}
+	a.response = response
+	a.end = bodyEndOf(method, response)
+	a.headRead.Store(true)
+	return nil
 }
 
 // reuseConn returns the connection to the pool after the whole body was read.
@@ -227,7 +218,7 @@
 		return false
 	}
 	framed := a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
-	return framed && !a.response.Close && a.conn.reader.Buffered() == 0
+	return framed && !a.response.Close && a.conn.reader.empty()
 }
 
 // abort closes the connection, which makes the replica stop its work.
--- a/src/exchange/startcheck.go
+++ b/src/exchange/startcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -41,33 +42,28 @@
 	if _, err := c.raw.Write(question.encode()); err != nil {
 		return 0, errors.Wrap(err, "asking for the start")
 	}
-	for range maxStaleResponses + 1 {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
-		if err != nil {
-			return 0, errors.Wrap(err, "asking for the start")
-		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
-		if err != nil {
-			return 0, errors.Wrap(err, "reading a report")
-		}
-		if codec.Reply(response.StatusCode, response.Header).ID != "" {
-			// A late response to an earlier request.
-			continue
-		}
-		startedMS, known := codec.Start.Parse(response.StatusCode, body)
-		if !known || response.Close {
-			return 0, errors.Errorf("a report without a start: %s", response.Status)
-		}
-		return startedMS, nil
+	// A response with an ID is a late one to an earlier request.
+	report := func(response *http.Response) bool { return codec.Reply(response.StatusCode, response.Header).ID == "" }
+	response, err := c.reader.next(http.MethodGet, report)
+	if err != nil {
+		return 0, errors.Wrap(err, "asking for the start")
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil {
+		return 0, errors.Wrap(err, "reading a report")
+	}
+	startedMS, known := codec.Start.Parse(response.StatusCode, body)
+	if !known || response.Close {
+		return 0, errors.Errorf("a report without a start: %s", response.Status)
 	}
-	return 0, errOtherRequest
+	return startedMS, nil
 }
 
 // confirmStart returns an error unless the connection leads to the start of the replica that is on the list.
 func (c *conn) confirmStart(codec *Codec, peer *Peer, deadline time.Time) error {
 	startedMS, err := c.askStart(codec, peer, deadline)
 	if err != nil {
-		return errors.Wrap(errOtherStart, err.Error())
+		return fmt.Errorf("%w: %w", errOtherStart, err)
 	}
 	if startedMS != peer.startedMS() {
 		return errors.Wrap(errOtherStart, "it started at "+strconv.FormatInt(startedMS, 10))
@@ -99,6 +95,7 @@
 	}
 	defer conn.raw.Close()
 	startedMS, err := conn.askStart(&h.options.Codec, writer, now.Add(startCheckTimeout))
+	c.noteTooLong(writer, err)
 	if err != nil || startedMS == writer.startedMS() {
 		return
 	}
