FAULT: interim and late responses are skipped up to a limit

Cause: readHead skipped interim responses without counting them, and read the body of a late response to its end, however long. The limit on heads ends interim ones that come fast, not those that come slowly, and does not cover bodies.

Change: at most 16 interim responses before each response, and 1 MB of late ones for a request; beyond that the response counts as too long, as a head without end does.

Conclusion: a server that sends what is no response no longer holds a request longer than it takes to send some KB of heads or 1 MB of late responses.

--- a/src/exchange/endless_test.go
+++ b/src/exchange/endless_test.go
@@ -57,6 +57,7 @@
 	{"folded header field", "HTTP/1.1 200 OK\r\nField: x\r\n", " x\r\n"},
 	{"header fields of an interim response", "HTTP/1.1 103 Early Hints\r\n", "Field: x\r\n"},
 	{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+	{"late response", "HTTP/1.1 200 OK\r\n" + testID + ": other\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
 }
 
 // allocated returns the bytes that the process allocates while a function runs.
@@ -136,3 +137,36 @@
 		})
 	}
 }
+
+// TestInterimResponsesAreLimited: a replica that went on sending interim responses held a request until its
+// deadline, though other replicas were idle.
+func TestInterimResponsesAreLimited(t *testing.T) {
+	is := is.New(t)
+	after := func(interim int) behaviour {
+		return func(a arrival) bool {
+			_, _ = io.WriteString(a.conn, strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", interim))
+			return whole(a)
+		}
+	}
+	x := newReplica(t, "x", after(maxInterimResponses))
+	b := newBench(t, route(catalog.Unsafe, 1), x)
+	is.Equal(b.do("POST", "one", "x").status, http.StatusOK)
+	x.setAct(after(maxInterimResponses + 1))
+	is.Equal(b.do("POST", "two", "x").status, http.StatusBadGateway)
+}
+
+// TestLateResponsesAreSkippedUpToALimit: a late response of any length was read to its end.
+func TestLateResponsesAreSkippedUpToALimit(t *testing.T) {
+	is := is.New(t)
+	after := func(late int) behaviour {
+		return func(a arrival) bool {
+			_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: %d\r\n\r\n%s", testID, late, strings.Repeat("x", late))
+			return whole(a)
+		}
+	}
+	x := newReplica(t, "x", after(maxLateBytes))
+	b := newBench(t, route(catalog.Unsafe, 1), x)
+	is.Equal(b.do("POST", "one", "x").body, "answer to one by x")
+	x.setAct(after(maxLateBytes + 1))
+	is.Equal(b.do("POST", "two", "x").status, http.StatusBadGateway)
+}
--- a/src/exchange/responsereader.go
+++ b/src/exchange/responsereader.go
@@ -11,9 +11,18 @@
 // readBufferBytes is the size of the buffer of a connection to a replica.
 const readBufferBytes = 4096
 
-// maxHeadBytes limits the heads that arrive for one request, those of interim and of late responses
-// included.
-const maxHeadBytes = 32 << 10
+// Limits of what is read before the response to a request.
+const (
+	// maxHeadBytes limits the heads that arrive for one request, those of interim and of late
+	// responses included.
+	maxHeadBytes = 32 << 10
+	// maxInterimResponses is the number of interim responses that may precede a response.
+	maxInterimResponses = 16
+	// maxLateResponses is the number of late responses to earlier requests that are skipped for one
+	// request, maxLateBytes the length of all their bodies.
+	maxLateResponses = 2
+	maxLateBytes     = 1 << 20
+)
 
 // limitError means that a replica sent more than is read in one place of a response. It says nothing
 // on whether the replica ran the request.
@@ -68,7 +77,7 @@
 // next returns the response for which belongs returns true, with its body unread. It passes over
 // interim responses and over late responses to earlier requests.
 func (r *responseReader) next(method string, belongs func(*http.Response) bool) (*http.Response, error) {
-	headBytesLeft := int64(maxHeadBytes)
+	headBytesLeft, lateBytes := int64(maxHeadBytes), int64(0)
 	for late := 0; ; late++ {
 		response, err := r.nextHead(method, &headBytesLeft)
 		if err != nil {
@@ -80,9 +89,14 @@
 		if late == maxLateResponses || response.Close || response.ContentLength < 0 {
 			return nil, errOtherRequest
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxLateBytes-lateBytes+1))
+		if err != nil {
 			return nil, err
 		}
+		lateBytes += skipped
+		if lateBytes > maxLateBytes {
+			return nil, &limitError{place: "bytes of late responses", limit: maxLateBytes, read: lateBytes}
+		}
 	}
 }
 
@@ -94,7 +108,7 @@
 		*bytesLeft = r.limited.left
 		r.limited.removeLimit()
 	}()
-	for {
+	for range maxInterimResponses + 1 {
 		response, err := http.ReadResponse(r.buffered, &http.Request{Method: method})
 		if err != nil && r.limited.left == 0 {
 			// The HTTP library may report a field that was cut at the limit as malformed.
@@ -104,4 +118,5 @@
 			return response, err
 		}
 	}
+	return nil, &limitError{place: "interim responses", limit: maxInterimResponses, read: maxInterimResponses + 1}
 }
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -25,10 +25,6 @@
 	errOtherRequest = errors.New("the answer belongs to another request")
 )
 
-// maxLateResponses is the number of late responses to earlier requests that are skipped on a
-// connection.
-const maxLateResponses = 2
-
 // maxInlineBodyBytes is the largest body that is written before the response is read. A larger one
 // is written concurrently, since the replica may respond before it has read all of it.
 const maxInlineBodyBytes = 8 << 10
