TWICE, FAULT: the body of a rejection is read up to a limit and in a short time

What callers would see: the rest of a rejection's body taken for the response to the next request on its connection, which may be one that must not be repeated; and a rejection whose body does not end, or does not come, that holds its request until the deadline though another server is idle.

Cause: handleRejection read 1 MB of the body and took what is not there yet for its end; the connection went back to the pool if no byte beyond had arrived. It waited for the body until the deadline of the request.

Change: a connection whose rejection has more than 1 MB, or does not end within 50 ms, is closed; the former is logged as a response that is too long.

Conclusion: a connection is used again only after io.EOF of the body.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -269,7 +268,9 @@
 // handleRejection discards the response of a replica that did not run the request.
 func (c *call) handleRejection(peer *Peer, a *replicaResponse) outcome {
 	h := c.handler
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxBufferedBytes)); err != nil {
+	bodyErr := a.discardBody(h.options.Now())
+	tooLong := c.noteTooLong(peer, bodyErr)
+	if bodyErr != nil {
 		a.abort()
 	} else {
 		a.reuseConn(h.options.Now())
@@ -280,8 +281,8 @@
 	}
 	// A replica that asked for a backoff has not failed. It is avoided for that time and then used
 	// as before.
-	if !a.reply.Misdirected && a.reply.Backoff == 0 {
-		peer.failed(h.options.Now(), false)
+	if tooLong || !a.reply.Misdirected && a.reply.Backoff == 0 {
+		peer.failed(h.options.Now(), tooLong)
 	}
 	h.options.Ring.Add(event.Event{Kind: event.RequestRetried, Request: c.requestInfo.ID, Host: peer.ID(), Model: c.requestInfo.Model, Reason: c.reason})
 	return notRun
--- a/src/exchange/endless_test.go
+++ b/src/exchange/endless_test.go
@@ -170,3 +170,41 @@
 	x.setAct(after(maxLateBytes + 1))
 	is.Equal(b.do("POST", "two", "x").status, http.StatusBadGateway)
 }
+
+// rejecting states that the request has not run and sends a body that is shorter than stated.
+func rejecting(length, sent int) behaviour {
+	return func(a arrival) bool {
+		_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 503 X\r\n%s: %s\r\n%s: 1\r\nContent-Length: %d\r\n\r\n%s", testID, a.name(), testNotRun, length, strings.Repeat("x", sent))
+		return true
+	}
+}
+
+// TestRejectionsBodyIsReadUpToALimit: a connection was used again although the body of a rejection had not
+// been read to its end, so that its rest would be taken for the response to the next request.
+func TestRejectionsBodyIsReadUpToALimit(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", rejecting(2*maxRejectionBytes, maxRejectionBytes))
+	b := newBench(t, route(catalog.Unsafe, 1), x)
+	is.Equal(b.do("POST", "one", "x").status, http.StatusServiceUnavailable)
+	x.setAct(whole)
+	is.Equal(b.do("POST", "two", "x").status, http.StatusOK)
+	is.Equal(x.last().number, 1)
+}
+
+// TestRejectionWhoseBodyDoesNotArriveHoldsNoRequest: a request waited until its deadline for the body of a
+// rejection, and had no time left for another replica.
+func TestRejectionWhoseBodyDoesNotArriveHoldsNoRequest(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", rejecting(10, 5))
+	y := newReplica(t, "y", rejecting(10, 5))
+	b := newBench(t, route(catalog.Unsafe, 2), x, y)
+	x.setAct(func(a arrival) bool {
+		y.setAct(whole)
+		return rejecting(10, 5)(a)
+	})
+	y.setAct(func(a arrival) bool {
+		x.setAct(whole)
+		return rejecting(10, 5)(a)
+	})
+	is.Equal(b.do("POST", "one", "x").status, http.StatusOK)
+}
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -191,6 +192,24 @@
 	return nil
 }
 
+// Limits of the body of a response whose head states that the request has not run.
+const (
+	maxRejectionBytes = 1 << 20
+	// rejectionBodyTimeout is how long the body may take. The request waits for it, which saves the
+	// connection; the body mostly arrives together with the head.
+	rejectionBodyTimeout = 50 * time.Millisecond
+)
+
+// discardBody reads the body of a rejection. After an error the connection must not be used again.
+func (a *replicaResponse) discardBody(now time.Time) error {
+	_ = a.conn.raw.SetReadDeadline(now.Add(rejectionBodyTimeout))
+	discarded, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxRejectionBytes+1))
+	if err == nil && discarded > maxRejectionBytes {
+		err = &limitError{place: "bytes of the body of a rejection", limit: maxRejectionBytes, read: discarded}
+	}
+	return err
+}
+
 // reuseConn returns the connection to the pool after the whole body was read.
 func (a *replicaResponse) reuseConn(now time.Time) {
 	if !a.stopWatch() {
