FAULT: the bodies of failures count as buffered

Cause: bufferError reads up to 1 MB of a failure without counting it, unlike relayBuffered, so that nothing bounds them over all requests.

Change: both read through readRetained. Where the gateway keeps as much as it may, a failure is passed on as it arrives, as one that is longer than 1 MB is.

TestBodiesOfFailuresAreCountedAsBuffered fails before (8 bytes counted, those of the requests, for 8 bodies of 160 KB) and passes now, 20 times in a row; all tests of src/exchange pass.

--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -37,13 +37,13 @@
 	end    bodyEnd
 }
 
-// bufferError reads the error response of a replica that ran the request. One that is too large to be
-// kept is passed on at once.
+// bufferError reads the error response of a replica that ran the request. One that can't be kept, for its
+// length or for the gateway's memory, is passed on at once.
 func (c *call) bufferError(ctx context.Context, peer *Peer, a *replicaResponse) (outcome, *errorResponse) {
 	now := c.handler.options.Now()
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes+1))
+	body, err := c.readRetained(a.response.Body)
 	peer.failed(now, false)
-	if err != nil {
+	if err != nil && !errors.Is(err, errRetentionFull) {
 		a.abort()
 		c.connectionBroke = !c.clientLeft()
 		c.reason += "; the failure's body broke off"
@@ -51,7 +51,7 @@
 	}
 	c.reason += "; " + peer.ID() + " answered " + a.response.Status
 	switch {
-	case len(body) <= maxBufferedBytes:
+	case err == nil && len(body) <= maxBufferedBytes:
 		a.reuseConn(now)
 	case c.stream == nil || !c.stream.started:
 		return c.relayUnbuffered(ctx, peer, a, body), nil
@@ -63,7 +63,7 @@
 
 // relayBuffered passes a response on once it has arrived completely.
 func (c *call) relayBuffered(ctx context.Context, peer *Peer, a *replicaResponse) outcome {
-	body, err := io.ReadAll(&retainingReader{call: c, from: io.LimitReader(a.response.Body, maxBufferedBytes+1)})
+	body, err := c.readRetained(a.response.Body)
 	if errors.Is(err, errRetentionFull) {
 		// The response can no longer be replaced if it breaks off, but memory stays bounded.
 		return c.relaySuccess(ctx, peer, a, body)
--- a/src/exchange/retention.go
+++ b/src/exchange/retention.go
@@ -60,3 +60,9 @@
 	}
 	return n, err
 }
+
+// readRetained reads the body of a response, up to one byte more than is kept of a response, and counts it as
+// buffered. With errRetentionFull it returns what it has read.
+func (c *call) readRetained(body io.Reader) ([]byte, error) {
+	return io.ReadAll(&retainingReader{call: c, from: io.LimitReader(body, maxBufferedBytes+1)})
+}
--- a/src/exchange/retention_test.go
+++ b/src/exchange/retention_test.go
@@ -112,3 +112,45 @@
 	is.Equal(b.do("POST", "small", "x").status, http.StatusOK)
 	is.Equal(b.handler.retention.used.Load(), int64(0))
 }
+
+// TestBodiesOfFailuresAreCountedAsBuffered: 300 failures with bodies of 900 KB took a gateway over its memory,
+// since only the bodies of successes were counted.
+func TestBodiesOfFailuresAreCountedAsBuffered(t *testing.T) {
+	const (
+		clients = 8
+		length  = 160 << 10
+		limit   = 512 << 10
+	)
+	is := is.New(t)
+	text := strings.Repeat("x", length)
+	release := make(chan struct{})
+	x := newReplica(t, "x", func(a arrival) bool {
+		_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 500 X\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", testID, a.name(), length+1, text)
+		<-release
+		_, _ = io.WriteString(a.conn, "x")
+		return true
+	})
+	r := route(catalog.Unsafe, 1)
+	r.Timeout = 20 * time.Second
+	b := newBench(t, r, x)
+	b.handler.retention.limit = limit
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() {
+			got := b.do("POST", fmt.Sprint("request-", i), "x")
+			if got.status != http.StatusInternalServerError || got.body != text+"x" {
+				t.Errorf("request %d: status %d, %d bytes, %v", i, got.status, len(got.body), got.err)
+			}
+		})
+	}
+	counted := func() bool { return b.handler.retention.used.Load() > limit-length }
+	for wait := 0; !counted() && wait < 10_000; wait++ {
+		time.Sleep(time.Millisecond)
+	}
+	if !counted() {
+		t.Errorf("%d bytes are counted, %d bodies of %d bytes are kept", b.handler.retention.used.Load(), clients, length)
+	}
+	close(release)
+	all.Wait()
+	is.Equal(b.handler.retention.used.Load(), int64(0))
+}
