FAULT: the data of an event that is not complete is searched once

What callers would see: a gateway whose one core is taken up by a large event, as all streams and requests of it wait meanwhile.

Cause: appendData looked for the last blank line from the start of what is pending at each read, 128 MB in all for an event of 1 MB in reads of 4 KB. What had grown for a large event also kept its size for the rest of the stream.

Change: eventBuffer, in a file of its own, remembers up to where lines have ended and been searched, and gives a large empty buffer up.

--- a/src/exchange/events.go
+++ b/src/exchange/events.go
@@ -16,25 +16,20 @@
 	// resumedAfter is the ID after which the current run was asked to go on, "" once an event beyond it
 	// has arrived.
 	resumedAfter string
-	pending      []byte
+	// pending is the start of an event that is not complete yet.
+	pending eventBuffer
 }
 
 // beginRun prepares for the events of another run.
 func (s *eventStream) beginRun() {
-	s.pending = nil
+	s.pending.take()
 	s.resumedAfter = s.lastEventID
 }
 
 // appendData adds data and returns the complete events received so far that were not passed on by
 // an earlier run.
 func (s *eventStream) appendData(data []byte) []byte {
-	s.pending = append(s.pending, data...)
-	end := lastEventEnd(s.pending)
-	if end == 0 {
-		return nil
-	}
-	events := s.dropRepeated(bytes.Clone(s.pending[:end]))
-	s.pending = append(s.pending[:0], s.pending[end:]...)
+	events := s.dropRepeated(s.pending.add(data))
 	if id := parseLastID(events); id != "" {
 		s.lastEventID = id
 	}
@@ -54,26 +49,6 @@
 	return events
 }
 
-// insideEvent reports whether the data received last ends inside an event. Comments that end with
-// their line belong to no event.
-func (s *eventStream) insideEvent() bool {
-	for rest := s.pending; len(rest) > 0; {
-		line, after, ended := nextLine(rest)
-		if !ended || len(line) > 0 && line[0] != ':' {
-			return true
-		}
-		rest = after
-	}
-	return false
-}
-
-// rest returns and clears the data after the last complete event.
-func (s *eventStream) rest() []byte {
-	rest := s.pending
-	s.pending = nil
-	return rest
-}
-
 // passedBefore reports whether an event is the last one that was passed on or precedes it. IDs that are
 // not numbers have no order.
 func passedBefore(id, last string) bool {
@@ -92,11 +67,15 @@
 	if at < 0 {
 		return data, nil, false
 	}
-	after := at + 1
-	if data[at] == '\r' && after < len(data) && data[after] == '\n' {
-		after++
+	return data[:at], data[skipLineEnd(data, at):], true
+}
+
+// skipLineEnd returns the offset after the line end at an offset.
+func skipLineEnd(data []byte, at int) int {
+	if data[at] == '\r' && at+1 < len(data) && data[at+1] == '\n' {
+		return at + 2
 	}
-	return data[:at], data[after:], true
+	return at + 1
 }
 
 // firstEventEnd returns the offset after the first blank line, or the length of the data if there is
@@ -112,19 +91,6 @@
 	return len(data)
 }
 
-// lastEventEnd returns the offset after the last blank line, or 0 if there is none.
-func lastEventEnd(data []byte) int {
-	end := 0
-	for rest := data; len(rest) > 0; {
-		line, after, ended := nextLine(rest)
-		if ended && len(line) == 0 {
-			end = len(data) - len(after)
-		}
-		rest = after
-	}
-	return end
-}
-
 // parseLastID returns the ID of the last event that has one.
 func parseLastID(events []byte) string {
 	id := ""
--- a/src/exchange/events_test.go
+++ b/src/exchange/events_test.go
@@ -41,8 +41,8 @@
 					rest = rest[n:]
 				}
 				is.Equal(events, c.events)
-				is.Equal(s.insideEvent(), c.insideEvent)
-				is.Equal(events+string(s.rest()), c.data) // no byte is lost or changed
+				is.Equal(s.pending.insideEvent(), c.insideEvent)
+				is.Equal(events+string(s.pending.take()), c.data) // no byte is lost or changed
 			})
 		}
 	}
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -84,7 +84,7 @@
 			return c.endStream(ctx, peer, a)
 		case err != nil:
 			return c.handleBrokenStream(ctx, peer, a, err)
-		case len(c.stream.pending) > maxEventBytes:
+		case c.stream.pending.len() > maxEventBytes:
 			return c.handleBrokenStream(ctx, peer, a, errEventTooLarge)
 		}
 	}
@@ -118,14 +118,14 @@
 // of the stream.
 func (c *call) endStream(ctx context.Context, peer *Peer, a *replicaResponse) outcome {
 	switch {
-	case c.stream.insideEvent():
+	case c.stream.pending.insideEvent():
 		return c.handleBrokenStream(ctx, peer, a, errInsideEvent)
 	case a.end == endByClose && !c.stream.started && c.resumeAfter() == "":
 		return c.handleBrokenStream(ctx, peer, a, errNoEvent)
 	case a.end == endByClose && c.stream.started && !c.endsByClose:
 		return c.handleUnprovenEnd(ctx, peer, a)
 	}
-	if rest := c.stream.rest(); len(rest) > 0 || !c.stream.started {
+	if rest := c.stream.pending.take(); len(rest) > 0 || !c.stream.started {
 		if !c.writeEvents(peer, a, rest) {
 			a.abort()
 			return truncated
@@ -149,7 +149,7 @@
 
 func (c *call) handleBrokenStream(ctx context.Context, peer *Peer, a *replicaResponse, err error) outcome {
 	a.abort()
-	c.stream.pending = nil
+	c.stream.pending.take()
 	if c.clientLeft() {
 		c.reason += "; stopped after event " + c.stream.lastEventID
 		return unknown
