FAULT: control nodes limit what they read of orders' responses and of reports

What callers would see: a control node killed for its memory, a leader among them, and with it orders, permits and places that no one gives.

Cause: readReport decodes response.Body as long as it is; the order client left the size of a head at the HTTP library's 10 MB. After a change of leader many replicas are asked at once.

Event 714 and the counter responses_too_long_total name the replica's address and the limit. A report that is cut off counts as none, an order as without an answer, as before.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -256,7 +256,7 @@
 // noteTooLong records that a replica sent more than is read in one place of a response. It returns false
 // for any other error.
 func (c *call) noteTooLong(peer *Peer, err error) bool {
-	var tooLong *limitError
+	var tooLong *LimitError
 	if !errors.As(err, &tooLong) {
 		return false
 	}
--- a/src/exchange/endless_test.go
+++ b/src/exchange/endless_test.go
@@ -129,7 +129,7 @@
 			allocs := allocated(func() {
 				_, err = newConn(here).askStart(&codec, newPeer(registry.Record{}, Dial), time.Now().Add(time.Minute))
 			})
-			var tooLong *limitError
+			var tooLong *LimitError
 			is.True(errors.As(err, &tooLong))
 			if allocs > maxEndlessAllocs {
 				t.Errorf("%d bytes allocated, %d are allowed", allocs, maxEndlessAllocs)
--- a/src/exchange/responsereader.go
+++ b/src/exchange/responsereader.go
@@ -24,17 +24,21 @@
 	maxLateBytes     = 1 << 20
 )
 
-// limitError means that a replica sent more than is read in one place of a response. It says nothing
+// LimitError means that a replica sent more than is read in one place of a response. It says nothing
 // on whether the replica ran the request.
-type limitError struct {
-	// place names what is limited, with its unit.
+type LimitError struct {
 	place string
 	limit int64
 	read  int64
 }
 
+// NewLimitError returns the error for a place, named with its unit, and what was read there.
+func NewLimitError(place string, limit, read int64) *LimitError {
+	return &LimitError{place: place, limit: limit, read: read}
+}
+
 // Error describes the limit that was exceeded.
-func (e *limitError) Error() string {
+func (e *LimitError) Error() string {
 	return fmt.Sprintf("%s: over the limit of %d, %d read", e.place, e.limit, e.read)
 }
 
@@ -95,7 +99,7 @@
 		}
 		lateBytes += skipped
 		if lateBytes > maxLateBytes {
-			return nil, &limitError{place: "bytes of late responses", limit: maxLateBytes, read: lateBytes}
+			return nil, NewLimitError("bytes of late responses", maxLateBytes, lateBytes)
 		}
 	}
 }
@@ -112,11 +116,11 @@
 		response, err := http.ReadResponse(r.buffered, &http.Request{Method: method})
 		if err != nil && r.limited.left == 0 {
 			// The HTTP library may report a field that was cut at the limit as malformed.
-			err = &limitError{place: "bytes of heads before a response", limit: maxHeadBytes, read: maxHeadBytes}
+			err = NewLimitError("bytes of heads before a response", maxHeadBytes, maxHeadBytes)
 		}
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
-	return nil, &limitError{place: "interim responses", limit: maxInterimResponses, read: maxInterimResponses + 1}
+	return nil, NewLimitError("interim responses", maxInterimResponses, maxInterimResponses+1)
 }
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -172,14 +172,14 @@
 	return nil
 }
 
-// readHead reads the head of the response to the request. A limitError is returned as it is.
+// readHead reads the head of the response to the request. A LimitError is returned as it is.
 func (a *replicaResponse) readHead(method, id string, read func(int, http.Header) Reply) error {
 	belongs := func(response *http.Response) bool {
 		a.reply = read(response.StatusCode, response.Header)
 		return a.reply.ID == id || a.reply.ID == "" && a.reply.NotRun
 	}
 	response, err := a.conn.reader.next(method, belongs)
-	var tooLong *limitError
+	var tooLong *LimitError
 	switch {
 	case errors.Is(err, errOtherRequest), errors.As(err, &tooLong):
 		return err
@@ -205,7 +205,7 @@
 	_ = a.conn.raw.SetReadDeadline(now.Add(rejectionBodyTimeout))
 	discarded, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxRejectionBytes+1))
 	if err == nil && discarded > maxRejectionBytes {
-		err = &limitError{place: "bytes of the body of a rejection", limit: maxRejectionBytes, read: discarded}
+		err = NewLimitError("bytes of the body of a rejection", maxRejectionBytes, discarded)
 	}
 	return err
 }
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -84,7 +84,7 @@
 		case err != nil:
 			return c.handleBrokenStream(ctx, peer, a, err)
 		case c.stream.pending.len() > maxEventBytes:
-			return c.handleBrokenStream(ctx, peer, a, &limitError{place: "bytes of an event", limit: maxEventBytes, read: int64(c.stream.pending.len())})
+			return c.handleBrokenStream(ctx, peer, a, NewLimitError("bytes of an event", maxEventBytes, int64(c.stream.pending.len())))
 		case !c.retainPending():
 			return c.handleBrokenStream(ctx, peer, a, errRetentionFull)
 		}
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -46,8 +45,6 @@
 	silentHeartbeats = 4
 	// forgetReplicas is how long a deregistered replica is remembered.
 	forgetReplicas = 2 * time.Minute
-	// orderIdle is how long an idle connection for orders is kept open.
-	orderIdle = 4 * time.Second
 	// storageRetry is the pause before a failed disk is tried again.
 	storageRetry = time.Second
 	// notifyTimeout bounds one notification to another node.
@@ -243,7 +240,7 @@
 	}}
 	c.placer = placer.New(placer.Options{
 		Holder:  c.settings.Node,
-		Calls:   c.external.Orders(orderClient()),
+		Calls:   c.external.Orders(orderClient(c.responseTooLong)),
 		Leading: c.leading,
 		Table:   func() *catalog.Table { return c.tableCache.get(c.cluster.Version(), c.cluster.Document) },
 		Publish: c.publisher.SetHoldings,
@@ -293,32 +290,10 @@
 	return placer.Leading{Self: lead.Self, Token: lead.Term, Since: lead.Since}
 }
 
-// orderClient returns the client that sends orders to replicas. It keeps one idle connection per
-// replica for a short time.
-func orderClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialForOrders,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     orderIdle,
-		DisableCompression:  true,
-	}}
-}
-
-// dialForOrders opens a connection that is reset when it is closed. Otherwise the operating system
-// keeps retransmitting an abandoned order over a broken link, and delivers it when the link is
-// back, after those of the next leader.
-func dialForOrders(ctx context.Context, _, address string) (net.Conn, error) {
-	conn, err := exchange.Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	if tcp, found := conn.(*net.TCPConn); found {
-		if err := tcp.SetLinger(0); err != nil {
-			_ = conn.Close()
-			return nil, errors.Wrap(err, "setting the linger time")
-		}
-	}
-	return conn, nil
+// responseTooLong records that a replica sent more than is read of a response to an order or a report request.
+func (c *controlNode) responseTooLong(address string, err *exchange.LimitError) {
+	c.proc.Metrics().Count("responses_too_long_total").Inc(1)
+	c.proc.Ring().Add(event.Event{Kind: event.ResponseTooLong, Host: address, Reason: err.Error()})
 }
 
 // sendRecord sends a replica's record to another control node.
--- a/src/fleet/order_test.go
+++ b/src/fleet/orders_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/exchange"
 )
 
 // TestAnOrderThatIsGivenUpIsNotDeliveredLater
@@ -52,7 +54,7 @@
 	}()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String(), strings.NewReader("an order"))
 	is.NoErr(err)
-	_, err = orderClient().Do(request)
+	_, err = orderClient(func(string, *exchange.LimitError) {}).Do(request)
 	is.True(err != nil)
 	is.True(errors.Is(<-ended, syscall.ECONNRESET))
 }
