FAULT: a report on the start of a replica is read up to a limit or not at all

What callers would see: the rest of a long report taken for the response to the request that follows on its connection.

Cause: askStart read 1 MB of a report and took that for the whole of it.

TestStartReportsWithoutEndAreCutOff has two more places, "report" and "report after its start"; both fail before and pass now, 10 times in a row.

--- a/src/exchange/endless_test.go
+++ b/src/exchange/endless_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -111,9 +112,11 @@
 }
 
 // TestStartReportsWithoutEndAreCutOff: the question for a replica's start is asked in the middle of a
-// stream, and read its response without a limit as well.
+// stream, and read its response without a limit as well. A report that was cut at its limit was taken for
+// a whole one, and its rest for the response to the request that follows on the connection.
 func TestStartReportsWithoutEndAreCutOff(t *testing.T) {
-	for _, endless := range endlessHeads {
+	const start = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n"
+	for _, endless := range append([]endlessHead{{"report", start, " "}, {"report after its start", start + "1234", " "}}, endlessHeads...) {
 		t.Run(endless.name, func(t *testing.T) {
 			is := is.New(t)
 			here, there := net.Pipe()
@@ -125,6 +128,10 @@
 				a.endless(endless.first, endless.repeated)
 			}()
 			codec := testCodec()
+			codec.Start.Parse = func(status int, body []byte) (int64, bool) {
+				ms, err := strconv.ParseInt(strings.TrimSpace(string(body)), 10, 64)
+				return ms, err == nil && status == http.StatusOK
+			}
 			var err error
 			allocs := allocated(func() {
 				_, err = newConn(here).askStart(&codec, newPeer(registry.Record{}, Dial), time.Now().Add(time.Minute))
--- a/src/exchange/startcheck.go
+++ b/src/exchange/startcheck.go
@@ -16,7 +16,7 @@
 const startCheckTimeout = 100 * time.Millisecond
 
 // maxReportBytes is the longest report of a replica that is read.
-const maxReportBytes = 1 << 20
+const maxReportBytes = 256 << 10
 
 // errOtherStart means that another start of the replica has the connection than the one on the list, or
 // that it did not say which. No byte of the request left this host.
@@ -48,10 +48,13 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "asking for the start")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
 	if err != nil {
 		return 0, errors.Wrap(err, "reading a report")
 	}
+	if len(body) > maxReportBytes {
+		return 0, NewLimitError("bytes of a report", maxReportBytes, int64(len(body)))
+	}
 	startedMS, known := codec.Start.Parse(response.StatusCode, body)
 	if !known || response.Close {
 		return 0, errors.Errorf("a report without a start: %s", response.Status)
