Soak: replicas send answers and reports without end

One in 100 answers and reports comes without end at 1,000 Mbit a second, in one of 15 places: heads, interim and late answers, failures, rejections, bodies, chunks, trailers, events, comments. What is drawn for a request that must not be repeated counts as run, so that a 503 for it, or a second run, is a finding. Clients read 4 MB of an answer at most.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -179,8 +179,9 @@
 		return 0, response{}, err
 	}
 	defer got.Body.Close()
-	body, err := io.ReadAll(got.Body)
-	return got.StatusCode, response{stamp: got.Header.Get(stampHeader), body: string(body), whole: err == nil, framed: framed(got)}, nil
+	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes))
+	whole := err == nil && len(body) < maxAnswerBytes
+	return got.StatusCode, response{stamp: got.Header.Get(stampHeader), body: string(body), whole: whole, framed: framed(got)}, nil
 }
 
 // checkAnswer checks one answer.
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -120,6 +120,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	endless := drawEndless()
+	if request.URL.Path == "/-/report" && endless != nil {
+		endless.send(w, rep.id, id)
+		return
+	}
 	if request.URL.Path == "/-/report" {
 		_, _ = fmt.Fprintf(w, `{"born":%d}`, rep.startedMs)
 		return
@@ -154,6 +159,14 @@
 		// connection closes.
 		panic(http.ErrAbortHandler)
 	}
+	if endless != nil {
+		r.check.count("answers without end")
+		if !endless.rejects && request.URL.Path[1] == 'u' {
+			r.check.recordRun(id, rep.id)
+		}
+		endless.send(w, rep.id, id)
+		return
+	}
 	w.Header().Set(stampHeader, rep.id+"."+id)
 	w = drawFraming(w)
 	switch request.URL.Path[1] {
--- a/soak/slow.go
+++ b/soak/slow.go
@@ -78,9 +78,9 @@
 		return
 	}
 	time.Sleep(readDelay)
-	body, err := io.ReadAll(got.Body)
+	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes))
 	switch {
-	case err != nil:
+	case err != nil || len(body) == maxAnswerBytes:
 		c.check.count("slow answers broken off")
 	case !framed(got) && string(body) != longBody(id) && mayBeCutOff("l", string(body), longBody(id)):
 		c.check.count(cutOffAnswers)
