--- a/src/exchange/endless_test.go
+++ b/src/exchange/endless_test.go
@@ -215,3 +215,110 @@
 	})
 	is.Equal(b.do("POST", "one", "x").status, http.StatusOK)
 }
+
+// endlessBody is a response of a replica with a body that does not end.
+type endlessBody struct {
+	name string
+	kind catalog.Kind
+	// fields are the status and the header fields after the ID of the request.
+	status          int
+	fields          string
+	first, repeated string
+	// want is the status that a client gets if no other replica may be tried, 0 for a response that
+	// breaks off. elsewhere is set if another replica may be tried.
+	want      int
+	elsewhere bool
+}
+
+const (
+	endlessLength = "Content-Length: 1000000000000\r\n"
+	chunkedBody   = "Transfer-Encoding: chunked\r\n"
+	endlessChunk  = "ffffffffff\r\n"
+	eventType     = "Content-Type: text/event-stream\r\n"
+)
+
+// endlessBodies lists the kinds of bodies and the places within them.
+var endlessBodies = []endlessBody{
+	{"success with a length", catalog.Unsafe, 200, endlessLength, "", "x", 200, false},
+	{"success without a length", catalog.Unsafe, 200, "", "", "x", 200, false},
+	{"success in one chunk", catalog.Unsafe, 200, chunkedBody, endlessChunk, "x", 200, false},
+	{"success in chunks", catalog.Unsafe, 200, chunkedBody, "", "10\r\n0123456789abcdef\r\n", 200, false},
+	{"chunk extension", catalog.Unsafe, 200, chunkedBody, "1;", "x", 502, true},
+	{"trailer", catalog.Unsafe, 200, chunkedBody, "0\r\n", "Field: x\r\n", 502, true},
+	{"failure with a length", catalog.Unsafe, 500, endlessLength, "", "x", 500, false},
+	{"failure without a length", catalog.Unsafe, 500, "", "", "x", 500, false},
+	{"failure in one chunk", catalog.Unsafe, 500, chunkedBody, endlessChunk, "x", 500, false},
+	{"rejection", catalog.Unsafe, 503, testNotRun + ": 1\r\n" + endlessLength, "", "x", 503, true},
+	{"rejection without a length", catalog.Unsafe, 503, testNotRun + ": 1\r\n", "", "x", 503, true},
+	{"event", catalog.Streaming, 200, eventType + endlessLength, "data: ", "x", 502, true},
+	{"lines of an event", catalog.Streaming, 200, eventType + endlessLength, "", "data: x\n", 502, true},
+	{"comments", catalog.Streaming, 200, eventType + endlessLength, "", ": x\n", 502, true},
+	{"events", catalog.Streaming, 200, eventType + endlessLength, "", "data: x\n\n", 200, false},
+	{"body of a stream that is none", catalog.Streaming, 200, "Content-Type: text/plain\r\n" + endlessLength, "", "x", 200, false},
+}
+
+// TestBodiesWithoutEndTakeLittleMemory lists what becomes of a body that does not end, by its kind and the
+// place. What is passed on ends with the client's patience, and takes no memory.
+func TestBodiesWithoutEndTakeLittleMemory(t *testing.T) {
+	for _, body := range endlessBodies {
+		t.Run(body.name, func(t *testing.T) {
+			is := is.New(t)
+			faulty := newReplica(t, "faulty", func(a arrival) bool {
+				head := fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s\r\n", body.status, testID, a.name(), body.fields)
+				a.endless(head+body.first, body.repeated)
+				return false
+			})
+			b := newBench(t, route(body.kind, 1), faulty)
+			var status int
+			allocs := allocated(func() { status = b.readPart("alone") })
+			is.Equal(status, body.want)
+			if allocs > 2*maxEndlessAllocs {
+				t.Errorf("%d bytes allocated, %d are allowed", allocs, 2*maxEndlessAllocs)
+			}
+			b.awaitNothingRetained()
+			if !body.elsewhere {
+				return
+			}
+			repeatable := route(body.kind, 2)
+			repeatable.Resumable = body.kind == catalog.Streaming
+			if body.kind == catalog.Unsafe && body.status == http.StatusOK {
+				repeatable.Kind = catalog.Safe
+			}
+			b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{repeatable}, Services: testServices()}))
+			b.register(faulty, newReplica(t, "sound", whole))
+			for i := range 4 {
+				is.Equal(b.readPart(fmt.Sprint("request-", i)), http.StatusOK)
+			}
+		})
+	}
+}
+
+// awaitNothingRetained waits until a gateway counts no bytes as buffered: its requests end after their clients
+// have closed.
+func (b *bench) awaitNothingRetained() {
+	b.t.Helper()
+	counted := func() int64 { return b.handler.retention.used.Load() }
+	for wait := 0; counted() != 0 && wait < 10_000; wait++ {
+		time.Sleep(time.Millisecond)
+	}
+	if counted() != 0 {
+		b.t.Errorf("%d bytes are counted as buffered after the last request", counted())
+	}
+}
+
+// readPart sends a request, reads the start of its response and returns the status.
+func (b *bench) readPart(id string) int {
+	request, err := http.NewRequest(http.MethodPost, b.server.URL+"/p/x", strings.NewReader("x"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	request.Host = "h.example"
+	request.Header.Set(testID, id)
+	response, err := b.server.Client().Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.CopyN(io.Discard, response.Body, 4*maxBufferedBytes)
+	return response.StatusCode
+}
