FAULT: the receive buffers of connections to backend servers are bounded

Cause: the kernel lets a receive buffer grow up to tcp_rmem, 32 MB here, while the gateway reads fast, and it stays so when the client is slow.

Change: 128 KB for connections opened by Dial: to backend servers, other gateways, for orders.

With 10 ms between zones the window allows 13 to 25 MB/s for a connection; not measured.

TestReceiveBufferOfAConnectionIsBounded passes now (without the change the buffer is the kernel's, 131,072 before it grows).

--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -28,6 +28,10 @@
 	idleMargin = time.Second
 	// maxIdleConns is the maximum number of idle connections to one replica.
 	maxIdleConns = 32
+	// receiveBufferBytes is the receive buffer of a connection. What has arrived there and is not read
+	// takes memory, for as long as a client reads slowly. The kernel would let it grow to megabytes,
+	// which only a body of that size gains from.
+	receiveBufferBytes = 128 << 10
 )
 
 // conn is a connection to a replica. It serves one request at a time.
@@ -80,7 +84,17 @@
 
 func dialFrom(ctx context.Context, local net.Addr, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, LocalAddr: local}
-	return dialer.DialContext(ctx, "tcp4", address)
+	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, found := conn.(*net.TCPConn); found {
+		if err := tcp.SetReadBuffer(receiveBufferBytes); err != nil {
+			_ = conn.Close()
+			return nil, errors.Wrap(err, "setting the receive buffer")
+		}
+	}
+	return conn, nil
 }
 
 // get returns an idle connection that is still open, or a new one that is established within the
--- a/src/exchange/conn_test.go
+++ b/src/exchange/conn_test.go
@@ -55,21 +55,37 @@
 	is.Equal(count, 1)
 }
 
-func TestASilentHostEndsAConnectionWithinThreeSeconds(t *testing.T) {
+// dialedOptions returns a function that reads the socket options of a connection opened by Dial.
+func dialedOptions(t *testing.T) func(level, name int) int {
+	t.Helper()
 	is := is.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
-	defer listener.Close()
+	t.Cleanup(func() { _ = listener.Close() })
 	conn, err := Dial(context.Background(), listener.Addr().String())
 	is.NoErr(err)
-	defer conn.Close()
+	t.Cleanup(func() { _ = conn.Close() })
 	raw, err := conn.(*net.TCPConn).SyscallConn()
 	is.NoErr(err)
-	option := func(level, name int) (value int) {
+	return func(level, name int) (value int) {
 		is.NoErr(raw.Control(func(fd uintptr) { value, err = syscall.GetsockoptInt(int(fd), level, name) }))
 		is.NoErr(err)
 		return value
 	}
+}
+
+// TestReceiveBufferOfAConnectionIsBounded: responses that wait for slow clients took up to 13 MB each in the
+// kernel, beside what the gateway counts as buffered.
+func TestReceiveBufferOfAConnectionIsBounded(t *testing.T) {
+	is := is.New(t)
+	option := dialedOptions(t)
+	const locked = 2 // the kernel doubles what is set, and lets it grow no more
+	is.Equal(option(syscall.SOL_SOCKET, syscall.SO_RCVBUF), locked*receiveBufferBytes)
+}
+
+func TestASilentHostEndsAConnectionWithinThreeSeconds(t *testing.T) {
+	is := is.New(t)
+	option := dialedOptions(t)
 	const tcpUserTimeout = 18
 	is.Equal(option(syscall.SOL_SOCKET, syscall.SO_KEEPALIVE), 1)
 	is.Equal(option(syscall.IPPROTO_TCP, tcpUserTimeout), 0) // else it decides instead of the probes
