DRAIN: an end notice applies to the start that any control node knows

Cause: an end notice carries the name only, and HandleEnd looked the start up among those that this node was told of itself. It found the earlier start, gone already, took the notice for a repeat and acknowledged it.

Change: the starts that the merged view of all control nodes knows are asked as well; of one start the furthest step of its departure counts, so that a view that lags does not choose an earlier one that has gone. The rule itself (a start that is draining and not gone, else the latest) is as it was.

Open: a later start whose first heartbeat has not reached the node that gets the notice (within the feed's delay, or while the core is cut) is still not known there; starts that do not say when they began are one start. A notice that is delivered late, after the next start, ends that one at every node now, as it did at those that had its heartbeats.

--- a/src/feed/heartbeat.go
+++ b/src/feed/heartbeat.go
@@ -54,12 +54,15 @@
 	return ""
 }
 
-// HandleEnd records that a replica has ended or is about to. It does so also for a replica that
-// this node does not know, since other nodes may have seen it start.
+// HandleEnd records that a replica has ended or is about to. The start that the notice refers to may
+// have sent its heartbeats to other nodes. A replica that no node is known to have heard of is recorded
+// all the same, since one may have just seen it start.
 func (p *Publisher) HandleEnd(ctx context.Context, name string) bool {
+	starts := p.cluster.Starts(name)
 	p.mu.Lock()
-	record, found := p.table.EndingStart(name)
+	starts = append(starts, p.table.Starts(name)...)
 	p.mu.Unlock()
+	record, found := registry.EndingStart(starts)
 	if !found {
 		record = registry.Record{ID: name}
 	}
--- a/src/feed/heartbeat_test.go
+++ b/src/feed/heartbeat_test.go
@@ -59,3 +59,61 @@
 		"i-2: it has another address than before", "i-3: service t is not in the configuration",
 	})
 }
+
+// TestEndNoticeAppliesToAStartKnownToAnotherNode: a replica that had started again sent its end notice to
+// another control node than its heartbeats. That node knew its earlier start only, took the notice for a
+// repeat, and acknowledged it, while requests went on reaching the later start.
+func TestEndNoticeAppliesToAStartKnownToAnotherNode(t *testing.T) {
+	start := func(ms int64, sequence uint64) registry.Record {
+		return registry.Record{ID: registry.Incarnation{Name: "r", StartedMS: ms}.ID(), Name: "r", StartedMS: ms, Address: "a:1", Sequence: sequence}
+	}
+	for _, c := range []struct {
+		name string
+		// end is called before the later start, by the first node.
+		end func(ctx context.Context, p *Publisher) bool
+	}{
+		{"after an end notice", func(ctx context.Context, p *Publisher) bool { return p.HandleEnd(ctx, "r") }},
+		{"after a drain and an end notice", func(ctx context.Context, p *Publisher) bool {
+			draining := start(7, 2)
+			draining.Draining = true
+			return p.ApplyHeartbeat(ctx, draining) && p.HandleEnd(ctx, "r")
+		}},
+		{"after a crash", func(context.Context, *Publisher) bool { return true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n := newTestNet(t, 3)
+			s := n.follow(n.addresses()...)
+			ctx := context.Background()
+			first, other := n.nodes[0].publisher, n.nodes[1].publisher
+			is.True(first.ApplyHeartbeat(ctx, start(7, 1)))
+			is.True(other.ApplyHeartbeat(ctx, start(7, 1)))
+			is.True(c.end(ctx, first))
+			is.True(first.ApplyHeartbeat(ctx, start(9, 1)))
+			eventually(t, "the other node knows the later start", func() bool { return len(n.nodes[1].follower.Starts("r")) == 2 })
+			is.True(other.HandleEnd(ctx, "r"))
+			eventually(t, "gateways do not use the later start", func() bool {
+				known, usable := s.usable("r@9")
+				return known && !usable
+			})
+			is.True(other.HandleEnd(ctx, "r")) // the notice may be repeated
+		})
+	}
+}
+
+// TestEndNoticeIsNotHeldAgainstAStartWhoseDepartureIsKnownElsewhere: of what nodes know of a start, the
+// furthest step of its departure counts.
+func TestEndNoticeIsNotHeldAgainstAStartWhoseDepartureIsKnownElsewhere(t *testing.T) {
+	is := is.New(t)
+	draining := registry.Record{ID: "r@7", Name: "r", StartedMS: 7, Draining: true}
+	gone := draining
+	gone.Gone = true
+	running := registry.Record{ID: "r@9", Name: "r", StartedMS: 9}
+	for _, starts := range [][]registry.Record{{draining, gone, running}, {gone, draining, running}, {running, gone, draining}} {
+		ending, found := registry.EndingStart(starts)
+		is.True(found)
+		is.Equal(ending.ID, "r@9")
+	}
+	ending, _ := registry.EndingStart([]registry.Record{draining, running})
+	is.Equal(ending.ID, "r@7")
+}
--- a/src/feed/net_test.go
+++ b/src/feed/net_test.go
@@ -87,6 +87,7 @@
 		cluster := Cluster{
 			Quarantine:       func() *wire.Quarantine { return nil },
 			Drains:           node.drains.Load,
+			Starts:           func(name string) []registry.Record { return node.follower.Starts(name) },
 			Serves:           func(string) bool { return true },
 			HeartbeatRefused: func(string, string) {},
 			Version:          func() uint64 { return node.currentDocument().Version },
--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -51,6 +51,8 @@
 	// Drains returns the drained zones that this node has applied. Each change yields a new
 	// pointer.
 	Drains func() *wire.ZoneDrains
+	// Starts returns the records of all starts of a replica that any control node knows.
+	Starts func(name string) []registry.Record
 	// Serves reports whether the configuration contains a service.
 	Serves func(service string) bool
 	// HeartbeatRefused is called with the name and the reason for each heartbeat that is rejected.
--- a/src/feed/view.go
+++ b/src/feed/view.go
@@ -71,6 +71,13 @@
 	return f.gateways(f.now())
 }
 
+// Starts returns the records of all starts of a replica that any node knows.
+func (f *Follower) Starts(name string) []registry.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Starts(name)
+}
+
 // Standings returns the replicas that changed after a stamp.
 func (f *Follower) Standings(since uint64) []registry.ReplicaStatus {
 	f.mu.Lock()
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -229,6 +229,7 @@
 
 		Save: c.saveReplicas(folder.Replicas()),
 
+		Starts:           func(name string) []registry.Record { return c.follower.Starts(name) },
 		Serves:           c.serves,
 		HeartbeatRefused: c.heartbeatRefused,
 	}
--- a/src/registry/directory.go
+++ b/src/registry/directory.go
@@ -321,6 +321,17 @@
 	return standings
 }
 
+// Starts returns the records of all known starts of a replica.
+func (d *Directory) Starts(name string) []Record {
+	var starts []Record
+	for _, known := range d.entries {
+		if known.record.ReplicaName() == name {
+			starts = append(starts, known.record)
+		}
+	}
+	return starts
+}
+
 // Entries returns all replicas, sorted by ID.
 func (d *Directory) Entries() []Entry {
 	all := make([]Entry, 0, len(d.entries))
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -195,24 +195,44 @@
 	return known.standing.Record, true
 }
 
+// Starts returns the records of all known starts of a replica.
+func (t *Table) Starts(name string) []Record {
+	var starts []Record
+	for _, known := range t.rows {
+		if known.standing.Record.ReplicaName() == name {
+			starts = append(starts, known.standing.Record)
+		}
+	}
+	return starts
+}
+
+// EndingStart returns the start of a replica that an end notice refers to, among those known to this
+// node.
+func (t *Table) EndingStart(name string) (Record, bool) { return EndingStart(t.Starts(name)) }
+
 // EndingStart returns the start of a replica that an end notice refers to; the notice carries only
 // the replica's name. It is one that is draining and not gone, since the notice of an earlier start
-// may arrive after the first heartbeat of a later one; otherwise it is the latest.
-func (t *Table) EndingStart(name string) (Record, bool) {
-	var found *Record
-	for _, known := range t.rows {
-		record := &known.standing.Record
-		if record.ReplicaName() != name {
-			continue
+// may arrive after the first heartbeat of a later one; otherwise it is the latest. A start may be
+// given several times, as different nodes know it.
+func EndingStart(starts []Record) (Record, bool) {
+	merged := map[string]Record{}
+	for _, start := range starts {
+		if known, found := merged[start.ID]; found {
+			start.Draining = start.Draining || known.Draining
+			start.Gone = start.Gone || known.Gone
 		}
-		if found == nil || endsFirst(record, found) {
-			found = record
+		merged[start.ID] = start
+	}
+	var ending *Record
+	for _, start := range merged {
+		if ending == nil || endsFirst(&start, ending) {
+			ending = &start
 		}
 	}
-	if found == nil {
+	if ending == nil {
 		return Record{}, false
 	}
-	return *found, true
+	return *ending, true
 }
 
 // endsFirst reports whether an end notice refers to the first of two starts rather than to the
