LOST: the waits of requests end before a gateway stops

Cause: a request waits until its deadline, whether or not the gateway stops; waitsForCopy alone asked. http.Server.Shutdown waits for it, and then the process ends.

A gateway that stops tells one that forwarded a request to it that another one may take it.

Open: a request that waits at another gateway, to which this one forwarded it, goes on waiting there.

--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -41,7 +41,7 @@
 
 // The reasons for which a gateway does not take a request.
 const (
-	// notSentUnable means that the gateway can't serve the request's service now.
+	// notSentUnable means that the gateway can't serve the request's service now, or that it stops.
 	notSentUnable = "1"
 	// notSentHere means that the reason holds for this request at that gateway: no replica accepts it from
 	// there now, none is known with the software that began the stream, or the configuration is an older
@@ -260,7 +260,7 @@
 	if !c.forwarded || status != http.StatusServiceUnavailable || c.possibleArrivals > 0 {
 		return
 	}
-	if c.unconnected > 0 || c.handler.options.Fleet.links.Unreachable(c.service) {
+	if c.unconnected > 0 || c.handler.stopping.Load() || c.handler.options.Fleet.links.Unreachable(c.service) {
 		c.writer.Header().Set(headerNotSent, notSentUnable)
 		return
 	}
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -87,11 +87,14 @@
 	options Options
 	table   atomic.Pointer[catalog.Table]
 	// configured is closed once there is a configuration.
-	configured    chan struct{}
-	configure     sync.Once
-	budgets       budgets
-	gateways      atomic.Int64
-	stopping      atomic.Bool
+	configured chan struct{}
+	configure  sync.Once
+	budgets    budgets
+	gateways   atomic.Int64
+	stopping   atomic.Bool
+	// waits ends by endWaits.
+	waits         context.Context
+	endWaits      context.CancelFunc
 	running       atomic.Int64
 	slotAssigner  slotAssigner
 	crashDetector *crashDetector
@@ -110,6 +113,7 @@
 func NewHandler(options Options) *Handler {
 	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64)}
 	h.placeQueues = newPlaceQueues(options.Fleet, options.Now)
+	h.waits, h.endWaits = context.WithCancel(context.Background())
 	h.gateways.Store(1)
 	if options.DialGateway != nil {
 		h.gatewayList = newOtherGateways(options.Node, options.Zone, options.DialGateway)
@@ -168,9 +172,6 @@
 // ForwardedRunning returns the number of requests of other gateways in progress.
 func (h *Handler) ForwardedRunning() int { return int(h.forwardedRunning.Load()) }
 
-// Stop makes the handler close each connection after its current response.
-func (h *Handler) Stop() { h.stopping.Store(true) }
-
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int { return int(h.running.Load()) }
 
@@ -399,6 +400,8 @@
 func (c *call) run() {
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
+	waiting, endWait := c.handler.waitContext(ctx)
+	defer endWait()
 	var lastError *errorResponse
 	choice, chosen := Choice{}, false
 	for {
@@ -415,7 +418,7 @@
 			}
 		}
 		if !chosen {
-			choice = c.choose(ctx)
+			choice = c.choose(waiting)
 		}
 		if choice.Verdict != Chosen && c.preferForwarding() {
 			continue
--- a/src/exchange/slot.go
+++ b/src/exchange/slot.go
@@ -72,6 +72,9 @@
 	ctx, cancel := context.WithTimeout(ctx, max(maxWait, 0)+slotReplyMargin)
 	defer cancel()
 	reply, err := h.options.Slots.Request(ctx, request)
+	if err != nil && h.waits.Err() != nil {
+		return Choice{Verdict: NoFreeSlot}, true
+	}
 	if err != nil || !reply.Known {
 		h.slotAssigner.unavailableUntil.Store(h.options.Now().Add(assignerRetryDelay).UnixNano())
 		return Choice{}, false
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -36,6 +36,9 @@
 const (
 	// stopMargin is the part of the stop limit that is left for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// stopWaitShare is the part of the rest of the stop limit for which requests that have not been sent
+	// may go on waiting. What is sent then has the other part to be completed.
+	stopWaitShare = 1.0 / 3
 	// demandInterval is the interval of demand reports.
 	demandInterval = 500 * time.Millisecond
 	// demandBatchDelay is how long a report of missing copies waits for further ones.
@@ -349,6 +352,7 @@
 	limit := g.settings.StopLimit.Std() - stopMargin
 	g.stopping.Store(true)
 	g.handler.Stop()
+	time.AfterFunc(time.Duration(float64(limit)*stopWaitShare), g.handler.EndWaits)
 	g.proc.SetLeaving()
 	g.notifyPeerState(context.Background())
 	time.Sleep(min(g.settings.BalancerLag.Std(), limit/2))
