DRAIN: a replica that is listed as leaving gets no new work on any way to it

Cause: resumeAtBackup asks Fleet.acceptsIn, which knew drained zones, later starts, backoffs and what replicas say in answers, but not that control nodes list the replica as leaving; other choices go through the index, which holds none of those. By the same gap a request whose connection was being opened while its replica was listed as leaving was sent: admit asks the same.

Change: Fleet.closed says whether a replica gets no new work, and acceptsIn and admit, which all ways ask, the latter right before the first byte, ask it.

TestEveryWayToAReplicaAsksWhetherItTakesRequests has two more restrictions, "is listed as draining" and "is listed as gone"; without the change two ways fail with each (a stream that continues at its backup, a request whose connection was being opened).

--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -123,6 +123,8 @@
 	zone     string
 	software string
 	coldMS   int64
+	draining bool
+	ended    bool
 	listener net.Listener
 	mu       sync.Mutex
 	arrivals []arrival
@@ -286,7 +288,7 @@
 func (b *bench) register(replicas ...*fakeReplica) {
 	var entries []registry.Entry
 	for _, f := range replicas {
-		entries = append(entries, registry.Entry{Record: registry.Record{ID: f.id, Service: "s", Address: f.listener.Addr().String(), Zone: f.zone, SoftwareVersion: f.software, ColdMS: f.coldMS, Slots: 4, Models: []registry.Held{{Name: "m"}}}})
+		entries = append(entries, registry.Entry{Record: registry.Record{ID: f.id, Service: "s", Address: f.listener.Addr().String(), Zone: f.zone, SoftwareVersion: f.software, ColdMS: f.coldMS, Draining: f.draining, Gone: f.ended, Slots: 4, Models: []registry.Held{{Name: "m"}}}})
 	}
 	b.fleet.SetReplicas(registry.Changes{Entries: entries})
 }
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -196,6 +196,7 @@
 	} else {
 		f.updateRecord(peer, e)
 	}
+	peer.listedLeaving.Store(e.Record.Leaving())
 	f.countVersion(peer)
 	if e.Record.ColdMS > 0 {
 		peer.markCold(f.bootNow(), time.Duration(e.Record.ColdMS)*time.Millisecond)
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -38,6 +38,8 @@
 	// the replica is no longer listed.
 	later    atomic.Pointer[Peer]
 	unlisted atomic.Bool
+	// listedLeaving is set while control nodes list the replica as draining or gone.
+	listedLeaving atomic.Bool
 	// brokenAtRequest is the number of broken connections when the replica last asked for a backoff
 	// or a limit.
 	brokenAtRequest atomic.Int64
--- a/src/exchange/replicastate.go
+++ b/src/exchange/replicastate.go
@@ -111,9 +111,15 @@
 	}
 }
 
+// closed reports whether a replica gets no new work whatever it answers: it is listed as leaving, a later
+// start has its place, or its zone is drained.
+func (f *Fleet) closed(peer *Peer) bool {
+	return peer.listedLeaving.Load() || peer.replaced() || f.drained(peer)
+}
+
 // admit reports whether a replica accepts a request that is sent now, and counts it.
 func (f *Fleet) admit(peer *Peer) bool {
-	if f.drained(peer) || peer.replaced() || f.shareTaken(peer, 0) {
+	if f.closed(peer) || f.shareTaken(peer, 0) {
 		return false
 	}
 	return !peer.backoffState.restricted.Load() || peer.backoffState.admit(f.bootNow())
@@ -129,7 +135,7 @@
 // acceptsIn reports whether a replica accepts requests now. If not, it returns the time until it
 // may, 0 for never.
 func (f *Fleet) acceptsIn(peer *Peer) (wait time.Duration, accepted bool) {
-	if f.drained(peer) || peer.replaced() {
+	if f.closed(peer) {
 		return 0, false
 	}
 	if f.shareTaken(peer, 1) {
--- a/src/exchange/restriction_test.go
+++ b/src/exchange/restriction_test.go
@@ -39,6 +39,8 @@
 	"leaves":                   {respond: func(a arrival) bool { a.answer(200, "last", testLeaving+": 1"); return true }},
 	"is in a drained zone":     {respond: whole, order: drainZone},
 	"is cold, by its record":   {respond: whole, order: registerCold},
+	"is listed as draining":    {respond: whole, order: registerDraining},
+	"is listed as gone":        {respond: whole, order: registerGone},
 	"names a limit":            {respond: func(a arrival) bool { a.answer(200, "slow", testLimit+": 5"); return true }},
 	"is cold, by its response": {respond: func(a arrival) bool { a.answer(200, "slow", testCold+": 60000"); return true }},
 }
@@ -49,6 +51,18 @@
 	b.register(f)
 }
 
+// registerDraining makes a replica report to the control nodes that it drains.
+func registerDraining(b *bench, f *fakeReplica) {
+	f.draining = true
+	b.register(f)
+}
+
+// registerGone makes a replica report to the control nodes that it has ended.
+func registerGone(b *bench, f *fakeReplica) {
+	f.ended = true
+	b.register(f)
+}
+
 // drainZone drains the zone of one replica.
 func drainZone(b *bench, f *fakeReplica) {
 	f.zone = "drained"
@@ -71,7 +85,8 @@
 }
 
 // TestEveryWayToAReplicaAsksWhetherItTakesRequests: no request reaches a replica that is in
-// backoff, leaving, cold, limited or in a drained zone, on any code path.
+// backoff, leaving, cold, limited or in a drained zone, on any code path. Streams went on at a replica
+// that was listed as draining.
 func TestEveryWayToAReplicaAsksWhetherItTakesRequests(t *testing.T) {
 	for name, how := range restrictions {
 		for _, way := range []struct {
