TWICE: a stream goes on at the copy of its run only after a proven loss

Cause: after a second of silence three dials of 0.1 s without an answer ended the attempt, and three more counted as proof that the replica can't be at work any more. A full queue of new connections gives the same picture, and so does a full replica that resets what it does not accept.

The watchdog of a stream that has begun, has a copy and must not be repeated waits for such a proof; all others end as before. A listed end proves nothing, as replicas serve on after their end notice.

TestStreamOfASilentReplicaIsNotContinuedElsewhere fails before, with dials that are not answered and with resets; it, TestWhatProvesThatAReplicaIsLost (9 cases) and TestStreamGoesOnOnceItsHostAcknowledgesNothing pass now, three times in a row.

Later than before: a stream whose replica's host lost its power goes on after 3 s instead of 1.3 s.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -69,6 +69,7 @@
 	peer := choice.Peer
 	now := h.options.Now()
 	c.tried = append(c.tried, peer)
+	c.brokenBy = nil
 	c.reason = choice.Reason
 	if c.permitWait > 0 {
 		c.reason += ", waited " + c.permitWait.String() + " for a permit"
--- a/src/exchange/backup.go
+++ b/src/exchange/backup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/moorspool/moorspool/src/resume"
@@ -139,8 +140,9 @@
 	if backup == nil || ctx.Err() != nil || c.stream == nil || c.stream.lastEventID == "" {
 		return Choice{}, false
 	}
-	if reachable(ctx, lost) {
-		c.reason += "; " + lost.ID() + " can still be reached"
+	proof := proveLoss(ctx, lost, c.brokenBy)
+	c.reason += "; " + lost.ID() + ": " + proof.String()
+	if proof == lossUnproven {
 		return Choice{}, false
 	}
 	if !c.mayWrite(backup, backup.writerOrigin()) {
@@ -173,6 +175,8 @@
 // loss or a network partition, which close no connection.
 type watchdog struct {
 	timer *time.Timer
+	// needsProof is set if the attempt ends only once the loss of the replica is proven.
+	needsProof atomic.Bool
 }
 
 // newWatchdog returns a watchdog that calls lost once the replica is unreachable.
@@ -181,16 +185,27 @@
 	w.timer = time.AfterFunc(time.Hour, func() {
 		switch {
 		case ctx.Err() != nil:
-		case reachable(ctx, peer):
-			w.timer.Reset(silenceTimeout)
-		default:
+		case w.isLost(ctx, peer):
 			lost()
+		default:
+			w.timer.Reset(silenceTimeout)
 		}
 	})
 	w.timer.Reset(silenceTimeout)
 	return w
 }
 
+func (w *watchdog) isLost(ctx context.Context, peer *Peer) bool {
+	if w.needsProof.Load() {
+		return proveLoss(ctx, peer, nil) != lossUnproven
+	}
+	return !reachable(ctx, peer)
+}
+
+// requireProof makes the watchdog wait for a proof that the replica is lost. The keep-alive probes of the
+// connection bring one if its host is.
+func (w *watchdog) requireProof() { w.needsProof.Store(true) }
+
 // reset restarts the timeout after the replica has sent something.
 func (w *watchdog) reset() { w.timer.Reset(silenceTimeout) }
 
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -233,6 +233,8 @@
 	counted bool
 	// connectionBroke is set if the connection of the last attempt broke.
 	connectionBroke bool
+	// brokenBy is the error that ended the last attempt's stream, nil if there is none.
+	brokenBy error
 	// content is the digest of the request's content. It is valid once digested is set.
 	content  quarantine.Digest
 	digested bool
--- /dev/null
+++ b/src/exchange/loss_test.go
@@ -0,0 +1,142 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/registry"
+)
+
+// opError returns an error as the net package reports it.
+func opError(errno syscall.Errno) error {
+	return &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", errno)}
+}
+
+func TestWhatProvesThatAReplicaIsLost(t *testing.T) {
+	unanswered := func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	fails := func(errno syscall.Errno) dialFunc {
+		return func(context.Context, string) (net.Conn, error) { return nil, opError(errno) }
+	}
+	accepted := func(context.Context, string) (net.Conn, error) {
+		here, _ := net.Pipe()
+		return here, nil
+	}
+	for _, c := range []struct {
+		name     string
+		dial     dialFunc
+		brokenBy error
+		restart  bool
+		want     lossProof
+	}{
+		{"silence", accepted, nil, false, lossUnproven},
+		{"a dial that is not answered", unanswered, nil, false, lossUnproven},
+		{"a new connection that is reset", fails(syscall.ECONNRESET), nil, false, lossUnproven},
+		{"no route to its host", fails(syscall.EHOSTUNREACH), nil, false, lossUnproven},
+		{"a refused dial", fails(syscall.ECONNREFUSED), nil, false, lossByRefusal},
+		{"an open connection that is reset", unanswered, opError(syscall.ECONNRESET), false, lossUnproven},
+		{"a deadline that passed", unanswered, os.ErrDeadlineExceeded, false, lossUnproven},
+		{"probes that are not acknowledged", unanswered, opError(syscall.ETIMEDOUT), false, lossOfHost},
+		{"a later start", accepted, nil, true, lossByLaterStart},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := NewFleet("z", c.dial, nil, time.Now, time.Now)
+			earlier := registry.Record{ID: "x@1", Name: "x", StartedMS: 1, Service: "s", Address: "127.0.0.1:1", Slots: 1}
+			f.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: earlier}}})
+			peer := f.Peer("x@1")
+			if c.restart {
+				later := earlier
+				later.ID, later.StartedMS = "x@2", 2
+				f.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: later}, {Record: earlier, Replaced: true}}})
+			}
+			is.Equal(proveLoss(context.Background(), peer, c.brokenBy), c.want)
+		})
+	}
+}
+
+// breakableConn is a connection whose reads can be made to fail.
+type breakableConn struct {
+	net.Conn
+	err atomic.Pointer[error]
+}
+
+func (c *breakableConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if failure := c.err.Load(); failure != nil {
+		return 0, *failure
+	}
+	return n, err
+}
+
+// TestStreamOfASilentReplicaIsNotContinuedElsewhere: a stream that must not be repeated went on at a second replica
+// while the first one, silent for 1.4 s with a full queue of new connections, was still at work on it.
+func TestStreamOfASilentReplicaIsNotContinuedElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// dialed is the result of dials while the replica is silent.
+		dialed error
+	}{
+		{"dials are not answered", context.DeadlineExceeded},
+		{"new connections are reset", opError(syscall.ECONNRESET)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var s *crashSite
+			s = newCrashSite(t, func(a arrival, r *fakeReplica) bool {
+				s.fleet.Peer(r.id).pool.dial = func(context.Context, string) (net.Conn, error) { return nil, c.dialed }
+				time.Sleep(silenceTimeout + 400*time.Millisecond)
+				a.event(3)
+				a.event(4)
+				a.endStream()
+				return true
+			})
+			got := s.ask()
+			is.NoErr(got.err)
+			is.Equal(events(got.body), []string{"1", "2", "3", "4"})
+			is.Equal(s.other().count(), 0)
+		})
+	}
+}
+
+// TestStreamGoesOnOnceItsHostAcknowledgesNothing: a host without power closes no connection; the keep-alive probes
+// end it.
+func TestStreamGoesOnOnceItsHostAcknowledgesNothing(t *testing.T) {
+	is := is.New(t)
+	var conn atomic.Pointer[breakableConn]
+	var s *crashSite
+	s = newCrashSite(t, func(_ arrival, r *fakeReplica) bool {
+		s.fleet.Peer(r.id).pool.dial = func(context.Context, string) (net.Conn, error) { return nil, context.DeadlineExceeded }
+		time.Sleep(silenceTimeout + 400*time.Millisecond)
+		failure := opError(syscall.ETIMEDOUT)
+		conn.Load().err.Store(&failure)
+		return false
+	})
+	for _, r := range s.replicas {
+		peer := s.fleet.Peer(r.id)
+		peer.pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			raw, err := Dial(ctx, address)
+			if err != nil {
+				return nil, errors.Wrap(err, "dialing")
+			}
+			opened := &breakableConn{Conn: raw}
+			conn.CompareAndSwap(nil, opened)
+			return opened, nil
+		}
+	}
+	got := s.ask()
+	is.NoErr(got.err)
+	is.Equal(events(got.body), []string{"1", "2", "3", "4"})
+	is.Equal(s.other().count(), 1)
+}
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -77,6 +77,10 @@
 				return truncated
 			}
 			c.storeOrigin()
+			if c.backup != nil && !c.route.Idempotent() {
+				// The stream can go on at its backup alone, and only after a proven loss.
+				silenceWatch.requireProof()
+			}
 		}
 		switch {
 		case err == io.EOF:
@@ -157,6 +161,7 @@
 	}
 	c.reason += "; " + peer.ID() + " broke the stream off after event " + c.stream.lastEventID
 	c.reason += " of software " + strconv.Quote(peer.softwareVersion()) + ": " + err.Error()
+	c.brokenBy = err
 	tooLong := c.noteTooLong(peer, err)
 	if ctx.Err() == nil && !errors.Is(err, errRetentionFull) {
 		c.connectionBroke = !tooLong
