--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -136,12 +136,12 @@
 	startedMS int64
 }
 
-func newReplica(t *testing.T, id string, act behaviour) *fakeReplica {
+func newReplica(t testing.TB, id string, act behaviour) *fakeReplica {
 	t.Helper()
 	return newReplicaAt(t, id, "127.0.0.1:0", act)
 }
 
-func newReplicaAt(t *testing.T, id, address string, act behaviour) *fakeReplica {
+func newReplicaAt(t testing.TB, id, address string, act behaviour) *fakeReplica {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -259,7 +259,7 @@
 
 // bench is a handler in front of fake replicas.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	handler *Handler
 	fleet   *Fleet
 	server  *httptest.Server
@@ -270,7 +270,7 @@
 	return catalog.Route{Name: "r", Host: "h.example", Prefix: "/p/", Kind: kind, Timeout: 3 * time.Second, Target: time.Second, Attempts: attempts, Splits: []catalog.Split{{Service: "s", Weight: 1}}}
 }
 
-func newBench(t *testing.T, r catalog.Route, replicas ...*fakeReplica) *bench {
+func newBench(t testing.TB, r catalog.Route, replicas ...*fakeReplica) *bench {
 	b := &bench{t: t, demand: NewDemand()}
 	b.fleet = NewFleet("z", Dial, nil, time.Now, time.Now)
 	b.handler = NewHandler(Options{
