--- a/soak/measure.go
+++ b/soak/measure.go
@@ -60,6 +60,8 @@
 	"limit-all":   measureLimits(1, 1, nil),
 	"limit-kills": measureLimits(1, 20, restartControlNodes),
 	"slow-disk":   changeOnSlowDisks,
+	"ends":        measureEnds(endsBrokenPercent, false),
+	"ends-kills":  measureEnds(0, true),
 	"rest-all":    measureBackoff(1),
 	"leaving":     measureLeaving,
 	"restarts":    func(ctx context.Context, r *replicas, _ *clients) { r.restartAll(ctx) },
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -38,6 +38,7 @@
 		fmt.Sprintf(route, "safe", "/s/", "safe", false),
 		fmt.Sprintf(route, "long", "/l/", "safe", false),
 		fmt.Sprintf(route, "events", "/e/", "streaming", true),
+		fmt.Sprintf(route, "events that may not be repeated", "/n/", "streaming", false),
 		fmt.Sprintf(route, "version", fmt.Sprintf("/v/%d/", version), "safe", false),
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health","cold_per_s":%d}],"limits":{"max_body_bytes":1048576},"tenants":[%s]}`, version, strings.Join(routes, ","), coldRate, accountsOf(version))
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -47,6 +48,8 @@
 	notices noticeCounts
 	// limits are the totals of the announced limits.
 	limits limitCounts
+	// unframed makes streams end with their connection, unless it is nil.
+	unframed *streamsWithoutFraming
 }
 
 // replica is one start of a backend server.
@@ -167,6 +170,11 @@
 		endless.send(w, rep.id, id)
 		return
 	}
+	if unframed := r.streamsUnframed(); unframed != nil && strings.ContainsRune("en", rune(request.URL.Path[1])) {
+		after, _ := strconv.Atoi(request.Header.Get(headerLastEvent))
+		unframed.write(rep, w, id, after)
+		return
+	}
 	w.Header().Set(stampHeader, rep.id+"."+id)
 	w = drawFraming(w)
 	switch request.URL.Path[1] {
@@ -174,7 +182,7 @@
 		r.check.recordRun(id, rep.id)
 		time.Sleep(10 * time.Millisecond)
 		_, _ = fmt.Fprintf(w, "%s:%s", id, body)
-	case 'e':
+	case 'e', 'n':
 		r.stream(rep, w, request, id)
 	case 'l':
 		_, _ = io.WriteString(w, longBody(id))
@@ -183,6 +191,13 @@
 	}
 }
 
+// streamsUnframed returns how streams are written that end with their connection, nil if none are.
+func (r *replicas) streamsUnframed() *streamsWithoutFraming {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unframed
+}
+
 // faultFree reports whether the control nodes and gateways have been free of faults long enough for
 // time limits to apply.
 func (r *replicas) faultFree(string) bool {
