Observability: how the end of an answer is known and how its client's is framed

Cause: an answer that finished without proof of its end was said nowhere that is collected: 704 is a debug line, and told how the server's answer ends, not how the client's response does. Change: events 715 (begins) and 716 (ends) of answers with neither a length nor chunks, at info, within the rate of each kind; unproven_ends_total by kind (fixed labels); 702 and 704 name the framing towards the client. No decision changes.

--- a/soak/ends.go
+++ b/soak/ends.go
@@ -29,6 +29,8 @@
 	endsEventPause = 4 * time.Millisecond
 	// endsTries is how often a client sends a request in all while its stream breaks off.
 	endsTries = 6
+	// endsShortIDs is how many requests that ended short are named for each class.
+	endsShortIDs = 20
 )
 
 // endsClass is a kind of measured streams.
@@ -51,8 +53,9 @@
 	// short counts streams that ended in order without their last event, whole those that ended in order
 	// with it, in the first try firstWhole.
 	short, whole, firstWhole int
-	// lostEvents counts streams that broke off of which the client holds fewer events than were written.
-	broken, refused int
+	broken, refused          int
+	// shortIDs are the first requests that ended short, to be looked up in the logs.
+	shortIDs []string
 	// tries counts the requests.
 	tries int
 }
@@ -154,7 +157,7 @@
 				}
 				held = part.last
 			}
-			if m.record(class, try, got, held); got.whole || class.kind == "n" {
+			if m.record(class, try, id, got, held); got.whole || class.kind == "n" {
 				break
 			}
 		}
@@ -162,7 +165,7 @@
 }
 
 // record counts the end of a try.
-func (m *endsMeasurement) record(class endsClass, try int, got rawResponse, held int) {
+func (m *endsMeasurement) record(class endsClass, try int, id string, got rawResponse, held int) {
 	m.add(class, func(n *endsCount) {
 		n.tries++
 		if try == 0 {
@@ -173,6 +176,9 @@
 			n.broken++
 		case held < streamEvents:
 			n.short++
+			if len(n.shortIDs) < endsShortIDs {
+				n.shortIDs = append(n.shortIDs, id)
+			}
 		default:
 			n.whole++
 			n.firstWhole += asNumber(try == 0)
@@ -190,8 +196,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for class, n := range m.counts {
-		fmt.Printf("%s: %d streams begun, %d answers; ended in order without the last event %d, with it %d (first try %d); broken off %d; refused %d\n",
-			class, n.streams, n.tries, n.short, n.whole, n.firstWhole, n.broken, n.refused)
+		fmt.Printf("%s: %d streams begun, %d answers; ended in order without the last event %d, with it %d (first try %d); broken off %d; refused %d; short: %v\n",
+			class, n.streams, n.tries, n.short, n.whole, n.firstWhole, n.broken, n.refused, n.shortIDs)
 	}
 }
 
--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -83,6 +83,8 @@
 	ServiceUnreachable Kind = 712
 	ServiceReachable   Kind = 713
 	ResponseTooLong    Kind = 714
+	UnframedResponse   Kind = 715
+	EndUnproven        Kind = 716
 	KeyRefused         Kind = 720
 	QuotaExceeded      Kind = 721
 	AdmissionUncertain Kind = 722
@@ -189,6 +191,8 @@
 	{ServiceUnreachable, "service-unreachable", "A gateway can connect to no backend server of a service that control nodes list; the evidence and its age are given. Its requests are forwarded to other gateways."},
 	{ServiceReachable, "service-reachable", "A gateway can connect to the backend servers of a service again; how long it could not is given."},
 	{ResponseTooLong, "response-too-long", "A backend server sent more than is read in one place of a response; the place, its limit and what was read are given. The connection is closed, and the server is avoided for a while."},
+	{UnframedResponse, "response-unframed", "A response of a backend server that has neither a length nor chunks begins to be passed on; how the client knows its end is given."},
+	{EndUnproven, "end-unproven", "Nothing but the close of its connection shows the end of a backend server's response; what became of the client's response, and how the client knows its end, is given."},
 	{KeyRefused, "key-refused", "A request had no API key, or one that belongs to no client account."},
 	{QuotaExceeded, "quota-spent", "A request was refused because its client account had used up its limit."},
 	{AdmissionUncertain, "admission-unsure", "A request with an API key was refused because no reachable control node could confirm that its client account was within its limit, or that the configuration was still the newest."},
--- a/src/exchange/framing.go
+++ b/src/exchange/framing.go
@@ -50,6 +50,33 @@
 	return endByClose
 }
 
+// clientFraming is how a client knows the end of its response.
+type clientFraming uint8
+
+const (
+	// framedNot means that no response has begun.
+	framedNot clientFraming = iota
+	// framedByLength means that the response has a length or no body.
+	framedByLength
+	framedByChunks
+	// framedByClose means that the response ends with its connection.
+	framedByClose
+)
+
+// String describes the framing for a log line.
+func (f clientFraming) String() string {
+	switch f {
+	case framedByLength:
+		return "by its length"
+	case framedByChunks:
+		return "in chunks"
+	case framedByClose:
+		return "to the close"
+	case framedNot:
+	}
+	return "none"
+}
+
 // useFraming prepares the client's response for a body whose end is known in the given way. If only
 // the close of the replica's connection shows it, the client's response ends with its connection as
 // well: a length or a last chunk would state that the body is complete.
@@ -58,7 +85,14 @@
 	if end == endByClose {
 		header.Set("Transfer-Encoding", "identity")
 	}
-	c.endsByClose = end == endByClose || !c.request.ProtoAtLeast(1, 1) && header.Get("Content-Length") == ""
+	switch {
+	case end == endByStatus, end != endByClose && header.Get("Content-Length") != "":
+		c.framing = framedByLength
+	case end != endByClose && c.request.ProtoAtLeast(1, 1):
+		c.framing = framedByChunks
+	default:
+		c.framing = framedByClose
+	}
 }
 
 // resetConnection resets the client's connection. An orderly close would look like the end of a
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -244,8 +244,8 @@
 	trial quarantine.Trial
 	// bodyEnd is how the end of the last response of a replica is known.
 	bodyEnd bodyEnd
-	// endsByClose is set if the response to the client ends with its connection.
-	endsByClose bool
+	// framing is how the client knows the end of its response.
+	framing clientFraming
 	// status is the status of the response to the client, 0 if the response was aborted.
 	status int
 	reason string
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -40,6 +40,8 @@
 	BackoffRefusals tally.Counter
 	// ResponsesTooLong counts responses of backend servers that were cut off at a limit.
 	ResponsesTooLong tally.Counter
+	// UnprovenEnds counts responses whose end nothing but the close of the connection shows.
+	UnprovenEnds unprovenCounters
 	// PermitsLost counts permit requests that no issuer answered.
 	PermitsLost tally.Counter
 	// PlaceWait records how long requests waited for a place, PlacesRefused counts those that got
@@ -78,6 +80,7 @@
 		PermitsLost:     registry.Count("cold_permits_lost_total"),
 
 		ResponsesTooLong: registry.Count("responses_too_long_total"),
+		UnprovenEnds:     newUnprovenCounters(registry),
 
 		PlaceWait:     registry.Latency("place_wait_seconds"),
 		PlacesRefused: registry.Count("places_refused_total"),
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -83,6 +83,7 @@
 	}
 	a.reuseConn(now)
 	peer.succeeded()
+	c.noteUnprovenEnd(peer, a.end, bodyPassedOn)
 	c.writeResponse(a.response.StatusCode, a.response.Header, body, a.end)
 	return answered
 }
@@ -101,6 +102,7 @@
 		c.writer.Header().Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
 	}
 	c.useFraming(a.end)
+	c.logUnframed(peer, a.end)
 	c.beginResponse(a.response.StatusCode)
 	_, err := io.Copy(c.writer, io.MultiReader(bytes.NewReader(buffered), a.response.Body))
 	if err != nil {
@@ -109,6 +111,7 @@
 		c.noteLostReplica(ctx, peer)
 		c.abortResponse("the answer broke off: " + err.Error())
 	}
+	c.noteUnprovenEnd(peer, a.end, bodyPassedOn)
 	a.reuseConn(c.handler.options.Now())
 	return answered
 }
@@ -231,6 +234,7 @@
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := reason + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	c.framing = framedByLength
 	c.beginResponse(status)
 	_, _ = io.WriteString(c.writer, body)
 	c.handler.options.Metrics.Refusals.Inc(1)
@@ -256,7 +260,7 @@
 func (c *call) abortResponse(reason string) {
 	c.reason += "; " + reason
 	c.status = 0
-	if c.endsByClose {
+	if c.framing == framedByClose {
 		c.resetConnection()
 	}
 	panic(http.ErrAbortHandler)
@@ -305,8 +309,8 @@
 	}
 	h.options.Ring.Add(event.Event{
 		Kind: kind, Request: c.requestInfo.ID, Model: modelName(c.requestInfo), Host: host,
-		Reason: fmt.Sprintf("status %d, route %s, service %s, account %q, configuration %d, sent to %d, last to software %q, may have run at %d, end %s, first byte %d ms, longest pause %s, took %d ms of %d ms%s; %s",
-			c.status, route, service, c.accountName(), c.version, c.sends, software, c.possibleRuns, c.bodyEnd, firstByte.Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.startedAt).Milliseconds(), content, c.reason),
+		Reason: fmt.Sprintf("status %d, route %s, service %s, account %q, configuration %d, sent to %d, last to software %q, may have run at %d, end %s, to the client %s, first byte %d ms, longest pause %s, took %d ms of %d ms%s; %s",
+			c.status, route, service, c.accountName(), c.version, c.sends, software, c.possibleRuns, c.bodyEnd, c.framing, firstByte.Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.startedAt).Milliseconds(), content, c.reason),
 	})
 }
 
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -110,6 +110,7 @@
 		c.bindOrigin(peer, a.origin)
 		c.stream.started = true
 		c.useFraming(a.end)
+		c.logUnframed(peer, a.end)
 		c.beginResponse(a.response.StatusCode)
 	}
 	if _, err := c.writer.Write(events); err != nil {
@@ -127,7 +128,7 @@
 		return c.handleBrokenStream(ctx, peer, a, errInsideEvent)
 	case a.end == endByClose && !c.stream.started && c.resumeAfter() == "":
 		return c.handleBrokenStream(ctx, peer, a, errNoEvent)
-	case a.end == endByClose && c.stream.started && !c.endsByClose:
+	case a.end == endByClose && c.stream.started && c.framing != framedByClose:
 		return c.handleUnprovenEnd(ctx, peer, a)
 	}
 	if rest := c.stream.pending.take(); len(rest) > 0 || !c.stream.started {
@@ -136,6 +137,7 @@
 			return truncated
 		}
 	}
+	c.noteUnprovenEnd(peer, a.end, streamPassedOn)
 	a.reuseConn(c.handler.options.Now())
 	peer.succeeded()
 	c.observeOutput()
@@ -148,6 +150,7 @@
 func (c *call) handleUnprovenEnd(ctx context.Context, peer *Peer, a *replicaResponse) outcome {
 	a.abort()
 	c.reason += "; " + peer.ID() + " ended the stream after event " + c.stream.lastEventID + " by closing the connection, which proves nothing"
+	c.noteUnprovenEnd(peer, a.end, streamNotConfirmed)
 	c.checkWriter(ctx)
 	return unknown
 }
--- /dev/null
+++ b/src/exchange/unproven.go
@@ -0,0 +1,70 @@
+package exchange
+
+import (
+	"strconv"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/metric"
+)
+
+// unprovenEnd is what becomes of a response whose end nothing but a close shows.
+type unprovenEnd uint8
+
+const (
+	// bodyPassedOn means that the body was passed on as its replica ended it.
+	bodyPassedOn unprovenEnd = iota
+	// streamPassedOn means that the stream was ended as its replica ended it.
+	streamPassedOn
+	// streamNotConfirmed means that the stream was not ended: another replica may go on with it, else it
+	// breaks off.
+	streamNotConfirmed
+	unprovenEnds
+)
+
+// String returns the value of the metric's label.
+func (u unprovenEnd) String() string {
+	switch u {
+	case streamPassedOn:
+		return "stream_passed_on"
+	case streamNotConfirmed:
+		return "stream_not_confirmed"
+	case bodyPassedOn, unprovenEnds:
+	}
+	return "body_passed_on"
+}
+
+// unprovenCounters counts the ends without proof by what became of the responses.
+type unprovenCounters [unprovenEnds]tally.Counter
+
+func newUnprovenCounters(registry *metric.Registry) unprovenCounters {
+	var counters unprovenCounters
+	for kind := range unprovenEnds {
+		counters[kind] = registry.CountOf("unproven_ends_total", "kind", kind.String())
+	}
+	return counters
+}
+
+// logUnframed logs that a response which ends with its connection begins to be passed on.
+func (c *call) logUnframed(peer *Peer, end bodyEnd) {
+	if end == endByClose {
+		c.addUnprovenEvent(event.UnframedResponse, peer, "to the client "+c.framing.String())
+	}
+}
+
+// noteUnprovenEnd logs and counts the end of a response, if nothing but a close shows it.
+func (c *call) noteUnprovenEnd(peer *Peer, end bodyEnd, kind unprovenEnd) {
+	if end != endByClose {
+		return
+	}
+	c.handler.options.Metrics.UnprovenEnds[kind].Inc(1)
+	c.addUnprovenEvent(event.EndUnproven, peer, kind.String()+", to the client "+c.framing.String())
+}
+
+func (c *call) addUnprovenEvent(kind event.Kind, peer *Peer, reason string) {
+	if c.stream != nil {
+		reason += ", last event " + strconv.Quote(shorten(c.stream.lastEventID))
+	}
+	c.handler.options.Ring.Add(event.Event{Kind: kind, Request: c.requestInfo.ID, Host: peer.ID(), Model: modelName(c.requestInfo), Reason: reason})
+}
