--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -293,6 +293,11 @@
 	b.fleet.SetReplicas(registry.Changes{Entries: entries})
 }
 
+// registerAddress makes a replica known that another process serves.
+func (b *bench) registerAddress(id, address string) {
+	b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: id, Service: "s", Address: address, Zone: "z", SoftwareVersion: "v1", Slots: 4}}}})
+}
+
 // clientResponse is a response as received by the client.
 type clientResponse struct {
 	status int
