ORDER: the end of a gateway's process resets responses that end with their connection

What callers saw: streams read to an orderly close without their last event, at gateways that were started anew within seconds. Cause: the kernel closes the connections of a killed process in order. In a response that ends with its connection (the server gave neither a length nor chunks, or the client speaks HTTP/1.0) that close is the end of the message. Ruled out: a break in the handler, which reset the connection already; chunks and lengths, which such a kill leaves visibly short. Change: SO_LINGER of the client's connection is set to reset before the first byte of such a response and back to its default only once the last byte was written. A kill, the limit of a stop, a write deadline or a panic before that reset it, whatever closes it. The servers of clients and of forwarded requests hand their connections to the handler. Why it holds: the kernel acts on the option in every close, also in that of a process that has ended; there is no moment between the first and the last byte without it.

--- /dev/null
+++ b/src/exchange/clientconn.go
@@ -0,0 +1,59 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Values for net.TCPConn.SetLinger.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
+// connKey is the key of the client's connection in the context of a request.
+type connKey struct{}
+
+// ConnContext makes the connections of a server known to the handler; each http.Server that serves it
+// needs it as its ConnContext.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// setLinger sets what a close of the client's connection does.
+func (c *call) setLinger(seconds int) {
+	if tcp, ok := c.request.Context().Value(connKey{}).(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds)
+	}
+}
+
+// guardClose makes whatever closes the client's connection from now on reset it, if its close would look
+// like the end of the response. That includes the kernel, should this process end.
+func (c *call) guardClose() {
+	if c.framing == framedByClose {
+		c.setLinger(lingerReset)
+	}
+}
+
+// completeResponse lets the client's connection be closed in order after the whole response was written.
+func (c *call) completeResponse() {
+	if c.framing != framedByClose {
+		return
+	}
+	if http.NewResponseController(c.writer).Flush() == nil {
+		c.setLinger(lingerDefault)
+	}
+}
+
+// resetConnection resets the client's connection.
+func (c *call) resetConnection() {
+	conn, _, err := http.NewResponseController(c.writer).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(lingerReset)
+	}
+	_ = conn.Close()
+}
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -280,11 +280,19 @@
 	})
 	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{r}, Services: testServices()}))
 	b.register(replicas...)
-	b.server = httptest.NewServer(b.handler)
+	b.server = serveClients(b.handler)
 	t.Cleanup(b.server.Close)
 	return b
 }
 
+// serveClients starts a server for a handler as gateways do.
+func serveClients(handler *Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ConnContext = ConnContext
+	server.Start()
+	return server
+}
+
 func (b *bench) register(replicas ...*fakeReplica) {
 	var entries []registry.Entry
 	for _, f := range replicas {
--- a/src/exchange/framing.go
+++ b/src/exchange/framing.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"net"
 	"net/http"
 	"slices"
 )
@@ -59,7 +58,8 @@
 	// framedByLength means that the response has a length or no body.
 	framedByLength
 	framedByChunks
-	// framedByClose means that the response ends with its connection.
+	// framedByClose means that the response ends with its connection. Until it is complete the connection
+	// is set to be reset by whatever closes it.
 	framedByClose
 )
 
@@ -94,16 +94,3 @@
 		c.framing = framedByClose
 	}
 }
-
-// resetConnection resets the client's connection. An orderly close would look like the end of a
-// response that ends with its connection.
-func (c *call) resetConnection() {
-	conn, _, err := http.NewResponseController(c.writer).Hijack()
-	if err != nil {
-		return
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -112,6 +112,7 @@
 		c.abortResponse("the answer broke off: " + err.Error())
 	}
 	c.noteUnprovenEnd(peer, a.end, bodyPassedOn)
+	c.completeResponse()
 	a.reuseConn(c.handler.options.Now())
 	return answered
 }
@@ -135,6 +136,7 @@
 	c.status = status
 	c.firstByte = c.handler.options.Now()
 	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(time.Second))
+	c.guardClose()
 	c.writer.WriteHeader(status)
 }
 
@@ -145,7 +147,9 @@
 	}
 	c.useFraming(end)
 	c.beginResponse(status)
-	_, _ = c.writer.Write(body)
+	if _, err := c.writer.Write(body); err == nil {
+		c.completeResponse()
+	}
 }
 
 // endWithoutReplica ends a request for which no replica was found.
--- a/src/exchange/start_test.go
+++ b/src/exchange/start_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -21,7 +20,7 @@
 		Tracker: newTestTracker(),
 		Demand:  b.demand, Metrics: NewMetrics(metric.New("test")), Now: now,
 	})
-	b.server = httptest.NewServer(b.handler)
+	b.server = serveClients(b.handler)
 	t.Cleanup(b.server.Close)
 	return b
 }
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -138,6 +138,7 @@
 		}
 	}
 	c.noteUnprovenEnd(peer, a.end, streamPassedOn)
+	c.completeResponse()
 	a.reuseConn(c.handler.options.Now())
 	peer.succeeded()
 	c.observeOutput()
--- a/src/exchange/streamend_test.go
+++ b/src/exchange/streamend_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/moorspool/moorspool/src/catalog"
 )
 
+// writeDeadlinePassed is longer than the timeout of the route and the second that a response may be late.
+const writeDeadlinePassed = 1700 * time.Millisecond
+
 // doProtocol sends a request in a protocol on a connection of its own.
 func (b *bench) doProtocol(protocol string) framedResponse {
 	b.t.Helper()
@@ -45,3 +51,75 @@
 		})
 	}
 }
+
+func TestAWholeAnswerToAClientOfHTTP10EndsInOrder(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedBytes+100)
+	for _, c := range []struct {
+		name string
+		kind catalog.Kind
+		act  behaviour
+		body string
+	}{
+		{"short body to the close", catalog.Safe, unframed(200, "the body", false), "the body"},
+		{"long body to the close", catalog.Unsafe, unframed(200, long, false), long},
+		{"short body with a length", catalog.Safe, whole, "answer to one by a"},
+		{"stream in chunks", catalog.Streaming, func(a arrival) bool {
+			a.head()
+			a.chunk(twoEvents)
+			a.endStream()
+			return true
+		}, twoEvents},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, route(c.kind, 1), newReplica(t, "a", c.act))
+			got := b.doProtocol("HTTP/1.0")
+			is.NoErr(got.err)
+			is.Equal(got.status, 200)
+			is.True(got.body == c.body)
+		})
+	}
+}
+
+func TestAResponseThatItsGatewayCutsIsNotReadAsComplete(t *testing.T) {
+	more := strings.Repeat("x", 16*maxBufferedBytes)
+	for _, c := range []struct {
+		name     string
+		kind     catalog.Kind
+		protocol string
+		cut      func(b *bench)
+	}{
+		{"stopped, stream to the close, HTTP/1.1", catalog.Streaming, "HTTP/1.1", func(b *bench) { _ = b.server.Config.Close() }},
+		{"stopped, stream to the close, HTTP/1.0", catalog.Streaming, "HTTP/1.0", func(b *bench) { _ = b.server.Config.Close() }},
+		{"stopped, body to the close, HTTP/1.1", catalog.Safe, "HTTP/1.1", func(b *bench) { _ = b.server.Config.Close() }},
+		{"stopped, body to the close, HTTP/1.0", catalog.Safe, "HTTP/1.0", func(b *bench) { _ = b.server.Config.Close() }},
+		{"write deadline, body to the close, HTTP/1.1", catalog.Safe, "HTTP/1.1", func(*bench) { time.Sleep(writeDeadlinePassed) }},
+		{"write deadline, body to the close, HTTP/1.0", catalog.Safe, "HTTP/1.0", func(*bench) { time.Sleep(writeDeadlinePassed) }},
+		{"deadline, stream to the close, HTTP/1.1", catalog.Streaming, "HTTP/1.1", func(*bench) {}},
+		{"deadline, stream to the close, HTTP/1.0", catalog.Streaming, "HTTP/1.0", func(*bench) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			end := make(chan struct{})
+			defer close(end)
+			r := route(c.kind, 1)
+			r.Timeout = 500 * time.Millisecond
+			b := newBench(t, r, newReplica(t, "a", func(a arrival) bool {
+				_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 200 X\r\n%s: %s\r\n\r\n%s", testID, a.name(), "id: 1\ndata: a\n\n")
+				if c.kind == catalog.Safe {
+					_, _ = io.WriteString(a.conn, more)
+					return false
+				}
+				<-end
+				return false
+			}))
+			conn := openRequest(t, b.server.Listener.Addr().String(), c.protocol)
+			response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
+			is.NoErr(err)
+			c.cut(b)
+			body, err := io.ReadAll(response.Body)
+			is.True(err != nil || len(body) > len(more)) // the response looks complete
+		})
+	}
+}
--- a/src/fleet/forward.go
+++ b/src/fleet/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/moorspool/moorspool/src/exchange"
 	"github.com/moorspool/moorspool/src/wire"
 )
 
@@ -96,6 +97,7 @@
 	}
 	server := &http.Server{
 		Handler:           http.HandlerFunc(g.handler.ServeForwarded),
+		ConnContext:       exchange.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -372,6 +372,7 @@
 	}
 	server := &http.Server{
 		Handler:           handler,
+		ConnContext:       exchange.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
