ORDER: a stream is ended only once its end is proven

What callers saw: streams read to an orderly close without their last event, with or without a kill of a gateway. Cause: a stream with neither a length nor chunks was ended for the client where its server's connection ended. The host of a server that ended closes its connections in order, and a faulty server may close between two events. Change: towards the client a stream is always in chunks (HTTP/1.0: to the close, with a reset on any other end). Its last chunk is sent on a length or a last chunk of the server, or when a run that was asked for what follows the last event had nothing to add and the start of its server still runs afterwards. Else the end is unproven: another server is asked, as route, tries and budget allow it, and otherwise the response breaks off visibly with all events that came. A run taken up by a client drops events that repeat what the client has, as a run within one answer does. Conclusion: the first cause is gone; the price is one more run per such stream, and the end of whole ones that may not be taken up.

--- a/src/exchange/events.go
+++ b/src/exchange/events.go
@@ -20,10 +20,10 @@
 	pending eventBuffer
 }
 
-// beginRun prepares for the events of another run.
-func (s *eventStream) beginRun() {
+// beginRun prepares for the events of another run, which goes on after an event unless its ID is "".
+func (s *eventStream) beginRun(after string) {
 	s.pending.take()
-	s.resumedAfter = s.lastEventID
+	s.resumedAfter = after
 }
 
 // appendData adds data and returns the complete events received so far that were not passed on by
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -53,7 +53,7 @@
 	if !c.origin.Unbound() {
 		c.noteResumed(peer)
 	}
-	c.stream.beginRun()
+	c.stream.beginRun(c.resumeAfter())
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := a.response.Body.Read(buffer)
@@ -109,7 +109,7 @@
 		c.copyHeader(a.response.Header)
 		c.bindOrigin(peer, a.origin)
 		c.stream.started = true
-		c.useFraming(a.end)
+		c.useFraming(endByLastChunk)
 		c.logUnframed(peer, a.end)
 		c.beginResponse(a.response.StatusCode)
 	}
@@ -120,15 +120,15 @@
 	return http.NewResponseController(c.writer).Flush() == nil
 }
 
-// endStream completes the response to the client after the replica's last byte, if that was the end
-// of the stream.
+// endStream completes the response to the client after the replica's last byte, if that is proven to be
+// the end of the stream.
 func (c *call) endStream(ctx context.Context, peer *Peer, a *replicaResponse) outcome {
 	switch {
 	case c.stream.pending.insideEvent():
 		return c.handleBrokenStream(ctx, peer, a, errInsideEvent)
 	case a.end == endByClose && !c.stream.started && c.resumeAfter() == "":
 		return c.handleBrokenStream(ctx, peer, a, errNoEvent)
-	case a.end == endByClose && c.stream.started && c.framing != framedByClose:
+	case a.end == endByClose && !c.confirmsEnd(ctx, peer):
 		return c.handleUnprovenEnd(ctx, peer, a)
 	}
 	if rest := c.stream.pending.take(); len(rest) > 0 || !c.stream.started {
@@ -137,7 +137,7 @@
 			return truncated
 		}
 	}
-	c.noteUnprovenEnd(peer, a.end, streamPassedOn)
+	c.noteUnprovenEnd(peer, a.end, streamConfirmed)
 	c.completeResponse()
 	a.reuseConn(c.handler.options.Now())
 	peer.succeeded()
@@ -145,13 +145,40 @@
 	return answered
 }
 
-// handleUnprovenEnd handles the part of a stream that ends with its connection in a response that
-// was begun with chunks, whose last one would state that the stream is complete. Another replica may
-// prove it by having nothing to add. The replica has not failed.
+// confirmsEnd reports whether a run that ended with its connection confirms the end of the stream: it was
+// asked for what follows the last event and had nothing to add, and it was not the end of the replica
+// that closed the connection.
+func (c *call) confirmsEnd(ctx context.Context, peer *Peer) bool {
+	return c.stream.resumedAfter != "" && c.stillRuns(ctx, peer)
+}
+
+// stillRuns reports whether the start of a replica that is on the list has not ended. One that does not
+// tell its start only has to accept a connection.
+func (c *call) stillRuns(ctx context.Context, peer *Peer) bool {
+	if peer.replaced() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
+	defer cancel()
+	raw, err := peer.pool.connect(ctx, startCheckTimeout)
+	if err != nil {
+		return false
+	}
+	defer raw.Close()
+	if peer.startedMS() == 0 {
+		return true
+	}
+	h := c.handler
+	return newConn(raw).confirmStart(&h.options.Codec, peer, h.options.Now().Add(startCheckTimeout)) == nil
+}
+
+// handleUnprovenEnd handles a run that ended with its connection, which proves nothing. Another replica may
+// go on with the stream, or confirm the end by having nothing to add. The replica has not failed.
 func (c *call) handleUnprovenEnd(ctx context.Context, peer *Peer, a *replicaResponse) outcome {
 	a.abort()
-	c.reason += "; " + peer.ID() + " ended the stream after event " + c.stream.lastEventID + " by closing the connection, which proves nothing"
+	c.reason += "; " + peer.ID() + " ended the stream after event " + c.resumeAfter() + " by closing the connection, which proves nothing"
 	c.noteUnprovenEnd(peer, a.end, streamNotConfirmed)
+	c.noteUnprovenRun(peer)
 	c.checkWriter(ctx)
 	return unknown
 }
--- a/src/exchange/streamend_test.go
+++ b/src/exchange/streamend_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/resume"
 )
 
 // writeDeadlinePassed is longer than the timeout of the route and the second that a response may be late.
@@ -123,3 +124,94 @@
 		})
 	}
 }
+
+// toTheClose sends the events of a stream after the one that was asked for, without a proof of the end.
+func toTheClose(a arrival) bool {
+	rest := twoEvents
+	switch a.request.Header.Get(testAfter) {
+	case "1":
+		rest = "id: 2\ndata: b\n\n"
+	case "2":
+		rest = ""
+	}
+	return unframed(200, rest, false)(a)
+}
+
+func TestAStreamToTheCloseEndsOnceAnotherReplicaHasNothingToAdd(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, c := range []struct {
+			name  string
+			first behaviour
+		}{
+			{"whole", unframed(200, twoEvents, false)},
+			{"closed between events", unframed(200, "id: 1\ndata: a\n\n", false)},
+		} {
+			t.Run(protocol+" "+c.name, func(t *testing.T) {
+				is := is.New(t)
+				act := func(a arrival) bool {
+					if a.request.Header.Get(testAfter) == "" {
+						return c.first(a)
+					}
+					return toTheClose(a)
+				}
+				b := newBench(t, resumableRoute(3), newReplica(t, "a", act), newReplica(t, "b", act), newReplica(t, "c", act))
+				got := b.doProtocol(protocol)
+				is.NoErr(got.err)
+				is.Equal(got.body, twoEvents)
+			})
+		}
+	}
+}
+
+func TestAClientThatTakesUpAStreamWithNothingToAddGetsItsEnd(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, resumableRoute(2), newReplica(t, "a", toTheClose))
+	b.fleet.census["s"] = &resume.Census{}
+	b.fleet.census["s"].Add(time.Now().Add(-2*resume.SettleTime), "v1")
+	got := b.doFramed("POST", testAfter+": 2")
+	is.NoErr(got.err)
+	is.Equal(got.status, 200)
+	is.True(got.framed)
+	is.Equal(got.body, "")
+}
+
+// The host of a replica that ended closes its connections in order before the first event too.
+func TestAReplicaThatEndedConfirmsNoEndOfAStream(t *testing.T) {
+	is := is.New(t)
+	first := newReplica(t, "a", toTheClose)
+	var second *fakeReplica
+	act := func(a arrival) bool {
+		if a.request.Header.Get(testAfter) != "" {
+			_ = first.listener.Close()
+			_ = second.listener.Close()
+		}
+		return toTheClose(a)
+	}
+	first.setAct(act)
+	second = newReplica(t, "b", act)
+	b := newBench(t, resumableRoute(2), first, second)
+	got := b.doFramed("POST")
+	is.True(got.err != nil) // the stream looks complete
+	is.Equal(got.body, twoEvents)
+}
+
+func TestAnotherStartOfAReplicaConfirmsNoEndOfAStream(t *testing.T) {
+	for _, endedMS := range []int64{5, 6} {
+		t.Run(fmt.Sprint("start after the run ", endedMS), func(t *testing.T) {
+			is := is.New(t)
+			first, second := newReplica(t, "a", toTheClose), newReplica(t, "b", nil)
+			second.setAct(func(a arrival) bool {
+				second.startedMS = endedMS
+				return toTheClose(a)
+			})
+			b := newBench(t, resumableRoute(2), first)
+			first.setAct(func(a arrival) bool {
+				b.startedReplica(second, 5, 5)
+				return toTheClose(a)
+			})
+			got := b.doFramed("POST")
+			is.Equal(got.err == nil, endedMS == 5)
+			is.Equal(got.body, twoEvents)
+		})
+	}
+}
--- a/src/exchange/unproven.go
+++ b/src/exchange/unproven.go
@@ -15,8 +15,8 @@
 const (
 	// bodyPassedOn means that the body was passed on as its replica ended it.
 	bodyPassedOn unprovenEnd = iota
-	// streamPassedOn means that the stream was ended as its replica ended it.
-	streamPassedOn
+	// streamConfirmed means that a run which was to go on with the stream had nothing to add.
+	streamConfirmed
 	// streamNotConfirmed means that the stream was not ended: another replica may go on with it, else it
 	// breaks off.
 	streamNotConfirmed
@@ -26,8 +26,8 @@
 // String returns the value of the metric's label.
 func (u unprovenEnd) String() string {
 	switch u {
-	case streamPassedOn:
-		return "stream_passed_on"
+	case streamConfirmed:
+		return "stream_confirmed"
 	case streamNotConfirmed:
 		return "stream_not_confirmed"
 	case bodyPassedOn, unprovenEnds:
