ORDER: a plain answer of the product's own gateway that ends with its connection is reset by a kill

Cause: a plain service's answer without a length or chunks is written whole and to the close. If the gateway is killed before all of it has been sent, the kernel closes the connection in order, and the part looks complete. Ruled out: completions, which have an end mark of their own. Change: SO_LINGER of the client's connection is set to reset while such a response is written. process.NewServer takes further options, so that a server can hand its connections to its handlers.

--- a/src/gateway/plain.go
+++ b/src/gateway/plain.go
@@ -43,7 +43,7 @@
 	c.Response.Header.SetContentType(answer.ContentType)
 	c.Response.SetStatusCode(answer.Status)
 	if answer.EndsByClose {
-		writeUnframed(c, answer.Body)
+		writeUnframed(ctx, c, answer.Body)
 		return
 	}
 	c.Response.SetBody(answer.Body)
--- a/src/gateway/server.go
+++ b/src/gateway/server.go
@@ -103,7 +103,7 @@
 
 // Serve serves client requests on a listener, in the background.
 func (s *Server) Serve(ln net.Listener) {
-	h := process.NewServer(ln, int(s.settings.Limits.Body))
+	h := process.NewServer(ln, int(s.settings.Limits.Body), server.WithOnAccept(withClientConn))
 	h.Use(s.trackRequest)
 	h.POST(engine.PathChat, s.completion)
 	h.POST(engine.PathCompletions, s.completion)
--- a/src/process/admin.go
+++ b/src/process/admin.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
@@ -35,9 +36,9 @@
 // listeners. Hertz's detection of disconnected clients stays off: after a failed write it still
 // reads from the connection, whose buffers it has already released. A disconnected client is
 // noticed at the next write.
-func NewServer(ln net.Listener, maxBody int) *server.Hertz {
+func NewServer(ln net.Listener, maxBody int, more ...config.Option) *server.Hertz {
 	hlog.SetOutput(io.Discard)
-	h := server.New(
+	options := []config.Option{
 		server.WithListener(ln),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxBody),
@@ -45,8 +46,8 @@
 		server.WithReadTimeout(time.Minute),
 		server.WithIdleTimeout(time.Minute),
 		server.WithExitWaitTime(stopTimeout),
-	)
-	return h
+	}
+	return server.New(append(options, more...)...)
 }
 
 // serveAdmin starts the administration API: health checks, metrics and the control protocol's
