MIXED: a body that ends with its connection because its server ended is not passed on as complete

What callers saw: nothing was reported; the same class for plain answers. Cause: the end of the connection of an answer with neither a length nor chunks was taken for the server's own end of it, also where the host of a server that had just ended closed it. Ruled out: comparing with a second answer (another run may write another body), chunks without a last one (each whole body would be lost). Change: as such a body ends, a dial asks whether its server still listens. A refused dial or a later start means that the answer broke off: sent again where it may be, else 502, or a reset once it has begun. One that is listed as leaving is not asked: it ends after its last answer.

--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -42,6 +42,9 @@
 func (c *call) bufferError(ctx context.Context, peer *Peer, a *replicaResponse) (outcome, *errorResponse) {
 	now := c.handler.options.Now()
 	body, err := c.readRetained(a.response.Body)
+	if err == nil && len(body) <= maxBufferedBytes {
+		err = c.checkEnd(ctx, peer, a.end)
+	}
 	peer.failed(now, false)
 	if err != nil && !errors.Is(err, errRetentionFull) {
 		a.abort()
@@ -68,6 +71,9 @@
 		// The response can no longer be replaced if it breaks off, but memory stays bounded.
 		return c.relaySuccess(ctx, peer, a, body)
 	}
+	if err == nil && len(body) <= maxBufferedBytes {
+		err = c.checkEnd(ctx, peer, a.end)
+	}
 	now := c.handler.options.Now()
 	if err != nil {
 		a.abort()
@@ -105,6 +111,9 @@
 	c.logUnframed(peer, a.end)
 	c.beginResponse(a.response.StatusCode)
 	_, err := io.Copy(c.writer, io.MultiReader(bytes.NewReader(buffered), a.response.Body))
+	if err == nil {
+		err = c.checkEnd(ctx, peer, a.end)
+	}
 	if err != nil {
 		a.abort()
 		c.connectionBroke = ctx.Err() == nil
--- a/src/exchange/streamend_test.go
+++ b/src/exchange/streamend_test.go
@@ -215,3 +215,62 @@
 		})
 	}
 }
+
+// endsFirst ends its replica, as far as new connections show it, and then acts.
+func endsFirst(f **fakeReplica, act behaviour) behaviour {
+	return func(a arrival) bool {
+		_ = (*f).listener.Close()
+		return act(a)
+	}
+}
+
+func TestABodyToTheCloseOfAReplicaThatEndedIsNotReadAsComplete(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedBytes+100)
+	for _, c := range []struct {
+		name   string
+		kind   catalog.Kind
+		status int
+		body   string
+		want   int
+	}{
+		{"short, may be repeated", catalog.Safe, 200, "half of the bo", 200},
+		{"short, may not", catalog.Unsafe, 200, "half of the bo", http.StatusBadGateway},
+		{"long", catalog.Unsafe, 200, long, 200},
+		{"failure", catalog.Unsafe, 500, "half of the rea", http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var first *fakeReplica
+			first = newReplica(t, "a", endsFirst(&first, unframed(c.status, c.body, false)))
+			b := newBench(t, route(c.kind, 2), first)
+			if c.kind == catalog.Safe {
+				first.setAct(func(a arrival) bool {
+					b.register(newReplica(t, "b", whole))
+					return endsFirst(&first, unframed(c.status, c.body, false))(a)
+				})
+			}
+			got := b.doFramed("POST")
+			is.True(got.body != c.body || got.err != nil) // the body looks complete
+			is.Equal(got.status, c.want)
+			if c.kind == catalog.Safe {
+				is.NoErr(got.err)
+				is.Equal(got.body, "answer to one by b")
+			}
+		})
+	}
+}
+
+func TestAWholeBodyToTheCloseOfAReplicaThatLeavesIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	first := newReplica(t, "a", nil)
+	b := newBench(t, route(catalog.Unsafe, 1), first)
+	first.setAct(func(a arrival) bool {
+		first.draining = true
+		b.register(first)
+		return endsFirst(&first, unframed(200, "the body", false))(a)
+	})
+	got := b.doFramed("POST")
+	is.NoErr(got.err)
+	is.Equal(got.status, 200)
+	is.Equal(got.body, "the body")
+}
--- a/src/exchange/unproven.go
+++ b/src/exchange/unproven.go
@@ -1,8 +1,10 @@
 package exchange
 
 import (
+	"context"
 	"strconv"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/moorspool/moorspool/src/event"
@@ -15,6 +17,8 @@
 const (
 	// bodyPassedOn means that the body was passed on as its replica ended it.
 	bodyPassedOn unprovenEnd = iota
+	// bodyOfEndedReplica means that the replica has ended, so that its host may have closed the connection.
+	bodyOfEndedReplica
 	// streamConfirmed means that a run which was to go on with the stream had nothing to add.
 	streamConfirmed
 	// streamNotConfirmed means that the stream was not ended: another replica may go on with it, else it
@@ -26,6 +30,8 @@
 // String returns the value of the metric's label.
 func (u unprovenEnd) String() string {
 	switch u {
+	case bodyOfEndedReplica:
+		return "body_of_ended_replica"
 	case streamConfirmed:
 		return "stream_confirmed"
 	case streamNotConfirmed:
@@ -62,6 +68,22 @@
 	c.addUnprovenEvent(event.EndUnproven, peer, kind.String()+", to the client "+c.framing.String())
 }
 
+// checkEnd returns an error if the body of a response ended with its connection because its replica ended. One
+// that leaves ends after its last response.
+func (c *call) checkEnd(ctx context.Context, peer *Peer, end bodyEnd) error {
+	if end != endByClose || peer.leaving() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
+	defer cancel()
+	proof := proveLoss(ctx, peer, nil)
+	if proof == lossUnproven {
+		return nil
+	}
+	c.noteUnprovenEnd(peer, end, bodyOfEndedReplica)
+	return errors.Errorf("%s ended with its response: %s", peer.ID(), proof)
+}
+
 func (c *call) addUnprovenEvent(kind event.Kind, peer *Peer, reason string) {
 	if c.stream != nil {
 		reason += ", last event " + strconv.Quote(shorten(c.stream.lastEventID))
