Soak: a stream that ends in order has to be whole, also for clients of HTTP/1.0

Cause: mayBeCutOff let a stream without a length or chunks pass that was read to an orderly close between two events, and no client spoke HTTP/1.0 or took up a stream of which it held all events. Change: only bodies may be cut off without proof; streams that were taken up have to be whole whether framed or not; a client of HTTP/1.0 for each gateway; what was not ended is taken up also after its last event. Why the earlier check was wrong: it held the fault for allowed. The new one is stricter in each place.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -77,6 +77,8 @@
 			c.work.Add(1)
 			go c.sendRequests(ctx, m, rand.New(rand.NewPCG(seed, 7)))
 		}
+		c.work.Add(1)
+		go c.sendInHTTP10(ctx, m)
 		for range slowClientsPerGateway {
 			c.work.Add(1)
 			go c.readSlowly(ctx, m)
--- a/soak/ends.go
+++ b/soak/ends.go
@@ -222,7 +222,9 @@
 	header := http.Header{}
 	setAccountHeaders(header, mainAccountDraw, 1)
 	if after > 0 {
-		header.Set(headerResumes, resumes)
+		if resumes != "" {
+			header.Set(headerResumes, resumes)
+		}
 		header.Set(headerLastEvent, strconv.Itoa(after))
 	}
 	var fields strings.Builder
@@ -237,3 +239,28 @@
 	read, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	return rawResponse{status: response.StatusCode, body: string(read), whole: err == nil}
 }
+
+// sendInHTTP10 sends streams of both kinds as a client of HTTP/1.0, to whom only a reset tells that one broke off.
+func (c *clients) sendInHTTP10(ctx context.Context, m *member) {
+	defer c.work.Done()
+	for turn := 0; ctx.Err() == nil; turn++ {
+		time.Sleep(clientPause)
+		id := c.id()
+		class := endsClass{kind: []string{"e", "n"}[turn%2], proto: "HTTP/1.0"}
+		got := sendStream(c.in.proxyAddress(m, c.in.callPort()), class, id, "", 0)
+		if got.status != http.StatusOK {
+			continue
+		}
+		want := wantedStream(id, 0, parseStream(got.body).software)
+		switch {
+		case got.whole && got.body != want:
+			c.check.fail("order", "request %s of HTTP/1.0 ended in order with %q", id, got.body)
+		case !strings.HasPrefix(want, got.body):
+			c.check.fail("order", "request %s of HTTP/1.0 got %q before it broke off", id, got.body)
+		case got.whole:
+			c.check.count("whole streams in HTTP/1.0")
+		default:
+			c.check.count("broken streams in HTTP/1.0")
+		}
+	}
+}
--- a/soak/framing.go
+++ b/soak/framing.go
@@ -22,10 +22,10 @@
 // framed reports whether an answer has a length or chunks, which prove that it is complete.
 func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
 
-// mayBeCutOff reports whether a body without proof of its end is a beginning of the wanted one. A
-// stream never ends inside an event.
+// mayBeCutOff reports whether a body without proof of its end may be a beginning of the wanted one. A
+// stream may not: a gateway ends none in order without proof.
 func mayBeCutOff(kind, body, want string) bool {
-	return strings.HasPrefix(want, body) && (kind != "e" || strings.HasSuffix(body, "\n\n"))
+	return kind != "e" && kind != "n" && strings.HasPrefix(want, body)
 }
 
 var errBrokenOff = errors.New("the replica broke its answer off")
--- a/soak/resume.go
+++ b/soak/resume.go
@@ -156,7 +156,7 @@
 func (c *clients) takeUp(client *http.Client, begun string, got response, draw int) {
 	held := parseStream(got.body)
 	for range maxTakeUps {
-		if held.last == 0 || held.last == streamEvents {
+		if held.last == 0 {
 			return
 		}
 		gateways := c.in.gatewayNodes()
@@ -171,7 +171,7 @@
 			part = parseStream(next.body)
 			c.checkTakenUp(m, id, held, part, next)
 		}
-		c.check.resumes.recordReturn(isMainAccount(draw) && served && c.calm(m, sentAt), part.last > 0)
+		c.check.resumes.recordReturn(isMainAccount(draw) && served && c.calm(m, sentAt), part.last > 0 || ok && next.whole)
 		if part.last > 0 {
 			held.last = part.last
 		}
@@ -189,10 +189,10 @@
 		return
 	}
 	want := wantedStream(id, held.last, held.software)
-	if got.whole && got.framed && got.body != want {
+	if got.whole && got.body != want {
 		c.check.fail("order", "request %s goes on after event %d and got %q", id, held.last, got.body)
 	}
-	if !strings.HasPrefix(want, got.body) && got.framed {
+	if !strings.HasPrefix(want, got.body) {
 		c.check.fail("order", "request %s goes on after event %d and got %q before it broke off", id, held.last, got.body)
 	}
 }
