--- a/soak/main.go
+++ b/soak/main.go
@@ -21,7 +21,7 @@
 	Bin         string        `long:"bin" description:"folder of the programs" default:"target"`
 	Folder      string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
 	NoBounds    bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
-	Measure     string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, one-gateway, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, ends, ends-kills, upgrade, back"`
+	Measure     string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, one-gateway, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, ends, ends-kills, rejoined, rejoined-all, rejoined-crash, upgrade, back"`
 	Old         string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
 	Order       string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
 	SyncWait    time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,25 +47,28 @@
 
 // measuredFaults are the kinds of fault that can be measured, by the value of the flag.
 var measuredFaults = map[string]func(ctx context.Context, r *replicas, c *clients){
-	"none":        func(context.Context, *replicas, *clients) {},
-	"deadly":      measureDeadly,
-	"losses":      func(ctx context.Context, r *replicas, _ *clients) { r.crashHalves(ctx) },
-	"part":        measureParts(deadlyParts{number: 1, position: 1, burst: 1, pause: partRequestPause}, false),
-	"part-losses": measureParts(deadlyParts{number: 1, position: 1, burst: 1, pause: partRequestPause}, true),
-	"parts-first": measureParts(deadlyParts{number: 2, position: 0, burst: 1, pause: 3 * partRequestPause / 2}, false),
-	"part-burst":  measureParts(deadlyParts{number: 1, position: 1, burst: 6, pause: 3 * partRequestPause}, false),
-	"some-losses": measureParts(deadlyParts{}, true),
-	"one-gateway": func(context.Context, *replicas, *clients) {},
-	"rest":        measureBackoff(0.5),
-	"limit":       measureLimits(0.5, 5, nil),
-	"limit-all":   measureLimits(1, 1, nil),
-	"limit-kills": measureLimits(1, 20, restartControlNodes),
-	"slow-disk":   changeOnSlowDisks,
-	"ends":        measureEnds(endsBrokenPercent, false),
-	"ends-kills":  measureEnds(0, true),
-	"rest-all":    measureBackoff(1),
-	"leaving":     measureLeaving,
-	"restarts":    func(ctx context.Context, r *replicas, _ *clients) { r.restartAll(ctx) },
+	"none":           func(context.Context, *replicas, *clients) {},
+	"deadly":         measureDeadly,
+	"losses":         func(ctx context.Context, r *replicas, _ *clients) { r.crashHalves(ctx) },
+	"part":           measureParts(deadlyParts{number: 1, position: 1, burst: 1, pause: partRequestPause}, false),
+	"part-losses":    measureParts(deadlyParts{number: 1, position: 1, burst: 1, pause: partRequestPause}, true),
+	"parts-first":    measureParts(deadlyParts{number: 2, position: 0, burst: 1, pause: 3 * partRequestPause / 2}, false),
+	"part-burst":     measureParts(deadlyParts{number: 1, position: 1, burst: 6, pause: 3 * partRequestPause}, false),
+	"some-losses":    measureParts(deadlyParts{}, true),
+	"one-gateway":    func(context.Context, *replicas, *clients) {},
+	"rest":           measureBackoff(0.5),
+	"limit":          measureLimits(0.5, 5, nil),
+	"limit-all":      measureLimits(1, 1, nil),
+	"limit-kills":    measureLimits(1, 20, restartControlNodes),
+	"slow-disk":      changeOnSlowDisks,
+	"ends":           measureEnds(endsBrokenPercent, false),
+	"ends-kills":     measureEnds(0, true),
+	"rejoined":       measureRejoined(rejoinedLoss{}),
+	"rejoined-all":   measureRejoined(rejoinedLoss{controls: true}),
+	"rejoined-crash": measureRejoined(rejoinedLoss{controls: true, crash: true}),
+	"rest-all":       measureBackoff(1),
+	"leaving":        measureLeaving,
+	"restarts":       func(ctx context.Context, r *replicas, _ *clients) { r.restartAll(ctx) },
 	"foreign": func(ctx context.Context, r *replicas, _ *clients) {
 		r.sendMalformedCalls(ctx, rand.New(rand.NewPCG(1, 9)))
 	},
@@ -84,6 +88,9 @@
 			first, fault = o.Bin, upgrade(old)
 		}
 	}
+	if strings.HasPrefix(o.Measure, "rejoined") {
+		duration = rejoinedDuration
+	}
 	if o.Measure == "slow-disk" {
 		duration = slowDiskDuration
 	}
