ORDER: the only software version that is listed began a client's stream only if it has been so for as long as a stream lasts

Cause: where no record names the version that began a stream, a gateway took the only version that is listed, once the list had not changed for 10 s. Control nodes that were killed together do not list what has crashed, if it had registered within the last save or was silent already; a gateway that has just started cannot know of it either. Change: SettleTime is as long as a record is kept, which is longer than clients wait for a stream: a gateway must have seen for that long that there was no other version. Why it holds: a stream that began before has ended for its client by then, one that began since was begun by a version that was counted. Test failing before: TestASoleVersionHasLastedLongerThanAStream.

--- a/src/resume/resume_test.go
+++ b/src/resume/resume_test.go
@@ -165,3 +165,15 @@
 		table.Put(start.Add(time.Duration(i)*time.Millisecond), NewKey("account", "route", strconv.Itoa(i)), v1)
 	}
 }
+
+// Control nodes that were killed together may not know any more that another version began streams.
+func TestASoleVersionHasLastedLongerThanAStream(t *testing.T) {
+	is := is.New(t)
+	var c Census
+	c.Add(start, "v2")
+	_, _, sole := c.Sole(start.Add(Retention - time.Millisecond))
+	is.True(!sole) // a stream of a version that was forgotten may still last
+	version, _, sole := c.Sole(start.Add(Retention))
+	is.True(sole)
+	is.Equal(version, "v2")
+}
--- a/src/resume/software.go
+++ b/src/resume/software.go
@@ -29,13 +29,12 @@
 	return s.version
 }
 
-// SettleTime is how long the versions of a census must not have changed. After a start, a gateway has
-// heard of all replicas within that time.
-const SettleTime = 10 * time.Second
+// SettleTime is how long the versions of a census must not have changed, for the only one of them to have
+// begun all streams that still last. What is listed proves nothing of the time before: control nodes that
+// were killed together forget replicas that have crashed.
+const SettleTime = Retention
 
-// Census counts the listed replicas of one service by software version. As replicas stay listed for
-// longer than Retention after their end, a version that is not counted has begun no stream that still
-// lasts. It is not safe for concurrent use.
+// Census counts the listed replicas of one service by software version. It is not safe for concurrent use.
 type Census struct {
 	counts map[string]int
 	// changedAt is when a version was last added or removed.
