ORDER: one empty run does not end a stream

Cause: the first run broke off visibly after event 4. The second one was asked for what follows, and its server closed in order before its first event and lived on. That was taken to confirm an end that no run had stated. Ruled out: the end of that server's process (its start was confirmed afterwards: event 716 stream_confirmed). Change: two runs have to agree. A run confirms the end only after the event at which an earlier one had ended with its connection: one of the same response, or of the attempt that the client names, for which a record is kept beside that of the stream's origin. Why it holds: a visible break states no end, so an empty run after it is the first statement, not the second.

--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -146,10 +146,14 @@
 }
 
 // confirmsEnd reports whether a run that ended with its connection confirms the end of the stream: it was
-// asked for what follows the last event and had nothing to add, and it was not the end of the replica
-// that closed the connection.
+// asked for what follows the event after which an earlier run had ended in the same way, it had nothing to
+// add, and it was not the end of the replica that closed the connection.
 func (c *call) confirmsEnd(ctx context.Context, peer *Peer) bool {
-	return c.stream.resumedAfter != "" && c.stillRuns(ctx, peer)
+	after := c.stream.resumedAfter
+	if after == "" || c.stream.closedAfter != after && !c.closedBefore(ctx, after) {
+		return false
+	}
+	return c.stillRuns(ctx, peer)
 }
 
 // stillRuns reports whether the start of a replica that is on the list has not ended. One that does not
@@ -179,6 +183,8 @@
 	c.reason += "; " + peer.ID() + " ended the stream after event " + c.resumeAfter() + " by closing the connection, which proves nothing"
 	c.noteUnprovenEnd(peer, a.end, streamNotConfirmed)
 	c.noteUnprovenRun(peer)
+	c.stream.closedAfter = c.resumeAfter()
+	c.storeClose()
 	c.checkWriter(ctx)
 	return unknown
 }
--- a/src/exchange/streamend_test.go
+++ b/src/exchange/streamend_test.go
@@ -163,16 +163,48 @@
 	}
 }
 
-func TestAClientThatTakesUpAStreamWithNothingToAddGetsItsEnd(t *testing.T) {
+func TestAClientThatTakesUpAStreamThatWasClosedGetsItsEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// held is the event that the client holds, where the earlier run was closed after the second.
+		held   string
+		resume string
+		ends   bool
+	}{
+		{"the event after which it was closed", "2", "one", true},
+		{"another event", "3", "one", false},
+		{"another attempt", "2", "other", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			act := func(a arrival) bool {
+				rest := twoEvents
+				if a.request.Header.Get(testAfter) != "" {
+					rest = ""
+				}
+				return unframed(200, rest, false)(a)
+			}
+			b, store := newOriginBench(t, resumable(1), versionedReplica(t, "a", "v1", act))
+			store.table.Put(time.Now(), resume.NewKey("", "r", "other"), resume.Origin{Service: "s", SoftwareVersion: "v1"})
+			is.True(b.doFramed("POST").err != nil)
+			got := b.do("POST", "back", "", testResumes+": "+c.resume, testAfter+": "+c.held)
+			is.Equal(got.status == http.StatusOK && got.err == nil && got.body == "", c.ends)
+		})
+	}
+}
+
+// A faulty replica may close its connection in order before its first event.
+func TestAnEmptyRunDoesNotEndAStreamThatBrokeOff(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t, resumableRoute(2), newReplica(t, "a", toTheClose))
-	b.fleet.census["s"] = &resume.Census{}
-	b.fleet.census["s"].Add(time.Now().Add(-2*resume.SettleTime), "v1")
-	got := b.doFramed("POST", testAfter+": 2")
-	is.NoErr(got.err)
-	is.Equal(got.status, 200)
-	is.True(got.framed)
-	is.Equal(got.body, "")
+	first := newReplica(t, "a", breaking(2))
+	b := newBench(t, resumableRoute(2), first)
+	first.setAct(func(a arrival) bool {
+		b.register(newReplica(t, "b", unframed(200, "", false)))
+		return breaking(2)(a)
+	})
+	got := b.doFramed("POST")
+	is.True(got.err != nil) // the stream looks complete
+	is.Equal(events(got.body), []string{"1", "2"})
 }
 
 // The host of a replica that ended closes its connections in order before the first event too.
