--- a/soak/ends.go
+++ b/soak/ends.go
@@ -29,6 +29,9 @@
 	endsEventPause = 4 * time.Millisecond
 	// endsTries is how often a client sends a request in all while its stream breaks off.
 	endsTries = 6
+	// http10Pause is the pause between two streams of a client of HTTP/1.0 in a soak. They must not use up
+	// what replicas with a limit take from the other clients.
+	http10Pause = 150 * time.Millisecond
 	// endsShortIDs is how many requests that ended short are named for each class.
 	endsShortIDs = 20
 )
@@ -244,7 +247,7 @@
 func (c *clients) sendInHTTP10(ctx context.Context, m *member) {
 	defer c.work.Done()
 	for turn := 0; ctx.Err() == nil; turn++ {
-		time.Sleep(clientPause)
+		time.Sleep(http10Pause)
 		id := c.id()
 		class := endsClass{kind: []string{"e", "n"}[turn%2], proto: "HTTP/1.0"}
 		got := sendStream(c.in.proxyAddress(m, c.in.callPort()), class, id, "", 0)
