Observability: what ended an answer early, by which evidence, in one line and a counter

Cause: an answer that was broken off shows as "status 0" in 702; what ended its attempt stood at the end of a long line, where what operators collect is cut, or nowhere: errors before the head of a response lost their kind, and a connection that the gateway itself closes at the limit of its stop read as a client that left. Ruled out: more words in 702 alone: it is written at debug level, and has no counter. Change: event 717 at info level for each answer that was broken off, and each 502 or 504 that says that the request may have run: cause, evidence, last event, time since the last byte and until the deadline, whether the gateway stops; answers_ended_early_total by cause. Handler.CutOff tells the handler that the connections that are left are about to be closed. Conclusion: silence, a proven loss, a close, a reset, a deadline and a stop are told apart.

--- a/src/exchange/admit.go
+++ b/src/exchange/admit.go
@@ -141,8 +141,10 @@
 func (c *call) deny(status int, reason string) {
 	switch {
 	case c.stream != nil && c.stream.started:
+		c.early = earlyEnd{cause: causeRefusal, evidence: reason}
 		c.abortResponse(reason)
 	case c.possibleRuns > 0:
+		c.early = earlyEnd{cause: causeRefusal, evidence: reason}
 		c.refuse(c.unknownOutcomeStatus(), reason)
 	case status == http.StatusServiceUnavailable:
 		c.refuseUndecided(reason)
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -69,7 +69,7 @@
 	peer := choice.Peer
 	now := h.options.Now()
 	c.tried = append(c.tried, peer)
-	c.brokenBy = nil
+	c.brokenBy, c.early, c.heardAt = nil, earlyEnd{}, time.Time{}
 	c.reason = choice.Reason
 	if c.permitWait > 0 {
 		c.reason += ", waited " + c.permitWait.String() + " for a permit"
@@ -78,6 +78,7 @@
 	attemptCtx, cancelAttempt := context.WithCancel(ctx)
 	defer cancelAttempt()
 	silenceWatch := newWatchdog(attemptCtx, peer, cancelAttempt)
+	c.watch = silenceWatch
 	defer silenceWatch.stop()
 	peer.startRequest(choice.PrefillTime)
 	defer peer.finishRequest()
@@ -126,6 +127,7 @@
 	}
 	c.possibleArrivals++
 	c.notSent = false
+	c.heardAt = h.options.Now()
 	h.options.Fleet.noteContact(peer)
 	c.bodyEnd = a.end
 	a.origin = peer.writerOrigin()
@@ -246,6 +248,7 @@
 	if sent {
 		c.possibleArrivals++
 		c.possibleRuns++
+		c.noteEarlyEnd(ctx, err)
 	}
 	if ctx.Err() == nil {
 		c.connectionBroke = sent && !tooLong && !errors.Is(err, errOtherRequest)
--- a/src/exchange/backup.go
+++ b/src/exchange/backup.go
@@ -4,8 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/moorspool/moorspool/src/resume"
 )
 
@@ -161,14 +164,13 @@
 	return Choice{Peer: backup, Verdict: Chosen, FromBackup: true, Reason: c.reason + "; goes on at " + backup.ID()}, true
 }
 
-// reachable reports whether a replica accepts a connection.
-func reachable(ctx context.Context, peer *Peer) bool {
+// connectOnce returns an error if a replica does not accept a connection.
+func connectOnce(ctx context.Context, peer *Peer) error {
 	conn, err := peer.pool.connect(ctx, reachTimeout)
 	if err != nil {
-		return false
+		return err
 	}
-	_ = conn.Close()
-	return true
+	return conn.Close()
 }
 
 // watchdog ends an attempt whose replica sends nothing and has become unreachable, as after a power
@@ -177,6 +179,8 @@
 	timer *time.Timer
 	// needsProof is set if the attempt ends only once the loss of the replica is proven.
 	needsProof atomic.Bool
+	// givenUp is why the attempt was ended, nil if it was not.
+	givenUp atomic.Pointer[earlyEnd]
 }
 
 // newWatchdog returns a watchdog that calls lost once the replica is unreachable.
@@ -196,10 +200,25 @@
 }
 
 func (w *watchdog) isLost(ctx context.Context, peer *Peer) bool {
+	end := earlyEnd{cause: causeLoss}
 	if w.needsProof.Load() {
-		return proveLoss(ctx, peer, nil) != lossUnproven
+		proof := proveLoss(ctx, peer, nil)
+		if proof == lossUnproven {
+			return false
+		}
+		end.evidence = proof.String()
+	} else {
+		err := connectOnce(ctx, peer)
+		if err == nil {
+			return false
+		}
+		end.evidence = "no new connection: " + err.Error()
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			end.cause = causeSilence
+		}
 	}
-	return !reachable(ctx, peer)
+	w.givenUp.Store(&end)
+	return true
 }
 
 // requireProof makes the watchdog wait for a proof that the replica is lost. The keep-alive probes of the
--- /dev/null
+++ b/src/exchange/earlyend.go
@@ -0,0 +1,183 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/metric"
+)
+
+// endCause is what ended an answer before it was complete.
+type endCause uint8
+
+const (
+	// causeNone means that nothing has ended early.
+	causeNone endCause = iota
+	// causeSilence means that the gateway gave a silent replica up without a proof that it is lost.
+	causeSilence
+	// causeLoss means that the gateway gave a replica up that is proven to be lost.
+	causeLoss
+	// causeOverdueHead means that the head of the response did not come in the time that leaves some for
+	// another attempt.
+	causeOverdueHead
+	causeDeadline
+	// causeClose means that the replica's connection was closed in order.
+	causeClose
+	causeReset
+	// causeLimit means that the replica sent more than is read.
+	causeLimit
+	// causeMemory means that the gateway has no memory for the response.
+	causeMemory
+	// causeStop means that the gateway closed what was left at the limit of its stop.
+	causeStop
+	causeClient
+	// causeRefusal means that the request must not be sent any more: by its account, or its content.
+	causeRefusal
+	causeOther
+	endCauses
+)
+
+// String returns the value of the metric's label.
+func (e endCause) String() string {
+	switch e {
+	case causeSilence:
+		return "silence"
+	case causeLoss:
+		return "proven_loss"
+	case causeOverdueHead:
+		return "overdue_head"
+	case causeDeadline:
+		return "deadline"
+	case causeClose:
+		return "server_closed"
+	case causeReset:
+		return "connection_reset"
+	case causeLimit:
+		return "too_long"
+	case causeMemory:
+		return "memory"
+	case causeStop:
+		return "gateway_stopped"
+	case causeClient:
+		return "client_left"
+	case causeRefusal:
+		return "not_allowed"
+	case causeNone, causeOther, endCauses:
+	}
+	return "other"
+}
+
+// endCounters counts the answers that ended early by what ended them.
+type endCounters [endCauses]tally.Counter
+
+func newEndCounters(registry *metric.Registry) endCounters {
+	var counters endCounters
+	for cause := range endCauses {
+		counters[cause] = registry.CountOf("answers_ended_early_total", "cause", cause.String())
+	}
+	return counters
+}
+
+// earlyEnd is what ended an attempt, and what shows it.
+type earlyEnd struct {
+	cause    endCause
+	evidence string
+}
+
+// causeOf returns what an error of a connection to a replica means.
+func causeOf(err error) endCause {
+	var tooLong *LimitError
+	switch {
+	case errors.As(err, &tooLong):
+		return causeLimit
+	case errors.Is(err, errRetentionFull):
+		return causeMemory
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return causeDeadline
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return causeLoss
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return causeReset
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errInsideEvent), errors.Is(err, errNoEvent), errors.Is(err, errUnprovenEnd):
+		return causeClose
+	}
+	return causeOther
+}
+
+// noteEarlyEnd records what ended an attempt.
+func (c *call) noteEarlyEnd(ctx context.Context, err error) {
+	end := earlyEnd{cause: causeOf(err), evidence: err.Error()}
+	given := c.watch.givenUp.Load()
+	switch {
+	case c.clientLeft():
+		end.cause = c.closedBy()
+	case given != nil:
+		end = *given
+	case ctx.Err() != nil:
+		end.cause = causeDeadline
+	case end.cause == causeDeadline && c.handler.options.Now().Before(c.deadline):
+		end.cause = causeOverdueHead
+	}
+	c.early = end
+}
+
+// closedBy returns who closed the client's connection.
+func (c *call) closedBy() endCause {
+	if c.handler.cutOff.Load() {
+		return causeStop
+	}
+	return causeClient
+}
+
+// endedEarly reports whether the client's response was broken off, or tells that the request may have run.
+func (c *call) endedEarly() bool {
+	return c.status == 0 || (c.status == http.StatusBadGateway || c.status == http.StatusGatewayTimeout) && c.early.cause != causeNone && c.possibleRuns > 0
+}
+
+// logEarlyEnd logs and counts an answer that ended early. Those whose client left are counted alone.
+func (c *call) logEarlyEnd(now time.Time, host string) {
+	if !c.endedEarly() {
+		return
+	}
+	h := c.handler
+	if c.early.cause == causeNone && c.clientLeft() {
+		c.early.cause = c.closedBy()
+	}
+	h.options.Metrics.EndedEarly[c.early.cause].Inc(1)
+	if c.early.cause == causeClient {
+		return
+	}
+	h.options.Ring.Add(event.Event{Kind: event.AnswerEndedEarly, Request: c.requestInfo.ID, Host: host, Model: modelName(c.requestInfo), Reason: c.describeEarlyEnd(now)})
+}
+
+// describeEarlyEnd puts what matters first: a line may be cut.
+func (c *call) describeEarlyEnd(now time.Time) string {
+	text := c.early.cause.String()
+	if c.early.evidence != "" {
+		text += ", " + c.early.evidence
+	}
+	if c.status != 0 {
+		text += ", status " + strconv.Itoa(c.status)
+	}
+	if c.stream != nil && c.stream.lastEventID != "" {
+		text += ", after event " + strconv.Quote(shorten(c.stream.lastEventID))
+	}
+	if !c.heardAt.IsZero() {
+		text += fmt.Sprintf(", %d ms after the last byte", now.Sub(c.heardAt).Milliseconds())
+	}
+	text += fmt.Sprintf(", %d ms before the deadline", c.deadline.Sub(now).Milliseconds())
+	if c.handler.stopping.Load() {
+		text += ", while this gateway stops"
+	}
+	return text
+}
--- /dev/null
+++ b/src/exchange/earlyend_test.go
@@ -0,0 +1,123 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/event"
+)
+
+// handlerIdleTimeout limits the wait for the handlers of requests whose clients have their answers.
+const handlerIdleTimeout = 5 * time.Second
+
+// awaitIdle waits until no request is in progress.
+func (b *bench) awaitIdle() {
+	b.t.Helper()
+	for until := time.Now().Add(handlerIdleTimeout); b.handler.Running() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			b.t.Fatal("requests are still in progress")
+		}
+	}
+}
+
+// recordEvents makes the handler log to a ring.
+func (b *bench) recordEvents() *event.Ring {
+	ring := event.NewRing("n", 256, nil, time.Now)
+	b.handler.options.Ring = ring
+	return ring
+}
+
+// endedEarly returns the reasons of the lines on answers that ended early.
+func endedEarly(ring *event.Ring) []string {
+	var reasons []string
+	events, _ := ring.Since(0, event.AnswerEndedEarly.String())
+	for _, e := range events {
+		reasons = append(reasons, e.Reason)
+	}
+	return reasons
+}
+
+func TestWhatEndedAnAnswerEarlyIsLogged(t *testing.T) {
+	begin := func(a arrival) {
+		a.head()
+		a.event(1)
+	}
+	for _, c := range []struct {
+		name string
+		act  behaviour
+		want []string
+	}{
+		{"closed inside an event", func(a arrival) bool {
+			begin(a)
+			a.chunk("id: 2\n")
+			a.endStream()
+			return false
+		}, []string{"server_closed", `after event "1"`, "before the deadline"}},
+		{"closed without a last chunk", func(a arrival) bool { begin(a); return false }, []string{"server_closed", "unexpected EOF"}},
+		{"reset", func(a arrival) bool {
+			begin(a)
+			time.Sleep(50 * time.Millisecond)
+			_ = a.conn.(*net.TCPConn).SetLinger(lingerReset)
+			return false
+		}, []string{"connection_reset", `after event "1"`}},
+		{"no answer", func(arrival) bool { return false }, []string{"server_closed", "no answer", "status 502"}},
+		{"the deadline", func(a arrival) bool {
+			begin(a)
+			time.Sleep(1500 * time.Millisecond)
+			return false
+		}, []string{"deadline", `after event "1"`}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := route(catalog.Streaming, 1)
+			r.Timeout = time.Second
+			b := newBench(t, r, newReplica(t, "x", c.act))
+			ring := b.recordEvents()
+			_ = b.do("POST", "one", "x")
+			b.awaitIdle()
+			lines := endedEarly(ring)
+			is.Equal(len(lines), 1)
+			is.True(strings.HasPrefix(lines[0], c.want[0]+", "))
+			for _, part := range c.want {
+				if !strings.Contains(lines[0], part) {
+					t.Errorf("%q lacks %q", lines[0], part)
+				}
+			}
+		})
+	}
+}
+
+func TestOnlyAClientThatLeftIsSaidToHaveLeft(t *testing.T) {
+	for _, cutOff := range []bool{false, true} {
+		is := is.New(t)
+		begun := make(chan struct{})
+		x := newReplica(t, "x", func(a arrival) bool {
+			a.head()
+			a.event(1)
+			close(begun)
+			return true
+		})
+		b := newBench(t, route(catalog.Streaming, 1), x)
+		ring := b.recordEvents()
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-begun
+			if cutOff {
+				b.handler.CutOff()
+			}
+			cancel()
+		}()
+		_ = b.doIn(ctx, "POST", "one", "x")
+		b.awaitIdle()
+		left, _ := ring.Since(0, event.ClientDisconnected.String())
+		is.Equal(len(left) == 0, cutOff)
+		is.Equal(len(endedEarly(ring)) == 1, cutOff)
+	}
+}
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -123,6 +123,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silenceWatch := newWatchdog(ctx, to, cancel)
+	c.watch, c.early, c.heardAt = silenceWatch, earlyEnd{}, time.Time{}
 	defer silenceWatch.stop()
 	to.startRequest(0)
 	defer to.finishRequest()
@@ -148,8 +149,10 @@
 			to.failed(c.handler.options.Now(), true)
 		}
 		c.reason += "; " + err.Error()
+		c.noteEarlyEnd(ctx, err)
 		return unknown, nil
 	}
+	c.heardAt = c.handler.options.Now()
 	return c.relayForwarded(ctx, to, a, silenceWatch), nil
 }
 
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -92,6 +92,8 @@
 	budgets    budgets
 	gateways   atomic.Int64
 	stopping   atomic.Bool
+	// cutOff is set once the connections that are left are closed.
+	cutOff atomic.Bool
 	// waits ends by endWaits.
 	waits         context.Context
 	endWaits      context.CancelFunc
@@ -235,6 +237,11 @@
 	connectionBroke bool
 	// brokenBy is the error that ended the last attempt's stream, nil if there is none.
 	brokenBy error
+	// watch ends the current attempt early, early is what ended the last one, and heardAt is when its replica
+	// last sent something, the zero time if it has not.
+	watch   *watchdog
+	early   earlyEnd
+	heardAt time.Time
 	// content is the digest of the request's content. It is valid once digested is set.
 	content  quarantine.Digest
 	digested bool
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -42,6 +42,8 @@
 	ResponsesTooLong tally.Counter
 	// UnprovenEnds counts responses whose end nothing but the close of the connection shows.
 	UnprovenEnds unprovenCounters
+	// EndedEarly counts answers that were broken off, and those that tell that the request may have run.
+	EndedEarly endCounters
 	// PermitsLost counts permit requests that no issuer answered.
 	PermitsLost tally.Counter
 	// PlaceWait records how long requests waited for a place, PlacesRefused counts those that got
@@ -81,6 +83,7 @@
 
 		ResponsesTooLong: registry.Count("responses_too_long_total"),
 		UnprovenEnds:     newUnprovenCounters(registry),
+		EndedEarly:       newEndCounters(registry),
 
 		PlaceWait:     registry.Latency("place_wait_seconds"),
 		PlacesRefused: registry.Count("places_refused_total"),
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -48,6 +48,7 @@
 	peer.failed(now, false)
 	if err != nil && !errors.Is(err, errRetentionFull) {
 		a.abort()
+		c.noteEarlyEnd(ctx, err)
 		c.connectionBroke = !c.clientLeft()
 		c.reason += "; the failure's body broke off"
 		return unknown, nil
@@ -77,6 +78,7 @@
 	now := c.handler.options.Now()
 	if err != nil {
 		a.abort()
+		c.noteEarlyEnd(ctx, err)
 		if ctx.Err() == nil {
 			c.connectionBroke = true
 			peer.failed(now, false)
@@ -116,6 +118,7 @@
 	}
 	if err != nil {
 		a.abort()
+		c.noteEarlyEnd(ctx, err)
 		c.connectionBroke = ctx.Err() == nil
 		c.noteLostReplica(ctx, peer)
 		c.abortResponse("the answer broke off: " + err.Error())
@@ -285,7 +288,7 @@
 // kind returns the kind of the event that logs the request's result.
 func (c *call) kind() event.Kind {
 	switch {
-	case c.status == 0 && c.clientLeft():
+	case c.status == 0 && c.clientLeft() && c.closedBy() == causeClient:
 		return event.ClientDisconnected
 	case c.status == 0, c.status >= http.StatusBadRequest:
 		return event.RequestRefused
@@ -312,6 +315,7 @@
 		last := c.tried[len(c.tried)-1]
 		host, software = last.ID(), last.softwareVersion()
 	}
+	c.logEarlyEnd(now, host)
 	content := ""
 	if c.digested {
 		content = ", content " + c.content.String()
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -151,7 +152,7 @@
 			return errors.Wrap(errNotSent, err.Error())
 		}
 		if err != nil {
-			return errors.Wrap(errNoResponse, err.Error())
+			return noResponse(err)
 		}
 		return nil
 	}
@@ -161,7 +162,7 @@
 		if n == 0 {
 			return errors.Wrap(errNotSent, err.Error())
 		}
-		return errors.Wrap(errNoResponse, err.Error())
+		return noResponse(err)
 	}
 	go func() {
 		defer close(a.written)
@@ -172,6 +173,9 @@
 	return nil
 }
 
+// noResponse returns errNoResponse with what caused it.
+func noResponse(err error) error { return fmt.Errorf("%w: %w", err, errNoResponse) }
+
 // readHead reads the head of the response to the request. A LimitError is returned as it is.
 func (a *replicaResponse) readHead(method, id string, read func(int, http.Header) Reply) error {
 	belongs := func(response *http.Response) bool {
@@ -184,7 +188,7 @@
 	case errors.Is(err, errOtherRequest), errors.As(err, &tooLong):
 		return err
 	case err != nil:
-		return errors.Wrap(errNoResponse, err.Error())
+		return noResponse(err)
 	}
 	a.response = response
 	a.end = bodyEndOf(method, response)
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -5,6 +5,9 @@
 // Stop makes the handler close each connection after its current response.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
+// CutOff tells the handler that the connections of all requests in progress are about to be closed.
+func (h *Handler) CutOff() { h.cutOff.Store(true) }
+
 // EndWaits ends the waits of requests that have not been sent yet: for a place, a slot, a permit, a model or a
 // replica that accepts them. They are refused, and so are later ones that would have to wait, while there is
 // still time for their clients to turn to another gateway.
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -22,6 +22,7 @@
 var (
 	errInsideEvent = errors.New("it ended inside an event")
 	errNoEvent     = errors.New("it ended with its connection, without an event")
+	errUnprovenEnd = errors.New("it ended with its connection, which proves nothing")
 )
 
 func (c *call) resumeAfter() string {
@@ -43,6 +44,7 @@
 			return c.relayBuffered(ctx, peer, a)
 		}
 		a.abort()
+		c.early = earlyEnd{cause: causeOther, evidence: "the stream was not resumed: " + a.response.Status}
 		c.reason += "; " + peer.ID() + " did not resume the stream: " + a.response.Status
 		return unknown
 	}
@@ -59,6 +61,7 @@
 		n, err := a.response.Body.Read(buffer)
 		silenceWatch.reset()
 		if n > 0 {
+			c.heardAt = c.handler.options.Now()
 			c.handler.options.Fleet.noteContact(peer)
 		}
 		if n > 0 && prompt.Tokens > 0 {
@@ -113,11 +116,15 @@
 		c.logUnframed(peer, a.end)
 		c.beginResponse(a.response.StatusCode)
 	}
-	if _, err := c.writer.Write(events); err != nil {
+	_, err := c.writer.Write(events)
+	if err == nil {
+		err = http.NewResponseController(c.writer).Flush()
+	}
+	if err != nil {
 		c.reason += "; the client could not be written to"
-		return false
+		c.early = earlyEnd{cause: c.closedBy(), evidence: err.Error()}
 	}
-	return http.NewResponseController(c.writer).Flush() == nil
+	return err == nil
 }
 
 // endStream completes the response to the client after the replica's last byte, if that is proven to be
@@ -180,6 +187,7 @@
 // go on with the stream, or confirm the end by having nothing to add. The replica has not failed.
 func (c *call) handleUnprovenEnd(ctx context.Context, peer *Peer, a *replicaResponse) outcome {
 	a.abort()
+	c.noteEarlyEnd(ctx, errUnprovenEnd)
 	c.reason += "; " + peer.ID() + " ended the stream after event " + c.resumeAfter() + " by closing the connection, which proves nothing"
 	c.noteUnprovenEnd(peer, a.end, streamNotConfirmed)
 	c.noteUnprovenRun(peer)
@@ -199,6 +207,7 @@
 	c.reason += "; " + peer.ID() + " broke the stream off after event " + c.stream.lastEventID
 	c.reason += " of software " + strconv.Quote(peer.softwareVersion()) + ": " + err.Error()
 	c.brokenBy = err
+	c.noteEarlyEnd(ctx, err)
 	tooLong := c.noteTooLong(peer, err)
 	if ctx.Err() == nil && !errors.Is(err, errRetentionFull) {
 		c.connectionBroke = !tooLong
