LOST: tests of silent replicas whose answers are ended, failing

What callers see: streams and plain answers end 1.0 s after the last byte of a sound replica that is silent for 1.6 s and to which no new connection is made meanwhile: broken off, or 502. Cause, as far as the tests show: the watchdog of an attempt takes a dial that is not answered, is reset, or is refused by a gateway or a server that stops, for the loss of what it dialed.

--- /dev/null
+++ b/src/exchange/silence_test.go
@@ -0,0 +1,216 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+)
+
+// testSilence is longer than a silent replica is watched before new connections to it were tried.
+const testSilence = silenceTimeout + reachTimeout + 300*time.Millisecond
+
+// silentReplica is a replica that falls silent at a request and goes on with it later. Meanwhile new connections
+// fail.
+type silentReplica struct {
+	*fakeReplica
+	silent atomic.Bool
+	dialed error
+}
+
+// newSilentReplica returns a replica that writes an answer in two parts, either of which may be empty, and is
+// silent in between.
+func newSilentReplica(t *testing.T, id string, dialed error, before, after func(a arrival)) *silentReplica {
+	s := &silentReplica{dialed: dialed}
+	s.fakeReplica = newReplica(t, id, func(a arrival) bool {
+		before(a)
+		s.silent.Store(true)
+		time.Sleep(testSilence)
+		s.silent.Store(false)
+		after(a)
+		return true
+	})
+	return s
+}
+
+// failDials makes new connections fail while the replica is silent.
+func (s *silentReplica) failDials(f *Fleet) {
+	pool := f.Peer(s.id).pool
+	dial := pool.dial
+	pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if s.silent.Load() {
+			return nil, s.dialed
+		}
+		return dial(ctx, address)
+	}
+}
+
+func nothing(arrival) {}
+
+func beginStream(a arrival) {
+	a.head()
+	a.event(1)
+}
+
+func finishStream(a arrival) {
+	a.event(2)
+	a.endStream()
+}
+
+func wholeStream(a arrival) {
+	beginStream(a)
+	finishStream(a)
+}
+
+// beginBody and finishBody write a plain answer in two parts.
+func beginBody(a arrival) {
+	_, _ = a.conn.Write([]byte("HTTP/1.1 200 OK\r\n" + testID + ": " + a.name() + "\r\nContent-Length: 9\r\n\r\nall "))
+}
+
+func finishBody(a arrival) { _, _ = a.conn.Write([]byte("of it")) }
+
+// silentAnswers lists the kinds of requests whose replica falls silent before or within its answer.
+var silentAnswers = []struct {
+	name          string
+	route         catalog.Route
+	before, after func(a arrival)
+	header        string
+	want          string
+}{
+	{"a stream that has not begun", route(catalog.Streaming, 1), nothing, wholeStream, "", "1 2"},
+	{"a stream that has begun", route(catalog.Streaming, 1), beginStream, finishStream, "", "1 2"},
+	{"a stream that has begun, at its last attempt", resumableRoute(1), beginStream, finishStream, "", "1 2"},
+	{"a stream that may be repeated and has not begun", resumableRoute(2), nothing, wholeStream, "", "1 2"},
+	{"a stream that may be repeated and has begun", resumableRoute(2), beginStream, finishStream, "", "1 2"},
+	{"an answer that has not begun", route(catalog.Unsafe, 1), nothing, func(a arrival) { whole(a) }, "", "answer to one by x"},
+	{"an answer that has begun", route(catalog.Unsafe, 1), beginBody, finishBody, "", "all of it"},
+	{"an answer that may be repeated, at its last attempt", route(catalog.Safe, 1), nothing, func(a arrival) { whole(a) }, "", "answer to one by x"},
+	{"an answer that may be repeated and has begun", route(catalog.Safe, 2), beginBody, finishBody, "", "all of it"},
+}
+
+// answerText returns the text of a plain answer, or the IDs of a stream's events.
+func answerText(kind catalog.Kind, got clientResponse) string {
+	if kind != catalog.Streaming {
+		return got.body
+	}
+	text := ""
+	for i, id := range events(got.body) {
+		if i > 0 {
+			text += " "
+		}
+		text += id
+	}
+	return text
+}
+
+// TestASilentReplicaEndsNoAnswer: a sound replica was silent for a second, its full queue took no new connections,
+// and the gateway ended what the replica was at work on.
+func TestASilentReplicaEndsNoAnswer(t *testing.T) {
+	for _, dialed := range []struct {
+		name string
+		err  error
+	}{
+		{"new connections are not answered", context.DeadlineExceeded},
+		{"new connections are reset", opError(syscall.ECONNRESET)},
+	} {
+		for _, c := range silentAnswers {
+			t.Run(c.name+", "+dialed.name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				x := newSilentReplica(t, "x", dialed.err, c.before, c.after)
+				b := newBench(t, c.route, x.fakeReplica)
+				x.failDials(b.fleet)
+				got := b.do("POST", "one", "x")
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusOK)
+				is.Equal(answerText(c.route.Kind, got), c.want)
+				is.Equal(x.count(), 1)
+			})
+		}
+	}
+}
+
+// TestAForwardedRequestOfASilentReplicaIsNotEnded: the second gateway stops and takes no new connections, which the
+// first one took for its loss.
+func TestAForwardedRequestOfASilentReplicaIsNotEnded(t *testing.T) {
+	for _, c := range silentAnswers {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var n *forwardNet
+			stopListening := func() { _ = n.others[0].server.Listener.Close() }
+			x := newSilentReplica(t, "x", context.DeadlineExceeded, func(a arrival) {
+				c.before(a)
+				stopListening()
+			}, c.after)
+			y := newReplica(t, "y", func(arrival) bool { return true })
+			n = newForwardNet(t, c.route, 1, x.fakeReplica, y)
+			x.failDials(n.others[0].fleet)
+			got := n.do("POST", "one", "x", testOnly+": x")
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(answerText(c.route.Kind, got), c.want)
+			is.Equal(x.count(), 1)
+		})
+	}
+}
+
+// TestASilentReplicaWithACopyElsewhereIsNotGivenUp: a copy of the run is no reason to give up a stream that has not
+// begun.
+func TestASilentReplicaWithACopyElsewhereIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	unanswered := error(context.DeadlineExceeded)
+	replicas := make([]*fakeReplica, 2)
+	var failure atomic.Pointer[error]
+	for i, id := range []string{"x", "y"} {
+		replicas[i] = newReplica(t, id, func(a arrival) bool {
+			failure.Store(&unanswered)
+			time.Sleep(testSilence)
+			failure.Store(nil)
+			wholeStream(a)
+			return true
+		})
+	}
+	rt := route(catalog.Streaming, 1)
+	b := newBench(t, rt, replicas...)
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 1, Routes: []catalog.Route{rt},
+		Services: []catalog.Service{{Name: "s", ColdRate: 4, Engine: &catalog.Engine{Backups: true, Models: []catalog.Model{{Name: "m"}}}}}}))
+	for _, r := range replicas {
+		pool := b.fleet.Peer(r.id).pool
+		pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if err := failure.Load(); err != nil {
+				return nil, *err
+			}
+			return Dial(ctx, address)
+		}
+	}
+	got := b.do("POST", "one", "x", testModel+": m", testTokens+": 500")
+	is.NoErr(got.err)
+	is.Equal(events(got.body), []string{"1", "2"})
+	is.Equal(replicas[0].count()+replicas[1].count(), 1)
+}
+
+// TestALeavingReplicaThatTakesNoConnectionsFinishesItsStreams: a server that stops may close its listener before it has
+// finished what it runs.
+func TestALeavingReplicaThatTakesNoConnectionsFinishesItsStreams(t *testing.T) {
+	is := is.New(t)
+	var b *bench
+	var x *silentReplica
+	x = newSilentReplica(t, "x", opError(syscall.ECONNREFUSED), func(a arrival) {
+		beginStream(a)
+		x.draining = true
+		b.register(x.fakeReplica)
+	}, finishStream)
+	b = newBench(t, route(catalog.Streaming, 1), x.fakeReplica)
+	x.failDials(b.fleet)
+	got := b.do("POST", "one", "x")
+	is.NoErr(got.err)
+	is.Equal(events(got.body), []string{"1", "2"})
+}
