LOST: silence ends no answer; what may end an attempt before its deadline is decided in one place

What callers saw: streams and plain answers of sound replicas that were silent for a second were broken off, or answered 502, 1.0 to 1.3 s after the last byte: around a stop, a change of the configuration, or nothing at all. Cause: the watchdog of an attempt dialed a peer that had sent nothing for a second, and took any failure of the dials for its loss: no answer within 0.3 s (a full queue of new connections), a reset, the refusal of a gateway or a server that stops and has closed its listener first. Only streams that had begun, had a copy and must not be repeated waited for a proof. What the peer sent during the dials was not looked at. A head that was overdue ended a request that may be repeated also where nobody else took it. Change: decideEarlyEnd alone ends an attempt whose connection is open: for a proof of loss; or, for a request that may be repeated and that another peer takes and accepts a connection for now, once the peer's host acknowledges nothing (TCP_INFO of the open connection: keep-alive probes or the request) for 1.3 s and no dial is answered, or once the head is overdue. A refused dial proves nothing of a peer that leaves or is a gateway. Requests that look at one peer share a dial. Why it holds: the kernel of a sound host acknowledges whatever its processes do; what is proven is written in loss.go; whatever is not leaves the attempt to its connection and its deadline.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -69,7 +69,7 @@
 	peer := choice.Peer
 	now := h.options.Now()
 	c.tried = append(c.tried, peer)
-	c.brokenBy, c.early, c.heardAt = nil, earlyEnd{}, time.Time{}
+	c.brokenBy, c.early = nil, earlyEnd{}
 	c.reason = choice.Reason
 	if c.permitWait > 0 {
 		c.reason += ", waited " + c.permitWait.String() + " for a permit"
@@ -77,9 +77,8 @@
 	o := c.outgoingRequest(choice, now)
 	attemptCtx, cancelAttempt := context.WithCancel(ctx)
 	defer cancelAttempt()
-	silenceWatch := newWatchdog(attemptCtx, peer, cancelAttempt)
-	c.watch = silenceWatch
-	defer silenceWatch.stop()
+	watch := c.watchAttempt(attemptCtx, peer, now, c.headDue(now), c.elsewhere(), cancelAttempt)
+	defer watch.stop()
 	peer.startRequest(choice.PrefillTime)
 	defer peer.finishRequest()
 	pendingPrefill := choice.PrefillTime
@@ -89,6 +88,7 @@
 	c.sends++
 	var sent sentRequest
 	hooks := sendHooks{
+		sending: watch.noteSent,
 		admit: func() bool {
 			sent = sentRequest{sentAt: h.options.Fleet.bootNow(), term: c.sendPermit.term, grant: c.sendPermit.number}
 			return c.usePermit(peer) && h.options.Fleet.admit(peer)
@@ -104,7 +104,7 @@
 			return err
 		}
 	}
-	a, err := send(attemptCtx, peer.pool, o, c.requestInfo.ID, hooks, choice.connectTimeout(), c.headDeadline(now), now)
+	a, err := send(attemptCtx, peer.pool, o, c.requestInfo.ID, hooks, choice.connectTimeout(), c.deadline, now)
 	if errors.Is(err, errNotAccepted) {
 		c.undoAttempt(spent)
 		return notAccepted, nil
@@ -127,7 +127,7 @@
 	}
 	c.possibleArrivals++
 	c.notSent = false
-	c.heardAt = h.options.Now()
+	watch.noteHead(a.response)
 	h.options.Fleet.noteContact(peer)
 	c.bodyEnd = a.end
 	a.origin = peer.writerOrigin()
@@ -143,7 +143,7 @@
 	}
 	if c.route.Kind == catalog.Streaming {
 		c.timing = newTiming(&choice)
-		return c.relayStream(ctx, peer, a, silenceWatch, &pendingPrefill, work.Prefill{Began: now, Tokens: choice.PrefillTokens, Model: c.requestInfo.Model, Factor: choice.Factor}), nil
+		return c.relayStream(ctx, peer, a, &pendingPrefill, work.Prefill{Began: now, Tokens: choice.PrefillTokens, Model: c.requestInfo.Model, Factor: choice.Factor}), nil
 	}
 	return c.relayBuffered(ctx, peer, a), nil
 }
@@ -177,14 +177,13 @@
 	return reply
 }
 
-// headDeadline returns when the head of the replica's response must have arrived. If another
-// replica may be tried, it leaves time for that.
-func (c *call) headDeadline(now time.Time) time.Time {
-	if !c.route.Idempotent() || c.possibleRuns+1 >= c.route.Attempts {
-		return c.deadline
-	}
-	wait := max(3*c.route.Target/2, c.deadline.Sub(now)/3)
-	return earlier(c.deadline, now.Add(wait))
+// headDue returns from when on the head of the response is overdue, which leaves time for another attempt. It
+// returns the zero time if there is none.
+func (c *call) headDue(now time.Time) time.Time {
+	if !c.mayRunAgain() {
+		return time.Time{}
+	}
+	return now.Add(max(3*c.route.Target/2, c.deadline.Sub(now)/3))
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/src/exchange/backup.go
+++ b/src/exchange/backup.go
@@ -3,12 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/moorspool/moorspool/src/resume"
 )
 
@@ -17,9 +13,6 @@
 	// On common engines 100 tokens take about a second; shorter streams have mostly ended before
 	// their replica fails.
 	minBackupTokens = 100
-	// silenceTimeout is how long a replica may send nothing before the gateway checks whether it is
-	// reachable. Clients abandon a stream after two seconds of silence at the earliest.
-	silenceTimeout = time.Second
 	// reachTimeout is how long a reachable replica may take to accept a connection. It allows three
 	// dials, since a SYN packet may be lost.
 	reachTimeout = 3 * dialAttempt
@@ -133,6 +126,14 @@
 	return nil
 }
 
+// provenLoss returns what proves that the replica of the last attempt is lost.
+func (c *call) provenLoss(ctx context.Context, lost *Peer) lossProof {
+	if c.early.proof != lossUnproven {
+		return c.early.proof
+	}
+	return proveLoss(ctx, lost, c.brokenBy)
+}
+
 // resumeAtBackup reports whether a stream whose replica was lost continues at the replica with a
 // copy of its run, and chooses that replica. The copy counts as the same run, so this is allowed
 // even if a request must not run twice, but only once the first replica cannot be working on it any
@@ -143,7 +144,7 @@
 	if backup == nil || ctx.Err() != nil || c.stream == nil || c.stream.lastEventID == "" {
 		return Choice{}, false
 	}
-	proof := proveLoss(ctx, lost, c.brokenBy)
+	proof := c.provenLoss(ctx, lost)
 	c.reason += "; " + lost.ID() + ": " + proof.String()
 	if proof == lossUnproven {
 		return Choice{}, false
@@ -163,69 +164,3 @@
 	c.handler.options.Metrics.Continued.Inc(1)
 	return Choice{Peer: backup, Verdict: Chosen, FromBackup: true, Reason: c.reason + "; goes on at " + backup.ID()}, true
 }
-
-// connectOnce returns an error if a replica does not accept a connection.
-func connectOnce(ctx context.Context, peer *Peer) error {
-	conn, err := peer.pool.connect(ctx, reachTimeout)
-	if err != nil {
-		return err
-	}
-	return conn.Close()
-}
-
-// watchdog ends an attempt whose replica sends nothing and has become unreachable, as after a power
-// loss or a network partition, which close no connection.
-type watchdog struct {
-	timer *time.Timer
-	// needsProof is set if the attempt ends only once the loss of the replica is proven.
-	needsProof atomic.Bool
-	// givenUp is why the attempt was ended, nil if it was not.
-	givenUp atomic.Pointer[earlyEnd]
-}
-
-// newWatchdog returns a watchdog that calls lost once the replica is unreachable.
-func newWatchdog(ctx context.Context, peer *Peer, lost func()) *watchdog {
-	w := &watchdog{}
-	w.timer = time.AfterFunc(time.Hour, func() {
-		switch {
-		case ctx.Err() != nil:
-		case w.isLost(ctx, peer):
-			lost()
-		default:
-			w.timer.Reset(silenceTimeout)
-		}
-	})
-	w.timer.Reset(silenceTimeout)
-	return w
-}
-
-func (w *watchdog) isLost(ctx context.Context, peer *Peer) bool {
-	end := earlyEnd{cause: causeLoss}
-	if w.needsProof.Load() {
-		proof := proveLoss(ctx, peer, nil)
-		if proof == lossUnproven {
-			return false
-		}
-		end.evidence = proof.String()
-	} else {
-		err := connectOnce(ctx, peer)
-		if err == nil {
-			return false
-		}
-		end.evidence = "no new connection: " + err.Error()
-		if !errors.Is(err, syscall.ECONNREFUSED) {
-			end.cause = causeSilence
-		}
-	}
-	w.givenUp.Store(&end)
-	return true
-}
-
-// requireProof makes the watchdog wait for a proof that the replica is lost. The keep-alive probes of the
-// connection bring one if its host is.
-func (w *watchdog) requireProof() { w.needsProof.Store(true) }
-
-// reset restarts the timeout after the replica has sent something.
-func (w *watchdog) reset() { w.timer.Reset(silenceTimeout) }
-
-func (w *watchdog) stop() { w.timer.Stop() }
--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -23,12 +23,13 @@
 const (
 	// causeNone means that nothing has ended early.
 	causeNone endCause = iota
-	// causeSilence means that the gateway gave a silent replica up without a proof that it is lost.
+	// causeSilence means that the host of a replica acknowledged nothing, and that the request was taken
+	// elsewhere.
 	causeSilence
 	// causeLoss means that the gateway gave a replica up that is proven to be lost.
 	causeLoss
 	// causeOverdueHead means that the head of the response did not come in the time that leaves some for
-	// another attempt.
+	// another attempt, and that the request was taken elsewhere.
 	causeOverdueHead
 	causeDeadline
 	// causeClose means that the replica's connection was closed in order.
@@ -92,6 +93,8 @@
 type earlyEnd struct {
 	cause    endCause
 	evidence string
+	// proof is what proves the loss of the replica, if the gateway gave it up for that.
+	proof lossProof
 }
 
 // causeOf returns what an error of a connection to a replica means.
@@ -125,8 +128,6 @@
 		end = *given
 	case ctx.Err() != nil:
 		end.cause = causeDeadline
-	case end.cause == causeDeadline && c.handler.options.Now().Before(c.deadline):
-		end.cause = causeOverdueHead
 	}
 	c.early = end
 }
@@ -172,8 +173,8 @@
 	if c.stream != nil && c.stream.lastEventID != "" {
 		text += ", after event " + strconv.Quote(shorten(c.stream.lastEventID))
 	}
-	if !c.heardAt.IsZero() {
-		text += fmt.Sprintf(", %d ms after the last byte", now.Sub(c.heardAt).Milliseconds())
+	if c.watch != nil && !c.watch.heardAt().IsZero() {
+		text += fmt.Sprintf(", %d ms after the last byte", now.Sub(c.watch.heardAt()).Milliseconds())
 	}
 	text += fmt.Sprintf(", %d ms before the deadline", c.deadline.Sub(now).Milliseconds())
 	if c.handler.stopping.Load() {
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -32,6 +32,8 @@
 	// bootNow returns the time on a clock that counts while this host is suspended. A replica's
 	// backoff ends for the replica even while this host is suspended.
 	bootNow func() time.Time
+	// unacknowledged returns for how long the other host of a connection has acknowledged nothing.
+	unacknowledged func(net.Conn) time.Duration
 
 	mu    sync.Mutex
 	peers map[string]*Peer
@@ -106,29 +108,30 @@
 // the time on a clock that counts while this host is suspended.
 func NewFleet(zone string, dial dialFunc, ring *event.Ring, now, bootNow func() time.Time) *Fleet {
 	return &Fleet{
-		zone:         zone,
-		dial:         dial,
-		ring:         ring,
-		now:          now,
-		bootNow:      bootNow,
-		peers:        map[string]*Peer{},
-		unlisted:     map[string]unlistedState{},
-		usable:       map[string]*indexedReplica{},
-		placerCopies: map[string]copies{},
-		census:       map[string]*resume.Census{},
-		latestStarts: map[string]*Peer{},
-		onDoubt:      func([]resume.Key) {},
-		onReturn:     func(*Peer) {},
-		sentPrompts:  newSentPrompts(),
-		loadReports:  newLoadReports(),
-		byBacklogKey: map[uint64]*Peer{},
-		speeds:       work.NewSpeeds(),
-		outputs:      work.NewOutputs(),
-		typical:      work.NewTypical(),
-		links:        reach.New(),
-		rejections:   rejectionLimits{toldAt: map[string]time.Time{}},
-		requestSent:  wakeup.New(),
-		onCrash:      func(time.Time, string, string) {},
+		zone:           zone,
+		dial:           dial,
+		ring:           ring,
+		now:            now,
+		bootNow:        bootNow,
+		unacknowledged: unacknowledgedFor,
+		peers:          map[string]*Peer{},
+		unlisted:       map[string]unlistedState{},
+		usable:         map[string]*indexedReplica{},
+		placerCopies:   map[string]copies{},
+		census:         map[string]*resume.Census{},
+		latestStarts:   map[string]*Peer{},
+		onDoubt:        func([]resume.Key) {},
+		onReturn:       func(*Peer) {},
+		sentPrompts:    newSentPrompts(),
+		loadReports:    newLoadReports(),
+		byBacklogKey:   map[uint64]*Peer{},
+		speeds:         work.NewSpeeds(),
+		outputs:        work.NewOutputs(),
+		typical:        work.NewTypical(),
+		links:          reach.New(),
+		rejections:     rejectionLimits{toldAt: map[string]time.Time{}},
+		requestSent:    wakeup.New(),
+		onCrash:        func(time.Time, string, string) {},
 	}
 }
 
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -122,16 +122,17 @@
 func (c *call) forwardTo(ctx context.Context, to *Peer, now time.Time) (outcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silenceWatch := newWatchdog(ctx, to, cancel)
-	c.watch, c.early, c.heardAt = silenceWatch, earlyEnd{}, time.Time{}
-	defer silenceWatch.stop()
+	c.early = earlyEnd{}
+	watch := c.watchAttempt(ctx, to, now, c.headDue(now), c.elsewhereThanAt(), cancel)
+	defer watch.stop()
 	to.startRequest(0)
 	defer to.finishRequest()
 	hooks := sendHooks{
-		admit: func() bool { return true },
-		read:  func(_ int, header http.Header) Reply { return Reply{ID: header.Get(headerForwardID)} },
+		sending: watch.noteSent,
+		admit:   func() bool { return true },
+		read:    func(_ int, header http.Header) Reply { return Reply{ID: header.Get(headerForwardID)} },
 	}
-	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.headDeadline(now), now)
+	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.deadline, now)
 	if errors.Is(err, errNotSent) {
 		if !c.clientLeft() {
 			c.handler.gatewayList.markDown(to)
@@ -152,8 +153,8 @@
 		c.noteEarlyEnd(ctx, err)
 		return unknown, nil
 	}
-	c.heardAt = c.handler.options.Now()
-	return c.relayForwarded(ctx, to, a, silenceWatch), nil
+	watch.noteHead(a.response)
+	return c.relayForwarded(ctx, to, a), nil
 }
 
 // noteNotTaken handles the refusal of a gateway that sent the request to no replica. One that refuses
@@ -187,7 +188,7 @@
 }
 
 // relayForwarded passes the response of another gateway on. Whether a replica failed is known there.
-func (c *call) relayForwarded(ctx context.Context, to *Peer, a *replicaResponse, silenceWatch *watchdog) outcome {
+func (c *call) relayForwarded(ctx context.Context, to *Peer, a *replicaResponse) outcome {
 	_ = a.conn.raw.SetDeadline(c.deadline)
 	c.bodyEnd = a.end
 	a.origin = forwardedOrigin(a.response.Header)
@@ -195,7 +196,7 @@
 	var ended outcome
 	if c.route.Kind == catalog.Streaming {
 		none := time.Duration(0)
-		ended = c.relayStream(ctx, to, a, silenceWatch, &none, work.Prefill{})
+		ended = c.relayStream(ctx, to, a, &none, work.Prefill{})
 	} else {
 		ended = c.relayBuffered(ctx, to, a)
 	}
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -237,11 +237,9 @@
 	connectionBroke bool
 	// brokenBy is the error that ended the last attempt's stream, nil if there is none.
 	brokenBy error
-	// watch ends the current attempt early, early is what ended the last one, and heardAt is when its replica
-	// last sent something, the zero time if it has not.
-	watch   *watchdog
-	early   earlyEnd
-	heardAt time.Time
+	// watch may end the current attempt early, early is what ended the last one.
+	watch *attemptWatch
+	early earlyEnd
 	// content is the digest of the request's content. It is valid once digested is set.
 	content  quarantine.Digest
 	digested bool
--- a/src/exchange/loss.go
+++ b/src/exchange/loss.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
+// hostLossAfter is how long a host must have acknowledged nothing to count as lost: as long as the keep-alive
+// probes of a connection take.
+var hostLossAfter = keepAlive.Idle + time.Duration(keepAlive.Count)*keepAlive.Interval
+
 // lossProof is what proves that a replica works on none of its requests any more. Silence is no proof, and
 // neither is a dial that is not answered or reset: a sound replica may pause, and its queue of new
 // connections may be full.
@@ -50,3 +55,49 @@
 	}
 	return lossUnproven
 }
+
+// silenceSign is what is known of a peer that sends nothing on an open connection.
+type silenceSign struct {
+	proof lossProof
+	// suspected is set if the peer's host has acknowledged nothing for suspectAfter and answered no dial.
+	suspected bool
+	evidence  string
+}
+
+// examineSilence dials a silent peer. unacknowledged returns for how long its host has acknowledged nothing on
+// the open connection.
+func examineSilence(peer *Peer, unacknowledged func() time.Duration) silenceSign {
+	if peer.replaced() {
+		return signOf(lossByLaterStart)
+	}
+	switch dialed := peer.probe(); {
+	case dialed == dialAccepted:
+		return silenceSign{}
+	case dialed == dialRefused:
+		if peer.listensToItsEnd() {
+			return signOf(lossByRefusal)
+		}
+		return silenceSign{}
+	}
+	waited := unacknowledged()
+	switch {
+	case waited >= hostLossAfter:
+		return signOf(lossOfHost)
+	case waited >= suspectAfter:
+		return silenceSign{suspected: true, evidence: "its host has acknowledged nothing for " + waited.Round(time.Millisecond).String()}
+	}
+	return silenceSign{}
+}
+
+func signOf(proof lossProof) silenceSign { return silenceSign{proof: proof, evidence: proof.String()} }
+
+// listensToItsEnd reports whether a peer takes new connections for as long as it is at work. A gateway or replica
+// that stops closes its listener first.
+func (p *Peer) listensToItsEnd() bool { return p.service != "" && !p.leaving() }
+
+// probe dials the peer. Requests that ask at the same time share a dial, so that they don't fill its queue of new
+// connections.
+func (p *Peer) probe() dialResult {
+	result, _, _ := p.probes.Do("", func() (any, error) { return probeReplica(context.Background(), p), nil })
+	return result.(dialResult)
+}
--- a/src/exchange/loss_test.go
+++ b/src/exchange/loss_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -162,3 +163,67 @@
 	is.Equal(events(got.body), []string{"1", "2", "3", "4"})
 	is.Equal(s.other().count(), 1)
 }
+
+func TestWhatShowsThatASilentPeerIsLost(t *testing.T) {
+	dials := func(err error) dialFunc {
+		return func(context.Context, string) (net.Conn, error) {
+			here, _ := net.Pipe()
+			return here, err
+		}
+	}
+	accepted, refused, reset := dials(nil), dials(opError(syscall.ECONNREFUSED)), dials(opError(syscall.ECONNRESET))
+	unanswered := dials(context.DeadlineExceeded)
+	replica := registry.Record{ID: "x@1", Name: "x", StartedMS: 1, Service: "s", Address: "127.0.0.1:1", Slots: 1}
+	leaving := replica
+	leaving.Draining = true
+	gateway := registry.Record{ID: "g1", Address: "127.0.0.1:1"}
+	for _, c := range []struct {
+		name           string
+		peer           registry.Record
+		dial           dialFunc
+		unacknowledged time.Duration
+		restarted      bool
+		want           silenceSign
+	}{
+		{name: "its host takes connections", peer: replica, dial: accepted},
+		{name: "its host takes connections and acknowledges nothing on the open one", peer: replica, dial: accepted, unacknowledged: time.Minute},
+		{name: "a dial is not answered", peer: replica, dial: unanswered},
+		{name: "a new connection is reset", peer: replica, dial: reset, unacknowledged: suspectAfter - 1},
+		{name: "its host acknowledges nothing", peer: replica, dial: unanswered, unacknowledged: suspectAfter, want: silenceSign{suspected: true}},
+		{name: "its host has acknowledged nothing for long", peer: replica, dial: unanswered, unacknowledged: hostLossAfter, want: silenceSign{proof: lossOfHost}},
+		{name: "its host refuses connections", peer: replica, dial: refused, want: silenceSign{proof: lossByRefusal}},
+		{name: "it leaves and refuses connections", peer: leaving, dial: refused},
+		{name: "it has started again", peer: replica, dial: accepted, restarted: true, want: silenceSign{proof: lossByLaterStart}},
+		{name: "a gateway refuses connections", peer: gateway, dial: refused},
+		{name: "the host of a gateway acknowledges nothing", peer: gateway, dial: unanswered, unacknowledged: suspectAfter, want: silenceSign{suspected: true}},
+		{name: "the host of a gateway has acknowledged nothing for long", peer: gateway, dial: unanswered, unacknowledged: hostLossAfter, want: silenceSign{proof: lossOfHost}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			peer := newPeer(c.peer, c.dial)
+			if c.restarted {
+				peer.noteReplacement(newPeer(replica, c.dial))
+			}
+			got := examineSilence(peer, func() time.Duration { return c.unacknowledged })
+			is.Equal(got.evidence != "", c.want != silenceSign{})
+			got.evidence = ""
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+func TestSilentRequestsOfOnePeerShareADial(t *testing.T) {
+	is := is.New(t)
+	var dials atomic.Int64
+	peer := newPeer(registry.Record{ID: "x", Service: "s", Address: "127.0.0.1:1"}, func(ctx context.Context, _ string) (net.Conn, error) {
+		dials.Add(1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	var all sync.WaitGroup
+	for range 50 {
+		all.Go(func() { examineSilence(peer, func() time.Duration { return 0 }) })
+	}
+	all.Wait()
+	is.Equal(dials.Load(), int64(reachTimeout/dialAttempt))
+}
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/moorspool/moorspool/src/loadview"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/resume"
@@ -59,6 +61,9 @@
 	counted        bool
 	countedVersion string
 
+	// probes shares the dials that look for signs of its loss.
+	probes singleflight.Group
+
 	mu     sync.Mutex
 	record registry.Record
 	// software is what the incarnation reported of its software.
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -89,6 +90,8 @@
 	// admit reports whether the replica accepts the request. It is called once the connection is
 	// established, right before the first byte.
 	admit func() bool
+	// sending is told the connection right before the first byte of the request.
+	sending func(net.Conn)
 	// confirm returns an error if the request must not be sent on a connection. It is called before admit and
 	// may use the connection. It may be nil.
 	confirm func(*conn) error
@@ -115,6 +118,7 @@
 		return nil, errNotAccepted
 	}
 	_ = c.raw.SetDeadline(deadline)
+	hooks.sending(c.raw)
 	a := &replicaResponse{conn: c, pool: p, written: make(chan struct{})}
 	a.stopWatch = context.AfterFunc(ctx, a.abortAfterGrace)
 	if err := a.write(o); err != nil {
--- /dev/null
+++ b/src/exchange/silence.go
@@ -0,0 +1,242 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/moorspool/moorspool/src/resume"
+)
+
+// Times of the checks of a peer that sends nothing.
+const (
+	// silenceTimeout is how long a peer may send nothing before the gateway looks for signs that it is lost,
+	// and how often it looks from then on.
+	silenceTimeout = time.Second
+	// suspectAfter is how long a peer's host must have acknowledged nothing for a request that may be
+	// repeated to go elsewhere.
+	suspectAfter = silenceTimeout + reachTimeout
+	// overduePollInterval is how often a request whose response is overdue looks for another peer.
+	overduePollInterval = 250 * time.Millisecond
+	// maxElsewhereDials is how many peers are dialed to learn whether one takes a request.
+	maxElsewhereDials = 2
+)
+
+// decideEarlyEnd decides whether an attempt whose connection is open ends before its deadline: if its peer is
+// proven to be lost, or if it may be and the request is taken elsewhere. Silence alone ends nothing, since a
+// sound peer may pause, and meanwhile new connections to it may not be answered or may be reset.
+func decideEarlyEnd(sign silenceSign, overdue bool, elsewhere func() bool) endCause {
+	switch {
+	case sign.proof != lossUnproven:
+		return causeLoss
+	case sign.suspected && elsewhere():
+		return causeSilence
+	case overdue && elsewhere():
+		return causeOverdueHead
+	}
+	return causeNone
+}
+
+// attemptWatch ends an attempt before its deadline by decideEarlyEnd.
+type attemptWatch struct {
+	ctx  context.Context
+	peer *Peer
+	now  func() time.Time
+	// acknowledgedNothing returns for how long the host of a connection has acknowledged nothing.
+	acknowledgedNothing func(net.Conn) time.Duration
+	// end closes the connection of the attempt.
+	end func()
+	// elsewhere reports whether the request may be sent again and another peer takes it now; begun tells
+	// that its client has a part of the stream.
+	elsewhere func(now time.Time, begun bool) bool
+	startedAt time.Time
+	// heard is when the peer last sent something, as the time since startedAt; 0 if it has not.
+	heard atomic.Int64
+	raw   atomic.Pointer[net.Conn]
+	// begun is set once the client has a part of the stream, bound once it is clear which software may go on
+	// with it.
+	begun, bound  atomic.Bool
+	headRead      atomic.Bool
+	silence, head *time.Timer
+	// givenUp is why the attempt was ended, nil if it was not.
+	givenUp atomic.Pointer[earlyEnd]
+}
+
+// watchAttempt returns a watch that calls end if the attempt is to end before its deadline. The head of the
+// response is overdue from headDue on, the zero time for never.
+func (c *call) watchAttempt(ctx context.Context, peer *Peer, now, headDue time.Time, elsewhere func(time.Time, bool) bool, end func()) *attemptWatch {
+	w := &attemptWatch{ctx: ctx, peer: peer, now: c.handler.options.Now, acknowledgedNothing: c.handler.options.Fleet.unacknowledged, end: end, elsewhere: elsewhere, startedAt: now}
+	w.begun.Store(c.stream != nil && c.stream.started)
+	w.bound.Store(!c.origin.Unresolved())
+	// A check may use its timer, so none starts before both are set.
+	w.silence, w.head = time.AfterFunc(math.MaxInt64, w.checkSilence), time.AfterFunc(math.MaxInt64, w.checkHead)
+	w.silence.Reset(silenceTimeout)
+	if !headDue.IsZero() {
+		w.head.Reset(headDue.Sub(now))
+	}
+	c.watch = w
+	return w
+}
+
+// stop ends the checks.
+func (w *attemptWatch) stop() {
+	w.silence.Stop()
+	w.head.Stop()
+}
+
+// noteSent records the connection on which the request is sent.
+func (w *attemptWatch) noteSent(raw net.Conn) {
+	w.raw.Store(&raw)
+	w.silence.Reset(silenceTimeout)
+}
+
+// noteHead records that the head of a response has arrived, and watches its body.
+func (w *attemptWatch) noteHead(response *http.Response) {
+	w.headRead.Store(true)
+	w.noteHeard()
+	response.Body = &watchedBody{ReadCloser: response.Body, watch: w}
+}
+
+// noteHeard records that the peer has sent something.
+func (w *attemptWatch) noteHeard() {
+	w.heard.Store(int64(max(w.now().Sub(w.startedAt), 1)))
+	w.silence.Reset(silenceTimeout)
+}
+
+// noteBegun records that the client has a part of the stream; bound tells whether it is clear which software may
+// go on with it.
+func (w *attemptWatch) noteBegun(bound bool) {
+	w.bound.Store(bound)
+	w.begun.Store(true)
+}
+
+// heardAt returns when the peer last sent something, the zero time if it has not.
+func (w *attemptWatch) heardAt() time.Time {
+	if heard := w.heard.Load(); heard > 0 {
+		return w.startedAt.Add(time.Duration(heard))
+	}
+	return time.Time{}
+}
+
+// checkSilence looks for signs that the peer is lost. What it sends meanwhile shows that it is not.
+func (w *attemptWatch) checkSilence() {
+	if w.ctx.Err() != nil {
+		return
+	}
+	heard := w.heard.Load()
+	sign := examineSilence(w.peer, w.unacknowledged)
+	if w.heard.Load() == heard && w.endIf(sign, false) {
+		return
+	}
+	w.silence.Reset(silenceTimeout)
+}
+
+// checkHead ends the attempt if the head of its response is overdue and another peer takes the request.
+func (w *attemptWatch) checkHead() {
+	if w.ctx.Err() != nil || w.headRead.Load() || w.endIf(silenceSign{}, true) {
+		return
+	}
+	w.head.Reset(overduePollInterval)
+}
+
+// endIf ends the attempt if it is to end early, and reports whether it is.
+func (w *attemptWatch) endIf(sign silenceSign, overdue bool) bool {
+	cause := decideEarlyEnd(sign, overdue, func() bool { return w.bound.Load() && w.elsewhere(w.now(), w.begun.Load()) })
+	if cause == causeNone {
+		return false
+	}
+	w.givenUp.Store(&earlyEnd{cause: cause, evidence: sign.evidence, proof: sign.proof})
+	w.end()
+	return true
+}
+
+// unacknowledged returns for how long the peer's host has acknowledged nothing, 0 if that is not known. An idle
+// time before the request was sent does not count.
+func (w *attemptWatch) unacknowledged() time.Duration {
+	raw := w.raw.Load()
+	if raw == nil {
+		return 0
+	}
+	since := w.startedAt.Add(time.Duration(w.heard.Load()))
+	return min(w.acknowledgedNothing(*raw), w.now().Sub(since))
+}
+
+// watchedBody is the body of a response whose attempt is watched.
+type watchedBody struct {
+	io.ReadCloser
+	watch *attemptWatch
+}
+
+// Read notes that the peer has sent something.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.watch.noteHeard()
+	}
+	return n, err
+}
+
+// nowhere is the answer of a request that must not be sent again.
+func nowhere(time.Time, bool) bool { return false }
+
+// elsewhere returns a function that tells whether the request, if its attempt at the last one of the tried
+// peers ends now, is taken by another replica. It may be called by another goroutine.
+func (c *call) elsewhere() func(now time.Time, begun bool) bool {
+	if !c.mayRunAgain() {
+		return nowhere
+	}
+	fleet, want, tried, budgetAllows := c.handler.options.Fleet, c.requirements(), slices.Clone(c.tried), c.budgetAllows()
+	return func(now time.Time, begun bool) bool {
+		want := want
+		if begun {
+			want.Origin.Bind(now, tried[len(tried)-1].origin(), resume.Written)
+		}
+		return budgetAllows(now) && fleet.acceptedByOther(now, &want, tried)
+	}
+}
+
+// elsewhereThanAt is elsewhere for a request that is forwarded to a gateway.
+func (c *call) elsewhereThanAt() func(now time.Time, begun bool) bool {
+	if !c.mayRunAgain() {
+		return nowhere
+	}
+	gateways, service, want, tried, budgetAllows := c.handler.gatewayList, c.service, c.requirements(), slices.Clone(c.tried), c.budgetAllows()
+	fleet := c.handler.options.Fleet
+	allowed := func(zone string) bool { return fleet.residencyAllows(&want, zone) }
+	return func(now time.Time, _ bool) bool {
+		if !budgetAllows(now) {
+			return false
+		}
+		to := gateways.pick(now, service, tried, allowed)
+		return to != nil && to.probe() == dialAccepted
+	}
+}
+
+// mayRunAgain reports whether the request may be sent to a further peer after the attempt that begins.
+func (c *call) mayRunAgain() bool {
+	return c.route.Idempotent() && c.possibleRuns+1 < c.route.Attempts
+}
+
+// budgetAllows returns a function that tells whether the retry budget allows a repeat.
+func (c *call) budgetAllows() func(now time.Time) bool {
+	budget, h := c.handler.budgets.get(c.service), c.handler
+	return func(now time.Time) bool { return budget.Allows(now, h.Gateways()) }
+}
+
+// acceptedByOther reports whether a replica that was not tried takes the request and accepts a connection now.
+func (f *Fleet) acceptedByOther(now time.Time, want *Requirements, tried []*Peer) bool {
+	var others []*Peer
+	for _, c := range f.index.lookup(want.Service, copyKey{model: want.Model, adapter: want.Adapter}) {
+		if f.mayKeepCopy(now, want, c, tried) && !c.peer.loadEstimate(now).ejected {
+			others = append(others, c.peer)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return slices.ContainsFunc(others[:min(len(others), maxElsewhereDials)], func(peer *Peer) bool { return peer.probe() == dialAccepted })
+}
--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -216,3 +216,111 @@
 	is.NoErr(got.err)
 	is.Equal(events(got.body), []string{"1", "2"})
 }
+
+func TestWhatEndsAnAttemptBeforeItsDeadline(t *testing.T) {
+	silent, suspected, lost := silenceSign{}, silenceSign{suspected: true}, silenceSign{proof: lossByRefusal}
+	for _, c := range []struct {
+		name      string
+		sign      silenceSign
+		overdue   bool
+		elsewhere bool
+		want      endCause
+	}{
+		{"silence", silent, false, false, causeNone},
+		{"silence, and another one takes it", silent, false, true, causeNone},
+		{"a host that acknowledges nothing", suspected, false, false, causeNone},
+		{"a host that acknowledges nothing, and another one takes it", suspected, false, true, causeSilence},
+		{"an overdue head", silent, true, false, causeNone},
+		{"an overdue head, and another one takes it", silent, true, true, causeOverdueHead},
+		{"a lost replica", lost, false, false, causeLoss},
+		{"a lost replica, and another one takes it", lost, false, true, causeLoss},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(decideEarlyEnd(c.sign, c.overdue, func() bool { return c.elsewhere }), c.want)
+		})
+	}
+}
+
+// silentHost is a replica whose host acknowledges nothing from the second event of its first stream on, and another
+// one.
+func silentHost(t *testing.T, r catalog.Route, unacknowledged time.Duration) *bench {
+	var dead atomic.Pointer[string]
+	serve := func(a arrival) bool {
+		first := dead.CompareAndSwap(nil, &a.replica)
+		a.head()
+		if a.request.Header.Get(testAfter) == "" {
+			a.event(1)
+		}
+		if first {
+			return true
+		}
+		finishStream(a)
+		return true
+	}
+	replicas := []*fakeReplica{newReplica(t, "x", serve), newReplica(t, "y", serve)}
+	b := newBench(t, r, replicas...)
+	for _, f := range replicas {
+		pool := b.fleet.Peer(f.id).pool
+		pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if id := dead.Load(); id != nil && *id == f.id {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return Dial(ctx, address)
+		}
+	}
+	b.fleet.unacknowledged = func(net.Conn) time.Duration { return unacknowledged }
+	return b
+}
+
+func TestAStreamOfASilentHostGoesOnElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		route          catalog.Route
+		unacknowledged time.Duration
+		want           []string
+	}{
+		{"it may be repeated", resumableRoute(2), time.Minute, []string{"1", "2"}},
+		{"it must not be repeated", route(catalog.Streaming, 1), time.Minute, []string{"1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := silentHost(t, c.route, c.unacknowledged)
+			begun := time.Now()
+			got := b.do("POST", "one", "x")
+			is.Equal(events(got.body), c.want)
+			is.Equal(got.err == nil, len(c.want) == 2)
+			if len(c.want) == 2 {
+				is.True(time.Since(begun) < suspectAfter+500*time.Millisecond)
+			}
+		})
+	}
+}
+
+// TestAnOverdueRequestIsNotGivenUpForAnotherSilentReplica: a request that may be repeated was given up at a sound
+// replica, and the next one took no connection.
+func TestAnOverdueRequestIsNotGivenUpForAnotherSilentReplica(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Int64
+	serve := func(a arrival) bool {
+		arrived.Add(1)
+		time.Sleep(1700 * time.Millisecond)
+		return whole(a)
+	}
+	replicas := []*fakeReplica{newReplica(t, "x", serve), newReplica(t, "y", serve)}
+	b := newBench(t, route(catalog.Safe, 2), replicas...)
+	for _, f := range replicas {
+		pool := b.fleet.Peer(f.id).pool
+		pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if arrived.Load() > 0 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return Dial(ctx, address)
+		}
+	}
+	is.Equal(b.do("GET", "one", "").status, http.StatusOK)
+	is.Equal(arrived.Load(), int64(1))
+}
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -35,7 +35,7 @@
 // relayStream passes the events of a stream on as they arrive. pendingPrefill is the prefill time
 // that counts towards the replica's backlog until the first event; prompt is the prompt that is
 // being read.
-func (c *call) relayStream(ctx context.Context, peer *Peer, a *replicaResponse, silenceWatch *watchdog, pendingPrefill *time.Duration, prompt work.Prefill) outcome {
+func (c *call) relayStream(ctx context.Context, peer *Peer, a *replicaResponse, pendingPrefill *time.Duration, prompt work.Prefill) outcome {
 	if c.stream == nil {
 		c.stream = &eventStream{}
 	}
@@ -59,9 +59,7 @@
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := a.response.Body.Read(buffer)
-		silenceWatch.reset()
 		if n > 0 {
-			c.heardAt = c.handler.options.Now()
 			c.handler.options.Fleet.noteContact(peer)
 		}
 		if n > 0 && prompt.Tokens > 0 {
@@ -80,10 +78,6 @@
 				return truncated
 			}
 			c.storeOrigin()
-			if c.backup != nil && !c.route.Idempotent() {
-				// The stream can go on at its backup alone, and only after a proven loss.
-				silenceWatch.requireProof()
-			}
 		}
 		switch {
 		case err == io.EOF:
@@ -115,6 +109,7 @@
 		c.useFraming(endByLastChunk)
 		c.logUnframed(peer, a.end)
 		c.beginResponse(a.response.StatusCode)
+		c.watch.noteBegun(!c.origin.Unresolved())
 	}
 	_, err := c.writer.Write(events)
 	if err == nil {
