LOST: what has arrived is passed on to a slow client, whatever becomes of its server

What callers saw: a client that read an answer slowly had it broken off, with what was missing already at the gateway. Cause: the time in which a gateway writes to a slow client counted as silence of the server. One that had sent everything and ended refuses connections, which proves its loss, and the attempt was ended with the rest of the answer unread. Ruled out: the client's write deadline (a second after its own deadline). Evidence: TestASlowClientGetsTheWholeAnswerOfAReplicaThatHasEnded failed 3 of 3 with "unexpected EOF", on the code before too. Change: silence is counted only while the gateway waits for the server. Why it holds: nothing is examined between two reads, and a read that returns bytes ends the count.

--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -61,8 +61,10 @@
 	raw   atomic.Pointer[net.Conn]
 	// begun is set once the client has a part of the stream, bound once it is clear which software may go on
 	// with it.
-	begun, bound  atomic.Bool
-	headRead      atomic.Bool
+	begun, bound atomic.Bool
+	headRead     atomic.Bool
+	// relaying is set while what the peer sent is passed on, so that it is not waited for.
+	relaying      atomic.Bool
 	silence, head *time.Timer
 	// givenUp is why the attempt was ended, nil if it was not.
 	givenUp atomic.Pointer[earlyEnd]
@@ -129,10 +131,12 @@
 	if w.ctx.Err() != nil {
 		return
 	}
-	heard := w.heard.Load()
-	sign := examineSilence(w.peer, w.unacknowledged)
-	if w.heard.Load() == heard && w.endIf(sign, false) {
-		return
+	if !w.relaying.Load() {
+		heard := w.heard.Load()
+		sign := examineSilence(w.peer, w.unacknowledged)
+		if w.heard.Load() == heard && w.endIf(sign, false) {
+			return
+		}
 	}
 	w.silence.Reset(silenceTimeout)
 }
@@ -173,10 +177,14 @@
 	watch *attemptWatch
 }
 
-// Read notes that the peer has sent something.
+// Read tells the watch for how long the peer is waited for, and when it has sent something.
 func (b *watchedBody) Read(p []byte) (int, error) {
+	if b.watch.relaying.CompareAndSwap(true, false) {
+		b.watch.silence.Reset(silenceTimeout)
+	}
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
+		b.watch.relaying.Store(true)
 		b.watch.noteHeard()
 	}
 	return n, err
--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -1,7 +1,10 @@
 package exchange
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -324,3 +327,34 @@
 	is.Equal(b.do("GET", "one", "").status, http.StatusOK)
 	is.Equal(arrived.Load(), int64(1))
 }
+
+// TestASlowClientGetsTheWholeAnswerOfAReplicaThatHasEnded: a client read slowly, the replica had sent everything and
+// ended meanwhile, and what had arrived was dropped since its host refused connections.
+func TestASlowClientGetsTheWholeAnswerOfAReplicaThatHasEnded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const length = 4 << 20
+	var x *fakeReplica
+	x = newReplica(t, "x", func(a arrival) bool {
+		_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", testID, a.name(), length)
+		_ = a.conn.(*net.TCPConn).SetWriteBuffer(length)
+		_, _ = a.conn.Write(make([]byte, length))
+		_ = x.listener.Close()
+		return false
+	})
+	r := route(catalog.Unsafe, 1)
+	r.Timeout = 10 * time.Second
+	b := newBench(t, r, x)
+	raw, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer raw.Close()
+	is.NoErr(raw.(*net.TCPConn).SetReadBuffer(64 << 10))
+	_, err = fmt.Fprintf(raw, "POST /p/x HTTP/1.1\r\nHost: h.example\r\n%s: one\r\nContent-Length: 0\r\n\r\n", testID)
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(raw), nil)
+	is.NoErr(err)
+	time.Sleep(2*silenceTimeout + reachTimeout)
+	n, err := io.Copy(io.Discard, response.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(length))
+}
