Routing: a server that goes on after a silence is used again at once

What callers saw: after a server had been silent for a second, requests avoided it for up to 4 s more (0.4 s, doubled by each further dial that was not answered), though it was at work on streams again; with several such servers requests were refused or went to the others. Cause: an ejection ended with its time or with a request that succeeded at the server, not with what it sends on those under way. Ruled out: crash detection: a dial that is not answered condemns nothing; what was under way counts as suspect for 10 s, and only if a later start or a refused dial proves a crash; quarantine and links are not touched by silence (a service is out of reach only while two of its servers fail, and is back as two accept). Change: what a server sends ends its ejection, if that was for dials that failed while it had sent nothing for 0.3 s. One that fails requests, or whose open connections live on while new ones fail, stays ejected (TestOnlyAnEjectionForSilenceEndsWithWhatArrives). Conclusion: what a silence costs the others ends with it.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -251,7 +251,7 @@
 	}
 	if ctx.Err() == nil {
 		c.connectionBroke = sent && !tooLong && !errors.Is(err, errOtherRequest)
-		pause := peer.failed(h.options.Now(), !errors.Is(err, errOtherRequest))
+		pause := noteFailure(h.options.Now(), peer, err)
 		h.options.Ring.Add(event.Event{Kind: event.HostEjected, Request: c.requestInfo.ID, Host: peer.ID(), Reason: err.Error() + "; avoided for " + pause.String()})
 	}
 	if sent {
@@ -260,6 +260,14 @@
 	return notRun
 }
 
+// noteFailure records a failed attempt, and returns for how long the replica is ejected.
+func noteFailure(now time.Time, peer *Peer, err error) time.Duration {
+	if errors.Is(err, errNotSent) {
+		return peer.notConnected(now)
+	}
+	return peer.failed(now, !errors.Is(err, errOtherRequest))
+}
+
 // noteTooLong records that a replica sent more than is read in one place of a response. It returns false
 // for any other error.
 func (c *call) noteTooLong(peer *Peer, err error) bool {
--- a/src/exchange/links.go
+++ b/src/exchange/links.go
@@ -26,8 +26,10 @@
 
 // noteContact records that a replica has sent something. Other gateways have no service.
 func (f *Fleet) noteContact(peer *Peer) {
+	now := f.now()
+	peer.noteHeard(now)
 	if peer.service != "" {
-		f.links.Contact(f.now(), peer.service)
+		f.links.Contact(now, peer.service)
 	}
 }
 
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -61,6 +61,10 @@
 	counted        bool
 	countedVersion string
 
+	// heardAt is when the peer last sent something, in nanoseconds since 1970, 0 for never. ejectedSilent is set
+	// while it is ejected since a dial failed while it sent nothing.
+	heardAt       atomic.Int64
+	ejectedSilent atomic.Bool
 	// probes shares the dials that look for signs of its loss.
 	probes singleflight.Group
 
@@ -234,9 +238,30 @@
 	pause := min(minEjection<<min(p.failures, 8), maxEjection)
 	p.failures++
 	p.ejected = now.Add(pause)
+	p.ejectedSilent.Store(false)
 	return pause
 }
 
+// notConnected records that the peer could not be connected to, and returns for how long it is ejected.
+func (p *Peer) notConnected(now time.Time) time.Duration {
+	pause := p.failed(now, true)
+	p.ejectedSilent.Store(now.Sub(time.Unix(0, p.heardAt.Load())) >= reachTimeout)
+	return pause
+}
+
+// noteHeard records that the peer has sent something. If it was ejected for its silence, it no longer is. One
+// whose open connections live on while new ones fail stays ejected.
+func (p *Peer) noteHeard(now time.Time) {
+	p.heardAt.Store(now.UnixNano())
+	if !p.ejectedSilent.CompareAndSwap(true, false) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures = 0
+	p.ejected = time.Time{}
+}
+
 // noteMissingCopy records that the replica reported not to have a copy.
 func (p *Peer) noteMissingCopy(now time.Time, model, adapter string) {
 	p.mu.Lock()
--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -358,3 +358,73 @@
 	is.NoErr(err)
 	is.Equal(n, int64(length))
 }
+
+// TestAReplicaThatGoesOnIsNotAvoidedForItsSilence: a replica that had been silent for a second was avoided for up to four
+// more, since dials to it had not been answered.
+func TestAReplicaThatGoesOnIsNotAvoidedForItsSilence(t *testing.T) {
+	is := is.New(t)
+	goOn, finish := make(chan struct{}), make(chan struct{})
+	x := newReplica(t, "x", func(a arrival) bool {
+		if a.name() != "stream" {
+			return whole(a)
+		}
+		beginStream(a)
+		<-goOn
+		a.event(2)
+		<-finish
+		a.endStream()
+		return true
+	})
+	b := newBench(t, route(catalog.Streaming, 1), x)
+	peer := b.fleet.Peer("x")
+	done := make(chan clientResponse, 1)
+	go func() { done <- b.do("POST", "stream", "x") }()
+	for x.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var silent atomic.Bool
+	silent.Store(true)
+	time.Sleep(reachTimeout)
+	peer.pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if silent.Load() {
+			return nil, context.DeadlineExceeded
+		}
+		return Dial(ctx, address)
+	}
+	for i := range 4 {
+		is.Equal(b.do("POST", fmt.Sprint("other-", i), "x").status, http.StatusServiceUnavailable)
+	}
+	is.True(peer.loadEstimate(time.Now()).ejected)
+	silent.Store(false)
+	close(goOn)
+	time.Sleep(minEjection / 4)
+	is.True(!peer.loadEstimate(time.Now()).ejected)
+	close(finish)
+	is.NoErr((<-done).err)
+}
+
+// TestOnlyAnEjectionForSilenceEndsWithWhatArrives: a replica may fail requests, or new connections, and go on with
+// others.
+func TestOnlyAnEjectionForSilenceEndsWithWhatArrives(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name  string
+		heard time.Time
+		fail  func(p *Peer) time.Duration
+		want  bool
+	}{
+		{"dials failed while it was silent", now.Add(-silenceTimeout), func(p *Peer) time.Duration { return p.notConnected(now) }, false},
+		{"dials failed while it sent", now, func(p *Peer) time.Duration { return p.notConnected(now) }, true},
+		{"requests failed", now.Add(-silenceTimeout), func(p *Peer) time.Duration { return p.failed(now, true) }, true},
+		{"dials failed, then requests", now.Add(-silenceTimeout), func(p *Peer) time.Duration { return p.notConnected(now) + p.failed(now, true) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			peer := newPeer(registry.Record{ID: "x", Service: "s", Address: "127.0.0.1:1"}, Dial)
+			peer.noteHeard(c.heard)
+			c.fail(peer)
+			peer.noteHeard(now)
+			is.Equal(peer.loadEstimate(now).ejected, c.want)
+		})
+	}
+}
