Exchange tests: buffered bytes are counted once the handlers have returned

Cause: TestBodiesOfFailuresAreCountedAsBuffered asked for 0 buffered bytes once its clients had their responses. A response longer than the buffers of net/http leaves before its handler returns, and the bytes are given back by a deferred call of the handler.

Ruled out: a leak.

Change: awaitHandlers waits, up to 10 s, until the handler has no request in progress, which is the last thing that a request changes; the test then asks once for exactly 0, as before.

Conclusion: an error in the order of the test.

--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -306,6 +306,18 @@
 	b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: id, Service: "s", Address: address, Zone: "z", SoftwareVersion: "v1", Slots: 4}}}})
 }
 
+// awaitHandlers waits until no request is in progress. A client may have its whole response before the
+// handler has returned.
+func (b *bench) awaitHandlers() {
+	b.t.Helper()
+	for wait := 0; b.handler.Running() > 0; wait++ {
+		if wait == 10_000 {
+			b.t.Fatalf("%d requests are still in progress", b.handler.Running())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // clientResponse is a response as received by the client.
 type clientResponse struct {
 	status int
--- a/src/exchange/retention_test.go
+++ b/src/exchange/retention_test.go
@@ -158,6 +158,7 @@
 	b.awaitRetained(limit - length)
 	close(release)
 	all.Wait()
+	b.awaitHandlers()
 	is.Equal(b.handler.retention.used.Load(), int64(0))
 }
 
