Product's own path: a head of a backend server is read only once it is whole

What callers saw: a 200 with an empty body, to the close, for an answer whose head was cut after a folded field ("Folded: a\r\n b\r\n", then the close); a 103 without a body for an answer that an interim head preceded (two 100s likewise a 100); a 200 or a status below 100 for "HTTP/1.1 0", "HTTP/1.1 20" and for any first word in place of HTTP/1.1; the last one of two lengths that differ; and, after a whole head with a folded field, a body that was moved by the length of the fold ("llo-world1d1" for "hello-world1").

Cause: Hertz's parser of heads. A folded field is joined in its read buffer, which moves what follows, and the copied tail then ends the head. Only one interim head is passed over, only a 100. Protocol, status and lengths are hardly checked. It needs no fault at a certain byte: a service that sends 103 is enough.

Ruled out: joining folded fields before Hertz reads them, since its buffer may be in several pieces; a check after the call, which sees neither the bytes nor the connection.

--- a/src/dial/dialer.go
+++ b/src/dial/dialer.go
@@ -140,6 +140,8 @@
 	once   sync.Once
 	closed atomic.Bool
 	err    error
+	// headPending is set until the head of the response to the last request has been checked.
+	headPending bool
 }
 
 // Close closes the connection once.
@@ -161,9 +163,21 @@
 	if c.closed.Load() {
 		return &Error{address: c.RemoteAddr().String(), cause: net.ErrClosed}
 	}
+	c.headPending = true
 	return c.Conn.SetWriteTimeout(t)
 }
 
+// Peek returns the next n bytes. Before the first bytes of a response it waits for its whole head.
+func (c *trackedConn) Peek(n int) ([]byte, error) {
+	if c.headPending {
+		if err := c.awaitHead(); err != nil {
+			return nil, err
+		}
+		c.headPending = false
+	}
+	return c.Conn.Peek(n)
+}
+
 // ToHertzError converts network errors to those of hertz if the underlying connection supports it.
 func (c *trackedConn) ToHertzError(err error) error {
 	if normal, ok := c.Conn.(network.ErrorNormalization); ok {
