Product's own path: a failed read is not the end of a body

What callers saw: a 200 with the first part of a body that the service had reset, ended in order to the close; a whole answer, framed by its length, for chunks without their last line or with half a trailer.

Cause: Hertz takes any error for the end of a body that ends with its connection, and any error in the trailer for the end of the chunks. The next read of a connection that was reset says EOF, so that nothing is left to see afterwards.

Change: the connection keeps the first error of a read since its request, and a body ends in order only if there was none, or if it ends with its connection and that was closed in order. The check is in the client that calls of plain services and streams of engines use.

--- a/src/dial/dialer.go
+++ b/src/dial/dialer.go
@@ -59,7 +59,7 @@
 
 // New returns a client. cut simulates network partitions in tests and may be nil.
 func New(cut *fault.Cut, options Options) (*Client, error) {
-	d := &dialer{Dialer: cut.NewDialer(), conns: map[endpoints]network.Conn{}}
+	d := &dialer{Dialer: cut.NewDialer(), conns: map[endpoints]*trackedConn{}}
 	c, err := client.NewClient(
 		client.WithDialer(d),
 		client.WithDialTimeout(options.Dial),
@@ -99,7 +99,7 @@
 type dialer struct {
 	network.Dialer
 	mu    sync.Mutex
-	conns map[endpoints]network.Conn
+	conns map[endpoints]*trackedConn
 }
 
 // DialConnection connects and registers the connection by its endpoints.
@@ -117,15 +117,19 @@
 }
 
 func (d *dialer) abort(ends endpoints) {
-	d.mu.Lock()
-	conn := d.conns[ends]
-	d.mu.Unlock()
-	if conn != nil {
+	if conn := d.find(ends); conn != nil {
 		_ = conn.Close()
 	}
 }
 
-func (d *dialer) remove(ends endpoints, conn network.Conn) {
+// find returns the open connection with the given endpoints, nil if there is none.
+func (d *dialer) find(ends endpoints) *trackedConn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.conns[ends]
+}
+
+func (d *dialer) remove(ends endpoints, conn *trackedConn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.conns[ends] == conn {
@@ -142,6 +146,8 @@
 	err    error
 	// headPending is set until the head of the response to the last request has been checked.
 	headPending bool
+	// readErr is the first error of a read since the last request.
+	readErr error
 }
 
 // Close closes the connection once.
@@ -157,13 +163,13 @@
 // SetReadTimeout sets the read timeout of the underlying connection.
 func (c *trackedConn) SetReadTimeout(t time.Duration) error { return c.Conn.SetReadTimeout(t) }
 
-// SetWriteTimeout is called by the HTTP library before it writes a request. For a connection that was
+// SetWriteTimeout is called by Hertz before it writes a request. For a connection that was
 // aborted and is then reused, it returns an Error to report that nothing was sent.
 func (c *trackedConn) SetWriteTimeout(t time.Duration) error {
 	if c.closed.Load() {
 		return &Error{address: c.RemoteAddr().String(), cause: net.ErrClosed}
 	}
-	c.headPending = true
+	c.headPending, c.readErr = true, nil
 	return c.Conn.SetWriteTimeout(t)
 }
 
@@ -171,11 +177,38 @@
 func (c *trackedConn) Peek(n int) ([]byte, error) {
 	if c.headPending {
 		if err := c.awaitHead(); err != nil {
-			return nil, err
+			return nil, c.noteRead(err)
 		}
 		c.headPending = false
 	}
-	return c.Conn.Peek(n)
+	p, err := c.Conn.Peek(n)
+	return p, c.noteRead(err)
+}
+
+// Read reads bytes of a body.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return n, c.noteRead(err)
+}
+
+// ReadByte reads one byte of a body.
+func (c *trackedConn) ReadByte() (byte, error) {
+	p, err := c.Conn.ReadByte()
+	return p, c.noteRead(err)
+}
+
+// ReadBinary reads n bytes of a body.
+func (c *trackedConn) ReadBinary(n int) ([]byte, error) {
+	p, err := c.Conn.ReadBinary(n)
+	return p, c.noteRead(err)
+}
+
+// noteRead keeps the first error of a read and returns the error.
+func (c *trackedConn) noteRead(err error) error {
+	if c.readErr == nil {
+		c.readErr = err
+	}
+	return err
 }
 
 // ToHertzError converts network errors to those of hertz if the underlying connection supports it.
--- a/src/dial/dialer_test.go
+++ b/src/dial/dialer_test.go
@@ -36,7 +36,7 @@
 // connection of the other, so that another client's answer was broken off.
 func TestAbortClosesTheConnectionOfItsResponse(t *testing.T) {
 	is := is.New(t)
-	d := &dialer{Dialer: fakeDialer{}, conns: map[endpoints]network.Conn{}}
+	d := &dialer{Dialer: fakeDialer{}, conns: map[endpoints]*trackedConn{}}
 	var conns []*fakeConn
 	var responses []*protocol.Response
 	for _, address := range []string{"127.0.0.2:1", "127.0.0.3:1"} {
--- a/src/dial/response.go
+++ b/src/dial/response.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 )
 
@@ -16,12 +18,64 @@
 	maxInterimResponses = 16
 )
 
+// lengthUntilClose is how Hertz marks a body that ends with its connection.
+const lengthUntilClose = -2
+
 var (
 	errHeadTooLong = errors.New("the head of the response is too long")
 	errFoldedField = errors.New("the head of the response has a folded field")
 	errInterim     = errors.New("there are too many interim responses")
 )
 
+// EndsByClose reports whether the body of a response ends with its connection, so that nothing proves that
+// it is complete.
+func EndsByClose(response *protocol.Response) bool {
+	return response.Header.ContentLength() == lengthUntilClose && !response.MustSkipBody()
+}
+
+// Do sends a request. Reading the body of the response returns an error unless all of it arrives.
+func (c *Client) Do(ctx context.Context, request *protocol.Request, response *protocol.Response) error {
+	if err := c.Client.Do(ctx, request, response); err != nil {
+		return err
+	}
+	if !response.IsBodyStream() {
+		return nil
+	}
+	conn := c.dialer.find(endpointsOf(response.LocalAddr(), response.RemoteAddr()))
+	if conn == nil {
+		return errors.New("the connection was closed")
+	}
+	body := &body{stream: response.BodyStream(), conn: conn, endsByClose: EndsByClose(response)}
+	response.ConstructBodyStream(response.BodyBuffer(), body)
+	return nil
+}
+
+// body is the body of a response. Hertz takes a failed read for the end of a body in some places, so its end
+// is checked against what was read from the connection.
+type body struct {
+	stream      io.Reader
+	conn        *trackedConn
+	endsByClose bool
+}
+
+// Read returns io.EOF only at the end of the whole body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.stream.Read(p)
+	failed := b.conn.readErr
+	if err == io.EOF && failed != nil && !(b.endsByClose && failed == io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Close releases the connection.
+func (b *body) Close() error {
+	if closer, ok := b.stream.(io.Closer); ok {
+		return closer.Close()
+	}
+	return nil
+}
+
 // awaitHead waits for the head of a response and passes over interim ones. It returns an error for a head
 // that is incomplete or ambiguous, some of which Hertz accepts.
 func (c *trackedConn) awaitHead() error {
--- a/src/service/client.go
+++ b/src/service/client.go
@@ -20,9 +20,6 @@
 	maxConns     = 1024
 )
 
-// lengthUntilClose is how the HTTP library marks a body that ends with its connection.
-const lengthUntilClose = -2
-
 // HeaderKey is the header of a call's idempotency key, after the IETF draft "The Idempotency-Key
 // HTTP Header Field".
 const HeaderKey = "Idempotency-Key"
@@ -112,7 +109,7 @@
 		_ = response.CloseBodyStream()
 		return Answer{}, &Failure{NotRun: true, Leaving: leaving, Status: status, cause: errors.Errorf("the service answered %d, not run", status)}
 	}
-	endsByClose := response.Header.ContentLength() == lengthUntilClose && !response.MustSkipBody()
+	endsByClose := dial.EndsByClose(response)
 	body, err := response.BodyE()
 	if err != nil {
 		return Answer{}, &Failure{cause: errors.Wrap(err, "the answer broke off")}
--- a/src/service/cuthead_test.go
+++ b/src/service/cuthead_test.go
@@ -70,6 +70,11 @@
 	forOnceAndNot(t, func(t *testing.T, once bool) { wantNoAnswer(t, once, false) })
 }
 
+// TestACutBodyIsNoAnswer: a body that was reset, or lacked its trailer, was taken for a whole one.
+func TestACutBodyIsNoAnswer(t *testing.T) {
+	forOnceAndNot(t, func(t *testing.T, once bool) { wantNoAnswer(t, once, true) })
+}
+
 func TestAnAnswerThatStopsOnAnOpenConnectionIsNoAnswer(t *testing.T) {
 	forOnceAndNot(t, func(t *testing.T, once bool) {
 		var calls sync.WaitGroup
