Streams of engines: an event that was cut off is not passed on

What callers saw: part of an event as a whole one ("twe" for "twelve"), an event without data under a shorter ID ("id: 1" of "id: 12"), or a stream that counted as complete after "data: [DONE]" without the blank line, where the body ended inside an event: to the close, or by a length or last chunk of its own.

Cause: the reader of events passes on what it holds when the body ends. The standard discards it, since an event ends with a blank line.

Change: the body of a stream never ends in order for that reader; a stream ends with its last event.

Ruled out for the answers to orders and report requests, which the same tests cut at every byte: a JSON value shows that it is whole.

--- a/src/engine/stream.go
+++ b/src/engine/stream.go
@@ -125,6 +125,7 @@
 		stream.Close()
 		return nil, failure
 	}
+	response.ConstructBodyStream(response.BodyBuffer(), &eventBody{stream: response.BodyStream()})
 	reader, err := sse.NewReader(response)
 	if err != nil {
 		stream.Close()
@@ -135,6 +136,27 @@
 	return stream, nil
 }
 
+// eventBody is the body of a stream. At the end of a body the reader of events passes on an event that was
+// cut off there, so that end is an error: a stream ends with an event.
+type eventBody struct{ stream io.Reader }
+
+// Read never returns io.EOF.
+func (b *eventBody) Read(p []byte) (int, error) {
+	n, err := b.stream.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Close releases the connection.
+func (b *eventBody) Close() error {
+	if closer, ok := b.stream.(io.Closer); ok {
+		return closer.Close()
+	}
+	return nil
+}
+
 func fillRequest(request *protocol.Request, address string, r Request) {
 	request.SetMethod(consts.MethodPost)
 	request.SetRequestURI("http://" + address + r.Path)
