--- a/src/cuttest/cuttest.go
+++ b/src/cuttest/cuttest.go
@@ -180,7 +180,7 @@
 	Address string
 
 	mu       sync.Mutex
-	answer   Cut
+	answer   func() Cut
 	requests int
 }
 
@@ -206,7 +206,10 @@
 }
 
 // Set sets the answer to the requests that follow.
-func (s *Server) Set(answer Cut) {
+func (s *Server) Set(answer Cut) { s.SetFunc(func() Cut { return answer }) }
+
+// SetFunc sets a function that returns the answer to each of the requests that follow.
+func (s *Server) SetFunc(answer func() Cut) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answer = answer
@@ -223,7 +226,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests++
-	return s.answer
+	return s.answer()
 }
 
 func (s *Server) serve(conn net.Conn) {
