Answers: a head that names two requests answers neither

What callers saw: another request's answer, whole and framed as theirs, or a request that may run once at two replicas. A replica stops in a value of its answer's head, after its request's ID, and the bytes of an answer to another request follow ("Stamp: x.oHTTP/1.1 200 OK"): one valid head with two IDs, of which the first counted, and the second one's length and body. A rejection as the second one let the first request be sent elsewhere.

Cause: the ID was read as the first of the field's values.

Change: a field that may occur once is read as HTTP reads repeated ones, as a list, if its values differ. The list is no request's ID, so that the head is passed over as a late one, as before for an answer to another request.

Ruled out: looking for a status line in values, which a value may hold; refusing repeated fields in general, which are allowed. Answers on the product's own path name no request, so this can't be seen there.

--- a/src/cuttest/cuttest.go
+++ b/src/cuttest/cuttest.go
@@ -135,7 +135,7 @@
 	var cuts []Cut
 	for _, a := range Answers(status, fields, content) {
 		for _, n := range []int{0, len("HTTP/1.1 200"), len(a.Head) - 2, len(a.Head), len(a.Head) + len(a.Body)/2} {
-			cuts = append(cuts, Cut{Text: a.Text()[:n], Ending: Hold})
+			cuts = append(cuts, Cut{Text: a.Text()[:n], Ending: Hold, InBody: n >= len(a.Head)})
 		}
 	}
 	for _, heads := range interim {
--- a/src/exchange/codec.go
+++ b/src/exchange/codec.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/moorspool/moorspool/src/catalog"
@@ -121,6 +123,17 @@
 // restriction of its replica either, but what it asks for is granted.
 func (r *Reply) answers(id string) bool { return r.ID == id }
 
+// FieldValue returns the value of a field that may occur once in a head. If it occurs again with another value
+// all of them are returned as one list: in a head that was cut off another one may follow, and such a head
+// names neither of their requests.
+func FieldValue(header http.Header, name string) string {
+	values := header.Values(name)
+	if len(values) < 2 {
+		return header.Get(name)
+	}
+	return strings.Join(slices.Compact(slices.Clone(values)), ", ")
+}
+
 // rejected reports whether the replica rejected the request for another reason than the models that
 // it holds.
 func (r *Reply) rejected() bool { return r.NotRun && !r.Misdirected }
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -87,7 +87,7 @@
 				RejectionLimit: RejectionLimit{Told: header.Get(testRejections) != ""},
 				Cold:           time.Duration(cold) * time.Millisecond,
 				Limit:          RateLimit{Valid: err == nil, PerSecond: limit},
-				ID:             header.Get(testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Misdirected: status == http.StatusMisdirectedRequest,
+				ID:             FieldValue(header, testID), NotRun: header.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest, Misdirected: status == http.StatusMisdirectedRequest,
 				Backoff: time.Duration(ms) * time.Millisecond, Leaving: header.Get(testLeaving) != "",
 			}
 		},
