--- a/src/exchange/earlyend_test.go
+++ b/src/exchange/earlyend_test.go
@@ -13,19 +13,6 @@
 	"github.com/moorspool/moorspool/src/event"
 )
 
-// handlerIdleTimeout limits the wait for the handlers of requests whose clients have their answers.
-const handlerIdleTimeout = 5 * time.Second
-
-// awaitIdle waits until no request is in progress.
-func (b *bench) awaitIdle() {
-	b.t.Helper()
-	for until := time.Now().Add(handlerIdleTimeout); b.handler.Running() > 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(until) {
-			b.t.Fatal("requests are still in progress")
-		}
-	}
-}
-
 // recordEvents makes the handler log to a ring.
 func (b *bench) recordEvents() *event.Ring {
 	ring := event.NewRing("n", 256, nil, time.Now)
@@ -81,7 +68,7 @@
 			b := newBench(t, r, newReplica(t, "x", c.act))
 			ring := b.recordEvents()
 			_ = b.do("POST", "one", "x")
-			b.awaitIdle()
+			b.awaitHandlers()
 			lines := endedEarly(ring)
 			is.Equal(len(lines), 1)
 			is.True(strings.HasPrefix(lines[0], c.want[0]+", "))
@@ -115,7 +102,7 @@
 			cancel()
 		}()
 		_ = b.doIn(ctx, "POST", "one", "x")
-		b.awaitIdle()
+		b.awaitHandlers()
 		left, _ := ring.Since(0, event.ClientDisconnected.String())
 		is.Equal(len(left) == 0, cutOff)
 		is.Equal(len(endedEarly(ring)) == 1, cutOff)
