Stop: no request that has arrived is dropped as a server stops

What callers saw: around a planned stop of a gateway, requests on open connections ended without an answer. Cause: Shutdown of the HTTP library counts a connection as idle until the head of its request was parsed and closes it with what it holds; it drops each request that it reads afterwards, on connections that it keeps open, new ones among them, and it waits over 5 s for a connection that never sent anything. The server for forwarded requests closed its listener with the connections that the kernel still held. Change: package graceful, used by the servers for clients, for other gateways and for calls of control nodes. The listener is closed once no connection waits in it. A connection counts as idle by the bytes that were read from it: reads and closes exclude each other, unread bytes are looked for right before the close, and half a second is left for a client's next request. What crosses the close is not read, so it is not passed on either.

--- a/src/exchange/clientconn.go
+++ b/src/exchange/clientconn.go
@@ -6,7 +6,12 @@
 	"net/http"
 )
 
-// Values for net.TCPConn.SetLinger.
+// lingerConn is a connection whose close can be set to reset it, as *net.TCPConn.
+type lingerConn interface {
+	SetLinger(seconds int) error
+}
+
+// Values for lingerConn.
 const (
 	lingerReset   = 0
 	lingerDefault = -1
@@ -23,7 +28,7 @@
 
 // setLinger sets what a close of the client's connection does.
 func (c *call) setLinger(seconds int) {
-	if tcp, ok := c.request.Context().Value(connKey{}).(*net.TCPConn); ok {
+	if tcp, ok := c.request.Context().Value(connKey{}).(lingerConn); ok {
 		_ = tcp.SetLinger(seconds)
 	}
 }
@@ -52,7 +57,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(lingerConn); ok {
 		_ = tcp.SetLinger(lingerReset)
 	}
 	_ = conn.Close()
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -330,7 +329,7 @@
 	if err != nil {
 		return err
 	}
-	defer calls.Close()
+	defer calls.close()
 	c.proc.SetReady(true)
 	for {
 		select {
@@ -378,11 +377,11 @@
 }
 
 // stop hands over leadership and ends the node.
-func (c *controlNode) stop(calls *http.Server) {
+func (c *controlNode) stop(calls *server) {
 	c.proc.SetLeaving()
 	c.cluster.TransferLeadership()
 	ctx, cancel := context.WithTimeout(context.Background(), handOverWait)
 	defer cancel()
-	_ = calls.Shutdown(ctx)
+	_ = calls.stop(ctx)
 	<-ctx.Done()
 }
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -47,9 +43,6 @@
 	tidyInterval = time.Second
 	// linkProbeInterval is the interval of dials to services that this gateway can't connect to.
 	linkProbeInterval = 150 * time.Millisecond
-	// headerTimeout and idleTimeout apply to clients' connections.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 75 * time.Second
 	// gatewayGCPercent lets a gateway's heap double between two collections: with the 40 % of other
 	// processes, an idle gateway spent a fifth of its time on collections. A gateway uses some 14
 	// MB of its 184 MB.
@@ -173,7 +166,7 @@
 }
 
 // serve runs the gateway until a signal other than SIGHUP.
-func (g *gateway) serve(signals <-chan os.Signal, forwarded *forwardServer) error {
+func (g *gateway) serve(signals <-chan os.Signal, forwarded *server) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clients, err := listen(g.settings.Clients, g.handler)
@@ -184,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	defer ready.Close()
+	defer ready.close()
 	go g.follower.Run(ctx)
 	go g.reportDemand(ctx)
 	go g.tidy(ctx)
@@ -347,7 +340,7 @@
 
 // stop shuts a gateway down: it fails the readiness check and waits for the load balancer, then
 // closes the listener and completes the requests in progress.
-func (g *gateway) stop(clients *http.Server, forwarded *forwardServer) {
+func (g *gateway) stop(clients *server, forwarded *server) {
 	began := time.Now()
 	limit := g.settings.StopLimit.Std() - stopMargin
 	g.stopping.Store(true)
@@ -358,27 +351,12 @@
 	time.Sleep(min(g.settings.BalancerLag.Std(), limit/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
 	defer cancel()
-	_ = clients.Shutdown(ctx)
+	defer clients.close()
+	defer forwarded.close()
+	_ = clients.stop(ctx)
 	// Until others know that this gateway leaves, they get an answer that says so.
 	time.Sleep(min(time.Until(began.Add(peerListLag)), time.Until(began.Add(limit))))
-	forwarded.stop(ctx)
-}
-
-// listen starts a server for a handler at an address.
-func listen(address string, handler http.Handler) (*http.Server, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listening")
-	}
-	server := &http.Server{
-		Handler:           handler,
-		ConnContext:       exchange.ConnContext,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          log.New(io.Discard, "", 0),
-	}
-	go func() { _ = server.Serve(ln) }()
-	return server, nil
+	_ = forwarded.stop(ctx)
 }
 
 // limitMemory sets the Go memory limit well below the memory of the process.
--- a/src/fleet/listen_test.go
+++ b/src/fleet/listen_test.go
@@ -11,13 +11,13 @@
 	is := is.New(t)
 	server, err := listen("127.0.0.1:0", http.NotFoundHandler())
 	is.NoErr(err)
-	defer server.Close()
-	is.True(server.ConnContext != nil) // a response to the close can't be guarded
+	defer server.close()
+	is.True(server.http.ConnContext != nil) // a response to the close can't be guarded
 
 	g := &gateway{}
 	g.settings.Listen = "127.0.0.1"
 	forwarded, err := g.listenForwarded()
 	is.NoErr(err)
-	is.True(forwarded.server.ConnContext != nil)
-	is.NoErr(forwarded.server.Close())
+	is.True(forwarded.http.ConnContext != nil)
+	forwarded.close()
 }
--- /dev/null
+++ b/src/fleet/server_test.go
@@ -0,0 +1,240 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	stopRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	stopLimit   = 10 * time.Second
+	// stopSeeds and stopConns are the stops of a test and the connections of each.
+	stopSeeds = 30
+	stopConns = 64
+)
+
+// keptConn is a client's connection that was used before.
+type keptConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// keepConn opens a connection to a server and uses it once.
+func keepConn(t *testing.T, address string) *keptConn {
+	t.Helper()
+	c := newKeptConn(t, address)
+	c.send(t, stopRequest)
+	if body := c.answer(); body != "whole" {
+		t.Fatalf("the answer before the stop is %q", body)
+	}
+	return c
+}
+
+func newKeptConn(t *testing.T, address string) *keptConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return &keptConn{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *keptConn) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Errorf("sending: %v", err)
+	}
+}
+
+// answer returns the body of the next answer, or how the connection ended.
+func (c *keptConn) answer() string {
+	_ = c.SetReadDeadline(time.Now().Add(stopLimit))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+// stoppingServer is a server whose answers say while it stops that the connection will be closed.
+type stoppingServer struct {
+	server   *server
+	address  string
+	stopping atomic.Bool
+	// begun is told of each request to /slow, which is answered once goOn is closed.
+	begun, goOn chan struct{}
+}
+
+func newStoppingServer(t *testing.T) *stoppingServer {
+	t.Helper()
+	s := &stoppingServer{begun: make(chan struct{}, 1), goOn: make(chan struct{})}
+	server, err := listen("127.0.0.1:0", http.HandlerFunc(s.serve))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.close)
+	s.server, s.address = server, server.listener.Addr().String()
+	return s
+}
+
+func (s *stoppingServer) serve(w http.ResponseWriter, r *http.Request) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/slow" {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		s.begun <- struct{}{}
+		<-s.goOn
+	}
+	_, _ = io.WriteString(w, "whole")
+}
+
+// stop begins to stop the server and returns a channel that is closed at the end.
+func (s *stoppingServer) stop() <-chan struct{} {
+	ended := make(chan struct{})
+	s.stopping.Store(true)
+	go func() {
+		defer close(ended)
+		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+		defer cancel()
+		_ = s.server.stop(ctx)
+	}()
+	return ended
+}
+
+// TestNoRequestThatArrivedIsDroppedAtAStop: the HTTP library's Shutdown closed connections whose requests had
+// arrived.
+func TestNoRequestThatArrivedIsDroppedAtAStop(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		open func(*testing.T, string) *keptConn
+	}{
+		{"kept connections", keepConn},
+		{"new connections", newKeptConn},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			lost, sent := 0, 0
+			for seed := range uint64(stopSeeds) {
+				random := rand.New(rand.NewPCG(seed, 0))
+				s := newStoppingServer(t)
+				var used []*keptConn
+				for range stopConns {
+					conn := c.open(t, s.address)
+					if random.IntN(2) == 0 {
+						used = append(used, conn)
+					}
+				}
+				for _, conn := range used {
+					conn.send(t, stopRequest)
+				}
+				s.stop()
+				for _, conn := range used {
+					sent++
+					if answer := conn.answer(); answer != "whole" {
+						lost++
+					}
+				}
+			}
+			if lost > 0 {
+				t.Errorf("%d of %d requests got no answer", lost, sent)
+			}
+		})
+	}
+}
+
+// TestRequestsUnderWayAtAStopAreAnswered: a stop began while these were on their way.
+func TestRequestsUnderWayAtAStopAreAnswered(t *testing.T) {
+	const late = 50 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		play func(t *testing.T, s *stoppingServer) string
+	}{
+		{"a connection without a request yet", func(t *testing.T, s *stoppingServer) string {
+			conn := newKeptConn(t, s.address)
+			time.Sleep(late)
+			s.stop()
+			time.Sleep(late)
+			conn.send(t, stopRequest)
+			return conn.answer()
+		}},
+		{"a head in two parts", func(t *testing.T, s *stoppingServer) string {
+			conn := keepConn(t, s.address)
+			conn.send(t, stopRequest[:9])
+			time.Sleep(late)
+			s.stop()
+			time.Sleep(late)
+			conn.send(t, stopRequest[9:])
+			return conn.answer()
+		}},
+		{"the next one after an answer that began before", func(t *testing.T, s *stoppingServer) string {
+			conn := newKeptConn(t, s.address)
+			conn.send(t, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+			<-s.begun
+			s.stop()
+			time.Sleep(late)
+			close(s.goOn)
+			if answer := conn.answer(); answer != "whole" {
+				return answer
+			}
+			time.Sleep(late)
+			conn.send(t, stopRequest)
+			return conn.answer()
+		}},
+		{"one that was sent before such an answer ended", func(t *testing.T, s *stoppingServer) string {
+			conn := newKeptConn(t, s.address)
+			conn.send(t, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"+stopRequest)
+			<-s.begun
+			s.stop()
+			time.Sleep(late)
+			close(s.goOn)
+			if answer := conn.answer(); answer != "whole" {
+				return answer
+			}
+			return conn.answer()
+		}},
+		{"a client that keeps no connection", func(t *testing.T, s *stoppingServer) string {
+			conn := newKeptConn(t, s.address)
+			conn.send(t, "GET /slow HTTP/1.0\r\n\r\n")
+			<-s.begun
+			s.stop()
+			time.Sleep(late)
+			close(s.goOn)
+			return conn.answer()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			is.Equal(c.play(t, newStoppingServer(t)), "whole")
+		})
+	}
+}
+
+// TestAStopEndsWithIdleConnections: a server must not wait for clients that send nothing.
+func TestAStopEndsWithIdleConnections(t *testing.T) {
+	is := is.New(t)
+	s := newStoppingServer(t)
+	for range stopConns {
+		keepConn(t, s.address)
+		newKeptConn(t, s.address)
+	}
+	began := time.Now()
+	<-s.stop()
+	is.True(time.Since(began) < stopLimit/4)
+}
--- /dev/null
+++ b/src/graceful/conn.go
@@ -0,0 +1,97 @@
+package graceful
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Conn is a server's connection to a client. Whether it is idle is decided by the bytes that its server has
+// read, since a server may hold a part of a request without a sign of it.
+type Conn struct {
+	*net.TCPConn
+	raw      syscall.RawConn
+	listener *Listener
+
+	mu sync.Mutex
+	// waiting is set while a Read waits for bytes.
+	waiting bool
+	// busy is set once bytes of a request were read, until SetIdle.
+	busy      bool
+	idleSince time.Time
+	// ended is set once the connection was shut down. What arrives as that happens is not read: it could not
+	// be answered any more.
+	ended bool
+}
+
+// Read reads bytes of a request. It holds the lock for the system call, so that the connection is not closed
+// as idle with bytes that were read.
+func (c *Conn) Read(p []byte) (int, error) {
+	var n int
+	var readErr error
+	err := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.ended {
+			n, readErr = 0, nil
+			return true
+		}
+		for n, readErr = syscall.Read(int(fd), p); readErr == syscall.EINTR; {
+			n, readErr = syscall.Read(int(fd), p)
+		}
+		c.waiting = readErr == syscall.EAGAIN
+		c.busy = c.busy || n > 0
+		return !c.waiting
+	})
+	c.mu.Lock()
+	c.waiting = false
+	c.mu.Unlock()
+	switch {
+	case err != nil:
+		var op *net.OpError
+		if errors.As(err, &op) {
+			op.Op = "read"
+		}
+		return 0, err
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// SetIdle tells that the server has responded to the last request.
+func (c *Conn) SetIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.idleSince = false, now
+}
+
+// closeIdle shuts the connection down if it has been idle for idleWait and nothing has arrived. Its server
+// reads the end of the connection then.
+func (c *Conn) closeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.busy || !c.waiting || now.Sub(c.idleSince) < idleWait {
+		return
+	}
+	_ = c.raw.Control(func(fd uintptr) {
+		var one [1]byte
+		if _, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err == syscall.EAGAIN {
+			c.ended = true
+			_ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR)
+		}
+	})
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.listener.remove(c)
+	return c.TCPConn.Close()
+}
