Stop: a gateway ends after the handlers of the requests that it cut off

What callers saw: of requests that a stopping gateway cut off at its limit, some had no line in its log. Cause: the process wrote its last lines right after it had closed the connections, while the handlers were still to learn of it. Change: a server waits up to 0.1 s for its handlers after it has closed the connections. Evidence: TestAServerEndsAfterItsHandlers: 30 of 64 handlers had ended before, now 64 of 64 (3 runs, 5 with the race detector).

--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -351,12 +351,12 @@
 	time.Sleep(min(g.settings.BalancerLag.Std(), limit/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
 	defer cancel()
-	defer clients.close()
-	defer forwarded.close()
 	_ = clients.stop(ctx)
 	// Until others know that this gateway leaves, they get an answer that says so.
 	time.Sleep(min(time.Until(began.Add(peerListLag)), time.Until(began.Add(limit))))
 	_ = forwarded.stop(ctx)
+	clients.close()
+	forwarded.close()
 }
 
 // limitMemory sets the Go memory limit well below the memory of the process.
--- a/src/fleet/server.go
+++ b/src/fleet/server.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/moorspool/moorspool/src/exchange"
@@ -18,11 +19,20 @@
 	idleTimeout   = 75 * time.Second
 )
 
+// closeWait is how long a server waits for the handlers of connections that it has closed, closePoll how
+// often it looks.
+const (
+	closeWait = 100 * time.Millisecond
+	closePoll = time.Millisecond
+)
+
 // server is an HTTP server. It does without the HTTP library's Shutdown, which closes connections whose
 // requests have arrived or are being read.
 type server struct {
 	http     *http.Server
 	listener *graceful.Listener
+	// running is the number of requests whose handlers have not returned.
+	running atomic.Int64
 }
 
 // listen starts a server for a handler at an address.
@@ -31,14 +41,19 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{listener: listener, http: &http.Server{
-		Handler:           handler,
+	s := &server{listener: listener}
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.running.Add(1)
+			defer s.running.Add(-1)
+			handler.ServeHTTP(w, r)
+		}),
 		ConnContext:       exchange.ConnContext,
 		ConnState:         noteIdle,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
-	}}
+	}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
@@ -53,5 +68,10 @@
 // left.
 func (s *server) stop(ctx context.Context) error { return s.listener.Stop(ctx) }
 
-// close closes the listener and the open connections.
-func (s *server) close() { _ = s.http.Close() }
+// close closes the listener and the open connections, and waits for what their handlers have yet to do.
+func (s *server) close() {
+	_ = s.http.Close()
+	for until := time.Now().Add(closeWait); s.running.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(closePoll)
+	}
+}
--- a/src/fleet/server_test.go
+++ b/src/fleet/server_test.go
@@ -238,3 +238,26 @@
 	<-s.stop()
 	is.True(time.Since(began) < stopLimit/4)
 }
+
+// TestAServerEndsAfterItsHandlers: the process ended before the requests that it had cut off were logged.
+func TestAServerEndsAfterItsHandlers(t *testing.T) {
+	is := is.New(t)
+	var logged atomic.Int64
+	begun := make(chan struct{}, stopConns)
+	server, err := listen("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		<-r.Context().Done()
+		time.Sleep(time.Millisecond)
+		logged.Add(1)
+	}))
+	is.NoErr(err)
+	for range stopConns {
+		newKeptConn(t, server.listener.Addr().String()).send(t, stopRequest)
+		<-begun
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(server.stop(ctx) != nil)
+	server.close()
+	is.Equal(logged.Load(), int64(stopConns))
+}
