Stop: the product's own gateway ends after the requests that it is reading

What callers saw: a request of which the first bytes had arrived at a gateway that stopped got no answer. Cause: the process ended once no handler had run for 0.2 s. The HTTP library starts a handler after the whole request, so that a request that was being read did not count; connections that the kernel still held were reset. Change: the server uses package graceful. The stop ends with the last connection, or with drainLimit; each response closes its connection as before. A client that stops in the middle of a request holds the stop up until the server's read timeout, a minute, at the most.

--- a/src/gateway/fake_test.go
+++ b/src/gateway/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/moorspool/moorspool/src/engine"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/follow"
+	"github.com/moorspool/moorspool/src/graceful"
 	"github.com/moorspool/moorspool/src/limit"
 	"github.com/moorspool/moorspool/src/metric"
 	"github.com/moorspool/moorspool/src/option"
@@ -123,7 +124,10 @@
 		Follower: follower, Routes: routes, StreamClient: streams, Services: services, Queues: queues,
 		Tracer: tracer, Ring: ring, Metrics: metric.New("gateway"), Now: time.Now,
 	})
-	ln := listen(t)
+	ln, err := graceful.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	b.address = ln.Addr().String()
 	b.server.Serve(ln)
 	t.Cleanup(func() { _ = b.server.hertz.Close() })
--- a/src/gateway/main.go
+++ b/src/gateway/main.go
@@ -16,14 +16,10 @@
 	"github.com/moorspool/moorspool/src/wire"
 )
 
-// Timing of startup and shutdown.
+// Timing of startup.
 const (
-	routesTimeout        = 3 * time.Second
-	pollInterval         = 20 * time.Millisecond
-	listenerCloseTimeout = time.Second
-	// idlePolls is the number of consecutive polls without a request in flight
-	// after which the drain ends.
-	idlePolls = 10
+	routesTimeout = 3 * time.Second
+	pollInterval  = 20 * time.Millisecond
 )
 
 // Main runs moorspool-gateway and returns its exit code.
@@ -132,20 +128,13 @@
 
 // stop shuts the gateway down gracefully. It reports itself unready, keeps
 // serving for as long as the load balancer takes to notice, then closes the
-// listener and waits for the requests in flight. Requests on connections that
-// are still open are served, and their connections closed.
+// listener and waits for the end of all connections. Requests on connections
+// that are still open are served, and their connections closed.
 func (s *Server) stop(proc *process.Process) {
 	proc.SetLeaving()
 	s.leaving.Store(true)
 	time.Sleep(s.settings.BalancerLag.Std())
-	ctx, cancel := context.WithTimeout(context.Background(), listenerCloseTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.settings.DrainLimit.Std())
 	defer cancel()
-	s.CloseListener(ctx)
-	until := s.now().Add(s.settings.DrainLimit.Std())
-	for idle := 0; idle < idlePolls && s.now().Before(until); idle++ {
-		if s.InFlight() > 0 {
-			idle = 0
-		}
-		time.Sleep(pollInterval)
-	}
+	_ = s.listener.Stop(ctx)
 }
--- a/src/gateway/server.go
+++ b/src/gateway/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/moorspool/moorspool/src/engine"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/follow"
+	"github.com/moorspool/moorspool/src/graceful"
 	"github.com/moorspool/moorspool/src/limit"
 	"github.com/moorspool/moorspool/src/metric"
 	"github.com/moorspool/moorspool/src/option"
@@ -43,6 +43,7 @@
 	now      func() time.Time
 
 	hertz    *server.Hertz
+	listener *graceful.Listener
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	counts   counters
@@ -93,16 +94,18 @@
 
 // Listen opens the listener for clients and serves requests on it.
 func (s *Server) Listen() error {
-	ln, err := net.Listen("tcp", s.settings.Clients)
+	ln, err := graceful.Listen(s.settings.Clients)
 	if err != nil {
-		return errors.Wrap(err, "listening for clients")
+		return errors.Wrap(err, "clients")
 	}
 	s.Serve(ln)
 	return nil
 }
 
 // Serve serves client requests on a listener, in the background.
-func (s *Server) Serve(ln net.Listener) {
+func (s *Server) Serve(ln *graceful.Listener) {
+	ln.SetIdleAfterWrites()
+	s.listener = ln
 	h := process.NewServer(ln, int(s.settings.Limits.Body), server.WithOnAccept(withClientConn))
 	h.Use(s.trackRequest)
 	h.POST(engine.PathChat, s.completion)
@@ -132,11 +135,6 @@
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// CloseListener stops accepting connections; requests in flight continue.
-func (s *Server) CloseListener(ctx context.Context) {
-	_ = s.hertz.Shutdown(ctx)
-}
-
 // Status returns the gateway's part of the process status.
 func (s *Server) Status() *wire.GatewayStatus {
 	table := s.routes.Table()
--- a/src/gateway/unframed.go
+++ b/src/gateway/unframed.go
@@ -10,7 +10,12 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 )
 
-// Values for net.TCPConn.SetLinger.
+// lingerConn is a connection whose close can be set to reset it, as *net.TCPConn.
+type lingerConn interface {
+	SetLinger(seconds int) error
+}
+
+// Values for lingerConn.
 const (
 	lingerReset   = 0
 	lingerDefault = -1
@@ -30,7 +35,7 @@
 type unframedWriter struct {
 	response *protocol.Response
 	// conn is the client's connection, nil if it is not known.
-	conn    *net.TCPConn
+	conn    lingerConn
 	out     network.Writer
 	body    []byte
 	written bool
@@ -38,7 +43,7 @@
 
 // writeUnframed sets the body of a response that ends with its connection.
 func writeUnframed(ctx context.Context, c *app.RequestContext, body []byte) {
-	conn, _ := ctx.Value(clientConnKey{}).(*net.TCPConn)
+	conn, _ := ctx.Value(clientConnKey{}).(lingerConn)
 	c.Response.HijackWriter(&unframedWriter{response: &c.Response, conn: conn, out: c.GetWriter(), body: body})
 	c.Response.Header.SetConnectionClose(true)
 }
--- a/src/graceful/conn.go
+++ b/src/graceful/conn.go
@@ -66,6 +66,15 @@
 	return n, nil
 }
 
+// Write writes a part of a response.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if c.listener.idleAfterWrites {
+		c.SetIdle(time.Now())
+	}
+	return n, err
+}
+
 // SetIdle tells that the server has responded to the last request.
 func (c *Conn) SetIdle(now time.Time) {
 	c.mu.Lock()
--- a/src/graceful/listener.go
+++ b/src/graceful/listener.go
@@ -27,6 +27,8 @@
 type Listener struct {
 	*net.TCPListener
 
+	idleAfterWrites bool
+
 	mu        sync.Mutex
 	conns     map[*Conn]struct{}
 	accepting bool
@@ -42,6 +44,10 @@
 	return &Listener{TCPListener: ln.(*net.TCPListener), conns: map[*Conn]struct{}{}, accepting: true}, nil
 }
 
+// SetIdleAfterWrites makes each write to a connection count as SetIdle. It is for servers that do not read while
+// they respond, and must be called before Accept.
+func (l *Listener) SetIdleAfterWrites() { l.idleAfterWrites = true }
+
 // Accept returns the next connection, a *Conn. Once the listener stops and no connection comes any more, it
 // closes the listener.
 func (l *Listener) Accept() (net.Conn, error) {
