Stop: reads of a connection that knows whether it is idle allocate nothing

Cause: each read made a function of its own, and an end of a wait was found through reflection: 28 allocations for a small request on a kept connection, 21 without package graceful. Change: one function per connection. The tests of graceful and fleet pass with the race detector.

--- a/src/graceful/conn.go
+++ b/src/graceful/conn.go
@@ -7,8 +7,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Conn is a server's connection to a client. Whether it is idle is decided by the bytes that its server has
@@ -17,6 +15,11 @@
 	*net.TCPConn
 	raw      syscall.RawConn
 	listener *Listener
+	// tryRead is readOnce, which reads into buffer and sets n and readErr.
+	tryRead func(fd uintptr) bool
+	buffer  []byte
+	n       int
+	readErr error
 
 	mu sync.Mutex
 	// waiting is set while a Read waits for bytes.
@@ -29,32 +32,18 @@
 	ended bool
 }
 
-// Read reads bytes of a request. It holds the lock for the system call, so that the connection is not closed
-// as idle with bytes that were read.
+// Read reads bytes of a request. It must not be called while another Read is in progress.
 func (c *Conn) Read(p []byte) (int, error) {
-	var n int
-	var readErr error
-	err := c.raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.ended {
-			n, readErr = 0, nil
-			return true
-		}
-		for n, readErr = syscall.Read(int(fd), p); readErr == syscall.EINTR; {
-			n, readErr = syscall.Read(int(fd), p)
-		}
-		c.waiting = readErr == syscall.EAGAIN
-		c.busy = c.busy || n > 0
-		return !c.waiting
-	})
+	c.buffer = p
+	err := c.raw.Read(c.tryRead)
+	n, readErr := c.n, c.readErr
+	c.buffer = nil
 	c.mu.Lock()
 	c.waiting = false
 	c.mu.Unlock()
 	switch {
 	case err != nil:
-		var op *net.OpError
-		if errors.As(err, &op) {
+		if op, ok := err.(*net.OpError); ok {
 			op.Op = "read"
 		}
 		return 0, err
@@ -66,6 +55,23 @@
 	return n, nil
 }
 
+// readOnce reads what has arrived; it reports false if nothing has. It holds the lock for the system call, so
+// that the connection is not closed as idle with bytes that were read.
+func (c *Conn) readOnce(fd uintptr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		c.n, c.readErr = 0, nil
+		return true
+	}
+	for c.n, c.readErr = syscall.Read(int(fd), c.buffer); c.readErr == syscall.EINTR; {
+		c.n, c.readErr = syscall.Read(int(fd), c.buffer)
+	}
+	c.waiting = c.readErr == syscall.EAGAIN
+	c.busy = c.busy || c.n > 0
+	return !c.waiting
+}
+
 // Write writes a part of a response.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
--- a/src/graceful/listener.go
+++ b/src/graceful/listener.go
@@ -71,6 +71,7 @@
 		return nil, errors.Wrap(err, "accepting")
 	}
 	conn := &Conn{TCPConn: tcp, raw: raw, listener: l, idleSince: time.Now()}
+	conn.tryRead = conn.readOnce
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[conn] = struct{}{}
