Stop: a stopping gateway takes no request that it can't complete, and answers what it cuts off

What callers saw: requests that were under way when the time to stop of a gateway ended got no answer, and its log said that their clients had left. Since connections stay open for a further request, that could also hit requests sent after the load balancer had turned away. Cause: whatever was left at the limit was ended by closing its connection. Change: once the load balancer has had its time, a request is refused unsent (503, Retry-After) if its deadline is after the limit: it goes on at another gateway. At the limit, the attempts in progress end as at a deadline: requests without a response get 502, which does not say whether they ran; streams that have begun break off. Both are logged with the end of the gateway as the reason. Evidence: the three new tests fail without it (200 for 503; 3 of 3 connections closed without an answer; request-left for request-refused).

--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -122,8 +122,10 @@
 	end := earlyEnd{cause: causeOf(err), evidence: err.Error()}
 	given := c.watch.givenUp.Load()
 	switch {
+	case c.handler.stop.ended():
+		end.cause = causeStop
 	case c.clientLeft():
-		end.cause = c.closedBy()
+		end.cause = causeClient
 	case given != nil:
 		end = *given
 	case ctx.Err() != nil:
@@ -134,7 +136,7 @@
 
 // closedBy returns who closed the client's connection.
 func (c *call) closedBy() endCause {
-	if c.handler.cutOff.Load() {
+	if c.handler.stop.ended() {
 		return causeStop
 	}
 	return causeClient
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -77,7 +77,7 @@
 	if !c.mustForward() {
 		return false
 	}
-	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	ctx, cancel := c.runContext()
 	defer cancel()
 	for {
 		ended, taken := c.forward(ctx)
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -92,8 +92,7 @@
 	budgets    budgets
 	gateways   atomic.Int64
 	stopping   atomic.Bool
-	// cutOff is set once the connections that are left are closed.
-	cutOff atomic.Bool
+	stop       *stopState
 	// waits ends by endWaits.
 	waits         context.Context
 	endWaits      context.CancelFunc
@@ -113,7 +112,7 @@
 
 // NewHandler returns a handler without a configuration.
 func NewHandler(options Options) *Handler {
-	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64)}
+	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), stop: newStopState(), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64)}
 	h.placeQueues = newPlaceQueues(options.Fleet, options.Now)
 	h.waits, h.endWaits = context.WithCancel(context.Background())
 	h.gateways.Store(1)
@@ -301,7 +300,7 @@
 	c.selectService(c.route.Pick(rand.Float64()))
 	c.requestInfo = h.options.Codec.RequestInfo(r)
 	c.deadline = c.startedAt.Add(c.timeLimit())
-	if !c.identify(table) || !c.readBody(table.Document().Limits.BodyBytes) || !c.resolveOrigin() {
+	if !c.identify(table) || !c.readBody(table.Document().Limits.BodyBytes) || !c.resolveOrigin() || c.refusedByStop() {
 		return
 	}
 	if c.forwardOnArrival() {
@@ -405,7 +404,7 @@
 
 // run makes attempts until the request has a response.
 func (c *call) run() {
-	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	ctx, cancel := c.runContext()
 	defer cancel()
 	waiting, endWait := c.handler.waitContext(ctx)
 	defer endWait()
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -166,6 +166,7 @@
 
 // endWithoutReplica ends a request for which no replica was found.
 func (c *call) endWithoutReplica(lastError *errorResponse, choice Choice) {
+	c.noteCutOff()
 	if c.clientLeft() {
 		c.abortResponse("the client left")
 	}
@@ -206,6 +207,7 @@
 
 // endAfterAttempt responds to the client after the last attempt.
 func (c *call) endAfterAttempt(ctx context.Context, ended outcome, lastError *errorResponse) {
+	c.noteCutOff()
 	if c.clientLeft() {
 		c.abortResponse("the client left")
 	}
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -1,18 +1,82 @@
 package exchange
 
-import "context"
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// retryAfterStop is the value of Retry-After of a stopping gateway. Its clients' next requests reach others.
+const retryAfterStop = 50 * time.Millisecond
+
+// stopState is what a handler's requests need to know of its stop. It is safe for concurrent use.
+type stopState struct {
+	// last is set once the handler takes only requests that end in time.
+	last atomic.Pointer[lastRequests]
+	// cut ends by cutOff.
+	cut    context.Context
+	cutOff context.CancelFunc
+}
+
+// lastRequests are the requests that began after a time. They must end until another time.
+type lastRequests struct{ from, end time.Time }
+
+func newStopState() *stopState {
+	s := &stopState{}
+	s.cut, s.cutOff = context.WithCancel(context.Background())
+	return s
+}
+
+// ended reports whether the requests in progress were ended.
+func (s *stopState) ended() bool { return s.cut.Err() != nil }
 
 // Stop makes the handler close each connection after its current response.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
-// CutOff tells the handler that the connections of all requests in progress are about to be closed.
-func (h *Handler) CutOff() { h.cutOff.Store(true) }
-
 // EndWaits ends the waits of requests that have not been sent yet: for a place, a slot, a permit, a model or a
 // replica that accepts them. They are refused, and so are later ones that would have to wait, while there is
 // still time for their clients to turn to another gateway.
 func (h *Handler) EndWaits() { h.endWaits() }
 
+// RefuseBeyond makes the handler refuse requests that begin from now on unless their deadline is before the end.
+func (h *Handler) RefuseBeyond(now, end time.Time) {
+	h.stop.last.Store(&lastRequests{from: now, end: end})
+}
+
+// CutOff ends the requests in progress. Those whose response has not begun are answered.
+func (h *Handler) CutOff() { h.stop.cutOff() }
+
+// runContext returns the context of a request's attempts, which ends with that of the request, at its deadline
+// or by CutOff.
+func (c *call) runContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	stopWatch := context.AfterFunc(c.handler.stop.cut, cancel)
+	return ctx, func() {
+		stopWatch()
+		cancel()
+	}
+}
+
+// noteCutOff gives the end of the gateway as the reason for the end of a request.
+func (c *call) noteCutOff() {
+	if c.handler.stop.ended() {
+		c.reason += "; the gateway has ended"
+	}
+}
+
+// refusedByStop refuses a request that may last longer than the stopping gateway. It reports whether it has
+// done so.
+func (c *call) refusedByStop() bool {
+	last := c.handler.stop.last.Load()
+	if last == nil || c.startedAt.Before(last.from) || !c.deadline.After(last.end) {
+		return false
+	}
+	c.retryIn = retryAfterStop
+	c.refuse(http.StatusServiceUnavailable, "the gateway stops before the request's deadline")
+	return true
+}
+
 // waitContext returns a context for the waits of a request, which ends with that of the request or by
 // EndWaits.
 func (h *Handler) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/src/exchange/stop_test.go
+++ b/src/exchange/stop_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/wire"
 )
@@ -115,3 +117,82 @@
 	b.setRunning("x", 0)
 	is.Equal(b.ask("two").status, http.StatusOK)
 }
+
+// TestRequestsThatMayOutlastTheStopAreRefusedUnsent: they were cut off at the end of the time to stop.
+func TestRequestsThatMayOutlastTheStopAreRefusedUnsent(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Unsafe, 1), x)
+	b.handler.Stop()
+	now := time.Now()
+	b.handler.RefuseBeyond(now, now.Add(2*time.Second))
+	got := b.do("POST", "late", "x")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(x.count(), 0)
+	is.Equal(b.do("POST", "in time", "x", testDeadline+": 1000").status, http.StatusOK)
+	b.handler.RefuseBeyond(now.Add(time.Minute), now.Add(time.Minute))
+	is.Equal(b.do("POST", "before", "x").status, http.StatusOK)
+}
+
+// TestRequestsThatAreCutOffAreAnswered: the gateway closed their connections and logged that their clients had
+// left.
+func TestRequestsThatAreCutOffAreAnswered(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Safe, catalog.Unsafe, catalog.Streaming} {
+		t.Run(string(kind), func(t *testing.T) {
+			is := is.New(t)
+			x := newReplica(t, "x", func(arrival) bool {
+				time.Sleep(time.Second)
+				return false
+			})
+			b := newBench(t, route(kind, 3), x)
+			b.handler.options.Ring = event.NewRing("g", 16, nil, time.Now)
+			answers := make(chan clientResponse, 1)
+			go func() { answers <- b.do("POST", "one", "x") }()
+			for x.count() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			b.handler.Stop()
+			b.handler.CutOff()
+			got := <-answers
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusBadGateway)
+			for b.handler.Running() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			logged, _ := b.handler.options.Ring.Since(0, "one")
+			last := logged[len(logged)-1]
+			is.Equal(last.Kind, event.RequestRefused)
+			is.True(strings.Contains(last.Reason, "the gateway has ended"))
+		})
+	}
+}
+
+// TestAStreamThatIsCutOffDoesNotLookComplete: its client can take it up elsewhere.
+func TestAStreamThatIsCutOffDoesNotLookComplete(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan struct{})
+	x := newReplica(t, "x", func(a arrival) bool {
+		a.head()
+		a.event(1)
+		close(sent)
+		time.Sleep(time.Second)
+		return false
+	})
+	b := newBench(t, route(catalog.Streaming, 3), x)
+	b.handler.options.Ring = event.NewRing("g", 16, nil, time.Now)
+	answers := make(chan clientResponse, 1)
+	go func() { answers <- b.do("POST", "one", "x") }()
+	<-sent
+	time.Sleep(50 * time.Millisecond)
+	b.handler.CutOff()
+	is.True((<-answers).err != nil)
+	is.Equal(x.count(), 1)
+	for b.handler.Running() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	logged, _ := b.handler.options.Ring.Since(0, "one")
+	last := logged[len(logged)-1]
+	is.Equal(last.Kind, event.RequestRefused)
+	is.True(strings.Contains(last.Reason, "the gateway has ended"))
+}
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -349,12 +349,16 @@
 	g.proc.SetLeaving()
 	g.notifyPeerState(context.Background())
 	time.Sleep(min(g.settings.BalancerLag.Std(), limit/2))
+	g.handler.RefuseBeyond(time.Now(), began.Add(limit))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
 	defer cancel()
 	_ = clients.stop(ctx)
 	// Until others know that this gateway leaves, they get an answer that says so.
 	time.Sleep(min(time.Until(began.Add(peerListLag)), time.Until(began.Add(limit))))
 	_ = forwarded.stop(ctx)
+	g.handler.CutOff()
+	clients.await()
+	forwarded.await()
 	clients.close()
 	forwarded.close()
 }
--- a/src/fleet/server.go
+++ b/src/fleet/server.go
@@ -19,8 +19,7 @@
 	idleTimeout   = 75 * time.Second
 )
 
-// closeWait is how long a server waits for the handlers of connections that it has closed, closePoll how
-// often it looks.
+// closeWait is how long a server that ends waits for its handlers, closePoll how often it looks.
 const (
 	closeWait = 100 * time.Millisecond
 	closePoll = time.Millisecond
@@ -71,6 +70,11 @@
 // close closes the listener and the open connections, and waits for what their handlers have yet to do.
 func (s *server) close() {
 	_ = s.http.Close()
+	s.await()
+}
+
+// await waits until no handler runs, up to closeWait.
+func (s *server) await() {
 	for until := time.Now().Add(closeWait); s.running.Load() > 0 && time.Now().Before(until); {
 		time.Sleep(closePoll)
 	}
