Test: each place that reads a head has a test that cuts it off

A table as for the limits of reads, over all of src, platform and cmd but the programs that only tests use. The list of hosts gets its test.

--- a/src/exchange/reads_test.go
+++ b/src/exchange/reads_test.go
@@ -46,7 +46,7 @@
 			is.NoErr(err)
 			for _, declared := range parsed.Decls {
 				function, isFunction := declared.(*ast.FuncDecl)
-				if isFunction && readsFromOthers(function) {
+				if isFunction && calls(function, readCall) {
 					found[folder+" "+function.Name.Name] = true
 				}
 			}
@@ -55,6 +55,69 @@
 	is.Equal(slices.Sorted(maps.Keys(found)), slices.Sorted(maps.Keys(reads)))
 }
 
+// heads lists the functions that read the heads, or frames, of what other processes answer, with the tests that
+// cut them off at every byte. A new one has to be added here, with its test.
+var heads = map[string][]string{
+	"platform readReport":    {"TestACutReportIsNoOther"},
+	"platform sendOrder":     {"TestACutHeadAnswersNoOrder"},
+	"src/cli post":           {"TestACutAnswerOfAControlNodeIsNoOther"},
+	"src/dial Do":            {"TestACutHeadIsNoAnswer", "TestACutBodyIsNoAnswer", "TestACutStreamEndsNoEvent"},
+	"src/dial awaitHead":     {"TestACutHeadIsNoAnswer", "TestACutStreamEndsNoEvent"},
+	"src/discovery Read":     {"TestACutListIsNoOther"},
+	"src/engine Open":        {"TestACutStreamEndsNoEvent", "TestClientsGetNoStreamThatWasCutAsAWholeOne"},
+	"src/engine exchange":    {"TestACutAnswerOfAnEngineIsNoOtherReportOrReply"},
+	"src/exchange askStart":  {"TestACutReportTellsNoStart"},
+	"src/exchange nextHead":  {"TestACutResponseIsNotRead"},
+	"src/exchange readHead":  {"TestAHeadThatNamesTwoRequestsAnswersNeither", "TestClientsGetNoAnswerOfAReplicaThatWasCut", "TestClientsGetNoAnswerOfAnotherGatewayThatWasCut"},
+	"src/fleet RoundTrip":    {"TestACutResponseToAControlNodeIsNoResponse"},
+	"src/rpc newFrameStream": {"TestACutAnswerOfAPeerIsNoAnswer"},
+	"src/service Do":         {"TestACutHeadIsNoAnswer", "TestClientsGetNoAnswerOfAPlainServiceThatWasCut"},
+}
+
+// headCall matches the calls by which heads of answers are read.
+var headCall = regexp.MustCompile(`^(http\.ReadResponse|jsonrpc2\.NewBufferedStream|sse\.NewReader|(.*\.)?([cC]lient|http)\.Do|.*\.transport\.RoundTrip|.*\.reader\.next)$`)
+
+func TestEachHeadIsCutOffInATest(t *testing.T) {
+	is := is.New(t)
+	tests := map[string]bool{}
+	found := map[string]bool{}
+	for _, root := range []string{"../../src", "../../platform", "../../cmd"} {
+		err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
+				return err
+			}
+			parsed, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				return err
+			}
+			folder := strings.TrimPrefix(filepath.ToSlash(filepath.Dir(path)), "../../")
+			for _, declared := range parsed.Decls {
+				function, isFunction := declared.(*ast.FuncDecl)
+				switch {
+				case !isFunction, toolFolders[folder]:
+				case strings.HasSuffix(path, "_test.go"):
+					tests[function.Name.Name] = true
+				case calls(function, headCall):
+					found[folder+" "+function.Name.Name] = true
+				}
+			}
+			return nil
+		})
+		is.NoErr(err)
+	}
+	is.Equal(slices.Sorted(maps.Keys(found)), slices.Sorted(maps.Keys(heads)))
+	for place, names := range heads {
+		for _, name := range names {
+			if !tests[name] {
+				t.Errorf("%s: there is no %s", place, name)
+			}
+		}
+	}
+}
+
+// toolFolders holds the folders of programs that only tests and measurements use.
+var toolFolders = map[string]bool{"src/emulator": true, "src/capacity": true, "src/cuttest": true}
+
 // sourceFiles returns the Go files of a folder without those of its tests.
 func sourceFiles(t *testing.T, folder string) []string {
 	t.Helper()
@@ -71,12 +134,12 @@
 	return files
 }
 
-// readsFromOthers reports whether a function contains a call that matches readCall.
-func readsFromOthers(function *ast.FuncDecl) bool {
+// calls reports whether a function contains a call that matches an expression.
+func calls(function *ast.FuncDecl, match *regexp.Regexp) bool {
 	found := false
 	ast.Inspect(function, func(n ast.Node) bool {
 		if call, isCall := n.(*ast.CallExpr); isCall {
-			found = found || readCall.MatchString(selector(call.Fun))
+			found = found || match.MatchString(selector(call.Fun))
 		}
 		return true
 	})
