--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -130,7 +130,7 @@
 	hooks := sendHooks{
 		sending: watch.noteSent,
 		admit:   func() bool { return true },
-		read:    func(_ int, header http.Header) Reply { return Reply{ID: header.Get(headerForwardID)} },
+		read:    func(_ int, header http.Header) Reply { return Reply{ID: FieldValue(header, headerForwardID)} },
 	}
 	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.deadline, now)
 	if errors.Is(err, errNotSent) {
