--- a/soak/blackout.go
+++ b/soak/blackout.go
@@ -36,6 +36,7 @@
 	for _, m := range in.members {
 		fmt.Fprintf(m.log, "soak: %s blackout after version %d\n", time.Now().Format(time.RFC3339Nano), version)
 		m.beginFault()
+		defer in.strikes.begin(m.name, "blackout", false)(0)
 		m.signal(syscall.SIGKILL)
 	}
 	endSilence()
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -33,6 +33,8 @@
 	links linkChecks
 	// resumes checks the streams that clients take up.
 	resumes resumeChecks
+	// lost checks answers that end early.
+	lost lostChecks
 }
 
 func newChecker() *checker {
@@ -40,6 +42,7 @@
 		violations: map[string][]string{}, counts: map[string]int{}, runs: map[string][]string{},
 		reportedNotRun: map[string]int{}, drainAckedAt: map[string]time.Time{}, sent: map[uint64]string{},
 		accounts: newAccountChecks(),
+		lost:     lostChecks{runs: map[string]*replicaRun{}, causes: map[string]int{}},
 		links:    linkChecks{cutAt: map[string]time.Time{}, endedAt: map[string]time.Time{}, bySecond: map[int64]*linkTries{}},
 	}
 }
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -144,6 +145,7 @@
 	whole bool
 	// framed is set if the answer has a length or chunks, which prove that it is complete.
 	framed bool
+	end    endedAnswer
 }
 
 func (c *clients) send(client *http.Client, m *member, kind, id string) (int, response, error) {
@@ -169,21 +171,26 @@
 	request.GetBody = nil
 	request.Header.Set(idHeader, id)
 	request.Header.Set(gatewayHeader, m.name)
-	request.Header.Set("X-Deadline-Ms", "3000")
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	request.Header.Set(promptHeader, prompt(id, harmlessParts(id)))
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
 	newest, _ := c.check.newest()
 	setAccountHeaders(request.Header, draw, newest)
+	end := endedAnswer{id: id, kind: kind, gateway: m.name, sentAt: time.Now()}
 	got, err := client.Do(request)
 	if err != nil {
+		end.endedAt = time.Now()
+		c.check.lost.recordAnswer(end, false)
 		return 0, response{}, err
 	}
 	defer got.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes))
 	whole := err == nil && len(body) < maxAnswerBytes
-	return got.StatusCode, response{stamp: got.Header.Get(stampHeader), body: string(body), whole: whole, framed: framed(got)}, nil
+	end.endedAt, end.status = time.Now(), got.StatusCode
+	c.check.lost.recordAnswer(end, whole)
+	return got.StatusCode, response{stamp: got.Header.Get(stampHeader), body: string(body), whole: whole, framed: framed(got), end: end}, nil
 }
 
 // checkAnswer checks one answer.
@@ -222,6 +229,7 @@
 	}
 	if !got.framed && got.body != want && mayBeCutOff(kind, got.body, want) {
 		c.check.count(cutOffAnswers)
+		c.check.lost.recordAnswer(got.end, false)
 		return
 	}
 	if got.body != want {
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -83,10 +83,11 @@
 	return count, late
 }
 
-// crashOnContent crashes a replica that runs the deadly content.
-func (r *replicas) crashOnContent(rep *replica) {
+// crashOnContent crashes a replica that runs the deadly content. It may have been sent long before if a pause
+// held the request up.
+func (r *replicas) crashOnContent(rep *replica, held bool) {
 	r.check.count("ends under the deadly content")
-	if late := r.crashes.record(time.Now(), r.faultFree("")); late > maxLateCrashes {
+	if late := r.crashes.record(time.Now(), !held && r.faultFree("")); late > maxLateCrashes {
 		r.check.late("budget", "%s is the %dth replica to end under one content later than the contact time after the third", rep.id, late)
 	}
 	r.crash(rep)
@@ -98,7 +99,7 @@
 	if !r.remove(rep) {
 		return false
 	}
-	_ = rep.server.Close()
+	rep.close()
 	r.mu.Lock()
 	id := ""
 	if !rep.draining && r.started%2 == 0 {
--- a/soak/ends.go
+++ b/soak/ends.go
@@ -250,7 +250,10 @@
 		time.Sleep(http10Pause)
 		id := c.id()
 		class := endsClass{kind: []string{"e", "n"}[turn%2], proto: "HTTP/1.0"}
+		end := endedAnswer{id: id, kind: class.kind, gateway: m.name, sentAt: time.Now()}
 		got := sendStream(c.in.proxyAddress(m, c.in.callPort()), class, id, "", 0)
+		end.endedAt, end.status = time.Now(), got.status
+		c.check.lost.recordAnswer(end, got.whole)
 		if got.status != http.StatusOK {
 			continue
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,19 +26,24 @@
 			}
 			duration := time.Duration(300+random.IntN(3500)) * time.Millisecond
 			faultRandom := rand.New(rand.NewPCG(random.Uint64(), 5))
-			fmt.Fprintf(m.log, "soak: %s %s for %s\n", time.Now().Format(time.RFC3339Nano), chosen.name, duration)
-			m.beginFault()
-			running.Add(1)
-			go func() {
-				defer running.Done()
-				chosen.apply(in, m, duration, faultRandom)
-				m.endFault()
-			}()
+			if m.tryBeginFault() {
+				running.Go(func() { in.apply(chosen, m, duration, faultRandom) })
+			}
 		}
 	}
 	running.Wait()
 }
 
+// apply applies a fault to a member that is marked as faulty, and ends the mark.
+func (in *installation) apply(chosen fault, m *member, duration time.Duration, random *rand.Rand) {
+	fmt.Fprintf(m.log, "soak: %s %s for %s\n", time.Now().Format(time.RFC3339Nano), chosen.name, duration)
+	if !chosen.endsNothing {
+		defer in.strikes.begin(m.name, chosen.name, chosen.planned)(0)
+	}
+	chosen.apply(in, m, duration, random)
+	m.endFault()
+}
+
 // mayInject allows one fault at a time on a member, and one faulty control node at a time, so that a
 // majority of the control nodes stays healthy.
 func (in *installation) mayInject(m *member) bool {
@@ -73,14 +78,17 @@
 	name string
 	// needsDataFolder marks faults of the data folder, which only control nodes have.
 	needsDataFolder bool
-	apply           func(in *installation, m *member, duration time.Duration, random *rand.Rand)
+	// endsNothing marks faults that give a gateway no reason to end an answer, planned a planned stop, which
+	// gives none before its limit.
+	endsNothing, planned bool
+	apply                func(in *installation, m *member, duration time.Duration, random *rand.Rand)
 }
 
 var faults = []fault{
 	{name: "kill", apply: func(in *installation, m *member, duration time.Duration, _ *rand.Rand) {
 		in.restart(m, syscall.SIGKILL, duration/2, nil)
 	}},
-	{name: "stop", apply: func(in *installation, m *member, duration time.Duration, _ *rand.Rand) {
+	{name: "stop", planned: true, apply: func(in *installation, m *member, duration time.Duration, _ *rand.Rand) {
 		in.restart(m, syscall.SIGTERM, duration/4, nil)
 	}},
 	{name: "pause", apply: func(_ *installation, m *member, duration time.Duration, _ *rand.Rand) {
@@ -88,12 +96,12 @@
 		time.Sleep(duration)
 		m.signal(syscall.SIGCONT)
 	}},
-	{name: "suspend", apply: func(_ *installation, m *member, _ time.Duration, _ *rand.Rand) {
+	{name: "suspend", endsNothing: true, apply: func(_ *installation, m *member, _ time.Duration, _ *rand.Rand) {
 		// Only programs built with the tag soak handle this signal: the clock that leases use jumps
 		// ahead, the monotonic clock does not.
 		m.signal(syscall.SIGUSR2)
 	}},
-	{name: "reload", apply: func(_ *installation, m *member, _ time.Duration, _ *rand.Rand) { m.signal(syscall.SIGHUP) }},
+	{name: "reload", endsNothing: true, apply: func(_ *installation, m *member, _ time.Duration, _ *rand.Rand) { m.signal(syscall.SIGHUP) }},
 	{name: "delay", apply: func(_ *installation, m *member, duration time.Duration, random *rand.Rand) {
 		m.impairProxies(duration, impairment{delay: time.Duration(random.IntN(120)) * time.Millisecond})
 	}},
--- a/soak/framing.go
+++ b/soak/framing.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 
@@ -34,12 +33,14 @@
 type cutWriter struct {
 	http.ResponseWriter
 	// left is how many bytes are written before the answer is broken off.
-	left  int
-	reset bool
+	left   int
+	reset  bool
+	broken func()
 }
 
 // drawFraming lets some answers have neither a length nor chunks, and breaks some of those off.
-func drawFraming(w http.ResponseWriter) http.ResponseWriter {
+// broken is called before one breaks off.
+func drawFraming(w http.ResponseWriter, broken func()) http.ResponseWriter {
 	if rand.IntN(100) >= unframedPercent {
 		return w
 	}
@@ -47,7 +48,7 @@
 	if rand.IntN(100) >= brokenOffPercent {
 		return w
 	}
-	return &cutWriter{ResponseWriter: w, left: rand.IntN(60), reset: rand.IntN(3) == 0}
+	return &cutWriter{ResponseWriter: w, left: rand.IntN(60), reset: rand.IntN(3) == 0, broken: broken}
 }
 
 // Unwrap returns the writer for http.ResponseController.
@@ -59,6 +60,7 @@
 		c.left -= len(p)
 		return c.ResponseWriter.Write(p)
 	}
+	c.broken()
 	n, _ := c.ResponseWriter.Write(p[:c.left])
 	control := http.NewResponseController(c.ResponseWriter)
 	_ = control.Flush()
@@ -66,7 +68,7 @@
 	if err != nil {
 		return n, errors.Wrap(err, "breaking an answer off")
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok && c.reset {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok && c.reset {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -67,8 +67,21 @@
 	options options
 	members []*member
 	disks   slowDiskPeriods
+	stop    plannedStop
+	strikes strikeLog
+	// replicaLog holds what was done to replicas.
+	replicaLog *os.File
 }
 
+// plannedStop is how gateways stop when they are told to.
+type plannedStop struct {
+	// limit is the longest time of a stop, balancerLag how long clients go on to use a gateway that stops.
+	limit, balancerLag time.Duration
+}
+
+// defaultStop is how the gateways of a soak stop.
+var defaultStop = plannedStop{limit: 6 * time.Second, balancerLag: 500 * time.Millisecond}
+
 // slowDiskPeriods counts the active periods of slow disks and records when the last one ended.
 type slowDiskPeriods struct {
 	mu      sync.Mutex
@@ -96,17 +109,25 @@
 	return s.endedAt, s.active == 0
 }
 
-func newInstallation(o options) (*installation, error) {
+func newInstallation(o options, stop plannedStop) (*installation, error) {
 	if err := os.RemoveAll(o.Folder); err != nil {
 		return nil, err
 	}
-	in := &installation{options: o}
+	in := &installation{options: o, stop: stop}
 	for i := 1; i <= controlNodeCount; i++ {
 		in.members = append(in.members, &member{name: fmt.Sprint("control-", i), program: "moorspool-fleet-control", host: i, control: true})
 	}
 	for i := 1; i <= o.Gateways; i++ {
 		in.members = append(in.members, &member{name: fmt.Sprint("gateway-", i), program: "moorspool-fleet-gateway", host: gatewayHostOffset + i})
 	}
+	if err := os.MkdirAll(o.Folder, 0o755); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(o.Folder, "replicas.log"))
+	if err != nil {
+		return nil, err
+	}
+	in.replicaLog = log
 	for _, m := range in.members {
 		if err := in.prepare(m); err != nil {
 			return nil, err
@@ -186,7 +207,7 @@
 	if m.control {
 		text += fmt.Sprintf("calls: %s\nfolder: %s\nfound: %v\ntolerance: %d\nheartbeat: 500ms\nlease: 1s\n"+quota, in.processAddress(m, in.callPort()), m.folder, bootstrap, tolerance)
 	} else {
-		text += fmt.Sprintf("clients: %s\nready: %s\nforwardPort: %d\nstopLimit: 6s\nbalancerLag: 500ms\nretry: {ratio: 0.2, extra: 50, window: 10s}\ntrust: %s\n"+quota, in.processAddress(m, in.callPort()), in.processAddress(m, in.readyPort()), in.forwardPort(), trustPeriod)
+		text += fmt.Sprintf("clients: %s\nready: %s\nforwardPort: %d\nstopLimit: %s\nbalancerLag: %s\nretry: {ratio: 0.2, extra: 50, window: 10s}\ntrust: %s\n"+quota, in.processAddress(m, in.callPort()), in.processAddress(m, in.readyPort()), in.forwardPort(), in.stop.limit, in.stop.balancerLag, trustPeriod)
 	}
 	return os.WriteFile(m.settingsFile, []byte(text), 0o644)
 }
@@ -269,6 +290,17 @@
 	m.faultActive = true
 }
 
+// tryBeginFault marks a member as faulty unless it is.
+func (m *member) tryBeginFault() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faultActive {
+		return false
+	}
+	m.faultActive = true
+	return true
+}
+
 func (m *member) endFault() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/soak/links.go
+++ b/soak/links.go
@@ -69,6 +69,7 @@
 func (in *installation) cutLinksOf(ctx context.Context, check *checker, cut []*member, state string, duration time.Duration) {
 	for _, m := range cut {
 		fmt.Fprintf(m.log, "soak: %s links to replicas: %s for %s\n", time.Now().Format(time.RFC3339Nano), state, duration)
+		defer in.strikes.begin(m.name, "links", false)(linkReadTime)
 		_ = os.WriteFile(m.settingsFile+".links", []byte(state), 0o644)
 		check.links.begin(m.name)
 	}
@@ -107,8 +108,7 @@
 // without links may not see the replica's answers. Programs of earlier builds do not send from their own
 // address: what their clients named is used then.
 func (l *linkChecks) senderOf(request *http.Request) string {
-	host, _, _ := net.SplitHostPort(request.RemoteAddr)
-	gateway := l.senders[host]
+	gateway := l.senders[hostOf(request.RemoteAddr)]
 	if gateway == "" {
 		gateway = request.Header.Get(gatewayHeader)
 	}
@@ -120,6 +120,11 @@
 	return gateway
 }
 
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
+}
+
 // senders returns the names of the gateways by the address from which they send requests.
 func (in *installation) senders() map[string]string {
 	senders := map[string]string{}
--- /dev/null
+++ b/soak/lost.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// requestDeadline is the time that clients set for an answer.
+	requestDeadline = 3 * time.Second
+	// lastRequestTime is how long after the signal to stop a request may be sent that a gateway may end at
+	// the limit of its stop.
+	lastRequestTime = 3 * time.Second
+	// linkReadTime is how long a gateway may take to read that its links are up again.
+	linkReadTime = 200 * time.Millisecond
+)
+
+// endedAnswer is an answer that came without its whole body.
+type endedAnswer struct {
+	id, kind, gateway string
+	sentAt, endedAt   time.Time
+	// status is 0 if there was no answer.
+	status int
+}
+
+// replicaRun is one run of a request at a replica.
+type replicaRun struct {
+	rep *replica
+	// sender is the gateway that sent the request to the replica, "" if that is not known.
+	sender  string
+	begunAt time.Time
+	// endedAt is when the replica had written its answer or given it up, the zero time before.
+	endedAt time.Time
+	// cut is set if the connection ended before the replica had written its answer, brokeOff if the replica
+	// broke its answer off.
+	cut, brokeOff bool
+}
+
+// lostChecks finds answers that ended early although the replica was sound and at work on them. It is safe
+// for concurrent use.
+type lostChecks struct {
+	mu sync.Mutex
+	// runs holds the last run of each request.
+	runs    map[string]*replicaRun
+	answers []endedAnswer
+	// causes counts the answers by what explains their ends.
+	causes map[string]int
+	lost   int
+}
+
+// beginRun records that a replica runs a request.
+func (l *lostChecks) beginRun(id string, rep *replica, sender string) *replicaRun {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run := &replicaRun{rep: rep, sender: sender, begunAt: time.Now()}
+	l.runs[id] = run
+	return run
+}
+
+// endRun records that a replica ended a run, which it can't do while it is paused.
+func (l *lostChecks) endRun(run *replicaRun) {
+	run.rep.pause.wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run.endedAt = time.Now()
+}
+
+// recordCut records that the connection of a run ended before its answer.
+func (l *lostChecks) recordCut(run *replicaRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run.cut = true
+}
+
+// recordBrokenOff records that a replica breaks its answer off.
+func (l *lostChecks) recordBrokenOff(run *replicaRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run.brokeOff = true
+}
+
+// recordAnswer records an answer unless it came whole or says that the request has not run.
+func (l *lostChecks) recordAnswer(answer endedAnswer, whole bool) {
+	switch {
+	case answer.status == http.StatusOK && whole, answer.status == http.StatusServiceUnavailable:
+		return
+	case answer.status != 0 && answer.status != http.StatusOK && answer.status < http.StatusInternalServerError:
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answers = append(l.answers, answer)
+}
+
+// cause returns what explains that an answer ended without its whole body, "" if nothing does; the lock is
+// held.
+func (l *lostChecks) cause(answer endedAnswer, strikes *strikeLog, stop plannedStop) string {
+	run := l.runs[answer.id]
+	switch {
+	case run == nil:
+		return "did not run"
+	case answer.endedAt.Sub(answer.sentAt) >= requestDeadline-deadlineSlack:
+		return "deadline"
+	case run.brokeOff:
+		return "broken off by the replica"
+	case run.rep.goneBy(answer.endedAt):
+		return "end of the replica"
+	case !run.cut && !run.endedAt.IsZero() && !run.endedAt.After(answer.endedAt):
+		return "written by then"
+	}
+	for _, gateway := range []string{answer.gateway, run.sender} {
+		if name := strikes.explaining(gateway, answer, stop); name != "" {
+			return name
+		}
+	}
+	return ""
+}
+
+// findings returns a description of each answer whose early end nothing explains.
+func (l *lostChecks) findings(strikes *strikeLog, stop plannedStop) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for _, answer := range l.answers {
+		cause := l.cause(answer, strikes, stop)
+		if cause != "" {
+			l.causes[cause]++
+			continue
+		}
+		l.lost++
+		found = append(found, answer.describe(l.runs[answer.id]))
+	}
+	return found
+}
+
+// describe describes an answer that ended early.
+func (a endedAnswer) describe(run *replicaRun) string {
+	end := "was cut"
+	if !run.cut {
+		end = "ended"
+	}
+	after := "is still under way"
+	if !run.endedAt.IsZero() {
+		after = fmt.Sprintf("%s %s after it", end, round(run.endedAt.Sub(a.endedAt)))
+	}
+	return fmt.Sprintf("request %s /%s at %s ended with status %d at %s, %s after it was sent; its run at %s, sent by %s, began %s after it was sent and %s; %s",
+		a.id, a.kind, a.gateway, a.status, a.endedAt.Format("15:04:05.000"), round(a.endedAt.Sub(a.sentAt)), run.rep.id, run.sender, round(run.begunAt.Sub(a.sentAt)), after, &run.rep.pause)
+}
+
+// String describes the counts.
+func (l *lostChecks) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fmt.Sprintf("answers that ended early %d, lost %d, the others by %v", len(l.answers), l.lost, l.causes)
+}
+
+// checkLost checks that no answer of a sound replica ended early.
+func (c *checker) checkLost(in *installation) {
+	for _, finding := range c.lost.findings(&in.strikes, in.stop) {
+		c.fail("lost", "%s", finding)
+	}
+}
--- a/soak/main.go
+++ b/soak/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -21,11 +22,12 @@
 	Bin         string        `long:"bin" description:"folder of the programs" default:"target"`
 	Folder      string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
 	NoBounds    bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
-	Measure     string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, one-gateway, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, ends, ends-kills, rejoined, rejoined-all, rejoined-crash, upgrade, back"`
+	Measure     string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, one-gateway, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, ends, ends-kills, rejoined, rejoined-all, rejoined-crash, upgrade, back, silence, silence-one, silence-long, silence-accept, silence-early, silence-forward, silence-alone, silence-none"`
 	Old         string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
 	Order       string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
 	SyncWait    time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
 	OldDisks    bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
+	NoSilence   bool          `long:"no-silence" description:"leave out the pauses of replicas and the short queues of new connections, as in runs of earlier builds of this program"`
 	NoParts     bool          `long:"no-parts" description:"leave out the requests with parts of prompts that crash replicas, as in runs of earlier builds of this program"`
 	LaggingNode string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
 	Port        int           `long:"port" description:"first of the ports used on every address" default:"17400"`
@@ -40,7 +42,7 @@
 		os.Exit(2)
 	}
 	if o.Measure != "" {
-		if err := measure(o); err != nil {
+		if err := measurementOf(o.Measure)(o); err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
 		}
@@ -65,7 +67,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	in, err := newInstallation(o)
+	in, err := newInstallation(o, defaultStop)
 	if err != nil {
 		return nil, err
 	}
@@ -75,7 +77,12 @@
 	check.timeBounds = !o.NoBounds
 	check.links.senders = in.senders()
 	zones := newZoneDrains()
-	replicas, err := newReplicas(in, check, zones, replicaCount)
+	silenceRandom := rand.New(rand.NewPCG(o.Seed, 18))
+	plan := replicaPlan{count: replicaCount, slots: replicaSlots, backlog: drawBacklog(silenceRandom)}
+	if o.NoSilence {
+		plan.backlog = defaultBacklog
+	}
+	replicas, err := newReplicas(in, check, zones, plan)
 	if err != nil {
 		return nil, err
 	}
@@ -110,9 +117,17 @@
 	disksCtx, endSlowDisks := context.WithCancel(ctx)
 	defer endSlowDisks()
 	disks := in.startSlowDisks(disksCtx, rand.New(rand.NewPCG(o.Seed, 15)))
+	silenceCtx, endSilences := context.WithCancel(ctx)
+	defer endSilences()
+	silences := &sync.WaitGroup{}
+	if !o.NoSilence {
+		silences = replicas.startSilences(silenceCtx, silenceRandom)
+	}
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
 	endSlowDisks()
 	disks.Wait()
+	endSilences()
+	silences.Wait()
 	in.endAllFaults()
 	endFaults()
 	operators.stop()
@@ -125,6 +140,7 @@
 	in.checkMembership(check)
 	check.checkAtEnd(in)
 	check.checkParts()
-	fmt.Printf("seed %d: %s; %s; %s; %s; %s\n", o.Seed, check.summary(), &replicas.notices, &replicas.limits, &check.links, &check.resumes)
+	check.checkLost(in)
+	fmt.Printf("seed %d: queues of %d; %s; %s; %s; %s; %s; %s\n", o.Seed, plan.backlog, check.summary(), &replicas.notices, &replicas.limits, &check.links, &check.resumes, &check.lost)
 	return check.findings(), nil
 }
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -74,6 +74,14 @@
 	},
 }
 
+// measurementOf returns what runs a kind of measurement.
+func measurementOf(kind string) func(o options) error {
+	if _, found := silenceKinds[kind]; found {
+		return measureSilence
+	}
+	return measure
+}
+
 // measure runs a single kind of fault and prints how many unrelated requests were served meanwhile.
 func measure(o options) error {
 	fault, duration, first := measuredFaults[o.Measure], measureDuration, ""
@@ -99,14 +107,14 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	in, err := newInstallation(o)
+	in, err := newInstallation(o, defaultStop)
 	if err != nil {
 		return err
 	}
 	defer in.shutDown()
 	go in.shutDownOnSignal()
 	check := newChecker()
-	r, err := newReplicas(in, check, newZoneDrains(), measureReplicas)
+	r, err := newReplicas(in, check, newZoneDrains(), replicaPlan{count: measureReplicas, slots: replicaSlots, backlog: defaultBacklog})
 	if err != nil {
 		return err
 	}
@@ -269,7 +277,7 @@
 		if !r.remove(rep) {
 			continue
 		}
-		_ = rep.server.Close()
+		rep.close()
 		time.Sleep(restartDowntime)
 		r.startAgain(rep.host, rep.id)
 	}
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -59,11 +59,11 @@
 }
 
 // crashOnPart crashes a replica that begins to answer a request with a deadly part.
-func (r *replicas) crashOnPart(rep *replica, part string) {
+func (r *replicas) crashOnPart(rep *replica, part string, held bool) {
 	time.Sleep(rand.N(maxBeginTime))
 	if r.crash(rep) {
 		r.check.count("ends under a deadly part")
-		if late := r.partCrashes.record(part, time.Now(), r.faultFree("")); late > maxLateCrashes {
+		if late := r.partCrashes.record(part, time.Now(), !held && r.faultFree("")); late > maxLateCrashes {
 			r.check.late("budget", "%s is the %dth replica to end under part %s later than the contact time after the fifth", rep.id, late, part)
 		}
 	}
--- a/soak/rejoined.go
+++ b/soak/rejoined.go
@@ -65,7 +65,7 @@
 		work.Wait()
 		close(held)
 		for _, rep := range left {
-			_ = rep.server.Close()
+			rep.close()
 		}
 		starts.Wait()
 		c.takeUpAll(killedAt, held)
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,7 +16,10 @@
 
 // Numbers and headers of the replicas.
 const (
-	replicaCount      = 6
+	replicaCount = 6
+	replicaSlots = 16
+	// defaultBacklog is the length of a queue that no measurement fills.
+	defaultBacklog    = 4096
 	streamEvents      = 5
 	eventPause        = 30 * time.Millisecond
 	heartbeatInterval = 500 * time.Millisecond
@@ -50,6 +52,20 @@
 	limits limitCounts
 	// unframed makes streams end with their connection, unless it is nil.
 	unframed *streamsWithoutFraming
+	plan     replicaPlan
+}
+
+// replicaPlan is what the replicas of a run have in common.
+type replicaPlan struct {
+	count int
+	// slots is how many requests each tells that it runs at once.
+	slots int
+	// backlog is the length of the queue of connections that are not accepted yet.
+	backlog int
+	// software is the version that all starts run, "" to draw it at each start.
+	software string
+	// handler answers requests in place of replicas.answer, unless it is nil.
+	handler func(rep *replica, w http.ResponseWriter, request *http.Request)
 }
 
 // replica is one start of a backend server.
@@ -69,11 +85,16 @@
 	notices notices
 	cold    coldPeriod
 	limit   announcedLimit
+	pause   pause
+
+	goneMu sync.Mutex
+	// goneAt is when the replica ended or told that it did, the zero time before.
+	goneAt time.Time
 }
 
-func newReplicas(in *installation, check *checker, zones *zoneDrains, count int) (*replicas, error) {
-	r := &replicas{crashes: crashCounts{threshold: deadlyContentCrashes}, partCrashes: partCrashCounts{byPart: map[string]*crashCounts{}}, in: in, check: check, zones: zones, client: &http.Client{Timeout: time.Second}}
-	for i := 1; i <= count; i++ {
+func newReplicas(in *installation, check *checker, zones *zoneDrains, plan replicaPlan) (*replicas, error) {
+	r := &replicas{plan: plan, crashes: crashCounts{threshold: deadlyContentCrashes}, partCrashes: partCrashCounts{byPart: map[string]*crashCounts{}}, in: in, check: check, zones: zones, client: &http.Client{Timeout: time.Second}}
+	for i := 1; i <= plan.count; i++ {
 		rep, err := r.start(i)
 		if err != nil {
 			return nil, err
@@ -94,13 +115,16 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%03d", r.started)
 	}
-	rep := &replica{id: id, software: drawSoftware(), startedMs: time.Now().UnixMilli(), host: host, address: fmt.Sprintf("%s%d:%d", replicaNet, host, r.in.callPort())}
-	listener, err := net.Listen("tcp", rep.address)
+	rep := &replica{id: id, software: r.plan.drawSoftware(), startedMs: time.Now().UnixMilli(), host: host, address: fmt.Sprintf("%s%d:%d", replicaNet, host, r.in.callPort())}
+	listener, err := rep.listen(r.plan.backlog)
 	if err != nil {
 		return nil, err
 	}
-	rep.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { r.answer(rep, w, request) })}
-	go func() { _ = rep.server.Serve(listener) }()
+	answer := r.plan.handler
+	if answer == nil {
+		answer = r.answer
+	}
+	rep.serve(listener, func(w http.ResponseWriter, request *http.Request) { answer(rep, w, request) })
 	r.list = append(r.list, rep)
 	return rep, nil
 }
@@ -109,7 +133,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, rep := range r.list {
-		_ = rep.server.Close()
+		rep.close()
 	}
 }
 
@@ -132,15 +156,13 @@
 		_, _ = fmt.Fprintf(w, `{"born":%d}`, rep.startedMs)
 		return
 	}
-	if at := r.check.drainAcknowledgedAt(rep.id); !at.IsZero() && time.Since(at) > drainGrace && r.faultFree(request.RemoteAddr) {
-		r.check.late("drain", "%s got request %s %s after its leaving was acknowledged", rep.id, id, time.Since(at))
+	held := heldByPause(request)
+	if !held {
+		r.checkArrival(rep, request, id)
 	}
-	r.checkZone(rep, id)
-	r.checkCold(rep)
-	r.checkLimit(rep, request)
 	rep.limit.announce(w.Header(), r.check.links.senderOf(request), time.Now())
-	backoff, refused, leaving := r.checkNotices(rep, request)
-	r.check.checkAccount(id, request.Header, !refused)
+	backoff, refused, leaving := r.checkNotices(rep, request, held)
+	r.check.checkAccount(id, request.Header, !refused && !held)
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -152,18 +174,21 @@
 	if err != nil {
 		return
 	}
+	run := r.check.lost.beginRun(id, rep, r.check.links.senders[hostOf(request.RemoteAddr)])
+	defer r.check.lost.endRun(run)
 	if string(body) == crashBody {
-		r.crashOnContent(rep)
+		r.crashOnContent(rep, held)
 		panic(http.ErrAbortHandler)
 	}
 	if part := deadlyPart(request); part != "" {
-		r.crashOnPart(rep, part)
+		r.crashOnPart(rep, part, held)
 		// Of two requests that crash the replica at once, the later one must not be answered before its
 		// connection closes.
 		panic(http.ErrAbortHandler)
 	}
 	if endless != nil {
 		r.check.count("answers without end")
+		r.check.lost.recordBrokenOff(run)
 		if !endless.rejects && request.URL.Path[1] == 'u' {
 			r.check.recordRun(id, rep.id)
 		}
@@ -176,21 +201,55 @@
 		return
 	}
 	w.Header().Set(stampHeader, rep.id+"."+id)
-	w = drawFraming(w)
+	w = drawFraming(w, func() { r.check.lost.recordBrokenOff(run) })
 	switch request.URL.Path[1] {
 	case 'u':
 		r.check.recordRun(id, rep.id)
 		time.Sleep(10 * time.Millisecond)
 		_, _ = fmt.Fprintf(w, "%s:%s", id, body)
 	case 'e', 'n':
-		r.stream(rep, w, request, id)
+		r.stream(run, w, request, id)
 	case 'l':
-		_, _ = io.WriteString(w, longBody(id))
+		if _, err := io.WriteString(w, longBody(id)); err != nil {
+			r.check.lost.recordCut(run)
+		}
 	default:
 		_, _ = fmt.Fprintf(w, "%s:%s", id, body)
 	}
 }
 
+// checkArrival checks that a replica gets a request when it may get one.
+func (r *replicas) checkArrival(rep *replica, request *http.Request, id string) {
+	if at := r.check.drainAcknowledgedAt(rep.id); !at.IsZero() && time.Since(at) > drainGrace && r.faultFree(request.RemoteAddr) {
+		r.check.late("drain", "%s got request %s %s after its leaving was acknowledged", rep.id, id, time.Since(at))
+	}
+	r.checkZone(rep, id)
+	r.checkCold(rep)
+	r.checkLimit(rep, request)
+}
+
+// recordGone records that the replica ends, unless that is recorded.
+func (rep *replica) recordGone() {
+	rep.goneMu.Lock()
+	defer rep.goneMu.Unlock()
+	if rep.goneAt.IsZero() {
+		rep.goneAt = time.Now()
+	}
+}
+
+// goneBy reports whether the replica had ended at a time.
+func (rep *replica) goneBy(at time.Time) bool {
+	rep.goneMu.Lock()
+	defer rep.goneMu.Unlock()
+	return !rep.goneAt.IsZero() && !rep.goneAt.After(at)
+}
+
+// close ends the replica: its connections close and its port refuses connections.
+func (rep *replica) close() {
+	rep.recordGone()
+	_ = rep.server.Close()
+}
+
 // streamsUnframed returns how streams are written that end with their connection, nil if none are.
 func (r *replicas) streamsUnframed() *streamsWithoutFraming {
 	r.mu.Lock()
@@ -213,7 +272,7 @@
 	return true
 }
 
-func (r *replicas) stream(rep *replica, w http.ResponseWriter, request *http.Request, id string) {
+func (r *replicas) stream(run *replicaRun, w http.ResponseWriter, request *http.Request, id string) {
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	brokenAfter := streamEvents
@@ -222,14 +281,17 @@
 	}
 	for n := after + 1; n <= streamEvents; n++ {
 		if n > brokenAfter {
+			r.check.lost.recordBrokenOff(run)
 			panic(http.ErrAbortHandler)
 		}
-		_, err := io.WriteString(w, streamEvent(id, n, rep.software))
+		_, err := io.WriteString(w, streamEvent(id, n, run.rep.software))
 		if err != nil || http.NewResponseController(w).Flush() != nil {
+			r.check.lost.recordCut(run)
 			return
 		}
 		select {
 		case <-request.Context().Done():
+			r.check.lost.recordCut(run)
 			return
 		case <-time.After(eventPause):
 		}
@@ -243,7 +305,7 @@
 		list := append([]*replica(nil), r.list...)
 		r.mu.Unlock()
 		for _, rep := range list {
-			if rep.draining {
+			if rep.draining || rep.pause.paused() {
 				continue
 			}
 			go r.register(rep, "ready")
@@ -259,7 +321,7 @@
 	sequence := rep.sequence
 	r.mu.Unlock()
 	cold := rep.cold.remaining()
-	body, err := json.Marshal(map[string]any{"service": "s", "address": rep.address, "zone": zoneOf(rep.host), "version": rep.software, "slots": 16, "state": state, "sequence": sequence, "born": rep.startedMs, "cold_remaining_ms": cold.Milliseconds()})
+	body, err := json.Marshal(map[string]any{"service": "s", "address": rep.address, "zone": zoneOf(rep.host), "version": rep.software, "slots": r.plan.slots, "state": state, "sequence": sequence, "born": rep.startedMs, "cold_remaining_ms": cold.Milliseconds()})
 	if err != nil || !r.call(rep, http.MethodPut, body) {
 		return false
 	}
@@ -274,6 +336,7 @@
 		r.mu.Lock()
 		m := r.in.controlNodes()[rep.nextControlNode%controlNodeCount]
 		r.mu.Unlock()
+		rep.pause.wait()
 		request, err := http.NewRequest(method, "http://"+r.in.proxyAddress(m, r.in.callPort())+"/-/replicas/"+rep.id, bytes.NewReader(body))
 		if err != nil {
 			return false
@@ -326,6 +389,7 @@
 		r.check.count("drains")
 	}
 	time.Sleep(drainGrace + time.Second)
+	rep.recordGone()
 	r.call(rep, http.MethodDelete, nil)
 }
 
@@ -334,6 +398,6 @@
 	if !r.remove(rep) {
 		return
 	}
-	_ = rep.server.Close()
+	rep.close()
 	r.startAgain(rep.host, "")
 }
--- a/soak/resume.go
+++ b/soak/resume.go
@@ -34,7 +34,12 @@
 }
 
 // drawSoftware returns the software version of a replica that starts.
-func drawSoftware() string { return fmt.Sprint("v", 1+rand.IntN(2)) }
+func (p replicaPlan) drawSoftware() string {
+	if p.software != "" {
+		return p.software
+	}
+	return fmt.Sprint("v", 1+rand.IntN(2))
+}
 
 // streamEvent returns an event of a stream.
 func streamEvent(attempt string, number int, software string) string {
@@ -101,7 +106,7 @@
 	rep.notices.mu.Lock()
 	turnsAway := rep.notices.backoffTime > 0 || rep.notices.leaving
 	rep.notices.mu.Unlock()
-	return !limited && !turnsAway && rep.cold.remaining() == 0
+	return !limited && !turnsAway && rep.cold.remaining() == 0 && !rep.pause.active()
 }
 
 // recordBegin counts a new stream at a calm gateway.
--- /dev/null
+++ b/soak/silencemeasure.go
@@ -0,0 +1,462 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// What a measurement of silent replicas does.
+const (
+	silenceReplicas = 4
+	silenceSlots    = 64
+	silenceBacklog  = 16
+	silenceEvents   = 12
+	silencePace     = 90 * time.Millisecond
+	// silencePlainTime is how long a plain answer takes. Gateways look after a replica that has sent nothing
+	// for a shorter time.
+	silencePlainTime = 1500 * time.Millisecond
+	// silenceWarmUp is how long clients send before the first stop, silenceRound the time from one stop to
+	// the next one, silenceRounds how many there are.
+	silenceWarmUp = 3 * time.Second
+	silenceRound  = 7 * time.Second
+	silenceRounds = 4
+	// maxSilenceShift is the longest pause before a round.
+	maxSilenceShift = 300 * time.Millisecond
+	// silenceDowntime is how long a gateway that stopped is gone.
+	silenceDowntime = 500 * time.Millisecond
+	// silenceTimeout is the time for an answer, silenceClientTimeout how long a client waits for it.
+	silenceTimeout       = 5 * time.Second
+	silenceClientTimeout = 6 * time.Second
+	// deadlineSlack is how long before its deadline a request may be given up.
+	deadlineSlack = 200 * time.Millisecond
+	// silenceStreamPause and silencePlainPause are the pauses between two requests of a class.
+	silenceStreamPause = 12 * time.Millisecond
+	silencePlainPause  = 50 * time.Millisecond
+	// maxLostIDs is how many lost requests of a class are named.
+	maxLostIDs = 20
+)
+
+// silenceStop is how gateways stop in the measurement.
+var silenceStop = plannedStop{limit: 8 * time.Second, balancerLag: 3 * time.Second}
+
+// silenceKind is a way in which replicas fall silent around a planned stop.
+type silenceKind struct {
+	// replicas is how many fall silent, from delay after the stop for duration.
+	replicas        int
+	delay, duration time.Duration
+	// accepting is set if only the accepting of connections rests.
+	accepting bool
+	// forward makes one gateway have no links to replicas.
+	forward bool
+	// alone leaves out all classes but the first.
+	alone bool
+}
+
+var silenceKinds = map[string]silenceKind{
+	"silence":         {replicas: silenceReplicas, delay: 600 * time.Millisecond, duration: 1200 * time.Millisecond},
+	"silence-one":     {replicas: 1, delay: 600 * time.Millisecond, duration: 1200 * time.Millisecond},
+	"silence-long":    {replicas: silenceReplicas, delay: 600 * time.Millisecond, duration: 2600 * time.Millisecond},
+	"silence-accept":  {replicas: silenceReplicas, delay: 600 * time.Millisecond, duration: 1200 * time.Millisecond, accepting: true},
+	"silence-early":   {replicas: silenceReplicas, delay: -500 * time.Millisecond, duration: 1200 * time.Millisecond},
+	"silence-forward": {replicas: silenceReplicas, delay: 600 * time.Millisecond, duration: 1200 * time.Millisecond, forward: true},
+	"silence-alone":   {replicas: silenceReplicas, delay: 600 * time.Millisecond, duration: 1200 * time.Millisecond, alone: true},
+	"silence-none":    {},
+}
+
+// silenceClass is a kind of measured requests, by the first letter of their path.
+type silenceClass struct {
+	kind  string
+	name  string
+	pause time.Duration
+}
+
+var silenceClasses = []silenceClass{
+	{"o", "streams that run once", silenceStreamPause},
+	{"r", "streams that may be resumed", silencePlainPause},
+	{"u", "plain, run once", silencePlainPause},
+	{"s", "plain, may be repeated", silencePlainPause},
+}
+
+// silenceConfiguration returns a version's configuration; each version has its own idle time.
+func silenceConfiguration(version uint64) string {
+	const route = `{"name":%q,"hostname":"a.example","path_prefix":"/%s/","route_kind":%q,"timeout_ms":%d,"target_latency_ms":500,"service":"s","max_attempts":%d,"resumable":%v}`
+	timeout := silenceTimeout.Milliseconds()
+	routes := []string{
+		fmt.Sprintf(route, "once", "o", "streaming", timeout, 1, false),
+		fmt.Sprintf(route, "resumed", "r", "streaming", timeout, 2, true),
+		fmt.Sprintf(route, "unsafe", "u", "unsafe", timeout, 1, false),
+		fmt.Sprintf(route, "safe", "s", "safe", timeout, 2, false),
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health"}],"limits":{"max_body_bytes":1048576,"idle_timeout_ms":%d}}`, version, strings.Join(routes, ","), 15000+version)
+}
+
+// silentRun is one run of a request at a replica.
+type silentRun struct {
+	replica string
+	begun   time.Time
+	// written is how many events were written, lastAt when the last one was.
+	written int
+	lastAt  time.Time
+	// cutAt is when the replica learned that its gateway had closed the connection, the zero time if the run
+	// came to its end.
+	cutAt time.Time
+	done  bool
+}
+
+// silenceResult is what a client got.
+type silenceResult struct {
+	id      string
+	class   silenceClass
+	gateway *member
+	sentAt  time.Time
+	endedAt time.Time
+	// lastAt is when the last byte came.
+	lastAt time.Time
+	// dialed is set if the request was sent; status is 0 if there was no answer.
+	dialed bool
+	status int
+	whole  bool
+	events int
+	// stopping is set if the gateway had been told to stop; signalAt is the last stop of any gateway.
+	stopping bool
+	signalAt time.Time
+}
+
+// silenceMeasurement is a measurement of silent replicas. It is safe for concurrent use.
+type silenceMeasurement struct {
+	in       *installation
+	kind     silenceKind
+	random   *rand.Rand
+	replicas *replicas
+	next     atomic.Uint64
+	version  atomic.Uint64
+	log      *os.File
+
+	mu      sync.Mutex
+	runs    map[string][]*silentRun
+	results []silenceResult
+	// stopping is the gateway that was told to stop, nil once it is back; signalAt is when it was told.
+	stopping *member
+	signalAt time.Time
+}
+
+// measureSilence stops gateways while replicas fall silent, and prints which answers ended early.
+func measureSilence(o options) error {
+	in, err := newInstallation(o, silenceStop)
+	if err != nil {
+		return err
+	}
+	defer in.shutDown()
+	go in.shutDownOnSignal()
+	m := &silenceMeasurement{in: in, kind: silenceKinds[o.Measure], random: rand.New(rand.NewPCG(o.Seed, 18)), runs: map[string][]*silentRun{}}
+	if m.log, err = os.Create(in.options.Folder + "/requests"); err != nil {
+		return errors.Wrap(err, "log of requests")
+	}
+	defer m.log.Close()
+	plan := replicaPlan{count: silenceReplicas, slots: silenceSlots, backlog: silenceBacklog, software: "v1", handler: m.answer}
+	if m.replicas, err = newReplicas(in, newChecker(), newZoneDrains(), plan); err != nil {
+		return err
+	}
+	defer m.replicas.close()
+	if err := in.startAll(); err != nil {
+		return err
+	}
+	if err := m.configure(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go m.replicas.sendHeartbeats(ctx)
+	if err := m.waitUntilServing(); err != nil {
+		return err
+	}
+	m.play(ctx)
+	in.shutDown()
+	m.print()
+	return nil
+}
+
+// waitUntilServing waits until every gateway has answered a request.
+func (m *silenceMeasurement) waitUntilServing() error {
+	for _, gateway := range m.in.gatewayNodes() {
+		served := false
+		for turn := 0; turn < 100 && !served; turn++ {
+			served = m.send(silenceClasses[len(silenceClasses)-1], gateway).whole
+			time.Sleep(100 * time.Millisecond)
+		}
+		if !served {
+			return errors.Errorf("%s never served a request", gateway.name)
+		}
+	}
+	if m.kind.forward {
+		gateway := m.withoutLinks()
+		if err := os.WriteFile(gateway.settingsFile+".links", []byte("refuse"), 0o644); err != nil {
+			return errors.Wrap(err, "links of a gateway")
+		}
+	}
+	return nil
+}
+
+// withoutLinks returns the gateway that has no links to replicas, nil if all have.
+func (m *silenceMeasurement) withoutLinks() *member {
+	gateways := m.in.gatewayNodes()
+	if !m.kind.forward {
+		return nil
+	}
+	return gateways[len(gateways)-1]
+}
+
+// play sends requests of all classes while gateways stop and replicas fall silent.
+func (m *silenceMeasurement) play(ctx context.Context) {
+	sending, endSending := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	for i, class := range silenceClasses {
+		if m.kind.alone && i > 0 {
+			break
+		}
+		work.Go(func() { m.sendAll(sending, class, i) })
+	}
+	time.Sleep(silenceWarmUp)
+	gateways := m.in.gatewayNodes()
+	if m.kind.forward {
+		gateways = gateways[:len(gateways)-1]
+	}
+	firstGateway, firstReplica := m.random.IntN(len(gateways)), m.random.IntN(silenceReplicas)
+	for round := range silenceRounds {
+		time.Sleep(time.Duration(m.random.Int64N(int64(maxSilenceShift))))
+		m.strike(gateways[(firstGateway+round)%len(gateways)], firstReplica+round)
+	}
+	endSending()
+	work.Wait()
+	time.Sleep(m.kind.duration)
+}
+
+// strike stops a gateway, changes the configuration and lets replicas fall silent.
+func (m *silenceMeasurement) strike(gateway *member, firstReplica int) {
+	next := time.Now().Add(silenceRound)
+	var work sync.WaitGroup
+	if m.kind.delay < 0 {
+		work.Go(func() { m.fallSilent(firstReplica) })
+		time.Sleep(-m.kind.delay)
+	}
+	work.Go(func() { m.stop(gateway) })
+	work.Go(func() { _ = m.configure() })
+	if m.kind.delay > 0 {
+		time.Sleep(m.kind.delay)
+		work.Go(func() { m.fallSilent(firstReplica) })
+	}
+	work.Wait()
+	time.Sleep(time.Until(next))
+}
+
+// stop stops a gateway and starts it again.
+func (m *silenceMeasurement) stop(gateway *member) {
+	m.mu.Lock()
+	m.stopping, m.signalAt = gateway, time.Now()
+	m.mu.Unlock()
+	m.note("%s is told to stop", gateway.name)
+	m.in.restart(gateway, syscall.SIGTERM, silenceDowntime, func() { m.note("%s has stopped", gateway.name) })
+	m.mu.Lock()
+	m.stopping = nil
+	m.mu.Unlock()
+}
+
+// fallSilent lets replicas fall silent for a while.
+func (m *silenceMeasurement) fallSilent(first int) {
+	var silent []*replica
+	for i := range m.kind.replicas {
+		silent = append(silent, m.replicas.list[(first+i)%len(m.replicas.list)])
+	}
+	for _, rep := range silent {
+		rep.pause.begin(m.kind.accepting)
+		m.note("%s falls silent", rep.id)
+	}
+	time.Sleep(m.kind.duration)
+	for _, rep := range silent {
+		rep.pause.end()
+		m.note("%s goes on", rep.id)
+	}
+}
+
+// configure sends the next configuration until it is acknowledged.
+func (m *silenceMeasurement) configure() error {
+	operators := newOperators(m.in, newChecker(), newZoneDrains())
+	version := m.version.Add(1)
+	body := silenceConfiguration(version)
+	for turn := range 100 {
+		if status, _ := operators.call(http.MethodPut, turn%controlNodeCount, body); status == http.StatusOK {
+			m.note("version %d is acknowledged", version)
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.New("the configuration was never acknowledged")
+}
+
+// note writes a line into the log of requests.
+func (m *silenceMeasurement) note(format string, arguments ...any) {
+	fmt.Fprintf(m.log, "%s soak: %s\n", time.Now().UTC().Format(time.RFC3339Nano), fmt.Sprintf(format, arguments...))
+}
+
+// sendAll sends the requests of a class at a steady rate to the gateways in turn.
+func (m *silenceMeasurement) sendAll(ctx context.Context, class silenceClass, first int) {
+	ticker := time.NewTicker(class.pause)
+	defer ticker.Stop()
+	gateways := m.in.gatewayNodes()
+	var work sync.WaitGroup
+	defer work.Wait()
+	for turn := first; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		gateway := gateways[turn%len(gateways)]
+		work.Go(func() { m.record(m.send(class, gateway)) })
+	}
+}
+
+// send sends one request on a connection of its own.
+func (m *silenceMeasurement) send(class silenceClass, gateway *member) silenceResult {
+	result := silenceResult{id: fmt.Sprintf("q%08d", m.next.Add(1)), class: class, gateway: gateway, sentAt: time.Now()}
+	conn, err := net.DialTimeout("tcp", m.in.processAddress(gateway, m.in.callPort()), silenceClientTimeout)
+	if err != nil {
+		result.endedAt = time.Now()
+		return result
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(silenceClientTimeout))
+	body := "body of " + result.id
+	head := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nX-Deadline-Ms: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", class.kind, idHeader, result.id, silenceTimeout.Milliseconds(), len(body))
+	if _, err := io.WriteString(conn, head+body); err == nil {
+		result.dialed = true
+		result.read(conn)
+	}
+	result.endedAt = time.Now()
+	return result
+}
+
+// read reads an answer.
+func (s *silenceResult) read(conn net.Conn) {
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return
+	}
+	s.status, s.lastAt = response.StatusCode, time.Now()
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			s.lastAt = time.Now()
+			s.events += strings.Count(string(buffer[:n]), "\n\n")
+		}
+		if err != nil {
+			s.whole = errors.Is(err, io.EOF) && s.status == http.StatusOK && s.complete()
+			return
+		}
+	}
+}
+
+// complete reports whether all events of a stream came.
+func (s *silenceResult) complete() bool {
+	return s.class.kind != "o" && s.class.kind != "r" || s.events == silenceEvents
+}
+
+// record keeps what a client got.
+func (m *silenceMeasurement) record(result silenceResult) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	result.stopping, result.signalAt = m.stopping == result.gateway, m.signalAt
+	m.results = append(m.results, result)
+}
+
+// answer runs a request at a replica and records the run.
+func (m *silenceMeasurement) answer(rep *replica, w http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get(idHeader)
+	if id != "" {
+		w.Header().Set(idHeader, id)
+	}
+	if expected := request.Header.Get("X-Expected-Replica"); expected != "" && expected != rep.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch request.URL.Path {
+	case "/-/report":
+		_, _ = fmt.Fprintf(w, `{"born":%d}`, rep.startedMs)
+		return
+	case "/health":
+		return
+	}
+	if _, err := io.ReadAll(request.Body); err != nil {
+		return
+	}
+	run := &silentRun{replica: rep.id, begun: time.Now()}
+	m.mu.Lock()
+	m.runs[id] = append(m.runs[id], run)
+	m.mu.Unlock()
+	if kind := request.URL.Path[1]; kind == 'o' || kind == 'r' {
+		m.stream(rep, run, w, request, id)
+		return
+	}
+	select {
+	case <-request.Context().Done():
+		m.cut(run)
+	case <-time.After(silencePlainTime):
+		rep.pause.wait()
+		_, err := fmt.Fprintf(w, "%s:done", id)
+		m.written(run, err == nil)
+	}
+}
+
+// stream writes the events of a stream.
+func (m *silenceMeasurement) stream(rep *replica, run *silentRun, w http.ResponseWriter, request *http.Request, id string) {
+	after, _ := strconv.Atoi(request.Header.Get(headerLastEvent))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := after + 1; n <= silenceEvents; n++ {
+		rep.pause.wait()
+		_, err := io.WriteString(w, streamEvent(id, n, rep.software))
+		if err != nil || http.NewResponseController(w).Flush() != nil {
+			m.cut(run)
+			return
+		}
+		m.written(run, n == silenceEvents)
+		if n == silenceEvents {
+			return
+		}
+		select {
+		case <-request.Context().Done():
+			m.cut(run)
+			return
+		case <-time.After(silencePace):
+		}
+	}
+}
+
+// written records that a part of an answer was written, the last one if done.
+func (m *silenceMeasurement) written(run *silentRun, done bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	run.written++
+	run.lastAt, run.done = time.Now(), done
+}
+
+// cut records that a gateway closed the connection of a run that was at work.
+func (m *silenceMeasurement) cut(run *silentRun) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	run.cutAt = time.Now()
+}
--- a/soak/slow.go
+++ b/soak/slow.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -66,19 +67,26 @@
 	}
 	request.Host = "a.example"
 	request.Header.Set(idHeader, id)
-	request.Header.Set("X-Deadline-Ms", "3000")
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	request.Header.Set(keyHeader, mainKey)
+	end := endedAnswer{id: id, kind: "l", gateway: m.name, sentAt: time.Now()}
 	got, err := client.Do(request)
 	if err != nil {
+		end.endedAt = time.Now()
+		c.check.lost.recordAnswer(end, false)
 		return
 	}
 	defer got.Body.Close()
 	if got.StatusCode != http.StatusOK {
+		end.endedAt, end.status = time.Now(), got.StatusCode
+		c.check.lost.recordAnswer(end, true)
 		c.check.count("slow clients refused")
 		return
 	}
 	time.Sleep(readDelay)
 	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes))
+	end.endedAt, end.status = time.Now(), got.StatusCode
+	c.check.lost.recordAnswer(end, err == nil && string(body) == longBody(id))
 	switch {
 	case err != nil || len(body) == maxAnswerBytes:
 		c.check.count("slow answers broken off")
