--- a/soak/lost.go
+++ b/soak/lost.go
@@ -145,8 +145,8 @@
 	if !run.endedAt.IsZero() {
 		after = fmt.Sprintf("%s %s after it", end, round(run.endedAt.Sub(a.endedAt)))
 	}
-	return fmt.Sprintf("request %s /%s at %s ended with status %d at %s, %s after it was sent; its run at %s, sent by %s, began %s after it was sent and %s; %s",
-		a.id, a.kind, a.gateway, a.status, a.endedAt.Format("15:04:05.000"), round(a.endedAt.Sub(a.sentAt)), run.rep.id, run.sender, round(run.begunAt.Sub(a.sentAt)), after, &run.rep.pause)
+	return fmt.Sprintf("request %s /%s at %s ended with status %d at %s, %s after it was sent; its run at %s, sent by %s, began %s after it was sent and %s; the replica was %s",
+		a.id, a.kind, a.gateway, a.status, a.endedAt.Format("15:04:05.000"), round(a.endedAt.Sub(a.sentAt)), run.rep.id, run.sender, round(run.begunAt.Sub(a.sentAt)), after, run.rep.pause.describe(a.sentAt, a.endedAt))
 }
 
 // String describes the counts.
--- /dev/null
+++ b/soak/lost_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lostScene is an answer that ended early after 1.5 s, and its run by a sound replica that is at work until
+// 2 s after the request was sent.
+type lostScene struct {
+	start   time.Time
+	checks  *lostChecks
+	strikes strikeLog
+	rep     *replica
+	run     *replicaRun
+	answer  endedAnswer
+	stop    plannedStop
+}
+
+func newLostScene() *lostScene {
+	start := time.Now()
+	s := &lostScene{start: start, checks: &newChecker().lost, rep: &replica{id: "i-001"}, stop: defaultStop}
+	s.run = s.checks.beginRun("q1", s.rep, "gateway-2")
+	s.run.begunAt, s.run.endedAt = start.Add(10*time.Millisecond), start.Add(2*time.Second)
+	s.answer = endedAnswer{id: "q1", kind: "e", gateway: "gateway-1", sentAt: start, endedAt: start.Add(1500 * time.Millisecond), status: http.StatusOK}
+	return s
+}
+
+// strike records a strike of a gateway that begins and ends at times after the request was sent.
+func (s *lostScene) strike(gateway, name string, planned bool, from, to time.Duration) {
+	s.strikes.begin(gateway, name, planned)
+	all := s.strikes.byName[gateway]
+	added := all[len(all)-1]
+	added.from = s.start.Add(from)
+	if to != 0 {
+		added.to = s.start.Add(to)
+	}
+}
+
+// TestAnswerThatNothingEndedIsLost checks what is a finding.
+func TestAnswerThatNothingEndedIsLost(t *testing.T) {
+	for name, change := range map[string]func(s *lostScene){
+		"broken off while its replica is at work": func(*lostScene) {},
+		"no answer":                  func(s *lostScene) { s.answer.status = 0 },
+		"502 before the deadline":    func(s *lostScene) { s.answer.status = http.StatusBadGateway },
+		"504 before the deadline":    func(s *lostScene) { s.answer.status = http.StatusGatewayTimeout },
+		"the run is still under way": func(s *lostScene) { s.run.endedAt = time.Time{} },
+		"the run was cut before the client's end": func(s *lostScene) {
+			s.run.cut, s.run.endedAt = true, s.answer.endedAt.Add(-time.Millisecond)
+		},
+		"the run began when its replica went on": func(s *lostScene) { s.run.begunAt = s.answer.endedAt.Add(time.Second) },
+		"the replica ended later": func(s *lostScene) {
+			s.rep.goneAt = s.answer.endedAt.Add(time.Millisecond)
+		},
+		"an earlier run broke off": func(s *lostScene) {
+			s.checks.recordBrokenOff(s.run)
+			s.run = s.checks.beginRun("q1", s.rep, "gateway-2")
+		},
+		"an earlier run's replica ended": func(s *lostScene) {
+			s.rep.goneAt = s.start
+			s.run = s.checks.beginRun("q1", &replica{id: "i-002"}, "gateway-2")
+		},
+		"its gateway is told to stop":     func(s *lostScene) { s.strike("gateway-1", "stop", true, -time.Second, 0) },
+		"its sender is told to stop":      func(s *lostScene) { s.strike("gateway-2", "stop", true, time.Second, 0) },
+		"another gateway is killed":       func(s *lostScene) { s.strike("gateway-3", "kill", false, 0, 0) },
+		"a strike ended before":           func(s *lostScene) { s.strike("gateway-1", "reset", false, -time.Second, -time.Millisecond) },
+		"a strike began after":            func(s *lostScene) { s.strike("gateway-1", "kill", false, 1501*time.Millisecond, 0) },
+		"the replica is paused meanwhile": func(s *lostScene) { s.rep.pause.begin(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLostScene()
+			change(s)
+			s.checks.recordAnswer(s.answer, false)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop)), 1)
+			is.Equal(s.checks.lost, 1)
+		})
+	}
+}
+
+// TestAnswerThatSomethingEndedIsNotLost checks what explains the early end of an answer.
+func TestAnswerThatSomethingEndedIsNotLost(t *testing.T) {
+	for _, test := range []struct {
+		cause  string
+		change func(s *lostScene)
+	}{
+		{"did not run", func(s *lostScene) { s.answer.id = "q2" }},
+		{"deadline", func(s *lostScene) { s.answer.endedAt = s.start.Add(requestDeadline) }},
+		{"broken off by the replica", func(s *lostScene) { s.checks.recordBrokenOff(s.run) }},
+		{"end of the replica", func(s *lostScene) { s.rep.goneAt = s.start.Add(time.Second) }},
+		{"written by then", func(s *lostScene) { s.run.endedAt = s.start.Add(time.Second) }},
+		{"kill", func(s *lostScene) { s.strike("gateway-1", "kill", false, time.Second, 0) }},
+		{"pause", func(s *lostScene) { s.strike("gateway-2", "pause", false, -time.Second, time.Second) }},
+		{"links", func(s *lostScene) { s.strike("gateway-2", "links", false, time.Second, 0) }},
+		{"stop", func(s *lostScene) {
+			s.strike("gateway-1", "stop", true, -4*time.Second, 0)
+			s.strikes.byName["gateway-1"][0].from = s.answer.endedAt.Add(-5100 * time.Millisecond)
+			s.answer.sentAt = s.answer.endedAt.Add(-2500 * time.Millisecond)
+		}},
+	} {
+		t.Run(test.cause, func(t *testing.T) {
+			is := is.New(t)
+			s := newLostScene()
+			test.change(s)
+			s.checks.recordAnswer(s.answer, false)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop)), 0)
+			is.Equal(s.checks.causes, map[string]int{test.cause: 1})
+		})
+	}
+}
+
+// TestLateRequestIsNotEndedByTheLimitOfAStop: only requests sent up to lastRequestTime after the signal may be
+// ended at the limit.
+func TestLateRequestIsNotEndedByTheLimitOfAStop(t *testing.T) {
+	is := is.New(t)
+	s := newLostScene()
+	s.strike("gateway-1", "stop", true, -lastRequestTime-time.Millisecond, 0)
+	s.answer.endedAt = s.start.Add(2500 * time.Millisecond)
+	s.run.endedAt = s.start.Add(3 * time.Second)
+	s.checks.recordAnswer(s.answer, false)
+	is.Equal(len(s.checks.findings(&s.strikes, s.stop)), 1)
+}
+
+// TestWholeAnswersAndRefusalsAreNoEarlyEnds checks which answers are looked at.
+func TestWholeAnswersAndRefusalsAreNoEarlyEnds(t *testing.T) {
+	for _, test := range []struct {
+		status  int
+		whole   bool
+		checked bool
+	}{
+		{http.StatusOK, true, false},
+		{http.StatusOK, false, true},
+		{0, false, true},
+		{http.StatusServiceUnavailable, true, false},
+		{http.StatusTooManyRequests, true, false},
+		{http.StatusUnauthorized, true, false},
+		{http.StatusBadGateway, true, true},
+		{http.StatusGatewayTimeout, true, true},
+	} {
+		is := is.New(t)
+		checks := &newChecker().lost
+		checks.recordAnswer(endedAnswer{status: test.status}, test.whole)
+		is.Equal(len(checks.answers) == 1, test.checked)
+	}
+}
--- a/soak/main.go
+++ b/soak/main.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -78,10 +77,7 @@
 	check.links.senders = in.senders()
 	zones := newZoneDrains()
 	silenceRandom := rand.New(rand.NewPCG(o.Seed, 18))
-	plan := replicaPlan{count: replicaCount, slots: replicaSlots, backlog: drawBacklog(silenceRandom)}
-	if o.NoSilence {
-		plan.backlog = defaultBacklog
-	}
+	plan := replicaPlan{count: replicaCount, slots: replicaSlots, backlog: drawBacklog(o, silenceRandom)}
 	replicas, err := newReplicas(in, check, zones, plan)
 	if err != nil {
 		return nil, err
@@ -119,10 +115,7 @@
 	disks := in.startSlowDisks(disksCtx, rand.New(rand.NewPCG(o.Seed, 15)))
 	silenceCtx, endSilences := context.WithCancel(ctx)
 	defer endSilences()
-	silences := &sync.WaitGroup{}
-	if !o.NoSilence {
-		silences = replicas.startSilences(silenceCtx, silenceRandom)
-	}
+	silences := replicas.startSilences(silenceCtx, silenceRandom)
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
 	endSlowDisks()
 	disks.Wait()
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -75,8 +75,8 @@
 
 // checkNotices checks a request against the notices that its gateway received. It returns the
 // back-off to ask for, whether the replica refuses the request, and whether it announces that it
-// leaves. A request that a pause held up is not checked: it may have been sent long before.
-func (r *replicas) checkNotices(rep *replica, request *http.Request, held bool) (backoff time.Duration, refused, leaving bool) {
+// leaves.
+func (r *replicas) checkNotices(rep *replica, request *http.Request) (backoff time.Duration, refused, leaving bool) {
 	gateway, now := r.check.links.senderOf(request), time.Now()
 	if gateway == "" {
 		return 0, false, false
@@ -92,7 +92,7 @@
 		notice = &gatewayNotice{}
 		n.byGateway[gateway] = notice
 	}
-	if !held && !notice.leavingAt.IsZero() && now.Sub(notice.leavingAt) > drainGrace && r.faultFreeBefore(gateway, notice.leavingAt) {
+	if !notice.leavingAt.IsZero() && now.Sub(notice.leavingAt) > drainGrace && r.faultFreeBefore(gateway, notice.leavingAt) {
 		r.notices.recordAfterLeaving()
 		r.check.late("drain", "%s got a request from %s %s after it had said in an answer that it leaves", rep.id, gateway, now.Sub(notice.leavingAt))
 	}
@@ -100,7 +100,7 @@
 		notice.leavingAt = now
 	}
 	if now.Before(notice.backoffUntil) {
-		if !held && now.Sub(notice.backoffAt) > noticeTime && r.faultFreeBefore(gateway, notice.backoffAt) {
+		if now.Sub(notice.backoffAt) > noticeTime && r.faultFreeBefore(gateway, notice.backoffAt) {
 			notice.duringBackoff++
 			r.notices.duringBackoff(notice.duringBackoff)
 			if notice.duringBackoff > maxDuringBackoff {
--- a/soak/pause.go
+++ b/soak/pause.go
@@ -22,10 +22,13 @@
 	over chan struct{}
 	// accepting is set if only the accepting of connections is paused.
 	accepting bool
-	// began is when the last pause began, ended when it ended.
-	began, ended time.Time
+	// spans are all pauses, the last of which may be under way.
+	spans []pauseSpan
 }
 
+// pauseSpan is the time of a pause; to is the zero time while it is under way.
+type pauseSpan struct{ from, to time.Time }
+
 // begin begins a pause of everything or of accepting alone. It reports false if one is under way.
 func (p *pause) begin(accepting bool) bool {
 	p.mu.Lock()
@@ -33,7 +36,8 @@
 	if p.over != nil {
 		return false
 	}
-	p.over, p.accepting, p.began = make(chan struct{}), accepting, time.Now()
+	p.over, p.accepting = make(chan struct{}), accepting
+	p.spans = append(p.spans, pauseSpan{from: time.Now()})
 	return true
 }
 
@@ -44,7 +48,7 @@
 		return
 	}
 	close(p.over)
-	p.over, p.ended = nil, time.Now()
+	p.over, p.spans[len(p.spans)-1].to = nil, time.Now()
 }
 
 // paused reports whether the whole process is paused.
@@ -61,25 +65,28 @@
 	return p.over != nil
 }
 
-// String describes the last pause.
-func (p *pause) String() string {
+// describe describes the pauses between two times.
+func (p *pause) describe(from, to time.Time) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	const layout = "15:04:05.000"
-	switch {
-	case p.began.IsZero():
-		return "it was not paused"
-	case p.over != nil:
-		return "it is paused since " + p.began.Format(layout)
+	text := "not paused meanwhile"
+	for i, span := range p.spans {
+		if span.from.After(to) || !span.to.IsZero() && span.to.Before(from) {
+			continue
+		}
+		if text = "paused from " + span.from.Format(layout); i < len(p.spans)-1 || p.over == nil {
+			text += " to " + span.to.Format(layout)
+		}
 	}
-	return "its last pause was from " + p.began.Format(layout) + " to " + p.ended.Format(layout)
+	return text
 }
 
 // endedWithin reports whether a pause ended within the last time.
 func (p *pause) endedWithin(last time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.ended.IsZero() && time.Since(p.ended) < last
+	return p.over == nil && len(p.spans) > 0 && time.Since(p.spans[len(p.spans)-1].to) < last
 }
 
 // wait waits while the whole process is paused. It reports whether it was.
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -157,17 +157,10 @@
 		return
 	}
 	held := heldByPause(request)
-	if !held {
-		r.checkArrival(rep, request, id)
-	}
-	rep.limit.announce(w.Header(), r.check.links.senderOf(request), time.Now())
-	backoff, refused, leaving := r.checkNotices(rep, request, held)
-	r.check.checkAccount(id, request.Header, !refused && !held)
-	if leaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
-	if refused {
-		refuse(w, backoff)
+	if held {
+		// It may have been sent long before, and its gateway may not see what the answer says.
+		r.check.checkAccount(id, request.Header, false)
+	} else if r.checkArrival(rep, w, request, id) {
 		return
 	}
 	body, err := io.ReadAll(request.Body)
@@ -218,14 +211,25 @@
 	}
 }
 
-// checkArrival checks that a replica gets a request when it may get one.
-func (r *replicas) checkArrival(rep *replica, request *http.Request, id string) {
+// checkArrival checks that a replica gets a request when it may get one, and writes notices into the answer. It
+// reports whether the replica has refused the request.
+func (r *replicas) checkArrival(rep *replica, w http.ResponseWriter, request *http.Request, id string) bool {
 	if at := r.check.drainAcknowledgedAt(rep.id); !at.IsZero() && time.Since(at) > drainGrace && r.faultFree(request.RemoteAddr) {
 		r.check.late("drain", "%s got request %s %s after its leaving was acknowledged", rep.id, id, time.Since(at))
 	}
 	r.checkZone(rep, id)
 	r.checkCold(rep)
 	r.checkLimit(rep, request)
+	rep.limit.announce(w.Header(), r.check.links.senderOf(request), time.Now())
+	backoff, refused, leaving := r.checkNotices(rep, request)
+	r.check.checkAccount(id, request.Header, !refused)
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if refused {
+		refuse(w, backoff)
+	}
+	return refused
 }
 
 // recordGone records that the replica ends, unless that is recorded.
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -42,7 +42,12 @@
 }
 
 // drawBacklog returns the length of the replicas' queues of new connections.
-func drawBacklog(random *rand.Rand) int { return minBacklog << random.IntN(maxBacklogDoublings+1) }
+func drawBacklog(o options, random *rand.Rand) int {
+	if o.NoSilence {
+		return defaultBacklog
+	}
+	return minBacklog << random.IntN(maxBacklogDoublings+1)
+}
 
 func drawSilence(random *rand.Rand) silence {
 	return silence{
@@ -59,6 +64,9 @@
 // startSilences begins to pause replicas from time to time; the returned group ends after ctx.
 func (r *replicas) startSilences(ctx context.Context, random *rand.Rand) *sync.WaitGroup {
 	var work sync.WaitGroup
+	if r.in.options.NoSilence {
+		return &work
+	}
 	work.Go(func() {
 		for ctx.Err() == nil {
 			sleep(ctx, minSilencePause+time.Duration(random.Int64N(int64(maxSilencePause-minSilencePause))))
