LOST: a request that goes elsewhere has its connection there first

What callers saw: a request that may be repeated was given up as overdue at a sound server that was silent, and got 502: no other one took a connection, or the connection that had asked for it took the last place in the queue. Cause: whether another server takes the request was asked with a connection that was closed again, and the next attempt chose and connected anew, or was forwarded since the service counted as out of reach. Change: the connection that the other server has accepted is kept, and the next attempt goes to that server on it.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -88,6 +88,7 @@
 	c.sends++
 	var sent sentRequest
 	hooks := sendHooks{
+		ready:   c.readyConn(now, peer),
 		sending: watch.noteSent,
 		admit: func() bool {
 			sent = sentRequest{sentAt: h.options.Fleet.bootNow(), term: c.sendPermit.term, grant: c.sendPermit.number}
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -44,6 +44,8 @@
 	// MaxPermitWait is how long the request can wait for a permit for a cold or rate-limited
 	// replica. It is negative if the request must not ask for one.
 	MaxPermitWait time.Duration
+	// Only restricts the choice to one replica, nil for any.
+	Only *Peer
 	// PermitOnly restricts the choice to replicas that need a permit.
 	PermitOnly bool
 	// The other fields are set for engines with small batches only.
@@ -139,7 +141,7 @@
 	batch := f.newBatchWork(now, &want)
 	seen := 0
 	for _, c := range f.index.lookup(want.Service, held) {
-		if !f.mayServe(&want, c.zone, c.peer) {
+		if !f.mayServe(&want, c.zone, c.peer) || want.Only != nil && want.Only != c.peer {
 			continue
 		}
 		if wait, accepted := f.acceptsIn(c.peer); !accepted {
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -129,6 +129,9 @@
 
 func (c *call) requirements() Requirements {
 	want := Requirements{Service: c.service, Model: c.requestInfo.Model, Adapter: c.requestInfo.Adapter, PromptLength: c.requestInfo.PromptTokens, Parts: c.requestInfo.Parts, Residency: catalog.ResidencyOf(c.route, c.account), Origin: c.origin.Binding}
+	if c.next != nil {
+		want.Only = c.next.peer
+	}
 	c.addWork(&want)
 	return want
 }
--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -95,6 +95,8 @@
 	evidence string
 	// proof is what proves the loss of the replica, if the gateway gave it up for that.
 	proof lossProof
+	// next is where the request goes on, if it was given up for that.
+	next *nextPeer
 }
 
 // causeOf returns what an error of a connection to a replica means.
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -239,6 +239,8 @@
 	// watch may end the current attempt early, early is what ended the last one.
 	watch *attemptWatch
 	early earlyEnd
+	// next is where the request goes on after an attempt that was given up, nil to choose anew.
+	next *nextPeer
 	// content is the digest of the request's content. It is valid once digested is set.
 	content  quarantine.Digest
 	digested bool
@@ -408,10 +410,11 @@
 	defer cancel()
 	waiting, endWait := c.handler.waitContext(ctx)
 	defer endWait()
+	defer func() { c.dropNext(c.handler.options.Now()) }()
 	var lastError *errorResponse
 	choice, chosen := Choice{}, false
 	for {
-		if !chosen && c.mustForward() {
+		if !chosen && c.next == nil && c.mustForward() {
 			if ended, taken := c.forward(ctx); taken {
 				if ended == answered {
 					return
@@ -426,6 +429,10 @@
 		if !chosen {
 			choice = c.choose(waiting)
 		}
+		if choice.Verdict != Chosen && c.next != nil {
+			c.dropNext(c.handler.options.Now())
+			continue
+		}
 		if choice.Verdict != Chosen && c.preferForwarding() {
 			continue
 		}
@@ -439,6 +446,7 @@
 			return
 		}
 		ended, failure := c.attempt(ctx, choice)
+		c.takeNext()
 		c.release(c.slotOutcome(ended))
 		c.releasePlace()
 		c.placeRequests = 0
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -90,6 +90,8 @@
 	// admit reports whether the replica accepts the request. It is called once the connection is
 	// established, right before the first byte.
 	admit func() bool
+	// ready is a connection that the replica has accepted for the request; nil takes one of the pool.
+	ready *conn
 	// sending is told the connection right before the first byte of the request.
 	sending func(net.Conn)
 	// confirm returns an error if the request must not be sent on a connection. It is called before admit and
@@ -103,9 +105,12 @@
 // must be established within the given time. Cancelling the context closes the connection at any
 // time.
 func send(ctx context.Context, p *pool, o *outgoingRequest, id string, hooks sendHooks, connectTimeout time.Duration, deadline, now time.Time) (*replicaResponse, error) {
-	c, err := p.get(ctx, connectTimeout, now)
-	if err != nil {
-		return nil, errors.Wrap(errNotSent, err.Error())
+	c := hooks.ready
+	if c == nil {
+		var err error
+		if c, err = p.get(ctx, connectTimeout, now); err != nil {
+			return nil, errors.Wrap(errNotSent, err.Error())
+		}
 	}
 	if hooks.confirm != nil {
 		if err := hooks.confirm(c); err != nil {
--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -52,9 +52,9 @@
 	acknowledgedNothing func(net.Conn) time.Duration
 	// end closes the connection of the attempt.
 	end func()
-	// elsewhere reports whether the request may be sent again and another peer takes it now; begun tells
-	// that its client has a part of the stream.
-	elsewhere func(now time.Time, begun bool) bool
+	// elsewhere returns where the request goes on, nil if it must not be sent again or nobody takes it; begun
+	// tells that its client has a part of the stream.
+	elsewhere func(now time.Time, begun bool) *nextPeer
 	startedAt time.Time
 	// heard is when the peer last sent something, as the time since startedAt; 0 if it has not.
 	heard atomic.Int64
@@ -72,7 +72,7 @@
 
 // watchAttempt returns a watch that calls end if the attempt is to end before its deadline. The head of the
 // response is overdue from headDue on, the zero time for never.
-func (c *call) watchAttempt(ctx context.Context, peer *Peer, now, headDue time.Time, elsewhere func(time.Time, bool) bool, end func()) *attemptWatch {
+func (c *call) watchAttempt(ctx context.Context, peer *Peer, now, headDue time.Time, elsewhere func(time.Time, bool) *nextPeer, end func()) *attemptWatch {
 	w := &attemptWatch{ctx: ctx, peer: peer, now: c.handler.options.Now, acknowledgedNothing: c.handler.options.Fleet.unacknowledged, end: end, elsewhere: elsewhere, startedAt: now}
 	w.begun.Store(c.stream != nil && c.stream.started)
 	w.bound.Store(!c.origin.Unresolved())
@@ -151,11 +151,21 @@
 
 // endIf ends the attempt if it is to end early, and reports whether it is.
 func (w *attemptWatch) endIf(sign silenceSign, overdue bool) bool {
-	cause := decideEarlyEnd(sign, overdue, func() bool { return w.bound.Load() && w.elsewhere(w.now(), w.begun.Load()) })
+	var next *nextPeer
+	cause := decideEarlyEnd(sign, overdue, func() bool {
+		if w.bound.Load() {
+			next = w.elsewhere(w.now(), w.begun.Load())
+		}
+		return next != nil
+	})
 	if cause == causeNone {
 		return false
 	}
-	w.givenUp.Store(&earlyEnd{cause: cause, evidence: sign.evidence, proof: sign.proof})
+	if next != nil && next.conn != nil && w.ctx.Err() != nil {
+		_ = next.conn.raw.Close()
+		return true
+	}
+	w.givenUp.Store(&earlyEnd{cause: cause, evidence: sign.evidence, proof: sign.proof, next: next})
 	w.end()
 	return true
 }
@@ -190,39 +200,52 @@
 	return n, err
 }
 
+// nextPeer is a peer that takes a request whose attempt is given up. conn is a connection that it has accepted,
+// nil if the next attempt makes its own.
+type nextPeer struct {
+	peer *Peer
+	conn *conn
+}
+
 // nowhere is the answer of a request that must not be sent again.
-func nowhere(time.Time, bool) bool { return false }
+func nowhere(time.Time, bool) *nextPeer { return nil }
 
-// elsewhere returns a function that tells whether the request, if its attempt at the last one of the tried
-// peers ends now, is taken by another replica. It may be called by another goroutine.
-func (c *call) elsewhere() func(now time.Time, begun bool) bool {
+// elsewhere returns a function that tells where the request goes on if its attempt at the last one of the tried
+// peers ends now. It may be called by another goroutine.
+func (c *call) elsewhere() func(now time.Time, begun bool) *nextPeer {
 	if !c.mayRunAgain() {
 		return nowhere
 	}
 	fleet, want, tried, budgetAllows := c.handler.options.Fleet, c.requirements(), slices.Clone(c.tried), c.budgetAllows()
-	return func(now time.Time, begun bool) bool {
+	return func(now time.Time, begun bool) *nextPeer {
 		want := want
 		if begun {
 			want.Origin.Bind(now, tried[len(tried)-1].origin(), resume.Written)
 		}
-		return budgetAllows(now) && fleet.acceptedByOther(now, &want, tried)
+		if !budgetAllows(now) {
+			return nil
+		}
+		return fleet.connectToOther(now, &want, tried)
 	}
 }
 
 // elsewhereThanAt is elsewhere for a request that is forwarded to a gateway.
-func (c *call) elsewhereThanAt() func(now time.Time, begun bool) bool {
+func (c *call) elsewhereThanAt() func(now time.Time, begun bool) *nextPeer {
 	if !c.mayRunAgain() {
 		return nowhere
 	}
 	gateways, service, want, tried, budgetAllows := c.handler.gatewayList, c.service, c.requirements(), slices.Clone(c.tried), c.budgetAllows()
 	fleet := c.handler.options.Fleet
 	allowed := func(zone string) bool { return fleet.residencyAllows(&want, zone) }
-	return func(now time.Time, _ bool) bool {
+	return func(now time.Time, _ bool) *nextPeer {
 		if !budgetAllows(now) {
-			return false
+			return nil
 		}
 		to := gateways.pick(now, service, tried, allowed)
-		return to != nil && to.probe() == dialAccepted
+		if to == nil || to.probe() != dialAccepted {
+			return nil
+		}
+		return &nextPeer{peer: to}
 	}
 }
 
@@ -237,8 +260,9 @@
 	return func(now time.Time) bool { return budget.Allows(now, h.Gateways()) }
 }
 
-// acceptedByOther reports whether a replica that was not tried takes the request and accepts a connection now.
-func (f *Fleet) acceptedByOther(now time.Time, want *Requirements, tried []*Peer) bool {
+// connectToOther connects to a replica that was not tried and takes the request. It returns nil if none accepts a
+// connection.
+func (f *Fleet) connectToOther(now time.Time, want *Requirements, tried []*Peer) *nextPeer {
 	var others []*Peer
 	for _, c := range f.index.lookup(want.Service, copyKey{model: want.Model, adapter: want.Adapter}) {
 		if f.mayKeepCopy(now, want, c, tried) && !c.peer.loadEstimate(now).ejected {
@@ -246,5 +270,36 @@
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return slices.ContainsFunc(others[:min(len(others), maxElsewhereDials)], func(peer *Peer) bool { return peer.probe() == dialAccepted })
+	for _, peer := range others[:min(len(others), maxElsewhereDials)] {
+		if raw, err := peer.pool.connect(context.Background(), reachTimeout); err == nil {
+			return &nextPeer{peer: peer, conn: newConn(raw)}
+		}
+	}
+	return nil
+}
+
+// takeNext makes the peer that accepted a connection for the request its next choice.
+func (c *call) takeNext() {
+	if given := c.watch.givenUp.Load(); given != nil && given.next != nil && given.next.conn != nil {
+		c.next = given.next
+	}
+}
+
+// dropNext leaves the choice to the request again.
+func (c *call) dropNext(now time.Time) {
+	if c.next != nil {
+		c.next.peer.pool.putUnused(now, c.next.conn)
+		c.next = nil
+	}
+}
+
+// readyConn returns the connection that a peer has accepted for the request, nil if there is none.
+func (c *call) readyConn(now time.Time, peer *Peer) *conn {
+	next := c.next
+	if next == nil || next.peer != peer || !openAndSilent(next.conn) {
+		c.dropNext(now)
+		return nil
+	}
+	c.next = nil
+	return next.conn
 }
--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -428,3 +428,32 @@
 		})
 	}
 }
+
+// TestAnOverdueRequestGoesOnAtTheConnectionThatWasAccepted: the last place in the queue of the next replica was taken by
+// the connection that asked for it, and the request found none.
+func TestAnOverdueRequestGoesOnAtTheConnectionThatWasAccepted(t *testing.T) {
+	is := is.New(t)
+	var arrived, dials atomic.Int64
+	var first atomic.Pointer[string]
+	serve := func(a arrival) bool {
+		first.CompareAndSwap(nil, &a.replica)
+		if arrived.Add(1) == 1 {
+			time.Sleep(3 * time.Second)
+		}
+		return whole(a)
+	}
+	replicas := []*fakeReplica{newReplica(t, "x", serve), newReplica(t, "y", serve), newReplica(t, "w", serve)}
+	b := newBench(t, route(catalog.Safe, 2), replicas...)
+	for _, f := range replicas {
+		pool := b.fleet.Peer(f.id).pool
+		pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if id := first.Load(); id != nil && (*id == f.id || dials.Add(1) > 1) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return Dial(ctx, address)
+		}
+	}
+	is.Equal(b.do("GET", "one", "").status, http.StatusOK)
+	is.Equal(arrived.Load(), int64(2))
+}
