Exchange tests: a cut link is tested once the connection before it has been closed

Cause: TestAGatewayNoticesThatItReachesNoReplicaAndWhenItDoesAgain sent its second request once it had the answer to the first one. The replica closes the connection after that answer, so that the gateway could still take it from its pool, and the request, which may have run, was answered 502.

Ruled out: a fault of the gateway. It closes idle connections whose close has arrived, and may not call a request unsent that it sent on an open one.

Change: the replica closes the connection itself and says so; the test waits for that. The statuses asked for are the same.

Conclusion: an error in the order of the test.

--- a/src/exchange/links_test.go
+++ b/src/exchange/links_test.go
@@ -40,12 +40,19 @@
 
 func TestAGatewayNoticesThatItReachesNoReplicaAndWhenItDoesAgain(t *testing.T) {
 	is := is.New(t)
-	// Replicas that close each connection make every request dial.
-	closing := func(a arrival) bool { whole(a); return false }
+	// Replicas that close each connection make every request dial, once the gateway can know of the close.
+	closed := make(chan struct{}, 4)
+	closing := func(a arrival) bool {
+		whole(a)
+		_ = a.conn.Close()
+		closed <- struct{}{}
+		return false
+	}
 	b, links := newLinkBench(t, route(catalog.Unsafe, 1), newReplica(t, "a", closing), newReplica(t, "b", closing))
 	ring := event.NewRing("test", 64, nil, time.Now)
 	b.fleet.ring = ring
 	is.Equal(b.do("POST", "one", "").status, 200)
+	<-closed
 	links.cut.Store(true)
 	is.Equal(b.do("POST", "two", "").status, 503)
 	is.Equal(b.fleet.Unreachable(), []string{"s"})
