Feed tests: subscribers are read once they have been changed

Cause: TestBroadcastReachesEveryGatewayOfANode waited for the number of gateways, which a relay changes before it adds or removes the subscriber. A broadcast in between reached nobody, and the test waited for it for ever; a gateway that had left could still be listed.

Ruled out: a subscriber that stays. It is removed by the next statement.

Change: the test waits until the subscriber is listed before it broadcasts, and until none is afterwards.

--- a/src/feed/relay_test.go
+++ b/src/feed/relay_test.go
@@ -226,6 +226,14 @@
 	is.Equal(len(update.Standings[0].Record.InMemory), 0) // only placement needs it
 }
 
+// subscriberCount returns the number of gateways that are sent notifications. One that comes or leaves changes
+// it shortly after Gateways.
+func (r *Relay) subscriberCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.subscribers)
+}
+
 // TestBroadcastReachesEveryGatewayOfANode checks that Broadcast reaches a gateway that follows the
 // node, and that one that has left is forgotten.
 func TestBroadcastReachesEveryGatewayOfANode(t *testing.T) {
@@ -237,24 +245,21 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
-	eventually(t, "the gateway follows", n.onlyFollows(0))
+	relay := n.nodes[0].relay
+	eventually(t, "the gateway follows", func() bool { return n.onlyFollows(0)() && relay.subscriberCount() == 1 })
 	backlogs, err := rpc.NewNotification(wire.MethodBacklogs, json.RawMessage(`{"p":"AQI="}`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.nodes[0].relay.Broadcast(backlogs)
+	relay.Broadcast(backlogs)
 	if got := <-received; string(got.Packed) != "\x01\x02" {
 		t.Errorf("the gateway received %v", got.Packed)
 	}
 	cancel()
 	cut.Set(n.addresses())
 	n.nodes[0].server.Close()
-	eventually(t, "the gateway has disconnected", func() bool { return n.nodes[0].relay.Gateways() == 0 })
-	n.nodes[0].relay.mu.Lock()
-	defer n.nodes[0].relay.mu.Unlock()
-	if len(n.nodes[0].relay.subscribers) != 0 {
-		t.Error("a gateway that left is remembered")
-	}
+	eventually(t, "the gateway has disconnected", func() bool { return relay.Gateways() == 0 })
+	eventually(t, "the gateway that left is forgotten", func() bool { return relay.subscriberCount() == 0 })
 }
 
 // TestRelayReportsTheConfirmationOfAMajority: without a leader a gateway would take the state of a node for
