Exchange tests: crashes are counted once the dials that find them are over

Cause: a request whose connection broke waits 10 ms for the dial that shows a crash. On a busy machine the dial takes longer; the client has its answer then, and the test read the log, or sent the next request, before the crash was recorded.

Ruled out: a crash that is not recorded.

Change: awaitCrashChecks waits, up to 10 s, until no replica is being dialed. The tests call it after each request that ends a replica and ask for the same numbers as before.

Conclusion: an error in the order of the tests where clients come back; not where a request goes on by itself.

--- a/src/exchange/quarantine_test.go
+++ b/src/exchange/quarantine_test.go
@@ -49,6 +49,29 @@
 	return count
 }
 
+// awaitCrashChecks waits until the dials to replicas whose connections broke are over. A request waits for
+// them no longer than crashCheckTimeout.
+func (b *bench) awaitCrashChecks() {
+	b.t.Helper()
+	detector := b.handler.crashDetector
+	checking := func() bool {
+		detector.mu.Lock()
+		defer detector.mu.Unlock()
+		for _, candidate := range detector.candidates {
+			if candidate.probe != nil {
+				return true
+			}
+		}
+		return false
+	}
+	for wait := 0; checking(); wait++ {
+		if wait == 10_000 {
+			b.t.Fatal("a replica is still being dialed")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestQuarantinedContentReachesNoReplica: after the third crash no replica gets the content,
 // neither in a first attempt nor in a retry or the continuation of a stream. The client is told
 // that nothing ran and when to retry.
@@ -74,6 +97,7 @@
 			var last clientResponse
 			for i := range 8 {
 				last = b.do("POST", fmt.Sprint("ending-", i), crashBody)
+				b.awaitCrashChecks()
 			}
 			is.Equal(countCrashes(replicas), quarantine.Threshold)
 			is.Equal(last.status, http.StatusTooManyRequests)
@@ -138,6 +162,7 @@
 			var last clientResponse
 			for i := range 8 {
 				last = b.do("POST", fmt.Sprint("ending-", i), fmt.Sprint("body ", i), fmt.Sprintf("%s: first-%d,poison,own-%d", testParts, i%2, i))
+				b.awaitCrashChecks()
 			}
 			is.Equal(countArrivals(replicas), way.crashes)
 			is.Equal(last.status, http.StatusTooManyRequests)
@@ -183,6 +208,7 @@
 	for i := range 8 {
 		is.Equal(b.do("POST", fmt.Sprint("sound-", i), "body", fmt.Sprintf("%s: shared,other,own-%d", testParts, i)).status, http.StatusOK)
 		b.do("POST", fmt.Sprint("ending-", i), fmt.Sprint("body ", i), fmt.Sprintf("%s: shared,poison,own-%d", testParts, i))
+		b.awaitCrashChecks()
 	}
 	is.Equal(countArrivals(replicas), 8+quarantine.Threshold)
 }
@@ -254,6 +280,7 @@
 	ring := event.NewRing("test", 64, nil, time.Now)
 	b.handler.options.Ring = ring
 	b.do("POST", "one", crashBody)
+	b.awaitCrashChecks()
 	found, _ := ring.Since(0, "a")
 	content := quarantine.Content{Method: "POST", Host: "h.example", Target: "/p/x%2Fy?q=1&q=2", Body: []byte(crashBody)}.Digest()
 	ends := 0
