Exchange tests: slow clients are followed by a wait for the handlers

Cause: TestSlowClientsKeepABoundedPartOfAGateway asks for 0 buffered bytes once its clients have read their responses, in the order that TestBodiesOfFailuresAreCountedAsBuffered had.

Ruled out: a leak; with the handlers waited for, the count is 0.

Change: it waits for the handlers and then asks once for exactly 0, as before.

--- a/src/exchange/retention_test.go
+++ b/src/exchange/retention_test.go
@@ -77,6 +77,7 @@
 	if kept := most(); kept > limit {
 		t.Errorf("%d bytes kept, %d allowed", kept, limit)
 	}
+	b.awaitHandlers()
 	is.Equal(b.handler.retention.used.Load(), int64(0))
 }
 
