ORDER: a close is no confirmation of another

Cause: two runs that ended with their connection after the same event were taken for a proof. A fault that comes at one event of a stream comes again, so they are not independent. Ruled out: more runs that agree: rarer, not proof, and each costs a run; asking for the last event again: a server that always closes at one event passes it. Change: only a length or a last chunk ends a stream, of its run or of a later one that has nothing to add. The records of closes, the question whether the confirming server lives, and the kind stream_confirmed are gone. Tests: TestAStreamToTheCloseEndsOnceAnotherReplicaHasNothingToAdd, TestAClientThatTakesUpAStreamThatWasClosedGetsItsEnd, TestAStreamCutInsideAnEventGoesOnElsewhere and the first case of TestAnotherStartOfAReplicaConfirmsNoEndOfAStream held the fault for allowed: they took an empty rest that ends with its connection for the end. The empty rest has a last chunk in them now, and one without is asked not to end a stream. Conclusion: where all servers answer to the close, no stream ends as complete; each breaks off with all its events.

--- a/src/exchange/events.go
+++ b/src/exchange/events.go
@@ -16,8 +16,6 @@
 	// resumedAfter is the ID after which the current run was asked to go on, "" once an event beyond it
 	// has arrived.
 	resumedAfter string
-	// closedAfter is the ID of the event after which a run ended with its connection, "" if none did.
-	closedAfter string
 	// pending is the start of an event that is not complete yet.
 	pending eventBuffer
 }
--- a/src/exchange/framing_test.go
+++ b/src/exchange/framing_test.go
@@ -243,7 +243,7 @@
 		case "2":
 			return unframed(200, "id: 3\ndata: c\n\n", false)(a)
 		}
-		return unframed(200, "", false)(a)
+		return emptyRest(a)
 	}
 	b := newBench(t, resumableRoute(3), newReplica(t, "a", act), newReplica(t, "b", act), newReplica(t, "c", act))
 	got := b.doFramed("POST")
--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -178,38 +178,6 @@
 	h.options.Origins.Store(c.origin.key, origin)
 }
 
-// closeKey returns the key of the record that a run of the client's stream ended with its connection after an
-// event. No attempt has such an ID, as a header has no line end.
-func (c *call) closeKey(after string) resume.Key {
-	attempt := c.requestInfo.Resumes
-	if attempt == "" {
-		attempt = c.requestInfo.ID
-	}
-	return c.attemptKey(attempt + "\n" + after)
-}
-
-// storeClose records after which event the current run ended with its connection.
-func (c *call) storeClose() {
-	origin, known := c.origin.Origin()
-	store := c.handler.options.Origins.Store
-	if !known || store == nil || !c.route.Idempotent() {
-		return
-	}
-	store(c.closeKey(c.stream.closedAfter), origin)
-}
-
-// closedBefore reports whether a run in an earlier attempt of the client ended with its connection after an event.
-func (c *call) closedBefore(ctx context.Context, after string) bool {
-	find := c.handler.options.Origins.Find
-	if find == nil || c.requestInfo.Resumes == "" {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, originFindTimeout)
-	defer cancel()
-	finding, found := find(ctx, c.closeKey(after))
-	return found && c.origin.Allows(finding.Origin)
-}
-
 // setForwardedOrigin takes over the origin that the gateway which forwarded the request knows.
 func (c *call) setForwardedOrigin() {
 	if origin := forwardedOrigin(c.request.Header); origin.Known() {
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -130,7 +130,7 @@
 		return c.handleBrokenStream(ctx, peer, a, errInsideEvent)
 	case a.end == endByClose && !c.stream.started && c.resumeAfter() == "":
 		return c.handleBrokenStream(ctx, peer, a, errNoEvent)
-	case a.end == endByClose && !c.confirmsEnd(ctx, peer):
+	case a.end == endByClose:
 		return c.handleUnprovenEnd(ctx, peer, a)
 	}
 	if rest := c.stream.pending.take(); len(rest) > 0 || !c.stream.started {
@@ -139,7 +139,6 @@
 			return truncated
 		}
 	}
-	c.noteUnprovenEnd(peer, a.end, streamConfirmed)
 	c.completeResponse()
 	a.reuseConn(c.handler.options.Now())
 	peer.succeeded()
@@ -147,47 +146,15 @@
 	return answered
 }
 
-// confirmsEnd reports whether a run that ended with its connection confirms the end of the stream: it was
-// asked for what follows the event after which an earlier run had ended in the same way, it had nothing to
-// add, and it was not the end of the replica that closed the connection.
-func (c *call) confirmsEnd(ctx context.Context, peer *Peer) bool {
-	after := c.stream.resumedAfter
-	if after == "" || c.stream.closedAfter != after && !c.closedBefore(ctx, after) {
-		return false
-	}
-	return c.stillRuns(ctx, peer)
-}
-
-// stillRuns reports whether the start of a replica that is on the list has not ended. One that does not
-// tell its start only has to accept a connection.
-func (c *call) stillRuns(ctx context.Context, peer *Peer) bool {
-	if peer.replaced() {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
-	defer cancel()
-	raw, err := peer.pool.connect(ctx, startCheckTimeout)
-	if err != nil {
-		return false
-	}
-	defer raw.Close()
-	if peer.startedMS() == 0 {
-		return true
-	}
-	h := c.handler
-	return newConn(raw).confirmStart(&h.options.Codec, peer, h.options.Now().Add(startCheckTimeout)) == nil
-}
-
-// handleUnprovenEnd handles a run that ended with its connection, which proves nothing. Another replica may
-// go on with the stream, or confirm the end by having nothing to add. The replica has not failed.
+// handleUnprovenEnd handles a run that ended with its connection, which proves nothing, however many do so after
+// the same event. Another replica may go on with the stream, or prove its end by the end of its own response. The
+// replica has not failed.
 func (c *call) handleUnprovenEnd(ctx context.Context, peer *Peer, a *replicaResponse) outcome {
 	a.abort()
 	c.noteEarlyEnd(ctx, errUnprovenEnd)
 	c.reason += "; " + peer.ID() + " ended the stream after event " + c.resumeAfter() + " by closing the connection, which proves nothing"
 	c.noteUnprovenEnd(peer, a.end, streamNotConfirmed)
 	c.noteUnprovenRun(peer)
-	c.stream.closedAfter = c.resumeAfter()
-	c.storeClose()
 	c.checkWriter(ctx)
 	return unknown
 }
--- a/src/exchange/streamend_test.go
+++ b/src/exchange/streamend_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"github.com/moorspool/moorspool/src/catalog"
-	"github.com/moorspool/moorspool/src/resume"
 )
 
 // writeDeadlinePassed is longer than the timeout of the route and the second that a response may be late.
@@ -137,6 +136,13 @@
 	return unframed(200, rest, false)(a)
 }
 
+// emptyRest ends a stream by its last chunk, with nothing to add.
+func emptyRest(a arrival) bool {
+	a.head()
+	a.endStream()
+	return true
+}
+
 func TestAStreamToTheCloseEndsOnceAnotherReplicaHasNothingToAdd(t *testing.T) {
 	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		for _, c := range []struct {
@@ -149,8 +155,11 @@
 			t.Run(protocol+" "+c.name, func(t *testing.T) {
 				is := is.New(t)
 				act := func(a arrival) bool {
-					if a.request.Header.Get(testAfter) == "" {
+					switch a.request.Header.Get(testAfter) {
+					case "":
 						return c.first(a)
+					case "2":
+						return emptyRest(a)
 					}
 					return toTheClose(a)
 				}
@@ -166,28 +175,23 @@
 func TestAClientThatTakesUpAStreamThatWasClosedGetsItsEnd(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// held is the event that the client holds, where the earlier run was closed after the second.
-		held   string
-		resume string
-		ends   bool
+		rest behaviour
+		ends bool
 	}{
-		{"the event after which it was closed", "2", "one", true},
-		{"another event", "3", "one", false},
-		{"another attempt", "2", "other", false},
+		{"a rest with a proof of its end", emptyRest, true},
+		{"a rest to the close", toTheClose, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			act := func(a arrival) bool {
-				rest := twoEvents
 				if a.request.Header.Get(testAfter) != "" {
-					rest = ""
+					return c.rest(a)
 				}
-				return unframed(200, rest, false)(a)
+				return toTheClose(a)
 			}
-			b, store := newOriginBench(t, resumable(1), versionedReplica(t, "a", "v1", act))
-			store.table.Put(time.Now(), resume.NewKey("", "r", "other"), resume.Origin{Service: "s", SoftwareVersion: "v1"})
+			b, _ := newOriginBench(t, resumable(1), versionedReplica(t, "a", "v1", act))
 			is.True(b.doFramed("POST").err != nil)
-			got := b.do("POST", "back", "", testResumes+": "+c.resume, testAfter+": "+c.held)
+			got := b.do("POST", "back", "", testResumes+": one", testAfter+": 2")
 			is.Equal(got.status == http.StatusOK && got.err == nil && got.body == "", c.ends)
 		})
 	}
@@ -242,7 +246,7 @@
 				return toTheClose(a)
 			})
 			got := b.doFramed("POST")
-			is.Equal(got.err == nil, endedMS == 5)
+			is.True(got.err != nil) // the stream looks complete
 			is.Equal(got.body, twoEvents)
 		})
 	}
--- a/src/exchange/unproven.go
+++ b/src/exchange/unproven.go
@@ -19,8 +19,6 @@
 	bodyPassedOn unprovenEnd = iota
 	// bodyOfEndedReplica means that the replica has ended, so that its host may have closed the connection.
 	bodyOfEndedReplica
-	// streamConfirmed means that a run which was to go on with the stream had nothing to add.
-	streamConfirmed
 	// streamNotConfirmed means that the stream was not ended: another replica may go on with it, else it
 	// breaks off.
 	streamNotConfirmed
@@ -32,8 +30,6 @@
 	switch u {
 	case bodyOfEndedReplica:
 		return "body_of_ended_replica"
-	case streamConfirmed:
-		return "stream_confirmed"
 	case streamNotConfirmed:
 		return "stream_not_confirmed"
 	case bodyPassedOn, unprovenEnds:
