LOST: an attempt is given up only if the next one is certain to be allowed and nothing has arrived meanwhile

What callers saw, in tests of a review: a plain answer of over 1 MB that its client had begun to get was given up for another attempt, which can't replace it; an answer that arrived while another server was dialed was dropped, and ran twice or, in a stream, went on elsewhere; of twelve requests given up at once ten got 502, as the retry budget had two repeats. Cause: only streams told the watch that their client has a part; what had arrived was compared before the dial to another server, not after it; the budget was looked at when an attempt was given up and asked later. Change: a response passed on as it arrives is marked as one that nothing can replace; what arrived since the check began ends it without an effect; the repeat is taken before another server is dialed, and given back if the attempt goes on.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -55,7 +55,9 @@
 		return true
 	}
 	now := c.handler.options.Now()
-	if !c.handler.budgets.get(c.service).Take(now, int(c.handler.gateways.Load())) {
+	taken := c.repeatTaken
+	c.repeatTaken = false
+	if !taken && !c.handler.budgets.get(c.service).Take(now, int(c.handler.gateways.Load())) {
 		c.reason += "; the retry budget is spent"
 		return false
 	}
--- a/src/exchange/budget.go
+++ b/src/exchange/budget.go
@@ -64,25 +64,23 @@
 func (b *Budget) Take(now time.Time, gateways int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.allows(now, gateways) {
+	b.advance(now)
+	allowed := ratioSpendShare*b.limits.Ratio*total(b.requests[:]) + extraSpendShare*b.limits.Extra/float64(max(gateways, 1))
+	if total(b.repeats[:])+1 > allowed {
 		return false
 	}
 	b.repeats[b.bucket%repeatBuckets]++
 	return true
 }
 
-// Allows reports whether the budget has a repeat.
-func (b *Budget) Allows(now time.Time, gateways int) bool {
+// GiveBack withdraws a repeat that was taken at the given time and not made.
+func (b *Budget) GiveBack(taken time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allows(now, gateways)
-}
-
-// allows reports whether the budget has a repeat; the lock is held.
-func (b *Budget) allows(now time.Time, gateways int) bool {
-	b.advance(now)
-	allowed := ratioSpendShare*b.limits.Ratio*total(b.requests[:]) + extraSpendShare*b.limits.Extra/float64(max(gateways, 1))
-	return total(b.repeats[:])+1 <= allowed
+	bucket := taken.UnixNano() / int64(b.limits.Window/requestBuckets)
+	if b.bucket-bucket < repeatBuckets && b.repeats[bucket%repeatBuckets] > 0 {
+		b.repeats[bucket%repeatBuckets]--
+	}
 }
 
 // advance clears the buckets that have left the window; the lock is held.
--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -123,6 +123,7 @@
 func (c *call) noteEarlyEnd(ctx context.Context, err error) {
 	end := earlyEnd{cause: causeOf(err), evidence: err.Error()}
 	given := c.watch.givenUp.Load()
+	c.takeNext()
 	switch {
 	case c.handler.stop.ended():
 		end.cause = causeStop
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -239,8 +239,10 @@
 	// watch may end the current attempt early, early is what ended the last one.
 	watch *attemptWatch
 	early earlyEnd
-	// next is where the request goes on after an attempt that was given up, nil to choose anew.
-	next *nextPeer
+	// next is where the request goes on after an attempt that was given up, nil to choose anew. repeatTaken is
+	// set if the retry budget was asked for the next attempt.
+	next        *nextPeer
+	repeatTaken bool
 	// content is the digest of the request's content. It is valid once digested is set.
 	content  quarantine.Digest
 	digested bool
@@ -446,7 +448,6 @@
 			return
 		}
 		ended, failure := c.attempt(ctx, choice)
-		c.takeNext()
 		c.release(c.slotOutcome(ended))
 		c.releasePlace()
 		c.placeRequests = 0
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -111,6 +111,7 @@
 	}
 	c.useFraming(a.end)
 	c.logUnframed(peer, a.end)
+	c.watch.noteBegun(true)
 	c.beginResponse(a.response.StatusCode)
 	_, err := io.Copy(c.writer, io.MultiReader(bytes.NewReader(buffered), a.response.Body))
 	if err == nil {
--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -59,10 +59,10 @@
 	// heard is when the peer last sent something, as the time since startedAt; 0 if it has not.
 	heard atomic.Int64
 	raw   atomic.Pointer[net.Conn]
-	// begun is set once the client has a part of the stream, bound once it is clear which software may go on
-	// with it.
-	begun, bound atomic.Bool
-	headRead     atomic.Bool
+	// begun is set once the client has a part of the stream, unrepeatable if no other attempt can go on with
+	// what it has.
+	begun, unrepeatable atomic.Bool
+	headRead            atomic.Bool
 	// relaying is set while what the peer sent is passed on, so that it is not waited for.
 	relaying      atomic.Bool
 	silence, head *time.Timer
@@ -75,7 +75,7 @@
 func (c *call) watchAttempt(ctx context.Context, peer *Peer, now, headDue time.Time, elsewhere func(time.Time, bool) *nextPeer, end func()) *attemptWatch {
 	w := &attemptWatch{ctx: ctx, peer: peer, now: c.handler.options.Now, acknowledgedNothing: c.handler.options.Fleet.unacknowledged, end: end, elsewhere: elsewhere, startedAt: now}
 	w.begun.Store(c.stream != nil && c.stream.started)
-	w.bound.Store(!c.origin.Unresolved())
+	w.unrepeatable.Store(c.origin.Unresolved())
 	// A check may use its timer, so none starts before both are set.
 	w.silence, w.head = time.AfterFunc(math.MaxInt64, w.checkSilence), time.AfterFunc(math.MaxInt64, w.checkHead)
 	w.silence.Reset(silenceTimeout)
@@ -111,10 +111,10 @@
 	w.silence.Reset(silenceTimeout)
 }
 
-// noteBegun records that the client has a part of the stream; bound tells whether it is clear which software may
-// go on with it.
-func (w *attemptWatch) noteBegun(bound bool) {
-	w.bound.Store(bound)
+// noteBegun records that the client has a part of the response. unrepeatable tells that no other attempt can go
+// on with it.
+func (w *attemptWatch) noteBegun(unrepeatable bool) {
+	w.unrepeatable.Store(unrepeatable)
 	w.begun.Store(true)
 }
 
@@ -126,34 +126,32 @@
 	return time.Time{}
 }
 
-// checkSilence looks for signs that the peer is lost. What it sends meanwhile shows that it is not.
+// checkSilence looks for signs that the peer is lost.
 func (w *attemptWatch) checkSilence() {
 	if w.ctx.Err() != nil {
 		return
 	}
-	if !w.relaying.Load() {
-		heard := w.heard.Load()
-		sign := examineSilence(w.peer, w.unacknowledged)
-		if w.heard.Load() == heard && w.endIf(sign, false) {
-			return
-		}
+	if heard := w.heard.Load(); !w.relaying.Load() && w.endIf(examineSilence(w.peer, w.unacknowledged), false, heard) {
+		return
 	}
 	w.silence.Reset(silenceTimeout)
 }
 
 // checkHead ends the attempt if the head of its response is overdue and another peer takes the request.
 func (w *attemptWatch) checkHead() {
-	if w.ctx.Err() != nil || w.headRead.Load() || w.endIf(silenceSign{}, true) {
+	heard := w.heard.Load()
+	if w.ctx.Err() != nil || w.headRead.Load() || w.endIf(silenceSign{}, true, heard) {
 		return
 	}
 	w.head.Reset(overduePollInterval)
 }
 
-// endIf ends the attempt if it is to end early, and reports whether it is.
-func (w *attemptWatch) endIf(sign silenceSign, overdue bool) bool {
+// endIf ends the attempt if it is to end early, and reports whether it is. What the peer has sent since the
+// check began, at heard, shows that it is not lost.
+func (w *attemptWatch) endIf(sign silenceSign, overdue bool, heard int64) bool {
 	var next *nextPeer
 	cause := decideEarlyEnd(sign, overdue, func() bool {
-		if w.bound.Load() {
+		if !w.unrepeatable.Load() {
 			next = w.elsewhere(w.now(), w.begun.Load())
 		}
 		return next != nil
@@ -161,9 +159,9 @@
 	if cause == causeNone {
 		return false
 	}
-	if next != nil && next.conn != nil && w.ctx.Err() != nil {
-		_ = next.conn.raw.Close()
-		return true
+	if w.heard.Load() != heard || w.ctx.Err() != nil {
+		next.drop(w.now())
+		return false
 	}
 	w.givenUp.Store(&earlyEnd{cause: cause, evidence: sign.evidence, proof: sign.proof, next: next})
 	w.end()
@@ -201,10 +199,23 @@
 }
 
 // nextPeer is a peer that takes a request whose attempt is given up. conn is a connection that it has accepted,
-// nil if the next attempt makes its own.
+// nil if the next attempt makes its own. A repeat was taken from the budget.
 type nextPeer struct {
-	peer *Peer
-	conn *conn
+	peer    *Peer
+	conn    *conn
+	budget  *Budget
+	takenAt time.Time
+}
+
+// drop gives back what was taken for an attempt that is not made.
+func (n *nextPeer) drop(now time.Time) {
+	if n == nil {
+		return
+	}
+	n.budget.GiveBack(n.takenAt)
+	if n.conn != nil {
+		n.peer.pool.putUnused(now, n.conn)
+	}
 }
 
 // nowhere is the answer of a request that must not be sent again.
@@ -216,16 +227,13 @@
 	if !c.mayRunAgain() {
 		return nowhere
 	}
-	fleet, want, tried, budgetAllows := c.handler.options.Fleet, c.requirements(), slices.Clone(c.tried), c.budgetAllows()
+	fleet, want, tried, take := c.handler.options.Fleet, c.requirements(), slices.Clone(c.tried), c.repeatTaker()
 	return func(now time.Time, begun bool) *nextPeer {
 		want := want
 		if begun {
 			want.Origin.Bind(now, tried[len(tried)-1].origin(), resume.Written)
 		}
-		if !budgetAllows(now) {
-			return nil
-		}
-		return fleet.connectToOther(now, &want, tried)
+		return take(now, func() *nextPeer { return fleet.connectToOther(now, &want, tried) })
 	}
 }
 
@@ -234,18 +242,17 @@
 	if !c.mayRunAgain() {
 		return nowhere
 	}
-	gateways, service, want, tried, budgetAllows := c.handler.gatewayList, c.service, c.requirements(), slices.Clone(c.tried), c.budgetAllows()
+	gateways, service, want, tried, take := c.handler.gatewayList, c.service, c.requirements(), slices.Clone(c.tried), c.repeatTaker()
 	fleet := c.handler.options.Fleet
 	allowed := func(zone string) bool { return fleet.residencyAllows(&want, zone) }
 	return func(now time.Time, _ bool) *nextPeer {
-		if !budgetAllows(now) {
-			return nil
-		}
-		to := gateways.pick(now, service, tried, allowed)
-		if to == nil || to.probe() != dialAccepted {
-			return nil
-		}
-		return &nextPeer{peer: to}
+		return take(now, func() *nextPeer {
+			to := gateways.pick(now, service, tried, allowed)
+			if to == nil || to.probe() != dialAccepted {
+				return nil
+			}
+			return &nextPeer{peer: to}
+		})
 	}
 }
 
@@ -254,10 +261,21 @@
 	return c.route.Idempotent() && c.possibleRuns+1 < c.route.Attempts
 }
 
-// budgetAllows returns a function that tells whether the retry budget allows a repeat.
-func (c *call) budgetAllows() func(now time.Time) bool {
+// repeatTaker returns a function that takes a repeat from the retry budget for a peer that takes the request.
+func (c *call) repeatTaker() func(now time.Time, find func() *nextPeer) *nextPeer {
 	budget, h := c.handler.budgets.get(c.service), c.handler
-	return func(now time.Time) bool { return budget.Allows(now, h.Gateways()) }
+	return func(now time.Time, find func() *nextPeer) *nextPeer {
+		if !budget.Take(now, h.Gateways()) {
+			return nil
+		}
+		next := find()
+		if next == nil {
+			budget.GiveBack(now)
+			return nil
+		}
+		next.budget, next.takenAt = budget, now
+		return next
+	}
 }
 
 // connectToOther connects to a replica that was not tried and takes the request. It returns nil if none accepts a
@@ -278,9 +296,14 @@
 	return nil
 }
 
-// takeNext makes the peer that accepted a connection for the request its next choice.
+// takeNext takes over what was prepared for the next attempt as the current one was given up.
 func (c *call) takeNext() {
-	if given := c.watch.givenUp.Load(); given != nil && given.next != nil && given.next.conn != nil {
+	given := c.watch.givenUp.Swap(nil)
+	if given == nil || given.next == nil {
+		return
+	}
+	c.repeatTaken = true
+	if given.next.conn != nil {
 		c.next = given.next
 	}
 }
--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -457,3 +459,120 @@
 	is.Equal(b.do("GET", "one", "").status, http.StatusOK)
 	is.Equal(arrived.Load(), int64(2))
 }
+
+// TestALongAnswerThatHasBegunIsNotGivenUp: an answer of which its client had a part was given up for another attempt, which
+// could not replace it.
+func TestALongAnswerThatHasBegunIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	const length = 3 << 20
+	var silent atomic.Pointer[string]
+	serve := func(a arrival) bool {
+		_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", testID, a.name(), length)
+		_, _ = a.conn.Write(make([]byte, length/2))
+		silent.Store(&a.replica)
+		time.Sleep(2 * time.Second)
+		silent.Store(nil)
+		_, _ = a.conn.Write(make([]byte, length/2))
+		return true
+	}
+	replicas := []*fakeReplica{newReplica(t, "x", serve), newReplica(t, "y", serve)}
+	r := route(catalog.Safe, 2)
+	r.Timeout = 10 * time.Second
+	b := newBench(t, r, replicas...)
+	for _, f := range replicas {
+		pool := b.fleet.Peer(f.id).pool
+		pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if id := silent.Load(); id != nil && *id == f.id {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return Dial(ctx, address)
+		}
+	}
+	b.fleet.unacknowledged = func(net.Conn) time.Duration { return suspectAfter }
+	got := b.do("GET", "one", "")
+	is.NoErr(got.err)
+	is.Equal(len(got.body), length)
+}
+
+// TestAnAnswerThatArrivesWhileAnotherReplicaIsAskedIsNotGivenUp: what arrived during the dial to the other replica was
+// dropped.
+func TestAnAnswerThatArrivesWhileAnotherReplicaIsAskedIsNotGivenUp(t *testing.T) {
+	for _, kind := range []catalog.Route{route(catalog.Safe, 2), resumableRoute(2)} {
+		t.Run(string(kind.Kind), func(t *testing.T) {
+			is := is.New(t)
+			var arrived atomic.Int64
+			var first atomic.Pointer[string]
+			serve := func(a arrival) bool {
+				if arrived.Add(1) > 1 && kind.Kind == catalog.Streaming {
+					a.head()
+					finishStream(a)
+					return true
+				} else if arrived.Load() > 1 {
+					return whole(a)
+				}
+				first.Store(&a.replica)
+				time.Sleep(1600 * time.Millisecond) // the head is overdue after 1.5 s
+				if kind.Kind == catalog.Streaming {
+					beginStream(a)
+					time.Sleep(300 * time.Millisecond)
+					finishStream(a)
+					return true
+				}
+				beginBody(a)
+				time.Sleep(300 * time.Millisecond)
+				finishBody(a)
+				return true
+			}
+			replicas := []*fakeReplica{newReplica(t, "x", serve), newReplica(t, "y", serve)}
+			b := newBench(t, kind, replicas...)
+			for _, f := range replicas {
+				pool := b.fleet.Peer(f.id).pool
+				var tries atomic.Int64
+				pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+					if id := first.Load(); id != nil && *id != f.id && tries.Add(1) <= 2 {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					return Dial(ctx, address)
+				}
+			}
+			got := b.do("GET", "one", "")
+			is.NoErr(got.err)
+			is.Equal(arrived.Load(), int64(1))
+		})
+	}
+}
+
+// TestNoMoreRequestsAreGivenUpThanTheBudgetRepeats: more requests were given up than the retry budget had repeats for.
+func TestNoMoreRequestsAreGivenUpThanTheBudgetRepeats(t *testing.T) {
+	is := is.New(t)
+	const requests = 12
+	var first atomic.Pointer[string]
+	serve := func(a arrival) bool {
+		if strings.HasPrefix(a.name(), "late") && (first.CompareAndSwap(nil, &a.replica) || *first.Load() == a.replica) {
+			time.Sleep(2 * time.Second)
+		}
+		return whole(a)
+	}
+	replicas := []*fakeReplica{newReplica(t, "x", serve)}
+	b := newBench(t, route(catalog.Safe, 2), replicas...)
+	b.handler.budgets = newBudgets(BudgetLimits{Ratio: 0, Extra: 2, Window: 10 * time.Second})
+	var wg sync.WaitGroup
+	var ok, bad atomic.Int64
+	for i := range requests {
+		wg.Go(func() {
+			got := b.do("GET", fmt.Sprint("late", i), "")
+			if got.err == nil && got.status == http.StatusOK {
+				ok.Add(1)
+			} else {
+				bad.Add(1)
+			}
+		})
+	}
+	time.Sleep(700 * time.Millisecond)
+	b.register(replicas[0], newReplica(t, "y", serve))
+	wg.Wait()
+	is.Equal(bad.Load(), int64(0))
+}
+
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -109,7 +109,7 @@
 		c.useFraming(endByLastChunk)
 		c.logUnframed(peer, a.end)
 		c.beginResponse(a.response.StatusCode)
-		c.watch.noteBegun(!c.origin.Unresolved())
+		c.watch.noteBegun(c.origin.Unresolved())
 	}
 	_, err := c.writer.Write(events)
 	if err == nil {
