Stop: the time from which a stopping gateway refuses is fixed in advance

Cause: the handler was told after the wait for the load balancer, so that a busy gateway took requests for some milliseconds more that might outlast it. Beside it, the formatter on a test.

--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -575,4 +575,3 @@
 	wg.Wait()
 	is.Equal(bad.Load(), int64(0))
 }
-
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -12,14 +12,14 @@
 
 // stopState is what a handler's requests need to know of its stop. It is safe for concurrent use.
 type stopState struct {
-	// last is set once the handler takes only requests that end in time.
+	// last is set once the handler stops.
 	last atomic.Pointer[lastRequests]
 	// cut ends by cutOff.
 	cut    context.Context
 	cutOff context.CancelFunc
 }
 
-// lastRequests are the requests that began after a time. They must end until another time.
+// lastRequests are the requests that begin from a time on. They must end until another time.
 type lastRequests struct{ from, end time.Time }
 
 func newStopState() *stopState {
@@ -39,9 +39,10 @@
 // still time for their clients to turn to another gateway.
 func (h *Handler) EndWaits() { h.endWaits() }
 
-// RefuseBeyond makes the handler refuse requests that begin from now on unless their deadline is before the end.
-func (h *Handler) RefuseBeyond(now, end time.Time) {
-	h.stop.last.Store(&lastRequests{from: now, end: end})
+// RefuseBeyond makes the handler refuse requests that begin from a time on unless their deadline is before the
+// end.
+func (h *Handler) RefuseBeyond(from, end time.Time) {
+	h.stop.last.Store(&lastRequests{from: from, end: end})
 }
 
 // CutOff ends the requests in progress. Those whose response has not begun are answered.
