Stop: a request that was read with the one before it is not idle; what is cut off is answered before its connection closes

Cause: net/http tells that a connection is idle after the first response and reads the second request from its own buffer, which no read of the connection shows. And a handler returns before its small response is written: the server closed the connections in between. Change: a connection is busy from the start of a handler on; a server that ends waits, for as long as before at the most, until its connections have their responses.

--- a/src/fleet/server.go
+++ b/src/fleet/server.go
@@ -51,12 +51,13 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.running.Add(1)
 			defer s.running.Add(-1)
+			noteBusy(r.Context())
 			if s.stopping.Load() {
 				w.Header().Set("Connection", "close")
 			}
 			handler.ServeHTTP(w, r)
 		}),
-		ConnContext:       exchange.ConnContext,
+		ConnContext:       connContext,
 		ConnState:         noteIdle,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -66,6 +67,19 @@
 	return s, nil
 }
 
+// connKey is the key of the client's connection in the context of a request.
+type connKey struct{}
+
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	return exchange.ConnContext(context.WithValue(ctx, connKey{}, conn), conn)
+}
+
+func noteBusy(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*graceful.Conn); ok {
+		c.SetBusy()
+	}
+}
+
 func noteIdle(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*graceful.Conn); ok && state == http.StateIdle {
 		c.SetIdle(time.Now())
@@ -88,9 +102,9 @@
 	s.await()
 }
 
-// await waits until no handler runs, up to closeWait.
+// await waits until no handler runs and the responses are written, up to closeWait.
 func (s *server) await() {
-	for until := time.Now().Add(closeWait); s.running.Load() > 0 && time.Now().Before(until); {
+	for until := time.Now().Add(closeWait); (s.running.Load() > 0 || s.listener.Busy()) && time.Now().Before(until); {
 		time.Sleep(closePoll)
 	}
 }
--- a/src/fleet/server_test.go
+++ b/src/fleet/server_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -297,3 +298,62 @@
 	is.True(response.Close)
 	is.NoErr(<-ended)
 }
+
+// TestAPipelinedRequestIsNotClosedAsIdle: a request that had arrived together with the one before it was closed while its
+// handler ran.
+func TestAPipelinedRequestIsNotClosedAsIdle(t *testing.T) {
+	is := is.New(t)
+	s := newStoppingServer(t)
+	conn := newKeptConn(t, s.address)
+	conn.send(t, stopRequest+"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.Equal(conn.answer(), "whole")
+	<-s.begun
+	time.Sleep(600 * time.Millisecond)
+	s.stop()
+	time.Sleep(200 * time.Millisecond)
+	close(s.goOn)
+	is.Equal(conn.answer(), "whole")
+}
+
+// TestAnswersToRequestsThatAreCutOffReachTheirClients: connections were closed between the end of a handler and the write of its
+// response.
+func TestAnswersToRequestsThatAreCutOffReachTheirClients(t *testing.T) {
+	lost, sent := 0, 0
+	for range 60 {
+		cut := make(chan struct{})
+		var begun sync.WaitGroup
+		begun.Add(stopConns)
+		server, err := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			begun.Done()
+			<-cut
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusBadGateway)
+			_, _ = io.WriteString(w, "whole")
+		}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var conns []*keptConn
+		for range stopConns {
+			c := newKeptConn(t, server.listener.Addr().String())
+			c.send(t, stopRequest)
+			conns = append(conns, c)
+		}
+		begun.Wait()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.stop(ctx)
+		close(cut) // as CutOff does
+		server.await()
+		server.close()
+		for _, c := range conns {
+			sent++
+			if c.answer() != "whole" {
+				lost++
+			}
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d answers to requests that were cut off did not arrive", lost, sent)
+	}
+}
--- a/src/graceful/conn.go
+++ b/src/graceful/conn.go
@@ -81,6 +81,13 @@
 	return n, err
 }
 
+// SetBusy tells that the server works on a request. It may have read it together with the one before.
+func (c *Conn) SetBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+}
+
 // SetIdle tells that the server has responded to the last request.
 func (c *Conn) SetIdle(now time.Time) {
 	c.mu.Lock()
@@ -88,6 +95,13 @@
 	c.busy, c.idleSince = false, now
 }
 
+// isBusy reports whether a request was read to which the server has not responded.
+func (c *Conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
 // closeIdle shuts the connection down if it has been idle for idleWait and nothing has arrived. Its server
 // reads the end of the connection then.
 func (c *Conn) closeIdle(now time.Time) {
--- a/src/graceful/listener.go
+++ b/src/graceful/listener.go
@@ -117,6 +117,19 @@
 	return l.accepting || len(l.conns) > 0
 }
 
+// Busy reports whether a request was read to which the server has not responded, or whose response it has not
+// written to the connection yet.
+func (l *Listener) Busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		if conn.isBusy() {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
