Routing: a dial that timed out by itself is repeated

What callers saw: requests were refused, or sent to a worse server, since a dial of 0.1 s counted as final where three are allowed; a silent server looked unreachable after 0.1 s in place of 0.3 s. Cause: the dialer takes the deadline of its context as its own and may give up just before the context has ended; only the end of the context counted as a time-out. TestADialThatTimedOutByItselfIsRepeated fails without the change. TestLostSYNIsRepeatedToTheOnlyReplica did not see it: its dial waits for the context. Change: an exceeded deadline of the dialer counts as a time-out.

--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -143,7 +144,8 @@
 	for {
 		attempt, cancel := context.WithTimeout(ctx, min(timeout, dialAttempt))
 		raw, err := p.dial(attempt, p.address)
-		timedOut := attempt.Err() != nil
+		// A dialer may give up at the deadline of its context before the context has ended.
+		timedOut := attempt.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
 		cancel()
 		timeout -= dialAttempt
 		if err == nil || !timedOut || timeout <= 0 || ctx.Err() != nil {
--- a/src/exchange/conn_test.go
+++ b/src/exchange/conn_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 
@@ -35,6 +36,25 @@
 	is.Equal(*count, 2)
 }
 
+// TestADialThatTimedOutByItselfIsRepeated: the dialer gave up at its context's deadline before the context ended, which
+// counted as final.
+func TestADialThatTimedOutByItselfIsRepeated(t *testing.T) {
+	is := is.New(t)
+	dials := 0
+	dial := func(ctx context.Context, _ string) (net.Conn, error) {
+		dials++
+		if dials == 1 {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+		}
+		here, _ := net.Pipe()
+		return here, nil
+	}
+	only := &Choice{}
+	_, err := newPool("x", dial).get(context.Background(), only.connectTimeout(), noon)
+	is.NoErr(err)
+	is.Equal(dials, 2)
+}
+
 func TestUnresponsiveReplicaIsGivenUpEarlyIfThereIsAnother(t *testing.T) {
 	is := is.New(t)
 	dial, count := silentDials(100)
