--- a/src/cuttest/cuttest.go
+++ b/src/cuttest/cuttest.go
@@ -67,6 +67,14 @@
 	return answers
 }
 
+// Whole returns the answer as it is. Its connection serves further requests unless the body ends with it.
+func (a Answer) Whole() Cut {
+	if a.ToTheClose {
+		return Cut{Text: a.Text(), Ending: Close}
+	}
+	return Cut{Text: a.Text(), Ending: Serve}
+}
+
 // chunk returns content as one chunk.
 func chunk(content string) string {
 	return strconv.FormatInt(int64(len(content)), 16) + "\r\n" + content + "\r\n"
