Soak: the run that was sent last, replicas that end in a pause, signals to gateways that serve

A replica that crashed in a pause closed its connections only after it: http.Server.Close waits for Accept.

Change: runs are ordered by when the request reached the replica's host, from TCP_INFO; a request that reached a replica which ended without reading it is known, also from its queue of new connections. A killed process leaves its pause. The silence's signals go to gateways that serve. The measurement writes every answer that is not whole into its log and takes lines 717.

Tests: both orders of runs, arrivals in a pause on open and waiting connections, a replica that ends in a pause.

--- a/soak/lost.go
+++ b/soak/lost.go
@@ -29,8 +29,9 @@
 type replicaRun struct {
 	rep *replica
 	// sender is the gateway that sent the request to the replica, "" if that is not known.
-	sender  string
-	begunAt time.Time
+	sender string
+	// arrivedAt is when the request reached the replica's host, begunAt when the replica had read it.
+	arrivedAt, begunAt time.Time
 	// endedAt is when the replica had written its answer or given it up, the zero time before.
 	endedAt time.Time
 	// cut is set if the connection ended before the replica had written its answer, brokeOff if the replica
@@ -38,27 +39,47 @@
 	cut, brokeOff bool
 }
 
+// arrival is when a request reached a replica's host.
+type arrival struct {
+	rep *replica
+	at  time.Time
+}
+
 // lostChecks finds answers that ended early although the replica was sound and at work on them. It is safe
 // for concurrent use.
 type lostChecks struct {
 	mu sync.Mutex
-	// runs holds the last run of each request.
+	// runs holds the run of each request that was sent last, reached the replica that its bytes reached last,
+	// which may not have read them.
 	runs    map[string]*replicaRun
+	reached map[string]arrival
 	answers []endedAnswer
 	// causes counts the answers by what explains their ends.
 	causes map[string]int
 	lost   int
 }
 
-// beginRun records that a replica runs a request.
-func (l *lostChecks) beginRun(id string, rep *replica, sender string) *replicaRun {
+// beginRun records that a replica runs a request. One that was paused may begin after a replica that the request
+// was sent to later.
+func (l *lostChecks) beginRun(id string, rep *replica, sender string, arrivedAt time.Time) *replicaRun {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	run := &replicaRun{rep: rep, sender: sender, begunAt: time.Now()}
-	l.runs[id] = run
+	run := &replicaRun{rep: rep, sender: sender, arrivedAt: arrivedAt, begunAt: time.Now()}
+	if last := l.runs[id]; last == nil || !arrivedAt.Before(last.arrivedAt) {
+		l.runs[id] = run
+	}
 	return run
 }
 
+// recordArrival records when a request reached a replica's host.
+func (l *lostChecks) recordArrival(id string, rep *replica, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !at.Before(l.reached[id].at) {
+		l.reached[id] = arrival{rep: rep, at: at}
+	}
+}
+
 // endRun records that a replica ended a run, which it can't do while it is paused.
 func (l *lostChecks) endRun(run *replicaRun) {
 	run.rep.pause.wait()
@@ -107,6 +128,8 @@
 		return "broken off by the replica"
 	case run.rep.goneBy(answer.endedAt):
 		return "end of the replica"
+	case l.reachedLater(answer.id, run) && l.reached[answer.id].rep.goneBy(answer.endedAt):
+		return "end of a replica that had not begun"
 	case !run.cut && !run.endedAt.IsZero() && !run.endedAt.After(answer.endedAt):
 		return "written by then"
 	}
@@ -118,6 +141,12 @@
 	return ""
 }
 
+// reachedLater reports whether a request reached another replica after the one of a run; the lock is held.
+func (l *lostChecks) reachedLater(id string, run *replicaRun) bool {
+	last := l.reached[id]
+	return last.rep != nil && last.rep != run.rep && !last.at.Before(run.arrivedAt)
+}
+
 // findings returns a description of each answer whose early end nothing explains.
 func (l *lostChecks) findings(strikes *strikeLog, stop plannedStop) []string {
 	l.mu.Lock()
@@ -145,8 +174,8 @@
 	if !run.endedAt.IsZero() {
 		after = fmt.Sprintf("%s %s after it", end, round(run.endedAt.Sub(a.endedAt)))
 	}
-	return fmt.Sprintf("request %s /%s at %s ended with status %d at %s, %s after it was sent; its run at %s, sent by %s, began %s after it was sent and %s; the replica was %s",
-		a.id, a.kind, a.gateway, a.status, a.endedAt.Format("15:04:05.000"), round(a.endedAt.Sub(a.sentAt)), run.rep.id, run.sender, round(run.begunAt.Sub(a.sentAt)), after, run.rep.pause.describe(a.sentAt, a.endedAt))
+	return fmt.Sprintf("request %s /%s at %s ended with status %d at %s, %s after it was sent; its run at %s, sent by %s, arrived %s and began %s after it was sent and %s; the replica was %s",
+		a.id, a.kind, a.gateway, a.status, a.endedAt.Format("15:04:05.000"), round(a.endedAt.Sub(a.sentAt)), run.rep.id, run.sender, round(run.arrivedAt.Sub(a.sentAt)), round(run.begunAt.Sub(a.sentAt)), after, run.rep.pause.describe(a.sentAt, a.endedAt))
 }
 
 // String describes the counts.
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -22,8 +22,8 @@
 
 func newLostScene() *lostScene {
 	start := time.Now()
-	s := &lostScene{start: start, checks: &newChecker().lost, rep: &replica{id: "i-001"}, stop: defaultStop}
-	s.run = s.checks.beginRun("q1", s.rep, "gateway-2")
+	s := &lostScene{start: start, checks: &newChecker().lost, rep: &replica{id: "i-001", pause: newPause()}, stop: defaultStop}
+	s.run = s.checks.beginRun("q1", s.rep, "gateway-2", start.Add(5*time.Millisecond))
 	s.run.begunAt, s.run.endedAt = start.Add(10*time.Millisecond), start.Add(2*time.Second)
 	s.answer = endedAnswer{id: "q1", kind: "e", gateway: "gateway-1", sentAt: start, endedAt: start.Add(1500 * time.Millisecond), status: http.StatusOK}
 	return s
@@ -55,13 +55,20 @@
 		"the replica ended later": func(s *lostScene) {
 			s.rep.goneAt = s.answer.endedAt.Add(time.Millisecond)
 		},
+		"it had reached a replica that ended before": func(s *lostScene) {
+			s.checks.recordArrival("q1", &replica{id: "i-002", goneAt: s.start.Add(time.Second)}, s.start)
+			s.checks.recordArrival("q1", s.rep, s.run.arrivedAt)
+		},
+		"it had reached a replica that ended later": func(s *lostScene) {
+			s.checks.recordArrival("q1", &replica{id: "i-002", goneAt: s.answer.endedAt.Add(time.Millisecond)}, s.start.Add(time.Second))
+		},
 		"an earlier run broke off": func(s *lostScene) {
 			s.checks.recordBrokenOff(s.run)
-			s.run = s.checks.beginRun("q1", s.rep, "gateway-2")
+			s.run = s.checks.beginRun("q1", s.rep, "gateway-2", s.start.Add(time.Second))
 		},
 		"an earlier run's replica ended": func(s *lostScene) {
 			s.rep.goneAt = s.start
-			s.run = s.checks.beginRun("q1", &replica{id: "i-002"}, "gateway-2")
+			s.run = s.checks.beginRun("q1", &replica{id: "i-002", pause: newPause()}, "gateway-2", s.start.Add(time.Second))
 		},
 		"its gateway is told to stop":     func(s *lostScene) { s.strike("gateway-1", "stop", true, -time.Second, 0) },
 		"its sender is told to stop":      func(s *lostScene) { s.strike("gateway-2", "stop", true, time.Second, 0) },
@@ -90,6 +97,14 @@
 		{"did not run", func(s *lostScene) { s.answer.id = "q2" }},
 		{"deadline", func(s *lostScene) { s.answer.endedAt = s.start.Add(requestDeadline) }},
 		{"broken off by the replica", func(s *lostScene) { s.checks.recordBrokenOff(s.run) }},
+		{"broken off by the replica", func(s *lostScene) {
+			s.checks.recordBrokenOff(s.run)
+			// A paused replica reads what was sent to it before.
+			s.checks.beginRun("q1", &replica{id: "i-002", pause: newPause()}, "gateway-2", s.start)
+		}},
+		{"end of a replica that had not begun", func(s *lostScene) {
+			s.checks.recordArrival("q1", &replica{id: "i-002", goneAt: s.start.Add(time.Second)}, s.start.Add(time.Second))
+		}},
 		{"end of the replica", func(s *lostScene) { s.rep.goneAt = s.start.Add(time.Second) }},
 		{"written by then", func(s *lostScene) { s.run.endedAt = s.start.Add(time.Second) }},
 		{"kill", func(s *lostScene) { s.strike("gateway-1", "kill", false, time.Second, 0) }},
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -85,7 +85,9 @@
 	notices notices
 	cold    coldPeriod
 	limit   announcedLimit
-	pause   pause
+	pause   *pause
+	// listener takes the replica's connections.
+	listener pausedListener
 
 	goneMu sync.Mutex
 	// goneAt is when the replica ended or told that it did, the zero time before.
@@ -115,16 +117,15 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%03d", r.started)
 	}
-	rep := &replica{id: id, software: r.plan.drawSoftware(), startedMs: time.Now().UnixMilli(), host: host, address: fmt.Sprintf("%s%d:%d", replicaNet, host, r.in.callPort())}
-	listener, err := rep.listen(r.plan.backlog)
-	if err != nil {
+	rep := &replica{id: id, pause: newPause(), software: r.plan.drawSoftware(), startedMs: time.Now().UnixMilli(), host: host, address: fmt.Sprintf("%s%d:%d", replicaNet, host, r.in.callPort())}
+	if err := rep.listen(r.plan.backlog, func(id string, at time.Time) { r.check.lost.recordArrival(id, rep, at) }); err != nil {
 		return nil, err
 	}
 	answer := r.plan.handler
 	if answer == nil {
 		answer = r.answer
 	}
-	rep.serve(listener, func(w http.ResponseWriter, request *http.Request) { answer(rep, w, request) })
+	rep.serve(func(w http.ResponseWriter, request *http.Request) { answer(rep, w, request) })
 	r.list = append(r.list, rep)
 	return rep, nil
 }
@@ -167,7 +168,7 @@
 	if err != nil {
 		return
 	}
-	run := r.check.lost.beginRun(id, rep, r.check.links.senders[hostOf(request.RemoteAddr)])
+	run := r.check.lost.beginRun(id, rep, r.check.links.senders[hostOf(request.RemoteAddr)], arrivalOf(request))
 	defer r.check.lost.endRun(run)
 	if string(body) == crashBody {
 		r.crashOnContent(rep, held)
@@ -251,6 +252,10 @@
 // close ends the replica: its connections close and its port refuses connections.
 func (rep *replica) close() {
 	rep.recordGone()
+	rep.pause.kill()
+	if rep.pause.active() || rep.pause.endedWithin(acceptTime) {
+		rep.listener.readQueue()
+	}
 	_ = rep.server.Close()
 }
 
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -128,17 +128,24 @@
 	<-ctx.Done()
 }
 
+// serves reports whether the member's process serves.
+func (m *member) serves() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.servesSince.IsZero()
+}
+
 // note writes a line into the log of the replicas.
 func (r *replicas) note(format string, arguments ...any) {
 	fmt.Fprintf(r.in.replicaLog, "soak: %s %s\n", time.Now().Format(time.RFC3339Nano), fmt.Sprintf(format, arguments...))
 }
 
-// strikeGateway lets a gateway have a fault unless it has one.
+// strikeGateway lets a gateway have a fault unless it has one or does not serve yet.
 func (in *installation) strikeGateway(index int, name string, random *rand.Rand) {
 	gateways := in.gatewayNodes()
 	m := gateways[index%len(gateways)]
 	for _, chosen := range faults {
-		if chosen.name == name && m.tryBeginFault() {
+		if chosen.name == name && m.serves() && m.tryBeginFault() {
 			in.apply(chosen, m, time.Second, random)
 		}
 	}
--- a/soak/silencecounts.go
+++ b/soak/silencecounts.go
@@ -69,6 +69,9 @@
 		n.failedUnrun += asNumber(len(m.runs[result.id]) == 0)
 	}
 	run := lastRun(m.runs[result.id])
+	if result.dialed && !result.whole {
+		fmt.Fprintln(m.log, "not whole:", result.describe(run), "|", lines[result.id])
+	}
 	if !result.isLost(run) {
 		return
 	}
@@ -120,6 +123,9 @@
 
 // describe describes a run of a request whose answer had ended at a time.
 func (run *silentRun) describe(at time.Time) string {
+	if run == nil {
+		return "it did not run"
+	}
 	what, when := "was cut", run.cutAt
 	if run.cutAt.IsZero() {
 		what, when = "wrote its last part", run.lastAt
@@ -129,10 +135,10 @@
 
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
 
-// refusalLine is a line about a request that was refused, broken off or left by its client; reasonStart is
+// refusalLine is a line about a request that was refused, broken off, ended early or left by its client; reasonStart is
 // where the reason of its end begins, and varying is what differs between requests with the same reason.
 var (
-	refusalLine = regexp.MustCompile(`event=(702|705) .*request=(q[0-9]+) .*reason="(status [0-9]+)?(.*)"`)
+	refusalLine = regexp.MustCompile(`event=(702|705|717) .*request=(q[0-9]+) .*reason="(status [0-9]+)?(.*)"`)
 	reasonStart = " ms old; "
 	varying     = regexp.MustCompile(`[0-9.]+:[0-9]+(->[0-9.]+:[0-9]+)?|i-[0-9]+(@[0-9]+)?|gateway-[0-9]+|event \d+|[0-9.]+ m?s`)
 )
@@ -147,7 +153,10 @@
 		}
 		for _, line := range strings.Split(string(text), "\n") {
 			if found := refusalLine.FindStringSubmatch(line); found != nil {
-				_, reason, _ := strings.Cut(found[4], reasonStart)
+				_, reason, cut := strings.Cut(found[4], reasonStart)
+				if !cut {
+					reason = found[4]
+				}
 				id, text := found[2], found[1]+", "+found[3]+": "+varying.ReplaceAllString(reason, "_")
 				if lines[id] != "" {
 					text = lines[id] + " | " + text
