Soak: an answer that its replica wrote whole is lost too; each early end in replicas.log

Cause: the check passed over answers that ended early although their replica had written all of them. Only streams and answers with neither a length nor chunks have a reason for that: nothing proves their end.

Change: `no proof of its end` is a cause for unframed answers alone; each early end of a request that ran stands in replicas.log with its cause and run. In silence-forward the gateway without links has its open connections closed too: "refuse" left some to replicas, whose silence and a refused dial ended one plain answer as a proven loss.

--- a/soak/lost.go
+++ b/soak/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	arrivedAt, begunAt time.Time
 	// endedAt is when the replica had written its answer or given it up, the zero time before.
 	endedAt time.Time
+	// unframed is set if the answer has neither a length nor chunks, so that nothing proves its end.
+	unframed bool
 	// cut is set if the connection ended before the replica had written its answer, brokeOff if the replica
 	// broke its answer off.
 	cut, brokeOff bool
@@ -95,6 +98,13 @@
 	run.cut = true
 }
 
+// recordUnframed records that a replica's answer has neither a length nor chunks.
+func (l *lostChecks) recordUnframed(run *replicaRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run.unframed = true
+}
+
 // recordBrokenOff records that a replica breaks its answer off.
 func (l *lostChecks) recordBrokenOff(run *replicaRun) {
 	l.mu.Lock()
@@ -130,8 +140,8 @@
 		return "end of the replica"
 	case l.reachedLater(answer.id, run) && l.reached[answer.id].rep.goneBy(answer.endedAt):
 		return "end of a replica that had not begun"
-	case !run.cut && !run.endedAt.IsZero() && !run.endedAt.After(answer.endedAt):
-		return "written by then"
+	case run.unframed && !run.cut && !run.endedAt.IsZero() && !run.endedAt.After(answer.endedAt):
+		return "no proof of its end"
 	}
 	for _, gateway := range []string{answer.gateway, run.sender} {
 		if name := strikes.explaining(gateway, answer, stop); name != "" {
@@ -147,8 +157,9 @@
 	return last.rep != nil && last.rep != run.rep && !last.at.Before(run.arrivedAt)
 }
 
-// findings returns a description of each answer whose early end nothing explains.
-func (l *lostChecks) findings(strikes *strikeLog, stop plannedStop) []string {
+// findings returns a description of each answer whose early end nothing explains. The others, if they ran, are
+// written to log with their causes.
+func (l *lostChecks) findings(strikes *strikeLog, stop plannedStop, log io.Writer) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var found []string
@@ -156,6 +167,9 @@
 		cause := l.cause(answer, strikes, stop)
 		if cause != "" {
 			l.causes[cause]++
+			if run := l.runs[answer.id]; run != nil {
+				fmt.Fprintf(log, "soak: %s: %s\n", cause, answer.describe(run))
+			}
 			continue
 		}
 		l.lost++
@@ -187,7 +201,7 @@
 
 // checkLost checks that no answer of a sound replica ended early.
 func (c *checker) checkLost(in *installation) {
-	for _, finding := range c.lost.findings(&in.strikes, in.stop) {
+	for _, finding := range c.lost.findings(&in.strikes, in.stop, in.replicaLog) {
 		c.fail("lost", "%s", finding)
 	}
 }
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -52,6 +53,10 @@
 			s.run.cut, s.run.endedAt = true, s.answer.endedAt.Add(-time.Millisecond)
 		},
 		"the run began when its replica went on": func(s *lostScene) { s.run.begunAt = s.answer.endedAt.Add(time.Second) },
+		"the replica had written all of it":      func(s *lostScene) { s.run.endedAt = s.start.Add(time.Second) },
+		"without a length or chunks while its replica is at work": func(s *lostScene) {
+			s.checks.recordUnframed(s.run)
+		},
 		"the replica ended later": func(s *lostScene) {
 			s.rep.goneAt = s.answer.endedAt.Add(time.Millisecond)
 		},
@@ -82,7 +87,7 @@
 			s := newLostScene()
 			change(s)
 			s.checks.recordAnswer(s.answer, false)
-			is.Equal(len(s.checks.findings(&s.strikes, s.stop)), 1)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)), 1)
 			is.Equal(s.checks.lost, 1)
 		})
 	}
@@ -106,7 +111,10 @@
 			s.checks.recordArrival("q1", &replica{id: "i-002", goneAt: s.start.Add(time.Second)}, s.start.Add(time.Second))
 		}},
 		{"end of the replica", func(s *lostScene) { s.rep.goneAt = s.start.Add(time.Second) }},
-		{"written by then", func(s *lostScene) { s.run.endedAt = s.start.Add(time.Second) }},
+		{"no proof of its end", func(s *lostScene) {
+			s.checks.recordUnframed(s.run)
+			s.run.endedAt = s.start.Add(time.Second)
+		}},
 		{"kill", func(s *lostScene) { s.strike("gateway-1", "kill", false, time.Second, 0) }},
 		{"pause", func(s *lostScene) { s.strike("gateway-2", "pause", false, -time.Second, time.Second) }},
 		{"links", func(s *lostScene) { s.strike("gateway-2", "links", false, time.Second, 0) }},
@@ -121,7 +129,7 @@
 			s := newLostScene()
 			test.change(s)
 			s.checks.recordAnswer(s.answer, false)
-			is.Equal(len(s.checks.findings(&s.strikes, s.stop)), 0)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)), 0)
 			is.Equal(s.checks.causes, map[string]int{test.cause: 1})
 		})
 	}
@@ -136,7 +144,7 @@
 	s.answer.endedAt = s.start.Add(2500 * time.Millisecond)
 	s.run.endedAt = s.start.Add(3 * time.Second)
 	s.checks.recordAnswer(s.answer, false)
-	is.Equal(len(s.checks.findings(&s.strikes, s.stop)), 1)
+	is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)), 1)
 }
 
 // TestWholeAnswersAndRefusalsAreNoEarlyEnds checks which answers are looked at.
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -196,6 +196,9 @@
 	}
 	w.Header().Set(stampHeader, rep.id+"."+id)
 	w = drawFraming(w, func() { r.check.lost.recordBrokenOff(run) })
+	if w.Header().Get("Transfer-Encoding") != "" {
+		r.check.lost.recordUnframed(run)
+	}
 	switch request.URL.Path[1] {
 	case 'u':
 		r.check.recordRun(id, rep.id)
--- a/soak/silencemeasure.go
+++ b/soak/silencemeasure.go
@@ -204,7 +204,7 @@
 	}
 	if m.kind.forward {
 		gateway := m.withoutLinks()
-		if err := os.WriteFile(gateway.settingsFile+".links", []byte("refuse"), 0o644); err != nil {
+		if err := os.WriteFile(gateway.settingsFile+".links", []byte("reset"), 0o644); err != nil {
 			return errors.Wrap(err, "links of a gateway")
 		}
 	}
