--- a/soak/silencemeasure.go
+++ b/soak/silencemeasure.go
@@ -1,15 +1,11 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -104,38 +100,6 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health"}],"limits":{"max_body_bytes":1048576,"idle_timeout_ms":%d}}`, version, strings.Join(routes, ","), 15000+version)
 }
 
-// silentRun is one run of a request at a replica.
-type silentRun struct {
-	replica string
-	begun   time.Time
-	// written is how many events were written, lastAt when the last one was.
-	written int
-	lastAt  time.Time
-	// cutAt is when the replica learned that its gateway had closed the connection, the zero time if the run
-	// came to its end.
-	cutAt time.Time
-	done  bool
-}
-
-// silenceResult is what a client got.
-type silenceResult struct {
-	id      string
-	class   silenceClass
-	gateway *member
-	sentAt  time.Time
-	endedAt time.Time
-	// lastAt is when the last byte came.
-	lastAt time.Time
-	// dialed is set if the request was sent; status is 0 if there was no answer.
-	dialed bool
-	status int
-	whole  bool
-	events int
-	// stopping is set if the gateway had been told to stop; signalAt is the last stop of any gateway.
-	stopping bool
-	signalAt time.Time
-}
-
 // silenceMeasurement is a measurement of silent replicas. It is safe for concurrent use.
 type silenceMeasurement struct {
 	in       *installation
@@ -311,152 +275,3 @@
 func (m *silenceMeasurement) note(format string, arguments ...any) {
 	fmt.Fprintf(m.log, "%s soak: %s\n", time.Now().UTC().Format(time.RFC3339Nano), fmt.Sprintf(format, arguments...))
 }
-
-// sendAll sends the requests of a class at a steady rate to the gateways in turn.
-func (m *silenceMeasurement) sendAll(ctx context.Context, class silenceClass, first int) {
-	ticker := time.NewTicker(class.pause)
-	defer ticker.Stop()
-	gateways := m.in.gatewayNodes()
-	var work sync.WaitGroup
-	defer work.Wait()
-	for turn := first; ; turn++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		gateway := gateways[turn%len(gateways)]
-		work.Go(func() { m.record(m.send(class, gateway)) })
-	}
-}
-
-// send sends one request on a connection of its own.
-func (m *silenceMeasurement) send(class silenceClass, gateway *member) silenceResult {
-	result := silenceResult{id: fmt.Sprintf("q%08d", m.next.Add(1)), class: class, gateway: gateway, sentAt: time.Now()}
-	conn, err := net.DialTimeout("tcp", m.in.processAddress(gateway, m.in.callPort()), silenceClientTimeout)
-	if err != nil {
-		result.endedAt = time.Now()
-		return result
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(silenceClientTimeout))
-	body := "body of " + result.id
-	head := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nX-Deadline-Ms: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", class.kind, idHeader, result.id, silenceTimeout.Milliseconds(), len(body))
-	if _, err := io.WriteString(conn, head+body); err == nil {
-		result.dialed = true
-		result.read(conn)
-	}
-	result.endedAt = time.Now()
-	return result
-}
-
-// read reads an answer.
-func (s *silenceResult) read(conn net.Conn) {
-	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
-	if err != nil {
-		return
-	}
-	s.status, s.lastAt = response.StatusCode, time.Now()
-	buffer := make([]byte, 4<<10)
-	for {
-		n, err := response.Body.Read(buffer)
-		if n > 0 {
-			s.lastAt = time.Now()
-			s.events += strings.Count(string(buffer[:n]), "\n\n")
-		}
-		if err != nil {
-			s.whole = errors.Is(err, io.EOF) && s.status == http.StatusOK && s.complete()
-			return
-		}
-	}
-}
-
-// complete reports whether all events of a stream came.
-func (s *silenceResult) complete() bool {
-	return s.class.kind != "o" && s.class.kind != "r" || s.events == silenceEvents
-}
-
-// record keeps what a client got.
-func (m *silenceMeasurement) record(result silenceResult) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	result.stopping, result.signalAt = m.stopping == result.gateway, m.signalAt
-	m.results = append(m.results, result)
-}
-
-// answer runs a request at a replica and records the run.
-func (m *silenceMeasurement) answer(rep *replica, w http.ResponseWriter, request *http.Request) {
-	id := request.Header.Get(idHeader)
-	if id != "" {
-		w.Header().Set(idHeader, id)
-	}
-	if expected := request.Header.Get("X-Expected-Replica"); expected != "" && expected != rep.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	switch request.URL.Path {
-	case "/-/report":
-		_, _ = fmt.Fprintf(w, `{"born":%d}`, rep.startedMs)
-		return
-	case "/health":
-		return
-	}
-	if _, err := io.ReadAll(request.Body); err != nil {
-		return
-	}
-	run := &silentRun{replica: rep.id, begun: time.Now()}
-	m.mu.Lock()
-	m.runs[id] = append(m.runs[id], run)
-	m.mu.Unlock()
-	if kind := request.URL.Path[1]; kind == 'o' || kind == 'r' {
-		m.stream(rep, run, w, request, id)
-		return
-	}
-	select {
-	case <-request.Context().Done():
-		m.cut(run)
-	case <-time.After(silencePlainTime):
-		rep.pause.wait()
-		_, err := fmt.Fprintf(w, "%s:done", id)
-		m.written(run, err == nil)
-	}
-}
-
-// stream writes the events of a stream.
-func (m *silenceMeasurement) stream(rep *replica, run *silentRun, w http.ResponseWriter, request *http.Request, id string) {
-	after, _ := strconv.Atoi(request.Header.Get(headerLastEvent))
-	w.Header().Set("Content-Type", "text/event-stream")
-	for n := after + 1; n <= silenceEvents; n++ {
-		rep.pause.wait()
-		_, err := io.WriteString(w, streamEvent(id, n, rep.software))
-		if err != nil || http.NewResponseController(w).Flush() != nil {
-			m.cut(run)
-			return
-		}
-		m.written(run, n == silenceEvents)
-		if n == silenceEvents {
-			return
-		}
-		select {
-		case <-request.Context().Done():
-			m.cut(run)
-			return
-		case <-time.After(silencePace):
-		}
-	}
-}
-
-// written records that a part of an answer was written, the last one if done.
-func (m *silenceMeasurement) written(run *silentRun, done bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	run.written++
-	run.lastAt, run.done = time.Now(), done
-}
-
-// cut records that a gateway closed the connection of a run that was at work.
-func (m *silenceMeasurement) cut(run *silentRun) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	run.cutAt = time.Now()
-}
