Routing: what was prepared for an attempt that is not made is given back; soak: how a process ended by itself

What callers saw: nothing yet; a review read that a connection and a repeat of the retry budget stay taken if an attempt ends by itself, with a rejection or before it was sent, just as the gateway gives it up. Cause: only a failed attempt took them over. Evidence: TestWhatWasPreparedForAnAttemptThatIsNotMadeIsGivenBack does so by hand; the method that it calls dropped nothing before. Change: the end of the watch drops what nobody took over. The finding says how a process ended from now on.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -163,7 +163,7 @@
 	for _, m := range in.members {
 		m.mu.Lock()
 		if m.unexpectedExits > 0 {
-			c.failLocked("own end", "%s ended by itself %d times", m.name, m.unexpectedExits)
+			c.failLocked("own end", "%s ended by itself %d times: %s", m.name, m.unexpectedExits, m.unexpectedExit)
 		}
 		m.mu.Unlock()
 	}
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -60,6 +60,8 @@
 	servesSince     time.Time
 	exitExpected    bool
 	unexpectedExits int
+	// unexpectedExit says how the last one of them ended.
+	unexpectedExit string
 }
 
 // installation is all processes of a run.
@@ -245,6 +247,7 @@
 		m.mu.Lock()
 		if !m.exitExpected && m.process == command {
 			m.unexpectedExits++
+			m.unexpectedExit = command.ProcessState.String()
 		}
 		if m.process == command {
 			m.servesSince = time.Time{}
--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -88,10 +88,13 @@
 	return w
 }
 
-// stop ends the checks.
+// stop ends the checks and drops what was prepared for an attempt that is not made.
 func (w *attemptWatch) stop() {
 	w.silence.Stop()
 	w.head.Stop()
+	if given := w.givenUp.Swap(nil); given != nil {
+		given.next.drop(w.now())
+	}
 }
 
 // noteSent records the connection on which the request is sent.
--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -624,3 +624,24 @@
 	is.NoErr(got.err)
 	is.Equal(got.body, "whole")
 }
+
+// TestWhatWasPreparedForAnAttemptThatIsNotMadeIsGivenBack: a connection and a repeat stayed taken when the attempt ended by
+// itself just as it was given up.
+func TestWhatWasPreparedForAnAttemptThatIsNotMadeIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Safe, 2), x)
+	budget := NewBudget(BudgetLimits{Extra: 2, Window: 10 * time.Second})
+	now := time.Now()
+	is.True(budget.Take(now, 1))
+	raw, err := Dial(context.Background(), x.listener.Addr().String())
+	is.NoErr(err)
+	peer := b.fleet.Peer("x")
+	c := &call{handler: b.handler}
+	watch := c.watchAttempt(context.Background(), peer, now, time.Time{}, nowhere, func() {})
+	watch.givenUp.Store(&earlyEnd{cause: causeOverdueHead, next: &nextPeer{peer: peer, conn: newConn(raw), budget: budget, takenAt: now}})
+	watch.stop()
+	is.Equal(total(budget.repeats[:]), 0.0)
+	_, connected := peer.pool.checkIdle()
+	is.True(connected)
+}
