LOST: a later start on the list ends no attempt whose connection lives

Cause: the server had crashed and started again under its ID at its address; the request reached the later start before its gateway was told of it. When it was, the later start counted as the proof that the earlier one, and with it the request, was lost. Ruled out: a crash after the request: the replica's side shows the run at work until the gateway closed; the dials refused 1.1 s before the request are those of the crash. A connection to an earlier start whose host answers is reset at the next probe, after a second of silence.

--- a/src/exchange/loss.go
+++ b/src/exchange/loss.go
@@ -63,11 +63,9 @@
 }
 
 // examineSilence dials a silent peer. unacknowledged returns for how long its host has acknowledged nothing on
-// the open connection.
+// the open connection. A later start on the list is no sign: it may have been at the other end of the connection
+// before it was listed, and connections of the earlier one end by the probes.
 func examineSilence(peer *Peer, unacknowledged func() time.Duration) silenceSign {
-	if peer.replaced() {
-		return signOf(lossByLaterStart)
-	}
 	switch dialed := peer.probe(); {
 	case dialed == dialAccepted:
 		return silenceSign{}
--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -645,3 +645,26 @@
 	_, connected := peer.pool.checkIdle()
 	is.True(connected)
 }
+
+// TestARequestAtALaterStartIsNotEndedAsThatIsListed: a replica had started again when it got the request, was silent for a
+// second, and the request was ended when its gateway was told of the start.
+func TestARequestAtALaterStartIsNotEndedAsThatIsListed(t *testing.T) {
+	is := is.New(t)
+	earlier := registry.Record{ID: "x@1", Name: "x", StartedMS: 1, Service: "s", Zone: "z", SoftwareVersion: "v1", Slots: 4}
+	later := earlier
+	later.ID, later.StartedMS = "x@2", 2
+	var b *bench
+	x := newReplica(t, "x", func(a arrival) bool {
+		beginStream(a)
+		b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: later}, {Record: earlier, Replaced: true}}})
+		time.Sleep(testSilence)
+		finishStream(a)
+		return true
+	})
+	earlier.Address, later.Address = x.listener.Addr().String(), x.listener.Addr().String()
+	b = newBench(t, route(catalog.Streaming, 1))
+	b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: earlier}}})
+	got := b.do("POST", "one", "x")
+	is.NoErr(got.err)
+	is.Equal(events(got.body), []string{"1", "2"})
+}
