LOST: a response that comes as its attempt is given up is not begun

Cause: the connection of an attempt that is given up stays open for 50 ms, for what a server may ask for in its head. A head that came then was taken for the response, although the connection was about to be closed. Change: such a head counts for what it says of its server; its response is dropped, and the request goes on where it is taken.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -140,6 +140,10 @@
 		c.grant = spent
 		return c.handleRejection(peer, a), nil
 	}
+	if watch.gaveUp() {
+		a.abort()
+		return c.handleSendError(ctx, peer, noResponse(errGivenUp)), nil
+	}
 	c.possibleRuns++
 	if a.response.StatusCode >= http.StatusInternalServerError {
 		return c.bufferError(ctx, peer, a)
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -145,6 +145,10 @@
 		return notRun, errNotTaken
 	}
 	c.countForwarded(to)
+	if err == nil && watch.gaveUp() {
+		a.abort()
+		err = noResponse(errGivenUp)
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			to.failed(c.handler.options.Now(), true)
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -24,6 +24,8 @@
 	errNoResponse = errors.New("no answer")
 	// errNotAccepted means that no byte left this host because the replica accepts no requests now.
 	errNotAccepted = errors.New("withheld")
+	// errGivenUp means that the response came as the connection was being closed.
+	errGivenUp = errors.New("it was given up")
 	// errOtherRequest means that only responses to other requests arrived.
 	errOtherRequest = errors.New("the answer belongs to another request")
 )
--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// gaveUp reports whether the attempt was ended. Its connection may stay open for a moment.
+func (w *attemptWatch) gaveUp() bool { return w.givenUp.Load() != nil }
+
 // noteSent records the connection on which the request is sent.
 func (w *attemptWatch) noteSent(raw net.Conn) {
 	w.raw.Store(&raw)
--- a/src/exchange/silence_test.go
+++ b/src/exchange/silence_test.go
@@ -668,3 +668,30 @@
 	is.NoErr(got.err)
 	is.Equal(events(got.body), []string{"1", "2"})
 }
+
+// TestAResponseThatComesAsItsAttemptIsGivenUpIsNotBegun: a stream that arrived within the time for which the connection of a
+// given up attempt stays open was begun and broken off.
+func TestAResponseThatComesAsItsAttemptIsGivenUpIsNotBegun(t *testing.T) {
+	for _, late := range []time.Duration{10, 20, 30, 40} {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var arrived atomic.Int64
+			serve := func(a arrival) bool {
+				if arrived.Add(1) > 1 {
+					return whole(a)
+				}
+				time.Sleep(1500*time.Millisecond + late*time.Millisecond) // the head is overdue after 1.5 s
+				_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\n%s: one\r\nContent-Length: %d\r\n\r\n", testID, maxBufferedBytes+2)
+				_, _ = a.conn.Write(make([]byte, maxBufferedBytes+1))
+				time.Sleep(200 * time.Millisecond)
+				_, _ = a.conn.Write(make([]byte, 1))
+				return true
+			}
+			b := newBench(t, route(catalog.Safe, 2), newReplica(t, "x", serve), newReplica(t, "y", serve))
+			got := b.do("GET", "one", "")
+			is.NoErr(got.err)
+			is.True(len(got.body) > 0)
+		})
+	}
+}
