--- a/soak/pause.go
+++ b/soak/pause.go
@@ -104,6 +104,19 @@
 	return p.over == nil && len(p.spans) > 0 && time.Since(p.spans[len(p.spans)-1].to) < last
 }
 
+// activeAt reports whether the whole process was paused at a time.
+func (p *pause) activeAt(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, span := range p.spans {
+		ended := i < len(p.spans)-1 || p.over == nil
+		if !at.Before(span.from) && (!ended || at.Before(span.to)) {
+			return !p.accepting
+		}
+	}
+	return false
+}
+
 // wait waits while the whole process is paused and lives. It reports whether it was paused.
 func (p *pause) wait() bool {
 	p.mu.Lock()
--- a/soak/pausedconn.go
+++ b/soak/pausedconn.go
@@ -5,9 +5,12 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // pausedListener accepts no connections while its replica is paused.
@@ -42,29 +45,56 @@
 	arrived func(id string, at time.Time)
 	// arrivedAt is when the last request arrived, which the replica may have read later.
 	arrivedAt atomic.Pointer[time.Time]
+	// lastID is the ID of that request.
+	lastID string
 	// held is set once a pause held up bytes that were not taken for a request yet.
 	held atomic.Bool
 }
 
-// Read reads what has arrived, after the end of a pause.
+// Read returns what has arrived after the end of a pause. That it arrived is known at once.
 func (c *pausedConn) Read(p []byte) (int, error) {
-	before := c.pause.wait()
 	n, err := c.Conn.Read(p)
-	if id := requestID(p[:n]); id != "" {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		// The server ends its look for further bytes after each request.
+		return n, err
+	}
+	if id := requestID(c.withUnread(p[:n])); id != "" && id != c.lastID {
+		c.lastID = id
 		at := lastArrival(c.Conn)
 		c.arrivedAt.Store(&at)
 		c.arrived(id, at)
+		if c.pause.activeAt(at) {
+			c.held.Store(true)
+		}
 	}
-	after := c.pause.wait()
+	held := c.pause.wait()
 	if c.pause.isKilled() {
 		return 0, net.ErrClosed
 	}
-	if n > 0 && (before || after) {
+	if n > 0 && held {
 		c.held.Store(true)
 	}
 	return n, err
 }
 
+// withUnread returns what was read together with what has arrived beyond it: the server may read a request's first
+// byte alone.
+func (c *pausedConn) withUnread(read []byte) []byte {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || len(read) == 0 {
+		return read
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return read
+	}
+	buffer, n := make([]byte, 4<<10), 0
+	_ = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return append(bytes.Clone(read), buffer[:max(n, 0)]...)
+}
+
 // Write writes after the end of a pause.
 func (c *pausedConn) Write(p []byte) (int, error) {
 	c.pause.wait()
