--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -79,7 +79,7 @@
 	o := c.outgoingRequest(choice, now)
 	attemptCtx, cancelAttempt := context.WithCancel(ctx)
 	defer cancelAttempt()
-	watch := c.watchAttempt(attemptCtx, peer, now, c.headDue(now), c.elsewhere(), cancelAttempt)
+	watch := c.watchAttempt(attemptCtx, peer, now, c.headDue(now), c.replicaElsewhere(), cancelAttempt)
 	defer watch.stop()
 	peer.startRequest(choice.PrefillTime)
 	defer peer.finishRequest()
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -123,7 +123,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.early = earlyEnd{}
-	watch := c.watchAttempt(ctx, to, now, c.headDue(now), c.elsewhereThanAt(), cancel)
+	watch := c.watchAttempt(ctx, to, now, c.headDue(now), c.gatewayElsewhere(), cancel)
 	defer watch.stop()
 	to.startRequest(0)
 	defer to.finishRequest()
--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -236,9 +236,9 @@
 // nowhere is the answer of a request that must not be sent again.
 func nowhere(time.Time, bool) *nextPeer { return nil }
 
-// elsewhere returns a function that tells where the request goes on if its attempt at the last one of the tried
+// replicaElsewhere returns a function that tells where the request goes on if its attempt at the last one of the tried
 // peers ends now. It may be called by another goroutine.
-func (c *call) elsewhere() func(now time.Time, begun bool) *nextPeer {
+func (c *call) replicaElsewhere() func(now time.Time, begun bool) *nextPeer {
 	if !c.mayRunAgain() {
 		return nowhere
 	}
@@ -252,8 +252,8 @@
 	}
 }
 
-// elsewhereThanAt is elsewhere for a request that is forwarded to a gateway.
-func (c *call) elsewhereThanAt() func(now time.Time, begun bool) *nextPeer {
+// gatewayElsewhere is replicaElsewhere for a request that is forwarded to a gateway.
+func (c *call) gatewayElsewhere() func(now time.Time, begun bool) *nextPeer {
 	if !c.mayRunAgain() {
 		return nowhere
 	}
