Soak: a measurement of bodies that are sent over time around stops

Cause: the soak and its measurements sent each body at once, so that nothing showed what becomes of a request whose head comes before a gateway stops and whose last byte comes later.

Change: `--measure bodies`, `bodies-slow-replicas`, `bodies-silence` and `bodies-at-once` stop gateways while half of the requests send their bodies over 1.2 s, in parts or with a late end, half in chunks, some larger than a window, most on kept connections, with clients that read while they write and others that do not. They print how the requests of each class ended. LOST is judged by the last byte that the client sent. The measurement of silent replicas takes its classes, times and replicas from a load now; what it sends and counts is as before.

Ruled out: that the plays of silence show it; they send each body at once.

--- a/soak/silenceclient.go
+++ b/soak/silenceclient.go
@@ -31,6 +31,8 @@
 	// stopping is set if the gateway had been told to stop; signalAt is the last stop of any gateway.
 	stopping bool
 	signalAt time.Time
+	// body is how the body was sent, nil if it was sent at once.
+	body *sentBody
 }
 
 // sendAll sends the requests of a class at a steady rate to the gateways in turn.
@@ -47,12 +49,25 @@
 		case <-ticker.C:
 		}
 		gateway := gateways[turn%len(gateways)]
+		if m.avoids(gateway) {
+			gateway = gateways[(turn+1)%len(gateways)]
+		}
 		work.Go(func() { m.record(m.send(class, gateway)) })
 	}
 }
 
-// send sends one request on a connection of its own.
+// avoids reports whether clients do not use a gateway, which stops, any more.
+func (m *silenceMeasurement) avoids(gateway *member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.load.turnAway > 0 && m.stopping == gateway && time.Since(m.signalAt) > m.load.turnAway
+}
+
+// send sends one request, on a connection of its own unless the load says otherwise.
 func (m *silenceMeasurement) send(class silenceClass, gateway *member) silenceResult {
+	if m.kind.bodies != nil {
+		return m.sendBody(class, gateway)
+	}
 	result := silenceResult{id: fmt.Sprintf("q%08d", m.next.Add(1)), class: class, gateway: gateway, sentAt: time.Now()}
 	conn, err := net.DialTimeout("tcp", m.in.processAddress(gateway, m.in.callPort()), silenceClientTimeout)
 	if err != nil {
@@ -94,7 +109,7 @@
 
 // complete reports whether all events of a stream came.
 func (s *silenceResult) complete() bool {
-	return s.class.kind != "o" && s.class.kind != "r" || s.events == silenceEvents
+	return !s.class.isStream() || s.events == silenceEvents
 }
 
 // record keeps what a client got.
--- a/soak/silencecounts.go
+++ b/soak/silencecounts.go
@@ -39,7 +39,7 @@
 		}
 		m.count(counts[class], result, lines)
 	}
-	for _, class := range silenceClasses {
+	for _, class := range m.load.classes {
 		for _, name := range []string{class.name, class.name + ", forwarded"} {
 			if n := counts[name]; n != nil {
 				fmt.Printf("%s: sent %d, whole %d, broken off %d, failed %d (%d of them never ran), refused %d; LOST at the gateway that stops %d, elsewhere %d\n", name, n.sent, n.whole, n.brokenOff, n.failed, n.failedUnrun, n.refused, n.lost, n.lostElsewhere)
--- a/soak/silencemeasure.go
+++ b/soak/silencemeasure.go
@@ -60,6 +60,8 @@
 	forward bool
 	// alone leaves out all classes but the first.
 	alone bool
+	// bodies is what clients send and replicas do in place of silenceLoad, nil for that.
+	bodies *bodyLoad
 }
 
 var silenceKinds = map[string]silenceKind{
@@ -71,6 +73,11 @@
 	"silence-forward": {replicas: silenceReplicas, delay: 600 * time.Millisecond, duration: 1200 * time.Millisecond, forward: true},
 	"silence-alone":   {replicas: silenceReplicas, delay: 600 * time.Millisecond, duration: 1200 * time.Millisecond, alone: true},
 	"silence-none":    {},
+
+	"bodies":               {bodies: &bodyLoad{slow: true, work: quickWork}},
+	"bodies-slow-replicas": {bodies: &bodyLoad{slow: true, work: slowWork}},
+	"bodies-silence":       {bodies: &bodyLoad{slow: true, work: longWork}, replicas: bodyReplicas, delay: lateSilence, duration: longSilence},
+	"bodies-at-once":       {bodies: &bodyLoad{work: slowWork}},
 }
 
 // silenceClass is a kind of measured requests, by the first letter of their path.
@@ -78,24 +85,55 @@
 	kind  string
 	name  string
 	pause time.Duration
+	// route is the kind of the route, timeout the time for an answer.
+	route    string
+	timeout  time.Duration
+	attempts int
+	// resumable is set if streams may be resumed.
+	resumable bool
+}
+
+// isStream reports whether answers are streams.
+func (c silenceClass) isStream() bool { return c.route == "streaming" }
+
+// measuredLoad is what clients send and replicas do beside planned stops.
+type measuredLoad struct {
+	classes           []silenceClass
+	replicas, backlog int
+	// pace is the time between two events of a stream, plainTime how long a plain answer takes.
+	pace, plainTime time.Duration
+	// rounds is how many gateways are stopped.
+	rounds int
+	// turnAway is how long after a signal clients leave the gateway that stops, 0 if they use it to the end.
+	turnAway time.Duration
 }
 
-var silenceClasses = []silenceClass{
-	{"o", "streams that run once", silenceStreamPause},
-	{"r", "streams that may be resumed", silencePlainPause},
-	{"u", "plain, run once", silencePlainPause},
-	{"s", "plain, may be repeated", silencePlainPause},
+var silenceLoad = measuredLoad{
+	classes: []silenceClass{
+		{"o", "streams that run once", silenceStreamPause, "streaming", silenceTimeout, 1, false},
+		{"r", "streams that may be resumed", silencePlainPause, "streaming", silenceTimeout, 2, true},
+		{"u", "plain, run once", silencePlainPause, "unsafe", silenceTimeout, 1, false},
+		{"s", "plain, may be repeated", silencePlainPause, "safe", silenceTimeout, 2, false},
+	},
+	replicas: silenceReplicas, backlog: silenceBacklog, pace: silencePace, plainTime: silencePlainTime, rounds: silenceRounds,
 }
 
-// silenceConfiguration returns a version's configuration; each version has its own idle time.
-func silenceConfiguration(version uint64) string {
+// class returns the class of a kind of requests.
+func (l measuredLoad) class(kind string) silenceClass {
+	for _, class := range l.classes {
+		if class.kind == kind {
+			return class
+		}
+	}
+	return silenceClass{}
+}
+
+// configuration returns a version's configuration; each version has its own idle time.
+func (l measuredLoad) configuration(version uint64) string {
 	const route = `{"name":%q,"hostname":"a.example","path_prefix":"/%s/","route_kind":%q,"timeout_ms":%d,"target_latency_ms":500,"service":"s","max_attempts":%d,"resumable":%v}`
-	timeout := silenceTimeout.Milliseconds()
-	routes := []string{
-		fmt.Sprintf(route, "once", "o", "streaming", timeout, 1, false),
-		fmt.Sprintf(route, "resumed", "r", "streaming", timeout, 2, true),
-		fmt.Sprintf(route, "unsafe", "u", "unsafe", timeout, 1, false),
-		fmt.Sprintf(route, "safe", "s", "safe", timeout, 2, false),
+	var routes []string
+	for _, class := range l.classes {
+		routes = append(routes, fmt.Sprintf(route, class.name, class.kind, class.route, class.timeout.Milliseconds(), class.attempts, class.resumable))
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health"}],"limits":{"max_body_bytes":1048576,"idle_timeout_ms":%d}}`, version, strings.Join(routes, ","), 15000+version)
 }
@@ -104,11 +142,14 @@
 type silenceMeasurement struct {
 	in       *installation
 	kind     silenceKind
+	load     measuredLoad
 	random   *rand.Rand
 	replicas *replicas
 	next     atomic.Uint64
 	version  atomic.Uint64
 	log      *os.File
+	// conns are the connections to each gateway that clients keep.
+	conns map[*member]*keptConns
 
 	mu      sync.Mutex
 	runs    map[string][]*silentRun
@@ -126,12 +167,12 @@
 	}
 	defer in.shutDown()
 	go in.shutDownOnSignal()
-	m := &silenceMeasurement{in: in, kind: silenceKinds[o.Measure], random: rand.New(rand.NewPCG(o.Seed, 18)), runs: map[string][]*silentRun{}}
+	m := newSilenceMeasurement(in, o)
 	if m.log, err = os.Create(in.options.Folder + "/requests"); err != nil {
 		return errors.Wrap(err, "log of requests")
 	}
 	defer m.log.Close()
-	plan := replicaPlan{count: silenceReplicas, slots: silenceSlots, backlog: silenceBacklog, software: "v1", handler: m.answer}
+	plan := replicaPlan{count: m.load.replicas, slots: silenceSlots, backlog: m.load.backlog, software: "v1", handler: m.answer}
 	if m.replicas, err = newReplicas(in, newChecker(), newZoneDrains(), plan); err != nil {
 		return err
 	}
@@ -150,16 +191,31 @@
 	}
 	m.play(ctx)
 	in.shutDown()
-	m.print()
+	if m.kind.bodies != nil {
+		m.printBodies()
+	} else {
+		m.print()
+	}
 	return nil
 }
 
+func newSilenceMeasurement(in *installation, o options) *silenceMeasurement {
+	m := &silenceMeasurement{in: in, kind: silenceKinds[o.Measure], load: silenceLoad, random: rand.New(rand.NewPCG(o.Seed, 18)), runs: map[string][]*silentRun{}, conns: map[*member]*keptConns{}}
+	if m.kind.bodies != nil {
+		m.load = m.kind.bodies.measured()
+	}
+	for _, gateway := range in.gatewayNodes() {
+		m.conns[gateway] = &keptConns{address: in.processAddress(gateway, in.callPort())}
+	}
+	return m
+}
+
 // waitUntilServing waits until every gateway has answered a request.
 func (m *silenceMeasurement) waitUntilServing() error {
 	for _, gateway := range m.in.gatewayNodes() {
 		served := false
 		for turn := 0; turn < 100 && !served; turn++ {
-			served = m.send(silenceClasses[len(silenceClasses)-1], gateway).whole
+			served = m.send(m.load.classes[len(m.load.classes)-1], gateway).whole
 			time.Sleep(100 * time.Millisecond)
 		}
 		if !served {
@@ -188,7 +244,7 @@
 func (m *silenceMeasurement) play(ctx context.Context) {
 	sending, endSending := context.WithCancel(ctx)
 	var work sync.WaitGroup
-	for i, class := range silenceClasses {
+	for i, class := range m.load.classes {
 		if m.kind.alone && i > 0 {
 			break
 		}
@@ -199,8 +255,8 @@
 	if m.kind.forward {
 		gateways = gateways[:len(gateways)-1]
 	}
-	firstGateway, firstReplica := m.random.IntN(len(gateways)), m.random.IntN(silenceReplicas)
-	for round := range silenceRounds {
+	firstGateway, firstReplica := m.random.IntN(len(gateways)), m.random.IntN(m.load.replicas)
+	for round := range m.load.rounds {
 		time.Sleep(time.Duration(m.random.Int64N(int64(maxSilenceShift))))
 		m.strike(gateways[(firstGateway+round)%len(gateways)], firstReplica+round)
 	}
@@ -260,7 +316,7 @@
 func (m *silenceMeasurement) configure() error {
 	operators := newOperators(m.in, newChecker(), newZoneDrains())
 	version := m.version.Add(1)
-	body := silenceConfiguration(version)
+	body := m.load.configuration(version)
 	for turn := range 100 {
 		if status, _ := operators.call(http.MethodPut, turn%controlNodeCount, body); status == http.StatusOK {
 			m.note("version %d is acknowledged", version)
--- a/soak/silencereplica.go
+++ b/soak/silencereplica.go
@@ -12,6 +12,8 @@
 type silentRun struct {
 	replica string
 	begun   time.Time
+	// bodyBytes is the length of the body.
+	bodyBytes int
 	// written is how many events were written, lastAt when the last one was.
 	written int
 	lastAt  time.Time
@@ -38,21 +40,22 @@
 	case "/health":
 		return
 	}
-	if _, err := io.ReadAll(request.Body); err != nil {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
 		return
 	}
-	run := &silentRun{replica: rep.id, begun: time.Now()}
+	run := &silentRun{replica: rep.id, begun: time.Now(), bodyBytes: len(body)}
 	m.mu.Lock()
 	m.runs[id] = append(m.runs[id], run)
 	m.mu.Unlock()
-	if kind := request.URL.Path[1]; kind == 'o' || kind == 'r' {
+	if m.load.class(request.URL.Path[1:2]).isStream() {
 		m.stream(rep, run, w, request, id)
 		return
 	}
 	select {
 	case <-request.Context().Done():
 		m.cut(run)
-	case <-time.After(silencePlainTime):
+	case <-time.After(m.load.plainTime):
 		rep.pause.wait()
 		_, err := fmt.Fprintf(w, "%s:done", id)
 		m.written(run, err == nil)
@@ -78,7 +81,7 @@
 		case <-request.Context().Done():
 			m.cut(run)
 			return
-		case <-time.After(silencePace):
+		case <-time.After(m.load.pace):
 		}
 	}
 }
