Soak: bodies that are sent over time in the random soak; a planned stop is judged by the last byte

Cause: in the random soak each client sent its body at once, no answer took longer than 0.3 s without a strike, and the deadline of 3 s was over before the limit of a stop. So no request could begin before a gateway refuses what may outlast its stop, be sent whole later than 3 s after the signal and be at work at the limit. The check took the time before the request was sent for the time at which it was sent.

Change: four clients of each gateway send half of their bodies over 0.2 to 4 s, in parts or with a late end, half in chunks, 12 in 100 of 1 MB, and read while they write or afterwards. Half of their requests run once and need 1.5 to 4 s, on a route of their own with 9 s for the answer. A replica finds a body that is not whole. The check `lost` excuses an end at the limit of a stop only if the last byte was sent by 3 s after the signal; a request that was never sent whole is not excused. All other checks use the first byte, and say so.

Existing checks: none is weaker. "deadline" takes the time of the request, 3 s for all that were sent before. In lost_test.go the scene has the time of the last byte, which its answer lacked, next to that of the first.

Requests with work held the end of the run up after the other clients had stopped; the clients that send them stop before the last 8 s now.

--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -14,7 +14,7 @@
 	keyHeader     = "Api-Key"
 	accountHeader = "X-Tenant"
 	// keyVersionHeader tells the replica which version the request's key belongs to, sentHeader when
-	// the request was sent, in Unix nanoseconds.
+	// the first byte of the request was sent, in Unix nanoseconds.
 	keyVersionHeader = "Soak-Key-Version"
 	sentHeader       = "Soak-Sent"
 
--- a/soak/bodyplan.go
+++ b/soak/bodyplan.go
@@ -18,6 +18,8 @@
 	largeBodyBytes = 1_000_000
 	// largeBodyPercent is the share of the bodies that are large.
 	largeBodyPercent = 12
+	// bodySizeHeader holds the length of a body that a replica must read whole.
+	bodySizeHeader = "Soak-Body-Bytes"
 	// lastChunk ends a body in chunks.
 	lastChunk = "0\r\n\r\n"
 )
@@ -58,7 +60,7 @@
 	bytes string
 }
 
-// body returns a request's body.
+// body returns a request's body. Its first line is what a replica answers.
 func (p bodyPlan) body(id string) string {
 	text := "body of " + id + "\n"
 	return text + strings.Repeat(".", max(p.bytes-len(text), 0))
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -39,8 +39,10 @@
 	// sendsDeadlyParts makes clients send requests with deadly parts in a run.
 	sendsDeadlyParts bool
 	cancel           context.CancelFunc
-	work             sync.WaitGroup
-	lastSuccess      sync.Map // time of the last success by gateway name
+	// endBodies ends the sending of bodies over time.
+	endBodies   context.CancelFunc
+	work        sync.WaitGroup
+	lastSuccess sync.Map // time of the last success by gateway name
 }
 
 func newClients(in *installation, check *checker, replicas *replicas) *clients {
@@ -72,7 +74,11 @@
 	ctx, c.cancel = context.WithCancel(ctx)
 	c.work.Add(1)
 	go c.sendCrashing(ctx, rand.New(rand.NewPCG(random.Uint64(), 8)))
+	bodies := rand.New(rand.NewPCG(c.in.options.Seed, 19))
+	bodiesCtx, endBodies := context.WithCancel(ctx)
+	c.endBodies = endBodies
 	for _, m := range c.in.gatewayNodes() {
+		c.startBodyClients(bodiesCtx, m, bodies)
 		for range clientsPerGateway {
 			seed := random.Uint64()
 			c.work.Add(1)
@@ -93,6 +99,10 @@
 	}
 }
 
+// stopBodies ends the sending of bodies over time, before the other clients stop: a request with work takes so long
+// that the others would have been silent for settleTime before it had ended.
+func (c *clients) stopBodies() { c.endBodies() }
+
 func (c *clients) stop() {
 	c.cancel()
 	c.work.Wait()
@@ -106,15 +116,15 @@
 		time.Sleep(clientPause)
 		id := c.id()
 		kind := []string{"u", "u", "s", "e"}[random.IntN(4)]
-		sentAt, draw := time.Now(), rand.IntN(10)
+		firstByteAt, draw := time.Now(), rand.IntN(10)
 		status, answer, err := c.sendBody(client, m, kind, id, "body of "+id, draw)
 		c.checkAnswer(m, kind, id, status, answer, err)
 		c.check.checkPartRefusal(status, answer.body)
 		if kind == "e" {
-			c.followStream(client, m, id, sentAt, status, answer, draw)
+			c.followStream(client, m, id, firstByteAt, status, answer, draw)
 		}
-		if c.calm(m, sentAt) && c.mayBeServed(m, sentAt) {
-			c.check.links.recordTry(m.name, sentAt, err == nil && status == http.StatusOK && answer.whole)
+		if c.calm(m, firstByteAt) && c.mayBeServed(m, firstByteAt) {
+			c.check.links.recordTry(m.name, firstByteAt, err == nil && status == http.StatusOK && answer.whole)
 		}
 	}
 }
@@ -130,7 +140,8 @@
 	})
 }
 
-// calm reports whether a gateway and the control nodes have been free of faults since before a time.
+// calm reports whether a gateway and the control nodes have been free of faults since before a time, that of a
+// request's first byte.
 func (c *clients) calm(m *member, since time.Time) bool {
 	_, free := m.state()
 	control := c.in.controlFaultFreeSince()
@@ -178,17 +189,18 @@
 	}
 	newest, _ := c.check.newest()
 	setAccountHeaders(request.Header, draw, newest)
-	end := endedAnswer{id: id, kind: kind, gateway: m.name, sentAt: time.Now()}
+	request, lastByteAt := withLastByteTime(request)
+	end := endedAnswer{id: id, kind: kind, gateway: m.name, firstByteAt: time.Now()}
 	got, err := client.Do(request)
 	if err != nil {
-		end.endedAt = time.Now()
+		end.endedAt, end.lastByteAt = time.Now(), lastByteAt()
 		c.check.lost.recordAnswer(end, false)
 		return 0, response{}, err
 	}
 	defer got.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes))
 	whole := err == nil && len(body) < maxAnswerBytes
-	end.endedAt, end.status = time.Now(), got.StatusCode
+	end.endedAt, end.lastByteAt, end.status = time.Now(), lastByteAt(), got.StatusCode
 	c.check.lost.recordAnswer(end, whole)
 	return got.StatusCode, response{stamp: got.Header.Get(stampHeader), body: string(body), whole: whole, framed: framed(got), end: end}, nil
 }
--- a/soak/ends.go
+++ b/soak/ends.go
@@ -210,6 +210,8 @@
 	body   string
 	// whole is set if the response ended in order.
 	whole bool
+	// lastByteAt is when the last byte of the request was sent, the zero time if it was not sent whole.
+	lastByteAt time.Time
 }
 
 // sendStream sends one request on a connection of its own, in the protocol of the class.
@@ -235,12 +237,13 @@
 	if _, err := io.WriteString(conn, head+fields.String()+"\r\n"+body); err != nil {
 		return rawResponse{}
 	}
+	lastByteAt := time.Now()
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
 	if err != nil {
-		return rawResponse{}
+		return rawResponse{lastByteAt: lastByteAt}
 	}
 	read, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	return rawResponse{status: response.StatusCode, body: string(read), whole: err == nil}
+	return rawResponse{status: response.StatusCode, body: string(read), whole: err == nil, lastByteAt: lastByteAt}
 }
 
 // sendInHTTP10 sends streams of both kinds as a client of HTTP/1.0, to whom only a reset tells that one broke off.
@@ -250,9 +253,9 @@
 		time.Sleep(http10Pause)
 		id := c.id()
 		class := endsClass{kind: []string{"e", "n"}[turn%2], proto: "HTTP/1.0"}
-		end := endedAnswer{id: id, kind: class.kind, gateway: m.name, sentAt: time.Now()}
+		end := endedAnswer{id: id, kind: class.kind, gateway: m.name, firstByteAt: time.Now()}
 		got := sendStream(c.in.proxyAddress(m, c.in.callPort()), class, id, "", 0)
-		end.endedAt, end.status = time.Now(), got.status
+		end.endedAt, end.lastByteAt, end.status = time.Now(), got.lastByteAt, got.status
 		c.check.lost.recordAnswer(end, got.whole)
 		if got.status != http.StatusOK {
 			continue
--- a/soak/links.go
+++ b/soak/links.go
@@ -134,24 +134,24 @@
 	return senders
 }
 
-// recordTry counts a first try that was sent at a time to a gateway without other faults.
-func (l *linkChecks) recordTry(gateway string, sentAt time.Time, served bool) {
+// recordTry counts a first try whose first byte was sent at a time to a gateway without other faults.
+func (l *linkChecks) recordTry(gateway string, firstByteAt time.Time, served bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	tries := l.bySecond[sentAt.Unix()]
+	tries := l.bySecond[firstByteAt.Unix()]
 	if tries == nil {
 		tries = &linkTries{}
-		l.bySecond[sentAt.Unix()] = tries
+		l.bySecond[firstByteAt.Unix()] = tries
 	}
 	if at, cut := l.cutAt[gateway]; cut {
-		if sentAt.Sub(at) >= linkContactTime {
+		if firstByteAt.Sub(at) >= linkContactTime {
 			tries.sent++
 			tries.served += asNumber(served)
 		}
 		return
 	}
 	for _, at := range l.cutAt {
-		if sentAt.Sub(at) >= linkContactTime {
+		if firstByteAt.Sub(at) >= linkContactTime {
 			tries.othersSent++
 			tries.othersServed += asNumber(served)
 			return
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -11,8 +11,8 @@
 const (
 	// requestDeadline is the time that clients set for an answer.
 	requestDeadline = 3 * time.Second
-	// lastRequestTime is how long after the signal to stop a request may be sent that a gateway may end at
-	// the limit of its stop.
+	// lastRequestTime is how long after the signal to stop the last byte of a request may be sent that a gateway may
+	// end at the limit of its stop.
 	lastRequestTime = 3 * time.Second
 	// linkReadTime is how long a gateway may take to read that its links are up again.
 	linkReadTime = 200 * time.Millisecond
@@ -21,7 +21,12 @@
 // endedAnswer is an answer that came without its whole body.
 type endedAnswer struct {
 	id, kind, gateway string
-	sentAt, endedAt   time.Time
+	// firstByteAt is when the first byte of the request was sent, lastByteAt when its last one was, the zero time if the
+	// request was not sent whole.
+	firstByteAt, lastByteAt time.Time
+	endedAt                 time.Time
+	// deadline is the time for the answer, 0 for requestDeadline.
+	deadline time.Duration
 	// status is 0 if there was no answer.
 	status int
 }
@@ -132,7 +137,7 @@
 	switch {
 	case run == nil:
 		return "did not run"
-	case answer.endedAt.Sub(answer.sentAt) >= requestDeadline-deadlineSlack:
+	case answer.timeOver():
 		return "deadline"
 	case run.brokeOff:
 		return "broken off by the replica"
@@ -151,6 +156,15 @@
 	return ""
 }
 
+// timeOver reports whether the time for the answer was over, which gateways count from the first byte.
+func (a endedAnswer) timeOver() bool {
+	deadline := a.deadline
+	if deadline == 0 {
+		deadline = requestDeadline
+	}
+	return a.endedAt.Sub(a.firstByteAt) >= deadline-deadlineSlack
+}
+
 // reachedLater reports whether a request reached another replica after the one of a run; the lock is held.
 func (l *lostChecks) reachedLater(id string, run *replicaRun) bool {
 	last := l.reached[id]
@@ -188,8 +202,12 @@
 	if !run.endedAt.IsZero() {
 		after = fmt.Sprintf("%s %s after it", end, round(run.endedAt.Sub(a.endedAt)))
 	}
-	return fmt.Sprintf("request %s /%s at %s ended with status %d at %s, %s after it was sent; its run at %s, sent by %s, arrived %s and began %s after it was sent and %s; the replica was %s",
-		a.id, a.kind, a.gateway, a.status, a.endedAt.Format("15:04:05.000"), round(a.endedAt.Sub(a.sentAt)), run.rep.id, run.sender, round(run.arrivedAt.Sub(a.sentAt)), round(run.begunAt.Sub(a.sentAt)), after, run.rep.pause.describe(a.sentAt, a.endedAt))
+	sent := "its last byte was never sent"
+	if !a.lastByteAt.IsZero() {
+		sent = fmt.Sprintf("%s after its last one", round(a.endedAt.Sub(a.lastByteAt)))
+	}
+	return fmt.Sprintf("request %s /%s at %s ended with status %d at %s, %s after its first byte was sent and %s; its run at %s, sent by %s, arrived %s and began %s after the first byte and %s; the replica was %s",
+		a.id, a.kind, a.gateway, a.status, a.endedAt.Format("15:04:05.000"), round(a.endedAt.Sub(a.firstByteAt)), sent, run.rep.id, run.sender, round(run.arrivedAt.Sub(a.firstByteAt)), round(run.begunAt.Sub(a.firstByteAt)), after, run.rep.pause.describe(a.firstByteAt, a.endedAt))
 }
 
 // String describes the counts.
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -26,7 +26,7 @@
 	s := &lostScene{start: start, checks: &newChecker().lost, rep: &replica{id: "i-001", pause: newPause()}, stop: defaultStop}
 	s.run = s.checks.beginRun("q1", s.rep, "gateway-2", start.Add(5*time.Millisecond))
 	s.run.begunAt, s.run.endedAt = start.Add(10*time.Millisecond), start.Add(2*time.Second)
-	s.answer = endedAnswer{id: "q1", kind: "e", gateway: "gateway-1", sentAt: start, endedAt: start.Add(1500 * time.Millisecond), status: http.StatusOK}
+	s.answer = endedAnswer{id: "q1", kind: "e", gateway: "gateway-1", firstByteAt: start, lastByteAt: start, endedAt: start.Add(1500 * time.Millisecond), status: http.StatusOK}
 	return s
 }
 
@@ -121,7 +121,8 @@
 		{"stop", func(s *lostScene) {
 			s.strike("gateway-1", "stop", true, -4*time.Second, 0)
 			s.strikes.byName["gateway-1"][0].from = s.answer.endedAt.Add(-5100 * time.Millisecond)
-			s.answer.sentAt = s.answer.endedAt.Add(-2500 * time.Millisecond)
+			s.answer.firstByteAt = s.answer.endedAt.Add(-2500 * time.Millisecond)
+			s.answer.lastByteAt = s.answer.firstByteAt
 		}},
 	} {
 		t.Run(test.cause, func(t *testing.T) {
@@ -169,3 +170,49 @@
 		is.Equal(len(checks.answers) == 1, test.checked)
 	}
 }
+
+// TestARequestSentWholeTooLateIsNotEndedByTheLimitOfAStop guards against judging a request by its first byte: its head may
+// come by lastRequestTime after the signal and its last byte later.
+func TestARequestSentWholeTooLateIsNotEndedByTheLimitOfAStop(t *testing.T) {
+	const limitShare = 5500 * time.Millisecond
+	for _, test := range []struct {
+		name                  string
+		firstByte, lastByte   time.Duration
+		ended                 time.Duration
+		unsent, stopped, lost bool
+	}{
+		{"both in time", time.Second, lastRequestTime, limitShare, false, true, false},
+		{"the last byte too late", time.Second, lastRequestTime + time.Millisecond, limitShare, false, true, true},
+		{"the last byte never sent", time.Second, 0, limitShare, true, true, true},
+		{"in time, before the last sixth", time.Second, lastRequestTime, 5 * time.Second, false, true, true},
+		{"the last byte too late, a kill", time.Second, lastRequestTime + time.Millisecond, limitShare, false, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLostScene()
+			s.strike("gateway-1", "strike", test.stopped, 0, 0)
+			s.answer.deadline = workDeadline
+			s.answer.firstByteAt, s.answer.lastByteAt = s.start.Add(test.firstByte), s.start.Add(test.lastByte)
+			if test.unsent {
+				s.answer.lastByteAt = time.Time{}
+			}
+			s.answer.endedAt, s.run.endedAt = s.start.Add(test.ended), s.start.Add(test.ended)
+			s.run.cut = true
+			s.checks.recordAnswer(s.answer, false)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)) == 1, test.lost)
+		})
+	}
+}
+
+// TestTheTimeForAnAnswerIsThatOfItsRequest: an end at requestDeadline must not be excused if the request has more time.
+func TestTheTimeForAnAnswerIsThatOfItsRequest(t *testing.T) {
+	is := is.New(t)
+	s := newLostScene()
+	s.answer.endedAt, s.run.endedAt = s.start.Add(requestDeadline), s.start.Add(workDeadline)
+	s.answer.deadline = workDeadline
+	is.Equal(s.answer.timeOver(), false)
+	s.checks.recordAnswer(s.answer, false)
+	is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)), 1)
+	s.answer.endedAt = s.start.Add(workDeadline - deadlineSlack)
+	is.True(s.answer.timeOver())
+}
--- a/soak/main.go
+++ b/soak/main.go
@@ -28,6 +28,7 @@
 	OldDisks    bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
 	NoSilence   bool          `long:"no-silence" description:"leave out the pauses of replicas and the short queues of new connections, as in runs of earlier builds of this program"`
 	NoParts     bool          `long:"no-parts" description:"leave out the requests with parts of prompts that crash replicas, as in runs of earlier builds of this program"`
+	NoBodies    bool          `long:"no-bodies" description:"leave out the requests whose bodies are sent over time, as in runs of earlier builds of this program"`
 	LaggingNode string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
 	Port        int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
@@ -126,6 +127,7 @@
 	operators.stop()
 	operators.drainLast()
 	in.blackout(operators, clients, rand.New(rand.NewPCG(o.Seed, 7)))
+	clients.stopBodies()
 	time.Sleep(settleTime)
 	clients.stop()
 	operators.readBack()
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -33,10 +33,12 @@
 // that only this version has.
 func configurationOf(version uint64) string {
 	const route = `{"name":%q,"hostname":"a.example","path_prefix":%q,"route_kind":%q,"timeout_ms":4000,"target_latency_ms":500,"service":"s","max_attempts":2,"resumable":%v}`
+	const workRoute = `{"name":"work","hostname":"a.example","path_prefix":"/w/","route_kind":"unsafe","timeout_ms":%d,"target_latency_ms":%d,"service":"s","max_attempts":2,"resumable":false}`
 	routes := []string{
 		fmt.Sprintf(route, "unsafe", "/u/", "unsafe", false),
 		fmt.Sprintf(route, "safe", "/s/", "safe", false),
 		fmt.Sprintf(route, "long", "/l/", "safe", false),
+		fmt.Sprintf(workRoute, workDeadline.Milliseconds(), maxWork.Milliseconds()),
 		fmt.Sprintf(route, "events", "/e/", "streaming", true),
 		fmt.Sprintf(route, "events that may not be repeated", "/n/", "streaming", false),
 		fmt.Sprintf(route, "version", fmt.Sprintf("/v/%d/", version), "safe", false),
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -168,6 +168,10 @@
 	if err != nil {
 		return
 	}
+	echo, cut := echoOf(request, body)
+	if cut {
+		r.check.fail("mixed", "%s got request %s with %d of %s bytes", rep.id, id, len(body), request.Header.Get(bodySizeHeader))
+	}
 	run := r.check.lost.beginRun(id, rep, r.check.links.senders[hostOf(request.RemoteAddr)], arrivalOf(request))
 	defer r.check.lost.endRun(run)
 	if string(body) == crashBody {
@@ -183,7 +187,7 @@
 	if endless != nil {
 		r.check.count("answers without end")
 		r.check.lost.recordBrokenOff(run)
-		if !endless.rejects && request.URL.Path[1] == 'u' {
+		if !endless.rejects && runsOnce(request) {
 			r.check.recordRun(id, rep.id)
 		}
 		endless.send(w, rep.id, id)
@@ -203,7 +207,10 @@
 	case 'u':
 		r.check.recordRun(id, rep.id)
 		time.Sleep(10 * time.Millisecond)
-		_, _ = fmt.Fprintf(w, "%s:%s", id, body)
+		_, _ = fmt.Fprintf(w, "%s:%s", id, echo)
+	case 'w':
+		r.check.recordRun(id, rep.id)
+		r.work(run, w, request, id+":"+echo)
 	case 'e', 'n':
 		r.stream(run, w, request, id)
 	case 'l':
@@ -211,7 +218,7 @@
 			r.check.lost.recordCut(run)
 		}
 	default:
-		_, _ = fmt.Fprintf(w, "%s:%s", id, body)
+		_, _ = fmt.Fprintf(w, "%s:%s", id, echo)
 	}
 }
 
--- a/soak/resume.go
+++ b/soak/resume.go
@@ -147,8 +147,8 @@
 }
 
 // followStream counts a new stream, and takes it up if it broke off.
-func (c *clients) followStream(client *http.Client, m *member, id string, sentAt time.Time, status int, got response, draw int) {
-	if isMainAccount(draw) && c.calm(m, sentAt) {
+func (c *clients) followStream(client *http.Client, m *member, id string, firstByteAt time.Time, status int, got response, draw int) {
+	if isMainAccount(draw) && c.calm(m, firstByteAt) {
 		c.check.resumes.recordBegin(status == http.StatusOK && parseStream(got.body).last > 0)
 	}
 	if status == http.StatusOK && !got.whole {
@@ -166,7 +166,7 @@
 		}
 		gateways := c.in.gatewayNodes()
 		m := gateways[rand.IntN(len(gateways))]
-		id, sentAt := c.id(), time.Now()
+		id, firstByteAt := c.id(), time.Now()
 		served := c.replicas.serving(held.software) >= minServing
 		status, next, err := c.sendWith(client, m, "e", id, "body of "+id, draw, headerResumes, begun, headerLastEvent, strconv.Itoa(held.last))
 		ok := err == nil && status == http.StatusOK
@@ -176,7 +176,7 @@
 			part = parseStream(next.body)
 			c.checkTakenUp(m, id, held, part, next)
 		}
-		c.check.resumes.recordReturn(isMainAccount(draw) && served && c.calm(m, sentAt), part.last > 0 || ok && next.whole)
+		c.check.resumes.recordReturn(isMainAccount(draw) && served && c.calm(m, firstByteAt), part.last > 0 || ok && next.whole)
 		if part.last > 0 {
 			held.last = part.last
 		}
--- a/soak/silenceclient.go
+++ b/soak/silenceclient.go
@@ -19,6 +19,7 @@
 	id      string
 	class   silenceClass
 	gateway *member
+	// sentAt is when the first byte was sent.
 	sentAt  time.Time
 	endedAt time.Time
 	// lastAt is when the last byte came.
--- a/soak/slow.go
+++ b/soak/slow.go
@@ -69,23 +69,24 @@
 	request.Header.Set(idHeader, id)
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	request.Header.Set(keyHeader, mainKey)
-	end := endedAnswer{id: id, kind: "l", gateway: m.name, sentAt: time.Now()}
+	request, lastByteAt := withLastByteTime(request)
+	end := endedAnswer{id: id, kind: "l", gateway: m.name, firstByteAt: time.Now()}
 	got, err := client.Do(request)
 	if err != nil {
-		end.endedAt = time.Now()
+		end.endedAt, end.lastByteAt = time.Now(), lastByteAt()
 		c.check.lost.recordAnswer(end, false)
 		return
 	}
 	defer got.Body.Close()
 	if got.StatusCode != http.StatusOK {
-		end.endedAt, end.status = time.Now(), got.StatusCode
+		end.endedAt, end.lastByteAt, end.status = time.Now(), lastByteAt(), got.StatusCode
 		c.check.lost.recordAnswer(end, true)
 		c.check.count("slow clients refused")
 		return
 	}
 	time.Sleep(readDelay)
 	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes))
-	end.endedAt, end.status = time.Now(), got.StatusCode
+	end.endedAt, end.lastByteAt, end.status = time.Now(), lastByteAt(), got.StatusCode
 	c.check.lost.recordAnswer(end, err == nil && string(body) == longBody(id))
 	switch {
 	case err != nil || len(body) == maxAnswerBytes:
--- a/soak/strikes.go
+++ b/soak/strikes.go
@@ -50,10 +50,12 @@
 	return ""
 }
 
-// explains reports whether an answer may have ended early by the strike.
+// explains reports whether an answer may have ended early by the strike. Whether a planned stop may end it at its limit
+// depends on the last byte of the request; every other strike counts from the first byte on.
 func (s *strike) explains(answer endedAnswer, stop plannedStop) bool {
 	if s.planned {
-		return !answer.sentAt.After(s.from.Add(lastRequestTime)) && answer.endedAt.After(s.from.Add(stop.limit*5/6))
+		inTime := !answer.lastByteAt.IsZero() && !answer.lastByteAt.After(s.from.Add(lastRequestTime))
+		return inTime && answer.endedAt.After(s.from.Add(stop.limit*5/6))
 	}
-	return !answer.endedAt.Before(s.from) && (s.to.IsZero() || answer.sentAt.Before(s.to))
+	return !answer.endedAt.Before(s.from) && (s.to.IsZero() || answer.firstByteAt.Before(s.to))
 }
