Soak: the measurement of bodies counts requests that ran and got no answer at all

Cause: docs/design/stopping.md says that a request without a response gets 502 shortly before its gateway closes. The measurement counted an answer of 502 and none alike.

Change: it prints how many requests ran and were closed without an answer of any status.

Likely cause, read and not tested: a request whose response has not begun waits abortGrace, 50 ms, for its replica's word after CutOff, and the connections close after closeWait, also 50 ms.

--- a/soak/bodycounts.go
+++ b/soak/bodycounts.go
@@ -109,6 +109,8 @@
 	slowOutcomes map[bodyOutcome]int
 	// refusedEarly counts refusals that came before the body was sent whole.
 	refusedEarly int
+	// silentEnds counts requests that ran and were closed without an answer of any status.
+	silentEnds int
 	// elsewhere counts named outcomes at gateways that did not stop.
 	elsewhere int
 	named     []string
@@ -122,6 +124,7 @@
 	n.outcomes[outcome]++
 	n.slowOutcomes[outcome] += slow
 	n.refusedEarly += asNumber(outcome == bodyRefused && result.body.lastByteAt.IsZero())
+	n.silentEnds += asNumber(result.dialed && run != nil && result.status == 0)
 	n.elsewhere += asNumber(outcome.isNamed() && !result.stopping)
 	return outcome
 }
@@ -161,7 +164,7 @@
 		}
 		fmt.Printf("; %s %d (%d)", outcome, n.outcomes[outcome], n.slowOutcomes[outcome])
 	}
-	fmt.Printf("; refused before the last byte %d; LOST at gateways that do not stop %d\n", n.refusedEarly, n.elsewhere)
+	fmt.Printf("; refused before the last byte %d; ran and closed without any answer %d; LOST at gateways that do not stop %d\n", n.refusedEarly, n.silentEnds, n.elsewhere)
 	for _, line := range n.named {
 		fmt.Println(" ", line)
 	}
--- a/soak/bodycounts_test.go
+++ b/soak/bodycounts_test.go
@@ -92,12 +92,12 @@
 	lost, refused, elsewhere := newBodyScene(), newBodyScene(), newBodyScene()
 	refused.run, refused.result.status = nil, http.StatusServiceUnavailable
 	refused.result.body.answered, refused.result.body.lastByteAt = true, time.Time{}
-	elsewhere.result.stopping, elsewhere.result.body.plan.duration = false, 0
+	elsewhere.result.stopping, elsewhere.result.body.plan.duration, elsewhere.result.status = false, 0, http.StatusBadGateway
 	for _, s := range []*bodyScene{lost, refused, elsewhere} {
 		n.add(&s.result, s.run, silenceStop)
 	}
 	is.Equal(n.outcomes, map[bodyOutcome]int{bodyLostAtWork: 2, bodyRefused: 1})
 	is.Equal(n.slowOutcomes[bodyLostAtWork], 1)
-	is.Equal([]int{n.sent, n.slow, n.refusedEarly, n.elsewhere}, []int{3, 2, 1, 1})
+	is.Equal([]int{n.sent, n.slow, n.refusedEarly, n.silentEnds, n.elsewhere}, []int{3, 2, 1, 1, 1})
 	is.True(bodyLostAtWork.isNamed() && bodyLostDone.isNamed() && bodyLostUnsent.isNamed() && bodyRefusedRun.isNamed() && bodyCutShort.isNamed())
 }
