--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -194,7 +194,7 @@
 	{ResponseTooLong, "response-too-long", "A backend server sent more than is read in one place of a response; the place, its limit and what was read are given. The connection is closed, and the server is avoided for a while."},
 	{UnframedResponse, "response-unframed", "A response of a backend server that has neither a length nor chunks begins to be passed on; how the client knows its end is given."},
 	{EndUnproven, "end-unproven", "Nothing but the close of its connection shows the end of a backend server's response; what became of the client's response, and how the client knows its end, is given."},
-	{AnswerEndedEarly, "answer-ended-early", "A client's answer was broken off, or tells that the request may have run: what ended it and by which evidence, the last event, and how long after the server's last byte and before the deadline."},
+	{AnswerEndedEarly, "answer-ended-early", "A client's answer was broken off, or tells that the request may have run: what ended it and by which evidence, the last event, how long after the server's last byte and before the deadline, and how long ago the request's head and last byte were read and it was sent on."},
 	{KeyRefused, "key-refused", "A request had no API key, or one that belongs to no client account."},
 	{QuotaExceeded, "quota-spent", "A request was refused because its client account had used up its limit."},
 	{AdmissionUncertain, "admission-unsure", "A request with an API key was refused because no reachable control node could confirm that its client account was within its limit, or that the configuration was still the newest."},
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -91,7 +92,7 @@
 	var sent sentRequest
 	hooks := sendHooks{
 		ready:   c.readyConn(now, peer),
-		sending: watch.noteSent,
+		sending: c.noteSending,
 		admit: func() bool {
 			sent = sentRequest{sentAt: h.options.Fleet.bootNow(), term: c.sendPermit.term, grant: c.sendPermit.number}
 			return c.usePermit(peer) && h.options.Fleet.admit(peer)
@@ -155,6 +156,12 @@
 	return c.relayBuffered(ctx, peer, a), nil
 }
 
+// noteSending records that the request is sent on a connection.
+func (c *call) noteSending(raw net.Conn) {
+	c.sentAt = c.handler.options.Now()
+	c.watch.noteSent(raw)
+}
+
 // undoAttempt reverts the accounting of an attempt that was not sent. It used no quota, and its
 // replica counts as untried because it may accept the request shortly after.
 func (c *call) undoAttempt(spent grant) {
--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -182,8 +182,21 @@
 		text += fmt.Sprintf(", %d ms after the last byte", now.Sub(c.watch.heardAt()).Milliseconds())
 	}
 	text += fmt.Sprintf(", %d ms before the deadline", c.deadline.Sub(now).Milliseconds())
+	text += ", " + c.describeTimes(now)
 	if c.handler.stopping.Load() {
 		text += ", while this gateway stops"
 	}
 	return text
 }
+
+// describeTimes tells how long ago the request was read and sent.
+func (c *call) describeTimes(now time.Time) string {
+	text := fmt.Sprintf("its head was read %d ms ago", now.Sub(c.startedAt).Milliseconds())
+	if !c.receivedAt.IsZero() {
+		text += fmt.Sprintf(", its last byte %d ms ago", now.Sub(c.receivedAt).Milliseconds())
+	}
+	if !c.sentAt.IsZero() {
+		text += fmt.Sprintf(", last sent on %d ms ago", now.Sub(c.sentAt).Milliseconds())
+	}
+	return text
+}
--- a/src/exchange/earlyend_test.go
+++ b/src/exchange/earlyend_test.go
@@ -108,3 +108,28 @@
 		is.Equal(len(endedEarly(ring)) == 1, cutOff)
 	}
 }
+
+// TestAnAnswerThatAStopCutOffTellsWhenItsRequestWasReadAndSent: whether it was sent too late could not be told.
+func TestAnAnswerThatAStopCutOffTellsWhenItsRequestWasReadAndSent(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", func(arrival) bool {
+		time.Sleep(time.Second)
+		return false
+	})
+	b := newBench(t, route(catalog.Streaming, 1), x)
+	ring := b.recordEvents()
+	answers := make(chan clientResponse, 1)
+	go func() { answers <- b.do("POST", "one", "x") }()
+	for x.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.handler.Stop()
+	b.handler.CutOff()
+	<-answers
+	b.awaitHandlers()
+	lines := endedEarly(ring)
+	is.Equal(len(lines), 1)
+	for _, want := range []string{"gateway_stopped", "its head was read", "its last byte", "last sent on"} {
+		is.True(strings.Contains(lines[0], want))
+	}
+}
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -128,7 +128,7 @@
 	to.startRequest(0)
 	defer to.finishRequest()
 	hooks := sendHooks{
-		sending: watch.noteSent,
+		sending: c.noteSending,
 		admit:   func() bool { return true },
 		read:    func(_ int, header http.Header) Reply { return Reply{ID: FieldValue(header, headerForwardID)} },
 	}
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -213,6 +213,10 @@
 	// retainedPending is the part of retained that is the incomplete event of the stream.
 	retainedPending int64
 	startedAt       time.Time
+	// receivedAt is when the last byte of the body was read, the zero time before.
+	receivedAt time.Time
+	// sentAt is when the request was last sent to a replica or another gateway, the zero time before.
+	sentAt time.Time
 	// deadline is when the client must have its response.
 	deadline time.Time
 	tried    []*Peer
@@ -402,7 +406,7 @@
 		return false
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	c.body = body
+	c.body, c.receivedAt = body, c.handler.options.Now()
 	return true
 }
 
