LOST: nothing that may outlast a stop is sent after its mark, whenever it was read

What callers saw: streams whose bodies took time, sent to a server and broken off at the limit of a stop, though their last byte was sent after the mark up to which that is allowed.

Cause: the stop asked one time of a request, that of its head, once, after its body was read. What was read whole, got its place, was turned away by a server, connected or was to be forwarded after the mark was sent all the same.

Change: one function, tooLateToSend, is asked right before the first byte is sent to a server or another gateway, before each attempt, and at the mark while a body still comes. The time of a request counts from its last byte, the latest that a client may count from. A body that still comes then is refused at once, its response says that the connection closes, and the rest is read, so that unread bytes do not reset the connection before the client has its answer. What may have run already is repeated as before: it can't be refused, and it was sent before the mark.

Why it holds: what is sent is sent by one function after its connection is there, so nothing lies between the question and the first byte.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -95,7 +95,7 @@
 		sending: c.noteSending,
 		admit: func() bool {
 			sent = sentRequest{sentAt: h.options.Fleet.bootNow(), term: c.sendPermit.term, grant: c.sendPermit.number}
-			return c.usePermit(peer) && h.options.Fleet.admit(peer)
+			return !c.tooLateToSend(h.options.Now()) && c.usePermit(peer) && h.options.Fleet.admit(peer)
 		},
 		read: func(status int, header http.Header) Reply { return c.applyReply(peer, status, header, sent) },
 	}
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -323,6 +323,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes is set if the response says that its connection closes; begin alone sets it.
+	closes bool
 	err    error
 }
 
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -129,10 +129,13 @@
 	defer to.finishRequest()
 	hooks := sendHooks{
 		sending: c.noteSending,
-		admit:   func() bool { return true },
+		admit:   func() bool { return !c.tooLateToSend(c.handler.options.Now()) },
 		read:    func(_ int, header http.Header) Reply { return Reply{ID: FieldValue(header, headerForwardID)} },
 	}
 	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.deadline, now)
+	if errors.Is(err, errNotAccepted) {
+		return notRun, err
+	}
 	if errors.Is(err, errNotSent) {
 		if !c.clientLeft() {
 			c.handler.gatewayList.markDown(to)
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/dispatch"
 	"github.com/moorspool/moorspool/src/event"
@@ -40,8 +37,6 @@
 	// configuration yet. After a power loss control nodes start about 0.3 s later than gateways,
 	// and a refused client would certainly be late.
 	maxConfigWait = 300 * time.Millisecond
-	// bodyTimeout limits the time for reading a request body.
-	bodyTimeout = 10 * time.Second
 )
 
 // Options configure a handler.
@@ -385,31 +380,6 @@
 	return timeLimit
 }
 
-func (c *call) readBody(limit int) bool {
-	if limit <= 0 {
-		limit = 4 << 20
-	}
-	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(c.startedAt.Add(bodyTimeout))
-	body, err := io.ReadAll(&retainingReader{call: c, from: http.MaxBytesReader(c.writer, c.request.Body, int64(limit))})
-	if errors.Is(err, errRetentionFull) {
-		c.refuse(http.StatusServiceUnavailable, err.Error())
-		return false
-	}
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
-			return false
-		}
-		c.refuse(http.StatusBadRequest, "the body could not be read: "+err.Error())
-		return false
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	c.body, c.receivedAt = body, c.handler.options.Now()
-	return true
-}
-
 // run makes attempts until the request has a response.
 func (c *call) run() {
 	ctx, cancel := c.runContext()
@@ -420,6 +390,10 @@
 	var lastError *errorResponse
 	choice, chosen := Choice{}, false
 	for {
+		if c.refusedByStop() {
+			c.release(dispatch.Full)
+			return
+		}
 		if !chosen && c.next == nil && c.mustForward() {
 			if ended, taken := c.forward(ctx); taken {
 				if ended == answered {
--- a/src/exchange/slowbody_test.go
+++ b/src/exchange/slowbody_test.go
@@ -19,6 +19,8 @@
 type slowBody struct {
 	answers chan clientResponse
 	body    *io.PipeWriter
+	// begun is closed once the first part was written, or the request has ended.
+	begun chan struct{}
 }
 
 // begin sends the head of a request and a part of its body. Without a length the body comes in chunks.
@@ -35,7 +37,7 @@
 		key, value, _ := strings.Cut(header, ": ")
 		request.Header.Set(key, value)
 	}
-	s := &slowBody{answers: make(chan clientResponse, 1), body: write}
+	s := &slowBody{answers: make(chan clientResponse, 1), body: write, begun: make(chan struct{})}
 	go func() {
 		response, err := b.server.Client().Do(request)
 		if err != nil {
@@ -44,17 +46,26 @@
 		}
 		defer response.Body.Close()
 		text, err := io.ReadAll(response.Body)
-		s.answers <- clientResponse{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+		s.answers <- clientResponse{status: response.StatusCode, header: response.Header, body: string(text), closes: response.Close, err: err}
 	}()
-	_, _ = io.WriteString(write, "be")
+	// A client whose request is refused writes no more of its body.
+	go func() {
+		_, _ = io.WriteString(write, "be")
+		close(s.begun)
+	}()
+	return s
+}
+
+// awaitRunning waits until a request is in progress.
+func (b *bench) awaitRunning() {
 	for b.handler.Running() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	return s
 }
 
 // end sends the rest of the body.
 func (s *slowBody) end() {
+	<-s.begun
 	_, _ = io.WriteString(s.body, "gin")
 	_ = s.body.Close()
 }
@@ -90,6 +101,7 @@
 				x := newReplica(t, "x", whole)
 				b := newBench(t, route(kind, 2), x)
 				s := b.begin(length, "one")
+				b.awaitRunning()
 				time.Sleep(time.Until(b.stopSoon()) + 50*time.Millisecond)
 				s.end()
 				got := <-s.answers
@@ -118,7 +130,7 @@
 				case got := <-s.answers:
 					is.NoErr(got.err)
 					is.Equal(got.status, http.StatusServiceUnavailable)
-					is.Equal(got.header.Get("Connection"), "close")
+					is.True(got.closes)
 				case <-time.After(stopTime / 2):
 					t.Error("the client has no answer")
 				}
@@ -140,6 +152,7 @@
 			x := newReplica(t, "x", whole)
 			b := newBench(t, route(catalog.Unsafe, 1), x)
 			s := b.begin(length, "one", testDeadline+": 500")
+			b.awaitRunning()
 			time.Sleep(time.Until(b.stopSoon()) + 50*time.Millisecond)
 			s.end()
 			is.Equal((<-s.answers).status, http.StatusOK)
@@ -154,6 +167,7 @@
 	x := newReplica(t, "x", whole)
 	b := newBench(t, route(catalog.Unsafe, 1), x)
 	s := b.begin(slowBodyLength, "one", testDeadline+": 950")
+	b.awaitRunning()
 	time.Sleep(time.Until(b.stopSoon()) + 50*time.Millisecond)
 	s.end()
 	is.Equal((<-s.answers).status, http.StatusServiceUnavailable)
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -13,17 +13,21 @@
 // stopState is what a handler's requests need to know of its stop. It is safe for concurrent use.
 type stopState struct {
 	// last is set once the handler stops.
-	last atomic.Pointer[lastRequests]
+	last atomic.Pointer[lastSends]
+	// marked ends by mark as the time of last begins.
+	marked context.Context
+	mark   context.CancelFunc
 	// cut ends by cutOff.
 	cut    context.Context
 	cutOff context.CancelFunc
 }
 
-// lastRequests are the requests that begin from a time on. They must end until another time.
-type lastRequests struct{ from, end time.Time }
+// lastSends are the requests that are sent from a time on. They must end until another time.
+type lastSends struct{ from, end time.Time }
 
 func newStopState() *stopState {
 	s := &stopState{}
+	s.marked, s.mark = context.WithCancel(context.Background())
 	s.cut, s.cutOff = context.WithCancel(context.Background())
 	return s
 }
@@ -39,10 +43,11 @@
 // still time for their clients to turn to another gateway.
 func (h *Handler) EndWaits() { h.endWaits() }
 
-// RefuseBeyond makes the handler refuse requests that begin from a time on unless their deadline is before the
+// RefuseBeyond makes the handler refuse, from a time on, requests that have not been sent and may last beyond the
 // end.
 func (h *Handler) RefuseBeyond(from, end time.Time) {
-	h.stop.last.Store(&lastRequests{from: from, end: end})
+	h.stop.last.Store(&lastSends{from: from, end: end})
+	time.AfterFunc(time.Until(from), h.stop.mark)
 }
 
 // CutOff ends the requests in progress. Those whose response has not begun are answered.
@@ -66,14 +71,28 @@
 	}
 }
 
-// refusedByStop refuses a request that may last longer than the stopping gateway. It reports whether it has
-// done so.
-func (c *call) refusedByStop() bool {
+// tooLateToSend reports whether the request must not be sent any more because it may last longer than the
+// stopping gateway. Its time counts from its last byte, the latest that its client may count from. One that may
+// have run is repeated all the same, since it could not be refused.
+func (c *call) tooLateToSend(now time.Time) bool {
 	last := c.handler.stop.last.Load()
-	if last == nil || c.startedAt.Before(last.from) || !c.deadline.After(last.end) {
+	if last == nil || now.Before(last.from) || c.possibleRuns > 0 {
+		return false
+	}
+	received := c.receivedAt
+	if received.IsZero() {
+		received = now
+	}
+	return received.Add(c.timeLimit()).After(last.end)
+}
+
+// refusedByStop refuses a request that is too late to send. It reports whether it has done so.
+func (c *call) refusedByStop() bool {
+	if !c.tooLateToSend(c.handler.options.Now()) {
 		return false
 	}
 	c.retryIn = retryAfterStop
+	c.writer.Header().Set("Connection", "close")
 	c.refuse(http.StatusServiceUnavailable, "the gateway stops before the request's deadline")
 	return true
 }
