Stop: a client that still sends its body is not reset

Callers saw: an answer that came while a client was sending its body, then "connection reset by peer" or "broken pipe" for the rest of the body. A client that gives up at the error of its write never reads the answer.

Cause: a connection that is closed with unread bytes, or to which bytes come after its close, is reset by the kernel. The HTTP library waits 500 ms without reading, for some bodies only, and not at all for HTTP/1.0 and requests with Connection: close. At its end a server closed at once.

Change: Close and CloseWrite of a connection on which a request was read and no other is awaited shut the writing side down, and read and drop what comes until the client closes, 0.5 s bring nothing, or 5 s have passed. Connections that must be reset (SetLinger(0)), idle ones and those of servers that count as idle after each write are closed as before.

Why it holds: the reset needs unread bytes or a closed socket; neither is there until the client has closed or is silent. Stop waits for such connections up to its limit. What is dropped is the rest of a request that has its whole answer, or was broken off.

A further test notices the loss of the look for unread bytes in closeIdle.

--- a/src/fleet/server.go
+++ b/src/fleet/server.go
@@ -35,7 +35,8 @@
 	// stopping is set once the server stops.
 	stopping atomic.Bool
 	// cancel ends the contexts of the requests.
-	cancel context.CancelFunc
+	cancel    context.CancelFunc
+	closeWait time.Duration
 }
 
 // listen starts a server for a handler at an address.
@@ -45,7 +46,7 @@
 		return nil, err
 	}
 	requests, cancel := context.WithCancel(context.Background())
-	s := &server{listener: listener, cancel: cancel}
+	s := &server{listener: listener, cancel: cancel, closeWait: closeWait}
 	s.http = &http.Server{
 		BaseContext: func(net.Listener) context.Context { return requests },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -104,7 +105,7 @@
 
 // await waits until no handler runs and the responses are written, up to closeWait.
 func (s *server) await() {
-	for until := time.Now().Add(closeWait); (s.running.Load() > 0 || s.listener.Busy()) && time.Now().Before(until); {
+	for until := time.Now().Add(s.closeWait); (s.running.Load() > 0 || s.listener.Busy()) && time.Now().Before(until); {
 		time.Sleep(closePoll)
 	}
 }
--- a/src/graceful/conn.go
+++ b/src/graceful/conn.go
@@ -30,6 +30,10 @@
 	// ended is set once the connection was shut down. What arrives as that happens is not read: it could not
 	// be answered any more.
 	ended bool
+	// lingering is set while what the client sends is dropped.
+	lingering bool
+	// resets is set if a close must reset the connection.
+	resets bool
 }
 
 // Read reads bytes of a request. It must not be called while another Read is in progress.
@@ -99,7 +103,7 @@
 func (c *Conn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy
+	return c.busy && !c.ended
 }
 
 // closeIdle shuts the connection down if it has been idle for idleWait and nothing has arrived. Its server
@@ -119,8 +123,86 @@
 	})
 }
 
-// Close closes the connection.
+// SetLinger sets what Close does, as for a *net.TCPConn.
+func (c *Conn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.resets = seconds == 0
+	c.mu.Unlock()
+	return c.TCPConn.SetLinger(seconds)
+}
+
+// CloseWrite ends the last response. What the client still sends is dropped.
+func (c *Conn) CloseWrite() error {
+	c.linger()
+	return nil
+}
+
+// Close closes the connection. If a request was read and no other is awaited, its client may still be sending: what
+// comes is read and dropped for a while, as the kernel would reset the connection otherwise, and the reset can
+// overtake the response.
 func (c *Conn) Close() error {
+	if c.linger() {
+		return nil
+	}
+	return c.finish()
+}
+
+// linger shuts the writing side down and drops what the client sends, until it closes. It reports false if the
+// connection can be closed at once.
+func (c *Conn) linger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lingering {
+		return true
+	}
+	if c.ended || c.resets || !c.busy {
+		return false
+	}
+	c.ended, c.lingering = true, true
+	_ = c.TCPConn.CloseWrite()
+	_ = c.SetDeadline(time.Unix(1, 0)) // ends the calls of Read and Write in progress
+	go c.drop(time.Now())
+	return true
+}
+
+// drop reads and drops what the client sends and closes the connection.
+func (c *Conn) drop(began time.Time) {
+	defer func() { _ = c.finish() }()
+	buffer := make([]byte, dropBytes)
+	pause := minDropPause
+	for last := began; ; time.Sleep(pause) {
+		n, open := c.readAll(buffer)
+		now := time.Now()
+		if n > 0 {
+			last, pause = now, minDropPause
+		}
+		if !open || now.Sub(last) >= dropIdleWait || now.Sub(began) >= dropLimit {
+			return
+		}
+		pause = min(2*pause, maxDropPause)
+	}
+}
+
+// readAll reads what has arrived, up to dropBurst. It reports false once the client has closed the connection.
+func (c *Conn) readAll(buffer []byte) (n int, open bool) {
+	open = true
+	err := c.raw.Control(func(fd uintptr) {
+		for n < dropBurst {
+			read, _, err := syscall.Recvfrom(int(fd), buffer, syscall.MSG_DONTWAIT)
+			switch {
+			case err == syscall.EINTR:
+			case read > 0:
+				n += read
+			default:
+				open = err == syscall.EAGAIN
+				return
+			}
+		}
+	})
+	return n, open && err == nil
+}
+
+func (c *Conn) finish() error {
 	c.listener.remove(c)
 	return c.TCPConn.Close()
 }
--- a/src/graceful/listener.go
+++ b/src/graceful/listener.go
@@ -22,6 +22,17 @@
 	pollInterval = 20 * time.Millisecond
 )
 
+// The dropping of what a client sends after its response.
+const (
+	dropLimit = 5 * time.Second
+	// dropIdleWait is how long nothing must have come from a client that does not close its connection.
+	dropIdleWait = 500 * time.Millisecond
+	minDropPause = time.Millisecond
+	maxDropPause = 20 * time.Millisecond
+	dropBytes    = 16 << 10
+	dropBurst    = 1 << 20
+)
+
 // Listener is a TCP listener that knows the open connections that it accepted. It is safe for concurrent
 // use.
 type Listener struct {
--- a/src/graceful/listener_test.go
+++ b/src/graceful/listener_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -162,3 +164,102 @@
 	is.True(!open())
 	is.Equal(<-ended, io.EOF)
 }
+
+// acceptBusy returns a client's connection and the server's end of it, on which a part of a request was read.
+func acceptBusy(t *testing.T) (client net.Conn, conn *Conn) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	client, err = net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = client.Close() })
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	_, err = io.WriteString(client, message)
+	is.NoErr(err)
+	_, err = accepted.Read(make([]byte, 1))
+	is.NoErr(err)
+	_ = client.SetDeadline(time.Now().Add(testLimit))
+	return client, accepted.(*Conn)
+}
+
+// TestACloseThatMustResetDoes: the end of the response would look like a whole one.
+func TestACloseThatMustResetDoes(t *testing.T) {
+	for name, end := range map[string]func(*Conn){
+		"close":               func(c *Conn) { _ = c.Close() },
+		"close of one side":   func(c *Conn) { _ = c.CloseWrite(); _ = c.Close() },
+		"close by the server": func(c *Conn) { _ = c.SetLinger(-1); _ = c.SetLinger(0); _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client, conn := acceptBusy(t)
+			is.NoErr(conn.SetLinger(0))
+			end(conn)
+			_, err := client.Read(make([]byte, 1))
+			is.True(errors.Is(err, syscall.ECONNRESET))
+		})
+	}
+}
+
+// TestACloseEndsTheCallsInProgress: a handler would wait for a client whose connection was closed.
+func TestACloseEndsTheCallsInProgress(t *testing.T) {
+	is := is.New(t)
+	client, conn := acceptBusy(t)
+	_, err := io.ReadFull(conn, make([]byte, len(message)-1))
+	is.NoErr(err)
+	read, written := make(chan error, 1), make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 1))
+		read <- err
+	}()
+	go func() {
+		_, err := io.Copy(conn, endless{})
+		written <- err
+	}()
+	time.Sleep(10 * time.Millisecond)
+	is.NoErr(conn.Close())
+	is.True(<-read != nil)
+	is.True(<-written != nil)
+	_, err = conn.Read(make([]byte, 1))
+	is.True(err != nil)
+	_, err = io.Copy(io.Discard, client)
+	is.NoErr(err)
+}
+
+// endless is read without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestAClientThatNeverClosesIsNotAwaitedForLong: a stop would last until its limit.
+func TestAClientThatNeverClosesIsNotAwaitedForLong(t *testing.T) {
+	is := is.New(t)
+	_, conn := acceptBusy(t)
+	is.True(conn.listener.Busy())
+	is.NoErr(conn.Close())
+	is.True(!conn.listener.Busy())
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	go func() { _, _ = conn.listener.Accept() }()
+	is.NoErr(conn.listener.Stop(ctx))
+	is.True(time.Since(began) < 4*dropIdleWait)
+}
+
+// TestBytesThatArrivedAreNotClosedAsIdle: the server had not read them yet.
+func TestBytesThatArrivedAreNotClosedAsIdle(t *testing.T) {
+	is := is.New(t)
+	_, conn := acceptBusy(t)
+	now := time.Now()
+	conn.SetIdle(now)
+	conn.mu.Lock()
+	conn.waiting = true // as between the arrival and the end of the wait
+	conn.mu.Unlock()
+	conn.closeIdle(now.Add(idleWait))
+	buffer := make([]byte, len(message)-1)
+	_, err := io.ReadFull(conn, buffer)
+	is.NoErr(err)
+	is.Equal(string(buffer), message[1:])
+}
