Log: lines of a burst and of the end of a process are written

Operators saw: no line for requests that a stopping gateway had cut off.

Cause: lines were written 50 ms after the first one, whatever came; a buffer holds 2,048, so of a gateway that cut more than a thousand requests off at once, two lines each, the first ones were dropped. Close waited for that delay first, up to two times of the 200 ms that it has, and what came while the last lines were written was never written.

Change: a buffer that is half full is written at once; Close ends the delay, and writes until no line is left.

Why it holds: the delay has no part in the end any more, and half of the buffer is left for what comes while the other one is written. An output that blocks still drops lines, and says so.

--- a/src/event/writer.go
+++ b/src/event/writer.go
@@ -33,8 +33,10 @@
 	lines   []line
 	dropped int
 	wake    chan struct{}
-	closed  chan struct{}
-	done    chan struct{}
+	// halfFull is told when half of the buffer is used.
+	halfFull chan struct{}
+	closed   chan struct{}
+	done     chan struct{}
 	// important tells whether the next line is important; second and kinds count the lines of each
 	// kind in the current second.
 	important bool
@@ -44,7 +46,7 @@
 
 // NewWriter returns a writer and starts its goroutine.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, wake: make(chan struct{}, 1), closed: make(chan struct{}), done: make(chan struct{}), kinds: map[Kind]int{}}
+	w := &Writer{out: out, wake: make(chan struct{}, 1), halfFull: make(chan struct{}, 1), closed: make(chan struct{}), done: make(chan struct{}), kinds: map[Kind]int{}}
 	go w.run()
 	return w
 }
@@ -74,12 +76,21 @@
 		w.dropOne()
 	}
 	w.lines = append(w.lines, line{text: append([]byte(nil), p...), important: w.important})
+	halfFull := len(w.lines) == maxLines/2
 	w.mu.Unlock()
+	tell(w.wake)
+	if halfFull {
+		tell(w.halfFull)
+	}
+	return len(p), nil
+}
+
+// tell sends to a channel unless it is full.
+func tell(channel chan struct{}) {
 	select {
-	case w.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
-	return len(p), nil
 }
 
 // dropOne drops the oldest ordinary line, or else the oldest one; the lock is held.
@@ -106,17 +117,27 @@
 	for {
 		select {
 		case <-w.wake:
-		case <-w.closed:
+			w.collect()
 			w.flush()
+		case <-w.closed:
+			for w.flush() {
+			}
 			return
 		}
-		time.Sleep(flushDelay)
-		w.flush()
 	}
 }
 
-// flush writes the buffered lines and the number of dropped ones.
-func (w *Writer) flush() {
+// collect waits for further lines.
+func (w *Writer) collect() {
+	select {
+	case <-time.After(flushDelay):
+	case <-w.halfFull:
+	case <-w.closed:
+	}
+}
+
+// flush writes the buffered lines and the number of dropped ones. It reports whether there were any.
+func (w *Writer) flush() bool {
 	w.mu.Lock()
 	lines, dropped := w.lines, w.dropped
 	w.lines, w.dropped = nil, 0
@@ -131,6 +152,7 @@
 	if len(text) > 0 {
 		_, _ = w.out.Write(text)
 	}
+	return len(text) > 0
 }
 
 // Close writes the buffered lines; it waits at most for the given time.
--- a/src/event/writer_test.go
+++ b/src/event/writer_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -77,3 +78,78 @@
 	is.True(writer.Admit(now.Add(time.Second), RequestFinished, false))
 	writer.Close(time.Minute)
 }
+
+// recordedOutput is an output that can be written to from several goroutines.
+type recordedOutput struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	// delay is how long a write takes.
+	delay time.Duration
+}
+
+func (o *recordedOutput) Write(p []byte) (int, error) {
+	time.Sleep(o.delay)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *recordedOutput) lines() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return bytes.Count(o.text.Bytes(), []byte("\n"))
+}
+
+// TestManyLinesWithinTheDelayAreAllWritten: the buffer was emptied only after the delay, and a gateway that cut many
+// requests off lost their lines.
+func TestManyLinesWithinTheDelayAreAllWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &recordedOutput{}
+		writer := NewWriter(out)
+		const lines = 4 * maxLines
+		for i := range lines {
+			_, _ = writer.Write([]byte("line\n"))
+			if i%100 == 0 {
+				synctest.Wait()
+			}
+		}
+		writer.Close(time.Minute)
+		is.Equal(out.lines(), lines)
+	})
+}
+
+// TestACloseDoesNotAwaitTheDelay: a process that ended gave its log less time than the delays took.
+func TestACloseDoesNotAwaitTheDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &recordedOutput{}
+		writer := NewWriter(out)
+		_, _ = writer.Write([]byte("line\n"))
+		synctest.Wait()
+		began := time.Now()
+		writer.Close(time.Minute)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(out.lines(), 1)
+	})
+}
+
+// TestLinesThatComeDuringTheLastWriteAreWritten: handlers end while the log is closed.
+func TestLinesThatComeDuringTheLastWriteAreWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const lines = 20
+		out := &recordedOutput{delay: 20 * time.Millisecond}
+		writer := NewWriter(out)
+		go func() {
+			for range lines {
+				_, _ = writer.Write([]byte("line\n"))
+				time.Sleep(out.delay / 2)
+			}
+		}()
+		defer time.Sleep(time.Second) // until the goroutine has ended
+		synctest.Wait()
+		writer.Close(time.Minute)
+		is.Equal(out.lines(), lines)
+	})
+}
