Process: its end is limited as a whole

Operators saw: a gateway could be killed at the end of its stop, before its last lines were written.

Cause: the administration API waits for connections that a client keeps, each time up to its limit of 200 ms, and the log had 200 ms after that, while 300 to 500 ms are left after the limit of a stop.

Change: the administration API has 100 ms, and both together 200 ms.

--- a/src/process/admin.go
+++ b/src/process/admin.go
@@ -27,6 +27,9 @@
 // stopTimeout is how long a listener may take to shut down.
 const stopTimeout = 200 * time.Millisecond
 
+// adminTimeout is how long the administration API may take to shut down. It waits for kept connections.
+const adminTimeout = 100 * time.Millisecond
+
 // admin is the server of the administration API.
 type admin struct {
 	hertz *server.Hertz
@@ -118,7 +121,7 @@
 }
 
 func (a *admin) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
 	defer cancel()
 	_ = a.hertz.Shutdown(ctx)
 }
--- a/src/process/process.go
+++ b/src/process/process.go
@@ -25,8 +25,8 @@
 // allocation.
 const gcPercent = 40
 
-// logFlushTimeout is how long a stopping process waits for its last log lines to be written.
-const logFlushTimeout = 200 * time.Millisecond
+// closeTimeout limits the end of a process: the end of both listeners, and the writing of the last log lines.
+const closeTimeout = 200 * time.Millisecond
 
 // maxEventWait bounds how long a request waits for events.
 const maxEventWait = 20 * time.Second
@@ -135,14 +135,15 @@
 
 // Close stops both listeners and writes the last log lines.
 func (p *Process) Close() {
+	began := time.Now()
 	p.ring.Add(event.Event{Kind: event.ProcessStopped})
 	p.server.Close()
 	p.admin.close()
-	p.writer.Close(logFlushTimeout)
+	p.writer.Close(closeTimeout - time.Since(began))
 }
 
 // CloseLog writes the last log lines of a process that failed before Serve.
-func (p *Process) CloseLog() { p.writer.Close(logFlushTimeout) }
+func (p *Process) CloseLog() { p.writer.Close(closeTimeout) }
 
 // SignalContext returns a context that is canceled by SIGTERM or SIGINT.
 func SignalContext() (context.Context, context.CancelFunc) {
