Stop: what is cut off on busy processors is answered and logged

Callers saw: connections that ended without an answer at the limit of a stop; operators no lines of these requests.

Cause: handlers had 50 ms to answer and log, then 50 ms at each further step, first those of clients' requests, then those of forwarded ones; 500 ms are left at the limit.

Change: 200 ms after the limit for all handlers, both servers at the same time; the two further steps stay at 50 ms each, also together. The process has the last 200 ms. It ends earlier once nothing runs.

--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -32,6 +32,8 @@
 const (
 	// stopMargin is the part of the stop limit that is left for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// answerWait is the part of stopMargin that handlers have to answer and log what was cut off.
+	answerWait = 200 * time.Millisecond
 	// stopWaitShare is the part of the rest of the stop limit for which requests that have not been sent
 	// may go on waiting. What is sent then has the other part to be completed.
 	stopWaitShare = 1.0 / 3
@@ -358,10 +360,8 @@
 	time.Sleep(min(time.Until(began.Add(peerListLag)), time.Until(began.Add(limit))))
 	_ = forwarded.stop(ctx)
 	g.handler.CutOff()
-	clients.await()
-	forwarded.await()
-	clients.close()
-	forwarded.close()
+	awaitServers(answerWait, clients, forwarded)
+	closeServers(clients, forwarded)
 }
 
 // limitMemory sets the Go memory limit well below the memory of the process.
--- a/src/fleet/server.go
+++ b/src/fleet/server.go
@@ -19,7 +19,7 @@
 	idleTimeout   = 75 * time.Second
 )
 
-// closeWait is how long a server that ends waits for its handlers, closePoll how often it looks.
+// closeWait is how long a server that ends waits for its handlers at each step, closePoll how often it looks.
 const (
 	closeWait = 50 * time.Millisecond
 	closePoll = time.Millisecond
@@ -96,16 +96,29 @@
 
 // close cancels the requests in progress, so that their handlers can answer, and closes the listener and the
 // connections.
-func (s *server) close() {
-	s.cancel()
-	s.await()
-	_ = s.http.Close()
-	s.await()
+func (s *server) close() { closeServers(s) }
+
+// closeServers closes servers at the same time.
+func closeServers(servers ...*server) {
+	for _, s := range servers {
+		s.cancel()
+	}
+	awaitServers(servers[0].closeWait, servers...)
+	for _, s := range servers {
+		_ = s.http.Close()
+	}
+	awaitServers(servers[0].closeWait, servers...)
 }
 
-// await waits until no handler runs and the responses are written, up to closeWait.
-func (s *server) await() {
-	for until := time.Now().Add(s.closeWait); (s.running.Load() > 0 || s.listener.Busy()) && time.Now().Before(until); {
-		time.Sleep(closePoll)
+// awaitServers waits until no handler of the servers runs and the responses are written, up to a time.
+func awaitServers(limit time.Duration, servers ...*server) {
+	began := time.Now()
+	for _, s := range servers {
+		for s.busy() && time.Since(began) < limit {
+			time.Sleep(closePoll)
+		}
 	}
 }
+
+// busy reports whether a handler runs or a response is not written yet.
+func (s *server) busy() bool { return s.running.Load() > 0 || s.listener.Busy() }
--- a/src/fleet/server_test.go
+++ b/src/fleet/server_test.go
@@ -344,7 +344,7 @@
 		cancel()
 		_ = server.stop(ctx)
 		close(cut) // as CutOff does
-		server.await()
+		awaitServers(closeWait, server)
 		server.close()
 		for _, c := range conns {
 			sent++
