Requests follow the configuration that is active as their body ends

Seen by callers: a request whose body took seconds ran at the old service, on a dropped route, without the key that is now required, with a longer body or for longer than allowed, however long ago the gateway had acknowledged the newer configuration. Cause: route, service, time limit and account were taken at the head of the request, the body was read afterwards for up to 10 s. Only a revoked key was looked for again, right before a send. Change: once the body is read, another active configuration is applied as at the head. Why it holds: nothing is counted or sent for a request before that point, and a request counts as sent with its last byte; if it counts by its first one, a configuration that is newer may be applied as well. What remains are the waits of a request that was sent, which a newer configuration does not concern.

--- a/src/exchange/admit.go
+++ b/src/exchange/admit.go
@@ -43,6 +43,7 @@
 // anonymous, it responds to the client and returns false.
 func (c *call) identify(table *catalog.Table) bool {
 	if !table.KeysRequired() {
+		c.account = nil
 		return true
 	}
 	c.account = table.AccountOf(c.requestInfo.Key)
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -42,6 +42,8 @@
 	maxConfigWait = 300 * time.Millisecond
 	// bodyTimeout limits the time for reading a request body.
 	bodyTimeout = 10 * time.Second
+	// defaultBodyLimit is the maximum length in bytes of a request body if the configuration sets none.
+	defaultBodyLimit = 4 << 20
 )
 
 // Options configure a handler.
@@ -295,16 +297,7 @@
 	if forwarded && !c.beginForwarded() {
 		return
 	}
-	c.route = table.RouteFor(r.Host, r.URL.EscapedPath())
-	if c.route == nil {
-		c.refuseUnknownRoute()
-		return
-	}
-	c.table = table
-	c.selectService(c.route.Pick(rand.Float64()))
-	c.requestInfo = h.options.Codec.RequestInfo(r)
-	c.deadline = c.startedAt.Add(c.timeLimit())
-	if !c.identify(table) || !c.readBody(table.Document().Limits.BodyBytes) || !c.resolveOrigin() || c.refusedByStop() {
+	if !c.applyTable(table) || !c.readBody(bodyLimit(table)) || !c.followTable() || !c.resolveOrigin() || c.refusedByStop() {
 		return
 	}
 	if c.forwardOnArrival() {
@@ -328,6 +321,40 @@
 	c.run()
 }
 
+// applyTable applies a configuration to the request: its route, service, time limit and client account. It
+// responds to the client and returns false if the configuration does not allow the request.
+func (c *call) applyTable(table *catalog.Table) bool {
+	c.version = table.Version()
+	c.route = table.RouteFor(c.request.Host, c.request.URL.EscapedPath())
+	if c.route == nil {
+		c.refuseUnknownRoute()
+		return false
+	}
+	c.table = table
+	c.selectService(c.route.Pick(rand.Float64()))
+	c.requestInfo = c.handler.options.Codec.RequestInfo(c.request)
+	c.deadline = c.startedAt.Add(c.timeLimit())
+	return c.identify(table)
+}
+
+// followTable applies the active configuration if it is another one than at the head of the request: the body
+// may have taken seconds, and a request counts as sent with its last byte. It responds to the client and returns
+// false if the configuration does not allow the request.
+func (c *call) followTable() bool {
+	table := c.handler.table.Load()
+	if table == c.table {
+		return true
+	}
+	if !c.applyTable(table) {
+		return false
+	}
+	if len(c.body) > bodyLimit(table) {
+		c.refuseTooLarge()
+		return false
+	}
+	return true
+}
+
 // selectService makes a service the one of the request.
 func (c *call) selectService(name string) {
 	c.service, c.engine, c.tokensPerEvent, c.supportsBackups = name, nil, 0, false
@@ -381,10 +408,17 @@
 	return timeLimit
 }
 
-func (c *call) readBody(limit int) bool {
-	if limit <= 0 {
-		limit = 4 << 20
+// bodyLimit returns the maximum length of a request body.
+func bodyLimit(table *catalog.Table) int {
+	if limit := table.Document().Limits.BodyBytes; limit > 0 {
+		return limit
 	}
+	return defaultBodyLimit
+}
+
+func (c *call) refuseTooLarge() { c.refuse(http.StatusRequestEntityTooLarge, "the body is too large") }
+
+func (c *call) readBody(limit int) bool {
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(c.startedAt.Add(bodyTimeout))
 	body, err := io.ReadAll(&retainingReader{call: c, from: http.MaxBytesReader(c.writer, c.request.Body, int64(limit))})
@@ -395,7 +429,7 @@
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
-			c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
+			c.refuseTooLarge()
 			return false
 		}
 		c.refuse(http.StatusBadRequest, "the body could not be read: "+err.Error())
