The retry budget counts a request as it is sent, not by its head

Seen by callers: a request whose body took as long as the window was answered 502 or 503 after one attempt; its own count had left the window, so that no repeat was allowed. A request that was forwarded stayed counted, or another one's count was withdrawn, so the budget allowed too many or too few repeats. Cause: Request and Withdraw were given the time of the head; Request counts in the newest window that the budget knows, Withdraw looked in that of the head. Evidence: TestARequestWithALongBodyCountsForItsOwnRepeat got 503 instead of 200, TestAForwardedRequestWithALongBodyIsNotCounted left 2 instead of 1 counted. Change: the time at which a request is counted is kept and used for both. Why it holds: a repeat follows the first send, so it falls into the window that begins with the count or the next one; the rule counts requests of both, and gateways use half of the ratio.

--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -179,10 +179,10 @@
 // countForwarded counts a request that another gateway has taken. A replica there may run it.
 func (c *call) countForwarded(to *Peer) {
 	h := c.handler
-	if c.possibleArrivals == 0 && c.counted {
-		h.budgets.get(c.service).Withdraw(c.startedAt)
+	if c.possibleArrivals == 0 && !c.countedAt.IsZero() {
+		h.budgets.get(c.service).Withdraw(c.countedAt)
 		h.options.Demand.Withdraw(c.service, c.requestInfo)
-		c.counted = false
+		c.countedAt = time.Time{}
 	}
 	h.options.Metrics.Forwarded.Inc(1)
 	c.sends++
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -232,8 +232,8 @@
 	// forwarded is set if another gateway forwarded the request, notForwardable if none takes it.
 	forwarded      bool
 	notForwardable bool
-	// counted is set once the budget of repeats counts the request.
-	counted bool
+	// countedAt is when the retry budget counted the request, the zero time if it does not count it.
+	countedAt time.Time
 	// connectionBroke is set if the connection of the last attempt broke.
 	connectionBroke bool
 	// brokenBy is the error that ended the last attempt's stream, nil if there is none.
@@ -304,8 +304,8 @@
 		return
 	}
 	if c.possibleArrivals == 0 {
-		h.budgets.get(c.service).Request(c.startedAt)
-		c.counted = true
+		c.countedAt = h.options.Now()
+		h.budgets.get(c.service).Request(c.countedAt)
 	}
 	defer c.returnGrant()
 	// The slot must be released however the request ends.
--- a/src/exchange/times_test.go
+++ b/src/exchange/times_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,3 +90,37 @@
 		})
 	}
 }
+
+// TestARequestWithALongBodyCountsForItsOwnRepeat: it was counted in the window of the retry budget in which its head
+// arrived, which was over as its body ended, so that it was not sent again.
+func TestARequestWithALongBodyCountsForItsOwnRepeat(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var arrived atomic.Int64
+	rejectFirst := func(a arrival) bool {
+		if arrived.Add(1) == 1 {
+			return notRunning(a)
+		}
+		return whole(a)
+	}
+	b := newBench(t, route(catalog.Safe, 3), newReplica(t, "x", rejectFirst), newReplica(t, "y", rejectFirst))
+	b.handler.budgets = newBudgets(BudgetLimits{Ratio: 1 / ratioSpendShare, Window: time.Second})
+	got := b.doSlowly(1500*time.Millisecond, func() {}, "one")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(arrived.Load(), int64(2))
+}
+
+// TestAForwardedRequestWithALongBodyIsNotCounted: what was withdrawn from the retry budget was the count of another
+// request or none, as the request's head had arrived earlier than it was counted.
+func TestAForwardedRequestWithALongBodyIsNotCounted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	n := newForwardNet(t, route(catalog.Unsafe, 1), 1, newReplica(t, "a", whole), newReplica(t, "b", whole))
+	budget := n.handler.budgets.get("s")
+	got := n.doSlowly(time.Second, func() { budget.Request(time.Now()) }, "one")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(n.taken(), 1)
+	is.Equal(total(budget.requests[:]), 1.0) // the other request
+}
