A body that took long leaves a request time to wait

Seen by callers: 503 at the first short wait (40 ms for the end of a backoff, a slot, a place, a permit, a copy of a model, prompts that are read) once the body had taken more than a share of the target; the client had to send all of it again, and met the same. Cause: the waits are shares of the target that were counted from the head, so that nothing was left of them. Evidence: TestALongBodyLeavesTimeToWait, 503 instead of 200 in each of seven waits after a body of 2.2 s. Waits that end with the request being sent (prompts that are paced or held) count from the head as before: they only make such a request later.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -207,6 +207,13 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (c *call) outgoingRequest(choice Choice, now time.Time) *outgoingRequest {
 	peer := choice.Peer
 	codec := &c.handler.options.Codec
--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -84,8 +84,9 @@
 
 // keepsWaiting reports whether a request without a replica should look for one again.
 func (c *call) keepsWaiting(now time.Time, want Requirements, choice Choice) bool {
+	wait := c.maxReplicaWait(now, choice.Verdict)
 	switch {
-	case now.Before(c.startedAt.Add(c.maxReplicaWait(now, choice.Verdict))):
+	case now.Before(c.waitEnd(wait, wait)):
 		return true
 	case choice.Verdict != ModelMissing:
 		return false
@@ -110,8 +111,8 @@
 	if c.requestInfo.Model == "" || len(c.tried) > 0 {
 		return false
 	}
-	left := time.Duration(float64(c.route.Target)*maxFirstEventTargets) - now.Sub(c.startedAt)
-	return choice.Backlog > 0 && choice.Backlog+choice.PrefillTime > left
+	latest := c.firstByteDue().Add(time.Duration(float64(c.route.Target) * (maxFirstEventTargets - 1)))
+	return choice.Backlog > 0 && now.Add(choice.Backlog+choice.PrefillTime).After(latest)
 }
 
 // maxReplicaWait returns how long a request waits for a replica: for a model that may be loading,
@@ -127,6 +128,27 @@
 	return time.Duration(float64(c.route.Target) * share)
 }
 
+// minTargetShare is the share of its target that a request has left for its first byte as its body ends.
+const minTargetShare = 0.5
+
+// waitEnd returns until when a request waits that is refused then: for a time after its head, but at least for
+// another one after the last byte of its body, as long as the refusal arrives before the deadline. The refusal of
+// a request whose body took long helps its client little, which has to send the whole body again.
+func (c *call) waitEnd(afterHead, afterBody time.Duration) time.Time {
+	return later(c.startedAt.Add(afterHead), earlier(c.receivedAt.Add(afterBody), c.deadline.Add(-placeReplyMargin)))
+}
+
+// shareEnd returns until when a request waits that is refused after a share of its target.
+func (c *call) shareEnd(share float64) time.Time {
+	wait := time.Duration(float64(c.route.Target) * share)
+	return c.waitEnd(wait, wait)
+}
+
+// firstByteDue returns when the response to a request that waits should begin.
+func (c *call) firstByteDue() time.Time {
+	return c.waitEnd(c.route.Target, time.Duration(float64(c.route.Target)*minTargetShare))
+}
+
 func (c *call) requirements() Requirements {
 	want := Requirements{Service: c.service, Model: c.requestInfo.Model, Adapter: c.requestInfo.Adapter, PromptLength: c.requestInfo.PromptTokens, Parts: c.requestInfo.Parts, Residency: catalog.ResidencyOf(c.route, c.account), Origin: c.origin.Binding}
 	if c.next != nil {
--- a/src/exchange/copywait.go
+++ b/src/exchange/copywait.go
@@ -38,7 +38,7 @@
 	}
 	wait := max(at.Sub(now), 0)
 	patience := max(clientPatienceTargets*c.route.Target, minClientPatience)
-	if now.Add(wait + loadedMargin).Before(earlier(c.deadline, c.startedAt.Add(patience))) {
+	if now.Add(wait + loadedMargin).Before(earlier(c.deadline, c.waitEnd(patience, patience))) {
 		return true
 	}
 	c.retryIn = jitterRetry(wait, rand.Float64())
--- a/src/exchange/permit.go
+++ b/src/exchange/permit.go
@@ -66,8 +66,7 @@
 	if c.permitRequests >= maxPermitRequests {
 		return -1
 	}
-	deadline := c.startedAt.Add(time.Duration(float64(c.route.Target) * maxPermitWaitShare))
-	return max(min(deadline.Sub(now), ratelimit.Horizon), 0)
+	return max(min(c.shareEnd(maxPermitWaitShare).Sub(now), ratelimit.Horizon), 0)
 }
 
 // permitted reports whether the request may be sent to the chosen replica. If a permit is needed,
--- a/src/exchange/place.go
+++ b/src/exchange/place.go
@@ -270,7 +270,7 @@
 		Account:    c.accountName(),
 		Weight:     1,
 		Priority:   c.priority(),
-		TargetMS:   (c.startedAt.Add(c.route.Target).Sub(now) - overhead).Milliseconds(),
+		TargetMS:   (c.firstByteDue().Sub(now) - overhead).Milliseconds(),
 		DeadlineMS: (c.deadline.Sub(now) - placeReplyMargin).Milliseconds(),
 		Candidates: make([]wire.QueueCandidate, 0, len(candidates)),
 	}
--- a/src/exchange/queuewait.go
+++ b/src/exchange/queuewait.go
@@ -33,7 +33,7 @@
 
 // queueDeadline returns until when the request waits for a replica that accepts requests.
 func (c *call) queueDeadline() time.Time {
-	return c.startedAt.Add(time.Duration(float64(c.route.Target) * maxQueueWaitShare))
+	return c.shareEnd(maxQueueWaitShare)
 }
 
 // waitInQueue waits once in the request's queue. It returns false if the request must not wait any
--- a/src/exchange/slot.go
+++ b/src/exchange/slot.go
@@ -61,7 +61,7 @@
 	if len(unavailable) > 0 && len(unavailable) == len(h.options.Fleet.index.lookup(c.service, copyKey{})) {
 		return Choice{}, false
 	}
-	maxWait := c.startedAt.Add(c.route.Target).Sub(now)
+	maxWait := c.firstByteDue().Sub(now)
 	request := wire.PlaceRequest{Service: c.service, Account: c.accountName(), Priority: c.priority(), WithinMS: maxWait.Milliseconds()}
 	for _, peer := range c.tried {
 		request.Tried = append(request.Tried, peer.ID())
--- a/src/exchange/times_test.go
+++ b/src/exchange/times_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/wire"
 )
 
 // doSlowly sends a request whose body of two bytes takes the given time, on a connection of its own. meanwhile
@@ -124,3 +126,87 @@
 	is.Equal(n.taken(), 1)
 	is.Equal(total(budget.requests[:]), 1.0) // the other request
 }
+
+// TestALongBodyLeavesTimeToWait: the waits of a request counted from its head, so that one whose body had taken longer
+// was refused for the shortest wait, and its client had to send the whole body again.
+func TestALongBodyLeavesTimeToWait(t *testing.T) {
+	const (
+		target   = 500 * time.Millisecond
+		bodyTime = 2200 * time.Millisecond
+		// shortWait is shorter than each of the waits.
+		shortWait = 40 * time.Millisecond
+	)
+	for _, wait := range []struct {
+		name    string
+		model   string
+		prepare func(b *bench)
+	}{
+		{"the end of a backoff", "m", func(b *bench) { b.fleet.applyReply(b.fleet.Peer("x"), &Reply{Backoff: shortWait}) }},
+		{"a slot", "", func(b *bench) {
+			b.handler.SetGateways(100)
+			b.handler.options.Slots.Request = func(_ context.Context, request wire.PlaceRequest) (wire.PlaceReply, error) {
+				if request.TimeLeft() < shortWait {
+					return wire.PlaceReply{Known: true, RetryMS: 1}, nil
+				}
+				return wire.PlaceReply{Known: true, Replica: "x", Ticket: 1}, nil
+			}
+			b.handler.options.Slots.Release = func(wire.PlaceRelease) {}
+		}},
+		{"a place", "m", func(b *bench) {
+			b.fill()
+			b.handler.options.Places.Request = func(_ context.Context, request wire.QueueRequest) (wire.QueueReply, error) {
+				if request.TargetMS < shortWait.Milliseconds() {
+					return wire.QueueReply{Known: true, RetryMS: 1}, nil
+				}
+				return wire.QueueReply{Known: true, Replica: "x", Owner: "o"}, nil
+			}
+			b.handler.options.Places.Release = func(wire.QueuePlace) {}
+		}},
+		{"a permit", "m", func(b *bench) {
+			b.fleet.Peer("x").markCold(b.fleet.bootNow(), endlessWait)
+			b.handler.options.Permits.Request = func(_ context.Context, request wire.PermitRequest) (wire.PermitReply, error) {
+				return wire.PermitReply{Known: true, Granted: request.WithinMS >= shortWait.Milliseconds(), WaitUS: shortWait.Microseconds()}, nil
+			}
+		}},
+		{"prompts to be read", "m", func(b *bench) { b.fleet.Peer("x").startRequest(shortWait) }},
+		{"a model that is being loaded", "n", func(b *bench) {
+			b.expectCopy(1, "n", shortWait)
+			time.AfterFunc(shortWait, func() {
+				b.fleet.SetHoldings(&wire.Holdings{Term: 1, Version: 2, Copies: []wire.Holding{{Replica: "x", Model: "n"}}})
+			})
+		}},
+		{"a model that may be loaded", "n", func(b *bench) {
+			time.AfterFunc(shortWait, func() {
+				b.fleet.SetHoldings(&wire.Holdings{Term: 1, Version: 1, Copies: []wire.Holding{{Replica: "x", Model: "n"}}})
+			})
+		}},
+	} {
+		t.Run(wait.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newReplica(t, "x", whole)
+			r := route(catalog.Unsafe, 1)
+			r.Target, r.Timeout = target, 10*time.Second
+			b := newBench(t, r, x)
+			b.fleet.firstReplicaAt.Store(1)
+			got := b.doSlowly(bodyTime, func() { wait.prepare(b) }, "one", testModel+": "+wait.model)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(x.count(), 1)
+		})
+	}
+}
+
+// TestAWaitAfterALongBodyEndsBeforeTheDeadline: a refusal that arrives later than its client waits tells it nothing.
+func TestAWaitAfterALongBodyEndsBeforeTheDeadline(t *testing.T) {
+	is := is.New(t)
+	head := time.Unix(1_800_000_000, 0)
+	c := &call{startedAt: head, deadline: head.Add(3 * time.Second)}
+	is.Equal(c.waitEnd(time.Second, time.Second/2), head.Add(time.Second)) // the body has not been read
+	c.receivedAt = head.Add(100 * time.Millisecond)
+	is.Equal(c.waitEnd(time.Second, time.Second/2), head.Add(time.Second))
+	c.receivedAt = head.Add(2 * time.Second)
+	is.Equal(c.waitEnd(time.Second, time.Second/2), head.Add(2500*time.Millisecond))
+	c.receivedAt = head.Add(2900 * time.Millisecond)
+	is.Equal(c.waitEnd(time.Second, time.Second/2), c.deadline.Add(-placeReplyMargin))
+}
