A stream under way lasts until its deadline, and its replica is not blamed for that end

Seen by callers: streams ended 20 ms before the deadline, 40 ms if they were forwarded; a stream that had not begun was refused as its deadline had passed, too late to arrive; the replica of a stream whose time was over was chosen less, its connections to others were checked for a crash. Change: for streaming routes replicas and gateways are told all that is left, rounded up to milliseconds; the gateway waits for the head until responseMargin before the deadline. In that last time no end is a failure of a replica or gateway; whether it crashed is still looked for, and not waited for. Other routes keep the margin: their answers are passed on whole, and the replica's own 504 is.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -34,7 +34,7 @@
 
 // mayRetry reports whether another replica may be tried.
 func (c *call) mayRetry(ctx context.Context, ended outcome) bool {
-	if ctx.Err() != nil || c.handler.options.Now().Add(responseMargin).After(c.deadline) {
+	if c.timeOver(ctx) {
 		return false
 	}
 	c.revokeDoubted()
@@ -108,7 +108,7 @@
 			return err
 		}
 	}
-	a, err := send(attemptCtx, peer.pool, o, c.requestInfo.ID, hooks, choice.connectTimeout(), c.deadline, now)
+	a, err := send(attemptCtx, peer.pool, o, c.requestInfo.ID, hooks, choice.connectTimeout(), c.headDeadline(), now)
 	if errors.Is(err, errNotAccepted) {
 		c.undoAttempt(spent)
 		return notAccepted, nil
@@ -200,6 +200,31 @@
 	return now.Add(max(3*c.route.Target/2, c.deadline.Sub(now)/3))
 }
 
+// remaining returns how long a peer may work on the request. A stream is passed on until the client's deadline,
+// so what is left is rounded up to the milliseconds of a header; the end of any other response needs time for its
+// way back.
+func (c *call) remaining(now time.Time) time.Duration {
+	if c.route.Kind == catalog.Streaming {
+		return (c.deadline.Sub(now) + time.Millisecond - 1).Truncate(time.Millisecond)
+	}
+	return c.deadline.Sub(now) - responseMargin
+}
+
+// headDeadline returns until when the head of a response is waited for. A peer refuses a stream that has not
+// begun only at its deadline, so the gateway does so before.
+func (c *call) headDeadline() time.Time {
+	if c.route.Kind == catalog.Streaming && (c.stream == nil || !c.stream.started) {
+		return c.deadline.Add(-responseMargin)
+	}
+	return c.deadline
+}
+
+// timeOver reports whether the context of the request has ended or nothing but a refusal can reach the client in
+// time. What ends then is no failure of a replica, which stops by itself as its time is over.
+func (c *call) timeOver(ctx context.Context) bool {
+	return ctx.Err() != nil || !c.handler.options.Now().Add(responseMargin).Before(c.deadline)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -228,7 +253,7 @@
 	attempt := Attempt{
 		Replica:     peer.name(),
 		Backup:      c.chooseBackup(now, peer),
-		Remaining:   c.deadline.Sub(now) - responseMargin,
+		Remaining:   c.remaining(now),
 		Priority:    c.priority(),
 		Account:     c.accountName(),
 		ResumeAfter: c.resumeAfter(),
@@ -270,7 +295,7 @@
 		c.possibleRuns++
 		c.noteEarlyEnd(ctx, err)
 	}
-	if ctx.Err() == nil {
+	if !c.timeOver(ctx) {
 		c.connectionBroke = sent && !tooLong && !errors.Is(err, errOtherRequest)
 		pause := noteFailure(h.options.Now(), peer, err)
 		h.options.Ring.Add(event.Event{Kind: event.HostEjected, Request: c.requestInfo.ID, Host: peer.ID(), Reason: err.Error() + "; avoided for " + pause.String()})
--- a/src/exchange/backup.go
+++ b/src/exchange/backup.go
@@ -141,7 +141,7 @@
 func (c *call) resumeAtBackup(ctx context.Context, lost *Peer) (Choice, bool) {
 	backup := c.backup
 	c.backup = nil
-	if backup == nil || ctx.Err() != nil || c.stream == nil || c.stream.lastEventID == "" {
+	if backup == nil || c.timeOver(ctx) || c.stream == nil || c.stream.lastEventID == "" {
 		return Choice{}, false
 	}
 	proof := c.provenLoss(ctx, lost)
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -132,7 +132,7 @@
 		admit:   func() bool { return true },
 		read:    func(_ int, header http.Header) Reply { return Reply{ID: FieldValue(header, headerForwardID)} },
 	}
-	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.deadline, now)
+	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.headDeadline(), now)
 	if errors.Is(err, errNotSent) {
 		if !c.clientLeft() {
 			c.handler.gatewayList.markDown(to)
@@ -150,7 +150,7 @@
 		err = noResponse(errGivenUp)
 	}
 	if err != nil {
-		if ctx.Err() == nil {
+		if !c.timeOver(ctx) {
 			to.failed(c.handler.options.Now(), true)
 		}
 		c.reason += "; " + err.Error()
@@ -218,7 +218,7 @@
 			header[name] = values
 		}
 	}
-	c.handler.options.Codec.EncodeForwarded(header, c.deadline.Sub(now)-responseMargin, c.resumeAfter())
+	c.handler.options.Codec.EncodeForwarded(header, c.remaining(now), c.resumeAfter())
 	header.Set("Connection", "close")
 	header.Set(headerForwardID, c.requestInfo.ID)
 	header.Set(headerForwardVersion, strconv.FormatUint(c.version, 10))
--- a/src/exchange/quarantine.go
+++ b/src/exchange/quarantine.go
@@ -141,7 +141,7 @@
 	case c.clientLeft():
 		h.crashDetector.addSuspect(h.options.Now(), peer, c.quarantineRequest())
 		return
-	case ctx.Err() != nil:
+	case c.timeOver(ctx):
 		h.crashDetector.connectionBroke(h.options.Now(), peer, c.quarantineRequest())
 		return
 	case !c.connectionBroke:
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		a.abort()
 		c.noteEarlyEnd(ctx, err)
-		if ctx.Err() == nil {
+		if !c.timeOver(ctx) {
 			c.connectionBroke = true
 			peer.failed(now, false)
 		}
@@ -120,7 +120,7 @@
 	if err != nil {
 		a.abort()
 		c.noteEarlyEnd(ctx, err)
-		c.connectionBroke = ctx.Err() == nil
+		c.connectionBroke = !c.timeOver(ctx)
 		c.noteLostReplica(ctx, peer)
 		c.abortResponse("the answer broke off: " + err.Error())
 	}
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -171,7 +171,7 @@
 	c.brokenBy = err
 	c.noteEarlyEnd(ctx, err)
 	tooLong := c.noteTooLong(peer, err)
-	if ctx.Err() == nil && !errors.Is(err, errRetentionFull) {
+	if !c.timeOver(ctx) && !errors.Is(err, errRetentionFull) {
 		c.connectionBroke = !tooLong
 		peer.failed(c.handler.options.Now(), tooLong)
 	}
--- a/src/exchange/times_test.go
+++ b/src/exchange/times_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -210,3 +211,98 @@
 	c.receivedAt = head.Add(2900 * time.Millisecond)
 	is.Equal(c.waitEnd(time.Second, time.Second/2), c.deadline.Add(-placeReplyMargin))
 }
+
+// pieces sends an event every 10 ms until the time that the replica was given is over, then it stops.
+func pieces(a arrival) bool {
+	ms, _ := strconv.Atoi(a.request.Header.Get(testDeadline))
+	until := time.Now().Add(time.Duration(ms) * time.Millisecond)
+	a.head()
+	for id := 1; time.Now().Before(until); id++ {
+		a.event(id)
+		time.Sleep(min(10*time.Millisecond, time.Until(until)))
+	}
+	return false
+}
+
+// silentUntilClosed answers nothing.
+func silentUntilClosed(a arrival) bool {
+	_, _ = io.Copy(io.Discard, a.conn)
+	return false
+}
+
+// assertNotBlamed checks that the gateway does not hold the end of a request against its replicas.
+func (b *bench) assertNotBlamed(is *is.I) {
+	b.t.Helper()
+	b.awaitHandlers()
+	for _, peer := range b.fleet.peers {
+		peer.mu.Lock()
+		is.Equal(peer.failureShare, 0.0)
+		is.True(peer.ejected.IsZero())
+		peer.mu.Unlock()
+	}
+}
+
+// TestAStreamUnderWayLastsUntilItsDeadline: its replica was told to stop 20 ms earlier, and 40 ms if it was
+// forwarded, and was then avoided as one that breaks streams off.
+func TestAStreamUnderWayLastsUntilItsDeadline(t *testing.T) {
+	const timeout = 600 * time.Millisecond
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprint("forwarded ", forwarded), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := route(catalog.Streaming, 1)
+			r.Timeout = timeout
+			replicas := []*fakeReplica{newReplica(t, "a", pieces), newReplica(t, "b", pieces)}
+			b := newBench(t, r, replicas...)
+			sender := b
+			if forwarded {
+				n := newForwardNet(t, r, 1, replicas...)
+				n.loseLinks()
+				b, sender = n.bench, n.others[0].bench
+			}
+			began := time.Now()
+			got := b.do("POST", "one", "x")
+			lasted := time.Since(began)
+			is.True(got.err != nil) // broken off
+			is.Equal(got.status, http.StatusOK)
+			is.True(lasted >= timeout)
+			is.True(lasted < timeout+200*time.Millisecond)
+			sender.assertNotBlamed(is)
+		})
+	}
+}
+
+// TestAStreamThatHasNotBegunIsRefusedBeforeItsDeadline: the refusal was sent as the deadline had passed.
+func TestAStreamThatHasNotBegunIsRefusedBeforeItsDeadline(t *testing.T) {
+	const timeout = 600 * time.Millisecond
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprint("forwarded ", forwarded), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := route(catalog.Streaming, 1)
+			r.Timeout = timeout
+			replicas := []*fakeReplica{newReplica(t, "a", silentUntilClosed), newReplica(t, "b", silentUntilClosed)}
+			b := newBench(t, r, replicas...)
+			sender := b
+			if forwarded {
+				n := newForwardNet(t, r, 1, replicas...)
+				n.loseLinks()
+				b, sender = n.bench, n.others[0].bench
+			}
+			began := time.Now()
+			got := b.do("POST", "one", "x")
+			lasted := time.Since(began)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusGatewayTimeout)
+			is.True(lasted < timeout)
+			sender.assertNotBlamed(is)
+			if forwarded {
+				to := b.handler.gatewayList.pick(time.Now(), "s", nil, func(string) bool { return true })
+				is.True(to != nil) // the gateway is not avoided
+				to.mu.Lock()
+				is.Equal(to.failureShare, 0.0)
+				to.mu.Unlock()
+			}
+		})
+	}
+}
