--- a/src/exchange/body.go
+++ b/src/exchange/body.go
@@ -7,21 +7,28 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/catalog"
 )
 
 const (
 	// bodyTimeout limits the time for reading a request body.
 	bodyTimeout = 10 * time.Second
-	// defaultBodyBytes is the largest request body if the configuration sets no limit.
-	defaultBodyBytes = 4 << 20
+	// defaultBodyLimit is the maximum length in bytes of a request body if the configuration sets none.
+	defaultBodyLimit = 4 << 20
 )
 
+// bodyLimit returns the maximum length of a request body.
+func bodyLimit(table *catalog.Table) int {
+	if limit := table.Document().Limits.BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultBodyLimit
+}
+
 // readBody reads the body of the request. It returns false if it has responded to the client: a stopping gateway
 // does so while a body still comes that it could not send on any more.
 func (c *call) readBody(limit int) bool {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(c.startedAt.Add(bodyTimeout))
 	awaitRefusal := c.refuseAtMark()
@@ -65,8 +72,10 @@
 		c.refuse(http.StatusServiceUnavailable, err.Error())
 	case errors.As(err, &tooLarge):
 		c.writer.Header().Set("Connection", "close")
-		c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
+		c.refuseTooLarge()
 	default:
 		c.refuse(http.StatusBadRequest, "the body could not be read: "+err.Error())
 	}
 }
+
+func (c *call) refuseTooLarge() { c.refuse(http.StatusRequestEntityTooLarge, "the body is too large") }
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -132,7 +132,7 @@
 		admit:   func() bool { return !c.tooLateToSend(c.handler.options.Now()) },
 		read:    func(_ int, header http.Header) Reply { return Reply{ID: FieldValue(header, headerForwardID)} },
 	}
-	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.deadline, now)
+	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.headDeadline(), now)
 	if errors.Is(err, errNotAccepted) {
 		return notRun, err
 	}
@@ -153,7 +153,7 @@
 		err = noResponse(errGivenUp)
 	}
 	if err != nil {
-		if ctx.Err() == nil {
+		if !c.timeOver(ctx) {
 			to.failed(c.handler.options.Now(), true)
 		}
 		c.reason += "; " + err.Error()
@@ -182,10 +182,10 @@
 // countForwarded counts a request that another gateway has taken. A replica there may run it.
 func (c *call) countForwarded(to *Peer) {
 	h := c.handler
-	if c.possibleArrivals == 0 && c.counted {
-		h.budgets.get(c.service).Withdraw(c.startedAt)
+	if c.possibleArrivals == 0 && !c.countedAt.IsZero() {
+		h.budgets.get(c.service).Withdraw(c.countedAt)
 		h.options.Demand.Withdraw(c.service, c.requestInfo)
-		c.counted = false
+		c.countedAt = time.Time{}
 	}
 	h.options.Metrics.Forwarded.Inc(1)
 	c.sends++
@@ -221,7 +221,7 @@
 			header[name] = values
 		}
 	}
-	c.handler.options.Codec.EncodeForwarded(header, c.deadline.Sub(now)-responseMargin, c.resumeAfter())
+	c.handler.options.Codec.EncodeForwarded(header, c.remaining(now), c.resumeAfter())
 	header.Set("Connection", "close")
 	header.Set(headerForwardID, c.requestInfo.ID)
 	header.Set(headerForwardVersion, strconv.FormatUint(c.version, 10))
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -229,8 +229,8 @@
 	// forwarded is set if another gateway forwarded the request, notForwardable if none takes it.
 	forwarded      bool
 	notForwardable bool
-	// counted is set once the budget of repeats counts the request.
-	counted bool
+	// countedAt is when the retry budget counted the request, the zero time if it does not count it.
+	countedAt time.Time
 	// connectionBroke is set if the connection of the last attempt broke.
 	connectionBroke bool
 	// brokenBy is the error that ended the last attempt's stream, nil if there is none.
@@ -294,24 +294,15 @@
 	if forwarded && !c.beginForwarded() {
 		return
 	}
-	c.route = table.RouteFor(r.Host, r.URL.EscapedPath())
-	if c.route == nil {
-		c.refuseUnknownRoute()
-		return
-	}
-	c.table = table
-	c.selectService(c.route.Pick(rand.Float64()))
-	c.requestInfo = h.options.Codec.RequestInfo(r)
-	c.deadline = c.startedAt.Add(c.timeLimit())
-	if !c.identify(table) || !c.readBody(table.Document().Limits.BodyBytes) || !c.resolveOrigin() || c.refusedByStop() {
+	if !c.applyTable(table) || !c.readBody(bodyLimit(table)) || !c.followTable() || !c.resolveOrigin() || c.refusedByStop() {
 		return
 	}
 	if c.forwardOnArrival() {
 		return
 	}
 	if c.possibleArrivals == 0 {
-		h.budgets.get(c.service).Request(c.startedAt)
-		c.counted = true
+		c.countedAt = h.options.Now()
+		h.budgets.get(c.service).Request(c.countedAt)
 	}
 	defer c.returnGrant()
 	// The slot must be released however the request ends.
@@ -327,6 +318,40 @@
 	c.run()
 }
 
+// applyTable applies a configuration to the request: its route, service, time limit and client account. It
+// responds to the client and returns false if the configuration does not allow the request.
+func (c *call) applyTable(table *catalog.Table) bool {
+	c.version = table.Version()
+	c.route = table.RouteFor(c.request.Host, c.request.URL.EscapedPath())
+	if c.route == nil {
+		c.refuseUnknownRoute()
+		return false
+	}
+	c.table = table
+	c.selectService(c.route.Pick(rand.Float64()))
+	c.requestInfo = c.handler.options.Codec.RequestInfo(c.request)
+	c.deadline = c.startedAt.Add(c.timeLimit())
+	return c.identify(table)
+}
+
+// followTable applies the active configuration if it is another one than at the head of the request: the body
+// may have taken seconds, and a request counts as sent with its last byte. It responds to the client and returns
+// false if the configuration does not allow the request.
+func (c *call) followTable() bool {
+	table := c.handler.table.Load()
+	if table == c.table {
+		return true
+	}
+	if !c.applyTable(table) {
+		return false
+	}
+	if len(c.body) > bodyLimit(table) {
+		c.refuseTooLarge()
+		return false
+	}
+	return true
+}
+
 // selectService makes a service the one of the request.
 func (c *call) selectService(name string) {
 	c.service, c.engine, c.tokensPerEvent, c.supportsBackups = name, nil, 0, false
