Tests: streams without a record at a gateway that is out of step

Callers saw streams that were begun by one software version and went on at another, at a gateway that was cut off or stood still during a release.

The tests play that with a real feed through links that can be frozen: a replica of a second version is listed while the gateway hears nothing. Two more play the same class: a route that led to another service until now, and a record that was withdrawn.

--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -515,3 +515,35 @@
 	n.handler.options.Origins = store.origins()
 	is.Equal(n.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusOK)
 }
+
+// soleFor makes a software version of service s the only one for a time.
+func (b *bench) soleFor(age time.Duration, version string) {
+	b.fleet.census["s"] = &resume.Census{}
+	b.fleet.census["s"].Add(time.Now().Add(-age), version)
+}
+
+// A record that was withdrawn says that the version is not known, which the list does not refute: the start that
+// began the stream may not be listed yet.
+func TestAWithdrawnStreamIsNotTakenUpAtTheOnlyVersion(t *testing.T) {
+	is := is.New(t)
+	a := versionedReplica(t, "a", "v1", breaking(2))
+	b, store := newOriginBench(t, resumable(1), a)
+	_ = b.do("POST", "begun", "")
+	store.origins().Withdraw(context.Background(), resume.NewKey("", "r", "begun"))
+	b.soleFor(2*resume.SettleTime, "v1")
+	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
+	is.Equal(a.count(), 1)
+}
+
+// A stream that began before the route led to the service was begun by another service.
+func TestAStreamOfARouteThatLedElsewhereIsNotTakenUpAtTheOnlyVersion(t *testing.T) {
+	is := is.New(t)
+	a := versionedReplica(t, "a", "v1", streaming(4))
+	r := resumable(1)
+	r.Splits = []catalog.Split{{Service: "t", Weight: 1}}
+	b, _ := newOriginBench(t, r, a)
+	b.soleFor(2*resume.SettleTime, "v1")
+	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{resumable(1)}, Services: testServices()}))
+	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
+	is.Equal(a.count(), 0)
+}
--- /dev/null
+++ b/src/fleet/outofstep_test.go
@@ -0,0 +1,326 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/exchange"
+	"github.com/moorspool/moorspool/src/feed"
+	"github.com/moorspool/moorspool/src/metric"
+	"github.com/moorspool/moorspool/src/quarantine"
+	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/resume"
+	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// The headers of these tests.
+const (
+	stepID      = "Test-Id"
+	stepResumes = "Test-Resumes"
+	stepAfter   = "Test-After"
+)
+
+// frozenLink passes bytes between a gateway and a control node. What comes while it is frozen waits, as in the
+// sockets of a process that stands still.
+type frozenLink struct {
+	listener net.Listener
+	target   string
+
+	mu sync.Mutex
+	// up holds back what the gateway sends, down what the control node sends.
+	up, down bool
+	changed  *sync.Cond
+}
+
+func newFrozenLink(t *testing.T, target string) *frozenLink {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &frozenLink{listener: listener, target: target}
+	l.changed = sync.NewCond(&l.mu)
+	t.Cleanup(func() { l.freeze(false, false); _ = listener.Close() })
+	go l.accept()
+	return l
+}
+
+func (l *frozenLink) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", l.target)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		go l.copy(far, conn, &l.up)
+		go l.copy(conn, far, &l.down)
+	}
+}
+
+func (l *frozenLink) copy(to, from net.Conn, frozen *bool) {
+	defer to.Close()
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		l.mu.Lock()
+		for *frozen {
+			l.changed.Wait()
+		}
+		l.mu.Unlock()
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (l *frozenLink) freeze(up, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.up, l.down = up, down
+	l.changed.Broadcast()
+}
+
+func (l *frozenLink) address() string { return l.listener.Addr().String() }
+
+// stepControl is a control node with a list of replicas of its own. It has no record of any stream.
+type stepControl struct {
+	site *stepSite
+	link *frozenLink
+	zone string
+	// cut is set while the node hears nothing of replicas.
+	cut atomic.Bool
+
+	mu     sync.Mutex
+	listed []registry.Record
+}
+
+// stepSite is a gateway that follows control nodes, in front of replicas whose events name their software.
+type stepSite struct {
+	t        *testing.T
+	controls []*stepControl
+	gateway  *gateway
+	fleet    *exchange.Fleet
+	clients  *httptest.Server
+	// shift is how far the clocks of gateway and control nodes are ahead.
+	shift atomic.Int64
+	// taken counts the requests that reached a replica.
+	taken atomic.Int64
+}
+
+func (s *stepSite) now() time.Time { return time.Now().Add(time.Duration(s.shift.Load())) }
+
+// newStepSite returns a site with control nodes in three availability zones and one replica of software v1, which
+// all have known for two minutes.
+func newStepSite(t *testing.T) *stepSite {
+	t.Helper()
+	s := &stepSite{t: t}
+	for i := range 3 {
+		s.startControl("z" + strconv.Itoa(i))
+	}
+	s.startGateway()
+	s.list("a", "v1")
+	s.eventually("the replica is known", func() bool { return s.fleet.Peer("a") != nil })
+	s.shift.Add(int64(2 * resume.SettleTime))
+	s.eventually("the configuration is confirmed", s.gateway.follower.Confirmed)
+	return s
+}
+
+func (s *stepSite) eventually(what string, met func() bool) {
+	s.t.Helper()
+	for begun := time.Now(); !met(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 10*time.Second {
+			s.t.Fatalf("not met: %s", what)
+		}
+	}
+}
+
+func (s *stepSite) startControl(zone string) {
+	c := &stepControl{site: s, zone: zone}
+	mux := rpc.NewMux()
+	mux.Handle(wire.MethodWatchFeed, rpc.Typed(func(_ context.Context, peer *rpc.Peer, _ wire.FeedRequest) (wire.Empty, error) {
+		go c.stream(peer)
+		return wire.Empty{}, nil
+	}))
+	mux.Handle(wire.MethodStreamOrigin, rpc.Typed(func(context.Context, *rpc.Peer, wire.StreamOriginRequest) (wire.StreamOriginReply, error) {
+		return wire.StreamOriginReply{}, nil
+	}))
+	server, err := rpc.Listen("127.0.0.1:0", mux, &rpc.Meter{})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(server.Close)
+	c.link = newFrozenLink(s.t, server.Address())
+	s.controls = append(s.controls, c)
+}
+
+// stream sends the list of replicas again and again.
+func (c *stepControl) stream(peer *rpc.Peer) {
+	for first := true; ; first = false {
+		update := wire.FeedUpdate{Zone: c.zone, Full: first, ConfirmedMS: 1}
+		for _, control := range c.site.controls {
+			update.Members = append(update.Members, wire.Member{Address: control.link.address(), Zone: control.zone})
+		}
+		c.mu.Lock()
+		for _, record := range c.listed {
+			update.Standings = append(update.Standings, registry.ReplicaStatus{Record: record})
+		}
+		c.mu.Unlock()
+		if err := peer.Notify(wire.MethodFeed, update); err != nil {
+			return
+		}
+		select {
+		case <-peer.Done():
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// list lets a replica of a software version start, which the control nodes learn that are not cut off.
+func (s *stepSite) list(id, software string) {
+	replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.taken.Add(1)
+		w.Header().Set(stepID, r.Header.Get(stepID))
+		_, _ = fmt.Fprintf(w, "id: 3\ndata: %s\n\n", software)
+	}))
+	s.t.Cleanup(replica.Close)
+	record := registry.Record{ID: id, Service: "s", Address: replica.Listener.Addr().String(), Zone: "z0", SoftwareVersion: software, Slots: 4, Sequence: 1}
+	for _, c := range s.controls {
+		if !c.cut.Load() {
+			c.mu.Lock()
+			c.listed = append(c.listed, record)
+			c.mu.Unlock()
+		}
+	}
+}
+
+func (s *stepSite) startGateway() {
+	ring := event.NewRing("test", 16, nil, time.Now)
+	s.fleet = exchange.NewFleet("z0", exchange.Dial, ring, s.now, s.now)
+	g := &gateway{origins: newStreamOrigins(10), fleet: s.fleet}
+	options := feed.Options{Node: "g", Zone: "z0", Gateway: true, Seeds: []string{s.controls[0].link.address()}}
+	g.follower = feed.NewFollower(options, feed.Sink{Replicas: s.fleet.SetReplicas}, &rpc.Meter{}, nil, ring, s.now)
+	g.handler = exchange.NewHandler(exchange.Options{
+		Codec: stepCodec(), Fleet: s.fleet, Budget: exchange.BudgetLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
+		Tracker: quarantine.NewTracker(quarantine.NewTable(func(quarantine.Change) {})),
+		Demand:  exchange.NewDemand(), Metrics: exchange.NewMetrics(metric.New("test")), Now: s.now, Ring: ring,
+		Origins:         exchange.Origins{Store: g.storeOrigin, Withdraw: g.withdrawOrigin, Find: g.findOrigin},
+		ConfigConfirmed: g.follower.Confirmed,
+	})
+	g.handler.SetTable(catalog.NewTable(catalog.Document{
+		Routes: []catalog.Route{{
+			Name: "r", Prefix: "/", Host: "h.example", Kind: catalog.Streaming, Resumable: true, Attempts: 1,
+			Timeout: 3 * time.Second, Target: time.Second, Splits: []catalog.Split{{Service: "s", Weight: 1}},
+		}},
+		Services: []catalog.Service{{Name: "s"}},
+		Limits:   catalog.Limits{BodyBytes: 1 << 20},
+	}))
+	s.gateway = g
+	s.clients = httptest.NewUnstartedServer(g.handler)
+	s.clients.Config.ConnContext = exchange.ConnContext
+	s.clients.Start()
+	s.t.Cleanup(s.clients.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.t.Cleanup(cancel)
+	go g.follower.Run(ctx)
+}
+
+func stepCodec() exchange.Codec {
+	return exchange.Codec{
+		RequestInfo: func(r *http.Request) exchange.RequestInfo {
+			return exchange.RequestInfo{ID: r.Header.Get(stepID), Resumes: r.Header.Get(stepResumes), ResumeAfter: r.Header.Get(stepAfter)}
+		},
+		EncodeRequest: func(http.Header, exchange.RequestInfo, exchange.Attempt) {},
+		Reply:         func(_ int, header http.Header) exchange.Reply { return exchange.Reply{ID: header.Get(stepID)} },
+	}
+}
+
+// takeUp lets a client take up a stream of which nobody has a record, and returns the status.
+func (s *stepSite) takeUp(id string) int {
+	s.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, s.clients.URL+"/", strings.NewReader("body"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = "h.example"
+	request.Header.Set(stepID, id)
+	request.Header.Set(stepResumes, "begun")
+	request.Header.Set(stepAfter, "2")
+	response, err := s.clients.Client().Do(request)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// freeze freezes the links to all control nodes.
+func (s *stepSite) freeze(up, down bool) {
+	for _, c := range s.controls {
+		c.link.freeze(up, down)
+	}
+}
+
+// A replica of other software can be listed, begin a stream through another gateway and break while a gateway
+// hears nothing. That gateway must not go on with the stream at the only version that it knows.
+func TestAGatewayThatHearsNothingTakesNoVersionForTheOnlyOne(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cut  func(s *stepSite)
+	}{
+		{"all links frozen", func(s *stepSite) { s.freeze(true, true) }},
+		{"frozen from the control nodes", func(s *stepSite) { s.freeze(false, true) }},
+		{"frozen to the control nodes", func(s *stepSite) { s.freeze(true, false) }},
+		{"the control node that it follows is cut off", func(s *stepSite) { s.controls[0].cut.Store(true) }},
+		{"it reaches only a control node that is cut off", func(s *stepSite) {
+			s.controls[0].cut.Store(true)
+			s.controls[1].link.freeze(true, true)
+			s.controls[2].link.freeze(true, true)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStepSite(t)
+			c.cut(s)
+			s.list("b", "v2")
+			is.Equal(s.takeUp("back"), http.StatusServiceUnavailable)
+			is.Equal(s.taken.Load(), int64(0))
+		})
+	}
+}
+
+// As a process goes on that stood still, requests may be handled before the news that waited in its sockets.
+func TestAGatewayThatStoodStillTakesNoVersionForTheOnlyOne(t *testing.T) {
+	for _, stopped := range []time.Duration{300 * time.Millisecond, time.Second, 2500 * time.Millisecond, 4 * time.Second} {
+		t.Run(stopped.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := newStepSite(t)
+			s.freeze(true, true)
+			s.list("b", "v2")
+			s.shift.Add(int64(stopped))
+			is.Equal(s.takeUp("back"), http.StatusServiceUnavailable)
+			is.Equal(s.taken.Load(), int64(0))
+		})
+	}
+}
