A stream without a record goes on only at a version that all control nodes confirm

Callers saw streams that were begun by one software version and went on at another, at a gateway that was cut off or stood still during a release.

Cause: a stream without a record went on at the only version that the gateway had seen for a minute, if its configuration had been confirmed within 5 s. The stream may have begun and broken off up to the moment when the request that takes it up arrived, and a replica joins, begins a stream and breaks within a second. A gateway that hears nothing, or stood still, believed news that was older than that moment.

Ruled out: a shorter age (the first request is handled before the news that waited), comparing clocks (a pause is seen only afterwards, and says nothing of frozen links), a confirmation by a majority (registrations are not replicated: a control node that is cut off lists a replica to the gateways of its zone, and no other node knows it).

Change: the gateway asks after the request has arrived (stream.version). A gateway learns of each replica and each configuration from a control node that knows it already, so all control nodes are asked, and each has to have known that version only, for a minute, since its start. One that does not answer, has started lately, is of an earlier build, knows other members or has a newer configuration than the gateway: refused as before. Only streams that are taken up without a record ask.

That a stream goes on where all control nodes agree is TestAStreamGoesOnAtTheOnlyVersionThatAllControlNodesKnow. TestAServiceOfOneVersionNeedsNoRecord lets control nodes answer now; what it asked of the gateway's own list and of the confirmation still stands.

Conclusion: holds for control nodes that are members. While one of them is down, and for a minute after its start, streams without a record are refused.

--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -28,6 +28,17 @@
 	Withdraw func(ctx context.Context, key resume.Key)
 	// Find finds the origin of a stream, and returns false if it is not known.
 	Find func(ctx context.Context, key resume.Key) (resume.Finding, bool)
+	// SoleVersion asks all control nodes for the only software version of a service, and returns false unless
+	// each of them answers. It is nil if there are none.
+	SoleVersion func(ctx context.Context, service string) (SoleVersion, bool)
+}
+
+// SoleVersion is what all control nodes knew of a service after they were asked.
+type SoleVersion struct {
+	// SoftwareVersion is the only one for resume.SettleTime, "" if there is none.
+	SoftwareVersion string
+	// Config is the newest version of the configuration that any of them has applied.
+	Config uint64
 }
 
 // streamOrigin is what a call knows of the origin of its stream.
@@ -84,22 +95,37 @@
 // findOrigin binds the stream to the origin that is recorded for the attempt that the client named. A
 // service with a single version needs no record.
 func (c *call) findOrigin() {
-	h := c.handler
-	if find := h.options.Origins.Find; find != nil && c.requestInfo.Resumes != "" {
-		ctx, cancel := context.WithTimeout(c.request.Context(), originFindTimeout)
-		defer cancel()
+	ctx, cancel := context.WithTimeout(c.request.Context(), originFindTimeout)
+	defer cancel()
+	if find := c.handler.options.Origins.Find; find != nil && c.requestInfo.Resumes != "" {
 		if finding, found := find(ctx, c.attemptKey(c.requestInfo.Resumes)); found {
 			c.bindFinding(finding)
 			return
 		}
 	}
-	if len(c.route.Splits) != 1 || c.route.Timeout > resume.Retention || !c.configConfirmed() {
-		return
+	if finding, found := c.soleOrigin(ctx); found {
+		c.bindFinding(finding)
+	}
+}
+
+// soleOrigin returns the origin of the stream if only one can have begun it. A stream may have begun and broken
+// off at another gateway just before the request arrived, so what this gateway was told is not enough: all control
+// nodes are asked, since a gateway learns of each replica and configuration from one of them.
+func (c *call) soleOrigin(ctx context.Context) (resume.Finding, bool) {
+	h := c.handler
+	ask := h.options.Origins.SoleVersion
+	if ask == nil || len(c.route.Splits) != 1 || c.route.Timeout > resume.Retention || !c.configConfirmed() {
+		return resume.Finding{}, false
+	}
+	version, age, sole := h.options.Fleet.soleVersion(h.options.Now(), c.service)
+	if !sole {
+		return resume.Finding{}, false
 	}
-	if version, age, sole := h.options.Fleet.soleVersion(h.options.Now(), c.service); sole {
-		origin := resume.Origin{Service: c.service, SoftwareVersion: version}
-		c.bindFinding(resume.Finding{Origin: origin, Evidence: resume.SoleVersion, Age: age})
+	told, known := ask(ctx, c.service)
+	if !known || told.SoftwareVersion != version || told.Config > c.version {
+		return resume.Finding{}, false
 	}
+	return resume.Finding{Origin: resume.Origin{Service: c.service, SoftwareVersion: version}, Evidence: resume.SoleVersion, Age: age}, true
 }
 
 // bindFinding binds the stream to an origin that was found, as of the time of the evidence.
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -308,8 +308,24 @@
 	b := newBench(t, resumable(1), a)
 	ask := func(name string) int { return b.do("POST", name, "", testAfter+": 2").status }
 	is.Equal(ask("early"), http.StatusServiceUnavailable)
-	b.fleet.census["s"] = &resume.Census{}
-	b.fleet.census["s"].Add(time.Now().Add(-2*resume.SettleTime), "v1")
+	b.soleFor(2*resume.SettleTime, "v1")
+	is.Equal(ask("unasked"), http.StatusServiceUnavailable) // what this gateway was told is not enough
+	for _, told := range []struct {
+		SoleVersion
+		known, goesOn bool
+	}{
+		{SoleVersion{"v1", 1}, true, true},
+		{SoleVersion{"v1", 1}, false, false},
+		{SoleVersion{"v2", 1}, true, false},
+		{SoleVersion{"v1", 2}, true, false}, // a newer configuration may lead the route elsewhere
+	} {
+		b.handler.options.Origins.SoleVersion = func(_ context.Context, service string) (SoleVersion, bool) {
+			is.Equal(service, "s")
+			return told.SoleVersion, told.known
+		}
+		is.Equal(ask(fmt.Sprint("told ", told)) == http.StatusOK, told.goesOn)
+	}
+	b.agreeOn("v1")
 	is.Equal(ask("later"), http.StatusOK)
 	b.handler.options.ConfigConfirmed = func() bool { return false }
 	is.Equal(ask("cut-off"), http.StatusServiceUnavailable)
@@ -522,6 +538,11 @@
 	b.fleet.census["s"].Add(time.Now().Add(-age), version)
 }
 
+// agreeOn makes all control nodes know a software version as the only one.
+func (b *bench) agreeOn(version string) {
+	b.handler.options.Origins.SoleVersion = func(context.Context, string) (SoleVersion, bool) { return SoleVersion{version, 1}, true }
+}
+
 // A record that was withdrawn says that the version is not known, which the list does not refute: the start that
 // began the stream may not be listed yet.
 func TestAWithdrawnStreamIsNotTakenUpAtTheOnlyVersion(t *testing.T) {
@@ -531,6 +552,7 @@
 	_ = b.do("POST", "begun", "")
 	store.origins().Withdraw(context.Background(), resume.NewKey("", "r", "begun"))
 	b.soleFor(2*resume.SettleTime, "v1")
+	b.agreeOn("v1")
 	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
 	is.Equal(a.count(), 1)
 }
@@ -543,6 +565,7 @@
 	r.Splits = []catalog.Split{{Service: "t", Weight: 1}}
 	b, _ := newOriginBench(t, r, a)
 	b.soleFor(2*resume.SettleTime, "v1")
+	b.agreeOn("v1")
 	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{resumable(1)}, Services: testServices()}))
 	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
 	is.Equal(a.count(), 0)
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -86,6 +86,7 @@
 	router      *owner.Router
 	permits     permits
 	origins     *resume.Table
+	witness     *versionWitness
 	unknown     *unknownNames
 
 	quarantine *quarantine.Table
@@ -251,6 +252,7 @@
 	})
 	c.buildDispatchers()
 	c.buildQueues()
+	c.buildWitness(clock.Now)
 	c.usage = exchange.NewDemand()
 	c.proc.Mux().Handle(wire.MethodUsage, rpc.Typed(c.handleUsage))
 	c.proc.Mux().Handle(wire.MethodUsageSum, rpc.Typed(c.handleUsageSum))
@@ -352,6 +354,7 @@
 	options := feed.Options{Node: c.settings.Node, Zone: c.settings.Zone, Seeds: c.settings.SeedPeers()}
 	sink := feed.Sink{
 		Replicas: func(changes registry.Changes) {
+			c.witness.setReplicas(changes)
 			c.placer.SetReplicas(changes)
 			c.dispatchers.SetReplicas(changes)
 			c.replicas.SetReplicas(changes)
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -133,7 +133,7 @@
 		Slots:   exchange.Slots{Request: g.requestSlot, Release: g.releaseSlot},
 		Places:  exchange.Places{Request: g.requestPlace, Release: g.releasePlace},
 		Permits: exchange.Permits{Request: g.askPermit},
-		Origins: exchange.Origins{Store: g.storeOrigin, Withdraw: g.withdrawOrigin, Find: g.findOrigin},
+		Origins: exchange.Origins{Store: g.storeOrigin, Withdraw: g.withdrawOrigin, Find: g.findOrigin, SoleVersion: g.soleVersion},
 		Tracker: g.tracker,
 		Demand:  g.demand,
 		Ring:    proc.Ring(),
--- a/src/fleet/outofstep_test.go
+++ b/src/fleet/outofstep_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -105,11 +107,17 @@
 
 // stepControl is a control node with a list of replicas of its own. It has no record of any stream.
 type stepControl struct {
-	site *stepSite
-	link *frozenLink
-	zone string
-	// cut is set while the node hears nothing of replicas.
+	site    *stepSite
+	link    *frozenLink
+	client  *rpc.Client
+	witness *versionWitness
+	zone    string
+	// cut is set while the node hears nothing of replicas and of other control nodes.
 	cut atomic.Bool
+	// earlier is set while the node is of a build that does not know the question for versions.
+	earlier atomic.Bool
+	// config is the version of the configuration that the node has applied.
+	config atomic.Uint64
 
 	mu     sync.Mutex
 	listed []registry.Record
@@ -165,15 +173,48 @@
 	mux.Handle(wire.MethodStreamOrigin, rpc.Typed(func(context.Context, *rpc.Peer, wire.StreamOriginRequest) (wire.StreamOriginReply, error) {
 		return wire.StreamOriginReply{}, nil
 	}))
+	c.witness = &versionWitness{versions: resume.NewVersions(), now: s.now, members: s.members, peers: c.peers, config: c.config.Load, ask: c.ask}
+	mux.Handle(wire.MethodSoleVersion, rpc.Typed(func(ctx context.Context, peer *rpc.Peer, request wire.SoleVersionRequest) (wire.SoleVersionReply, error) {
+		if c.earlier.Load() {
+			return wire.SoleVersionReply{}, errors.New("no such method")
+		}
+		return c.witness.handle(ctx, peer, request)
+	}))
 	server, err := rpc.Listen("127.0.0.1:0", mux, &rpc.Meter{})
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(server.Close)
 	c.link = newFrozenLink(s.t, server.Address())
+	c.client = rpc.NewClient(server.Address(), rpc.NewMux(), &rpc.Meter{}, nil, time.Second)
 	s.controls = append(s.controls, c)
 }
 
+// members returns the addresses of the control nodes.
+func (s *stepSite) members() []string {
+	var addresses []string
+	for _, c := range s.controls {
+		addresses = append(addresses, c.link.address())
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// peers returns the addresses of the other control nodes.
+func (c *stepControl) peers() []string {
+	return slices.DeleteFunc(c.site.members(), func(address string) bool { return address == c.link.address() })
+}
+
+// ask asks another control node unless one of the two is cut off.
+func (c *stepControl) ask(ctx context.Context, address string, request wire.SoleVersionRequest) (reply wire.SoleVersionReply, err error) {
+	at := slices.IndexFunc(c.site.controls, func(other *stepControl) bool { return other.link.address() == address })
+	if c.cut.Load() || c.site.controls[at].cut.Load() {
+		return reply, rpc.ErrUnreachable
+	}
+	err = c.site.controls[at].client.Call(ctx, wire.MethodSoleVersion, request, &reply)
+	return reply, err
+}
+
 // stream sends the list of replicas again and again.
 func (c *stepControl) stream(peer *rpc.Peer) {
 	for first := true; ; first = false {
@@ -208,13 +249,19 @@
 	record := registry.Record{ID: id, Service: "s", Address: replica.Listener.Addr().String(), Zone: "z0", SoftwareVersion: software, Slots: 4, Sequence: 1}
 	for _, c := range s.controls {
 		if !c.cut.Load() {
-			c.mu.Lock()
-			c.listed = append(c.listed, record)
-			c.mu.Unlock()
+			c.list(record)
 		}
 	}
 }
 
+// list lets the control node learn of a replica.
+func (c *stepControl) list(record registry.Record) {
+	c.witness.setReplicas(registry.Changes{Entries: []registry.Entry{{Record: record}}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = append(c.listed, record)
+}
+
 func (s *stepSite) startGateway() {
 	ring := event.NewRing("test", 16, nil, time.Now)
 	s.fleet = exchange.NewFleet("z0", exchange.Dial, ring, s.now, s.now)
@@ -225,7 +272,7 @@
 		Codec: stepCodec(), Fleet: s.fleet, Budget: exchange.BudgetLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
 		Tracker: quarantine.NewTracker(quarantine.NewTable(func(quarantine.Change) {})),
 		Demand:  exchange.NewDemand(), Metrics: exchange.NewMetrics(metric.New("test")), Now: s.now, Ring: ring,
-		Origins:         exchange.Origins{Store: g.storeOrigin, Withdraw: g.withdrawOrigin, Find: g.findOrigin},
+		Origins:         exchange.Origins{Store: g.storeOrigin, Withdraw: g.withdrawOrigin, Find: g.findOrigin, SoleVersion: g.soleVersion},
 		ConfigConfirmed: g.follower.Confirmed,
 	})
 	g.handler.SetTable(catalog.NewTable(catalog.Document{
@@ -324,3 +371,62 @@
 		})
 	}
 }
+
+// What gateways were told, all control nodes together must have known: a stream goes on at the only version only if
+// each of them says so after the request has arrived.
+func TestAStreamGoesOnAtTheOnlyVersionThatAllControlNodesKnow(t *testing.T) {
+	other := registry.Record{ID: "b", Service: "s", Address: "127.0.0.1:1", Zone: "z2", SoftwareVersion: "v2", Slots: 4, Sequence: 1}
+	for _, c := range []struct {
+		name   string
+		change func(s *stepSite)
+		goesOn bool
+	}{
+		{"all answer", func(*stepSite) {}, true},
+		{"more of the same version", func(s *stepSite) { s.list("c", "v1") }, true},
+		{"one knows another version that it told nobody yet", func(s *stepSite) {
+			s.controls[2].witness.setReplicas(registry.Changes{Entries: []registry.Entry{{Record: other}}})
+		}, false},
+		{"one knows a replica without a version", func(s *stepSite) {
+			unknown := other
+			unknown.SoftwareVersion = ""
+			s.controls[1].witness.setReplicas(registry.Changes{Entries: []registry.Entry{{Record: unknown}}})
+		}, false},
+		{"one has started lately", func(s *stepSite) {
+			s.controls[2].witness.versions = resume.NewVersions()
+			s.controls[2].list(s.controls[2].listed[0])
+		}, false},
+		{"one is cut off from the others", func(s *stepSite) { s.controls[2].cut.Store(true) }, false},
+		{"one is of an earlier build", func(s *stepSite) { s.controls[2].earlier.Store(true) }, false},
+		{"the asked one is of an earlier build", func(s *stepSite) { s.controls[0].earlier.Store(true) }, false},
+		{"one has a newer configuration", func(s *stepSite) { s.controls[1].config.Store(1) }, false},
+		{"one knows another control node", func(s *stepSite) {
+			s.controls[1].witness.members = func() []string { return append(s.members(), "~") }
+		}, false},
+		{"the followed one knows no members", func(s *stepSite) {
+			for _, c := range s.controls {
+				c.witness.members = func() []string { return nil }
+			}
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStepSite(t)
+			c.change(s)
+			got := s.takeUp("back")
+			is.Equal(got == http.StatusOK, c.goesOn)
+			is.Equal(got == http.StatusServiceUnavailable, !c.goesOn)
+			is.Equal(s.taken.Load() == 1, c.goesOn)
+		})
+	}
+}
+
+// Clients that name no attempt must not keep the control nodes busy.
+func TestQuestionsForTheOnlyVersionAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newStepSite(t)
+	s.gateway.origins.searches.Store(maxOriginSearches)
+	is.Equal(s.takeUp("busy"), http.StatusServiceUnavailable)
+	s.gateway.origins.searches.Store(0)
+	is.Equal(s.takeUp("idle"), http.StatusOK)
+	is.Equal(s.gateway.origins.searches.Load(), int64(0))
+}
--- a/src/resume/resume_test.go
+++ b/src/resume/resume_test.go
@@ -177,3 +177,53 @@
 	is.True(sole)
 	is.Equal(version, "v2")
 }
+
+func TestVersionsCountEachIncarnationOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(v *Versions, now time.Time)
+		want   string
+	}{
+		{"nothing changes", func(*Versions, time.Time) {}, "v1"},
+		{"reported again", func(v *Versions, now time.Time) { v.List(now, "a", "s", "v1") }, "v1"},
+		{"reported by an earlier build", func(v *Versions, now time.Time) { v.List(now, "a", "s", "") }, "v1"},
+		{"one more of the version", func(v *Versions, now time.Time) { v.List(now, "b", "s", "v1") }, "v1"},
+		{"another service", func(v *Versions, now time.Time) { v.List(now, "b", "t", "v2") }, "v1"},
+		{"another version", func(v *Versions, now time.Time) { v.List(now, "b", "s", "v2") }, ""},
+		{"a version that is not known", func(v *Versions, now time.Time) { v.List(now, "b", "s", "") }, ""},
+		{"contradictory versions", func(v *Versions, now time.Time) { v.List(now, "a", "s", "v2") }, ""},
+		{"the last one is gone", func(v *Versions, now time.Time) { v.Remove(now, "a") }, ""},
+		{"one that was not counted is gone", func(v *Versions, now time.Time) { v.Remove(now, "b") }, "v1"},
+		{"another version came and went", func(v *Versions, now time.Time) {
+			v.List(now, "b", "s", "v2")
+			v.Remove(now, "b")
+		}, ""},
+		{"it has moved to another service", func(v *Versions, now time.Time) { v.List(now, "a", "t", "v1") }, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			v, now := NewVersions(), time.Unix(1_800_000_000, 0)
+			v.List(now, "a", "s", "v1")
+			now = now.Add(SettleTime)
+			c.change(v, now)
+			got, _, sole := v.Sole(now, "s")
+			is.Equal(got, c.want)
+			is.Equal(sole, c.want != "")
+		})
+	}
+}
+
+func TestVersionsSettle(t *testing.T) {
+	is := is.New(t)
+	v, now := NewVersions(), time.Unix(1_800_000_000, 0)
+	_, _, sole := v.Sole(now, "s")
+	is.True(!sole)
+	v.List(now, "a", "s", "")
+	v.List(now.Add(time.Second), "a", "s", "v1") // told later
+	_, _, sole = v.Sole(now.Add(SettleTime), "s")
+	is.True(!sole)
+	version, age, sole := v.Sole(now.Add(SettleTime+time.Second), "s")
+	is.True(sole)
+	is.Equal(version, "v1")
+	is.Equal(age, SettleTime)
+}
--- a/src/resume/software.go
+++ b/src/resume/software.go
@@ -1,6 +1,9 @@
 package resume
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Software is what one incarnation of a replica reports of its software. The zero value has reported
 // nothing. It is not safe for concurrent use.
@@ -74,3 +77,70 @@
 	}
 	return "", 0, false
 }
+
+// Versions holds a Census of each service. It is safe for concurrent use.
+type Versions struct {
+	mu       sync.Mutex
+	services map[string]*Census
+	replicas map[string]listedReplica
+}
+
+// listedReplica is one incarnation of a replica that is counted.
+type listedReplica struct {
+	service  string
+	software Software
+}
+
+// NewVersions returns Versions without replicas.
+func NewVersions() *Versions {
+	return &Versions{services: map[string]*Census{}, replicas: map[string]listedReplica{}}
+}
+
+// List counts an incarnation of a replica, or what is newly reported of one that is counted.
+func (v *Versions) List(now time.Time, id, service, version string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before, counted := v.replicas[id]
+	next := listedReplica{service: service, software: before.software}
+	next.software.Learn(version)
+	if counted && before.service == service && before.software.Version() == next.software.Version() {
+		v.replicas[id] = next
+		return
+	}
+	v.remove(now, id)
+	census := v.services[service]
+	if census == nil {
+		census = &Census{}
+		v.services[service] = census
+	}
+	census.Add(now, next.software.Version())
+	v.replicas[id] = next
+}
+
+// Remove counts an incarnation of a replica no longer.
+func (v *Versions) Remove(now time.Time, id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.remove(now, id)
+}
+
+// remove counts a replica no longer if it is counted; the lock is held.
+func (v *Versions) remove(now time.Time, id string) {
+	known, counted := v.replicas[id]
+	if !counted {
+		return
+	}
+	delete(v.replicas, id)
+	v.services[known.service].Remove(now, known.software.Version())
+}
+
+// Sole returns the only software version of a service; see Census.Sole.
+func (v *Versions) Sole(now time.Time, service string) (version string, age time.Duration, sole bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	census := v.services[service]
+	if census == nil {
+		return "", 0, false
+	}
+	return census.Sole(now)
+}
--- a/src/wire/method.go
+++ b/src/wire/method.go
@@ -99,6 +99,8 @@
 	MethodStreamOrigins = "stream.origins"
 	// MethodStreamOrigin asks a control node which software began a stream.
 	MethodStreamOrigin = "stream.origin"
+	// MethodSoleVersion asks a control node for the only software version of a service.
+	MethodSoleVersion = "stream.version"
 	// MethodPermit asks a control node for a permit to send a request to a cold or limited replica.
 	MethodPermit = "warmup.permit"
 	// MethodPermitIssue asks the leader for such a permit.
--- a/src/wire/origin.go
+++ b/src/wire/origin.go
@@ -31,3 +31,19 @@
 	// AgeMS is how long ago the origin was recorded.
 	AgeMS int64 `json:"a,omitempty"`
 }
+
+// SoleVersionRequest asks for the only software version of a service.
+type SoleVersionRequest struct {
+	Service string `json:"s"`
+	// Members are the control nodes, sorted, if one of them asks another; the asked one asks no other.
+	Members []string `json:"m,omitempty"`
+}
+
+// SoleVersionReply is what all control nodes knew after they were asked, or the asked one alone if it was asked by
+// another.
+type SoleVersionReply struct {
+	// SoftwareVersion is the only version that was listed for resume.SettleTime, "" if there is none.
+	SoftwareVersion string `json:"v,omitempty"`
+	// Config is the newest version of the configuration that they have applied.
+	Config uint64 `json:"c,omitempty"`
+}
