A stream without a record waits until its route has long led to one service

Callers saw streams that were begun by one software version and went on at another. This is the same class in another place, found by reading: it was not seen by callers.

Cause: which service began a stream without a record was taken from the configuration in force. After a change of a route, a stream that the earlier service began was taken for one of the later service, and went on there at the only version of that one.

Change: a route counts only if it has led to that service alone for two minutes: a stream lasts one at most, and another gateway may lead requests by an earlier configuration while it is cut off. That the gateway has the newest configuration is known from the control nodes that it asks anyway.

Evidence: TestAStreamOfARouteThatLedElsewhereIsNotTakenUpAtTheOnlyVersion failed before (200 where 503 was wanted). It has more cases now: splits, weights, and a route that is new.

Conclusion: after its start a gateway takes up no stream without a record for two minutes, one before. A gateway that is cut off for longer than a minute after a change of a route is not covered.

--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -54,7 +54,9 @@
 	latestStarts map[string]*Peer
 	onDoubt      func([]resume.Key)
 	// census counts the listed replicas by service and software version.
-	census        map[string]*resume.Census
+	census map[string]*resume.Census
+	// routes are the services that the routes of the configuration lead to, by name of the route.
+	routes        map[string]routeTarget
 	loadReporters loadReporters
 	sentPrompts   *sentPrompts
 	loadReports   *loadReports
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -130,6 +130,7 @@
 func (h *Handler) SetTable(t *catalog.Table) {
 	h.options.Fleet.setColdRates(t)
 	h.options.Fleet.setSmallBatches(t)
+	h.options.Fleet.setRoutes(t)
 	h.table.Store(t)
 	h.configure.Do(func() { close(h.configured) })
 }
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -532,8 +532,9 @@
 	is.Equal(n.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusOK)
 }
 
-// soleFor makes a software version of service s the only one for a time.
+// soleFor makes a software version of service s, to which route r has long led, the only one for a time.
 func (b *bench) soleFor(age time.Duration, version string) {
+	b.fleet.routes["r"] = routeTarget{service: b.fleet.routes["r"].service, since: time.Now().Add(-2 * routeSettleTime)}
 	b.fleet.census["s"] = &resume.Census{}
 	b.fleet.census["s"].Add(time.Now().Add(-age), version)
 }
@@ -559,14 +560,48 @@
 
 // A stream that began before the route led to the service was begun by another service.
 func TestAStreamOfARouteThatLedElsewhereIsNotTakenUpAtTheOnlyVersion(t *testing.T) {
-	is := is.New(t)
-	a := versionedReplica(t, "a", "v1", streaming(4))
-	r := resumable(1)
-	r.Splits = []catalog.Split{{Service: "t", Weight: 1}}
-	b, _ := newOriginBench(t, r, a)
-	b.soleFor(2*resume.SettleTime, "v1")
-	b.agreeOn("v1")
-	b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{resumable(1)}, Services: testServices()}))
-	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
-	is.Equal(a.count(), 0)
+	to := func(services ...string) []catalog.Split {
+		var splits []catalog.Split
+		for _, service := range services {
+			splits = append(splits, catalog.Split{Service: service, Weight: 1})
+		}
+		return splits
+	}
+	for _, c := range []struct {
+		name   string
+		before []catalog.Split
+		age    time.Duration
+		goesOn bool
+	}{
+		{"to another service until now", to("t"), 0, false},
+		{"also to another service until now", to("s", "t"), 0, false},
+		{"to another service until lately", to("t"), routeSettleTime - time.Second, false},
+		{"to another service long ago", to("t"), routeSettleTime, true},
+		{"to the same service with another weight", []catalog.Split{{Service: "s", Weight: 7}}, 0, true},
+		{"there was no such route", nil, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a := versionedReplica(t, "a", "v1", streaming(4))
+			r := resumable(1)
+			r.Splits = c.before
+			if c.before == nil {
+				r.Name, r.Splits = "q", to("s")
+			}
+			b, _ := newOriginBench(t, r, a)
+			b.soleFor(2*resume.SettleTime, "v1")
+			if c.before == nil {
+				delete(b.fleet.routes, "r")
+			}
+			b.agreeOn("v1")
+			b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{resumable(1)}, Services: testServices()}))
+			target := b.fleet.routes["r"]
+			target.since = target.since.Add(-c.age)
+			b.fleet.routes["r"] = target
+			got := b.do("POST", "back", "", testResumes+": begun", testAfter+": 2")
+			is.Equal(got.status == http.StatusOK, c.goesOn)
+			is.Equal(got.status == http.StatusServiceUnavailable, !c.goesOn)
+			is.Equal(a.count() == 1, c.goesOn)
+		})
+	}
 }
--- a/src/fleet/outofstep_test.go
+++ b/src/fleet/outofstep_test.go
@@ -139,7 +139,7 @@
 func (s *stepSite) now() time.Time { return time.Now().Add(time.Duration(s.shift.Load())) }
 
 // newStepSite returns a site with control nodes in three availability zones and one replica of software v1, which
-// all have known for two minutes.
+// all have known for three minutes.
 func newStepSite(t *testing.T) *stepSite {
 	t.Helper()
 	s := &stepSite{t: t}
@@ -149,7 +149,7 @@
 	s.startGateway()
 	s.list("a", "v1")
 	s.eventually("the replica is known", func() bool { return s.fleet.Peer("a") != nil })
-	s.shift.Add(int64(2 * resume.SettleTime))
+	s.shift.Add(int64(3 * resume.SettleTime))
 	s.eventually("the configuration is confirmed", s.gateway.follower.Confirmed)
 	return s
 }
