A withdrawn record refuses its stream, whatever is listed

Callers saw streams that were begun by one software version and went on at another. This is the same class in another place, found by reading: it was not seen by callers.

Cause: a record is withdrawn as a later start of a replica may have begun the stream, or two streams had one ID. A withdrawn record was answered as if there were none, and the stream went on at the only version on the list. The start that wrote it may not be on any list: it takes what is sent to its address before its first heartbeat.

Change: a withdrawn record is a finding, at the gateway that withdrew it and in the answer of control nodes (w). A client that holds no event may begin the stream anywhere, as before.

TestAControlNodeTellsWhatItWasTold compares the whole answer now.

Conclusion: a control node of an earlier build still takes a withdrawn record for none.

--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -29,7 +29,8 @@
 	Store func(key resume.Key, origin resume.Origin)
 	// Withdraw makes the origin of a stream unknown to all gateways, and waits until they can know.
 	Withdraw func(ctx context.Context, key resume.Key)
-	// Find finds the origin of a stream, and returns false if it is not known.
+	// Find finds the record of a stream, and returns false if there is none. The origin in it is not known if it was
+	// withdrawn.
 	Find func(ctx context.Context, key resume.Key) (resume.Finding, bool)
 	// SoleVersion asks all control nodes for the only software version of a service, and returns false unless
 	// each of them answers. It is nil if there are none.
@@ -102,7 +103,9 @@
 	defer cancel()
 	if find := c.handler.options.Origins.Find; find != nil && c.requestInfo.Resumes != "" {
 		if finding, found := find(ctx, c.attemptKey(c.requestInfo.Resumes)); found {
-			c.bindFinding(finding)
+			if finding.Origin.Known() || c.requestInfo.ResumeAfter != "" {
+				c.bindFinding(finding)
+			}
 			return
 		}
 	}
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -60,7 +60,7 @@
 		},
 		Find: func(_ context.Context, key resume.Key) (resume.Finding, bool) {
 			origin, age, known := s.table.Get(time.Now(), key)
-			return resume.Finding{Origin: origin, Evidence: resume.SharedRecord, Age: age}, known
+			return resume.Finding{Origin: origin, Evidence: resume.SharedRecord, Age: age}, known || s.table.Withdrawn(time.Now(), key)
 		},
 	}
 }
@@ -556,6 +556,9 @@
 	b.agreeOn("v1")
 	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
 	is.Equal(a.count(), 1)
+	a.setAct(streaming(4))
+	is.Equal(b.do("POST", "whole", "", testResumes+": begun").status, http.StatusOK) // the client holds no event of it
+	is.Equal(a.last().request.Header.Get(testAfter), "")
 }
 
 // A stream that began before the route led to the service was begun by another service.
--- a/src/fleet/origins.go
+++ b/src/fleet/origins.go
@@ -121,18 +121,21 @@
 	}
 }
 
-// findOrigin returns the origin of a stream that this gateway or another one began.
+// findOrigin returns the record of a stream that this gateway or another one began.
 func (g *gateway) findOrigin(ctx context.Context, key resume.Key) (resume.Finding, bool) {
+	if g.origins.table.Withdrawn(clock.Now(), key) {
+		return resume.Finding{Evidence: resume.OwnRecord}, true
+	}
 	if origin, age, known := g.origins.table.Get(clock.Now(), key); known {
 		return resume.Finding{Origin: origin, Evidence: resume.OwnRecord, Age: age}, true
 	}
 	return g.origins.search(ctx, func() (resume.Finding, bool) { return g.askForOrigin(ctx, key) })
 }
 
-// askForOrigin asks the control nodes for the origin of a stream.
+// askForOrigin asks the control nodes for the record of a stream.
 func (g *gateway) askForOrigin(ctx context.Context, key resume.Key) (resume.Finding, bool) {
 	reply, err := feed.CallHedged[wire.StreamOriginReply](ctx, g.follower, wire.MethodStreamOrigin, wire.StreamOriginRequest{Key: key})
-	if err != nil || reply.Service == "" {
+	if err != nil || !recorded(&reply) {
 		return resume.Finding{}, false
 	}
 	return resume.Finding{
@@ -177,14 +180,19 @@
 // handleOrigin returns the origin of a stream. A node that has no record asks the others, since each
 // gateway tells two of them, and a restarted one has lost what it was told.
 func (c *controlNode) handleOrigin(ctx context.Context, _ *rpc.Peer, request wire.StreamOriginRequest) (wire.StreamOriginReply, error) {
-	origin, age, known := c.origins.Get(clock.Now(), request.Key)
-	if known || request.Forwarded {
-		return wire.StreamOriginReply{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion, AgeMS: age.Milliseconds()}, nil
+	now := clock.Now()
+	origin, age, _ := c.origins.Get(now, request.Key)
+	reply := wire.StreamOriginReply{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion, AgeMS: age.Milliseconds(), Withdrawn: c.origins.Withdrawn(now, request.Key)}
+	if recorded(&reply) || request.Forwarded {
+		return reply, nil
 	}
 	return c.askForOrigin(ctx, request.Key), nil
 }
 
-// askForOrigin asks all other control nodes for the origin of a stream and returns the first one known.
+// recorded reports whether a control node has a record of the stream.
+func recorded(reply *wire.StreamOriginReply) bool { return reply.Service != "" || reply.Withdrawn }
+
+// askForOrigin asks all other control nodes for the record of a stream and returns the first one.
 func (c *controlNode) askForOrigin(ctx context.Context, key resume.Key) wire.StreamOriginReply {
 	ctx, cancel := context.WithTimeout(ctx, originAskTimeout)
 	defer cancel()
@@ -199,7 +207,7 @@
 		}()
 	}
 	for range peers {
-		if reply := <-replies; reply.Service != "" {
+		if reply := <-replies; recorded(&reply) {
 			return reply
 		}
 	}
--- a/src/fleet/origins_test.go
+++ b/src/fleet/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -90,9 +91,28 @@
 		is.NoErr(err)
 		return reply
 	}
-	is.Equal(ask().Service, "")
+	is.Equal(ask(), wire.StreamOriginReply{})
 	tell(firstOrigin)
 	is.Equal(ask().SoftwareVersion, "v1")
 	tell(resume.Origin{})
-	is.Equal(ask().Service, "") // withdrawn
+	is.Equal(ask(), wire.StreamOriginReply{Withdrawn: true})
+}
+
+// A record that was withdrawn is a finding: the gateway must not conclude from the list which software began the
+// stream.
+func TestAGatewayFindsThatARecordWasWithdrawn(t *testing.T) {
+	is := is.New(t)
+	key := resume.NewKey("a", "r", "one")
+	g := newOriginGateway()
+	g.withdrawOrigin(context.Background(), key)
+	finding, found := g.findOrigin(context.Background(), key)
+	is.True(found)
+	is.True(!finding.Origin.Known())
+	s := newStepSite(t)
+	s.controls[0].reply.Store(&wire.StreamOriginReply{Withdrawn: true})
+	finding, found = s.gateway.findOrigin(context.Background(), key)
+	is.True(found)
+	is.True(!finding.Origin.Known())
+	is.Equal(s.takeUp("back"), http.StatusServiceUnavailable)
+	is.Equal(s.taken.Load(), int64(0))
 }
--- a/src/fleet/outofstep_test.go
+++ b/src/fleet/outofstep_test.go
@@ -105,7 +105,7 @@
 
 func (l *frozenLink) address() string { return l.listener.Addr().String() }
 
-// stepControl is a control node with a list of replicas of its own. It has no record of any stream.
+// stepControl is a control node with a list of replicas of its own.
 type stepControl struct {
 	site    *stepSite
 	link    *frozenLink
@@ -116,6 +116,8 @@
 	cut atomic.Bool
 	// earlier is set while the node is of a build that does not know the question for versions.
 	earlier atomic.Bool
+	// reply is the record of all streams, nil if there are none.
+	reply atomic.Pointer[wire.StreamOriginReply]
 	// config is the version of the configuration that the node has applied.
 	config atomic.Uint64
 
@@ -171,6 +173,9 @@
 		return wire.Empty{}, nil
 	}))
 	mux.Handle(wire.MethodStreamOrigin, rpc.Typed(func(context.Context, *rpc.Peer, wire.StreamOriginRequest) (wire.StreamOriginReply, error) {
+		if reply := c.reply.Load(); reply != nil {
+			return *reply, nil
+		}
 		return wire.StreamOriginReply{}, nil
 	}))
 	c.witness = &versionWitness{versions: resume.NewVersions(), now: s.now, members: s.members, peers: c.peers, config: c.config.Load, ask: c.ask}
--- a/src/resume/table.go
+++ b/src/resume/table.go
@@ -60,6 +60,14 @@
 	return r.origin, now.Sub(r.at), true
 }
 
+// Withdrawn reports whether it is recorded that the origin of a stream is not known.
+func (t *Table) Withdrawn(now time.Time, key Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, found := t.find(now, key)
+	return found && r.disputed
+}
+
 // Len returns the number of records, some of which may be out of date.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/src/wire/origin.go
+++ b/src/wire/origin.go
@@ -30,6 +30,8 @@
 	SoftwareVersion string `json:"v,omitempty"`
 	// AgeMS is how long ago the origin was recorded.
 	AgeMS int64 `json:"a,omitempty"`
+	// Withdrawn is set if there is a record which says that the origin is not known.
+	Withdrawn bool `json:"w,omitempty"`
 }
 
 // SoleVersionRequest asks for the only software version of a service.
