A run goes on from its copy only at a start that is confirmed

Callers saw streams that were begun by one software version and went on at another. This is the same class in another place, found by reading: it was not seen by callers.

Cause: a stream that broke off goes on only at a replica whose start is confirmed, but not from a copy of its run. The copy is sent to an address, and a later start with other software may have taken it that the gateway was not told of yet, the longer the more it is out of step.

Change: the start is confirmed for copies as well, on the connection that the request takes: a probe once for each stream that goes on from a copy.

Conclusion: a copy at a replica that does not report its start is not affected, since such a replica has a new name for each start.

--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -608,3 +608,28 @@
 		})
 	}
 }
+
+// The copy of a run is sent to an address, at which a later start with other software may have taken it. A gateway that
+// hears nothing takes that start for the one on the list.
+func TestARunGoesOnFromItsCopyOnlyAtAStartThatIsConfirmed(t *testing.T) {
+	for _, runningMS := range []int64{5, 6} {
+		t.Run(fmt.Sprint("running start ", runningMS), func(t *testing.T) {
+			is := is.New(t)
+			var s *crashSite
+			s = newCrashSite(t, func(a arrival, r *fakeReplica) bool {
+				s.other().startedMS = runningMS
+				_ = r.listener.Close()
+				return false
+			})
+			s.fleet.SetReplicas(registry.Changes{Removed: []string{"x", "y"}})
+			for _, r := range s.replicas {
+				r.startedMS = 5
+				id := registry.Incarnation{Name: r.id, StartedMS: 5}.ID()
+				s.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: id, Name: r.id, StartedMS: 5, Service: "s", Address: r.listener.Addr().String(), Zone: "z", SoftwareVersion: "v1", Slots: 4, Models: []registry.Held{{Name: "m"}}}}}})
+			}
+			got := s.ask()
+			is.Equal(got.err == nil && len(events(got.body)) == 4, runningMS == 5)
+			is.Equal(s.other().count() == 1, runningMS == 5)
+		})
+	}
+}
--- a/src/exchange/startcheck.go
+++ b/src/exchange/startcheck.go
@@ -77,7 +77,7 @@
 // needsStartCheck reports whether the start of a replica is to be confirmed before a request: a stream goes
 // on, and the replica may start again under its name with other software.
 func (c *call) needsStartCheck(choice Choice) bool {
-	return !c.origin.Unbound() && !choice.FromBackup && choice.Peer.startedMS() != 0
+	return !c.origin.Unbound() && choice.Peer.startedMS() != 0
 }
 
 // checkWriter revokes the origin of a stream that broke off if another start has the address of the replica
