--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -60,7 +60,7 @@
 		},
 		Find: func(_ context.Context, key resume.Key) (resume.Finding, bool) {
 			origin, age, known := s.table.Get(time.Now(), key)
-			return resume.Finding{Origin: origin, Evidence: resume.SharedRecord, Age: age}, known
+			return resume.Finding{Origin: origin, Evidence: resume.SharedRecord, Age: age}, known || s.table.Withdrawn(time.Now(), key)
 		},
 	}
 }
@@ -308,8 +308,24 @@
 	b := newBench(t, resumable(1), a)
 	ask := func(name string) int { return b.do("POST", name, "", testAfter+": 2").status }
 	is.Equal(ask("early"), http.StatusServiceUnavailable)
-	b.fleet.census["s"] = &resume.Census{}
-	b.fleet.census["s"].Add(time.Now().Add(-2*resume.SettleTime), "v1")
+	b.soleFor(2*resume.SettleTime, "v1")
+	is.Equal(ask("unasked"), http.StatusServiceUnavailable) // what this gateway was told is not enough
+	for _, told := range []struct {
+		SoleVersion
+		known, goesOn bool
+	}{
+		{SoleVersion{"v1", 1}, true, true},
+		{SoleVersion{"v1", 1}, false, false},
+		{SoleVersion{"v2", 1}, true, false},
+		{SoleVersion{"v1", 2}, true, false}, // a newer configuration may lead the route elsewhere
+	} {
+		b.handler.options.Origins.SoleVersion = func(_ context.Context, service string) (SoleVersion, bool) {
+			is.Equal(service, "s")
+			return told.SoleVersion, told.known
+		}
+		is.Equal(ask(fmt.Sprint("told ", told)) == http.StatusOK, told.goesOn)
+	}
+	b.agreeOn("v1")
 	is.Equal(ask("later"), http.StatusOK)
 	b.handler.options.ConfigConfirmed = func() bool { return false }
 	is.Equal(ask("cut-off"), http.StatusServiceUnavailable)
@@ -515,3 +531,105 @@
 	n.handler.options.Origins = store.origins()
 	is.Equal(n.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusOK)
 }
+
+// soleFor makes a software version of service s, to which route r has long led, the only one for a time.
+func (b *bench) soleFor(age time.Duration, version string) {
+	b.fleet.routes["r"] = routeTarget{service: b.fleet.routes["r"].service, since: time.Now().Add(-2 * routeSettleTime)}
+	b.fleet.census["s"] = &resume.Census{}
+	b.fleet.census["s"].Add(time.Now().Add(-age), version)
+}
+
+// agreeOn makes all control nodes know a software version as the only one.
+func (b *bench) agreeOn(version string) {
+	b.handler.options.Origins.SoleVersion = func(context.Context, string) (SoleVersion, bool) { return SoleVersion{version, 1}, true }
+}
+
+// A record that was withdrawn says that the version is not known, which the list does not refute: the start that
+// began the stream may not be listed yet.
+func TestAWithdrawnStreamIsNotTakenUpAtTheOnlyVersion(t *testing.T) {
+	is := is.New(t)
+	a := versionedReplica(t, "a", "v1", breaking(2))
+	b, store := newOriginBench(t, resumable(1), a)
+	_ = b.do("POST", "begun", "")
+	store.origins().Withdraw(context.Background(), resume.NewKey("", "r", "begun"))
+	b.soleFor(2*resume.SettleTime, "v1")
+	b.agreeOn("v1")
+	is.Equal(b.do("POST", "back", "", testResumes+": begun", testAfter+": 2").status, http.StatusServiceUnavailable)
+	is.Equal(a.count(), 1)
+	a.setAct(streaming(4))
+	is.Equal(b.do("POST", "whole", "", testResumes+": begun").status, http.StatusOK) // the client holds no event of it
+	is.Equal(a.last().request.Header.Get(testAfter), "")
+}
+
+// A stream that began before the route led to the service was begun by another service.
+func TestAStreamOfARouteThatLedElsewhereIsNotTakenUpAtTheOnlyVersion(t *testing.T) {
+	to := func(services ...string) []catalog.Split {
+		var splits []catalog.Split
+		for _, service := range services {
+			splits = append(splits, catalog.Split{Service: service, Weight: 1})
+		}
+		return splits
+	}
+	for _, c := range []struct {
+		name   string
+		before []catalog.Split
+		age    time.Duration
+		goesOn bool
+	}{
+		{"to another service until now", to("t"), 0, false},
+		{"also to another service until now", to("s", "t"), 0, false},
+		{"to another service until lately", to("t"), routeSettleTime - time.Second, false},
+		{"to another service long ago", to("t"), routeSettleTime, true},
+		{"to the same service with another weight", []catalog.Split{{Service: "s", Weight: 7}}, 0, true},
+		{"there was no such route", nil, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a := versionedReplica(t, "a", "v1", streaming(4))
+			r := resumable(1)
+			r.Splits = c.before
+			if c.before == nil {
+				r.Name, r.Splits = "q", to("s")
+			}
+			b, _ := newOriginBench(t, r, a)
+			b.soleFor(2*resume.SettleTime, "v1")
+			if c.before == nil {
+				delete(b.fleet.routes, "r")
+			}
+			b.agreeOn("v1")
+			b.handler.SetTable(catalog.NewTable(catalog.Document{Version: 2, Routes: []catalog.Route{resumable(1)}, Services: testServices()}))
+			target := b.fleet.routes["r"]
+			target.since = target.since.Add(-c.age)
+			b.fleet.routes["r"] = target
+			got := b.do("POST", "back", "", testResumes+": begun", testAfter+": 2")
+			is.Equal(got.status == http.StatusOK, c.goesOn)
+			is.Equal(got.status == http.StatusServiceUnavailable, !c.goesOn)
+			is.Equal(a.count() == 1, c.goesOn)
+		})
+	}
+}
+
+// The copy of a run is sent to an address, at which a later start with other software may have taken it. A gateway that
+// hears nothing takes that start for the one on the list.
+func TestARunGoesOnFromItsCopyOnlyAtAStartThatIsConfirmed(t *testing.T) {
+	for _, runningMS := range []int64{5, 6} {
+		t.Run(fmt.Sprint("running start ", runningMS), func(t *testing.T) {
+			is := is.New(t)
+			var s *crashSite
+			s = newCrashSite(t, func(a arrival, r *fakeReplica) bool {
+				s.other().startedMS = runningMS
+				_ = r.listener.Close()
+				return false
+			})
+			s.fleet.SetReplicas(registry.Changes{Removed: []string{"x", "y"}})
+			for _, r := range s.replicas {
+				r.startedMS = 5
+				id := registry.Incarnation{Name: r.id, StartedMS: 5}.ID()
+				s.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: id, Name: r.id, StartedMS: 5, Service: "s", Address: r.listener.Addr().String(), Zone: "z", SoftwareVersion: "v1", Slots: 4, Models: []registry.Held{{Name: "m"}}}}}})
+			}
+			got := s.ask()
+			is.Equal(got.err == nil && len(events(got.body)) == 4, runningMS == 5)
+			is.Equal(s.other().count() == 1, runningMS == 5)
+		})
+	}
+}
