--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/dispatch"
 	"github.com/moorspool/moorspool/src/event"
@@ -40,8 +37,6 @@
 	// configuration yet. After a power loss control nodes start about 0.3 s later than gateways,
 	// and a refused client would certainly be late.
 	maxConfigWait = 300 * time.Millisecond
-	// bodyTimeout limits the time for reading a request body.
-	bodyTimeout = 10 * time.Second
 )
 
 // Options configure a handler.
@@ -130,6 +125,7 @@
 func (h *Handler) SetTable(t *catalog.Table) {
 	h.options.Fleet.setColdRates(t)
 	h.options.Fleet.setSmallBatches(t)
+	h.options.Fleet.setRoutes(t)
 	h.table.Store(t)
 	h.configure.Do(func() { close(h.configured) })
 }
@@ -213,6 +209,10 @@
 	// retainedPending is the part of retained that is the incomplete event of the stream.
 	retainedPending int64
 	startedAt       time.Time
+	// receivedAt is when the last byte of the body was read, the zero time before.
+	receivedAt time.Time
+	// sentAt is when the request was last sent to a replica or another gateway, the zero time before.
+	sentAt time.Time
 	// deadline is when the client must have its response.
 	deadline time.Time
 	tried    []*Peer
@@ -230,8 +230,8 @@
 	// forwarded is set if another gateway forwarded the request, notForwardable if none takes it.
 	forwarded      bool
 	notForwardable bool
-	// counted is set once the budget of repeats counts the request.
-	counted bool
+	// countedAt is when the retry budget counted the request, the zero time if it does not count it.
+	countedAt time.Time
 	// connectionBroke is set if the connection of the last attempt broke.
 	connectionBroke bool
 	// brokenBy is the error that ended the last attempt's stream, nil if there is none.
@@ -295,24 +295,15 @@
 	if forwarded && !c.beginForwarded() {
 		return
 	}
-	c.route = table.RouteFor(r.Host, r.URL.EscapedPath())
-	if c.route == nil {
-		c.refuseUnknownRoute()
-		return
-	}
-	c.table = table
-	c.selectService(c.route.Pick(rand.Float64()))
-	c.requestInfo = h.options.Codec.RequestInfo(r)
-	c.deadline = c.startedAt.Add(c.timeLimit())
-	if !c.identify(table) || !c.readBody(table.Document().Limits.BodyBytes) || !c.resolveOrigin() || c.refusedByStop() {
+	if !c.applyTable(table) || !c.readBody(bodyLimit(table)) || !c.followTable() || !c.resolveOrigin() || c.refusedByStop() {
 		return
 	}
 	if c.forwardOnArrival() {
 		return
 	}
 	if c.possibleArrivals == 0 {
-		h.budgets.get(c.service).Request(c.startedAt)
-		c.counted = true
+		c.countedAt = h.options.Now()
+		h.budgets.get(c.service).Request(c.countedAt)
 	}
 	defer c.returnGrant()
 	// The slot must be released however the request ends.
@@ -328,6 +319,40 @@
 	c.run()
 }
 
+// applyTable applies a configuration to the request: its route, service, time limit and client account. It
+// responds to the client and returns false if the configuration does not allow the request.
+func (c *call) applyTable(table *catalog.Table) bool {
+	c.version = table.Version()
+	c.route = table.RouteFor(c.request.Host, c.request.URL.EscapedPath())
+	if c.route == nil {
+		c.refuseUnknownRoute()
+		return false
+	}
+	c.table = table
+	c.selectService(c.route.Pick(rand.Float64()))
+	c.requestInfo = c.handler.options.Codec.RequestInfo(c.request)
+	c.deadline = c.startedAt.Add(c.timeLimit())
+	return c.identify(table)
+}
+
+// followTable applies the active configuration if it is another one than at the head of the request: the body
+// may have taken seconds, and a request counts as sent with its last byte. It responds to the client and returns
+// false if the configuration does not allow the request.
+func (c *call) followTable() bool {
+	table := c.handler.table.Load()
+	if table == c.table {
+		return true
+	}
+	if !c.applyTable(table) {
+		return false
+	}
+	if len(c.body) > bodyLimit(table) {
+		c.refuseTooLarge()
+		return false
+	}
+	return true
+}
+
 // selectService makes a service the one of the request.
 func (c *call) selectService(name string) {
 	c.service, c.engine, c.tokensPerEvent, c.supportsBackups = name, nil, 0, false
@@ -381,31 +406,6 @@
 	return timeLimit
 }
 
-func (c *call) readBody(limit int) bool {
-	if limit <= 0 {
-		limit = 4 << 20
-	}
-	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(c.startedAt.Add(bodyTimeout))
-	body, err := io.ReadAll(&retainingReader{call: c, from: http.MaxBytesReader(c.writer, c.request.Body, int64(limit))})
-	if errors.Is(err, errRetentionFull) {
-		c.refuse(http.StatusServiceUnavailable, err.Error())
-		return false
-	}
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
-			return false
-		}
-		c.refuse(http.StatusBadRequest, "the body could not be read: "+err.Error())
-		return false
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	c.body = body
-	return true
-}
-
 // run makes attempts until the request has a response.
 func (c *call) run() {
 	ctx, cancel := c.runContext()
@@ -416,6 +416,10 @@
 	var lastError *errorResponse
 	choice, chosen := Choice{}, false
 	for {
+		if c.refusedByStop() {
+			c.release(dispatch.Full)
+			return
+		}
 		if !chosen && c.next == nil && c.mustForward() {
 			if ended, taken := c.forward(ctx); taken {
 				if ended == answered {
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -32,9 +32,13 @@
 const (
 	// stopMargin is the part of the stop limit that is left for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// answerWait is the part of stopMargin that handlers have to answer and log what was cut off.
+	answerWait = 200 * time.Millisecond
 	// stopWaitShare is the part of the rest of the stop limit for which requests that have not been sent
 	// may go on waiting. What is sent then has the other part to be completed.
 	stopWaitShare = 1.0 / 3
+	// signalDelay is how long before a busy process learns of it the signal to stop may have been sent.
+	signalDelay = 250 * time.Millisecond
 	// demandInterval is the interval of demand reports.
 	demandInterval = 500 * time.Millisecond
 	// demandBatchDelay is how long a report of missing copies waits for further ones.
@@ -133,7 +137,7 @@
 		Slots:   exchange.Slots{Request: g.requestSlot, Release: g.releaseSlot},
 		Places:  exchange.Places{Request: g.requestPlace, Release: g.releasePlace},
 		Permits: exchange.Permits{Request: g.askPermit},
-		Origins: exchange.Origins{Store: g.storeOrigin, Withdraw: g.withdrawOrigin, Find: g.findOrigin},
+		Origins: exchange.Origins{Store: g.storeOrigin, Withdraw: g.withdrawOrigin, Find: g.findOrigin, SoleVersion: g.soleVersion},
 		Tracker: g.tracker,
 		Demand:  g.demand,
 		Ring:    proc.Ring(),
@@ -349,7 +353,7 @@
 	g.proc.SetLeaving()
 	g.notifyPeerState(context.Background())
 	lag := min(g.settings.BalancerLag.Std(), limit/2)
-	g.handler.RefuseBeyond(began.Add(lag), began.Add(limit))
+	g.handler.RefuseBeyond(sendMark(began, lag), began.Add(limit))
 	time.Sleep(time.Until(began.Add(lag)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
 	defer cancel()
@@ -358,10 +362,14 @@
 	time.Sleep(min(time.Until(began.Add(peerListLag)), time.Until(began.Add(limit))))
 	_ = forwarded.stop(ctx)
 	g.handler.CutOff()
-	clients.await()
-	forwarded.await()
-	clients.close()
-	forwarded.close()
+	awaitServers(answerWait, clients, forwarded)
+	closeServers(clients, forwarded)
+}
+
+// sendMark returns from when on a gateway that stops sends nothing that may outlast it: clients may still send for
+// the lag, which their operator counts from the signal.
+func sendMark(learned time.Time, lag time.Duration) time.Time {
+	return learned.Add(max(lag-signalDelay, 0))
 }
 
 // limitMemory sets the Go memory limit well below the memory of the process.
