Soak: a gateway that stands still while replicas of another version join

--measure stale-gateway plays the report: 135 s with one software version, half of the streams break off and are taken up at the next gateway, with and without the attempt's name; then a gateway and its zone's control node stand still for 0.5 s while four of eight replicas are replaced by ones of a second version, and the other control nodes for 1.5 s afterwards.

--- a/soak/measure.go
+++ b/soak/measure.go
@@ -66,6 +66,7 @@
 	"rejoined":       measureRejoined(rejoinedLoss{}),
 	"rejoined-all":   measureRejoined(rejoinedLoss{controls: true}),
 	"rejoined-crash": measureRejoined(rejoinedLoss{controls: true, crash: true}),
+	"stale-gateway":  measureStale,
 	"rest-all":       measureBackoff(1),
 	"leaving":        measureLeaving,
 	"restarts":       func(ctx context.Context, r *replicas, _ *clients) { r.restartAll(ctx) },
@@ -99,6 +100,10 @@
 	if strings.HasPrefix(o.Measure, "rejoined") {
 		duration = rejoinedDuration
 	}
+	plan := replicaPlan{count: measureReplicas, slots: replicaSlots, backlog: defaultBacklog}
+	if o.Measure == "stale-gateway" {
+		duration, plan.software, plan.breakOff = staleDuration, "v1", staleBrokenPercent
+	}
 	if o.Measure == "slow-disk" {
 		duration = slowDiskDuration
 	}
@@ -114,7 +119,7 @@
 	defer in.shutDown()
 	go in.shutDownOnSignal()
 	check := newChecker()
-	r, err := newReplicas(in, check, newZoneDrains(), replicaPlan{count: measureReplicas, slots: replicaSlots, backlog: defaultBacklog})
+	r, err := newReplicas(in, check, newZoneDrains(), plan)
 	if err != nil {
 		return err
 	}
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -64,6 +64,8 @@
 	backlog int
 	// software is the version that all starts run, "" to draw it at each start.
 	software string
+	// breakOff is the share of streams in percent that break off, 0 for breakOffPercent.
+	breakOff int
 	// handler answers requests in place of replicas.answer, unless it is nil.
 	handler func(rep *replica, w http.ResponseWriter, request *http.Request)
 }
@@ -288,7 +290,7 @@
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	brokenAfter := streamEvents
-	if rand.IntN(100) < breakOffPercent {
+	if rand.IntN(100) < r.plan.brokenPercent() {
 		brokenAfter = after + 1 + rand.IntN(streamEvents)
 	}
 	for n := after + 1; n <= streamEvents; n++ {
