--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -179,7 +179,7 @@
 			a.body = string(body)
 		}
 		if request.URL.Path == testReport {
-			a.answer(200, strconv.FormatInt(f.startedMS, 10))
+			a.answer(200, strconv.FormatInt(f.reportedStart(), 10))
 			continue
 		}
 		if only := request.Header.Get(testOnly); only != "" && only != f.id {
@@ -199,6 +199,19 @@
 	}
 }
 
+// setStart changes the start that the replica's report tells.
+func (f *fakeReplica) setStart(startedMS int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.startedMS = startedMS
+}
+
+func (f *fakeReplica) reportedStart() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.startedMS
+}
+
 // setAct changes the behaviour of the replica.
 func (f *fakeReplica) setAct(act behaviour) {
 	f.mu.Lock()
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -436,7 +436,7 @@
 
 // startedReplica lists a replica that reports its start, which its process may not be any more.
 func (b *bench) startedReplica(f *fakeReplica, listedMS, runningMS int64) {
-	f.startedMS = runningMS
+	f.setStart(runningMS)
 	id := registry.Incarnation{Name: f.id, StartedMS: listedMS}.ID()
 	b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: id, Name: f.id, StartedMS: listedMS, Service: "s", Address: f.listener.Addr().String(), Zone: "z", SoftwareVersion: f.software, Slots: 4}}}})
 }
@@ -617,13 +617,13 @@
 			is := is.New(t)
 			var s *crashSite
 			s = newCrashSite(t, func(a arrival, r *fakeReplica) bool {
-				s.other().startedMS = runningMS
+				s.other().setStart(runningMS)
 				_ = r.listener.Close()
 				return false
 			})
 			s.fleet.SetReplicas(registry.Changes{Removed: []string{"x", "y"}})
 			for _, r := range s.replicas {
-				r.startedMS = 5
+				r.setStart(5)
 				id := registry.Incarnation{Name: r.id, StartedMS: 5}.ID()
 				s.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: id, Name: r.id, StartedMS: 5, Service: "s", Address: r.listener.Addr().String(), Zone: "z", SoftwareVersion: "v1", Slots: 4, Models: []registry.Held{{Name: "m"}}}}}})
 			}
