A body that still comes at the deadline is refused then, with 408

Seen by callers: a request whose body took longer than its time was answered only once all of it had arrived, up to 10 s after its head and long after timeout_ms; one that took longer than 10 s was answered 400, after which clients send nothing again, although the request was proper. Cause: the read of the body was limited by 10 s alone, and each failed read was taken for a wrong request. Evidence: TestABodyThatStillComesAtTheDeadlineIsRefused had no answer 0.4 s after the deadline, with a length and in chunks. TestABodyThatIsNotReadInTimeIsNoWrongRequest came with the change (it was 400 by the code). Why it holds: after the deadline such a request was refused unsent anyway, so no answer is lost; 408 says that it has not run. The rest of the body is read up to the 10 s as before, so that the answer is not overtaken by a reset.

--- a/src/exchange/body.go
+++ b/src/exchange/body.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,16 +30,16 @@
 
 func (c *call) refuseTooLarge() { c.refuse(http.StatusRequestEntityTooLarge, "the body is too large") }
 
-// readBody reads the body of the request. It returns false if it has responded to the client: a stopping gateway
-// does so while a body still comes that it could not send on any more.
+// readBody reads the body of the request. It returns false if it has responded to the client: it does so while a
+// body still comes that can't be sent on in time.
 func (c *call) readBody(limit int) bool {
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(c.startedAt.Add(bodyTimeout))
-	awaitRefusal := c.refuseAtMark()
+	endRefusal := c.refuseUnread(c.handler.options.Now())
 	// Without the writer, since the response may be written meanwhile.
 	limited := http.MaxBytesReader(nil, c.request.Body, int64(limit))
 	body, err := io.ReadAll(&retainingReader{call: c, from: limited})
-	if awaitRefusal() {
+	if endRefusal() {
 		// Unread bytes would make the kernel reset the connection, which may overtake the response.
 		_, _ = io.Copy(io.Discard, c.request.Body)
 		return false
@@ -51,21 +53,43 @@
 	return true
 }
 
-// refuseAtMark makes refusedByStop be asked at the mark of a stop, or now if it has passed. The function that it
-// returns ends that and reports whether the request was refused.
-func (c *call) refuseAtMark() func() bool {
+// refuseUnread makes the request be refused while its body still comes: once its time is over, and by refusedByStop
+// at the mark of a stop, or now if that has passed. The function that it returns ends that and reports whether the
+// request was refused.
+func (c *call) refuseUnread(now time.Time) func() bool {
 	if c.request.ContentLength == 0 {
 		return func() bool { return false }
 	}
-	refused := make(chan bool, 1)
-	end := context.AfterFunc(c.handler.stop.marked, func() {
-		isRefused := c.refusedByStop()
-		if isRefused {
-			_ = http.NewResponseController(c.writer).Flush()
+	var (
+		mu             sync.Mutex
+		ended, refused bool
+	)
+	attempt := func(refuse func() bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		if ended || refused || !refuse() {
+			return
 		}
-		refused <- isRefused
-	})
-	return func() bool { return !end() && <-refused }
+		refused = true
+		_ = http.NewResponseController(c.writer).Flush()
+	}
+	endMark := context.AfterFunc(c.handler.stop.marked, func() { attempt(c.refusedByStop) })
+	due := time.AfterFunc(c.deadline.Add(-responseMargin).Sub(now), func() { attempt(c.refuseLateBody) })
+	return func() bool {
+		endMark()
+		due.Stop()
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+		return refused
+	}
+}
+
+// refuseLateBody refuses a request whose body takes too long.
+func (c *call) refuseLateBody() bool {
+	c.writer.Header().Set("Connection", "close")
+	c.refuse(http.StatusRequestTimeout, "the body was not complete in time")
+	return true
 }
 
 // refuseBody refuses a request whose body could not be read.
@@ -77,6 +101,8 @@
 	case errors.As(err, &tooLarge):
 		c.writer.Header().Set("Connection", "close")
 		c.refuseTooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.refuseLateBody()
 	default:
 		c.refuse(http.StatusBadRequest, "the body could not be read: "+err.Error())
 	}
--- a/src/exchange/times_test.go
+++ b/src/exchange/times_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -306,3 +308,45 @@
 		})
 	}
 }
+
+// TestABodyThatStillComesAtTheDeadlineIsRefused: its client was answered once it had sent all of it, seconds later, or
+// with 400 after the longest time for a body, as if the request were wrong.
+func TestABodyThatStillComesAtTheDeadlineIsRefused(t *testing.T) {
+	for name, length := range bodyLengths {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newReplica(t, "x", whole)
+			b := newBench(t, route(catalog.Unsafe, 1), x)
+			began := time.Now()
+			s := b.begin(length, "one", testDeadline+": 600")
+			select {
+			case got := <-s.answers:
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusRequestTimeout)
+				is.True(got.closes)
+				is.True(time.Since(began) < 600*time.Millisecond)
+			case <-time.After(time.Second):
+				t.Error("the client has no answer")
+			}
+			s.end()
+			b.awaitHandlers()
+			is.Equal(x.count(), 0)
+		})
+	}
+}
+
+// TestABodyThatIsNotReadInTimeIsNoWrongRequest: 400 tells clients not to send the request again.
+func TestABodyThatIsNotReadInTimeIsNoWrongRequest(t *testing.T) {
+	is := is.New(t)
+	for err, status := range map[error]int{
+		fmt.Errorf("read: %w", os.ErrDeadlineExceeded): http.StatusRequestTimeout,
+		io.ErrUnexpectedEOF:                            http.StatusBadRequest,
+	} {
+		b := newBench(t, route(catalog.Unsafe, 1))
+		response := httptest.NewRecorder()
+		c := &call{handler: b.handler, writer: response, request: httptest.NewRequest("POST", "/p/x", nil)}
+		c.refuseBody(err)
+		is.Equal(response.Code, status)
+	}
+}
