--- a/src/exchange/body.go
+++ b/src/exchange/body.go
@@ -16,8 +16,8 @@
 const (
 	// bodyTimeout limits the time for reading a request body.
 	bodyTimeout = 10 * time.Second
-	// defaultBodyBytes is the largest request body if the configuration sets no limit.
-	defaultBodyBytes = 4 << 20
+	// defaultBodyLimit is the maximum length in bytes of a request body if the configuration sets none.
+	defaultBodyLimit = 4 << 20
 )
 
 // bodyLimit returns the maximum length of a request body.
@@ -25,11 +25,9 @@
 	if limit := table.Document().Limits.BodyBytes; limit > 0 {
 		return limit
 	}
-	return defaultBodyBytes
+	return defaultBodyLimit
 }
 
-func (c *call) refuseTooLarge() { c.refuse(http.StatusRequestEntityTooLarge, "the body is too large") }
-
 // readBody reads the body of the request. It returns false if it has responded to the client: it does so while a
 // body still comes that can't be sent on in time.
 func (c *call) readBody(limit int) bool {
@@ -40,8 +38,6 @@
 	limited := http.MaxBytesReader(nil, c.request.Body, int64(limit))
 	body, err := io.ReadAll(&retainingReader{call: c, from: limited})
 	if endRefusal() {
-		// Unread bytes would make the kernel reset the connection, which may overtake the response.
-		_, _ = io.Copy(io.Discard, c.request.Body)
 		return false
 	}
 	if err != nil {
@@ -107,3 +103,5 @@
 		c.refuse(http.StatusBadRequest, "the body could not be read: "+err.Error())
 	}
 }
+
+func (c *call) refuseTooLarge() { c.refuse(http.StatusRequestEntityTooLarge, "the body is too large") }
--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -16,6 +16,9 @@
 	originFindTimeout = 200 * time.Millisecond
 	// originWithdrawTimeout bounds the withdrawal of a record, before which the client must not be back.
 	originWithdrawTimeout = 150 * time.Millisecond
+	// routeSettleTime is how long a route must have led to one service only, for that one to have begun all its
+	// streams that still last. A gateway that is cut off leads requests by an earlier configuration meanwhile.
+	routeSettleTime = 2 * resume.Retention
 	// originRenewal is how often the record of a stream in progress is renewed.
 	originRenewal = resume.Retention / 3
 )
@@ -26,8 +29,20 @@
 	Store func(key resume.Key, origin resume.Origin)
 	// Withdraw makes the origin of a stream unknown to all gateways, and waits until they can know.
 	Withdraw func(ctx context.Context, key resume.Key)
-	// Find finds the origin of a stream, and returns false if it is not known.
+	// Find finds the record of a stream, and returns false if there is none. The origin in it is not known if it was
+	// withdrawn.
 	Find func(ctx context.Context, key resume.Key) (resume.Finding, bool)
+	// SoleVersion asks all control nodes for the only software version of a service, and returns false unless
+	// each of them answers. It is nil if there are none.
+	SoleVersion func(ctx context.Context, service string) (SoleVersion, bool)
+}
+
+// SoleVersion is what all control nodes knew of a service after they were asked.
+type SoleVersion struct {
+	// SoftwareVersion is the only one for resume.SettleTime, "" if there is none.
+	SoftwareVersion string
+	// Config is the newest version of the configuration that any of them has applied.
+	Config uint64
 }
 
 // streamOrigin is what a call knows of the origin of its stream.
@@ -84,22 +99,39 @@
 // findOrigin binds the stream to the origin that is recorded for the attempt that the client named. A
 // service with a single version needs no record.
 func (c *call) findOrigin() {
-	h := c.handler
-	if find := h.options.Origins.Find; find != nil && c.requestInfo.Resumes != "" {
-		ctx, cancel := context.WithTimeout(c.request.Context(), originFindTimeout)
-		defer cancel()
+	ctx, cancel := context.WithTimeout(c.request.Context(), originFindTimeout)
+	defer cancel()
+	if find := c.handler.options.Origins.Find; find != nil && c.requestInfo.Resumes != "" {
 		if finding, found := find(ctx, c.attemptKey(c.requestInfo.Resumes)); found {
-			c.bindFinding(finding)
+			if finding.Origin.Known() || c.requestInfo.ResumeAfter != "" {
+				c.bindFinding(finding)
+			}
 			return
 		}
 	}
-	if len(c.route.Splits) != 1 || c.route.Timeout > resume.Retention || !c.configConfirmed() {
-		return
+	if finding, found := c.soleOrigin(ctx); found {
+		c.bindFinding(finding)
 	}
-	if version, age, sole := h.options.Fleet.soleVersion(h.options.Now(), c.service); sole {
-		origin := resume.Origin{Service: c.service, SoftwareVersion: version}
-		c.bindFinding(resume.Finding{Origin: origin, Evidence: resume.SoleVersion, Age: age})
+}
+
+// soleOrigin returns the origin of the stream if only one can have begun it. A stream may have begun and broken
+// off at another gateway just before the request arrived, so what this gateway was told is not enough: all control
+// nodes are asked, since a gateway learns of each replica and configuration from one of them.
+func (c *call) soleOrigin(ctx context.Context) (resume.Finding, bool) {
+	h := c.handler
+	ask := h.options.Origins.SoleVersion
+	if ask == nil || c.route.Timeout > resume.Retention || !c.configConfirmed() || !h.options.Fleet.leadsOnlyTo(h.options.Now(), c.route, c.service) {
+		return resume.Finding{}, false
+	}
+	version, age, sole := h.options.Fleet.soleVersion(h.options.Now(), c.service)
+	if !sole {
+		return resume.Finding{}, false
+	}
+	told, known := ask(ctx, c.service)
+	if !known || told.SoftwareVersion != version || told.Config > c.version {
+		return resume.Finding{}, false
 	}
+	return resume.Finding{Origin: resume.Origin{Service: c.service, SoftwareVersion: version}, Evidence: resume.SoleVersion, Age: age}, true
 }
 
 // bindFinding binds the stream to an origin that was found, as of the time of the evidence.
@@ -219,6 +251,38 @@
 	return census.Sole(now)
 }
 
+// routeTarget is the only service of a route, "" if it leads to several, and since when.
+type routeTarget struct {
+	service string
+	since   time.Time
+}
+
+// setRoutes records where the routes of a configuration lead.
+func (f *Fleet) setRoutes(t *catalog.Table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	targets := map[string]routeTarget{}
+	for _, route := range t.Document().Routes {
+		target := routeTarget{since: f.now()}
+		if len(route.Splits) == 1 {
+			target.service = route.Splits[0].Service
+		}
+		if known, found := f.routes[route.Name]; found && known.service == target.service {
+			target = known
+		}
+		targets[route.Name] = target
+	}
+	f.routes = targets
+}
+
+// leadsOnlyTo reports whether a route has led to a service only for routeSettleTime.
+func (f *Fleet) leadsOnlyTo(now time.Time, route *catalog.Route, service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	target, known := f.routes[route.Name]
+	return known && target.service == service && len(route.Splits) == 1 && now.Sub(target.since) >= routeSettleTime
+}
+
 // countVersion counts a listed replica by its software version; the lock is held.
 func (f *Fleet) countVersion(peer *Peer) {
 	version := peer.softwareVersion()
