Stop: the steps of a gateway's stop in one place, with tests

Operators saw nothing; a review had removed single steps of the stop and no test noticed it. While looking: a control node that stands still with a full connection held the stop up, for 3 s each, before requests that can't be completed were refused.

Cause: the steps had no seam; the news that the gateway leaves was written in line, to one control node after the other, with a time limit of 3 s for each.

Change: the steps are fields, run in stop.go; the order is not ready, responses close, refusals beyond the limit, then the news, in the background.

--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -30,13 +30,6 @@
 
 // The timing and memory of a gateway.
 const (
-	// stopMargin is the part of the stop limit that is left for the end of the process.
-	stopMargin = 500 * time.Millisecond
-	// answerWait is the part of stopMargin that handlers have to answer and log what was cut off.
-	answerWait = 200 * time.Millisecond
-	// stopWaitShare is the part of the rest of the stop limit for which requests that have not been sent
-	// may go on waiting. What is sent then has the other part to be completed.
-	stopWaitShare = 1.0 / 3
 	// demandInterval is the interval of demand reports.
 	demandInterval = 500 * time.Millisecond
 	// demandBatchDelay is how long a report of missing copies waits for further ones.
@@ -199,7 +192,7 @@
 		}
 		break
 	}
-	g.stop(clients, forwarded)
+	g.stopSteps(clients, forwarded).run(time.Now(), g.settings.BalancerLag.Std(), g.settings.StopLimit.Std()-stopMargin)
 	return nil
 }
 
@@ -340,30 +333,6 @@
 	g.proc.Ring().Add(event.Event{Kind: event.SettingsReloaded})
 }
 
-// stop shuts a gateway down: it fails the readiness check and waits for the load balancer, then
-// closes the listener and completes the requests in progress.
-func (g *gateway) stop(clients *server, forwarded *server) {
-	began := time.Now()
-	limit := g.settings.StopLimit.Std() - stopMargin
-	g.stopping.Store(true)
-	g.handler.Stop()
-	time.AfterFunc(time.Duration(float64(limit)*stopWaitShare), g.handler.EndWaits)
-	g.proc.SetLeaving()
-	g.notifyPeerState(context.Background())
-	lag := min(g.settings.BalancerLag.Std(), limit/2)
-	g.handler.RefuseBeyond(began.Add(lag), began.Add(limit))
-	time.Sleep(time.Until(began.Add(lag)))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
-	defer cancel()
-	_ = clients.stop(ctx)
-	// Until others know that this gateway leaves, they get an answer that says so.
-	time.Sleep(min(time.Until(began.Add(peerListLag)), time.Until(began.Add(limit))))
-	_ = forwarded.stop(ctx)
-	g.handler.CutOff()
-	awaitServers(answerWait, clients, forwarded)
-	closeServers(clients, forwarded)
-}
-
 // limitMemory sets the Go memory limit well below the memory of the process.
 func limitMemory(megabytes int) {
 	if megabytes > 0 {
--- /dev/null
+++ b/src/fleet/stop_test.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/clock"
+	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/exchange"
+	"github.com/moorspool/moorspool/src/option"
+	"github.com/moorspool/moorspool/src/process"
+	"github.com/moorspool/moorspool/src/wire"
+)
+
+// stopRecord records the steps of a stop with their times.
+type stopRecord struct {
+	began time.Time
+	mu    sync.Mutex
+	steps []string
+}
+
+func (r *stopRecord) add(format string, values ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.steps = append(r.steps, fmt.Sprintf("%v ", time.Since(r.began))+fmt.Sprintf(format, values...))
+}
+
+func (r *stopRecord) Stop()     { r.add("responses close") }
+func (r *stopRecord) EndWaits() { r.add("waits end") }
+func (r *stopRecord) CutOff()   { r.add("cut off") }
+func (r *stopRecord) RefuseBeyond(from, end time.Time) {
+	r.add("refuse from %v to %v", from.Sub(r.began), end.Sub(r.began))
+}
+
+// recordedServer is a server that stops when its last request ends.
+type recordedServer struct {
+	name   string
+	record *stopRecord
+	ends   time.Duration
+}
+
+func (s recordedServer) stop(ctx context.Context) error {
+	deadline, _ := ctx.Deadline()
+	s.record.add("stop %s until %v", s.name, deadline.Sub(s.record.began))
+	select {
+	case <-time.After(time.Until(s.record.began.Add(s.ends))):
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
+// TestTheStepsOfAStop: each of them was once removed without a test that noticed it.
+func TestTheStepsOfAStop(t *testing.T) {
+	const (
+		first = "0s not ready; 0s responses close; 0s refuse from 3s to 7.5s; 0s told; "
+		limit = 7500 * time.Millisecond
+	)
+	for _, c := range []struct {
+		name string
+		// delay is the time from the signal to the stop.
+		delay, lag time.Duration
+		// clients and forwarded are when the last requests end.
+		clients, forwarded time.Duration
+		want               string
+	}{
+		{"nothing runs", 0, 3 * time.Second, 0, 0, first +
+			"2.5s waits end; 3s stop clients until 7.5s; 3s stop forwarded until 7.5s; 3s cut off; 3s end"},
+		{"the last requests end", 0, 3 * time.Second, 4 * time.Second, 5 * time.Second, first +
+			"2.5s waits end; 3s stop clients until 7.5s; 4s stop forwarded until 7.5s; 5s cut off; 5s end"},
+		{"requests of clients run at the limit", 0, 3 * time.Second, time.Hour, 0, first +
+			"2.5s waits end; 3s stop clients until 7.5s; 7.5s stop forwarded until 7.5s; 7.5s cut off; 7.5s end"},
+		{"forwarded requests run at the limit", 0, 3 * time.Second, 0, time.Hour, first +
+			"2.5s waits end; 3s stop clients until 7.5s; 3s stop forwarded until 7.5s; 7.5s cut off; 7.5s end"},
+		{"a fast load balancer", 0, time.Millisecond, 0, 0, strings.ReplaceAll(first, "from 3s", "from 1ms") +
+			"1ms stop clients until 7.5s; 1.2s stop forwarded until 7.5s; 1.2s cut off; 1.2s end"},
+		{"a load balancer that is slower than the stop", 0, time.Hour, 0, 0, strings.ReplaceAll(first, "from 3s", "from 3.75s") +
+			"2.5s waits end; 3.75s stop clients until 7.5s; 3.75s stop forwarded until 7.5s; 3.75s cut off; 3.75s end"},
+		{"begun late", time.Second, 3 * time.Second, time.Hour, 0, strings.ReplaceAll(first, "0s ", "1s ") +
+			"2.5s waits end; 3s stop clients until 7.5s; 7.5s stop forwarded until 7.5s; 7.5s cut off; 7.5s end"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				record := &stopRecord{began: time.Now()}
+				time.Sleep(c.delay)
+				var told sync.WaitGroup
+				told.Add(1)
+				stopSteps{
+					notReady: func() { record.add("not ready") },
+					requests: record,
+					tellLeaving: func(ctx context.Context) {
+						defer told.Done()
+						record.add("told")
+						<-ctx.Done() // as a control node that stands still
+					},
+					clients:   recordedServer{"clients", record, c.clients},
+					forwarded: recordedServer{"forwarded", record, c.forwarded},
+					end:       func() { record.add("end") },
+				}.run(record.began, c.lag, limit)
+				told.Wait()
+				is.Equal(strings.Join(record.steps, "; "), c.want)
+			})
+		})
+	}
+}
+
+// TestTheStepsOfAStopActOnTheGateway: a step that does nothing, or acts on the other server, has the right time too.
+func TestTheStepsOfAStopActOnTheGateway(t *testing.T) {
+	is := is.New(t)
+	settings := option.Common{Node: "g", Events: 16}
+	settings.Log.Level = "error"
+	proc, err := process.New("gateway", settings, func(*wire.Status) {})
+	is.NoErr(err)
+	defer proc.CloseLog()
+	ring := event.NewRing("g", 16, nil, time.Now)
+	g := newOriginGateway()
+	g.proc = proc
+	g.fleet = exchange.NewFleet("z", nil, ring, time.Now, clock.Now)
+	g.handler = exchange.NewHandler(exchange.Options{Fleet: g.fleet, Ring: ring, Now: time.Now})
+	listening := func() *server {
+		s, err := listen("127.0.0.1:0", http.NotFoundHandler())
+		is.NoErr(err)
+		return s
+	}
+	clients, forwarded := listening(), listening()
+	steps := g.stopSteps(clients, forwarded)
+	is.True(steps.requests == g.handler)
+	is.True(steps.clients == clients)
+	is.True(steps.forwarded == forwarded)
+	steps.notReady()
+	is.True(g.stopping.Load())
+	is.True(proc.Leaving())
+	steps.tellLeaving(context.Background())
+	is.True(g.peer.get().Leaving)
+	clients.closeWait = stopLimit // so that nothing but answerWait ends the wait for handlers
+	clients.running.Add(1)
+	began := time.Now()
+	time.AfterFunc(2*answerWait, func() { clients.running.Add(-1) })
+	steps.end()
+	is.True(time.Since(began) >= 2*answerWait)
+	for _, s := range []*server{clients, forwarded} {
+		_, err := s.listener.Accept()
+		is.True(err != nil)
+	}
+}
