Stop: a busy host drops no connection that waits in the listener

Callers saw: a new connection was reset at the time when a stopping gateway closes its listener, 3 s after the signal; the request on it ran nowhere and no line names it.

Cause: the listener is closed when no connection has come for 2 ms. The wait is a deadline, which the library checks before it looks for a connection: if the goroutine got no processor for 2 ms, connections were there and none was looked for. The kernel resets them with the close.

Evidence: TestAListenerThatLooksLateDropsNoConnection fails without the change.

Change: after the deadline the listener is closed only if poll(2) finds no connection; otherwise the wait begins anew.

Why it holds: the last look is the one before the close now, whenever it comes.

--- a/src/graceful/listener.go
+++ b/src/graceful/listener.go
@@ -6,9 +6,11 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Times of a stop.
@@ -39,6 +41,8 @@
 	*net.TCPListener
 
 	idleAfterWrites bool
+	raw             syscall.RawConn
+	now             func() time.Time
 
 	mu        sync.Mutex
 	conns     map[*Conn]struct{}
@@ -52,7 +56,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listening")
 	}
-	return &Listener{TCPListener: ln.(*net.TCPListener), conns: map[*Conn]struct{}{}, accepting: true}, nil
+	tcp := ln.(*net.TCPListener)
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		_ = ln.Close()
+		return nil, errors.Wrap(err, "listening")
+	}
+	return &Listener{TCPListener: tcp, raw: raw, now: time.Now, conns: map[*Conn]struct{}{}, accepting: true}, nil
 }
 
 // SetIdleAfterWrites makes each write to a connection count as SetIdle. It is for servers that do not read while
@@ -64,6 +74,10 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	l.extendDeadline()
 	tcp, err := l.AcceptTCP()
+	for errors.Is(err, os.ErrDeadlineExceeded) && l.pending() {
+		l.extendDeadline()
+		tcp, err = l.AcceptTCP()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		_ = l.Close()
 		err = net.ErrClosed
@@ -94,10 +108,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stopping {
-		_ = l.SetDeadline(time.Now().Add(acceptWait))
+		_ = l.SetDeadline(l.now().Add(acceptWait))
 	}
 }
 
+// pending reports whether a connection waits to be accepted. On busy processors the deadline can pass before the
+// listener has looked.
+func (l *Listener) pending() bool {
+	found := 0
+	err := l.raw.Control(func(fd uintptr) {
+		for {
+			var err error
+			found, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+			if err != unix.EINTR {
+				return
+			}
+		}
+	})
+	return err == nil && found > 0
+}
+
 // Stop accepts what has connected and closes the listener; then it closes each connection that has no
 // request. It returns once no connection is open, or the context's error. Requests that still come are
 // served: their responses should close the connection.
--- a/src/graceful/listener_test.go
+++ b/src/graceful/listener_test.go
@@ -128,6 +128,34 @@
 	}
 }
 
+// TestAListenerThatLooksLateDropsNoConnection: on busy processors the wait for connections ended before the look for them.
+func TestAListenerThatLooksLateDropsNoConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	looks := 0
+	listener.now = func() time.Time {
+		looks++
+		if looks%2 == 1 {
+			return time.Now().Add(-time.Second) // as before a second without a processor
+		}
+		return time.Now().Add(time.Second)
+	}
+	listener.stopping = true
+	for range 2 {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer client.Close()
+	}
+	for range 2 {
+		conn, err := listener.Accept()
+		is.NoErr(err)
+		defer conn.Close()
+	}
+	_, err = listener.Accept()
+	is.Equal(err, net.ErrClosed)
+}
+
 // TestAnIdleConnectionIsKeptForTheNextRequest: a client sends its next request when it has its answer.
 func TestAnIdleConnectionIsKeptForTheNextRequest(t *testing.T) {
 	is := is.New(t)
