Stop: tests for the waits of servers that end, and for slow readers

Three trials that removed a step went unnoticed: the wait of 200 ms before the servers close, the wait after the close, and the end of calls that are in progress on a closed connection (that test only took longer). Each has a test that fails without the step now. A client that reads slowly gets what its server had given to the kernel, also if it sends on: that fails without the dropping of what comes after a close. No change of the code.

--- a/src/fleet/server_test.go
+++ b/src/fleet/server_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -263,6 +266,80 @@
 	is.Equal(logged.Load(), int64(stopConns))
 }
 
+// TestAServerAwaitsHandlersThatOnlyAClosedConnectionEnds: the process ended before the lines of requests whose clients did
+// not read were written.
+func TestAServerAwaitsHandlersThatOnlyAClosedConnectionEnds(t *testing.T) {
+	is := is.New(t)
+	logged := make(chan struct{})
+	begun := make(chan struct{})
+	server, err := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		_, err := io.Copy(w, endlessAnswer{})
+		if err != nil {
+			time.Sleep(closeWait / 5)
+			close(logged)
+		}
+	}))
+	is.NoErr(err)
+	newKeptConn(t, server.listener.Addr().String()).send(t, stopRequest)
+	<-begun
+	server.close()
+	select {
+	case <-logged:
+	default:
+		t.Error("the handler still runs")
+	}
+}
+
+// endlessAnswer is read without end.
+type endlessAnswer struct{}
+
+func (endlessAnswer) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestWhatASlowClientHasNotReadOutlivesTheServer: a client that read slowly lost the rest of an answer that was in the
+// kernel when the connections were closed, also if it was sending.
+func TestWhatASlowClientHasNotReadOutlivesTheServer(t *testing.T) {
+	const answerBytes = 512 << 10
+	for _, sends := range []bool{false, true} {
+		t.Run(fmt.Sprintf("sends %t", sends), func(t *testing.T) {
+			is := is.New(t)
+			written := make(chan struct{})
+			server, err := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Connection", "close")
+				w.Header().Set("Content-Length", strconv.Itoa(answerBytes))
+				_, _ = io.Copy(w, io.LimitReader(endlessAnswer{}, answerBytes))
+				_ = http.NewResponseController(w).Flush()
+				close(written)
+				<-r.Context().Done()
+			}))
+			is.NoErr(err)
+			conn := newKeptConn(t, server.listener.Addr().String())
+			conn.send(t, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n")
+			if sends {
+				conn.send(t, "pin")
+			} else {
+				conn.send(t, "ping")
+			}
+			<-written
+			if sends {
+				conn.send(t, "g"+strings.Repeat("x", 64<<10))
+			}
+			server.close()
+			response, err := http.ReadResponse(conn.reader, nil)
+			is.NoErr(err)
+			read := 0
+			for buffer := make([]byte, answerBytes/20); err == nil; {
+				var n int
+				n, err = response.Body.Read(buffer)
+				read += n
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(err, io.EOF)
+			is.Equal(read, answerBytes)
+		})
+	}
+}
+
 // TestAServerThatEndsAnswersWhatItCancels: calls that took longer than the handing over of a control node got no
 // answer.
 func TestAServerThatEndsAnswersWhatItCancels(t *testing.T) {
--- a/src/fleet/stop_test.go
+++ b/src/fleet/stop_test.go
@@ -140,12 +140,13 @@
 	is.True(proc.Leaving())
 	steps.tellLeaving(context.Background())
 	is.True(g.peer.get().Leaving)
-	clients.closeWait = stopLimit // so that nothing but answerWait ends the wait for handlers
-	clients.running.Add(1)
+	// A handler runs for a time that only the first wait allows for.
+	clients.closeWait = 0
+	forwarded.running.Add(1)
 	began := time.Now()
-	time.AfterFunc(2*answerWait, func() { clients.running.Add(-1) })
+	time.AfterFunc(answerWait/2, func() { forwarded.running.Add(-1) })
 	steps.end()
-	is.True(time.Since(began) >= 2*answerWait)
+	is.True(time.Since(began) >= answerWait/2)
 	for _, s := range []*server{clients, forwarded} {
 		_, err := s.listener.Accept()
 		is.True(err != nil)
--- a/src/graceful/listener_test.go
+++ b/src/graceful/listener_test.go
@@ -247,9 +247,11 @@
 		written <- err
 	}()
 	time.Sleep(10 * time.Millisecond)
+	began := time.Now()
 	is.NoErr(conn.Close())
 	is.True(<-read != nil)
 	is.True(<-written != nil)
+	is.True(time.Since(began) < dropIdleWait/2)
 	_, err = conn.Read(make([]byte, 1))
 	is.True(err != nil)
 	_, err = io.Copy(io.Discard, client)
