Stop: the process is gone before its limit; what can be under way at it

Cause: the waits at the end of a stop added up to the 500 ms that are left. Change: the end of the process has 150 ms in place of 200, so the waits take 450 ms at most.

--- a/src/fleet/lastlines_test.go
+++ b/src/fleet/lastlines_test.go
@@ -24,7 +24,7 @@
 	// lastAnswer is how long the last handler takes, as on busy processors.
 	lastAnswer = 120 * time.Millisecond
 	// lastLinesWait is how long the end of the process waits for its log.
-	lastLinesWait = 200 * time.Millisecond
+	lastLinesWait = 150 * time.Millisecond
 )
 
 // slowOutput is an output whose writes take a while.
--- a/src/process/process.go
+++ b/src/process/process.go
@@ -26,7 +26,7 @@
 const gcPercent = 40
 
 // closeTimeout limits the end of a process: the end of both listeners, and the writing of the last log lines.
-const closeTimeout = 200 * time.Millisecond
+const closeTimeout = 150 * time.Millisecond
 
 // maxEventWait bounds how long a request waits for events.
 const maxEventWait = 20 * time.Second
