Stop: a client that still sends may pause for two seconds

Callers on busy hosts saw: a broken pipe while sending, with their whole answer there. Seen under the race detector beside load: TestTheEndOfAServerResetsNoClientThatStillSends, clients that send at once paused for more than half a second.

Change: what a client sends after its answer is dropped until it has been silent for 2 s, before 0.5 s; 5 s in all as before. A client that never closes its connection holds it, and a stop, so much longer.

--- a/src/graceful/listener.go
+++ b/src/graceful/listener.go
@@ -28,7 +28,7 @@
 const (
 	dropLimit = 5 * time.Second
 	// dropIdleWait is how long nothing must have come from a client that does not close its connection.
-	dropIdleWait = 500 * time.Millisecond
+	dropIdleWait = 2 * time.Second
 	minDropPause = time.Millisecond
 	maxDropPause = 20 * time.Millisecond
 	dropBytes    = 16 << 10
