An overdue request keeps its first attempt until another one answers

What callers saw: a request that may be repeated, whose first server was silent for a while and sound, got 502 (or 500, or 504) about 1 s after it was sent, when the next server turned it away or it was not allowed to run again.

Cause: once its head was overdue and another server had accepted a connection, the first attempt's connection was closed. Whether the second one was sent, and taken, was only known after that.

Ruled out: both runs to the end, as only what happens up to a head needs to be concurrent; a second goroutine for the second attempt, as the state of a call is then shared. The head of a response is read by a goroutine that touches nothing of the call; all else stays with the call's own.

What an attempt holds (grant, slot, place, count of requests, watch, copy) is its own, and becomes the call's as it ends. A refusal beside another attempt is no answer. A grant knows its account, and is returned and not dropped if the key has moved to another account; a call keeps one at most.

Conclusion: a second attempt that ends without an answer costs the request nothing but its repeat.

--- a/src/exchange/admit.go
+++ b/src/exchange/admit.go
@@ -32,8 +32,9 @@
 
 // grant is the part of the account's limit that was granted to a request and is not used yet.
 type grant struct {
-	units float64
-	until time.Time
+	account string
+	units   float64
+	until   time.Time
 }
 
 // valid reports whether the grant covers a send now.
@@ -92,8 +93,8 @@
 		c.deny(http.StatusUnauthorized, "the key was taken away while the request waited")
 		return false
 	}
-	if account == nil || account.Name != c.account.Name {
-		c.grant = grant{}
+	if account == nil || account.Name != c.grant.account {
+		c.returnGrant()
 	}
 	if account == nil {
 		c.account = nil
@@ -121,7 +122,7 @@
 	defer cancel()
 	verdict := c.handler.options.Admission.Admit(ctx, c.account, units)
 	if verdict.Admission == wire.AdmissionGranted {
-		c.grant = grant{units: units, until: verdict.Until}
+		c.grant = grant{account: c.account.Name, units: units, until: verdict.Until}
 		if c.grant.valid(c.handler.options.Admission.Now()) {
 			return true
 		}
@@ -138,9 +139,12 @@
 }
 
 // deny ends a request that must not be sent. The status tells the client that the request has not
-// run, unless an earlier attempt may have run it.
+// run, unless an earlier attempt may have run it. While another attempt is under way, that one may still answer.
 func (c *call) deny(status int, reason string) {
 	switch {
+	case c.beside:
+		c.denied = true
+		c.reason += "; " + reason
 	case c.stream != nil && c.stream.started:
 		c.early = earlyEnd{cause: causeRefusal, evidence: reason}
 		c.abortResponse(reason)
@@ -173,13 +177,19 @@
 
 // returnGrant gives back the unused grant.
 func (c *call) returnGrant() {
-	if c.account == nil || c.grant.until.IsZero() {
+	if c.grant.until.IsZero() {
 		return
 	}
-	c.handler.options.Admission.Return(c.account.Name, c.grant.units, c.grant.until)
+	c.handler.options.Admission.Return(c.grant.account, c.grant.units, c.grant.until)
 	c.grant = grant{}
 }
 
+// restoreGrant takes back the grant of an attempt that did not run. The call keeps one at most.
+func (c *call) restoreGrant(spent grant) {
+	c.returnGrant()
+	c.grant = spent
+}
+
 // priority returns the priority of the account, or that of the route if the account has none.
 func (c *call) priority() int {
 	if c.account != nil && c.account.Priority != nil {
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -66,8 +66,20 @@
 	return true
 }
 
-// attempt sends the request to a replica.
+// attempt sends the request to a replica and passes its response on.
 func (c *call) attempt(ctx context.Context, choice Choice) (outcome, *errorResponse) {
+	c.settled = choice.Peer
+	sent, ended := c.sendTo(ctx, ctx, choice)
+	if sent == nil {
+		return ended, nil
+	}
+	result := c.settle(ctx, sent)
+	return result.ended, result.failure
+}
+
+// sendTo sends the request to a replica, to which a connection must be established before dialing ends. If nothing
+// was sent it returns nil and the outcome.
+func (c *call) sendTo(ctx, dialing context.Context, choice Choice) (*sentAttempt, outcome) {
 	h := c.handler
 	peer := choice.Peer
 	now := h.options.Now()
@@ -78,28 +90,38 @@
 		c.reason += ", waited " + c.permitWait.String() + " for a permit"
 	}
 	o := c.outgoingRequest(choice, now)
-	attemptCtx, cancelAttempt := context.WithCancel(ctx)
-	defer cancelAttempt()
-	watch := c.watchAttempt(attemptCtx, peer, now, c.headDue(now), c.replicaElsewhere(), cancelAttempt)
-	defer watch.stop()
+	attemptCtx, cancel := context.WithCancel(ctx)
+	s := &sentAttempt{peer: peer, choice: choice, startedAt: now, cancel: cancel, pendingPrefill: choice.PrefillTime, backup: c.backup}
+	s.watch = c.watchAttempt(attemptCtx, peer, now, c.headDue(now), c.elsewhere(s), cancel)
 	peer.startRequest(choice.PrefillTime)
-	defer peer.finishRequest()
-	pendingPrefill := choice.PrefillTime
-	defer func() { peer.read(pendingPrefill) }()
-	spent := c.takeGrant()
+	s.grant = c.takeGrant()
 	h.options.Fleet.Sent(now, peer, c.requestInfo.Model, c.requestInfo.Parts, choice.PrefillTime)
 	c.sends++
+	response, err := send(attemptCtx, dialing, peer.pool, o, c.requestInfo.ID, c.replicaHooks(s, now), choice.connectTimeout(), c.headDeadline(), now)
+	if err != nil {
+		defer s.close()
+		return nil, c.undoSend(ctx, dialing, s, err)
+	}
+	s.response = response
+	s.slot, c.assignedSlot = c.assignedSlot, assignedSlot{}
+	s.place, c.heldPlace = c.heldPlace, heldPlace{}
+	return s, answered
+}
+
+// replicaHooks returns what is called while the request is sent to a replica.
+func (c *call) replicaHooks(s *sentAttempt, now time.Time) sendHooks {
+	h, peer := c.handler, s.peer
 	var sent sentRequest
 	hooks := sendHooks{
 		ready:   c.readyConn(now, peer),
-		sending: c.noteSending,
+		sending: func(raw net.Conn) { c.noteSending(s.watch, raw) },
 		admit: func() bool {
 			sent = sentRequest{sentAt: h.options.Fleet.bootNow(), term: c.sendPermit.term, grant: c.sendPermit.number}
 			return !c.tooLateToSend(h.options.Now()) && c.usePermit(peer) && h.options.Fleet.admit(peer)
 		},
 		read: func(status int, header http.Header) Reply { return c.applyReply(peer, status, header, sent) },
 	}
-	if c.needsStartCheck(choice) {
+	if c.needsStartCheck(s.choice) {
 		hooks.confirm = func(conn *conn) error {
 			err := conn.confirmStart(&h.options.Codec, peer, h.options.Now().Add(startCheckTimeout))
 			if err == nil {
@@ -108,40 +130,47 @@
 			return err
 		}
 	}
-	a, err := send(attemptCtx, peer.pool, o, c.requestInfo.ID, hooks, choice.connectTimeout(), c.headDeadline(), now)
-	if errors.Is(err, errNotAccepted) {
-		c.undoAttempt(spent)
-		return notAccepted, nil
-	}
-	if errors.Is(err, errOtherStart) {
-		if c.noteTooLong(peer, err) {
-			peer.failed(h.options.Now(), true)
+	return hooks
+}
+
+// undoSend handles an attempt of which nothing was sent.
+func (c *call) undoSend(ctx, dialing context.Context, s *sentAttempt, err error) outcome {
+	switch {
+	case errors.Is(err, errNotAccepted), ctx.Err() == nil && dialing.Err() != nil:
+		c.undoAttempt(s.grant)
+		return notAccepted
+	case errors.Is(err, errOtherStart):
+		if c.noteTooLong(s.peer, err) {
+			s.peer.failed(c.handler.options.Now(), true)
 		}
-		c.grant = spent
 		c.notSent = true
-		c.reason += "; " + peer.ID() + ": " + err.Error()
-		return notRun, nil
+		c.reason += "; " + s.peer.ID() + ": " + err.Error()
+	default:
+		c.handleSendError(ctx, s.peer, err)
 	}
-	if err != nil {
-		ended := c.handleSendError(ctx, peer, err)
-		if ended == notRun {
-			c.grant = spent
-		}
-		return ended, nil
+	c.restoreGrant(s.grant)
+	return notRun
+}
+
+// finishAtReplica handles the head of a replica's response, or that there is none, and passes the response on.
+func (c *call) finishAtReplica(ctx context.Context, s *sentAttempt) (outcome, *errorResponse) {
+	h, peer, a := c.handler, s.peer, s.response
+	if a.headErr != nil {
+		return c.handleSendError(ctx, peer, a.headErr), nil
 	}
 	c.possibleArrivals++
 	c.notSent = false
-	watch.noteHead(a.response)
+	s.watch.noteHead(a.response)
 	h.options.Fleet.noteContact(peer)
 	c.bodyEnd = a.end
 	a.origin = peer.writerOrigin()
 	_ = a.conn.raw.SetDeadline(c.deadline)
 	h.options.Fleet.UpdateLoad(h.options.Now(), peer, a.reply.Load)
 	if a.reply.NotRun {
-		c.grant = spent
+		c.restoreGrant(s.grant)
 		return c.handleRejection(peer, a), nil
 	}
-	if watch.gaveUp() {
+	if s.watch.gaveUp() {
 		a.abort()
 		return c.handleSendError(ctx, peer, noResponse(errGivenUp)), nil
 	}
@@ -150,22 +179,22 @@
 		return c.bufferError(ctx, peer, a)
 	}
 	if c.route.Kind == catalog.Streaming {
-		c.timing = newTiming(&choice)
-		return c.relayStream(ctx, peer, a, &pendingPrefill, work.Prefill{Began: now, Tokens: choice.PrefillTokens, Model: c.requestInfo.Model, Factor: choice.Factor}), nil
+		c.timing = newTiming(&s.choice)
+		return c.relayStream(ctx, peer, a, &s.pendingPrefill, work.Prefill{Began: s.startedAt, Tokens: s.choice.PrefillTokens, Model: c.requestInfo.Model, Factor: s.choice.Factor}), nil
 	}
 	return c.relayBuffered(ctx, peer, a), nil
 }
 
 // noteSending records that the request is sent on a connection.
-func (c *call) noteSending(raw net.Conn) {
+func (c *call) noteSending(watch *attemptWatch, raw net.Conn) {
 	c.sentAt = c.handler.options.Now()
-	c.watch.noteSent(raw)
+	watch.noteSent(raw)
 }
 
 // undoAttempt reverts the accounting of an attempt that was not sent. It used no quota, and its
 // replica counts as untried because it may accept the request shortly after.
 func (c *call) undoAttempt(spent grant) {
-	c.grant = spent
+	c.restoreGrant(spent)
 	c.sends--
 	c.tried = c.tried[:len(c.tried)-1]
 	c.notSent = true
--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -29,7 +29,7 @@
 	// causeLoss means that the gateway gave a replica up that is proven to be lost.
 	causeLoss
 	// causeOverdueHead means that the head of the response did not come in the time that leaves some for
-	// another attempt, and that the request was taken elsewhere.
+	// another attempt, so that a second one begins where the request is taken. It ends no attempt by itself.
 	causeOverdueHead
 	causeDeadline
 	// causeClose means that the replica's connection was closed in order.
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -120,35 +121,50 @@
 // forwardTo forwards the request to a gateway and passes its response on. It returns an error if the
 // gateway sent the request to no replica.
 func (c *call) forwardTo(ctx context.Context, to *Peer, now time.Time) (outcome, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	sent, err := c.sendForward(ctx, ctx, to, now)
+	if err != nil {
+		return notRun, err
+	}
+	result := c.settle(ctx, sent)
+	return result.ended, result.err
+}
+
+// sendForward sends the request to a gateway, to which a connection must be established before dialing ends. It
+// returns an error if nothing was sent.
+func (c *call) sendForward(ctx, dialing context.Context, to *Peer, now time.Time) (*sentAttempt, error) {
 	c.early = earlyEnd{}
-	watch := c.watchAttempt(ctx, to, now, c.headDue(now), c.gatewayElsewhere(), cancel)
-	defer watch.stop()
+	attemptCtx, cancel := context.WithCancel(ctx)
+	s := &sentAttempt{peer: to, startedAt: now, cancel: cancel, forwarded: true}
+	s.watch = c.watchAttempt(attemptCtx, to, now, c.headDue(now), c.elsewhere(s), cancel)
 	to.startRequest(0)
-	defer to.finishRequest()
 	hooks := sendHooks{
-		sending: c.noteSending,
+		sending: func(raw net.Conn) { c.noteSending(s.watch, raw) },
 		admit:   func() bool { return !c.tooLateToSend(c.handler.options.Now()) },
 		read:    func(_ int, header http.Header) Reply { return Reply{ID: FieldValue(header, headerForwardID)} },
 	}
-	a, err := send(ctx, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.headDeadline(), now)
-	if errors.Is(err, errNotAccepted) {
-		return notRun, err
-	}
-	if errors.Is(err, errNotSent) {
-		if !c.clientLeft() {
+	response, err := send(attemptCtx, dialing, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.headDeadline(), now)
+	if err != nil {
+		s.close()
+		if !errors.Is(err, errNotAccepted) && !c.clientLeft() && (ctx.Err() != nil || dialing.Err() == nil) {
 			c.handler.gatewayList.markDown(to)
 		}
-		return notRun, err
+		return nil, err
 	}
+	s.response = response
+	return s, nil
+}
+
+// finishAtGateway handles the head of another gateway's response, or that there is none, and passes the response
+// on. It returns an error if the gateway sent the request to no replica.
+func (c *call) finishAtGateway(ctx context.Context, s *sentAttempt) (outcome, error) {
+	to, a, err := s.peer, s.response, s.response.headErr
 	if err == nil && a.response.Header.Get(headerNotSent) != "" {
 		a.abort()
 		c.noteNotTaken(to, a.response.Header)
 		return notRun, errNotTaken
 	}
 	c.countForwarded(to)
-	if err == nil && watch.gaveUp() {
+	if err == nil && s.watch.gaveUp() {
 		a.abort()
 		err = noResponse(errGivenUp)
 	}
@@ -160,7 +176,13 @@
 		c.noteEarlyEnd(ctx, err)
 		return unknown, nil
 	}
-	watch.noteHead(a.response)
+	s.watch.noteHead(a.response)
+	if c.beside {
+		_ = a.conn.raw.SetDeadline(c.deadline)
+		ended, _ := c.bufferError(ctx, to, a)
+		c.connectionBroke = false
+		return ended, nil
+	}
 	return c.relayForwarded(ctx, to, a), nil
 }
 
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -243,6 +243,11 @@
 	// set if the retry budget was asked for the next attempt.
 	next        *nextPeer
 	repeatTaken bool
+	// settled is the peer of the last attempt that has ended.
+	settled *Peer
+	// beside is set while another attempt is under way than the one that is begun or ended, denied if a second one was
+	// not allowed.
+	beside, denied bool
 	// content is the digest of the request's content. It is valid once digested is set.
 	content  quarantine.Digest
 	digested bool
@@ -459,14 +464,14 @@
 			lastError = failure
 		}
 		if ended == answered {
-			c.noteRun(choice.Peer)
+			c.noteRun(c.settled)
 			return
 		}
 		if ended == unknown || ended == truncated {
-			c.noteLostReplica(ctx, choice.Peer)
+			c.noteLostReplica(ctx, c.settled)
 		}
 		if ended == unknown {
-			if choice, chosen = c.resumeAtBackup(ctx, choice.Peer); chosen {
+			if choice, chosen = c.resumeAtBackup(ctx, c.settled); chosen {
 				continue
 			}
 		}
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -41,11 +41,19 @@
 // length or for the gateway's memory, is passed on at once.
 func (c *call) bufferError(ctx context.Context, peer *Peer, a *replicaResponse) (outcome, *errorResponse) {
 	now := c.handler.options.Now()
+	if c.beside {
+		_ = a.conn.raw.SetReadDeadline(now.Add(rejectionBodyTimeout))
+	}
 	body, err := c.readRetained(a.response.Body)
 	if err == nil && len(body) <= maxBufferedBytes {
 		err = c.checkEnd(ctx, peer, a.end)
 	}
 	peer.failed(now, false)
+	if c.beside && (err != nil || len(body) > maxBufferedBytes) {
+		a.abort()
+		c.reason += "; " + peer.ID() + " answered " + a.response.Status + " in a way that is not kept while another attempt is under way"
+		return unknown, nil
+	}
 	if err != nil && !errors.Is(err, errRetentionFull) {
 		a.abort()
 		c.noteEarlyEnd(ctx, err)
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -56,6 +56,9 @@
 	pool   *pool
 	// headRead is set once the head of the response has been read.
 	headRead atomic.Bool
+	// ended is closed once the wait for the head is over; headErr is then why there is none, nil if there is one.
+	ended   chan struct{}
+	headErr error
 	// written is closed once the request body has been written.
 	written   chan struct{}
 	stopWatch func() bool
@@ -99,18 +102,19 @@
 	// confirm returns an error if the request must not be sent on a connection. It is called before admit and
 	// may use the connection. It may be nil.
 	confirm func(*conn) error
-	// read decodes the head of each response that arrives, whichever request it belongs to.
+	// read decodes the head of each response that arrives, whichever request it belongs to. It is called by
+	// another goroutine than the others, after them.
 	read func(status int, header http.Header) Reply
 }
 
-// send sends a request and waits for the head of its response until the deadline. The connection
-// must be established within the given time. Cancelling the context closes the connection at any
-// time.
-func send(ctx context.Context, p *pool, o *outgoingRequest, id string, hooks sendHooks, connectTimeout time.Duration, deadline, now time.Time) (*replicaResponse, error) {
+// send sends a request, and reads the head of its response, until the deadline, after it has returned. The
+// connection must be established within the given time and before dialing ends. Cancelling the context closes
+// the connection at any time.
+func send(ctx, dialing context.Context, p *pool, o *outgoingRequest, id string, hooks sendHooks, connectTimeout time.Duration, deadline, now time.Time) (*replicaResponse, error) {
 	c := hooks.ready
 	if c == nil {
 		var err error
-		if c, err = p.get(ctx, connectTimeout, now); err != nil {
+		if c, err = p.get(dialing, connectTimeout, now); err != nil {
 			return nil, errors.Wrap(errNotSent, err.Error())
 		}
 	}
@@ -126,19 +130,30 @@
 	}
 	_ = c.raw.SetDeadline(deadline)
 	hooks.sending(c.raw)
-	a := &replicaResponse{conn: c, pool: p, written: make(chan struct{})}
+	a := &replicaResponse{conn: c, pool: p, written: make(chan struct{}), ended: make(chan struct{})}
 	a.stopWatch = context.AfterFunc(ctx, a.abortAfterGrace)
-	if err := a.write(o); err != nil {
+	err := a.write(o)
+	if errors.Is(err, errNotSent) {
 		a.abort()
 		return nil, err
 	}
-	if err := a.readHead(o.method, id, hooks.read); err != nil {
-		a.abort()
-		return nil, err
+	if err != nil {
+		a.endHead(err)
+		return a, nil
 	}
+	go func() { a.endHead(a.readHead(o.method, id, hooks.read)) }()
 	return a, nil
 }
 
+// endHead ends the wait for the head of the response.
+func (a *replicaResponse) endHead(err error) {
+	if err != nil {
+		a.headErr = err
+		a.abort()
+	}
+	close(a.ended)
+}
+
 // abortGrace is how long the connection of a cancelled request stays open for the head of a
 // response. A replica that rejects the request may ask for a backoff in that response, and may ask
 // only once; the response arrives within one round trip, about 10 ms between zones. The grace is a
--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +32,8 @@
 )
 
 // decideEarlyEnd decides whether an attempt whose connection is open ends before its deadline: if its peer is
-// proven to be lost, or if it may be and the request is taken elsewhere. Silence alone ends nothing, since a
+// proven to be lost, or if it may be and the request is taken elsewhere. If only its head is overdue, a second
+// attempt is made beside it, which ends it once that one is answered (settle). Silence alone ends nothing, since a
 // sound peer may pause, and meanwhile new connections to it may not be answered or may be reset.
 func decideEarlyEnd(sign silenceSign, overdue bool, elsewhere func() bool) endCause {
 	switch {
@@ -56,7 +58,9 @@
 	end func()
 	// elsewhere returns where the request goes on, nil if it must not be sent again or nobody takes it; begun
 	// tells that its client has a part of the stream.
-	elsewhere func(now time.Time, begun bool) *nextPeer
+	elsewhere atomic.Pointer[elsewhereFunc]
+	// offered gets where a second attempt can be made as the head of the response is overdue.
+	offered   chan *nextPeer
 	startedAt time.Time
 	// heard is when the peer last sent something, as the time since startedAt; 0 if it has not.
 	heard atomic.Int64
@@ -70,12 +74,20 @@
 	silence, head *time.Timer
 	// givenUp is why the attempt was ended, nil if it was not.
 	givenUp atomic.Pointer[earlyEnd]
+
+	mu sync.Mutex
+	// stopped is set once nothing is prepared any more.
+	stopped bool
 }
 
+// elsewhereFunc returns where a request goes on, nil if nowhere. A repeat is taken for it.
+type elsewhereFunc func(now time.Time, begun bool) *nextPeer
+
 // watchAttempt returns a watch that calls end if the attempt is to end before its deadline. The head of the
 // response is overdue from headDue on, the zero time for never.
-func (c *call) watchAttempt(ctx context.Context, peer *Peer, now, headDue time.Time, elsewhere func(time.Time, bool) *nextPeer, end func()) *attemptWatch {
-	w := &attemptWatch{ctx: ctx, peer: peer, now: c.handler.options.Now, acknowledgedNothing: c.handler.options.Fleet.unacknowledged, end: end, elsewhere: elsewhere, startedAt: now}
+func (c *call) watchAttempt(ctx context.Context, peer *Peer, now, headDue time.Time, elsewhere elsewhereFunc, end func()) *attemptWatch {
+	w := &attemptWatch{ctx: ctx, peer: peer, now: c.handler.options.Now, acknowledgedNothing: c.handler.options.Fleet.unacknowledged, end: end, offered: make(chan *nextPeer, 1), startedAt: now}
+	w.elsewhere.Store(&elsewhere)
 	w.begun.Store(c.stream != nil && c.stream.started)
 	w.unrepeatable.Store(c.origin.Unresolved())
 	// A check may use its timer, so none starts before both are set.
@@ -92,9 +104,40 @@
 func (w *attemptWatch) stop() {
 	w.silence.Stop()
 	w.head.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 	if given := w.givenUp.Swap(nil); given != nil {
 		given.next.drop(w.now())
 	}
+	select {
+	case next := <-w.offered:
+		next.drop(w.now())
+	default:
+	}
+}
+
+// setElsewhere changes where the request can go on. The head of the response counts as overdue from headDue on, the
+// zero time for never.
+func (w *attemptWatch) setElsewhere(elsewhere elsewhereFunc, now, headDue time.Time) {
+	w.elsewhere.Store(&elsewhere)
+	if headDue.IsZero() {
+		w.head.Stop()
+		return
+	}
+	w.head.Reset(max(headDue.Sub(now), overduePollInterval))
+}
+
+// dropNext drops what was prepared for the next attempt as this one was given up.
+func (w *attemptWatch) dropNext() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if given := w.givenUp.Load(); given != nil {
+		given.next.drop(w.now())
+		without := *given
+		without.next = nil
+		w.givenUp.Store(&without)
+	}
 }
 
 // gaveUp reports whether the attempt was ended. Its connection may stay open for a moment.
@@ -152,7 +195,7 @@
 	w.silence.Reset(pause)
 }
 
-// checkHead ends the attempt if the head of its response is overdue and another peer takes the request.
+// checkHead offers a second attempt if the head of the response is overdue and another peer takes the request.
 func (w *attemptWatch) checkHead() {
 	heard := w.heard.Load()
 	if w.ctx.Err() != nil || w.headRead.Load() || w.endIf(silenceSign{}, true, heard) {
@@ -161,13 +204,13 @@
 	w.head.Reset(overduePollInterval)
 }
 
-// endIf ends the attempt if it is to end early, and reports whether it is. What the peer has sent since the
+// endIf ends the attempt if it is to end early, or offers a second one, and reports whether it has. What the peer has sent since the
 // check began, at heard, shows that it is not lost.
 func (w *attemptWatch) endIf(sign silenceSign, overdue bool, heard int64) bool {
 	var next *nextPeer
 	cause := decideEarlyEnd(sign, overdue, func() bool {
 		if !w.unrepeatable.Load() {
-			next = w.elsewhere(w.now(), w.begun.Load())
+			next = (*w.elsewhere.Load())(w.now(), w.begun.Load())
 		}
 		return next != nil
 	})
@@ -178,11 +221,29 @@
 		next.drop(w.now())
 		return false
 	}
-	w.givenUp.Store(&earlyEnd{cause: cause, evidence: sign.evidence, proof: sign.proof, next: next})
-	w.end()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+		next.drop(w.now())
+	case cause == causeOverdueHead:
+		w.offer(next)
+	default:
+		w.givenUp.Store(&earlyEnd{cause: cause, evidence: sign.evidence, proof: sign.proof, next: next})
+		w.end()
+	}
 	return true
 }
 
+// offer offers a second attempt beside this one; the lock is held.
+func (w *attemptWatch) offer(next *nextPeer) {
+	select {
+	case w.offered <- next:
+	default:
+		next.drop(w.now())
+	}
+}
+
 // unacknowledged returns for how long the peer's host has acknowledged nothing, 0 if that is not known. An idle
 // time before the request was sent does not count.
 func (w *attemptWatch) unacknowledged() time.Duration {
@@ -238,7 +299,7 @@
 
 // replicaElsewhere returns a function that tells where the request goes on if its attempt at the last one of the tried
 // peers ends now. It may be called by another goroutine.
-func (c *call) replicaElsewhere() func(now time.Time, begun bool) *nextPeer {
+func (c *call) replicaElsewhere() elsewhereFunc {
 	if !c.mayRunAgain() {
 		return nowhere
 	}
@@ -253,7 +314,7 @@
 }
 
 // gatewayElsewhere is replicaElsewhere for a request that is forwarded to a gateway.
-func (c *call) gatewayElsewhere() func(now time.Time, begun bool) *nextPeer {
+func (c *call) gatewayElsewhere() elsewhereFunc {
 	if !c.mayRunAgain() {
 		return nowhere
 	}
@@ -271,9 +332,18 @@
 	}
 }
 
-// mayRunAgain reports whether the request may be sent to a further peer after the attempt that begins.
+// elsewhere returns where the request goes on if an attempt at the last one of the tried peers ends now.
+func (c *call) elsewhere(s *sentAttempt) elsewhereFunc {
+	if s.forwarded {
+		return c.gatewayElsewhere()
+	}
+	return c.replicaElsewhere()
+}
+
+// mayRunAgain reports whether the request may be sent to a further peer after the attempt that begins. At most two
+// are under way at once.
 func (c *call) mayRunAgain() bool {
-	return c.route.Idempotent() && c.possibleRuns+1 < c.route.Attempts
+	return !c.beside && c.route.Idempotent() && c.possibleRuns+1 < c.route.Attempts
 }
 
 // repeatTaker returns a function that takes a repeat from the retry budget for a peer that takes the request.
