Second attempts: tests of the grants and repeats that are given back

The property test did not notice a grant that another one overwrote, or a repeat that was kept (0 failures with either fault put in).

--- a/src/exchange/secondattempt_test.go
+++ b/src/exchange/secondattempt_test.go
@@ -180,6 +180,8 @@
 			is.Equal(got.status, http.StatusOK)
 			is.Equal(got.body, "answer to one by "+*o.first.Load())
 			is.Equal(o.arrived.Load(), int64(1))
+			o.awaitHandlers()
+			is.Equal(o.repeats() > 0, c.name == "the retry budget is spent")
 		})
 	}
 }
@@ -512,6 +514,22 @@
 	return total(budget.repeats[:])
 }
 
+// TestTheGrantsOfTwoAttemptsThatDidNotRunAreReturned: the second one took the place of the first.
+func TestTheGrantsOfTwoAttemptsThatDidNotRunAreReturned(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := granting()
+	o := newOverdueBench(t, overdueRoute(catalog.Safe, 2), 2, slowly(notRunning), slowly(notRunning))
+	o.handler.options.Admission = f.admission()
+	o.handler.SetTable(keyedTable(1, overdueRoute(catalog.Safe, 2), "k"))
+	is.Equal(o.do("GET", "one", "", testKey+": k").status, http.StatusServiceUnavailable)
+	o.awaitHandlers()
+	is.Equal(o.arrived.Load(), int64(2))
+	asked, returned := f.counts()
+	is.Equal(asked, 2)
+	is.Equal(returned, 2)
+}
+
 // randomEnd returns a behaviour that ends a request after a random time in one of the ways that a replica can, and
 // counts those that were run.
 func randomEnd(draw *rand.Rand, ran *atomic.Int64) behaviour {
