--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -56,7 +56,9 @@
 	// census counts the listed replicas by service and software version.
 	census map[string]*resume.Census
 	// routes are the services that the routes of the configuration lead to, by name of the route.
-	routes        map[string]routeTarget
+	routes map[string]routeTarget
+	// routesVersion is the version of that configuration.
+	routesVersion uint64
 	loadReporters loadReporters
 	sentPrompts   *sentPrompts
 	loadReports   *loadReports
--- a/src/exchange/origin.go
+++ b/src/exchange/origin.go
@@ -16,9 +16,6 @@
 	originFindTimeout = 200 * time.Millisecond
 	// originWithdrawTimeout bounds the withdrawal of a record, before which the client must not be back.
 	originWithdrawTimeout = 150 * time.Millisecond
-	// routeSettleTime is how long a route must have led to one service only, for that one to have begun all its
-	// streams that still last. A gateway that is cut off leads requests by an earlier configuration meanwhile.
-	routeSettleTime = 2 * resume.Retention
 	// originRenewal is how often the record of a stream in progress is renewed.
 	originRenewal = resume.Retention / 3
 )
@@ -251,38 +248,6 @@
 	return census.Sole(now)
 }
 
-// routeTarget is the only service of a route, "" if it leads to several, and since when.
-type routeTarget struct {
-	service string
-	since   time.Time
-}
-
-// setRoutes records where the routes of a configuration lead.
-func (f *Fleet) setRoutes(t *catalog.Table) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	targets := map[string]routeTarget{}
-	for _, route := range t.Document().Routes {
-		target := routeTarget{since: f.now()}
-		if len(route.Splits) == 1 {
-			target.service = route.Splits[0].Service
-		}
-		if known, found := f.routes[route.Name]; found && known.service == target.service {
-			target = known
-		}
-		targets[route.Name] = target
-	}
-	f.routes = targets
-}
-
-// leadsOnlyTo reports whether a route has led to a service only for routeSettleTime.
-func (f *Fleet) leadsOnlyTo(now time.Time, route *catalog.Route, service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	target, known := f.routes[route.Name]
-	return known && target.service == service && len(route.Splits) == 1 && now.Sub(target.since) >= routeSettleTime
-}
-
 // countVersion counts a listed replica by its software version; the lock is held.
 func (f *Fleet) countVersion(peer *Peer) {
 	version := peer.softwareVersion()
--- a/src/exchange/origin_test.go
+++ b/src/exchange/origin_test.go
@@ -534,7 +534,9 @@
 
 // soleFor makes a software version of service s, to which route r has long led, the only one for a time.
 func (b *bench) soleFor(age time.Duration, version string) {
-	b.fleet.routes["r"] = routeTarget{service: b.fleet.routes["r"].service, since: time.Now().Add(-2 * routeSettleTime)}
+	target := b.fleet.routes["r"]
+	target.since = time.Now().Add(-2 * routeSettleTime)
+	b.fleet.routes["r"] = target
 	b.fleet.census["s"] = &resume.Census{}
 	b.fleet.census["s"].Add(time.Now().Add(-age), version)
 }
