A stream without an event is refused before its deadline

Callers saw: 504 at 601 to 604 ms of 600 ms for a stream whose server had sent its head and no event; a client that waits no longer has no answer.

Cause: the time of the connection became that of a stream under way as the head came.

Evidence: TestAStreamWithoutAnEventIsRefusedBeforeItsDeadline failed in both cases, a server that stops itself and a silent one.

Change: the connection has the time of a response that has not begun until the client's response begins.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -164,7 +164,7 @@
 	h.options.Fleet.noteContact(peer)
 	c.bodyEnd = a.end
 	a.origin = peer.writerOrigin()
-	_ = a.conn.raw.SetDeadline(c.deadline)
+	_ = a.conn.raw.SetDeadline(c.headDeadline())
 	h.options.Fleet.UpdateLoad(h.options.Now(), peer, a.reply.Load)
 	if a.reply.NotRun {
 		c.restoreGrant(s.grant)
@@ -239,8 +239,8 @@
 	return c.deadline.Sub(now) - responseMargin
 }
 
-// headDeadline returns until when the head of a response is waited for. A peer refuses a stream that has not
-// begun only at its deadline, so the gateway does so before.
+// headDeadline returns until when a response may begin. A peer refuses a stream that has not begun only at its
+// deadline, so the gateway does so before, and needs time for its way back.
 func (c *call) headDeadline() time.Time {
 	if c.route.Kind == catalog.Streaming && (c.stream == nil || !c.stream.started) {
 		return c.deadline.Add(-responseMargin)
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -218,7 +218,7 @@
 
 // relayForwarded passes the response of another gateway on. Whether a replica failed is known there.
 func (c *call) relayForwarded(ctx context.Context, to *Peer, a *replicaResponse) outcome {
-	_ = a.conn.raw.SetDeadline(c.deadline)
+	_ = a.conn.raw.SetDeadline(c.headDeadline())
 	c.bodyEnd = a.end
 	a.origin = forwardedOrigin(a.response.Header)
 	c.timing = streamTiming{}
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -106,6 +106,7 @@
 		c.copyHeader(a.response.Header)
 		c.bindOrigin(peer, a.origin)
 		c.stream.started = true
+		_ = a.conn.raw.SetDeadline(c.deadline)
 		c.useFraming(endByLastChunk)
 		c.logUnframed(peer, a.end)
 		c.beginResponse(a.response.StatusCode)
--- a/src/exchange/times_test.go
+++ b/src/exchange/times_test.go
@@ -350,3 +350,36 @@
 		is.Equal(response.Code, status)
 	}
 }
+
+// headOnly sends a head and no event until its time is over.
+func headOnly(a arrival) bool {
+	ms, _ := strconv.Atoi(a.request.Header.Get(testDeadline))
+	a.head()
+	time.Sleep(time.Duration(ms) * time.Millisecond)
+	return false
+}
+
+// headSilent sends a head and nothing more.
+func headSilent(a arrival) bool {
+	a.head()
+	_, _ = io.Copy(io.Discard, a.conn)
+	return false
+}
+
+// TestAStreamWithoutAnEventIsRefusedBeforeItsDeadline: its client had no answer then, though the head had come.
+func TestAStreamWithoutAnEventIsRefusedBeforeItsDeadline(t *testing.T) {
+	const timeout = 600 * time.Millisecond
+	for name, act := range map[string]behaviour{"stops itself": headOnly, "silent": headSilent} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := route(catalog.Streaming, 1)
+			r.Timeout = timeout
+			b := newBench(t, r, newReplica(t, "a", act))
+			began := time.Now()
+			got := b.do("POST", "one", "x")
+			lasted := time.Since(began)
+			is.NoErr(got.err)
+			is.True(lasted < timeout)
+		})
+	}
+}
