CONFIG: a body is not refused for good by the limit of an older configuration

Callers saw: 413 for a body that the configuration in force at its last byte allows. Found by a review.

Cause: the limit is that of the configuration at the head of the request, and a body that is over it is not read on.

Evidence: TestALongerBodyIsNotRefusedForGoodByAnOlderConfiguration, 413 before.

Change: if another configuration is active by then, the request is refused with 503, unsent, and its client can come back. Taking the longer body would mean to read on beyond a limit on the chance of another one.

--- a/src/exchange/body.go
+++ b/src/exchange/body.go
@@ -94,6 +94,9 @@
 	switch {
 	case errors.Is(err, errRetentionFull):
 		c.refuse(http.StatusServiceUnavailable, err.Error())
+	case errors.As(err, &tooLarge) && c.handler.Table() != c.table:
+		c.writer.Header().Set("Connection", "close")
+		c.refuseUndecided("the body is too large for a configuration that is not the newest")
 	case errors.As(err, &tooLarge):
 		c.writer.Header().Set("Connection", "close")
 		c.refuseTooLarge()
--- a/src/exchange/slowbody_test.go
+++ b/src/exchange/slowbody_test.go
@@ -269,3 +269,40 @@
 	b.stopSoon()
 	is.Equal((<-answers).status, http.StatusOK)
 }
+
+// TestABodyWhoseHeadCameBeforeTheSignalIsRefusedAtTheMark: nothing has set that its connection closes before.
+func TestABodyWhoseHeadCameBeforeTheSignalIsRefusedAtTheMark(t *testing.T) {
+	for name, length := range bodyLengths {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, route(catalog.Unsafe, 1), newReplica(t, "x", whole))
+			s := b.begin(length, "one")
+			b.awaitRunning()
+			b.stopSoon()
+			select {
+			case got := <-s.answers:
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusServiceUnavailable)
+				is.True(got.closes)
+			case <-time.After(stopTime / 2):
+				t.Error("the client has no answer")
+			}
+			s.end()
+		})
+	}
+}
+
+// TestALongerBodyIsNotRefusedForGoodByAnOlderConfiguration: the newer one allows it, and its client must be able to come back.
+func TestALongerBodyIsNotRefusedForGoodByAnOlderConfiguration(t *testing.T) {
+	is := is.New(t)
+	x := newReplica(t, "x", whole)
+	b := newBench(t, route(catalog.Unsafe, 1), x)
+	old := catalog.Document{Version: 1, Routes: []catalog.Route{route(catalog.Unsafe, 1)}, Services: testServices()}
+	old.Limits.BodyBytes = 1
+	b.handler.SetTable(catalog.NewTable(old))
+	newer := catalog.Document{Version: 2, Routes: []catalog.Route{route(catalog.Unsafe, 1)}, Services: testServices()}
+	got := b.doSlowly(time.Second, func() { b.handler.SetTable(catalog.NewTable(newer)); time.Sleep(300 * time.Millisecond) }, "one")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(x.count(), 0)
+}
