Soak: the run that an answer came from is the one that its end is judged by

Cause: the check judged the run that was sent last, which could only be the one that counts as long as there was one attempt at a time.

Change: if that run was cut while another one, which the stamp of the answer names, went on, the other one counts. Strict as before otherwise: without a stamp, or if the named run had ended before the cut, it is the last one; and a named run is asked for its causes in the same way.

The test has five cases; by reading, the check before took the first one for a finding and the others as now.

--- a/soak/bodyclients.go
+++ b/soak/bodyclients.go
@@ -92,7 +92,7 @@
 		c.check.count("no answer")
 		return
 	}
-	end := endedAnswer{id: id, kind: r.kind, gateway: m.name, firstByteAt: answer.firstByteAt, lastByteAt: answer.lastByteAt, endedAt: answer.endedAt, deadline: r.deadline, status: answer.status}
+	end := endedAnswer{id: id, kind: r.kind, gateway: m.name, firstByteAt: answer.firstByteAt, lastByteAt: answer.lastByteAt, endedAt: answer.endedAt, deadline: r.deadline, status: answer.status, stamp: answer.header.Get(stampHeader)}
 	c.check.lost.recordAnswer(end, answer.whole)
 	c.countBody(r, answer)
 	got := response{body: answer.body, whole: answer.whole, framed: answer.framed, end: end}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -200,7 +200,7 @@
 	defer got.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswerBytes))
 	whole := err == nil && len(body) < maxAnswerBytes
-	end.endedAt, end.lastByteAt, end.status = time.Now(), lastByteAt(), got.StatusCode
+	end.endedAt, end.lastByteAt, end.status, end.stamp = time.Now(), lastByteAt(), got.StatusCode, got.Header.Get(stampHeader)
 	c.check.lost.recordAnswer(end, whole)
 	return got.StatusCode, response{stamp: got.Header.Get(stampHeader), body: string(body), whole: whole, framed: framed(got), end: end}, nil
 }
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -29,6 +29,8 @@
 	deadline time.Duration
 	// status is 0 if there was no answer.
 	status int
+	// stamp names the replica that began the answer, "" if that is not known.
+	stamp string
 }
 
 // replicaRun is one run of a request at a replica.
@@ -59,7 +61,9 @@
 	mu sync.Mutex
 	// runs holds the run of each request that was sent last, reached the replica that its bytes reached last,
 	// which may not have read them.
-	runs    map[string]*replicaRun
+	runs map[string]*replicaRun
+	// byStamp holds the last run of each request at each replica.
+	byStamp map[string]*replicaRun
 	reached map[string]arrival
 	answers []endedAnswer
 	// causes counts the answers by what explains their ends.
@@ -73,12 +77,30 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	run := &replicaRun{rep: rep, sender: sender, arrivedAt: arrivedAt, begunAt: time.Now()}
+	l.byStamp[stampOf(rep.id, id)] = run
 	if last := l.runs[id]; last == nil || !arrivedAt.Before(last.arrivedAt) {
 		l.runs[id] = run
 	}
 	return run
 }
 
+// stampOf returns the value of stampHeader of a replica's answer.
+func stampOf(replica, id string) string { return replica + "." + id }
+
+// counted returns the run by which the end of an answer is judged; the lock is held. It is the one that was sent
+// last. If that was cut while another one, which has begun the answer, went on, it is the other one: two attempts may
+// be under way until one of them is answered.
+func (l *lostChecks) counted(answer endedAnswer) *replicaRun {
+	last, begun := l.runs[answer.id], l.byStamp[answer.stamp]
+	if last == nil || begun == nil || !last.cut || last.endedAt.IsZero() {
+		return last
+	}
+	if !begun.endedAt.IsZero() && begun.endedAt.Before(last.endedAt) {
+		return last
+	}
+	return begun
+}
+
 // recordArrival records when a request reached a replica's host.
 func (l *lostChecks) recordArrival(id string, rep *replica, at time.Time) {
 	l.mu.Lock()
@@ -133,7 +155,7 @@
 // cause returns what explains that an answer ended without its whole body, "" if nothing does; the lock is
 // held.
 func (l *lostChecks) cause(answer endedAnswer, strikes *strikeLog, stop plannedStop) string {
-	run := l.runs[answer.id]
+	run := l.counted(answer)
 	switch {
 	case run == nil:
 		return "did not run"
@@ -181,13 +203,13 @@
 		cause := l.cause(answer, strikes, stop)
 		if cause != "" {
 			l.causes[cause]++
-			if run := l.runs[answer.id]; run != nil {
+			if run := l.counted(answer); run != nil {
 				fmt.Fprintf(log, "soak: %s: %s\n", cause, answer.describe(run))
 			}
 			continue
 		}
 		l.lost++
-		found = append(found, answer.describe(l.runs[answer.id]))
+		found = append(found, answer.describe(l.counted(answer)))
 	}
 	return found
 }
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -216,3 +216,36 @@
 	s.answer.endedAt = s.start.Add(workDeadline - deadlineSlack)
 	is.True(s.answer.timeOver())
 }
+
+// TestTheRunThatOutlastsAnAbortedOneCounts: of two attempts that are under way at once, the one that was sent last may be
+// aborted as the other one is answered.
+func TestTheRunThatOutlastsAnAbortedOneCounts(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// aborted is when the later run was cut, ended when the first one ended, 0 for not yet, both after the start.
+		aborted, ended time.Duration
+		stamp          string
+		brokeOff       bool
+		lost           bool
+	}{
+		{"broken off by the replica that was answered", time.Second, 1500 * time.Millisecond, "i-001.q1", true, false},
+		{"the same, not broken off by it", time.Second, 1500 * time.Millisecond, "i-001.q1", false, true},
+		{"the replica that was answered is at work", time.Second, 0, "i-001.q1", false, true},
+		{"the later one went on with what the first one broke off", time.Second, 500 * time.Millisecond, "i-001.q1", true, true},
+		{"nobody knows who was answered", time.Second, 1500 * time.Millisecond, "", true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLostScene()
+			s.run.brokeOff, s.run.endedAt = test.brokeOff, s.start.Add(test.ended)
+			if test.ended == 0 {
+				s.run.endedAt = time.Time{}
+			}
+			later := s.checks.beginRun("q1", &replica{id: "i-002", pause: newPause()}, "gateway-1", s.start.Add(800*time.Millisecond))
+			later.cut, later.endedAt = true, s.start.Add(test.aborted)
+			s.answer.stamp = test.stamp
+			s.checks.recordAnswer(s.answer, false)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)) == 1, test.lost)
+		})
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,9 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, finding := range findings {
-		t.Error(finding)
-	}
+	reportFindings(t, findings)
 }
 
 // TestShortSoakWithLaggingNode runs the loss of power in which the disks of the control nodes that hold the
@@ -42,9 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, finding := range findings {
-		t.Error(finding)
-	}
+	reportFindings(t, findings)
 }
 
 // buildPrograms builds the real programs into a folder and returns it.
