Soak: a body is judged by the run that its stamp names

The new test has the case with a proof as well, which is a finding.

Without a stamp, so for 502 and for no answer, it is the last run as before.

--- a/soak/lost.go
+++ b/soak/lost.go
@@ -14,6 +14,8 @@
 	// lastRequestTime is how long after the signal to stop the last byte of a request may be sent that a gateway may
 	// end at the limit of its stop.
 	lastRequestTime = 3 * time.Second
+	// resumableKind is the kind of the streams with which another run may go on.
+	resumableKind = "e"
 	// linkReadTime is how long a gateway may take to read that its links are up again.
 	linkReadTime = 200 * time.Millisecond
 )
@@ -87,12 +89,17 @@
 // stampOf returns the value of stampHeader of a replica's answer.
 func stampOf(replica, id string) string { return replica + "." + id }
 
-// counted returns the run by which the end of an answer is judged; the lock is held. It is the one that was sent
-// last. If that was cut while another one, which has begun the answer, went on, it is the other one: two attempts may
-// be under way until one of them is answered.
+// counted returns the run by which the end of an answer is judged; the lock is held. It is the one that has begun the
+// answer, as two attempts may be under way until one of them is answered. With a stream another run may have gone on:
+// there it is the one that was sent last, unless that was cut while the one that has begun the answer went on.
 func (l *lostChecks) counted(answer endedAnswer) *replicaRun {
 	last, begun := l.runs[answer.id], l.byStamp[answer.stamp]
-	if last == nil || begun == nil || !last.cut || last.endedAt.IsZero() {
+	switch {
+	case last == nil || begun == nil:
+		return last
+	case answer.kind != resumableKind:
+		return begun
+	case !last.cut || last.endedAt.IsZero():
 		return last
 	}
 	if !begun.endedAt.IsZero() && begun.endedAt.Before(last.endedAt) {
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -249,3 +250,19 @@
 		})
 	}
 }
+
+// TestABodyIsJudgedByTheRunThatItsStampNames: an aborted replica may have written its whole answer for nobody.
+func TestABodyIsJudgedByTheRunThatItsStampNames(t *testing.T) {
+	for _, unframed := range []bool{true, false} {
+		t.Run(fmt.Sprint("without a proof of its end ", unframed), func(t *testing.T) {
+			is := is.New(t)
+			s := newLostScene()
+			s.run.unframed, s.run.endedAt = unframed, s.start.Add(time.Second)
+			later := s.checks.beginRun("q1", &replica{id: "i-002", pause: newPause()}, "gateway-1", s.start.Add(800*time.Millisecond))
+			later.endedAt = s.start.Add(time.Second)
+			s.answer.kind, s.answer.stamp = "l", "i-001.q1"
+			s.checks.recordAnswer(s.answer, false)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)) == 0, unframed)
+		})
+	}
+}
--- a/soak/slow.go
+++ b/soak/slow.go
@@ -78,6 +78,7 @@
 		return
 	}
 	defer got.Body.Close()
+	end.stamp = got.Header.Get(stampHeader)
 	if got.StatusCode != http.StatusOK {
 		end.endedAt, end.lastByteAt, end.status = time.Now(), lastByteAt(), got.StatusCode
 		c.check.lost.recordAnswer(end, true)
