--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -204,8 +204,8 @@
 	w.head.Reset(overduePollInterval)
 }
 
-// endIf ends the attempt if it is to end early, or offers a second one, and reports whether it has. What the peer has sent since the
-// check began, at heard, shows that it is not lost.
+// endIf ends the attempt if it is to end early, or offers a second one, and reports whether it has. What the peer
+// has sent since the check began, at heard, shows that it is not lost.
 func (w *attemptWatch) endIf(sign silenceSign, overdue bool, heard int64) bool {
 	var next *nextPeer
 	cause := decideEarlyEnd(sign, overdue, func() bool {
