Observability: how long the signal to stop may have been under way

No line of a process told when it learned of its signal, and since when that may have been under way: a stop that began late could not be told from one that had not. Nothing else uses it yet; the stop counts from when its signal is read, as before.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -14,6 +14,7 @@
 	ProcessDegraded    Kind = 104
 	SettingsReloaded   Kind = 105
 	LogLinesDropped    Kind = 106
+	StopSignalLearned  Kind = 107
 	ConfigAccepted     Kind = 200
 	ConfigRefused      Kind = 201
 	ConfigConflict     Kind = 202
@@ -123,6 +124,7 @@
 	{ProcessDegraded, "process-degraded", "A process started without the newest configuration, because no control node or other process responded in time."},
 	{SettingsReloaded, "settings-reloaded", "A process read its settings again."},
 	{LogLinesDropped, "log-lines-left-out", "Log lines were dropped, because the output blocked or there were too many of a kind in a second."},
+	{StopSignalLearned, "stop-signal-learned", "A process learned of its signal to stop; how long before that the signal was sent at the most, by when the process was last seen running without one."},
 	{ConfigAccepted, "config-accepted", "The control nodes accepted a configuration change."},
 	{ConfigRefused, "config-refused", "A configuration change was invalid and was refused as a whole."},
 	{ConfigConflict, "config-conflict", "A configuration change was based on an older revision of an object that it changes."},
--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"os"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +28,7 @@
 	"github.com/moorspool/moorspool/src/registry"
 	"github.com/moorspool/moorspool/src/resume"
 	"github.com/moorspool/moorspool/src/rpc"
+	"github.com/moorspool/moorspool/src/signals"
 	"github.com/moorspool/moorspool/src/store"
 	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
@@ -56,7 +55,7 @@
 		Name: "moorspool-fleet-control",
 		Load: func(flags option.Flags) (func() error, error) {
 			settings, err := option.LoadFleetControl(flags.Settings)
-			return func() error { return RunControl(settings, flags.Settings, external, signals()) }, err
+			return func() error { return RunControl(settings, flags.Settings, external, signals.Notify()) }, err
 		},
 	})
 }
@@ -96,7 +95,7 @@
 	// toSave is raised when sharedQuarantine has changed.
 	toSave wakeup.Flag
 
-	signals <-chan os.Signal
+	watch *signals.Watch
 }
 
 // errStorage means that the node's disk failed and the node must be restarted within the process.
@@ -105,18 +104,17 @@
 // RunControl runs a control node until a signal ends it. After a disk failure it waits until the
 // disk works again and rebuilds the node from the disk's content, as after a restart of the
 // process.
-func RunControl(settings option.FleetControl, file string, external Interface, signals <-chan os.Signal) error {
+func RunControl(settings option.FleetControl, file string, external Interface, watch *signals.Watch) error {
 	limitMemory(settings.MemoryMB)
 	for diskFailed := false; ; diskFailed = true {
-		err := runControlOnce(settings, file, external, signals, diskFailed)
+		err := runControlOnce(settings, file, external, watch, diskFailed)
 		if !errors.Is(err, errStorage) {
 			return err
 		}
 		select {
-		case got := <-signals:
-			if got != syscall.SIGHUP {
-				return nil
-			}
+		case <-watch.Reload():
+		case <-watch.Stop():
+			return nil
 		case <-time.After(storageRetry):
 		}
 	}
@@ -127,8 +125,8 @@
 
 // runControlOnce builds and runs a control node until a signal or a disk failure. After a disk failure it
 // first checks that the disk works again.
-func runControlOnce(settings option.FleetControl, file string, external Interface, signals <-chan os.Signal, diskFailed bool) error {
-	c := &controlNode{settings: settings, file: file, external: external, signals: signals}
+func runControlOnce(settings option.FleetControl, file string, external Interface, watch *signals.Watch, diskFailed bool) error {
+	c := &controlNode{settings: settings, file: file, external: external, watch: watch}
 	proc, err := process.New("control", settings.Common(), func(*wire.Status) {})
 	if err != nil {
 		return err
@@ -338,11 +336,10 @@
 		select {
 		case err := <-ended:
 			return storageError(err)
-		case got := <-c.signals:
-			if got == syscall.SIGHUP {
-				c.reload()
-				continue
-			}
+		case <-c.watch.Reload():
+			c.reload()
+		case signal := <-c.watch.Stop():
+			c.proc.NoteStopSignal(signal.Delay())
 			c.stop(calls)
 			return nil
 		}
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +21,7 @@
 	"github.com/moorspool/moorspool/src/process"
 	"github.com/moorspool/moorspool/src/quarantine"
 	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/signals"
 	"github.com/moorspool/moorspool/src/wakeup"
 	"github.com/moorspool/moorspool/src/wire"
 )
@@ -55,7 +53,7 @@
 		Name: "moorspool-fleet-gateway",
 		Load: func(flags option.Flags) (func() error, error) {
 			settings, err := option.LoadFleetGateway(flags.Settings)
-			return func() error { return RunGateway(settings, flags.Settings, external, signals()) }, err
+			return func() error { return RunGateway(settings, flags.Settings, external, signals.Notify()) }, err
 		},
 	})
 }
@@ -82,15 +80,8 @@
 	replicas atomic.Bool
 }
 
-// signals delivers the signals that servers handle.
-func signals() <-chan os.Signal {
-	delivered := make(chan os.Signal, 4)
-	signal.Notify(delivered, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return delivered
-}
-
 // RunGateway runs a gateway until a signal ends it.
-func RunGateway(settings option.FleetGateway, file string, external Interface, signals <-chan os.Signal) error {
+func RunGateway(settings option.FleetGateway, file string, external Interface, watch *signals.Watch) error {
 	limitMemory(settings.MemoryMB)
 	g := &gateway{settings: settings, file: file, external: external, demand: exchange.NewDemand(), releases: queueReleases{added: wakeup.New()}}
 	proc, err := process.New("gateway", settings.Common(), func(*wire.Status) {})
@@ -157,11 +148,11 @@
 		return err
 	}
 	defer proc.Close()
-	return g.serve(signals, forwarded)
+	return g.serve(watch, forwarded)
 }
 
-// serve runs the gateway until a signal other than SIGHUP.
-func (g *gateway) serve(signals <-chan os.Signal, forwarded *server) error {
+// serve runs the gateway until a signal to stop.
+func (g *gateway) serve(watch *signals.Watch, forwarded *server) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clients, err := listen(g.settings.Clients, g.handler)
@@ -185,15 +176,16 @@
 	go g.sendOrigins(ctx)
 	go g.gate.Run(ctx, g.inForce)
 	go g.giveUnitsBack(ctx)
-	for got := range signals {
-		if got == syscall.SIGHUP {
+	for {
+		select {
+		case <-watch.Reload():
 			g.reload()
-			continue
+		case signal := <-watch.Stop():
+			g.proc.NoteStopSignal(signal.Delay())
+			g.stopSteps(clients, forwarded).run(time.Now(), g.settings.BalancerLag.Std(), g.settings.StopLimit.Std()-stopMargin)
+			return nil
 		}
-		break
 	}
-	g.stopSteps(clients, forwarded).run(time.Now(), g.settings.BalancerLag.Std(), g.settings.StopLimit.Std()-stopMargin)
-	return nil
 }
 
 // buildFollower creates the follower, which keeps configuration and replicas up to date.
--- a/src/process/process.go
+++ b/src/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -115,6 +116,12 @@
 	p.ring.Add(event.Event{Kind: event.ProcessDraining})
 }
 
+// NoteStopSignal records that the process learned of its signal to stop, which had been under way for at most the delay.
+func (p *Process) NoteStopSignal(delay time.Duration) {
+	p.metrics.Gauge("stop_signal_delay_seconds", delay.Seconds())
+	p.ring.Add(event.Event{Kind: event.StopSignalLearned, Reason: fmt.Sprintf("sent at most %d ms before", delay.Milliseconds())})
+}
+
 // Leaving reports whether the process is stopping.
 func (p *Process) Leaving() bool { return p.leaving.Load() }
 
