Stop: settings that can't be read, or many signals, delay no stop

What callers saw: a gateway or control node that reads its settings again (SIGHUP) from a disk that hangs does not stop when it is told to: it goes on taking requests until it is killed, and cuts off what runs then. The same after a burst of SIGHUP. Cause: one loop waited for signals and read the settings itself; one channel of four held all signals, and os/signal drops what does not fit, a SIGTERM too. Ruled out: a limit for reading the file; a read that hangs in the kernel can't be ended. Change: signals to stop have their own channel, which nothing else uses and one loop reads that never waits for anything else. Settings are read by another goroutine. Signals are handled from the first line of main on: a SIGHUP before that ended the process.

--- a/src/fleet/control.go
+++ b/src/fleet/control.go
@@ -51,11 +51,12 @@
 
 // ControlMain runs moorspool-fleet-control and returns its exit code.
 func ControlMain(arguments []string, external Interface) int {
+	watch := signals.Notify() // first, since a signal ends a process that does not handle it
 	return process.Main(arguments, process.Program{
 		Name: "moorspool-fleet-control",
 		Load: func(flags option.Flags) (func() error, error) {
 			settings, err := option.LoadFleetControl(flags.Settings)
-			return func() error { return RunControl(settings, flags.Settings, external, signals.Notify()) }, err
+			return func() error { return RunControl(settings, flags.Settings, external, watch) }, err
 		},
 	})
 }
@@ -112,7 +113,6 @@
 			return err
 		}
 		select {
-		case <-watch.Reload():
 		case <-watch.Stop():
 			return nil
 		case <-time.After(storageRetry):
@@ -331,18 +331,15 @@
 		return err
 	}
 	defer calls.close()
+	go c.watch.HandleReloads(ctx, c.reload)
 	c.proc.SetReady(true)
-	for {
-		select {
-		case err := <-ended:
-			return storageError(err)
-		case <-c.watch.Reload():
-			c.reload()
-		case signal := <-c.watch.Stop():
-			c.proc.NoteStopSignal(signal.Delay())
-			c.stop(calls)
-			return nil
-		}
+	select {
+	case err := <-ended:
+		return storageError(err)
+	case signal := <-c.watch.Stop():
+		c.proc.NoteStopSignal(signal.Delay())
+		c.stop(calls)
+		return nil
 	}
 }
 
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -49,11 +49,12 @@
 
 // GatewayMain runs moorspool-fleet-gateway and returns its exit code.
 func GatewayMain(arguments []string, external Interface) int {
+	watch := signals.Notify() // first, since a signal ends a process that does not handle it
 	return process.Main(arguments, process.Program{
 		Name: "moorspool-fleet-gateway",
 		Load: func(flags option.Flags) (func() error, error) {
 			settings, err := option.LoadFleetGateway(flags.Settings)
-			return func() error { return RunGateway(settings, flags.Settings, external, signals.Notify()) }, err
+			return func() error { return RunGateway(settings, flags.Settings, external, watch) }, err
 		},
 	})
 }
@@ -176,16 +177,11 @@
 	go g.sendOrigins(ctx)
 	go g.gate.Run(ctx, g.inForce)
 	go g.giveUnitsBack(ctx)
-	for {
-		select {
-		case <-watch.Reload():
-			g.reload()
-		case signal := <-watch.Stop():
-			g.proc.NoteStopSignal(signal.Delay())
-			g.stopSteps(clients, forwarded).run(time.Now(), g.settings.BalancerLag.Std(), g.settings.StopLimit.Std()-stopMargin)
-			return nil
-		}
-	}
+	go watch.HandleReloads(ctx, g.reload)
+	signal := <-watch.Stop()
+	g.proc.NoteStopSignal(signal.Delay())
+	g.stopSteps(clients, forwarded).run(time.Now(), g.settings.BalancerLag.Std(), g.settings.StopLimit.Std()-stopMargin)
+	return nil
 }
 
 // buildFollower creates the follower, which keeps configuration and replicas up to date.
--- a/src/signals/watch.go
+++ b/src/signals/watch.go
@@ -20,10 +20,9 @@
 
 // Watch delivers signals to a server and records when the process runs. It is safe for concurrent use.
 type Watch struct {
-	signals <-chan os.Signal
-	stop    chan Stop
-	reload  chan struct{}
-	now     func() time.Time
+	terminate, reload <-chan os.Signal
+	stop              chan Stop
+	now               func() time.Time
 
 	mu      sync.Mutex
 	running running
@@ -31,14 +30,16 @@
 
 // Notify returns a watch of the process's signals that servers handle.
 func Notify() *Watch {
-	delivered := make(chan os.Signal, 4)
-	signal.Notify(delivered, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return New(context.Background(), delivered, time.Now)
+	// Each kind has its own channel, since a signal that does not fit is dropped.
+	terminate, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	return New(context.Background(), terminate, reload, time.Now)
 }
 
-// New returns a watch of signals that come from a channel, until the context ends.
-func New(ctx context.Context, signals <-chan os.Signal, now func() time.Time) *Watch {
-	w := &Watch{signals: signals, stop: make(chan Stop, 1), reload: make(chan struct{}), now: now}
+// New returns a watch of signals to stop and to read the settings again, until the context ends.
+func New(ctx context.Context, terminate, reload <-chan os.Signal, now func() time.Time) *Watch {
+	w := &Watch{terminate: terminate, reload: reload, stop: make(chan Stop, 1), now: now}
 	w.running.add(now())
 	go w.run(ctx)
 	return w
@@ -47,10 +48,19 @@
 // Stop delivers the first signal to stop; later ones change nothing.
 func (w *Watch) Stop() <-chan Stop { return w.stop }
 
-// Reload delivers the signals to read the settings again.
-func (w *Watch) Reload() <-chan struct{} { return w.reload }
+// HandleReloads reads the settings again after each signal to do so, until the context ends.
+func (w *Watch) HandleReloads(ctx context.Context, reload func()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.reload:
+			reload()
+		}
+	}
+}
 
-// run delivers signals and records that the process runs.
+// run delivers signals to stop and records that the process runs.
 func (w *Watch) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -58,19 +68,19 @@
 		select {
 		case <-ctx.Done():
 			return
-		case got := <-w.signals:
-			w.deliver(ctx, got)
+		case <-w.terminate:
+			w.deliver()
 		case <-ticker.C:
-			w.tick(ctx)
+			w.tick()
 		}
 	}
 }
 
-// tick records that the process runs, unless a signal has come.
-func (w *Watch) tick(ctx context.Context) {
+// tick records that the process runs, unless a signal to stop has come.
+func (w *Watch) tick() {
 	select {
-	case got := <-w.signals:
-		w.deliver(ctx, got)
+	case <-w.terminate:
+		w.deliver()
 	default:
 		w.mu.Lock()
 		w.running.add(w.now())
@@ -78,15 +88,8 @@
 	}
 }
 
-// deliver delivers a signal.
-func (w *Watch) deliver(ctx context.Context, got os.Signal) {
-	if got == syscall.SIGHUP {
-		select {
-		case w.reload <- struct{}{}:
-		case <-ctx.Done():
-		}
-		return
-	}
+// deliver delivers a signal to stop.
+func (w *Watch) deliver() {
 	learned := w.now()
 	w.mu.Lock()
 	sentAfter := w.running.withoutSignalAt(learned)
--- a/src/signals/watch_test.go
+++ b/src/signals/watch_test.go
@@ -17,8 +17,8 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		delivered := make(chan os.Signal, 4)
-		w := New(ctx, delivered, time.Now)
+		delivered := make(chan os.Signal, 1)
+		w := New(ctx, delivered, nil, time.Now)
 		time.Sleep(1010 * time.Millisecond)
 		sent := time.Now()
 		delivered <- syscall.SIGTERM
@@ -31,3 +31,21 @@
 		is.Equal(len(w.Stop()), 1) // only one more is kept, and nobody waits for it
 	})
 }
+
+// TestABurstOfReloadsLeavesRoomForAStop: all signals shared a channel of four, and os/signal drops what does not fit.
+func TestABurstOfReloadsLeavesRoomForAStop(t *testing.T) {
+	is := is.New(t)
+	w := Notify()
+	hung := make(chan struct{})
+	defer close(hung)
+	go w.HandleReloads(context.Background(), func() { <-hung })
+	for range 40 {
+		is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	}
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	select {
+	case <-w.Stop():
+	case <-time.After(5 * time.Second):
+		t.Error("the signal to stop was dropped")
+	}
+}
