Soak: measurements of gateways that learn late of their signal to stop

A process on a busy host may learn of its SIGTERM late. late-signal and its variants let a gateway stand still around the signal; in hup-then-term many SIGHUPs come before it while the settings can't be read, so that whatever reloads them in the loop over signals holds the stop up.

--- a/soak/bodycounts.go
+++ b/soak/bodycounts.go
@@ -113,7 +113,9 @@
 	silentEnds int
 	// elsewhere counts named outcomes at gateways that did not stop.
 	elsewhere int
-	named     []string
+	// unnamed counts named outcomes of which no line of a gateway tells.
+	unnamed int
+	named   []string
 }
 
 // add counts a request.
@@ -146,6 +148,7 @@
 		}
 		line := result.describeBody(run)
 		fmt.Fprintf(m.log, "%s: %s | %s\n", outcome, line, lines[result.id])
+		n.unnamed += asNumber(outcome.isNamed() && lines[result.id] == "")
 		if outcome.isNamed() && len(n.named) < maxLostIDs {
 			n.named = append(n.named, fmt.Sprintf("%s: %s", outcome, line))
 		}
@@ -153,6 +156,7 @@
 	for _, class := range m.load.classes {
 		counts[class.kind].print(class.name)
 	}
+	fmt.Printf("%d stops, %d of them ended by SIGKILL %s after the signal was sent\n", m.stops, m.kills, m.in.stop.limit)
 }
 
 // print prints the counts of a class.
@@ -164,7 +168,7 @@
 		}
 		fmt.Printf("; %s %d (%d)", outcome, n.outcomes[outcome], n.slowOutcomes[outcome])
 	}
-	fmt.Printf("; refused before the last byte %d; ran and closed without any answer %d; LOST at gateways that do not stop %d\n", n.refusedEarly, n.silentEnds, n.elsewhere)
+	fmt.Printf("; refused before the last byte %d; ran and closed without any answer %d; LOST at gateways that do not stop %d, without a line of a gateway %d\n", n.refusedEarly, n.silentEnds, n.elsewhere, n.unnamed)
 	for _, line := range n.named {
 		fmt.Println(" ", line)
 	}
--- a/soak/bodymeasure.go
+++ b/soak/bodymeasure.go
@@ -33,8 +33,8 @@
 
 // bodyLoad is a load of requests whose bodies are sent by plans.
 type bodyLoad struct {
-	// slow is set if half of the bodies are sent over time.
-	slow bool
+	// over is the time over which half of the bodies are sent, 0 if all are sent at once.
+	over time.Duration
 	// work is how long a replica needs for an answer.
 	work time.Duration
 }
@@ -52,6 +52,15 @@
 	}
 }
 
+// draw draws how the body of a request is sent.
+func (l bodyLoad) draw(random *rand.Rand) bodyPlan {
+	p := drawBodyPlan(random, l.over > 0)
+	if p.duration > 0 {
+		p.duration = l.over
+	}
+	return p
+}
+
 // sentBody is how the body of a measured request was sent.
 type sentBody struct {
 	plan bodyPlan
@@ -71,7 +80,7 @@
 func (m *silenceMeasurement) sendBody(class silenceClass, gateway *member) silenceResult {
 	number := m.next.Add(1)
 	result := silenceResult{id: fmt.Sprintf("q%08d", number), class: class, gateway: gateway, sentAt: time.Now()}
-	body := &sentBody{plan: drawBodyPlan(rand.New(rand.NewPCG(m.in.options.Seed, number)), m.kind.bodies.slow)}
+	body := &sentBody{plan: m.kind.bodies.draw(rand.New(rand.NewPCG(m.in.options.Seed, number)))}
 	result.body = body
 	head := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nX-Deadline-Ms: %d\r\n%s", class.kind, idHeader, result.id, class.timeout.Milliseconds(), body.plan.header())
 	if !body.plan.kept {
--- a/soak/bodyplan.go
+++ b/soak/bodyplan.go
@@ -10,6 +10,8 @@
 const (
 	// slowBodyTime is the time from the first byte of a body that is sent over time to its last one.
 	slowBodyTime = 1200 * time.Millisecond
+	// briefBodyTime is that time beside signals that are learned late.
+	briefBodyTime = 600 * time.Millisecond
 	// bodyPartCount is how many parts such a body has.
 	bodyPartCount = 6
 	// smallBodyBytes and largeBodyBytes are the lengths of bodies. A large one is more than the buffers of a
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -159,6 +159,11 @@
 	if between != nil {
 		between()
 	}
+	in.startAfter(m, pause)
+}
+
+// startAfter starts a process again after a pause.
+func (in *installation) startAfter(m *member, pause time.Duration) {
 	time.Sleep(pause)
 	if m.control {
 		_ = in.writeSettings(m, false)
--- a/soak/silencemeasure.go
+++ b/soak/silencemeasure.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -62,6 +61,8 @@
 	alone bool
 	// bodies is what clients send and replicas do in place of silenceLoad, nil for that.
 	bodies *bodyLoad
+	// stop is how gateways are stopped; the limit is that of silenceStop.
+	stop platformStop
 }
 
 var silenceKinds = map[string]silenceKind{
@@ -74,10 +75,17 @@
 	"silence-alone":   {replicas: silenceReplicas, delay: 600 * time.Millisecond, duration: 1200 * time.Millisecond, alone: true},
 	"silence-none":    {},
 
-	"bodies":               {bodies: &bodyLoad{slow: true, work: quickWork}},
-	"bodies-slow-replicas": {bodies: &bodyLoad{slow: true, work: slowWork}},
-	"bodies-silence":       {bodies: &bodyLoad{slow: true, work: longWork}, replicas: bodyReplicas, delay: lateSilence, duration: longSilence},
+	"bodies":               {bodies: &bodyLoad{over: slowBodyTime, work: quickWork}},
+	"bodies-slow-replicas": {bodies: &bodyLoad{over: slowBodyTime, work: slowWork}},
+	"bodies-silence":       {bodies: &bodyLoad{over: slowBodyTime, work: longWork}, replicas: bodyReplicas, delay: lateSilence, duration: longSilence},
 	"bodies-at-once":       {bodies: &bodyLoad{work: slowWork}},
+
+	"late-signal":        {bodies: &bodyLoad{work: slowWork}, stop: platformStop{pausedUntil: 300 * time.Millisecond}},
+	"late-signal-short":  {bodies: &bodyLoad{work: slowWork}, stop: platformStop{pausedUntil: 100 * time.Millisecond}},
+	"late-signal-long":   {bodies: &bodyLoad{work: slowWork}, stop: platformStop{pausedUntil: 900 * time.Millisecond}},
+	"late-signal-after":  {bodies: &bodyLoad{work: slowWork}, stop: platformStop{pausedFrom: 200 * time.Millisecond, pausedUntil: 3600 * time.Millisecond}},
+	"late-signal-bodies": {bodies: &bodyLoad{over: briefBodyTime, work: slowWork}, stop: platformStop{pausedUntil: 500 * time.Millisecond}},
+	"hup-then-term":      {bodies: &bodyLoad{work: slowWork}, stop: platformStop{hangups: 40, heldSettings: true}},
 }
 
 // silenceClass is a kind of measured requests, by the first letter of their path.
@@ -157,6 +165,8 @@
 	// stopping is the gateway that was told to stop, nil once it is back; signalAt is when it was told.
 	stopping *member
 	signalAt time.Time
+	// stops counts the stops, kills those that a SIGKILL ended.
+	stops, kills int
 }
 
 // measureSilence stops gateways while replicas fall silent, and prints which answers ended early.
@@ -285,14 +295,21 @@
 
 // stop stops a gateway and starts it again.
 func (m *silenceMeasurement) stop(gateway *member) {
+	how := m.kind.stop
+	how.limit = m.in.stop.limit
+	killed := m.in.stopByPlatform(gateway, how, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.stopping, m.signalAt = gateway, time.Now()
+		m.note("%s is told to stop", gateway.name)
+	})
+	m.note("%s has stopped, killed %v", gateway.name, killed)
+	m.in.startAfter(gateway, silenceDowntime)
 	m.mu.Lock()
-	m.stopping, m.signalAt = gateway, time.Now()
-	m.mu.Unlock()
-	m.note("%s is told to stop", gateway.name)
-	m.in.restart(gateway, syscall.SIGTERM, silenceDowntime, func() { m.note("%s has stopped", gateway.name) })
-	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.stopping = nil
-	m.mu.Unlock()
+	m.stops++
+	m.kills += asNumber(killed)
 }
 
 // fallSilent lets replicas fall silent for a while.
