Soak: processes learn late of their signal to stop, and are killed at the limit after its sending

Two in three stops, of gateways and control nodes, pause the process around SIGTERM: from up to 1 s before it until 0.05 to 1.2 s after it. SIGHUPs come right before it, in bursts of up to 40, at times with settings that can't be read, and after it. SIGKILL comes at the limit after the sending; a stop had 10 s before. All is judged from the sending. The draws come from sources of their own; --no-late-signals leaves it out.

The check of lost answers gets stricter: a standstill around a signal explains only what ended while the gateway stood still, and the limit of a stop only an answer that its replica was still at work on.

--- a/soak/bodyclients.go
+++ b/soak/bodyclients.go
@@ -27,6 +27,11 @@
 	minWork      = 1500 * time.Millisecond
 	maxWork      = 4 * time.Second
 	workDeadline = 9 * time.Second
+	// besideStopRequests is how many requests with work are sent to a gateway that learns late of its stop, from
+	// besideStopFrom to besideStopUntil after its signal.
+	besideStopRequests = 8
+	besideStopFrom     = 2400 * time.Millisecond
+	besideStopUntil    = 4200 * time.Millisecond
 	// workHeader says how long a replica works on a request, in milliseconds.
 	workHeader = "Soak-Work-Ms"
 )
@@ -85,6 +90,20 @@
 	}
 }
 
+// sendBesideStop sends requests with work, at once each, to a gateway that has just been told to stop and learns it late.
+func (c *clients) sendBesideStop(m *member, random *rand.Rand) {
+	for range besideStopRequests {
+		after := drawBetween(random, besideStopFrom, besideStopUntil)
+		plan := drawBodyPlan(random, false)
+		plan.kept = false
+		r := bodyRequest{kind: "w", plan: plan, work: drawBetween(random, minWork, maxWork), deadline: workDeadline, draw: random.IntN(10)}
+		c.work.Go(func() {
+			time.Sleep(after)
+			c.sendByPlan(&keptConns{address: c.in.proxyAddress(m, c.in.callPort())}, m, c.id(), r)
+		})
+	}
+}
+
 // sendByPlan sends a request and checks its answer.
 func (c *clients) sendByPlan(conns *keptConns, m *member, id string, r bodyRequest) {
 	answer, _, err := conns.send(r.plan, id, c.bodyHead(m, id, r), r.deadline+bodyClientSlack)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -38,7 +38,7 @@
 func (in *installation) apply(chosen fault, m *member, duration time.Duration, random *rand.Rand) {
 	fmt.Fprintf(m.log, "soak: %s %s for %s\n", time.Now().Format(time.RFC3339Nano), chosen.name, duration)
 	if !chosen.endsNothing {
-		defer in.strikes.begin(m.name, chosen.name, chosen.planned)(0)
+		defer in.strikes.begin(m.name, chosen.name, false)(0)
 	}
 	chosen.apply(in, m, duration, random)
 	m.endFault()
@@ -78,18 +78,17 @@
 	name string
 	// needsDataFolder marks faults of the data folder, which only control nodes have.
 	needsDataFolder bool
-	// endsNothing marks faults that give a gateway no reason to end an answer, planned a planned stop, which
-	// gives none before its limit.
-	endsNothing, planned bool
-	apply                func(in *installation, m *member, duration time.Duration, random *rand.Rand)
+	// endsNothing marks faults that give a gateway no reason to end an answer, or record themselves what does.
+	endsNothing bool
+	apply       func(in *installation, m *member, duration time.Duration, random *rand.Rand)
 }
 
 var faults = []fault{
 	{name: "kill", apply: func(in *installation, m *member, duration time.Duration, _ *rand.Rand) {
 		in.restart(m, syscall.SIGKILL, duration/2, nil)
 	}},
-	{name: "stop", planned: true, apply: func(in *installation, m *member, duration time.Duration, _ *rand.Rand) {
-		in.restart(m, syscall.SIGTERM, duration/4, nil)
+	{name: "stop", endsNothing: true, apply: func(in *installation, m *member, duration time.Duration, random *rand.Rand) {
+		in.stopAndStart(m, duration/4, random)
 	}},
 	{name: "pause", apply: func(_ *installation, m *member, duration time.Duration, _ *rand.Rand) {
 		m.signal(syscall.SIGSTOP)
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -71,6 +72,9 @@
 	disks   slowDiskPeriods
 	stop    plannedStop
 	strikes strikeLog
+	stops   stopCounts
+	// besideStop sends requests to a gateway that learns late of its stop, nil for none.
+	besideStop func(m *member, random *rand.Rand)
 	// replicaLog holds what was done to replicas.
 	replicaLog *os.File
 }
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -51,6 +51,11 @@
 	cut, brokeOff bool
 }
 
+// atWork reports whether a replica was still at work on a run at a time, or until it was cut.
+func (run *replicaRun) atWork(at time.Time) bool {
+	return run.cut || run.endedAt.IsZero() || run.endedAt.After(at)
+}
+
 // arrival is when a request reached a replica's host.
 type arrival struct {
 	rep *replica
@@ -178,7 +183,7 @@
 		return "no proof of its end"
 	}
 	for _, gateway := range []string{answer.gateway, run.sender} {
-		if name := strikes.explaining(gateway, answer, stop); name != "" {
+		if name := strikes.explaining(gateway, answer, run.atWork(answer.endedAt), stop); name != "" {
 			return name
 		}
 	}
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -266,3 +266,63 @@
 		})
 	}
 }
+
+// TestAStandstillExplainsNothingOnceItIsOver: a gateway that stood still around its signal must not be excused for what it
+// cuts off afterwards.
+func TestAStandstillExplainsNothingOnceItIsOver(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		gateway  string
+		from, to time.Duration
+		lost     bool
+	}{
+		{"ended by another gateway while its sender stands still", "gateway-2", time.Second, 2 * time.Second, false},
+		{"the sender still stands still", "gateway-2", time.Second, 0, false},
+		{"cut off after the gateway went on", "gateway-1", time.Second, 1499 * time.Millisecond, true},
+		{"cut off after the sender went on", "gateway-2", -time.Second, 1499 * time.Millisecond, true},
+		{"ended before", "gateway-1", 1501 * time.Millisecond, 2 * time.Second, true},
+		{"another gateway stands still", "gateway-3", time.Second, 2 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLostScene()
+			s.strikes.beginStandstill(test.gateway)
+			added := s.strikes.byName[test.gateway][0]
+			added.from = s.start.Add(test.from)
+			if test.to != 0 {
+				added.to = s.start.Add(test.to)
+			}
+			s.checks.recordAnswer(s.answer, false)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)) == 1, test.lost)
+		})
+	}
+}
+
+// TestTheLimitOfAStopExplainsNoAnswerThatItsReplicaHadGiven: it may only end what a replica is at work on.
+func TestTheLimitOfAStopExplainsNoAnswerThatItsReplicaHadGiven(t *testing.T) {
+	const limitShare = 5500 * time.Millisecond
+	for _, test := range []struct {
+		name  string
+		ended time.Duration
+		cut   bool
+		lost  bool
+	}{
+		{"at work", limitShare + time.Millisecond, false, false},
+		{"cut", limitShare - time.Millisecond, true, false},
+		{"under way", 0, false, false},
+		{"had answered", limitShare - time.Millisecond, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLostScene()
+			s.strike("gateway-1", "stop", true, 0, 0)
+			s.answer.deadline, s.answer.firstByteAt, s.answer.lastByteAt = workDeadline, s.start.Add(time.Second), s.start.Add(time.Second)
+			s.answer.endedAt, s.run.endedAt, s.run.cut = s.start.Add(limitShare), s.start.Add(test.ended), test.cut
+			if test.ended == 0 {
+				s.run.endedAt = time.Time{}
+			}
+			s.checks.recordAnswer(s.answer, false)
+			is.Equal(len(s.checks.findings(&s.strikes, s.stop, io.Discard)) == 1, test.lost)
+		})
+	}
+}
--- a/soak/main.go
+++ b/soak/main.go
@@ -15,22 +15,23 @@
 )
 
 type options struct {
-	Seed        uint64        `long:"seed" description:"the run's seed" required:"yes"`
-	Seconds     int           `long:"seconds" description:"how long faults are injected" default:"20"`
-	Gateways    int           `long:"gateways" description:"number of gateways" default:"4"`
-	Bin         string        `long:"bin" description:"folder of the programs" default:"target"`
-	Folder      string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
-	NoBounds    bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
-	Measure     string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, one-gateway, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, ends, ends-kills, rejoined, rejoined-all, rejoined-crash, stale-gateway, upgrade, back, silence, silence-one, silence-long, silence-accept, silence-early, silence-forward, silence-alone, silence-none, bodies, bodies-slow-replicas, bodies-silence, bodies-at-once, late-signal, late-signal-short, late-signal-long, late-signal-after, late-signal-bodies, hup-then-term"`
-	Old         string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
-	Order       string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
-	SyncWait    time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
-	OldDisks    bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
-	NoSilence   bool          `long:"no-silence" description:"leave out the pauses of replicas and the short queues of new connections, as in runs of earlier builds of this program"`
-	NoParts     bool          `long:"no-parts" description:"leave out the requests with parts of prompts that crash replicas, as in runs of earlier builds of this program"`
-	NoBodies    bool          `long:"no-bodies" description:"leave out the requests whose bodies are sent over time, as in runs of earlier builds of this program"`
-	LaggingNode string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
-	Port        int           `long:"port" description:"first of the ports used on every address" default:"17400"`
+	Seed          uint64        `long:"seed" description:"the run's seed" required:"yes"`
+	Seconds       int           `long:"seconds" description:"how long faults are injected" default:"20"`
+	Gateways      int           `long:"gateways" description:"number of gateways" default:"4"`
+	Bin           string        `long:"bin" description:"folder of the programs" default:"target"`
+	Folder        string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
+	NoBounds      bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
+	Measure       string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, one-gateway, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, ends, ends-kills, rejoined, rejoined-all, rejoined-crash, stale-gateway, upgrade, back, silence, silence-one, silence-long, silence-accept, silence-early, silence-forward, silence-alone, silence-none, bodies, bodies-slow-replicas, bodies-silence, bodies-at-once, late-signal, late-signal-short, late-signal-long, late-signal-after, late-signal-bodies, hup-then-term"`
+	Old           string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
+	Order         string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
+	SyncWait      time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
+	OldDisks      bool          `long:"old-disks" description:"leave out the spells of slow disks, as in runs of earlier builds of this program"`
+	NoSilence     bool          `long:"no-silence" description:"leave out the pauses of replicas and the short queues of new connections, as in runs of earlier builds of this program"`
+	NoParts       bool          `long:"no-parts" description:"leave out the requests with parts of prompts that crash replicas, as in runs of earlier builds of this program"`
+	NoBodies      bool          `long:"no-bodies" description:"leave out the requests whose bodies are sent over time, as in runs of earlier builds of this program"`
+	NoLateSignals bool          `long:"no-late-signals" description:"leave out the stops beside the other faults, those that processes learn of late, the SIGHUPs around stops and the long lag of the balancer, as in runs of earlier builds of this program"`
+	LaggingNode   string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
+	Port          int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
 
 // settleTime is how long the processes have to recover after the last fault.
@@ -67,7 +68,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	in, err := newInstallation(o, defaultStop)
+	in, err := newInstallation(o, drawPlannedStop(o))
 	if err != nil {
 		return nil, err
 	}
@@ -111,17 +112,20 @@
 	}
 	go in.watchMemory(ctx, check)
 	go clients.run(ctx, rand.New(rand.NewPCG(o.Seed, 4)))
+	in.besideStop = clients.sendBesideStop
 	disksCtx, endSlowDisks := context.WithCancel(ctx)
 	defer endSlowDisks()
 	disks := in.startSlowDisks(disksCtx, rand.New(rand.NewPCG(o.Seed, 15)))
-	silenceCtx, endSilences := context.WithCancel(ctx)
-	defer endSilences()
-	silences := replicas.startSilences(silenceCtx, silenceRandom)
+	besideCtx, endBeside := context.WithCancel(ctx)
+	defer endBeside()
+	silences := replicas.startSilences(besideCtx, silenceRandom)
+	stops := in.startStops(besideCtx, rand.New(rand.NewPCG(o.Seed, 22)))
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
 	endSlowDisks()
 	disks.Wait()
-	endSilences()
+	endBeside()
 	silences.Wait()
+	stops.Wait()
 	in.endAllFaults()
 	endFaults()
 	operators.stop()
@@ -136,6 +140,6 @@
 	check.checkAtEnd(in)
 	check.checkParts()
 	check.checkLost(in)
-	fmt.Printf("seed %d: queues of %d; %s; %s; %s; %s; %s; %s\n", o.Seed, plan.backlog, check.summary(), &replicas.notices, &replicas.limits, &check.links, &check.resumes, &check.lost)
+	fmt.Printf("seed %d: queues of %d; %s; %s; %s; %s; %s; %s; %s\n", o.Seed, plan.backlog, check.summary(), &replicas.notices, &replicas.limits, &check.links, &check.resumes, &in.stops, &check.lost)
 	return check.findings(), nil
 }
--- a/soak/platformstop_test.go
+++ b/soak/platformstop_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,3 +80,76 @@
 	is.NoErr(err)
 	is.Equal(string(text), "node: gateway-1\n")
 }
+
+// TestAStopIsJudgedFromTheSendingOfItsSignal: neither the time before it nor that until the process learns of it counts.
+func TestAStopIsJudgedFromTheSendingOfItsSignal(t *testing.T) {
+	is := is.New(t)
+	m := newCommandMember(t, `echo; exec sleep 60`)
+	s := platformStop{limit: 10 * time.Second, pausedFrom: 100 * time.Millisecond, pausedUntil: 300 * time.Millisecond}
+	in, began := &installation{}, time.Now()
+	var toldAt time.Time
+	in.stopByPlatform(m, s, func() { toldAt = time.Now() })
+	is.Equal(len(in.strikes.byName[m.name]), 2)
+	standstill, stop := in.strikes.byName[m.name][0], in.strikes.byName[m.name][1]
+	is.True(standstill.standstill)
+	is.True(!standstill.from.Before(began))
+	is.True(!standstill.to.Before(toldAt.Add(s.pausedUntil)))
+	is.True(stop.planned)
+	is.True(!stop.from.Before(standstill.from.Add(s.pausedFrom)))
+	is.True(!stop.from.After(toldAt))
+	is.Equal(in.stops.String(), "stops 1, learned late 1, killed at the limit 0")
+}
+
+// TestTheSignalsOfAStopComeInOrder: a process goes on at the limit at the latest.
+func TestTheSignalsOfAStopComeInOrder(t *testing.T) {
+	is := is.New(t)
+	s := platformStop{limit: 6 * time.Second, pausedUntil: time.Second, laterHangups: []time.Duration{4 * time.Second, 500 * time.Millisecond}}
+	is.Equal(s.later(), []timedSignal{{500 * time.Millisecond, syscall.SIGHUP}, {time.Second, syscall.SIGCONT}, {4 * time.Second, syscall.SIGHUP}})
+	s = platformStop{limit: 6 * time.Second, pausedUntil: time.Minute}
+	is.Equal(s.later(), []timedSignal{{6 * time.Second, syscall.SIGCONT}})
+	is.Equal(len(platformStop{limit: 6 * time.Second}.later()), 0)
+}
+
+// TestDrawnStops checks what stops are drawn.
+func TestDrawnStops(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	late, early, before, after, held := 0, 0, 0, 0, 0
+	for range 1000 {
+		s := drawPlatformStop(random, defaultStop.limit, true)
+		is.Equal(s.limit, defaultStop.limit)
+		is.True(s.pausedFrom <= maxPausedFrom && s.pausedUntil <= maxPausedUntil)
+		is.True(s.isLate() || s.pausedFrom == 0)
+		is.True(s.hangups <= maxHangups && len(s.laterHangups) <= maxLaterHangups)
+		is.True(!s.heldSettings || s.hangups > 0)
+		late, early = late+asNumber(s.isLate()), early+asNumber(s.pausedFrom > 0)
+		before, after, held = before+asNumber(s.hangups > 0), after+asNumber(len(s.laterHangups) > 0), held+asNumber(s.heldSettings)
+	}
+	is.True(late > 600 && late < 730)
+	is.True(early > 270 && early < 400)
+	is.True(before > 270 && before < 400)
+	is.True(after > 750 && after < 850)
+	is.True(held > 50 && held < 120)
+}
+
+// TestAProcessThatDoesNotServeGetsNoHangup: it would end by itself.
+func TestAProcessThatDoesNotServeGetsNoHangup(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 100 {
+		s := drawPlatformStop(random, defaultStop.limit, false)
+		is.Equal(s.hangups+len(s.laterHangups), 0)
+		is.True(!s.heldSettings)
+	}
+}
+
+// TestRunsWithoutLateSignalsStopAsBefore checks the option that leaves them out.
+func TestRunsWithoutLateSignalsStopAsBefore(t *testing.T) {
+	is := is.New(t)
+	long := 0
+	for seed := range uint64(100) {
+		is.Equal(drawPlannedStop(options{Seed: seed, NoLateSignals: true}), defaultStop)
+		long += asNumber(drawPlannedStop(options{Seed: seed}).balancerLag == longBalancerLag)
+	}
+	is.True(long > 30 && long < 70)
+}
--- a/soak/strikes.go
+++ b/soak/strikes.go
@@ -10,7 +10,9 @@
 	name string
 	// planned is set for a planned stop, which gives no reason to end an answer before its limit.
 	planned bool
-	from    time.Time
+	// standstill is set if the gateway stood still around a signal. That holds answers up, and ends none once it goes on.
+	standstill bool
+	from       time.Time
 	// to is the zero time while the strike lasts.
 	to time.Time
 }
@@ -23,12 +25,22 @@
 
 // begin records a strike and returns what ends it after a time in which it may still have an effect.
 func (l *strikeLog) begin(gateway, name string, planned bool) (end func(after time.Duration)) {
+	return l.add(gateway, &strike{name: name, planned: planned, from: time.Now()})
+}
+
+// beginStandstill records that a gateway stands still around a signal, and returns what records that it goes on.
+func (l *strikeLog) beginStandstill(gateway string) (end func()) {
+	ended := l.add(gateway, &strike{name: "standstill", standstill: true, from: time.Now()})
+	return func() { ended(0) }
+}
+
+// add records a strike and returns what ends it.
+func (l *strikeLog) add(gateway string, s *strike) (end func(after time.Duration)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.byName == nil {
 		l.byName = map[string][]*strike{}
 	}
-	s := &strike{name: name, planned: planned, from: time.Now()}
 	l.byName[gateway] = append(l.byName[gateway], s)
 	return func(after time.Duration) {
 		l.mu.Lock()
@@ -38,24 +50,28 @@
 }
 
 // explaining returns the name of a strike by which an answer that a gateway passed on may have ended early,
-// "" if there is none.
-func (l *strikeLog) explaining(gateway string, answer endedAnswer, stop plannedStop) string {
+// "" if there is none. atWork is set if its replica was at work at the end.
+func (l *strikeLog) explaining(gateway string, answer endedAnswer, atWork bool, stop plannedStop) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.byName[gateway] {
-		if s.explains(answer, stop) {
+		if s.explains(answer, atWork, stop) {
 			return s.name
 		}
 	}
 	return ""
 }
 
-// explains reports whether an answer may have ended early by the strike. Whether a planned stop may end it at its limit
-// depends on the last byte of the request; every other strike counts from the first byte on.
-func (s *strike) explains(answer endedAnswer, stop plannedStop) bool {
-	if s.planned {
+// explains reports whether an answer may have ended early by the strike. A planned stop may end it at its limit if the
+// replica is at work, by the time of the request's last byte after the sending of the signal. A standstill explains what
+// others ended meanwhile. Every other strike counts from the first byte on.
+func (s *strike) explains(answer endedAnswer, atWork bool, stop plannedStop) bool {
+	switch {
+	case s.planned:
 		inTime := !answer.lastByteAt.IsZero() && !answer.lastByteAt.After(s.from.Add(lastRequestTime))
-		return inTime && answer.endedAt.After(s.from.Add(stop.limit*5/6))
+		return inTime && atWork && answer.endedAt.After(s.from.Add(stop.limit*5/6))
+	case s.standstill:
+		return !answer.endedAt.Before(s.from) && (s.to.IsZero() || !answer.endedAt.After(s.to))
 	}
 	return !answer.endedAt.Before(s.from) && (s.to.IsZero() || answer.firstByteAt.Before(s.to))
 }
