Event: a writer can be told to write each line at once

Lines are collected for 50 ms before they are written. What a process logs in the last 50 ms before a SIGKILL is lost, and a stop may be ended that way at any time after its signal.

WriteAtOnce ends the collecting for good, also one that is under way. Lines still go through the buffer and the writer's own goroutine, so an output that blocks delays no caller. Nothing calls it yet.

Without the new case in collect TestLinesAreWrittenAtOnceForAProcessThatMayBeKilled fails with 0 lines written.

--- a/src/event/writer.go
+++ b/src/event/writer.go
@@ -35,8 +35,11 @@
 	wake    chan struct{}
 	// halfFull is told when half of the buffer is used.
 	halfFull chan struct{}
-	closed   chan struct{}
-	done     chan struct{}
+	// atOnce is closed once lines are written without being collected.
+	atOnce    chan struct{}
+	setAtOnce sync.Once
+	closed    chan struct{}
+	done      chan struct{}
 	// important tells whether the next line is important; second and kinds count the lines of each
 	// kind in the current second.
 	important bool
@@ -46,7 +49,7 @@
 
 // NewWriter returns a writer and starts its goroutine.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, wake: make(chan struct{}, 1), halfFull: make(chan struct{}, 1), closed: make(chan struct{}), done: make(chan struct{}), kinds: map[Kind]int{}}
+	w := &Writer{out: out, wake: make(chan struct{}, 1), halfFull: make(chan struct{}, 1), atOnce: make(chan struct{}), closed: make(chan struct{}), done: make(chan struct{}), kinds: map[Kind]int{}}
 	go w.run()
 	return w
 }
@@ -132,10 +135,15 @@
 	select {
 	case <-time.After(flushDelay):
 	case <-w.halfFull:
+	case <-w.atOnce:
 	case <-w.closed:
 	}
 }
 
+// WriteAtOnce makes the writer write each line as soon as the output takes it, from now on. A process that may be killed
+// any time leaves its lines then.
+func (w *Writer) WriteAtOnce() { w.setAtOnce.Do(func() { close(w.atOnce) }) }
+
 // flush writes the buffered lines and the number of dropped ones. It reports whether there were any.
 func (w *Writer) flush() bool {
 	w.mu.Lock()
--- a/src/event/writer_test.go
+++ b/src/event/writer_test.go
@@ -153,3 +153,43 @@
 		is.Equal(out.lines(), lines)
 	})
 }
+
+// TestLinesAreWrittenAtOnceForAProcessThatMayBeKilled: the lines of the last 50 ms were lost with the process.
+func TestLinesAreWrittenAtOnceForAProcessThatMayBeKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &recordedOutput{}
+		writer := NewWriter(out)
+		defer writer.Close(time.Minute)
+		_, _ = writer.Write([]byte("line\n"))
+		synctest.Wait()
+		is.Equal(out.lines(), 0)
+		began := time.Now()
+		writer.WriteAtOnce()
+		writer.WriteAtOnce()
+		synctest.Wait()
+		is.Equal(out.lines(), 1) // what was being collected
+		_, _ = writer.Write([]byte("line\n"))
+		_, _ = writer.Write([]byte("line\n"))
+		synctest.Wait()
+		is.Equal(out.lines(), 3)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+// TestLinesAtOnceDelayNobodyWhileTheOutputBlocks: the writer still has a buffer between its callers and the output.
+func TestLinesAtOnceDelayNobodyWhileTheOutputBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &recordedOutput{delay: time.Second}
+		writer := NewWriter(out)
+		writer.WriteAtOnce()
+		began := time.Now()
+		for range 2 * maxLines {
+			_, _ = writer.Write([]byte("line\n"))
+		}
+		is.Equal(time.Since(began), time.Duration(0))
+		writer.Close(time.Minute)
+		is.True(out.lines() >= maxLines)
+	})
+}
