Exchange: log the requests that are under way as the mark of a stop passes

What callers saw: requests that ended with a killed gateway, or with one that stood still until it was killed, have no line of that gateway, so that a record of lost answers can't be explained.

Cause: a request has its line once it ends in order (702, 704, 705, 717). SIGKILL ends it without.

As the mark passes, each request that was sent on and has no complete answer has a line 718, request-under-way, for each host that may run it; what is sent after the mark has it right before its first byte. The line tells how long ago the request was sent on and read, how long before its deadline, and what its client has. If the mark has passed as it is set, the lines are written before RefuseBeyond returns, so before anything is cut off. Fields of a call belong to its goroutine, so what the lines tell is copied at each send into a record with a lock. The lock also orders a request's line and its end: no line comes after that of the result. The lines count as important: no limit a second, dropped last.

Ruled out: a context.AfterFunc for each send. Its goroutines run some time after the mark, and a process that wakes after its limit would cut requests off before their lines.

--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -86,6 +86,7 @@
 	UnframedResponse   Kind = 715
 	EndUnproven        Kind = 716
 	AnswerEndedEarly   Kind = 717
+	RequestUnderWay    Kind = 718
 	KeyRefused         Kind = 720
 	QuotaExceeded      Kind = 721
 	AdmissionUncertain Kind = 722
@@ -195,6 +196,7 @@
 	{UnframedResponse, "response-unframed", "A response of a backend server that has neither a length nor chunks begins to be passed on; how the client knows its end is given."},
 	{EndUnproven, "end-unproven", "Nothing but the close of its connection shows the end of a backend server's response; what became of the client's response, and how the client knows its end, is given."},
 	{AnswerEndedEarly, "answer-ended-early", "A client's answer was broken off, or tells that the request may have run: what ended it and by which evidence, the last event, how long after the server's last byte and before the deadline, and how long ago the request's head and last byte were read and it was sent on."},
+	{RequestUnderWay, "request-under-way", "A request was sent to a backend server or another gateway and has no complete answer yet as the mark of a stop passes, or is sent after it: how long ago it was sent on and its head and last byte were read, how long before its deadline, and whether its answer has begun."},
 	{KeyRefused, "key-refused", "A request had no API key, or one that belongs to no client account."},
 	{QuotaExceeded, "quota-spent", "A request was refused because its client account had used up its limit."},
 	{AdmissionUncertain, "admission-unsure", "A request with an API key was refused because no reachable control node could confirm that its client account was within its limit, or that the configuration was still the newest."},
--- a/src/event/ring.go
+++ b/src/event/ring.go
@@ -70,7 +70,7 @@
 // last.
 func (k Kind) important() bool {
 	switch k {
-	case AnswerEndedEarly, ReplicaEnded, ContentQuarantined, ContentReleased, RequestRefused, ConfigRefused, StorageFailed, ControlLost, LeaderLost, HostEjected, ProcessStarted, ProcessStopped:
+	case AnswerEndedEarly, RequestUnderWay, ReplicaEnded, ContentQuarantined, ContentReleased, RequestRefused, ConfigRefused, StorageFailed, ControlLost, LeaderLost, HostEjected, ProcessStarted, ProcessStopped:
 		return true
 	}
 	return false
--- a/src/event/writer_test.go
+++ b/src/event/writer_test.go
@@ -193,3 +193,26 @@
 		is.True(out.lines() >= maxLines)
 	})
 }
+
+// TestLinesOfRequestsUnderWayOutlastOthers: they are the only ones of a request that the end of the process ends, and
+// come all at once.
+func TestLinesOfRequestsUnderWayOutlastOthers(t *testing.T) {
+	is := is.New(t)
+	out := &blockedOutput{open: make(chan struct{})}
+	writer := NewWriter(out)
+	logger := NewLogger(writer, "n")
+	logger.SetLevel(log.DebugLevel)
+	now := time.Unix(1_800_000_000, 0)
+	ring := NewRing("n", 16, logger, func() time.Time { return now })
+	ring.SetWriter(writer)
+	for i := range 3 * linesPerSecond {
+		ring.Add(Event{Kind: RequestUnderWay, Request: fmt.Sprint("under-way-", i)})
+	}
+	for range maxLines {
+		now = now.Add(5 * time.Millisecond) // 200 per second: below the limit of a kind
+		ring.Add(Event{Kind: RequestFinished})
+	}
+	close(out.open)
+	writer.Close(time.Minute)
+	is.Equal(strings.Count(out.String(), "request=under-way-"), 3*linesPerSecond)
+}
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -135,6 +135,7 @@
 
 // undoSend handles an attempt of which nothing was sent.
 func (c *call) undoSend(ctx, dialing context.Context, s *sentAttempt, err error) outcome {
+	c.progress.noteNotRun(s.peer)
 	switch {
 	case errors.Is(err, errNotAccepted), ctx.Err() == nil && dialing.Err() != nil:
 		c.undoAttempt(s.grant)
@@ -167,6 +168,7 @@
 	_ = a.conn.raw.SetDeadline(c.headDeadline())
 	h.options.Fleet.UpdateLoad(h.options.Now(), peer, a.reply.Load)
 	if a.reply.NotRun {
+		c.progress.noteNotRun(peer)
 		c.restoreGrant(s.grant)
 		return c.handleRejection(peer, a), nil
 	}
@@ -189,6 +191,7 @@
 func (c *call) noteSending(watch *attemptWatch, raw net.Conn) {
 	c.sentAt = c.handler.options.Now()
 	watch.noteSent(raw)
+	c.noteUnderWay(watch.peer)
 }
 
 // undoAttempt reverts the accounting of an attempt that was not sent. It used no quota, and its
--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -191,12 +191,18 @@
 
 // describeTimes tells how long ago the request was read and sent.
 func (c *call) describeTimes(now time.Time) string {
-	text := fmt.Sprintf("its head was read %d ms ago", now.Sub(c.startedAt).Milliseconds())
-	if !c.receivedAt.IsZero() {
-		text += fmt.Sprintf(", its last byte %d ms ago", now.Sub(c.receivedAt).Milliseconds())
-	}
+	text := describeRead(now, c.startedAt, c.receivedAt)
 	if !c.sentAt.IsZero() {
 		text += fmt.Sprintf(", last sent on %d ms ago", now.Sub(c.sentAt).Milliseconds())
 	}
 	return text
 }
+
+// describeRead tells how long ago the head and the last byte of a request were read.
+func describeRead(now, head, last time.Time) string {
+	text := fmt.Sprintf("its head was read %d ms ago", now.Sub(head).Milliseconds())
+	if !last.IsZero() {
+		text += fmt.Sprintf(", its last byte %d ms ago", now.Sub(last).Milliseconds())
+	}
+	return text
+}
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -144,6 +144,7 @@
 	}
 	response, err := send(attemptCtx, dialing, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.headDeadline(), now)
 	if err != nil {
+		c.progress.noteNotRun(to)
 		s.close()
 		if !errors.Is(err, errNotAccepted) && !c.clientLeft() && (ctx.Err() != nil || dialing.Err() == nil) {
 			c.handler.gatewayList.markDown(to)
@@ -160,6 +161,7 @@
 	to, a, err := s.peer, s.response, s.response.headErr
 	if err == nil && a.response.Header.Get(headerNotSent) != "" {
 		a.abort()
+		c.progress.noteNotRun(to)
 		c.noteNotTaken(to, a.response.Header)
 		return notRun, errNotTaken
 	}
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -236,6 +236,8 @@
 	connectionBroke bool
 	// brokenBy is the error that ended the last attempt's stream, nil if there is none.
 	brokenBy error
+	// progress is what other goroutines may know of the request, nil until it is sent.
+	progress *progress
 	// watch may end the current attempt early, early is what ended the last one.
 	watch *attemptWatch
 	early earlyEnd
@@ -290,6 +292,7 @@
 	c := &call{handler: h, writer: w, request: r, startedAt: h.options.Now(), forwarded: forwarded}
 	c.deadline = c.startedAt.Add(defaultTimeout)
 	defer c.logResult()
+	defer c.endProgress()
 	defer c.releaseRetained()
 	table := c.awaitTable()
 	if table == nil {
--- a/src/exchange/relay_bench_test.go
+++ b/src/exchange/relay_bench_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/moorspool/moorspool/src/catalog"
 )
@@ -31,3 +32,18 @@
 		_ = response.Body.Close()
 	}
 }
+
+// BenchmarkUnderWay notes the sends and the ends of requests, many at a time.
+func BenchmarkUnderWay(b *testing.B) {
+	r := route(catalog.Safe, 1)
+	h := newBench(b, r).handler
+	peer, now := &Peer{id: "x"}, time.Now()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c := &call{handler: h, route: &r, startedAt: now, sentAt: now}
+			c.noteUnderWay(peer)
+			c.endProgress()
+		}
+	})
+}
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -158,6 +158,7 @@
 	c.firstByte = c.handler.options.Now()
 	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(time.Second))
 	c.guardClose()
+	c.progress.noteBegun()
 	c.writer.WriteHeader(status)
 }
 
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -20,13 +20,15 @@
 	// cut ends by cutOff.
 	cut    context.Context
 	cutOff context.CancelFunc
+	// underWay are the requests that a kill of the process would end.
+	underWay underWay
 }
 
 // lastSends are the requests that are sent from a time on. They must end until another time.
 type lastSends struct{ from, end time.Time }
 
 func newStopState() *stopState {
-	s := &stopState{}
+	s := &stopState{underWay: underWay{requests: map[*progress]struct{}{}}}
 	s.marked, s.mark = context.WithCancel(context.Background())
 	s.cut, s.cutOff = context.WithCancel(context.Background())
 	return s
@@ -44,10 +46,14 @@
 func (h *Handler) EndWaits() { h.endWaits() }
 
 // RefuseBeyond makes the handler refuse, from a time on, requests that have not been sent and may last beyond the
-// end.
+// end. Those that are under way then are logged, at once if the time has passed.
 func (h *Handler) RefuseBeyond(from, end time.Time) {
 	h.stop.last.Store(&lastSends{from: from, end: end})
-	time.AfterFunc(time.Until(from), h.stop.mark)
+	if wait := time.Until(from); wait > 0 {
+		time.AfterFunc(wait, h.passMark)
+		return
+	}
+	h.passMark()
 }
 
 // CutOff ends the requests in progress. Those whose response has not begun are answered.
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -119,8 +119,10 @@
 	if err != nil {
 		c.reason += "; the client could not be written to"
 		c.early = earlyEnd{cause: c.closedBy(), evidence: err.Error()}
+		return false
 	}
-	return err == nil
+	c.progress.noteEvent(c.stream.lastEventID)
+	return true
 }
 
 // endStream completes the response to the client after the replica's last byte, if that is proven to be
