Exchange: lines of a stop count from its signal

An answer that a stop ended early told that the gateway was stopping, not how late in the stop it was sent on: records could not be compared with an operator's times, which count from the sending of the signal.

NoteStopSignal takes the earliest time at which the signal may have been sent; without it the times count from Stop. "While this gateway stops" at the end of 717 is replaced by this.

--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -168,7 +168,7 @@
 
 // describeEarlyEnd puts what matters first: a line may be cut.
 func (c *call) describeEarlyEnd(now time.Time) string {
-	text := c.early.cause.String()
+	text := c.early.cause.String() + c.describeStop(now)
 	if c.early.evidence != "" {
 		text += ", " + c.early.evidence
 	}
@@ -182,11 +182,20 @@
 		text += fmt.Sprintf(", %d ms after the last byte", now.Sub(c.watch.heardAt()).Milliseconds())
 	}
 	text += fmt.Sprintf(", %d ms before the deadline", c.deadline.Sub(now).Milliseconds())
-	text += ", " + c.describeTimes(now)
-	if c.handler.stopping.Load() {
-		text += ", while this gateway stops"
+	return text + ", " + c.describeTimes(now)
+}
+
+// describeStop tells when the request was sent on and ended after the signal to stop, "" if the gateway goes on.
+func (c *call) describeStop(now time.Time) string {
+	ended, stopping := c.handler.stop.sinceSignal(now)
+	if !stopping {
+		return ""
 	}
-	return text
+	if c.sentAt.IsZero() {
+		return fmt.Sprintf(", not sent on, ended %d ms after the stop's signal", ended.Milliseconds())
+	}
+	sent, _ := c.handler.stop.sinceSignal(c.sentAt)
+	return fmt.Sprintf(", sent on %d ms and ended %d ms after the stop's signal", sent.Milliseconds(), ended.Milliseconds())
 }
 
 // describeTimes tells how long ago the request was read and sent.
--- a/src/exchange/earlyend_test.go
+++ b/src/exchange/earlyend_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -133,3 +135,47 @@
 		is.True(strings.Contains(lines[0], want))
 	}
 }
+
+// TestLinesOfAStopCountFromItsSignal: times of a stop that began late can't be told from those of the lines alone.
+func TestLinesOfAStopCountFromItsSignal(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	defer close(release)
+	b := newBench(t, route(catalog.Streaming, 1), newReplica(t, "x", waiting(arrived, release, whole)))
+	text := b.logged()
+	b.handler.NoteStopSignal(time.Now().Add(-7 * time.Second))
+	b.handler.Stop()
+	is.Equal(b.do("POST", "unsent", "x", testModel+": rare", testDeadline+": 50").status, http.StatusServiceUnavailable)
+	answers := make(chan clientResponse, 1)
+	go func() { answers <- b.do("POST", "one", "x") }()
+	<-arrived
+	b.passMarkNow()
+	b.handler.CutOff()
+	is.Equal((<-answers).status, http.StatusBadGateway)
+	b.awaitHandlers()
+	lines := text.linesWith("request=one")
+	const sent = ` on 7\d\d\d ms`
+	for _, want := range []string{
+		`event=718 .*reason="sent on \d+ ms ago, 7\d\d\d ms after the stop's signal, \d+ ms before the deadline, no answer yet`,
+		`event=717 .*reason="gateway_stopped, sent` + sent + ` and ended 7\d\d\d ms after the stop's signal, .*no answer`,
+		`event=702 .*reason="status 502, sent` + sent + ` and ended 7\d\d\d ms after the stop's signal, route r`,
+	} {
+		is.True(regexp.MustCompile(want).MatchString(lines))
+	}
+	is.True(strings.Contains(text.linesWith("request=unsent"), `reason="status 503, not sent on, ended 7`))
+}
+
+// TestLinesOfAStopCountFromItsBeginningWithoutAnEarlierSignal: they must not count from the zero time.
+func TestLinesOfAStopCountFromItsBeginningWithoutAnEarlierSignal(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, route(catalog.Safe, 1), newReplica(t, "x", whole))
+	text := b.logged()
+	is.Equal(b.do("GET", "before", "").status, http.StatusOK)
+	b.awaitHandlers()
+	b.handler.Stop()
+	b.handler.NoteStopSignal(time.Now().Add(-time.Hour))
+	is.Equal(b.do("GET", "after", "").status, http.StatusOK)
+	b.awaitHandlers()
+	is.True(strings.Contains(text.linesWith("request=before"), `reason="status 200, route`))
+	is.True(regexp.MustCompile(`reason="status 200, sent on \d{1,3} ms and ended \d{1,3} ms after the stop's signal, route`).MatchString(text.linesWith("request=after")))
+}
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -20,6 +20,8 @@
 	// cut ends by cutOff.
 	cut    context.Context
 	cutOff context.CancelFunc
+	// signalled is when the signal to stop was sent at the earliest, nil before the stop.
+	signalled atomic.Pointer[time.Time]
 	// underWay are the requests that a kill of the process would end.
 	underWay underWay
 }
@@ -37,8 +39,24 @@
 // ended reports whether the requests in progress were ended.
 func (s *stopState) ended() bool { return s.cut.Err() != nil }
 
+// sinceSignal returns when something happened after the signal to stop, false if there was none.
+func (s *stopState) sinceSignal(at time.Time) (time.Duration, bool) {
+	signalled := s.signalled.Load()
+	if signalled == nil {
+		return 0, false
+	}
+	return at.Sub(*signalled), true
+}
+
+// NoteStopSignal tells the handler when the signal to stop was sent at the earliest, for its log lines. Without it, or
+// if it comes after Stop, that is the time of Stop.
+func (h *Handler) NoteStopSignal(at time.Time) { h.stop.signalled.CompareAndSwap(nil, &at) }
+
 // Stop makes the handler close each connection after its current response.
-func (h *Handler) Stop() { h.stopping.Store(true) }
+func (h *Handler) Stop() {
+	h.NoteStopSignal(h.options.Now())
+	h.stopping.Store(true)
+}
 
 // EndWaits ends the waits of requests that have not been sent yet: for a place, a slot, a permit, a model or a
 // replica that accepts them. They are refused, and so are later ones that would have to wait, while there is
--- a/src/exchange/underway.go
+++ b/src/exchange/underway.go
@@ -112,13 +112,17 @@
 			continue
 		}
 		s.logged = true
-		h.options.Ring.Add(event.Event{Kind: event.RequestUnderWay, Request: p.request, Model: p.model, Host: s.host, Reason: p.describe(now, s)})
+		h.options.Ring.Add(event.Event{Kind: event.RequestUnderWay, Request: p.request, Model: p.model, Host: s.host, Reason: p.describe(now, s, h.stop)})
 	}
 }
 
 // describe puts what matters first: a line may be cut. The lock is held.
-func (p *progress) describe(now time.Time, s *sentTo) string {
-	text := fmt.Sprintf("sent on %d ms ago, %d ms before the deadline", now.Sub(s.at).Milliseconds(), p.deadline.Sub(now).Milliseconds())
+func (p *progress) describe(now time.Time, s *sentTo, stop *stopState) string {
+	text := fmt.Sprintf("sent on %d ms ago", now.Sub(s.at).Milliseconds())
+	if sent, stopping := stop.sinceSignal(s.at); stopping {
+		text += fmt.Sprintf(", %d ms after the stop's signal", sent.Milliseconds())
+	}
+	text += fmt.Sprintf(", %d ms before the deadline", p.deadline.Sub(now).Milliseconds())
 	switch {
 	case p.lastEvent != "":
 		text += ", after event " + strconv.Quote(shorten(p.lastEvent))
