Event: a line keeps its importance beside those of other goroutines

The importance of a line was told to the writer before the line itself, in two steps. Another goroutine that logged between them left its own importance: lines of failures counted as ordinary ones and were dropped first as the output blocked.

A lock of the ring keeps both steps together. The logger formats under a lock of its own, so lines were written one by one before too.

--- a/src/event/ring.go
+++ b/src/event/ring.go
@@ -49,6 +49,8 @@
 	logger *log.Logger
 	writer *Writer
 	now    func() time.Time
+	// writing keeps a line together with what the writer was told of it.
+	writing sync.Mutex
 }
 
 // NewRing returns a ring of size events for the process named node; logger may be nil.
@@ -114,6 +116,8 @@
 	if e.Kind.perRequest() {
 		level = log.DebugLevel
 	}
+	r.writing.Lock()
+	defer r.writing.Unlock()
 	if r.writer != nil && !r.writer.Admit(e.At, e.Kind, e.Kind.important()) {
 		return
 	}
--- a/src/event/writer_test.go
+++ b/src/event/writer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -216,3 +217,34 @@
 	writer.Close(time.Minute)
 	is.Equal(strings.Count(out.String(), "request=under-way-"), 3*linesPerSecond)
 }
+
+// TestLinesKeepTheirImportanceBesideOthers: lines of failures counted as ordinary ones, and were dropped first, if
+// another goroutine logged at the same time.
+func TestLinesKeepTheirImportanceBesideOthers(t *testing.T) {
+	is := is.New(t)
+	const important = maxLines / 2
+	out := &blockedOutput{open: make(chan struct{})}
+	writer := NewWriter(out)
+	logger := NewLogger(writer, "n")
+	logger.SetLevel(log.DebugLevel)
+	var seconds atomic.Int64 // each line has its own, so that no limit applies
+	ring := NewRing("n", 16, logger, func() time.Time { return time.Unix(seconds.Add(1), 0) })
+	ring.SetWriter(writer)
+	var adding sync.WaitGroup
+	for range 4 {
+		adding.Go(func() {
+			for range important / 4 {
+				ring.Add(Event{Kind: RequestUnderWay})
+			}
+		})
+		adding.Go(func() {
+			for range maxLines {
+				ring.Add(Event{Kind: RequestFinished})
+			}
+		})
+	}
+	adding.Wait()
+	close(out.open)
+	writer.Close(time.Minute)
+	is.Equal(strings.Count(out.String(), "msg=request-under-way"), important)
+}
