--- a/src/event/ring.go
+++ b/src/event/ring.go
@@ -49,6 +49,8 @@
 	logger *log.Logger
 	writer *Writer
 	now    func() time.Time
+	// writing keeps a line together with what the writer was told of it.
+	writing sync.Mutex
 }
 
 // NewRing returns a ring of size events for the process named node; logger may be nil.
@@ -70,7 +72,7 @@
 // last.
 func (k Kind) important() bool {
 	switch k {
-	case AnswerEndedEarly, ReplicaEnded, ContentQuarantined, ContentReleased, RequestRefused, ConfigRefused, StorageFailed, ControlLost, LeaderLost, HostEjected, ProcessStarted, StopSignalLearned, ProcessStopped:
+	case AnswerEndedEarly, RequestUnderWay, ReplicaEnded, ContentQuarantined, ContentReleased, RequestRefused, ConfigRefused, StorageFailed, ControlLost, LeaderLost, HostEjected, ProcessStarted, StopSignalLearned, ProcessStopped:
 		return true
 	}
 	return false
@@ -114,6 +116,8 @@
 	if e.Kind.perRequest() {
 		level = log.DebugLevel
 	}
+	r.writing.Lock()
+	defer r.writing.Unlock()
 	if r.writer != nil && !r.writer.Admit(e.At, e.Kind, e.Kind.important()) {
 		return
 	}
--- a/src/event/writer_test.go
+++ b/src/event/writer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,3 +154,97 @@
 		is.Equal(out.lines(), lines)
 	})
 }
+
+// TestLinesAreWrittenAtOnceForAProcessThatMayBeKilled: the lines of the last 50 ms were lost with the process.
+func TestLinesAreWrittenAtOnceForAProcessThatMayBeKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &recordedOutput{}
+		writer := NewWriter(out)
+		defer writer.Close(time.Minute)
+		_, _ = writer.Write([]byte("line\n"))
+		synctest.Wait()
+		is.Equal(out.lines(), 0)
+		began := time.Now()
+		writer.WriteAtOnce()
+		writer.WriteAtOnce()
+		synctest.Wait()
+		is.Equal(out.lines(), 1) // what was being collected
+		_, _ = writer.Write([]byte("line\n"))
+		_, _ = writer.Write([]byte("line\n"))
+		synctest.Wait()
+		is.Equal(out.lines(), 3)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+// TestLinesAtOnceDelayNobodyWhileTheOutputBlocks: the writer still has a buffer between its callers and the output.
+func TestLinesAtOnceDelayNobodyWhileTheOutputBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &recordedOutput{delay: time.Second}
+		writer := NewWriter(out)
+		writer.WriteAtOnce()
+		began := time.Now()
+		for range 2 * maxLines {
+			_, _ = writer.Write([]byte("line\n"))
+		}
+		is.Equal(time.Since(began), time.Duration(0))
+		writer.Close(time.Minute)
+		is.True(out.lines() >= maxLines)
+	})
+}
+
+// TestLinesOfRequestsUnderWayOutlastOthers: they are the only ones of a request that the end of the process ends, and
+// come all at once.
+func TestLinesOfRequestsUnderWayOutlastOthers(t *testing.T) {
+	is := is.New(t)
+	out := &blockedOutput{open: make(chan struct{})}
+	writer := NewWriter(out)
+	logger := NewLogger(writer, "n")
+	logger.SetLevel(log.DebugLevel)
+	now := time.Unix(1_800_000_000, 0)
+	ring := NewRing("n", 16, logger, func() time.Time { return now })
+	ring.SetWriter(writer)
+	for i := range 3 * linesPerSecond {
+		ring.Add(Event{Kind: RequestUnderWay, Request: fmt.Sprint("under-way-", i)})
+	}
+	for range maxLines {
+		now = now.Add(5 * time.Millisecond) // 200 per second: below the limit of a kind
+		ring.Add(Event{Kind: RequestFinished})
+	}
+	close(out.open)
+	writer.Close(time.Minute)
+	is.Equal(strings.Count(out.String(), "request=under-way-"), 3*linesPerSecond)
+}
+
+// TestLinesKeepTheirImportanceBesideOthers: lines of failures counted as ordinary ones, and were dropped first, if
+// another goroutine logged at the same time.
+func TestLinesKeepTheirImportanceBesideOthers(t *testing.T) {
+	is := is.New(t)
+	const important = maxLines / 2
+	out := &blockedOutput{open: make(chan struct{})}
+	writer := NewWriter(out)
+	logger := NewLogger(writer, "n")
+	logger.SetLevel(log.DebugLevel)
+	var seconds atomic.Int64 // each line has its own, so that no limit applies
+	ring := NewRing("n", 16, logger, func() time.Time { return time.Unix(seconds.Add(1), 0) })
+	ring.SetWriter(writer)
+	var adding sync.WaitGroup
+	for range 4 {
+		adding.Go(func() {
+			for range important / 4 {
+				ring.Add(Event{Kind: RequestUnderWay})
+			}
+		})
+		adding.Go(func() {
+			for range maxLines {
+				ring.Add(Event{Kind: RequestFinished})
+			}
+		})
+	}
+	adding.Wait()
+	close(out.open)
+	writer.Close(time.Minute)
+	is.Equal(strings.Count(out.String(), "msg=request-under-way"), important)
+}
