Registry: the end of an earlier start is not recorded for a later one

Callers saw: a replica that had started again under its name got no requests any more, for as long as it ran. The word of a departure is never taken back.

Cause: an end notice names a replica, not its start. A node that got the record of a start it had no row for looked for the start that is meant by the name, though the record already said which one it is: the merged view of all nodes had found it, or another node had passed it on. A node that had only the heartbeats of the later start then marked that one as gone. That needs no more than a node that gets the earlier one's end late: it stood still, or the record waited on its connection, while the replica began again and called it.

Ruled out: notices that name nothing else, for a replica that no node knows, are still matched by the name (TestEndNoticeAppliesToTheDrainingStart, TestRemovingAnUnknownReplicaIsRemembered).

Why it holds: a record that has a start time or an address is that of one start, by its ID.

--- a/src/feed/heartbeat_test.go
+++ b/src/feed/heartbeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,45 @@
 	ending, _ := registry.EndingStart([]registry.Record{draining, running})
 	is.Equal(ending.ID, "r@7")
 }
+
+// TestEndNoticeOfAnEarlierStartLeavesALaterOneUsable: a node that had no heartbeat of the earlier start itself, and
+// learned of its end late, recorded that end for the later start, which then got no requests any more.
+func TestEndNoticeOfAnEarlierStartLeavesALaterOneUsable(t *testing.T) {
+	draining := registry.Record{ID: "r@7", Name: "r", StartedMS: 7, Address: "a:1", Sequence: 2, Draining: true}
+	gone := draining
+	gone.Gone = true
+	later := registry.Record{ID: "r@9", Name: "r", StartedMS: 9, Address: "a:1", Sequence: 1}
+	for _, c := range []struct {
+		name string
+		end  func(ctx context.Context, p *Publisher) bool
+	}{
+		{"a notice", func(ctx context.Context, p *Publisher) bool { return p.HandleEnd(ctx, "r") }},
+		{"a record that was passed on", func(ctx context.Context, p *Publisher) bool {
+			_, err := p.handleNote(ctx, nil, wire.NoteRequest{Record: gone})
+			return err == nil
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n := newTestNet(t, 2)
+			s := n.follow(n.addresses()...)
+			ctx := context.Background()
+			first, other := n.nodes[0], n.nodes[1]
+			_, err := first.publisher.handleNote(ctx, nil, wire.NoteRequest{Record: draining})
+			is.NoErr(err)
+			is.True(other.publisher.ApplyHeartbeat(ctx, later))
+			eventually(t, "the other node knows both starts", func() bool { return len(other.follower.Starts("r")) == 2 })
+			is.True(c.end(ctx, other.publisher))
+			eventually(t, "the end of a start is known", func() bool {
+				return slices.ContainsFunc(other.follower.Starts("r"), func(start registry.Record) bool { return start.Gone })
+			})
+			for _, start := range other.follower.Starts("r") {
+				is.Equal(start.Gone, start.ID == "r@7")
+			}
+			eventually(t, "gateways use the later start", func() bool {
+				_, usable := s.usable("r@9")
+				return usable
+			})
+		})
+	}
+}
--- a/src/registry/record.go
+++ b/src/registry/record.go
@@ -70,6 +70,10 @@
 	return r.Name
 }
 
+// namesNoStart reports whether the record is that of an end notice for a replica that the node that got the notice
+// did not know. It has nothing but the replica's name.
+func (r *Record) namesNoStart() bool { return r.StartedMS == 0 && r.Address == "" }
+
 // conflictsWith reports whether at most one of the two records can belong to a running replica:
 // they share an address or a name.
 func (r *Record) conflictsWith(other *Record) bool {
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -114,7 +114,7 @@
 
 func (t *Table) apply(now time.Time, record Record, direct bool) bool {
 	known := t.rows[record.ID]
-	if known == nil && record.Gone {
+	if known == nil && record.Gone && record.namesNoStart() {
 		if left, found := t.EndingStart(record.ReplicaName()); found {
 			left.Gone = true
 			record, known = left, t.rows[left.ID]
