Orders: the lease is read again right before the first byte

Callers saw: nothing yet; at the replicas an order of a node whose lease had ended, up to 0.6 s and however long the node stood still after it had looked: two holders that take turns within a lease, or a lower fencing token after a higher one where replicas do not check them.

Cause: the node asked whether it still leads, and then dialed and wrote. Dialing has 0.6 s, and a process may stand still at any place between. The next leader counts its wait from its election, 0.1 s after that look at the earliest.

Change: the connection of an order asks once more as its first byte is about to be written. An order that is withheld counts as one without an answer: the next one needs a report first.

Ruled out: the check in the dial only (an order goes out on a kept connection without one); a shorter time for the dial (it bounds no standstill). What a standstill between the look and the write itself delays is left, some microseconds; a leader's wait has no room for that.

Evidence: TestAnOrderIsNotSentAfterTheLeaseEndedOnItsWay failed before with an order that arrived, on a new connection (it stopped there), and passes with the race detector five times in five, also on a kept connection. Tests of placer, fleet and platform passed.

--- a/src/fleet/orders.go
+++ b/src/fleet/orders.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/moorspool/moorspool/src/exchange"
+	"github.com/moorspool/moorspool/src/placer"
 )
 
 const (
@@ -23,6 +24,9 @@
 	maxOrderBodyBytes = 256 << 10
 )
 
+// errLeaseEnded means that an order was not sent because this node may no longer lead.
+var errLeaseEnded = errors.New("the lease ended before the order was sent")
+
 // orderClient returns the client that sends orders and report requests to replicas. It keeps one idle
 // connection per replica for a short time. tooLong is called if a response exceeds a limit.
 func orderClient(tooLong func(address string, err *exchange.LimitError)) *http.Client {
@@ -47,7 +51,11 @@
 // RoundTrip sends a request and returns its response, whose body ends with an error at its limit.
 func (t *orderTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var used *orderConn
-	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { used, _ = got.Conn.(*orderConn) }}
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		if used, _ = got.Conn.(*orderConn); used != nil {
+			used.mayBegin = placer.SendCheck(request.Context())
+		}
+	}}
 	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		if used != nil && used.responseBytes.Load() >= maxOrderHeadBytes {
@@ -85,9 +93,12 @@
 	return b.left, tooLong
 }
 
-// orderConn counts the bytes that arrived since the last request was written.
+// orderConn asks before the first byte of an order whether it may be sent, and counts the bytes that arrived since the
+// last request was written.
 type orderConn struct {
 	net.Conn
+	// mayBegin is nil once a request has begun, and for those that need no lease.
+	mayBegin      func() bool
 	responseBytes atomic.Int64
 }
 
@@ -101,6 +112,12 @@
 // Write writes a request to the connection.
 func (c *orderConn) Write(p []byte) (int, error) {
 	c.responseBytes.Store(0)
+	if mayBegin := c.mayBegin; mayBegin != nil {
+		c.mayBegin = nil
+		if !mayBegin() {
+			return 0, errLeaseEnded
+		}
+	}
 	return c.Conn.Write(p)
 }
 
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -67,7 +67,8 @@
 	// Holder is the name of this node in its orders; see Order.
 	Holder string
 	Calls  Calls
-	// Leading returns the current leadership; it is called right before each order.
+	// Leading returns the current leadership; it is called right before each order, see SendCheck. It must be safe
+	// for concurrent use.
 	Leading func() Leading
 	// Table returns the configuration in force, nil if there is none.
 	Table func() *catalog.Table
--- a/src/placer/send.go
+++ b/src/placer/send.go
@@ -35,12 +35,18 @@
 
 // transmit sends an order if this node still leads.
 func (p *Placer) transmit(ctx context.Context, order Order) (Result, Availability) {
-	if lead := p.options.Leading(); !lead.Self || lead.Token != order.Token {
+	if !p.leadsFor(order) {
 		return Refused, Availability{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return p.options.Calls.Order(ctx, order)
+	return p.options.Calls.Order(withSendCheck(ctx, func() bool { return p.leadsFor(order) }), order)
+}
+
+// leadsFor reports whether this node still leads in the term of an order.
+func (p *Placer) leadsFor(order Order) bool {
+	lead := p.options.Leading()
+	return lead.Self && lead.Token == order.Token
 }
 
 // recordSent updates the ledger with what an order may change.
