A gateway's own pause is no silence of its servers

What callers saw: a stream broke off although its server was sound and at work on it. It happened at a gateway that had stood still (SIGSTOP, a frozen or busy host) while the server began to leave.

Cause: the check for silence is a timer. As the process goes on, the timer is due at once, before what waited in the sockets has been read. The server has closed its listener, which it does before it ends its streams, so the dial is refused; that proves the loss of a server that does not leave, and the news that it leaves has not been read yet.

Ruled out: an answer that waits whole in its socket as the check runs. The age of the acknowledgements of a host comes from the kernel, which goes on answering and probing while the process stands still.

Why the fix holds: a check that comes more than 100 ms late shows that the process did not run. The silence is then counted anew, so a peer is checked only after a second in which the process could read what it sent, and the news of it. The loss of a server during a pause is noticed up to a second later.

--- a/src/exchange/silence.go
+++ b/src/exchange/silence.go
@@ -25,6 +25,9 @@
 	suspectAfter = silenceTimeout + 500*time.Millisecond
 	// unansweredPause is the pause before the next check if a dial was not answered.
 	unansweredPause = 300 * time.Millisecond
+	// maxCheckDelay is how late the check for silence is at most in a process that runs. One that stood still has not
+	// read yet what came meanwhile.
+	maxCheckDelay = 100 * time.Millisecond
 	// overduePollInterval is how often a request whose response is overdue looks for another peer.
 	overduePollInterval = 250 * time.Millisecond
 	// maxElsewhereDials is how many peers are dialed to learn whether one takes a request.
@@ -64,7 +67,9 @@
 	startedAt time.Time
 	// heard is when the peer last sent something, as the time since startedAt; 0 if it has not.
 	heard atomic.Int64
-	raw   atomic.Pointer[net.Conn]
+	// checkDue is when the peer is to be checked for silence, as the time since startedAt.
+	checkDue atomic.Int64
+	raw      atomic.Pointer[net.Conn]
 	// begun is set once the client has a part of the stream, unrepeatable if no other attempt can go on with
 	// what it has.
 	begun, unrepeatable atomic.Bool
@@ -92,7 +97,7 @@
 	w.unrepeatable.Store(c.origin.Unresolved())
 	// A check may use its timer, so none starts before both are set.
 	w.silence, w.head = time.AfterFunc(math.MaxInt64, w.checkSilence), time.AfterFunc(math.MaxInt64, w.checkHead)
-	w.silence.Reset(silenceTimeout)
+	w.awaitSilence(silenceTimeout)
 	if !headDue.IsZero() {
 		w.head.Reset(headDue.Sub(now))
 	}
@@ -146,7 +151,7 @@
 // noteSent records the connection on which the request is sent.
 func (w *attemptWatch) noteSent(raw net.Conn) {
 	w.raw.Store(&raw)
-	w.silence.Reset(silenceTimeout)
+	w.awaitSilence(silenceTimeout)
 }
 
 // noteHead records that the head of a response has arrived, and watches its body.
@@ -159,7 +164,18 @@
 // noteHeard records that the peer has sent something.
 func (w *attemptWatch) noteHeard() {
 	w.heard.Store(int64(max(w.now().Sub(w.startedAt), 1)))
-	w.silence.Reset(silenceTimeout)
+	w.awaitSilence(silenceTimeout)
+}
+
+// awaitSilence makes the peer be checked after a time.
+func (w *attemptWatch) awaitSilence(wait time.Duration) {
+	w.checkDue.Store(int64(w.now().Add(wait).Sub(w.startedAt)))
+	w.silence.Reset(wait)
+}
+
+// stoodStill reports whether the process did not run as the peer was to be checked.
+func (w *attemptWatch) stoodStill() bool {
+	return w.now().Sub(w.startedAt)-time.Duration(w.checkDue.Load()) > maxCheckDelay
 }
 
 // noteBegun records that the client has a part of the response. unrepeatable tells that no other attempt can go
@@ -177,11 +193,15 @@
 	return time.Time{}
 }
 
-// checkSilence looks for signs that the peer is lost.
+// checkSilence looks for signs that the peer is lost. The time in which this process stood still is no silence.
 func (w *attemptWatch) checkSilence() {
 	if w.ctx.Err() != nil {
 		return
 	}
+	if w.stoodStill() {
+		w.awaitSilence(silenceTimeout)
+		return
+	}
 	pause := silenceTimeout
 	if heard := w.heard.Load(); !w.relaying.Load() {
 		sign := examineSilence(w.peer, w.unacknowledged)
@@ -192,7 +212,7 @@
 			pause = unansweredPause
 		}
 	}
-	w.silence.Reset(pause)
+	w.awaitSilence(pause)
 }
 
 // checkHead offers a second attempt if the head of the response is overdue and another peer takes the request.
@@ -264,7 +284,7 @@
 // Read tells the watch for how long the peer is waited for, and when it has sent something.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	if b.watch.relaying.CompareAndSwap(true, false) {
-		b.watch.silence.Reset(silenceTimeout)
+		b.watch.awaitSilence(silenceTimeout)
 	}
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
