The deadline of a request that waited counts from its arrival

What callers saw: a request that had waited for a gateway that stood still (SIGSTOP, a busy or frozen host) was sent to a server with all of its client's time, and answered that much after its client's deadline and its route's. A server also ran requests whose clients had given up.

Cause: the time of a request counted from the moment its head was handled. By then it may have waited for seconds, in the queue of the listener or in the socket of a kept connection.

Ruled out: the HTTP library, which reads a head at once in a process that runs; the way to the server, which was told 1979 of 2000 ms for a request that had waited for 1200 ms.

The kernel knows when the last data of a connection came (TCP_INFO). It is asked as the head is read. What it tells is never earlier than the head's arrival, so no request loses time that it has. It is asked always, and not only after a pause: a request also waits for a process that runs but is busy. A kernel that does not tell, or tells what can't be (over 10 s) or lies within its ticks (below 20 ms), leaves things as they were.

A request whose time is over by then is refused unread (503). The time limit for writing its response counted from its deadline, so that the refusal could not be written: it counts from the response now if that is later.

Evidence: a gateway process that is stopped for 1.2 s, five cases.

In the tests, the settings of the gateway process became one value, since more of them are needed, and the pause begins once the kernel has stopped the process; dialPair takes a testing.TB for a benchmark.

--- a/src/exchange/clientconn.go
+++ b/src/exchange/clientconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 )
 
 // lingerConn is a connection whose close can be set to reset it, as *net.TCPConn.
@@ -17,6 +18,14 @@
 	lingerDefault = -1
 )
 
+// The wait of a request that counts: in the listener, or in the socket of its connection, for a process that stood
+// still or is busy.
+const (
+	// minSocketWait is longer than the ticks in which kernels measure it.
+	minSocketWait = 20 * time.Millisecond
+	maxSocketWait = 10 * time.Second
+)
+
 // connKey is the key of the client's connection in the context of a request.
 type connKey struct{}
 
@@ -26,6 +35,20 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// arrivedAt returns when the head of a request that is read now has reached this host at the latest, as far as its
+// kernel tells: when the last data did that it has got of the request.
+func (h *Handler) arrivedAt(ctx context.Context, now time.Time) time.Time {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return now
+	}
+	waited := h.sinceArrival(conn)
+	if waited < minSocketWait || waited > maxSocketWait {
+		return now
+	}
+	return now.Add(-waited)
+}
+
 // setLinger sets what a close of the client's connection does.
 func (c *call) setLinger(seconds int) {
 	if tcp, ok := c.request.Context().Value(connKey{}).(lingerConn); ok {
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -103,11 +103,14 @@
 	forwardedRunning atomic.Int64
 	// localIssuer issues permits if no control node responds.
 	localIssuer *ratelimit.FallbackIssuer
+	// sinceArrival returns how long ago the last data on a client's connection reached this host, 0 if that is not
+	// known.
+	sinceArrival func(net.Conn) time.Duration
 }
 
 // NewHandler returns a handler without a configuration.
 func NewHandler(options Options) *Handler {
-	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), stop: newStopState(), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64)}
+	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), stop: newStopState(), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64), sinceArrival: sinceLastArrival}
 	h.placeQueues = newPlaceQueues(options.Fleet, options.Now)
 	h.waits, h.endWaits = context.WithCancel(context.Background())
 	h.gateways.Store(1)
@@ -208,7 +211,8 @@
 	retained int64
 	// retainedPending is the part of retained that is the incomplete event of the stream.
 	retainedPending int64
-	startedAt       time.Time
+	// startedAt is when the head of the request reached this host.
+	startedAt time.Time
 	// receivedAt is when the last byte of the body was read, the zero time before.
 	receivedAt time.Time
 	// sentAt is when the request was last sent to a replica or another gateway, the zero time before.
@@ -287,7 +291,7 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{handler: h, writer: w, request: r, startedAt: h.options.Now(), forwarded: forwarded}
+	c := &call{handler: h, writer: w, request: r, startedAt: h.arrivedAt(r.Context(), h.options.Now()), forwarded: forwarded}
 	c.deadline = c.startedAt.Add(defaultTimeout)
 	defer c.logResult()
 	defer c.releaseRetained()
@@ -300,7 +304,7 @@
 	if forwarded && !c.beginForwarded() {
 		return
 	}
-	if !c.applyTable(table) || !c.readBody(bodyLimit(table)) || !c.followTable() || !c.resolveOrigin() || c.refusedByStop() {
+	if !c.applyTable(table) || c.refusedLate() || !c.readBody(bodyLimit(table)) || !c.followTable() || !c.resolveOrigin() || c.refusedByStop() {
 		return
 	}
 	if c.forwardOnArrival() {
@@ -340,6 +344,15 @@
 	return c.identify(table)
 }
 
+// refusedLate refuses a request whose time was over before it was read. It reports whether it has done so.
+func (c *call) refusedLate() bool {
+	if c.handler.options.Now().Add(responseMargin).Before(c.deadline) {
+		return false
+	}
+	c.refuse(http.StatusServiceUnavailable, "its time was over before it was read")
+	return true
+}
+
 // followTable applies the active configuration if it is another one than at the head of the request: the body
 // may have taken seconds, and a request counts as sent with its last byte. It responds to the client and returns
 // false if the configuration does not allow the request.
--- a/src/exchange/hoststate_linux_test.go
+++ b/src/exchange/hoststate_linux_test.go
@@ -35,7 +35,7 @@
 }
 
 // dialPair returns both ends of a connection.
-func dialPair(t *testing.T) (here, there *net.TCPConn) {
+func dialPair(t testing.TB) (here, there *net.TCPConn) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -156,7 +156,7 @@
 func (c *call) beginResponse(status int) {
 	c.status = status
 	c.firstByte = c.handler.options.Now()
-	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(time.Second))
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(later(c.deadline, c.firstByte).Add(time.Second))
 	c.guardClose()
 	c.writer.WriteHeader(status)
 }
--- a/src/exchange/stoodstill_test.go
+++ b/src/exchange/stoodstill_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -19,30 +22,35 @@
 	"github.com/moorspool/moorspool/src/registry"
 )
 
-// Settings of the gateway process that a test stops for a while, by environment variable.
-const (
-	envPausedReplica = "EXCHANGE_TEST_PAUSED_REPLICA"
-	envPausedKind    = "EXCHANGE_TEST_PAUSED_KIND"
-	envPausedTimeout = "EXCHANGE_TEST_PAUSED_TIMEOUT"
-)
+// envPaused holds the settings of the gateway process that a test stops for a while.
+const envPaused = "EXCHANGE_TEST_PAUSED"
+
+// pausedSettings are the settings of a gateway process and the addresses of its replicas by ID.
+type pausedSettings struct {
+	Kind     catalog.Kind
+	Attempts int
+	Timeout  time.Duration
+	Replicas map[string]string
+}
 
-// newsDrained is the line that tells the gateway process that its replica is leaving.
+// newsDrained is the line that tells the gateway process that replica a is leaving.
 const newsDrained = "drained\n"
 
 // TestGatewayProcessToBePaused is no test: it is the gateway process of the tests that pause one.
 func TestGatewayProcessToBePaused(t *testing.T) {
-	address := os.Getenv(envPausedReplica)
-	if address == "" {
+	if os.Getenv(envPaused) == "" {
 		t.Skip("not started as a gateway process")
 	}
-	timeout, err := time.ParseDuration(os.Getenv(envPausedTimeout))
-	if err != nil {
+	var settings pausedSettings
+	if err := json.Unmarshal([]byte(os.Getenv(envPaused)), &settings); err != nil {
 		t.Fatal(err)
 	}
-	r := route(catalog.Kind(os.Getenv(envPausedKind)), 1)
-	r.Timeout = timeout
+	r := route(settings.Kind, settings.Attempts)
+	r.Timeout = settings.Timeout
 	b := newBench(t, r)
-	b.registerAddress("a", address)
+	for id, address := range settings.Replicas {
+		b.registerAddress(id, address)
+	}
 	fmt.Println(b.server.Listener.Addr())
 	news := bufio.NewReader(os.Stdin)
 	for {
@@ -51,7 +59,7 @@
 			return
 		}
 		if line == newsDrained {
-			b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: "a", Service: "s", Address: address, Zone: "z", SoftwareVersion: "v1", Slots: 4, Draining: true}}}})
+			b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: "a", Service: "s", Address: settings.Replicas["a"], Zone: "z", SoftwareVersion: "v1", Slots: 4, Draining: true}}}})
 		}
 	}
 }
@@ -64,10 +72,18 @@
 	news    io.Writer
 }
 
-func startPausedGateway(t *testing.T, kind catalog.Kind, timeout time.Duration, replica *fakeReplica) *pausedGateway {
+func startPausedGateway(t *testing.T, settings pausedSettings, replicas ...*fakeReplica) *pausedGateway {
 	t.Helper()
+	settings.Replicas = map[string]string{}
+	for _, replica := range replicas {
+		settings.Replicas[replica.id] = replica.listener.Addr().String()
+	}
+	encoded, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
 	command := exec.Command(os.Args[0], "-test.run=^TestGatewayProcessToBePaused$")
-	command.Env = append(os.Environ(), envPausedReplica+"="+replica.listener.Addr().String(), envPausedKind+"="+string(kind), envPausedTimeout+"="+timeout.String())
+	command.Env = append(os.Environ(), envPaused+"="+string(encoded))
 	news, err := command.StdinPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -94,6 +110,10 @@
 func (g *pausedGateway) pause(length time.Duration, meanwhile func()) {
 	g.t.Helper()
 	g.signal(syscall.SIGSTOP)
+	var status syscall.WaitStatus
+	if _, err := syscall.Wait4(g.process.Pid, &status, syscall.WUNTRACED, nil); err != nil || !status.Stopped() {
+		g.t.Fatal(err, status)
+	}
 	until := time.Now().Add(length)
 	meanwhile()
 	time.Sleep(time.Until(until))
@@ -107,19 +127,21 @@
 	}
 }
 
-// send sends a request on a connection of its own and returns the connection.
-func (g *pausedGateway) send(name string, headers ...string) net.Conn {
+func (g *pausedGateway) dial() net.Conn {
 	g.t.Helper()
 	conn, err := net.Dial("tcp", g.address)
 	if err != nil {
 		g.t.Fatal(err)
 	}
 	g.t.Cleanup(func() { _ = conn.Close() })
-	head := "POST /p/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n" + testID + ": " + name + "\r\n"
-	for _, header := range headers {
-		head += header + "\r\n"
-	}
-	if _, err := io.WriteString(conn, head+"\r\n"); err != nil {
+	return conn
+}
+
+// send sends a request on a connection of its own and returns the connection.
+func (g *pausedGateway) send(name string) net.Conn {
+	g.t.Helper()
+	conn := g.dial()
+	if _, err := fmt.Fprintf(conn, "POST /p/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n%s: %s\r\n\r\n", testID, name); err != nil {
 		g.t.Fatal(err)
 	}
 	return conn
@@ -166,7 +188,7 @@
 				finishStream(a)
 				return true
 			})
-			g := startPausedGateway(t, catalog.Streaming, 10*time.Second, replica)
+			g := startPausedGateway(t, pausedSettings{Kind: catalog.Streaming, Attempts: 1, Timeout: 10 * time.Second}, replica)
 			conns := make([]net.Conn, streams)
 			for i := range conns {
 				conns[i] = g.send(fmt.Sprint("request ", i))
@@ -196,3 +218,98 @@
 		})
 	}
 }
+
+// TestADeadlineCountsFromTheArrivalOfARequestThatWaited: a request that had waited for a gateway that stood still was sent
+// on with all of its client's time, and answered that much later than its client waits.
+func TestADeadlineCountsFromTheArrivalOfARequestThatWaited(t *testing.T) {
+	const (
+		pause     = 1200 * time.Millisecond
+		timeout   = 2 * time.Second
+		tolerance = 200 * time.Millisecond
+	)
+	const request = "POST /p/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 2\r\n" + testID + ": one\r\n"
+	for _, c := range []struct {
+		name string
+		kept bool
+		// header limits the client's time, limit is what is left of it or of the route's after the pause, negative if it
+		// is over.
+		header string
+		limit  time.Duration
+	}{
+		{"in the listener", false, "", timeout - pause},
+		{"in a kept connection", true, "", timeout - pause},
+		{"in the listener, with less time", false, testDeadline + ": 1700\r\n", 500 * time.Millisecond},
+		{"in the listener, for longer than its client waits", false, testDeadline + ": 900\r\n", -1},
+		{"in a kept connection, for longer than its client waits", true, testDeadline + ": 100\r\n", -1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ended := make(chan struct{})
+			defer close(ended)
+			replica := newReplica(t, "a", func(a arrival) bool {
+				if a.name() == "first" {
+					return whole(a)
+				}
+				<-ended
+				return false
+			})
+			g := startPausedGateway(t, pausedSettings{Kind: catalog.Safe, Attempts: 1, Timeout: timeout}, replica)
+			conn := g.send("first")
+			is.Equal(readAnswer(conn).status, http.StatusOK)
+			is.Equal(replica.count(), 1)
+			var sent time.Time
+			g.pause(pause, func() {
+				if !c.kept {
+					conn = g.dial()
+				}
+				sent = time.Now()
+				_, err := io.WriteString(conn, request+c.header+"\r\nab")
+				is.NoErr(err)
+			})
+			got := readAnswer(conn)
+			is.NoErr(got.err)
+			if c.limit < 0 {
+				is.Equal(got.status, http.StatusServiceUnavailable)
+				is.Equal(replica.count(), 1)
+				return
+			}
+			is.Equal(got.status, http.StatusGatewayTimeout)
+			is.True(time.Since(sent) < pause+c.limit+tolerance)
+			left, err := strconv.Atoi(replica.last().request.Header.Get(testDeadline))
+			is.NoErr(err)
+			is.True(time.Duration(left)*time.Millisecond <= c.limit)
+			is.True(time.Duration(left)*time.Millisecond > c.limit-tolerance)
+		})
+	}
+}
+
+// TestAnArrivalThatCannotBeIsNotBelieved: the kernel may not tell when a request arrived, or tell it with the accuracy of
+// its ticks.
+func TestAnArrivalThatCannotBeIsNotBelieved(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct{ told, want time.Duration }{
+		{0, 0},
+		{minSocketWait - time.Millisecond, 0},
+		{minSocketWait, minSocketWait},
+		{maxSocketWait, maxSocketWait},
+		{maxSocketWait + time.Millisecond, 0},
+		{-time.Second, 0},
+	} {
+		t.Run(c.told.String(), func(t *testing.T) {
+			is := is.New(t)
+			h := &Handler{sinceArrival: func(net.Conn) time.Duration { return c.told }}
+			conn, _ := dialPair(t)
+			is.Equal(now.Sub(h.arrivedAt(ConnContext(context.Background(), conn), now)), c.want)
+			is.Equal(h.arrivedAt(context.Background(), now), now)
+		})
+	}
+}
+
+func BenchmarkSinceLastArrival(b *testing.B) {
+	conn, _ := dialPair(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		sinceLastArrival(conn)
+	}
+}
--- a/src/fleet/listen_test.go
+++ b/src/fleet/listen_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"net/http"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/graceful"
 )
 
+// Otherwise nobody could tell when a request reached its host.
+var _ syscall.Conn = (*graceful.Conn)(nil)
+
 func TestServersOfClientsKnowTheirConnections(t *testing.T) {
 	is := is.New(t)
 	server, err := listen("127.0.0.1:0", http.NotFoundHandler())
