Nothing runs for a client that left while its request waited

What was seen: a gateway that had stood still (SIGSTOP, a busy or frozen host) sent requests on whose clients had closed their connections meanwhile, so that servers began work that nobody waits for.

Cause: that a client has left is learned by reading its connection, which the HTTP library does beside the handler. After a pause the request and the close both wait, and the handler may send before the close is read.

Not looked at: clients that leave while their request is handled, where the read is under way.

The call that tells when the request arrived also tells the state of the connection: the kernel knows of the close although the request before it has not been read. Such a request ends before anything is counted or sent for it, as one whose client leaves later, and is logged so.

Evidence: a gateway process that is stopped for 0.7 s, 200 clients that send and close meanwhile, four cases (in the listener and in kept connections, with and without a body).

A client that closes its writing side only, and reads on, was taken for one that has left before, too.

--- a/src/exchange/clientconn.go
+++ b/src/exchange/clientconn.go
@@ -35,18 +35,30 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// arrivedAt returns when the head of a request that is read now has reached this host at the latest, as far as its
-// kernel tells: when the last data did that it has got of the request.
-func (h *Handler) arrivedAt(ctx context.Context, now time.Time) time.Time {
+// socketState is what the kernel tells of a connection. The zero value stands for what it does not tell.
+type socketState struct {
+	// sinceArrival is how long ago the last data reached this host.
+	sinceArrival time.Duration
+	// closed is set once the other end has closed it, whether or not all data was read.
+	closed bool
+}
+
+// socket returns the state of a client's connection.
+func (h *Handler) socket(ctx context.Context) socketState {
 	conn, ok := ctx.Value(connKey{}).(net.Conn)
 	if !ok {
-		return now
+		return socketState{}
 	}
-	waited := h.sinceArrival(conn)
-	if waited < minSocketWait || waited > maxSocketWait {
+	return h.examineSocket(conn)
+}
+
+// arrivedAt returns when the head of a request that is read now has reached this host at the latest: when the last data
+// did that has come of the request.
+func (s *socketState) arrivedAt(now time.Time) time.Time {
+	if s.sinceArrival < minSocketWait || s.sinceArrival > maxSocketWait {
 		return now
 	}
-	return now.Add(-waited)
+	return now.Add(-s.sinceArrival)
 }
 
 // setLinger sets what a close of the client's connection does.
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -103,14 +103,13 @@
 	forwardedRunning atomic.Int64
 	// localIssuer issues permits if no control node responds.
 	localIssuer *ratelimit.FallbackIssuer
-	// sinceArrival returns how long ago the last data on a client's connection reached this host, 0 if that is not
-	// known.
-	sinceArrival func(net.Conn) time.Duration
+	// examineSocket returns the state of a client's connection.
+	examineSocket func(net.Conn) socketState
 }
 
 // NewHandler returns a handler without a configuration.
 func NewHandler(options Options) *Handler {
-	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), stop: newStopState(), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64), sinceArrival: sinceLastArrival}
+	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), stop: newStopState(), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64), examineSocket: examineSocket}
 	h.placeQueues = newPlaceQueues(options.Fleet, options.Now)
 	h.waits, h.endWaits = context.WithCancel(context.Background())
 	h.gateways.Store(1)
@@ -211,6 +210,8 @@
 	retained int64
 	// retainedPending is the part of retained that is the incomplete event of the stream.
 	retainedPending int64
+	// closed is set if the client had closed its connection as the head of the request was read.
+	closed bool
 	// startedAt is when the head of the request reached this host.
 	startedAt time.Time
 	// receivedAt is when the last byte of the body was read, the zero time before.
@@ -291,10 +292,14 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{handler: h, writer: w, request: r, startedAt: h.arrivedAt(r.Context(), h.options.Now()), forwarded: forwarded}
+	socket := h.socket(r.Context())
+	c := &call{handler: h, writer: w, request: r, startedAt: socket.arrivedAt(h.options.Now()), closed: socket.closed, forwarded: forwarded}
 	c.deadline = c.startedAt.Add(defaultTimeout)
 	defer c.logResult()
 	defer c.releaseRetained()
+	if c.closed {
+		c.abortResponse("the client left before its request was read")
+	}
 	table := c.awaitTable()
 	if table == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration yet")
--- a/src/exchange/hoststate_linux.go
+++ b/src/exchange/hoststate_linux.go
@@ -19,13 +19,16 @@
 	return time.Duration(info.Last_ack_recv) * time.Millisecond
 }
 
-// sinceLastArrival returns how long ago the last data on a connection reached this host, 0 if that is not known.
-func sinceLastArrival(raw net.Conn) time.Duration {
+// closeWait is the state in which the kernel of Linux holds a connection that the other end alone has closed.
+const closeWait = 8
+
+// examineSocket returns the state of a connection.
+func examineSocket(raw net.Conn) socketState {
 	info := tcpInfo(raw)
 	if info == nil {
-		return 0
+		return socketState{}
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
+	return socketState{sinceArrival: time.Duration(info.Last_data_recv) * time.Millisecond, closed: info.State == closeWait}
 }
 
 // tcpInfo returns what the kernel tells of a connection, nil if it tells nothing.
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -294,7 +294,7 @@
 }
 
 // clientLeft reports whether the client has closed its connection.
-func (c *call) clientLeft() bool { return c.request.Context().Err() != nil }
+func (c *call) clientLeft() bool { return c.closed || c.request.Context().Err() != nil }
 
 // kind returns the kind of the event that logs the request's result.
 func (c *call) kind() event.Kind {
--- a/src/exchange/stoodstill_test.go
+++ b/src/exchange/stoodstill_test.go
@@ -298,18 +298,66 @@
 	} {
 		t.Run(c.told.String(), func(t *testing.T) {
 			is := is.New(t)
-			h := &Handler{sinceArrival: func(net.Conn) time.Duration { return c.told }}
+			h := &Handler{examineSocket: func(net.Conn) socketState { return socketState{sinceArrival: c.told} }}
 			conn, _ := dialPair(t)
-			is.Equal(now.Sub(h.arrivedAt(ConnContext(context.Background(), conn), now)), c.want)
-			is.Equal(h.arrivedAt(context.Background(), now), now)
+			told, untold := h.socket(ConnContext(context.Background(), conn)), h.socket(context.Background())
+			is.Equal(now.Sub(told.arrivedAt(now)), c.want)
+			is.Equal(untold, socketState{})
 		})
 	}
 }
 
-func BenchmarkSinceLastArrival(b *testing.B) {
+func BenchmarkExamineSocket(b *testing.B) {
 	conn, _ := dialPair(b)
 	b.ReportAllocs()
 	for b.Loop() {
-		sinceLastArrival(conn)
+		examineSocket(conn)
+	}
+}
+
+// TestNothingRunsForClientsThatLeftWhileTheirRequestsWaited: a gateway that had stood still sent requests on before it read
+// that their clients had left.
+func TestNothingRunsForClientsThatLeftWhileTheirRequestsWaited(t *testing.T) {
+	const (
+		pause   = 700 * time.Millisecond
+		clients = 200
+	)
+	for _, c := range []struct {
+		name string
+		kept bool
+		body string
+	}{
+		{"in the listener", false, ""},
+		{"in the listener, with a body", false, "body"},
+		{"in a kept connection", true, ""},
+		{"in a kept connection, with a body", true, "body"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			replica := newReplica(t, "a", whole)
+			g := startPausedGateway(t, pausedSettings{Kind: catalog.Safe, Attempts: 1, Timeout: 5 * time.Second}, replica)
+			conns := make([]net.Conn, clients)
+			for i := range conns {
+				if c.kept {
+					conns[i] = g.send("first")
+					is.Equal(readAnswer(conns[i]).status, http.StatusOK)
+				}
+			}
+			before := replica.count()
+			g.pause(pause, func() {
+				for i, conn := range conns {
+					if !c.kept {
+						conn = g.dial()
+					}
+					_, err := fmt.Fprintf(conn, "POST /p/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n%s: left %d\r\n\r\n%s", len(c.body), testID, i, c.body)
+					is.NoErr(err)
+					is.NoErr(conn.Close())
+				}
+			})
+			last := g.send("last")
+			is.Equal(readAnswer(last).status, http.StatusOK)
+			time.Sleep(200 * time.Millisecond)
+			is.Equal(replica.count()-before, 1) // the last one
+		})
 	}
 }
