--- a/src/admission/admission_test.go
+++ b/src/admission/admission_test.go
@@ -405,3 +405,16 @@
 	granter.lockRecord("a")()
 	is.Equal(len(granter.recordMu), 2)
 }
+
+// TestGrantThatWaitedIsNotUsed: a grant whose answer waited for a process that stood still counts from its question.
+func TestGrantThatWaitedIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	n := newTestCluster()
+	n.run(time.Second)
+	asked := n.now
+	n.nodeDelay = n.gate.options.GrantTTL
+	verdict := n.gate.Admit(context.Background(), &n.account, 1)
+	is.Equal(verdict.Admission, wire.AdmissionGranted)
+	is.Equal(verdict.Until, asked.Add(n.gate.options.GrantTTL))
+	is.True(!n.now.Before(verdict.Until))
+}
