A process that goes on after a pause reads what came meanwhile before it decides on requests

What callers saw: a gateway stands still around its signal and beyond the mark (a frozen or busy host). As it goes on, what waited in its sockets is sent on before the signal is read, and cut off. Likewise a request got 404 for good on a route that had been added meanwhile, or was sent to a server that had told that it leaves. Cause: as a process goes on, all that waited is handled in any order. Ruled out: reading signals first alone; the order in which the kernel and the scheduler deliver is not the process's to choose. Change: once its record of ticks shows a pause of over 0.25 s, requests wait until two ticks are on time again, some 60 ms, at most 0.25 s: before anything is decided, and right before the first byte is sent. Not covered: a connection to a control node that needs longer than that, and pauses of less than 0.25 s.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -116,8 +116,11 @@
 		ready:   c.readyConn(now, peer),
 		sending: func(raw net.Conn) { c.noteSending(s.watch, raw) },
 		admit: func() bool {
+			if !c.inTimeToSend() {
+				return false
+			}
 			sent = sentRequest{sentAt: h.options.Fleet.bootNow(), term: c.sendPermit.term, grant: c.sendPermit.number}
-			return !c.tooLateToSend(h.options.Now()) && c.usePermit(peer) && h.options.Fleet.admit(peer)
+			return c.usePermit(peer) && h.options.Fleet.admit(peer)
 		},
 		read: func(status int, header http.Header) Reply { return c.applyReply(peer, status, header, sent) },
 	}
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -139,7 +139,7 @@
 	to.startRequest(0)
 	hooks := sendHooks{
 		sending: func(raw net.Conn) { c.noteSending(s.watch, raw) },
-		admit:   func() bool { return !c.tooLateToSend(c.handler.options.Now()) },
+		admit:   c.inTimeToSend,
 		read:    func(_ int, header http.Header) Reply { return Reply{ID: FieldValue(header, headerForwardID)} },
 	}
 	response, err := send(attemptCtx, dialing, to.pool, c.forwardedRequest(now), c.requestInfo.ID, hooks, dialAttempt, c.headDeadline(), now)
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -67,6 +67,8 @@
 	// ConfigConfirmed reports whether the active configuration was lately known to be the newest; nil
 	// means that it always is.
 	ConfigConfirmed func() bool
+	// AwaitSettled waits, if the process goes on after a pause, until it has read what came meanwhile; nil waits for nothing.
+	AwaitSettled func(ctx context.Context, now time.Time)
 	// Node is the gateway's name, Zone its availability zone.
 	Node string
 	Zone string
@@ -303,6 +305,7 @@
 	if c.closed {
 		c.abortResponse("the client left before its request was read")
 	}
+	c.awaitSettled()
 	table := c.awaitTable()
 	if table == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration yet")
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -110,6 +110,19 @@
 	return received.Add(c.timeLimit()).After(last.end)
 }
 
+// awaitSettled lets a process that stood still read what came meanwhile: news from control nodes, or a signal to stop.
+func (c *call) awaitSettled() {
+	if await := c.handler.options.AwaitSettled; await != nil {
+		await(c.request.Context(), c.handler.options.Now())
+	}
+}
+
+// inTimeToSend reports whether the request may be sent right now, as far as a stop is concerned.
+func (c *call) inTimeToSend() bool {
+	c.awaitSettled()
+	return !c.tooLateToSend(c.handler.options.Now())
+}
+
 // refusedByStop refuses a request that is too late to send. It reports whether it has done so.
 func (c *call) refusedByStop() bool {
 	if !c.tooLateToSend(c.handler.options.Now()) {
--- a/src/fleet/gateway.go
+++ b/src/fleet/gateway.go
@@ -132,6 +132,7 @@
 
 		DialGateway:      exchange.Dial,
 		ConfigConfirmed:  func() bool { return g.follower.Confirmed() },
+		AwaitSettled:     watch.AwaitSettled,
 		MaxRetainedBytes: int64(retainShare * float64(settings.MemoryMB) * (1 << 20)),
 	})
 	forwarded, err := g.listenForwarded()
--- a/src/signals/running.go
+++ b/src/signals/running.go
@@ -51,3 +51,9 @@
 	}
 	return at
 }
+
+// settled reports whether the process has run long enough since its last pause to know what came during that.
+func (r *running) settled(now time.Time) bool {
+	last, before := r.tick(0), r.tick(1)
+	return now.Sub(last) <= deliveryTime && (before.IsZero() || last.Sub(before) <= deliveryTime)
+}
--- a/src/signals/running_test.go
+++ b/src/signals/running_test.go
@@ -107,3 +107,26 @@
 	}
 	return time.Time{}
 }
+
+// TestAProcessThatGoesOnIsNotSettledAtOnce: the first tick after a pause may come before what waited is read.
+func TestAProcessThatGoesOnIsNotSettledAtOnce(t *testing.T) {
+	const ms = time.Millisecond
+	steady := every(tickInterval, 0, 2000*ms)
+	for _, c := range []struct {
+		name  string
+		ticks []time.Duration
+		now   time.Duration
+		want  bool
+	}{
+		{"it runs", steady, 1999 * ms, true},
+		{"a tick is a little late", steady, 2100 * ms, true},
+		{"before the first tick after a pause", steady, 2900 * ms, false},
+		{"after the first tick", slices.Concat(steady, ats(2900*ms)), 2901 * ms, false},
+		{"after the second tick", slices.Concat(steady, ats(2900*ms, 2950*ms)), 2951 * ms, true},
+		{"right after the start", ats(0), 10 * ms, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(ranAt(c.ticks...).settled(start.Add(c.now)), c.want)
+		})
+	}
+}
--- a/src/signals/watch.go
+++ b/src/signals/watch.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// settlePoll is the pause between two looks whether a process has run long enough after a pause.
+const settlePoll = 10 * time.Millisecond
+
 // Stop is a signal to stop.
 type Stop struct {
 	// Learned is when the process learned of the signal, SentAfter the latest time at which it had certainly not been sent.
@@ -60,6 +63,24 @@
 	}
 }
 
+// AwaitSettled waits, if the process goes on after a pause, until it has had time to read the signals and messages that came
+// meanwhile. now is the present time. It waits no longer than deliveryTime.
+func (w *Watch) AwaitSettled(ctx context.Context, now time.Time) {
+	for waited := time.Duration(0); waited < deliveryTime && !w.settled(now.Add(waited)); waited += settlePoll {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(settlePoll):
+		}
+	}
+}
+
+func (w *Watch) settled(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running.settled(now)
+}
+
 // run delivers signals to stop and records that the process runs.
 func (w *Watch) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- a/src/signals/watch_test.go
+++ b/src/signals/watch_test.go
@@ -49,3 +49,19 @@
 		t.Error("the signal to stop was dropped")
 	}
 }
+
+// TestTheWaitAfterAPauseIsBounded: a process that gets no regular share of its host must still serve.
+func TestTheWaitAfterAPauseIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w := New(ctx, nil, nil, time.Now)
+		time.Sleep(time.Second)
+		began := time.Now()
+		w.AwaitSettled(ctx, began)
+		is.Equal(time.Since(began), time.Duration(0))
+		w.AwaitSettled(ctx, began.Add(time.Hour)) // as if no tick had come for an hour
+		is.Equal(time.Since(began), deliveryTime)
+	})
+}
