Observability: how many requests are under way in a stop, and how to read its lines

moorspool_gateway_requests_under_way_at_stop_total counts the requests that were sent on and not answered as the mark of a stop passes, and those that its end cuts off. An operator sees a stop that began late by the first, while the process still answers; the second is there for a moment at the most, lines 717 have the same.

Tests: with each of the counts wrong TestAGatewayThatWakesAfterItsLimitLeavesALineOfEachRequest fails. Tests of src/exchange, src/event, src/fleet and src/process pass.

--- a/src/exchange/latestop_test.go
+++ b/src/exchange/latestop_test.go
@@ -95,7 +95,8 @@
 	const requests = 4000
 	for name, kind := range map[string]catalog.Kind{"request": catalog.Unsafe, "stream": catalog.Streaming} {
 		t.Run(name, func(t *testing.T) {
-			metrics := NewMetrics(metric.New("test")) // its goroutine outlives the bubble
+			registry := metric.New("test") // its goroutine outlives the bubble
+			metrics := NewMetrics(registry)
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				text := &logText{}
@@ -131,9 +132,25 @@
 				for i, line := range text.logLines()[before:] {
 					is.Equal(strings.Contains(line, "event=718"), i < requests)
 				}
+				p.handler.CutOff() // counts nothing
 				p.clients.Wait()
 				is.Equal(len(p.statuses), requests)
 			})
+			for _, at := range []string{"end", "mark"} {
+				awaitMetric(t, registry, fmt.Sprintf("moorspool_test_requests_under_way_at_stop_total{at=%q} %d\n", at, requests))
+			}
 		})
 	}
 }
+
+// awaitMetric waits until a page of metrics has a line: counters are passed on each second.
+func awaitMetric(t *testing.T, registry *metric.Registry, line string) {
+	t.Helper()
+	for range 500 {
+		if strings.Contains(string(registry.Encoder()()), line) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("no metric %q", line)
+}
--- a/src/exchange/metrics.go
+++ b/src/exchange/metrics.go
@@ -44,6 +44,8 @@
 	UnprovenEnds unprovenCounters
 	// EndedEarly counts answers that were broken off, and those that tell that the request may have run.
 	EndedEarly endCounters
+	// UnderWayAtStop counts the requests under way at two times of a stop.
+	UnderWayAtStop stopCounters
 	// PermitsLost counts permit requests that no issuer answered.
 	PermitsLost tally.Counter
 	// PlaceWait records how long requests waited for a place, PlacesRefused counts those that got
@@ -84,6 +86,7 @@
 		ResponsesTooLong: registry.Count("responses_too_long_total"),
 		UnprovenEnds:     newUnprovenCounters(registry),
 		EndedEarly:       newEndCounters(registry),
+		UnderWayAtStop:   newStopCounters(registry),
 
 		PlaceWait:     registry.Latency("place_wait_seconds"),
 		PlacesRefused: registry.Count("places_refused_total"),
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -75,7 +75,12 @@
 }
 
 // CutOff ends the requests in progress. Those whose response has not begun are answered.
-func (h *Handler) CutOff() { h.stop.cutOff() }
+func (h *Handler) CutOff() {
+	if number := h.stop.underWay.number(); number > 0 {
+		h.options.Metrics.UnderWayAtStop.end.Inc(int64(number))
+	}
+	h.stop.cutOff()
+}
 
 // runContext returns the context of a request's attempts, which ends with that of the request, at its deadline
 // or by CutOff.
--- a/src/exchange/underway.go
+++ b/src/exchange/underway.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/moorspool/moorspool/src/event"
+	"github.com/moorspool/moorspool/src/metric"
 )
 
 // underWay holds the requests that were sent on and have no complete answer yet. A process that is killed logs nothing
@@ -34,9 +37,14 @@
 	delete(u.requests, p)
 }
 
-// mark notes that the mark has passed, and returns the requests in the order of their arrival.
+// mark notes that the mark has passed, and returns the requests in the order of their arrival, none if it has passed
+// before.
 func (u *underWay) mark() []*progress {
 	u.mu.Lock()
+	if u.marked {
+		u.mu.Unlock()
+		return nil
+	}
 	u.marked = true
 	requests := make([]*progress, 0, len(u.requests))
 	for p := range u.requests {
@@ -47,6 +55,21 @@
 	return requests
 }
 
+// number returns the number of requests.
+func (u *underWay) number() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.requests)
+}
+
+// stopCounters count the requests that are under way as the mark of a stop passes, and those that its end cuts off.
+type stopCounters struct{ mark, end tally.Counter }
+
+func newStopCounters(registry *metric.Registry) stopCounters {
+	const name, label = "requests_under_way_at_stop_total", "at"
+	return stopCounters{mark: registry.CountOf(name, label, "mark"), end: registry.CountOf(name, label, "end")}
+}
+
 // progress is what is known of a request that was sent on. It is safe for concurrent use, as its call is not.
 type progress struct {
 	request, model, route string
@@ -93,6 +116,9 @@
 func (h *Handler) passMark() {
 	h.stop.mark()
 	requests := h.stop.underWay.mark()
+	if len(requests) > 0 {
+		h.options.Metrics.UnderWayAtStop.mark.Inc(int64(len(requests)))
+	}
 	for _, p := range requests {
 		h.logUnderWay(p)
 	}
