--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -103,11 +103,13 @@
 	forwardedRunning atomic.Int64
 	// localIssuer issues permits if no control node responds.
 	localIssuer *ratelimit.FallbackIssuer
+	// examineSocket returns the state of a client's connection.
+	examineSocket func(net.Conn) socketState
 }
 
 // NewHandler returns a handler without a configuration.
 func NewHandler(options Options) *Handler {
-	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), stop: newStopState(), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64)}
+	h := &Handler{options: options, budgets: newBudgets(options.Budget), configured: make(chan struct{}), stop: newStopState(), waitQueues: newWaitQueues(), retention: retention{limit: options.MaxRetainedBytes}, localIssuer: ratelimit.NewFallbackIssuer(rand.Float64), examineSocket: examineSocket}
 	h.placeQueues = newPlaceQueues(options.Fleet, options.Now)
 	h.waits, h.endWaits = context.WithCancel(context.Background())
 	h.gateways.Store(1)
@@ -208,7 +210,10 @@
 	retained int64
 	// retainedPending is the part of retained that is the incomplete event of the stream.
 	retainedPending int64
-	startedAt       time.Time
+	// closed is set if the client had closed its connection as the head of the request was read.
+	closed bool
+	// startedAt is when the head of the request reached this host.
+	startedAt time.Time
 	// receivedAt is when the last byte of the body was read, the zero time before.
 	receivedAt time.Time
 	// sentAt is when the request was last sent to a replica or another gateway, the zero time before.
@@ -289,11 +294,15 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{handler: h, writer: w, request: r, startedAt: h.options.Now(), forwarded: forwarded}
+	socket := h.socket(r.Context())
+	c := &call{handler: h, writer: w, request: r, startedAt: socket.arrivedAt(h.options.Now()), closed: socket.closed, forwarded: forwarded}
 	c.deadline = c.startedAt.Add(defaultTimeout)
 	defer c.logResult()
 	defer c.endProgress()
 	defer c.releaseRetained()
+	if c.closed {
+		c.abortResponse("the client left before its request was read")
+	}
 	table := c.awaitTable()
 	if table == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration yet")
@@ -303,7 +312,7 @@
 	if forwarded && !c.beginForwarded() {
 		return
 	}
-	if !c.applyTable(table) || !c.readBody(bodyLimit(table)) || !c.followTable() || !c.resolveOrigin() || c.refusedByStop() {
+	if !c.applyTable(table) || c.refusedLate() || !c.readBody(bodyLimit(table)) || !c.followTable() || !c.resolveOrigin() || c.refusedByStop() {
 		return
 	}
 	if c.forwardOnArrival() {
@@ -343,6 +352,15 @@
 	return c.identify(table)
 }
 
+// refusedLate refuses a request whose time was over before it was read. It reports whether it has done so.
+func (c *call) refusedLate() bool {
+	if c.handler.options.Now().Add(responseMargin).Before(c.deadline) {
+		return false
+	}
+	c.refuse(http.StatusServiceUnavailable, "its time was over before it was read")
+	return true
+}
+
 // followTable applies the active configuration if it is another one than at the head of the request: the body
 // may have taken seconds, and a request counts as sent with its last byte. It responds to the client and returns
 // false if the configuration does not allow the request.
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -156,7 +156,7 @@
 func (c *call) beginResponse(status int) {
 	c.status = status
 	c.firstByte = c.handler.options.Now()
-	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(time.Second))
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(later(c.deadline, c.firstByte).Add(time.Second))
 	c.guardClose()
 	c.progress.noteBegun()
 	c.writer.WriteHeader(status)
@@ -295,7 +295,7 @@
 }
 
 // clientLeft reports whether the client has closed its connection.
-func (c *call) clientLeft() bool { return c.request.Context().Err() != nil }
+func (c *call) clientLeft() bool { return c.closed || c.request.Context().Err() != nil }
 
 // kind returns the kind of the event that logs the request's result.
 func (c *call) kind() event.Kind {
--- a/src/feed/heartbeat_test.go
+++ b/src/feed/heartbeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,79 @@
 	ending, _ := registry.EndingStart([]registry.Record{draining, running})
 	is.Equal(ending.ID, "r@7")
 }
+
+// TestEndNoticeOfAnEarlierStartLeavesALaterOneUsable: a node that had no heartbeat of the earlier start itself, and
+// learned of its end late, recorded that end for the later start, which then got no requests any more.
+func TestEndNoticeOfAnEarlierStartLeavesALaterOneUsable(t *testing.T) {
+	draining := registry.Record{ID: "r@7", Name: "r", StartedMS: 7, Address: "a:1", Sequence: 2, Draining: true}
+	gone := draining
+	gone.Gone = true
+	later := registry.Record{ID: "r@9", Name: "r", StartedMS: 9, Address: "a:1", Sequence: 1}
+	for _, c := range []struct {
+		name string
+		end  func(ctx context.Context, p *Publisher) bool
+	}{
+		{"a notice", func(ctx context.Context, p *Publisher) bool { return p.HandleEnd(ctx, "r") }},
+		{"a record that was passed on", func(ctx context.Context, p *Publisher) bool {
+			_, err := p.handleNote(ctx, nil, wire.NoteRequest{Record: gone})
+			return err == nil
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n := newTestNet(t, 2)
+			s := n.follow(n.addresses()...)
+			ctx := context.Background()
+			first, other := n.nodes[0], n.nodes[1]
+			_, err := first.publisher.handleNote(ctx, nil, wire.NoteRequest{Record: draining})
+			is.NoErr(err)
+			is.True(other.publisher.ApplyHeartbeat(ctx, later))
+			eventually(t, "the other node knows both starts", func() bool { return len(other.follower.Starts("r")) == 2 })
+			is.True(c.end(ctx, other.publisher))
+			eventually(t, "the end of a start is known", func() bool {
+				return slices.ContainsFunc(other.follower.Starts("r"), func(start registry.Record) bool { return start.Gone })
+			})
+			for _, start := range other.follower.Starts("r") {
+				is.Equal(start.Gone, start.ID == "r@7")
+			}
+			eventually(t, "gateways use the later start", func() bool {
+				_, usable := s.usable("r@9")
+				return usable
+			})
+		})
+	}
+}
+
+// TestEndNoticeThatWaitedDoesNotEndALaterStart: a control node that stood still read the copy of an end notice after
+// another one had acknowledged it and the replica had started again, and ended the later start.
+func TestEndNoticeThatWaitedDoesNotEndALaterStart(t *testing.T) {
+	start := func(ms int64) registry.Record {
+		return registry.Record{ID: registry.Incarnation{Name: "r", StartedMS: ms}.ID(), Name: "r", StartedMS: ms, Address: "a:1", Sequence: 1}
+	}
+	for _, drains := range []bool{false, true} {
+		is := is.New(t)
+		n := newTestNet(t, 3)
+		s := n.follow(n.addresses()...)
+		ctx := context.Background()
+		other, stoodStill := n.nodes[0].publisher, n.nodes[1]
+		is.True(other.ApplyHeartbeat(ctx, start(7)))
+		if drains {
+			draining := start(7)
+			draining.Sequence, draining.Draining = 2, true
+			is.True(other.ApplyHeartbeat(ctx, draining))
+		}
+		is.True(other.HandleEnd(ctx, "r"))
+		is.True(other.ApplyHeartbeat(ctx, start(9)))
+		eventually(t, "the node knows both starts", func() bool { return len(stoodStill.follower.Starts("r")) == 2 })
+		hungUp, hangUp := context.WithCancel(ctx)
+		time.AfterFunc(time.Millisecond, hangUp) // the end of the connection is read after the notice
+		is.True(!stoodStill.publisher.HandleEnd(hungUp, "r"))
+		for _, known := range stoodStill.publisher.cluster.Starts("r") {
+			is.Equal(known.Gone, known.ID == "r@7")
+		}
+		eventually(t, "gateways use the later start", func() bool {
+			_, usable := s.usable("r@9")
+			return usable
+		})
+	}
+}
--- /dev/null
+++ b/src/signals/watch.go
@@ -0,0 +1,101 @@
+package signals
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Stop is a signal to stop.
+type Stop struct {
+	// Learned is when the process learned of the signal, SentAfter the latest time at which it had certainly not been sent.
+	Learned, SentAfter time.Time
+}
+
+// Delay returns the longest time for which the signal may have been under way.
+func (s Stop) Delay() time.Duration { return s.Learned.Sub(s.SentAfter) }
+
+// Watch delivers signals to a server and records when the process runs. It is safe for concurrent use.
+type Watch struct {
+	terminate, reload <-chan os.Signal
+	stop              chan Stop
+	now               func() time.Time
+
+	mu      sync.Mutex
+	running running
+}
+
+// Notify returns a watch of the process's signals that servers handle.
+func Notify() *Watch {
+	// Each kind has its own channel, since a signal that does not fit is dropped.
+	terminate, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	return New(context.Background(), terminate, reload, time.Now)
+}
+
+// New returns a watch of signals to stop and to read the settings again, until the context ends.
+func New(ctx context.Context, terminate, reload <-chan os.Signal, now func() time.Time) *Watch {
+	w := &Watch{terminate: terminate, reload: reload, stop: make(chan Stop, 1), now: now}
+	w.running.add(now())
+	go w.run(ctx)
+	return w
+}
+
+// Stop delivers the first signal to stop; later ones change nothing.
+func (w *Watch) Stop() <-chan Stop { return w.stop }
+
+// HandleReloads reads the settings again after each signal to do so, until the context ends.
+func (w *Watch) HandleReloads(ctx context.Context, reload func()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.reload:
+			reload()
+		}
+	}
+}
+
+// run delivers signals to stop and records that the process runs.
+func (w *Watch) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.terminate:
+			w.deliver()
+		case <-ticker.C:
+			w.tick()
+		}
+	}
+}
+
+// tick records that the process runs, unless a signal to stop has come.
+func (w *Watch) tick() {
+	select {
+	case <-w.terminate:
+		w.deliver()
+	default:
+		w.mu.Lock()
+		w.running.add(w.now())
+		w.mu.Unlock()
+	}
+}
+
+// deliver delivers a signal to stop.
+func (w *Watch) deliver() {
+	learned := w.now()
+	w.mu.Lock()
+	sentAfter := w.running.withoutSignalAt(learned)
+	w.mu.Unlock()
+	select {
+	case w.stop <- Stop{Learned: learned, SentAfter: sentAfter}:
+	default:
+	}
+}
