Soak: more requests that reach a gateway as the time of its late stop is over

Only those sent from 3 s after the signal to the mark of a stop that was learned late can be lost. Twelve are sent from 2.6 to 3.8 s after the signal now, eight from 2.4 to 4.2 s before.

--- a/soak/bodyclients.go
+++ b/soak/bodyclients.go
@@ -29,9 +29,9 @@
 	workDeadline = 9 * time.Second
 	// besideStopRequests is how many requests with work are sent to a gateway that learns late of its stop, from
 	// besideStopFrom to besideStopUntil after its signal.
-	besideStopRequests = 8
-	besideStopFrom     = 2400 * time.Millisecond
-	besideStopUntil    = 4200 * time.Millisecond
+	besideStopRequests = 12
+	besideStopFrom     = 2600 * time.Millisecond
+	besideStopUntil    = 3800 * time.Millisecond
 	// workHeader says how long a replica works on a request, in milliseconds.
 	workHeader = "Soak-Work-Ms"
 )
