--- a/soak/ends.go
+++ b/soak/ends.go
@@ -207,7 +207,9 @@
 // rawResponse is a response as read from a connection.
 type rawResponse struct {
 	status int
-	body   string
+	// stamp names the replica that began the response, "" if that is not known.
+	stamp string
+	body  string
 	// whole is set if the response ended in order.
 	whole bool
 	// lastByteAt is when the last byte of the request was sent, the zero time if it was not sent whole.
@@ -243,7 +245,7 @@
 		return rawResponse{lastByteAt: lastByteAt}
 	}
 	read, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	return rawResponse{status: response.StatusCode, body: string(read), whole: err == nil, lastByteAt: lastByteAt}
+	return rawResponse{status: response.StatusCode, stamp: response.Header.Get(stampHeader), body: string(read), whole: err == nil, lastByteAt: lastByteAt}
 }
 
 // sendInHTTP10 sends streams of both kinds as a client of HTTP/1.0, to whom only a reset tells that one broke off.
@@ -255,7 +257,7 @@
 		class := endsClass{kind: []string{"e", "n"}[turn%2], proto: "HTTP/1.0"}
 		end := endedAnswer{id: id, kind: class.kind, gateway: m.name, firstByteAt: time.Now()}
 		got := sendStream(c.in.proxyAddress(m, c.in.callPort()), class, id, "", 0)
-		end.endedAt, end.lastByteAt, end.status = time.Now(), got.lastByteAt, got.status
+		end.endedAt, end.lastByteAt, end.status, end.stamp = time.Now(), got.lastByteAt, got.status, got.stamp
 		c.check.lost.recordAnswer(end, got.whole)
 		if got.status != http.StatusOK {
 			continue
