A word of leaving binds the start that said it, also before that start is listed

Its word came before its new start was listed.

Cause: the word was kept for the start on the list, the one before. Times of rest and limits are passed on to a start that is listed later at the same address, with evidence of connections; a word of leaving never was, since a wrong one would take the server out of use for good.

Fix: the connection of the word stays open, unused, for as long as an idle one would. If a later start is listed at the address, before or after the word, the gateway asks on that connection which start it is, and keeps the word for the later one only if it says so. A connection ends with its start, so the answer is that of the start that said the word. Nothing more is sent where no later start is listed.

Ruled out: passing the word on with the evidence of broken connections (they break without a restart too); asking on another connection (the start may be another one by then).

Not covered: a word on a connection that can't be used again (docs/design/backoff.md).

--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -45,6 +45,8 @@
 	reusableUntil time.Time
 	// answered is set once a byte of the current response has arrived.
 	answered bool
+	// saidLeaving is set once a response on it said that the replica is leaving.
+	saidLeaving bool
 }
 
 // pool keeps idle connections to one incarnation of a replica. The most recently used one is taken
@@ -54,11 +56,16 @@
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	// dialed is told the error of each attempt to connect, or nil; it may be nil itself.
 	dialed func(err error)
+	// witnessed is called when there is a new witness; it may be nil.
+	witnessed func()
 
-	mu     sync.Mutex
-	idle   []*conn
-	closed bool
-	opened int
+	mu   sync.Mutex
+	idle []*conn
+	// witness is an idle connection on which the replica said that it is leaving, nil if there is none. It
+	// stays open to tell which start said so, and gets no requests.
+	witness *conn
+	closed  bool
+	opened  int
 	// brokenConns counts the connections that broke or could not be established.
 	brokenConns int
 }
@@ -209,6 +216,10 @@
 
 // keep adds an idle connection to the pool.
 func (p *pool) keep(c *conn) {
+	if c.saidLeaving {
+		p.keepWitness(c)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= maxIdleConns {
@@ -222,6 +233,9 @@
 func (p *pool) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.witness != nil && !now.Before(p.witness.reusableUntil) {
+		p.closeWitness()
+	}
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		if now.Before(c.reusableUntil) {
@@ -233,10 +247,11 @@
 	p.idle = kept
 }
 
-// close closes the idle connections. The pool keeps none from then on.
+// close closes the idle connections. The pool keeps none for requests from then on.
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeWitness()
 	p.closed = true
 	for _, c := range p.idle {
 		_ = c.raw.Close()
--- a/src/exchange/fleet.go
+++ b/src/exchange/fleet.go
@@ -80,6 +80,9 @@
 	onCrash func(now time.Time, replica string, evidence string)
 	// onReturn is called when a replica accepts connections again after it refused one.
 	onReturn func(*Peer)
+	// onWitness is called with a connection on which a replica said that it is leaving, if a later start may
+	// have said so.
+	onWitness func(witness *conn, later *Peer)
 	// requestSent is raised when this gateway has sent a request that the other gateways should
 	// know of.
 	requestSent wakeup.Flag
@@ -126,6 +129,7 @@
 		latestStarts:   map[string]*Peer{},
 		onDoubt:        func([]resume.Key) {},
 		onReturn:       func(*Peer) {},
+		onWitness:      func(witness *conn, _ *Peer) { _ = witness.raw.Close() },
 		sentPrompts:    newSentPrompts(),
 		loadReports:    newLoadReports(),
 		byBacklogKey:   map[uint64]*Peer{},
@@ -195,6 +199,7 @@
 			f.noteDial(peer, err == nil)
 			f.noteRefusal(peer, err)
 		}
+		peer.pool.witnessed = func() { f.traceLeaving(peer) }
 		f.restoreState(peer)
 		f.inheritState(peer)
 		f.peers[id] = peer
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -118,6 +118,7 @@
 	options.Fleet.setCrashHandler(h.crashDetector.confirm)
 	options.Fleet.onDoubt = h.disputeOrigins
 	options.Fleet.onReturn = h.confirmReturn
+	options.Fleet.onWitness = h.confirmLeaving
 	return h
 }
 
--- a/src/exchange/replicastate.go
+++ b/src/exchange/replicastate.go
@@ -53,8 +53,8 @@
 // one are attributed to the old one until a control node lists it. A backoff or limit is attributed
 // to the new incarnation if no connection has broken since it was asked for, and either connections
 // had broken before or an idle one is still open: the connections of an incarnation end with it. A
-// leaving state is never inherited, since it would exclude the new incarnation permanently. The
-// lock is held.
+// leaving state would exclude the new incarnation permanently, so that it is confirmed first, see
+// traceLeaving. The lock is held.
 func (f *Fleet) inheritState(peer *Peer) {
 	for _, earlier := range f.peers {
 		restricted, limited := earlier.backoffState.restricted.Load(), earlier.sharedLimit.active.Load()
@@ -88,9 +88,8 @@
 // that arrives, even if no client receives the response, because it describes how the replica
 // treats this gateway and not the request.
 func (f *Fleet) applyReply(peer *Peer, reply *Reply) {
-	if reply.Leaving && peer.backoffState.noteLeaving() {
-		peer.pool.close()
-		f.ring.Add(event.Event{Kind: event.ShutdownAnnounced, Host: peer.ID()})
+	if reply.Leaving {
+		f.noteLeaving(peer)
 	}
 	if reply.Cold > 0 {
 		peer.markCold(f.bootNow(), reply.Cold)
--- a/src/exchange/restart.go
+++ b/src/exchange/restart.go
@@ -70,6 +70,7 @@
 	}
 	if earlier != nil {
 		earlier.noteReplacement(peer)
+		f.traceLeaving(earlier)
 	}
 	f.latestStarts[peer.name()] = peer
 	if earlier == nil || earlier.origin() == peer.origin() {
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -206,6 +206,7 @@
 func (a *replicaResponse) readHead(method, id string, read func(int, http.Header) Reply) error {
 	belongs := func(response *http.Response) bool {
 		a.reply = read(response.StatusCode, response.Header)
+		a.conn.saidLeaving = a.conn.saidLeaving || a.reply.Leaving
 		return a.reply.answers(id)
 	}
 	response, err := a.conn.reader.next(method, belongs)
