A limit of an earlier start is not taken for one of the next start under its ID

What callers saw: nothing yet; found on reading how words of starts that are not listed yet are kept. A backend server that starts again under its ID and asks for a rest before its new start is listed was limited by what the start before had named, and the other way round.

Cause: one count of broken connections stood for the last word of either kind, so that the evidence for the word of the later start held for the word of the earlier start too.

Fix: each word has its own count.

Evidence: TestEachWordIsInheritedByItsOwnEvidence; two of its four cases failed before.

--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -42,9 +42,9 @@
 	unlisted atomic.Bool
 	// listedLeaving is set while control nodes list the replica as draining or gone.
 	listedLeaving atomic.Bool
-	// brokenAtRequest is the number of broken connections when the replica last asked for a backoff
-	// or a limit.
-	brokenAtRequest atomic.Int64
+	// brokenAtBackoff is the number of broken connections when the replica last asked for a backoff,
+	// brokenAtLimit when it last named a limit.
+	brokenAtBackoff, brokenAtLimit atomic.Int64
 	// coldUntil is until when the replica is cold. nextPermitAt is the earliest time at which it
 	// may get a request by the issuer's last reply. Both are in nanoseconds on the clock that
 	// counts while the host is suspended, 0 if not set.
--- a/src/exchange/replicastate.go
+++ b/src/exchange/replicastate.go
@@ -62,14 +62,13 @@
 			continue
 		}
 		brokenConns, connected := earlier.pool.checkIdle()
-		breaksAtRequest := earlier.brokenAtRequest.Load()
-		if breaksAtRequest != int64(brokenConns) || breaksAtRequest == 0 && !connected {
-			continue
+		saidByLater := func(brokenAtWord int64) bool {
+			return brokenAtWord == int64(brokenConns) && (brokenAtWord > 0 || connected)
 		}
-		if restricted {
+		if restricted && saidByLater(earlier.brokenAtBackoff.Load()) {
 			peer.backoffState.inherit(earlier.backoffState)
 		}
-		if limited {
+		if limited && saidByLater(earlier.brokenAtLimit.Load()) {
 			peer.sharedLimit.inherit(earlier.sharedLimit)
 		}
 	}
@@ -97,7 +96,7 @@
 	switch {
 	case reply.Backoff > 0:
 		breaks, _ := peer.pool.checkIdle()
-		peer.brokenAtRequest.Store(int64(breaks))
+		peer.brokenAtBackoff.Store(int64(breaks))
 		if peer.backoffState.backOff(f.bootNow(), reply.Backoff, rand.Float64()) {
 			f.ring.Add(event.Event{Kind: event.BackoffAsked, Host: peer.ID(), Reason: fmt.Sprintf("for %s", min(reply.Backoff, maxBackoff))})
 		}
--- a/src/exchange/restriction_test.go
+++ b/src/exchange/restriction_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -337,6 +338,44 @@
 	is.Equal(b.do("POST", "after", "x").status, http.StatusOK)
 }
 
+// A limit of the earlier incarnation was taken for one of the later incarnation, which had only asked for a
+// backoff before it was listed.
+func TestEachWordIsInheritedByItsOwnEvidence(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		before, after    string // what the replica says before and after a connection breaks
+		backoff, limited bool   // what the later incarnation inherits
+	}{
+		{"a limit before, a backoff after", "limit", "backoff", true, false},
+		{"a backoff before, a limit after", "backoff", "limit", false, true},
+		{"both after", "", "limit, backoff", true, true},
+		{"both before", "limit, backoff", "", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			x := newReplica(t, "x", whole)
+			b := newBench(t, route(catalog.Safe, 1), x)
+			peer := b.fleet.Peer("x")
+			say := func(words string) {
+				if strings.Contains(words, "limit") {
+					b.handler.noteLimit(peer, RateLimit{Valid: true, PerSecond: 5}, sentRequest{})
+				}
+				if strings.Contains(words, "backoff") {
+					b.fleet.applyReply(peer, &Reply{Backoff: time.Minute})
+				}
+			}
+			say(c.before)
+			peer.pool.connectionBroke()
+			say(c.after)
+			b.restart(x)
+			later := b.fleet.Peer("x@2")
+			_, accepted := later.backoffState.accepts(time.Now())
+			is.Equal(!accepted, c.backoff)
+			is.Equal(later.sharedLimit.active.Load(), c.limited)
+		})
+	}
+}
+
 // TestBackoffAfterClientLeftIsKept: a client left while its request was being sent. The replica
 // rejected the request with a backoff of 2 s, but the gateway had already closed the connection and
 // sent 66 more requests during the backoff.
--- a/src/exchange/sharedlimit.go
+++ b/src/exchange/sharedlimit.go
@@ -209,7 +209,7 @@
 	before := peer.sharedLimit.limitSince()
 	if reply.Valid {
 		breaks, _ := peer.pool.checkIdle()
-		peer.brokenAtRequest.Store(int64(breaks))
+		peer.brokenAtLimit.Store(int64(breaks))
 	}
 	report := peer.sharedLimit.noteReply(fleet.bootNow(), reply, sent)
 	fleet.logLimitChange(peer, before, "by an answer")
