A start that is cold by its answers is not taken for a warm one once it is listed

What callers saw: nothing yet; found on reading how words of starts that are not listed yet are kept. A backend server that starts again under its ID and says in an answer how long it is cold, before its new start is listed, got as many requests as a warm one once it was listed, until its next heartbeat or answer said so again.

Cause: times of rest and limits were passed on to the later start, a cold time was not.

Fix: what an answer said of it is passed on by the same evidence, and only for as long as that answer said.

Evidence: TestEachWordIsInheritedByItsOwnEvidence; its cases "all after" and "cold after" failed before.

--- a/src/exchange/cold.go
+++ b/src/exchange/cold.go
@@ -27,6 +27,20 @@
 	f.coldRates.Store(&coldRates)
 }
 
+// coldReply is for how long a replica was cold by a response.
+type coldReply struct {
+	until time.Time
+	// brokenConns is the number of broken connections as it came.
+	brokenConns int64
+}
+
+// noteColdReply records a response that says for how long its replica is cold.
+func (p *Peer) noteColdReply(now time.Time, remaining time.Duration) {
+	p.markCold(now, remaining)
+	breaks, _ := p.pool.checkIdle()
+	p.coldReply.Store(&coldReply{until: now.Add(min(remaining, maxColdTime)), brokenConns: int64(breaks)})
+}
+
 // markCold marks a replica as cold for the remaining time, on the clock that counts while the host
 // is suspended. It never shortens the time, since reports of one replica arrive over several paths.
 func (p *Peer) markCold(now time.Time, remaining time.Duration) {
--- a/src/exchange/peer.go
+++ b/src/exchange/peer.go
@@ -50,6 +50,8 @@
 	// counts while the host is suspended, 0 if not set.
 	coldUntil    atomic.Int64
 	nextPermitAt atomic.Int64
+	// coldReply is what a response last said of that, nil if none did.
+	coldReply atomic.Pointer[coldReply]
 	// sharedLimit is the rate limit that the replica named.
 	sharedLimit *sharedLimit
 	// rejections is what the last answer said of how many rejections the replica bears, nil if no replica
--- a/src/exchange/replicastate.go
+++ b/src/exchange/replicastate.go
@@ -50,15 +50,15 @@
 
 // inheritState copies to a newly listed incarnation what was asked for at its address. Both
 // incarnations answer at the same address and to the same name, so the first responses of the new
-// one are attributed to the old one until a control node lists it. A backoff or limit is attributed
-// to the new incarnation if no connection has broken since it was asked for, and either connections
+// one are attributed to the old one until a control node lists it. A backoff, a limit or a cold time is
+// attributed to the new incarnation if no connection has broken since it was asked for, and either connections
 // had broken before or an idle one is still open: the connections of an incarnation end with it. A
 // leaving state would exclude the new incarnation permanently, so that it is confirmed first, see
 // traceLeaving. The lock is held.
 func (f *Fleet) inheritState(peer *Peer) {
 	for _, earlier := range f.peers {
-		restricted, limited := earlier.backoffState.restricted.Load(), earlier.sharedLimit.active.Load()
-		if earlier.pool.address != peer.pool.address || earlier.name() != peer.name() || !restricted && !limited {
+		restricted, limited, cold := earlier.backoffState.restricted.Load(), earlier.sharedLimit.active.Load(), earlier.coldReply.Load()
+		if earlier.pool.address != peer.pool.address || earlier.name() != peer.name() || !restricted && !limited && cold == nil {
 			continue
 		}
 		brokenConns, connected := earlier.pool.checkIdle()
@@ -71,6 +71,9 @@
 		if limited && saidByLater(earlier.brokenAtLimit.Load()) {
 			peer.sharedLimit.inherit(earlier.sharedLimit)
 		}
+		if now := f.bootNow(); cold != nil && now.Before(cold.until) && saidByLater(cold.brokenConns) {
+			peer.markCold(now, cold.until.Sub(now))
+		}
 	}
 }
 
@@ -91,7 +94,7 @@
 		f.noteLeaving(peer)
 	}
 	if reply.Cold > 0 {
-		peer.markCold(f.bootNow(), reply.Cold)
+		peer.noteColdReply(f.bootNow(), reply.Cold)
 	}
 	switch {
 	case reply.Backoff > 0:
--- a/src/exchange/restriction_test.go
+++ b/src/exchange/restriction_test.go
@@ -339,17 +339,21 @@
 }
 
 // A limit of the earlier incarnation was taken for one of the later incarnation, which had only asked for a
-// backoff before it was listed.
+// backoff before it was listed. That the later one was cold was not inherited.
 func TestEachWordIsInheritedByItsOwnEvidence(t *testing.T) {
 	for _, c := range []struct {
-		name             string
-		before, after    string // what the replica says before and after a connection breaks
-		backoff, limited bool   // what the later incarnation inherits
+		name                   string
+		before, after          string // what the replica says before and after a connection breaks
+		backoff, limited, cold bool   // what the later incarnation inherits
 	}{
-		{"a limit before, a backoff after", "limit", "backoff", true, false},
-		{"a backoff before, a limit after", "backoff", "limit", false, true},
-		{"both after", "", "limit, backoff", true, true},
-		{"both before", "limit, backoff", "", false, false},
+		{"a limit before, a backoff after", "limit", "backoff", true, false, false},
+		{"a backoff before, a limit after", "backoff", "limit", false, true, false},
+		{"cold before, a backoff after", "cold", "backoff", true, false, false},
+		{"all before", "limit, backoff, cold", "", false, false, false},
+		{"all after", "", "limit, backoff, cold", true, true, true},
+		{"cold after", "limit, backoff", "cold", false, false, true},
+		{"cold before for longer than after", "cold", "briefly", false, false, false},
+		{"cold by the earlier one's record only", "record", "", false, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -363,6 +367,15 @@
 				if strings.Contains(words, "backoff") {
 					b.fleet.applyReply(peer, &Reply{Backoff: time.Minute})
 				}
+				if strings.Contains(words, "cold") {
+					b.fleet.applyReply(peer, &Reply{Cold: time.Minute})
+				}
+				if strings.Contains(words, "briefly") {
+					b.fleet.applyReply(peer, &Reply{Cold: time.Nanosecond})
+				}
+				if strings.Contains(words, "record") {
+					registerCold(b, x)
+				}
 			}
 			say(c.before)
 			peer.pool.connectionBroke()
@@ -372,6 +385,7 @@
 			_, accepted := later.backoffState.accepts(time.Now())
 			is.Equal(!accepted, c.backoff)
 			is.Equal(later.sharedLimit.active.Load(), c.limited)
+			is.Equal(later.coldUntil.Load() > time.Now().UnixNano(), c.cold)
 		})
 	}
 }
