--- a/src/exchange/replicastate.go
+++ b/src/exchange/replicastate.go
@@ -50,28 +50,30 @@
 
 // inheritState copies to a newly listed incarnation what was asked for at its address. Both
 // incarnations answer at the same address and to the same name, so the first responses of the new
-// one are attributed to the old one until a control node lists it. A backoff or limit is attributed
-// to the new incarnation if no connection has broken since it was asked for, and either connections
+// one are attributed to the old one until a control node lists it. A backoff, a limit or a cold time is
+// attributed to the new incarnation if no connection has broken since it was asked for, and either connections
 // had broken before or an idle one is still open: the connections of an incarnation end with it. A
-// leaving state is never inherited, since it would exclude the new incarnation permanently. The
-// lock is held.
+// leaving state would exclude the new incarnation permanently, so that it is confirmed first, see
+// traceLeaving. The lock is held.
 func (f *Fleet) inheritState(peer *Peer) {
 	for _, earlier := range f.peers {
-		restricted, limited := earlier.backoffState.restricted.Load(), earlier.sharedLimit.active.Load()
-		if earlier.pool.address != peer.pool.address || earlier.name() != peer.name() || !restricted && !limited {
+		restricted, limited, cold := earlier.backoffState.restricted.Load(), earlier.sharedLimit.active.Load(), earlier.coldReply.Load()
+		if earlier.pool.address != peer.pool.address || earlier.name() != peer.name() || !restricted && !limited && cold == nil {
 			continue
 		}
 		brokenConns, connected := earlier.pool.checkIdle()
-		breaksAtRequest := earlier.brokenAtRequest.Load()
-		if breaksAtRequest != int64(brokenConns) || breaksAtRequest == 0 && !connected {
-			continue
+		saidByLater := func(brokenAtWord int64) bool {
+			return brokenAtWord == int64(brokenConns) && (brokenAtWord > 0 || connected)
 		}
-		if restricted {
+		if restricted && saidByLater(earlier.brokenAtBackoff.Load()) {
 			peer.backoffState.inherit(earlier.backoffState)
 		}
-		if limited {
+		if limited && saidByLater(earlier.brokenAtLimit.Load()) {
 			peer.sharedLimit.inherit(earlier.sharedLimit)
 		}
+		if now := f.bootNow(); cold != nil && now.Before(cold.until) && saidByLater(cold.brokenConns) {
+			peer.markCold(now, cold.until.Sub(now))
+		}
 	}
 }
 
@@ -88,17 +90,16 @@
 // that arrives, even if no client receives the response, because it describes how the replica
 // treats this gateway and not the request.
 func (f *Fleet) applyReply(peer *Peer, reply *Reply) {
-	if reply.Leaving && peer.backoffState.noteLeaving() {
-		peer.pool.close()
-		f.ring.Add(event.Event{Kind: event.ShutdownAnnounced, Host: peer.ID()})
+	if reply.Leaving {
+		f.noteLeaving(peer)
 	}
 	if reply.Cold > 0 {
-		peer.markCold(f.bootNow(), reply.Cold)
+		peer.noteColdReply(f.bootNow(), reply.Cold)
 	}
 	switch {
 	case reply.Backoff > 0:
 		breaks, _ := peer.pool.checkIdle()
-		peer.brokenAtRequest.Store(int64(breaks))
+		peer.brokenAtBackoff.Store(int64(breaks))
 		if peer.backoffState.backOff(f.bootNow(), reply.Backoff, rand.Float64()) {
 			f.ring.Add(event.Event{Kind: event.BackoffAsked, Host: peer.ID(), Reason: fmt.Sprintf("for %s", min(reply.Backoff, maxBackoff))})
 		}
--- a/src/exchange/restriction_test.go
+++ b/src/exchange/restriction_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -337,6 +338,58 @@
 	is.Equal(b.do("POST", "after", "x").status, http.StatusOK)
 }
 
+// A limit of the earlier incarnation was taken for one of the later incarnation, which had only asked for a
+// backoff before it was listed. That the later one was cold was not inherited.
+func TestEachWordIsInheritedByItsOwnEvidence(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		before, after          string // what the replica says before and after a connection breaks
+		backoff, limited, cold bool   // what the later incarnation inherits
+	}{
+		{"a limit before, a backoff after", "limit", "backoff", true, false, false},
+		{"a backoff before, a limit after", "backoff", "limit", false, true, false},
+		{"cold before, a backoff after", "cold", "backoff", true, false, false},
+		{"all before", "limit, backoff, cold", "", false, false, false},
+		{"all after", "", "limit, backoff, cold", true, true, true},
+		{"cold after", "limit, backoff", "cold", false, false, true},
+		{"cold before for longer than after", "cold", "briefly", false, false, false},
+		{"cold by the earlier one's record only", "record", "", false, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			x := newReplica(t, "x", whole)
+			b := newBench(t, route(catalog.Safe, 1), x)
+			peer := b.fleet.Peer("x")
+			say := func(words string) {
+				if strings.Contains(words, "limit") {
+					b.handler.noteLimit(peer, RateLimit{Valid: true, PerSecond: 5}, sentRequest{})
+				}
+				if strings.Contains(words, "backoff") {
+					b.fleet.applyReply(peer, &Reply{Backoff: time.Minute})
+				}
+				if strings.Contains(words, "cold") {
+					b.fleet.applyReply(peer, &Reply{Cold: time.Minute})
+				}
+				if strings.Contains(words, "briefly") {
+					b.fleet.applyReply(peer, &Reply{Cold: time.Nanosecond})
+				}
+				if strings.Contains(words, "record") {
+					registerCold(b, x)
+				}
+			}
+			say(c.before)
+			peer.pool.connectionBroke()
+			say(c.after)
+			b.restart(x)
+			later := b.fleet.Peer("x@2")
+			_, accepted := later.backoffState.accepts(time.Now())
+			is.Equal(!accepted, c.backoff)
+			is.Equal(later.sharedLimit.active.Load(), c.limited)
+			is.Equal(later.coldUntil.Load() > time.Now().UnixNano(), c.cold)
+		})
+	}
+}
+
 // TestBackoffAfterClientLeftIsKept: a client left while its request was being sent. The replica
 // rejected the request with a backoff of 2 s, but the gateway had already closed the connection and
 // sent 66 more requests during the backoff.
