Tests: a gateway process that stood still from its signal leaves its lines before it is killed

A process of its own with 50 requests under way is paused, gets SIGTERM and goes on 1 s later, after its mark and limit; it is killed once the 50 lines of requests under way were read from its output.

--- a/src/exchange/latestop_test.go
+++ b/src/exchange/latestop_test.go
@@ -8,8 +8,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +23,7 @@
 	"github.com/moorspool/moorspool/src/catalog"
 	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/metric"
+	"github.com/moorspool/moorspool/src/signals"
 )
 
 // pipeBench is a handler whose requests and replica use no network, so that it runs in a synctest bubble.
@@ -154,3 +158,80 @@
 	}
 	t.Errorf("no metric %q", line)
 }
+
+// envStoppedReplica is the replica of the gateway process that a test pauses.
+const envStoppedReplica = "EXCHANGE_TEST_STOPPED_REPLICA"
+
+// The times of the paused gateway's stop, after its signal.
+const (
+	pausedMark  = 400 * time.Millisecond
+	pausedLimit = 700 * time.Millisecond
+)
+
+// TestGatewayProcessThatIsStopped is no test: it is the gateway process of the test that pauses one.
+func TestGatewayProcessThatIsStopped(t *testing.T) {
+	address := os.Getenv(envStoppedReplica)
+	if address == "" {
+		t.Skip("not started as a gateway process")
+	}
+	watch := signals.Notify()
+	r := route(catalog.Unsafe, 1)
+	r.Timeout = killedGatewayLimit
+	b := newBench(t, r)
+	writer := event.NewWriter(os.Stdout)
+	b.handler.options.Ring = event.NewRing("g", 64, event.NewLogger(writer, "g"), time.Now)
+	b.handler.options.Ring.SetWriter(writer)
+	b.registerAddress("x", address)
+	fmt.Println(b.server.Listener.Addr())
+	stop := <-watch.Stop()
+	writer.WriteAtOnce()
+	b.handler.NoteStopSignal(stop.SentAfter)
+	b.handler.Stop()
+	b.handler.RefuseBeyond(stop.SentAfter.Add(pausedMark), stop.SentAfter.Add(pausedLimit))
+	time.Sleep(time.Until(stop.SentAfter.Add(pausedLimit)))
+	b.handler.CutOff()
+	time.Sleep(killedGatewayLimit)
+}
+
+// TestAPausedGatewayLeavesALineOfEachRequestBeforeItIsKilled: a process that stood still from its signal until shortly
+// before it was killed left none.
+func TestAPausedGatewayLeavesALineOfEachRequestBeforeItIsKilled(t *testing.T) {
+	const requests = 50
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	x := newReplica(t, "x", func(arrival) bool { <-release; return false })
+	process := exec.Command(os.Args[0], "-test.run=^TestGatewayProcessThatIsStopped$")
+	process.Env = append(os.Environ(), envStoppedReplica+"="+x.listener.Addr().String())
+	out, err := process.StdoutPipe()
+	is.NoErr(err)
+	is.NoErr(process.Start())
+	defer func() {
+		_ = process.Process.Kill()
+		_ = process.Wait()
+	}()
+	lines := bufio.NewReader(out)
+	address, err := lines.ReadString('\n')
+	is.NoErr(err)
+	for range requests {
+		openRequest(t, strings.TrimSpace(address), "HTTP/1.1")
+	}
+	for x.count() < requests {
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(process.Process.Signal(syscall.SIGSTOP))
+	is.NoErr(process.Process.Signal(syscall.SIGTERM))
+	time.Sleep(pausedLimit + 300*time.Millisecond)
+	is.NoErr(process.Process.Signal(syscall.SIGCONT))
+	went := time.Now()
+	for n := 0; n < requests; {
+		line, err := lines.ReadString('\n')
+		is.NoErr(err)
+		is.True(!strings.Contains(line, "event=717")) // they follow
+		if strings.Contains(line, "event=718") {
+			n++
+		}
+	}
+	t.Log("all lines were there after", time.Since(went))
+	is.NoErr(process.Process.Kill())
+}
