--- a/soak/bodycounts.go
+++ b/soak/bodycounts.go
@@ -113,7 +113,7 @@
 	silentEnds int
 	// elsewhere counts named outcomes at gateways that did not stop.
 	elsewhere int
-	// unnamed counts named outcomes of which no line of a gateway tells.
+	// unnamed counts named outcomes of which no line of the client's gateway tells.
 	unnamed int
 	named   []string
 }
@@ -135,7 +135,7 @@
 func (m *silenceMeasurement) printBodies() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	counts, lines := map[string]*bodyCount{}, m.in.requestLines()
+	counts, lines, named := map[string]*bodyCount{}, m.in.requestLines(), m.in.namedRequests()
 	for _, class := range m.load.classes {
 		counts[class.kind] = &bodyCount{outcomes: map[bodyOutcome]int{}, slowOutcomes: map[bodyOutcome]int{}}
 	}
@@ -148,7 +148,7 @@
 		}
 		line := result.describeBody(run)
 		fmt.Fprintf(m.log, "%s: %s | %s\n", outcome, line, lines[result.id])
-		n.unnamed += asNumber(outcome.isNamed() && lines[result.id] == "")
+		n.unnamed += asNumber(outcome.isNamed() && !named[namedRequest{result.gateway.name, result.id}])
 		if outcome.isNamed() && len(n.named) < maxLostIDs {
 			n.named = append(n.named, fmt.Sprintf("%s: %s", outcome, line))
 		}
@@ -168,7 +168,7 @@
 		}
 		fmt.Printf("; %s %d (%d)", outcome, n.outcomes[outcome], n.slowOutcomes[outcome])
 	}
-	fmt.Printf("; refused before the last byte %d; ran and closed without any answer %d; LOST at gateways that do not stop %d, without a line of a gateway %d\n", n.refusedEarly, n.silentEnds, n.elsewhere, n.unnamed)
+	fmt.Printf("; refused before the last byte %d; ran and closed without any answer %d; LOST at gateways that do not stop %d, without a line of their gateway %d\n", n.refusedEarly, n.silentEnds, n.elsewhere, n.unnamed)
 	for _, line := range n.named {
 		fmt.Println(" ", line)
 	}
--- a/soak/silencecounts.go
+++ b/soak/silencecounts.go
@@ -167,3 +167,24 @@
 	}
 	return lines
 }
+
+// measuredID is the ID of a measured request in a line of a log.
+var measuredID = regexp.MustCompile(`\bq[0-9]{8}\b`)
+
+// namedRequest is a request and a gateway.
+type namedRequest struct{ gateway, id string }
+
+// namedRequests returns the requests that any line of each gateway's log names.
+func (in *installation) namedRequests() map[namedRequest]bool {
+	named := map[namedRequest]bool{}
+	for _, m := range in.gatewayNodes() {
+		text, err := os.ReadFile(filepath.Join(in.options.Folder, m.name, "log"))
+		if err != nil {
+			continue
+		}
+		for _, id := range measuredID.FindAllString(string(text), -1) {
+			named[namedRequest{m.name, id}] = true
+		}
+	}
+	return named
+}
--- a/soak/silencecounts_test.go
+++ b/soak/silencecounts_test.go
@@ -54,3 +54,16 @@
 	is.Equal(len(lines), 1)
 	is.Equal(lines["q00000002"], "717, : silence, _ after the last byte | 702, status 0: _ broke the stream off after _")
 }
+
+// TestALineOfAnotherGatewayNamesNoRequestOfThisOne: a forwarded request has a line of the second gateway also if the first
+// one was killed without a line.
+func TestALineOfAnotherGatewayNamesNoRequestOfThisOne(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	in := &installation{options: options{Folder: folder}, members: make([]*member, controlNodeCount)}
+	in.members = append(in.members, &member{name: "gateway-1"}, &member{name: "gateway-2"}, &member{name: "gateway-3"})
+	is.NoErr(os.Mkdir(filepath.Join(folder, "gateway-2"), 0o755))
+	text := `time=1 level=debug msg=request-left node=gateway-2 event=705 seq=1 request=q00000001 reason="the client left"` + "\n"
+	is.NoErr(os.WriteFile(filepath.Join(folder, "gateway-2", "log"), []byte(text), 0o644))
+	is.Equal(in.namedRequests(), map[namedRequest]bool{{"gateway-2", "q00000001"}: true})
+}
