Soak: a measurement of streams that begin after the loss of all gateways

Once, of 221 streams that began after all gateways had been killed as the backend servers of the old software version left, 170 were refused, and no log was kept. The measurement plays that with real processes, by kinds of what happens besides, and counts by half seconds.

--- a/soak/ends.go
+++ b/soak/ends.go
@@ -216,13 +216,17 @@
 
 // sendStream sends one request on a connection of its own, in the protocol of the class.
 func sendStream(address string, class endsClass, id, resumes string, after int) rawResponse {
+	return sendStreamWith(address, class, id, "body of "+id, resumes, after)
+}
+
+// sendStreamWith is like sendStream, with a body.
+func sendStreamWith(address string, class endsClass, id, body, resumes string, after int) rawResponse {
 	conn, err := net.DialTimeout("tcp", address, clientTimeout)
 	if err != nil {
 		return rawResponse{}
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(clientTimeout))
-	body := "body of " + id
 	head := fmt.Sprintf("POST /%s/x %s\r\nHost: a.example\r\n%s: %s\r\nX-Deadline-Ms: 3000\r\nConnection: close\r\nContent-Length: %d\r\n", class.kind, class.proto, idHeader, id, len(body))
 	header := http.Header{}
 	setAccountHeaders(header, mainAccountDraw, 1)
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -80,6 +80,9 @@
 	if _, found := silenceKinds[kind]; found {
 		return measureSilence
 	}
+	if _, found := begunKinds[kind]; found {
+		return measureBegun
+	}
 	return measure
 }
 
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -53,6 +54,8 @@
 	// unframed makes streams end with their connection, unless it is nil.
 	unframed *streamsWithoutFraming
 	plan     replicaPlan
+	// quietUntil is until when no heartbeats are sent, in nanoseconds since 1970.
+	quietUntil atomic.Int64
 }
 
 // replicaPlan is what the replicas of a run have in common.
@@ -62,6 +65,8 @@
 	slots int
 	// backlog is the length of the queue of connections that are not accepted yet.
 	backlog int
+	// undated is set if they do not tell when they started.
+	undated bool
 	// software is the version that all starts run, "" to draw it at each start.
 	software string
 	// breakOff is the share of streams in percent that break off, 0 for breakOffPercent.
@@ -322,6 +327,7 @@
 // sendHeartbeats registers every replica at regular intervals.
 func (r *replicas) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
+		time.Sleep(time.Until(time.Unix(0, r.quietUntil.Load())))
 		r.mu.Lock()
 		list := append([]*replica(nil), r.list...)
 		r.mu.Unlock()
@@ -342,7 +348,11 @@
 	sequence := rep.sequence
 	r.mu.Unlock()
 	cold := rep.cold.remaining()
-	body, err := json.Marshal(map[string]any{"service": "s", "address": rep.address, "zone": zoneOf(rep.host), "version": rep.software, "slots": r.plan.slots, "state": state, "sequence": sequence, "born": rep.startedMs, "cold_remaining_ms": cold.Milliseconds()})
+	told := map[string]any{"service": "s", "address": rep.address, "zone": zoneOf(rep.host), "version": rep.software, "slots": r.plan.slots, "state": state, "sequence": sequence, "born": rep.startedMs, "cold_remaining_ms": cold.Milliseconds()}
+	if r.plan.undated {
+		delete(told, "born")
+	}
+	body, err := json.Marshal(told)
 	if err != nil || !r.call(rep, http.MethodPut, body) {
 		return false
 	}
