A backend server does not count as silent because the control node is lost that hears it

What callers saw: as a control node was lost, all gateways refused everything ("no replica of the service is in reach") until the next heartbeats had reached another control node, although the backend servers were sound.

Cause: a directory keeps the word of a lost source for six seconds if no other source reports the backend server. A control node that once had a heartbeat of it, up to two minutes before, still reports it, as silent. Then the loss of the one that heard it lately made it silent at once.

Fix: the lost source's word is kept unless another source counts the server as running.

Evidence: TestALostNodeIsTrustedThoughAnotherNodeHeardTheReplicaBefore, of which the case "the lost node heard it" failed before.

Why it holds: heartbeats that went to the lost node go to the next one within their interval and the time of one call, which is shorter than those six seconds; a server that ended unseen meanwhile refuses connections, as with a control node that alone had heard it.

--- a/src/registry/directory.go
+++ b/src/registry/directory.go
@@ -245,8 +245,9 @@
 			continue
 		}
 		delete(known.silentBy, source)
-		if len(known.silentBy) == 0 && !silent {
-			// No other source reports the replica: keep its last state under lostSource.
+		if !silent && known.silent() {
+			// No other source has heard the replica lately, which may send its next heartbeat to one: keep its
+			// last state under lostSource.
 			known.silentBy[lostSource] = false
 			known.reportedAt = now
 		}
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -69,6 +69,29 @@
 	is.True(!d.Entries()[0].Usable())
 }
 
+// A replica whose heartbeats had once gone to another node counted as silent as soon as the node was lost that
+// they go to now.
+func TestALostNodeIsTrustedThoughAnotherNodeHeardTheReplicaBefore(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		silentAtLost bool
+		usable       bool
+	}{{"the lost node heard it", false, true}, {"no node heard it", true, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := NewDirectory(time.Minute)
+			d.Apply(baseTime, "n", []ReplicaStatus{{Record: Record{ID: "a", Sequence: 1}, Silent: true}})
+			d.Apply(baseTime, "m", []ReplicaStatus{{Record: Record{ID: "a", Sequence: 2}, Silent: c.silentAtLost}})
+			d.RemoveSource(baseTime, "m")
+			is.Equal(d.Entries()[0].Usable(), c.usable)
+			d.Sweep(baseTime.Add(5*time.Second), 5*time.Second, true)
+			is.Equal(d.Entries()[0].Usable(), c.usable)
+			d.Sweep(baseTime.Add(5*time.Second+1), 5*time.Second, true)
+			is.True(!d.Entries()[0].Usable())
+		})
+	}
+}
+
 // TestLeavingIsNeverRevoked checks that a replica once reported as leaving stays so, whatever the
 // order and the nodes through which its heartbeats arrive.
 func TestLeavingIsNeverRevoked(t *testing.T) {
