Slots: what is assigned to a caller that gave up is given back

Callers saw: after a control node had stood still, requests for services whose slots are assigned were refused for a second though their replicas were idle.

Cause: requests for slots that waited in the node's socket are read as new ones. Their gateways have given up, ignore the replies and withdraw nothing, so each took a slot until it expired after 1 s. The same holds for those that the node passes on to the leader or to the owner of the service, and for an owner that stood still while another node assigned in its place. Where a caller had hung up while its request waited, the slot was given back as if its replica had been full, which was then avoided.

Change: a caller that gets the reply after it gave the call up releases the slot as unused. A node releases one whose caller turns out to have hung up within 20 ms, and assigns none if that is known before.

Ruled out: to subtract the node's own standstill from the time of a request. It is known for the process, not for a request: one that was sent right at its end would be refused, and a request late for its target may rightly ask for a slot, so that no time left is no reason to refuse it. A withdrawal, as for places in a queue: the late reply does the same without a message for each call that is given up, and also where the next node is the one that stood still.

Why it holds: a reply finds its caller, which uses or releases the slot, or its connection has ended, which the node learns right after the request. What is lost on the way expires after 1 s as before. A slot whose caller uses it while its connection breaks within these 20 ms counts as free too early, which its replica queues or rejects.

--- a/src/dispatch/dispatcher_test.go
+++ b/src/dispatch/dispatcher_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -286,6 +288,32 @@
 	is.Equal(place(), "a")
 }
 
+// TestACallerThatHungUpTakesNothingAndSaysNothingOfAReplica: its replica was avoided as if it had been full, and a request
+// that was given up before it was read took a slot for a second.
+func TestACallerThatHungUpTakesNothingAndSaysNothingOfAReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		dispatchers := NewDispatchers(time.Now)
+		dispatchers.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: "a", Service: "s", Slots: 1}}}})
+		hungUp, hangUp := context.WithCancel(t.Context())
+		first, err := dispatchers.Request(t.Context(), "s", Request{TimeLeft: time.Second})
+		is.NoErr(err)
+		go func() { _, _ = dispatchers.Request(hungUp, "s", Request{TimeLeft: time.Second}) }()
+		synctest.Wait()
+		hangUp()
+		synctest.Wait()
+		dispatchers.Release("s", first.Ticket, Answered, time.Millisecond)
+		synctest.Wait()
+		_, err = dispatchers.Request(hungUp, "s", Request{TimeLeft: time.Second})
+		is.True(err != nil)
+		began := time.Now()
+		next, err := dispatchers.Request(t.Context(), "s", Request{TimeLeft: time.Second})
+		is.NoErr(err)
+		is.Equal(next.Replica, "a")
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
 func TestAReplicaThatAnswersOthersIsNotAvoidedForOneGatewaysLink(t *testing.T) {
 	is := is.New(t)
 	d := New()
--- a/src/dispatch/dispatchers.go
+++ b/src/dispatch/dispatchers.go
@@ -112,6 +112,9 @@
 
 // Request waits until a request of a service is assigned or refused.
 func (d *Dispatchers) Request(ctx context.Context, service string, request Request) (Assignment, error) {
+	if err := ctx.Err(); err != nil {
+		return Assignment{}, err
+	}
 	results := make(chan Assignment, 1)
 	request.OnResult = func(assignment Assignment) { results <- assignment }
 	d.mu.Lock()
@@ -147,7 +150,7 @@
 	for {
 		select {
 		case assignment := <-results:
-			d.Release(service, assignment.Ticket, Full, 0)
+			d.Release(service, assignment.Ticket, Unused, 0)
 			return
 		case <-time.After(assignmentTTL):
 			d.expire(service)
--- a/src/fleet/slotowners.go
+++ b/src/fleet/slotowners.go
@@ -25,7 +25,9 @@
 	// assign waits for a slot that this node assigns, call for one of another node.
 	assign func(ctx context.Context, request wire.PlaceRequest) wire.PlaceReply
 	call   func(ctx context.Context, address string, request wire.PlaceRequest) (wire.PlaceReply, error)
-	now    func() time.Time
+	// giveBack releases a slot that comes after its request was given up.
+	giveBack func(wire.PlaceRelease)
+	now      func() time.Time
 }
 
 // place waits for a slot. If the owner is lost, this node assigns one in the time that is left.
@@ -35,7 +37,11 @@
 	if address == o.self {
 		return o.assignHere(ctx, request)
 	}
-	reply, err := o.call(ctx, address, request)
+	late := withLateSlot(ctx, request.Service, func(release wire.PlaceRelease) {
+		release.Owner = address
+		o.giveBack(release)
+	})
+	reply, err := o.call(late, address, request)
 	if err == nil && reply.Known {
 		reply.Owner = address
 		return reply
--- a/src/fleet/slots.go
+++ b/src/fleet/slots.go
@@ -14,6 +14,7 @@
 
 // requestSlot asks the nearest control node to assign a slot at a replica.
 func (g *gateway) requestSlot(ctx context.Context, request wire.PlaceRequest) (wire.PlaceReply, error) {
+	ctx = withLateSlot(ctx, request.Service, g.releaseSlot)
 	return feed.CallBest[wire.PlaceReply](ctx, g.follower, wire.MethodPlace, request)
 }
 
@@ -31,22 +32,17 @@
 	c.dispatchers = dispatch.NewDispatchers(clock.Now)
 	mux := c.proc.Mux()
 	mux.Handle(wire.MethodPlace, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, request wire.PlaceRequest) (wire.PlaceReply, error) {
-		if c.ownersAssign() {
-			owners := c.slotOwners()
-			return owners.place(ctx, request), nil
-		}
-		if c.cluster.Leadership().Self {
-			return c.assign(ctx, request), nil
-		}
-		var reply wire.PlaceReply
-		err := c.cluster.CallLeader(ctx, wire.MethodAssign, request, &reply)
+		reply, err := c.requestSlot(ctx, request)
+		releaseIfHungUp(ctx, request.Service, reply, c.routeRelease)
 		return reply, err
 	}))
 	mux.Handle(wire.MethodAssign, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, request wire.PlaceRequest) (wire.PlaceReply, error) {
 		if !c.cluster.Leadership().Self && !c.ownersAssign() {
 			return wire.PlaceReply{}, nil
 		}
-		return c.assign(ctx, request), nil
+		reply := c.assign(ctx, request)
+		releaseIfHungUp(ctx, request.Service, reply, c.handleRelease)
+		return reply, nil
 	}))
 	mux.Handle(wire.MethodRelease, rpc.Typed(func(ctx context.Context, _ *rpc.Peer, release wire.PlaceRelease) (wire.Empty, error) {
 		c.routeRelease(release)
@@ -58,6 +54,20 @@
 	}))
 }
 
+// requestSlot assigns a slot, or asks the owner of the service or the leader for one.
+func (c *controlNode) requestSlot(ctx context.Context, request wire.PlaceRequest) (wire.PlaceReply, error) {
+	if c.ownersAssign() {
+		owners := c.slotOwners()
+		return owners.place(ctx, request), nil
+	}
+	if c.cluster.Leadership().Self {
+		return c.assign(ctx, request), nil
+	}
+	var reply wire.PlaceReply
+	err := c.cluster.CallLeader(withLateSlot(ctx, request.Service, c.routeRelease), wire.MethodAssign, request, &reply)
+	return reply, err
+}
+
 // ownersAssign reports whether owners assign the slots of plain services instead of the leader, so
 // that they are assigned without a leader too. Installations that have engines with small batches
 // have owners.
@@ -78,7 +88,8 @@
 			err := c.links.Client(address).CallWatched(ctx, wire.MethodAssign, request, &reply, owner.Silence)
 			return reply, err
 		},
-		now: clock.Now,
+		giveBack: c.routeRelease,
+		now:      clock.Now,
 	}
 }
 
--- a/src/fleet/zone.go
+++ b/src/fleet/zone.go
@@ -10,7 +10,7 @@
 	"github.com/moorspool/moorspool/src/wire"
 )
 
-// hangUpWait is how long a zone order waits for its caller's connection to turn out closed: after a
+// hangUpWait is how long a zone order, or an assigned slot, waits for its caller's connection to turn out closed: after a
 // suspension or a network outage, an order that its caller gave up long ago arrives together with
 // the end of its connection. Reading both takes less than 1 ms.
 const hangUpWait = 20 * time.Millisecond
--- a/src/rpc/client.go
+++ b/src/rpc/client.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	c.meter.sent(method, len(raw))
-	return conn.Call(ctx, method, raw, result)
+	return conn.call(ctx, method, raw, result)
 }
 
 // Notify sends a message without a response. The context limits the wait for a connection.
--- a/src/rpc/watched.go
+++ b/src/rpc/watched.go
@@ -37,7 +37,7 @@
 	id := conn.watch(cancel, silence)
 	defer conn.unwatch(id)
 	c.meter.sent(method, len(raw))
-	err = conn.Call(ctx, method, raw, result)
+	err = conn.call(ctx, method, raw, result)
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		return cause
 	}
