Registry: the node's own standstill is not the silence of replicas

Callers saw: after a control node had stood still for 4 s, some of its replicas counted as silent though they had called each 1.2 s. Other nodes that hear them outvote it; where several nodes stand still together, as on a busy or suspended host, none does, and those replicas get no requests until their next heartbeat.

Cause: the time since the last heartbeat that a node has read includes the time in which it reads nothing.

Change: a look for silent replicas that comes 0.25 s (its interval) or more late moves the last heartbeats on by its lateness, at most up to now.

Ruled out: a longer silence for all replicas (it delays each real loss); to count the replicas anew as after a restart (a replica that was silent long before the standstill would count as running again). What is given up: a replica that ends while the node stands still counts as running at that node for up to the usual time after it goes on, where before it was silent at once after a long standstill; dials to it are refused soon.

Why it holds: the silence counted is the time in which the node looked for it at its interval. A real silence lasts no longer than it and the standstills together, as each is added once and nothing is moved past now (TestAStandstillIsExcusedOnce).

--- a/src/feed/publisher.go
+++ b/src/feed/publisher.go
@@ -74,6 +74,8 @@
 	table    *registry.Table
 	holdings *wire.Holdings
 	changed  chan struct{}
+	// sweptAt is when silent replicas were last looked for.
+	sweptAt time.Time
 	// relay serves the gateways.
 	relay *Relay
 	// saveMu is held from before the replicas to save are read until they are saved, so that a save
@@ -127,6 +129,7 @@
 // Run looks for silent replicas and saves changed ones periodically until the context ends.
 func (p *Publisher) Run(ctx context.Context) {
 	go p.saveChanges(ctx)
+	p.sweep()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -134,16 +137,26 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			p.sweep()
 		}
-		p.mu.Lock()
-		if p.table.Sweep(p.now()) {
-			p.notifyChanged()
-		}
-		p.pruneDepartures()
-		p.mu.Unlock()
 	}
 }
 
+// sweep looks for silent replicas.
+func (p *Publisher) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	if late := now.Sub(p.sweptAt) - sweepInterval; late >= sweepInterval && !p.sweptAt.IsZero() {
+		p.table.Excuse(now, late)
+	}
+	p.sweptAt = now
+	if p.table.Sweep(now) {
+		p.notifyChanged()
+	}
+	p.pruneDepartures()
+}
+
 // saveChanges saves changed replicas periodically. It has its own goroutine because a disk may
 // hang.
 func (p *Publisher) saveChanges(ctx context.Context) {
--- a/src/registry/registry_test.go
+++ b/src/registry/registry_test.go
@@ -38,6 +38,28 @@
 	is.Equal(len(table.Since(0)), 0)
 }
 
+// TestAStandstillIsExcusedOnce: a replica that was heard at its end, and no more since, must not count as running for longer.
+func TestAStandstillIsExcusedOnce(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(times)
+	at := func(after time.Duration) time.Time { return baseTime.Add(after) }
+	table.ApplyHeartbeat(at(0), Record{ID: "before", Sequence: 1})
+	table.ApplyHeartbeat(at(10*time.Second), Record{ID: "after", Sequence: 1})
+	table.Excuse(at(10*time.Second+time.Millisecond), 9*time.Second)
+	silent := func(now time.Time) (ids []string) {
+		table.Sweep(now)
+		for _, status := range table.Since(0) {
+			if status.Silent {
+				ids = append(ids, status.Record.ID)
+			}
+		}
+		return ids
+	}
+	is.Equal(silent(at(14*time.Second)), nil)
+	is.Equal(silent(at(14*time.Second+1)), []string{"before"})
+	is.Equal(silent(at(15*time.Second+2*time.Millisecond)), []string{"before", "after"})
+}
+
 func TestANewIncarnationTakesTheAddress(t *testing.T) {
 	is := is.New(t)
 	d := NewDirectory(time.Minute)
--- a/src/registry/table.go
+++ b/src/registry/table.go
@@ -245,6 +245,17 @@
 	return second.startedBefore(first)
 }
 
+// Excuse lets the time for which the node itself stood still until now not count as silence.
+func (t *Table) Excuse(now time.Time, stoodStill time.Duration) {
+	for _, known := range t.rows {
+		if heardAt := known.heardAt.Add(stoodStill); heardAt.Before(now) {
+			known.heardAt = heardAt
+		} else if known.heardAt.Before(now) {
+			known.heardAt = now
+		}
+	}
+}
+
 // Sweep marks replicas that have become silent and removes old ones. It reports whether other nodes
 // must learn of a change.
 func (t *Table) Sweep(now time.Time) bool {
