Feed: an update from before a standstill is not sent as new

Callers saw: nothing yet; after a control node had stood still for 4 s, its gateways were told that its configuration had been confirmed some ms ago. They may refuse requests for good by it for 5 s from then, though it may have been replaced meanwhile.

Cause: updates are encoded once for all gateways in the same state, with the age of the confirmation, and discarded at the next round, each 0.25 s. As a node goes on, a keepalive may be due before a round.

Change: an encoded update that is older than the interval of the rounds is encoded anew.

Ruled out: a round before each keepalive (one for each gateway).

Why it holds: the age is worked out at most 0.25 s before the update is taken up for sending.

--- a/src/feed/relay.go
+++ b/src/feed/relay.go
@@ -59,7 +59,13 @@
 	laggingSince time.Time
 	deltas       deltaCache
 	// encoded holds the encoded updates that lead to the current state, by what they start from.
-	encoded map[sentState]rpc.Notification
+	encoded map[sentState]encodedUpdate
+}
+
+// encodedUpdate is an update and when it was encoded, as of which it says how old the confirmation is.
+type encodedUpdate struct {
+	rpc.Notification
+	at time.Time
 }
 
 // sentState identifies what a gateway was sent.
@@ -127,7 +133,7 @@
 		stateChanged: wakeup.New(),
 		state:        relayState{round: 1},
 		changed:      make(chan struct{}),
-		encoded:      map[sentState]rpc.Notification{},
+		encoded:      map[sentState]encodedUpdate{},
 
 		subscribers: map[*rpc.Peer]*subscriber{},
 	}
@@ -295,15 +301,18 @@
 func (r *Relay) next(sent relayState) (rpc.Notification, relayState, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	update, found := r.encoded[sentState{sent.round, sent.peers}]
-	if !found {
-		var err error
-		if update, err = rpc.NewNotification(wire.MethodFeed, r.update(&sent)); err != nil {
+	key, now := sentState{sent.round, sent.peers}, r.now()
+	update, found := r.encoded[key]
+	// Rounds discard them sooner, unless this node stood still.
+	if !found || now.Sub(update.at) > statusInterval {
+		encoded, err := rpc.NewNotification(wire.MethodFeed, r.update(&sent))
+		if err != nil {
 			return rpc.Notification{}, sent, nil, err
 		}
-		r.encoded[sentState{sent.round, sent.peers}] = update
+		update = encodedUpdate{Notification: encoded, at: now}
+		r.encoded[key] = update
 	}
-	return update, r.state, r.changed, nil
+	return update.Notification, r.state, r.changed, nil
 }
 
 // update returns the difference between the current state and the one that a gateway was sent. The
--- a/src/feed/standstill_test.go
+++ b/src/feed/standstill_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"encoding/json"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/moorspool/moorspool/src/registry"
+	"github.com/moorspool/moorspool/src/wire"
 )
 
 // The heartbeats of the tests of a node that stands still.
@@ -99,3 +101,26 @@
 		is.Equal(n.silent(), beatReplicas) // those that were heard after it last have the usual time
 	})
 }
+
+// TestAnUpdateFromBeforeAStandstillIsNotSentAsNew: a relay told gateways the age of its configuration as of before its node
+// stood still, and they refused for good by it.
+func TestAnUpdateFromBeforeAStandstillIsNotSentAsNew(t *testing.T) {
+	is := is.New(t)
+	n := newTestNet(t, 1).nodes[0]
+	now := time.Now()
+	confirmedAt := now
+	cluster := n.publisher.cluster
+	cluster.Confirmed = func(time.Time) time.Time { return confirmedAt }
+	r := NewRelay("n", "z", n.follower, cluster, func() time.Time { return now })
+	r.round(now)
+	told := func() time.Duration {
+		encoded, _, _, err := r.next(relayState{})
+		is.NoErr(err)
+		var update wire.FeedUpdate
+		is.NoErr(json.Unmarshal(encoded.Params(), &update))
+		return time.Duration(update.ConfirmedMS) * time.Millisecond
+	}
+	is.Equal(told(), time.Millisecond)
+	now = now.Add(4 * time.Second)
+	is.Equal(told(), 4*time.Second)
+}
