Exchange: a late forwarded request that may have run is not refused as unsent

Callers saw 503, which states that a request has not run and never will, for a request that a server may have run.

A gateway that forwards a request tells how many servers may have run it. The gateway that takes it refuses it with 503 if its time was over before it was read, whatever that number is, and the other one passes the answer on. Other refusals before a send were looked through: those for a stop and without a replica consider the number.

The refusal now makes no statement on whether the request ran.

--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -361,7 +361,11 @@
 	if c.handler.options.Now().Add(responseMargin).Before(c.deadline) {
 		return false
 	}
-	c.refuse(http.StatusServiceUnavailable, "its time was over before it was read")
+	status := http.StatusServiceUnavailable
+	if c.possibleRuns > 0 {
+		status = c.unknownOutcomeStatus()
+	}
+	c.refuse(status, "its time was over before it was read")
 	return true
 }
 
