Signals: the wait of a request after a pause is bounded by the clock

In a process that stands still again and again, requests could wait for as long as 250 ms of its running time: with a tenth of the host, 2.5 s, and again before each attempt, past their deadlines.

AwaitSettled added up its pauses of 10 ms instead of reading the clock. Such a process may never have two ticks close enough together, so the bound is what ends the wait. What a second pause makes unread counts little: the request was read before it, so its time ends with a stop that begins in it.

--- a/src/signals/watch.go
+++ b/src/signals/watch.go
@@ -64,9 +64,10 @@
 }
 
 // AwaitSettled waits, if the process goes on after a pause, until it has had time to read the signals and messages that came
-// meanwhile. now is the present time. It waits no longer than deliveryTime.
+// meanwhile. now is the present time. It waits no longer than deliveryTime, unless the process stands still again.
 func (w *Watch) AwaitSettled(ctx context.Context, now time.Time) {
-	for waited := time.Duration(0); waited < deliveryTime && !w.settled(now.Add(waited)); waited += settlePoll {
+	began := w.now()
+	for waited := time.Duration(0); waited < deliveryTime && !w.settled(now.Add(waited)); waited = w.now().Sub(began) {
 		select {
 		case <-ctx.Done():
 			return
