Signals: a pause during which a signal is delivered does not hide an earlier one

The stop of a process that stands still again and again counted from after its signal: one that was sent during a pause and read after the next one was taken for sent between the two.

withoutSignalAt looked back for 250 ms of the clock, deliveryTime, which is a time in which a process runs; a pause used it up. It now looks back over at least as many ticks as there are in that time. The test failed before (100 ms of each 500 ms, the time after the sending). The result is never later than before.

--- a/src/signals/running.go
+++ b/src/signals/running.go
@@ -9,6 +9,8 @@
 	maxTickGap = 2 * tickInterval
 	// deliveryTime is how long a signal may be under way within a process that runs again.
 	deliveryTime = 250 * time.Millisecond
+	// deliveryTicks is the number of ticks in deliveryTime. A process that stands still again makes none, and delivers nothing.
+	deliveryTicks = int(deliveryTime / tickInterval)
 	// tickCount is the number of ticks that are kept, more than there are in deliveryTime.
 	tickCount = 16
 )
@@ -41,7 +43,7 @@
 	}
 	for age := range tickCount {
 		tick := r.tick(age)
-		if tick.IsZero() || learned.Sub(later) > deliveryTime {
+		if tick.IsZero() || age >= deliveryTicks && learned.Sub(later) > deliveryTime {
 			break
 		}
 		if later.Sub(tick) > maxTickGap && tick.Before(at) {
--- a/src/signals/stutter_test.go
+++ b/src/signals/stutter_test.go
@@ -26,3 +26,13 @@
 		is.True(now().Sub(from) <= deliveryTime+slowdown*settlePoll)
 	})
 }
+
+// TestASignalThatTookSeveralPausesIsNotTakenForANewerOne: only the time in which the process ran can have delivered it.
+func TestASignalThatTookSeveralPausesIsNotTakenForANewerOne(t *testing.T) {
+	const ms = time.Millisecond
+	// 100 ms of each 500 ms; the signal was sent in the first of two pauses.
+	ticks := append(every(tickInterval, 0, 2000*ms), 2400*ms, 2450*ms, 2900*ms)
+	sent := 2100 * ms
+	at := ranAt(ticks...).withoutSignalAt(start.Add(2901 * ms)).Sub(start)
+	is.New(t).True(at <= sent)
+}
