Soak: control nodes are stopped beside the other faults as well

One of three draws is for one now; whether a second one would be faulty is asked under a lock, as two strikes are drawn at once (TestStopsBesideOtherFaultsLeaveAMajority).

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,7 +26,7 @@
 			}
 			duration := time.Duration(300+random.IntN(3500)) * time.Millisecond
 			faultRandom := rand.New(rand.NewPCG(random.Uint64(), 5))
-			if m.tryBeginFault() {
+			if in.tryBeginFault(m) {
 				running.Go(func() { in.apply(chosen, m, duration, faultRandom) })
 			}
 		}
@@ -62,6 +62,14 @@
 	return true
 }
 
+// tryBeginFault marks a member as faulty if that is allowed. It is asked here as well for strikes that are drawn
+// beside each other.
+func (in *installation) tryBeginFault(m *member) bool {
+	in.faultMu.Lock()
+	defer in.faultMu.Unlock()
+	return in.mayInject(m) && m.tryBeginFault()
+}
+
 // endAllFaults removes every impairment and resumes paused processes.
 func (in *installation) endAllFaults() {
 	for _, m := range in.members {
--- a/soak/installation.go
+++ b/soak/installation.go
@@ -73,6 +73,8 @@
 	stop    plannedStop
 	strikes strikeLog
 	stops   stopCounts
+	// faultMu makes sure that at most one control node is marked as faulty.
+	faultMu sync.Mutex
 	// besideStop sends requests to a gateway that learns late of its stop, nil for none.
 	besideStop func(m *member, random *rand.Rand)
 	// replicaLog holds what was done to replicas.
--- a/soak/platformstop.go
+++ b/soak/platformstop.go
@@ -31,9 +31,9 @@
 	// maxHangups is how many SIGHUPs a burst has, maxLaterHangups how many come during a stop, at the most.
 	maxHangups      = 40
 	maxLaterHangups = 4
-	// minStopPause and maxStopPause bound the pause between two stops of gateways beside the other faults.
-	minStopPause = time.Second
-	maxStopPause = 4 * time.Second
+	// minStopPause and maxStopPause bound the pause between two stops beside the other faults.
+	minStopPause = 500 * time.Millisecond
+	maxStopPause = 3 * time.Second
 	// longBalancerLag is how long clients go on to use a gateway that stops, in half of the runs.
 	longBalancerLag = 3 * time.Second
 )
@@ -128,21 +128,24 @@
 type stopCounts struct {
 	mu                  sync.Mutex
 	stops, late, killed int
+	// controls counts those of late that were stops of control nodes.
+	controls int
 }
 
-func (c *stopCounts) add(s platformStop, killed bool) {
+func (c *stopCounts) add(s platformStop, control, killed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stops++
 	c.late += asNumber(s.isLate())
 	c.killed += asNumber(killed)
+	c.controls += asNumber(s.isLate() && control)
 }
 
 // String describes the counts.
 func (c *stopCounts) String() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("stops %d, learned late %d, killed at the limit %d", c.stops, c.late, c.killed)
+	return fmt.Sprintf("stops %d, learned late %d (%d by control nodes), killed at the limit %d", c.stops, c.late, c.controls, c.killed)
 }
 
 // stopByPlatform stops a member's process; told is called as the signal is sent. It reports whether the process was
@@ -182,11 +185,12 @@
 		m.signal(syscall.SIGKILL)
 		m.waitForExit(exitTime)
 	}
-	in.stops.add(s, killed)
+	in.stops.add(s, m.control, killed)
 	return killed
 }
 
-// startStops begins to stop gateways from time to time, beside the other faults; the returned group ends after ctx.
+// startStops begins to stop gateways, and control nodes one of three times, from time to time beside the other faults; the
+// returned group ends after ctx.
 func (in *installation) startStops(ctx context.Context, random *rand.Rand) *sync.WaitGroup {
 	var work sync.WaitGroup
 	if in.options.NoLateSignals {
@@ -198,8 +202,9 @@
 			if ctx.Err() != nil {
 				return
 			}
-			gateway, own := random.IntN(1<<16), rand.New(rand.NewPCG(random.Uint64(), 5))
-			work.Go(func() { in.strikeGateway(gateway, "stop", own) })
+			group := [][]*member{in.controlNodes(), in.gatewayNodes(), in.gatewayNodes()}[random.IntN(3)]
+			m, own := group[random.IntN(len(group))], rand.New(rand.NewPCG(random.Uint64(), 5))
+			work.Go(func() { in.strikeMember(m, "stop", own) })
 		}
 	})
 	return &work
--- a/soak/platformstop_test.go
+++ b/soak/platformstop_test.go
@@ -97,7 +97,7 @@
 	is.True(stop.planned)
 	is.True(!stop.from.Before(standstill.from.Add(s.pausedFrom)))
 	is.True(!stop.from.After(toldAt))
-	is.Equal(in.stops.String(), "stops 1, learned late 1, killed at the limit 0")
+	is.Equal(in.stops.String(), "stops 1, learned late 1 (0 by control nodes), killed at the limit 0")
 }
 
 // TestTheSignalsOfAStopComeInOrder: a process goes on at the limit at the latest.
@@ -153,3 +153,22 @@
 	}
 	is.True(long > 30 && long < 70)
 }
+
+// TestStopsBesideOtherFaultsLeaveAMajority: two strikes that are drawn at once must not meet two control nodes.
+func TestStopsBesideOtherFaultsLeaveAMajority(t *testing.T) {
+	is := is.New(t)
+	in := &installation{}
+	for range controlNodeCount {
+		in.members = append(in.members, &member{control: true})
+	}
+	in.members = append(in.members, &member{}, &member{})
+	begun := make(chan bool, len(in.members))
+	for _, m := range in.members {
+		go func() { begun <- in.tryBeginFault(m) }()
+	}
+	allowed := 0
+	for range in.members {
+		allowed += asNumber(<-begun)
+	}
+	is.Equal(allowed, 3) // one control node and both gateways
+}
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -143,9 +143,13 @@
 // strikeGateway lets a gateway have a fault unless it has one or does not serve yet.
 func (in *installation) strikeGateway(index int, name string, random *rand.Rand) {
 	gateways := in.gatewayNodes()
-	m := gateways[index%len(gateways)]
+	in.strikeMember(gateways[index%len(gateways)], name, random)
+}
+
+// strikeMember lets a member have a fault unless that is not allowed or it does not serve yet.
+func (in *installation) strikeMember(m *member, name string, random *rand.Rand) {
 	for _, chosen := range faults {
-		if chosen.name == name && m.serves() && m.tryBeginFault() {
+		if chosen.name == name && m.serves() && in.tryBeginFault(m) {
 			in.apply(chosen, m, time.Second, random)
 		}
 	}
