Signals: a signal that is slow within the process is not taken for a new one

The stop of a busy process counted from after its signal, so what was sent after the operator's lag was passed on and cut off.

The runtime hands a tick to its goroutine at once, but a signal only once two goroutines had their turn behind all others. Ticks tell that a process runs, not how long its signals take.

The kernel and the runtime deliver signals that wait by their numbers, so one to stop that was sent before it is learned of before it. A stop counts from the last such signal that came, or from the ticks if that is earlier.

--- a/src/signals/watch.go
+++ b/src/signals/watch.go
@@ -12,6 +12,11 @@
 // settlePoll is the pause between two looks whether a process has run long enough after a pause.
 const settlePoll = 10 * time.Millisecond
 
+// echoSignal is sent by a process to itself, to learn for how long signals are under way within it. Both the kernel and
+// the runtime deliver signals that wait in the order of their numbers, so a signal to stop that was sent before comes first. Nothing
+// but the resizing of a terminal sends it otherwise.
+const echoSignal = syscall.SIGWINCH
+
 // Stop is a signal to stop.
 type Stop struct {
 	// Learned is when the process learned of the signal, SentAfter the latest time at which it had certainly not been sent.
@@ -26,9 +31,14 @@
 	terminate, reload <-chan os.Signal
 	stop              chan Stop
 	now               func() time.Time
+	// echo sends a signal to this process, which echoes delivers; nil if there are none.
+	echo   func() error
+	echoes <-chan os.Signal
 
 	mu      sync.Mutex
 	running running
+	// echoSent is when the echo under way was sent, zero if there is none, echoed when the last one was that came.
+	echoSent, echoed time.Time
 }
 
 // Notify returns a watch of the process's signals that servers handle.
@@ -37,17 +47,28 @@
 	terminate, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
-	return New(context.Background(), terminate, reload, time.Now)
+	echoes := make(chan os.Signal, 1)
+	signal.Notify(echoes, echoSignal)
+	w := newWatch(terminate, reload, time.Now)
+	w.echoes, w.echo = echoes, func() error { return syscall.Kill(os.Getpid(), echoSignal) }
+	go w.run(context.Background())
+	return w
 }
 
 // New returns a watch of signals to stop and to read the settings again, until the context ends.
 func New(ctx context.Context, terminate, reload <-chan os.Signal, now func() time.Time) *Watch {
-	w := &Watch{terminate: terminate, reload: reload, stop: make(chan Stop, 1), now: now}
-	w.running.add(now())
+	w := newWatch(terminate, reload, now)
 	go w.run(ctx)
 	return w
 }
 
+func newWatch(terminate, reload <-chan os.Signal, now func() time.Time) *Watch {
+	w := &Watch{terminate: terminate, reload: reload, stop: make(chan Stop, 1), now: now}
+	w.echoed = now()
+	w.running.add(w.echoed)
+	return w
+}
+
 // Stop delivers the first signal to stop; later ones change nothing.
 func (w *Watch) Stop() <-chan Stop { return w.stop }
 
@@ -92,6 +113,8 @@
 			return
 		case <-w.terminate:
 			w.deliver()
+		case <-w.echoes:
+			w.noteEcho()
 		case <-ticker.C:
 			w.tick()
 		}
@@ -104,9 +127,36 @@
 	case <-w.terminate:
 		w.deliver()
 	default:
+		now := w.now()
 		w.mu.Lock()
-		w.running.add(w.now())
+		w.running.add(now)
 		w.mu.Unlock()
+		w.sendEcho(now)
+	}
+}
+
+// sendEcho sends an echo unless one is under way.
+func (w *Watch) sendEcho(now time.Time) {
+	if w.echo == nil || !w.echoSent.IsZero() {
+		return
+	}
+	if w.echo() != nil {
+		w.echoed = now // nothing better is known than the ticks
+		return
+	}
+	w.echoSent = now
+}
+
+// noteEcho records that no signal to stop was sent before the echo.
+func (w *Watch) noteEcho() {
+	select {
+	case <-w.terminate:
+		w.deliver()
+		return
+	default:
+	}
+	if !w.echoSent.IsZero() {
+		w.echoed, w.echoSent = w.echoSent, time.Time{}
 	}
 }
 
@@ -116,6 +166,9 @@
 	w.mu.Lock()
 	sentAfter := w.running.withoutSignalAt(learned)
 	w.mu.Unlock()
+	if w.echo != nil && w.echoed.Before(sentAfter) {
+		sentAfter = w.echoed
+	}
 	select {
 	case w.stop <- Stop{Learned: learned, SentAfter: sentAfter}:
 	default:
