Signals: ticks are confirmed by turns of the scheduler in place of signals to the own process

The watch sent its own process a signal every 50 ms to learn for how long signals are under way within it. That wakes two goroutines and a thread each time, and not every platform lets a process signal itself. A tick is confirmed now once all goroutines that were ready had three turns; a signal that the runtime had before the tick is delivered by then. A stop counts from the last tick that was confirmed, or from what the record of pauses tells if that is earlier.

--- a/src/signals/watch.go
+++ b/src/signals/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -12,10 +13,9 @@
 // settlePoll is the pause between two looks whether a process has run long enough after a pause.
 const settlePoll = 10 * time.Millisecond
 
-// echoSignal is sent by a process to itself, to learn for how long signals are under way within it. Both the kernel and
-// the runtime deliver signals that wait in the order of their numbers, so a signal to stop that was sent before comes first. Nothing
-// but the resizing of a terminal sends it otherwise.
-const echoSignal = syscall.SIGWINCH
+// confirmTurns is how often a tick lets all other goroutines have their turn before it is taken for the last one without a
+// signal: a tick is handed over at once, a signal behind all goroutines that are ready.
+const confirmTurns = 3
 
 // Stop is a signal to stop.
 type Stop struct {
@@ -31,14 +31,13 @@
 	terminate, reload <-chan os.Signal
 	stop              chan Stop
 	now               func() time.Time
-	// echo sends a signal to this process, which echoes delivers; nil if there are none.
-	echo   func() error
-	echoes <-chan os.Signal
+	// ticks are to be confirmed, confirmed are those that were.
+	ticks, confirmed chan time.Time
+	// lastConfirmed is the last one of them.
+	lastConfirmed time.Time
 
 	mu      sync.Mutex
 	running running
-	// echoSent is when the echo under way was sent, zero if there is none, echoed when the last one was that came.
-	echoSent, echoed time.Time
 }
 
 // Notify returns a watch of the process's signals that servers handle.
@@ -47,25 +46,16 @@
 	terminate, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
-	echoes := make(chan os.Signal, 1)
-	signal.Notify(echoes, echoSignal)
-	w := newWatch(terminate, reload, time.Now)
-	w.echoes, w.echo = echoes, func() error { return syscall.Kill(os.Getpid(), echoSignal) }
-	go w.run(context.Background())
-	return w
+	return New(context.Background(), terminate, reload, time.Now)
 }
 
 // New returns a watch of signals to stop and to read the settings again, until the context ends.
 func New(ctx context.Context, terminate, reload <-chan os.Signal, now func() time.Time) *Watch {
-	w := newWatch(terminate, reload, now)
+	w := &Watch{terminate: terminate, reload: reload, stop: make(chan Stop, 1), now: now, ticks: make(chan time.Time, 1), confirmed: make(chan time.Time)}
+	w.lastConfirmed = now()
+	w.running.add(w.lastConfirmed)
 	go w.run(ctx)
-	return w
-}
-
-func newWatch(terminate, reload <-chan os.Signal, now func() time.Time) *Watch {
-	w := &Watch{terminate: terminate, reload: reload, stop: make(chan Stop, 1), now: now}
-	w.echoed = now()
-	w.running.add(w.echoed)
+	go w.confirm(ctx)
 	return w
 }
 
@@ -113,8 +103,8 @@
 			return
 		case <-w.terminate:
 			w.deliver()
-		case <-w.echoes:
-			w.noteEcho()
+		case tick := <-w.confirmed:
+			w.noteConfirmed(tick)
 		case <-ticker.C:
 			w.tick()
 		}
@@ -131,32 +121,39 @@
 		w.mu.Lock()
 		w.running.add(now)
 		w.mu.Unlock()
-		w.sendEcho(now)
+		select {
+		case w.ticks <- now:
+		default: // an earlier one is being confirmed
+		}
 	}
 }
 
-// sendEcho sends an echo unless one is under way.
-func (w *Watch) sendEcho(now time.Time) {
-	if w.echo == nil || !w.echoSent.IsZero() {
-		return
-	}
-	if w.echo() != nil {
-		w.echoed = now // nothing better is known than the ticks
-		return
+// confirm confirms ticks: a signal that the process had got before them is delivered by then.
+func (w *Watch) confirm(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case tick := <-w.ticks:
+			for range confirmTurns {
+				runtime.Gosched()
+			}
+			select {
+			case w.confirmed <- tick:
+			case <-ctx.Done():
+				return
+			}
+		}
 	}
-	w.echoSent = now
 }
 
-// noteEcho records that no signal to stop was sent before the echo.
-func (w *Watch) noteEcho() {
+// noteConfirmed records that no signal to stop was sent before a tick.
+func (w *Watch) noteConfirmed(tick time.Time) {
 	select {
 	case <-w.terminate:
 		w.deliver()
-		return
 	default:
-	}
-	if !w.echoSent.IsZero() {
-		w.echoed, w.echoSent = w.echoSent, time.Time{}
+		w.lastConfirmed = tick
 	}
 }
 
@@ -166,8 +163,8 @@
 	w.mu.Lock()
 	sentAfter := w.running.withoutSignalAt(learned)
 	w.mu.Unlock()
-	if w.echo != nil && w.echoed.Before(sentAfter) {
-		sentAfter = w.echoed
+	if w.lastConfirmed.Before(sentAfter) {
+		sentAfter = w.lastConfirmed
 	}
 	select {
 	case w.stop <- Stop{Learned: learned, SentAfter: sentAfter}:
