--- a/src/fleet/stop.go
+++ b/src/fleet/stop.go
@@ -81,8 +81,8 @@
 	limit := stopLimit - stopMargin
 	lag = min(lag, limit/2)
 	end := signal.SentAfter.Add(limit)
-	if min := signal.Learned.Add(time.Duration(float64(stopLimit) * minStopShare)); min.After(end) {
-		end = min
+	if least := signal.Learned.Add(time.Duration(float64(stopLimit) * minStopShare)); least.After(end) {
+		end = least
 	}
 	return stopTimes{
 		mark:           sendMark(signal.SentAfter, lag),
