--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -131,7 +131,7 @@
 	_ = c.raw.SetDeadline(deadline)
 	hooks.sending(c.raw)
 	a := &replicaResponse{conn: c, pool: p, written: make(chan struct{}), ended: make(chan struct{})}
-	a.stopWatch = context.AfterFunc(ctx, a.abortAfterGrace)
+	a.stopWatch = context.AfterFunc(ctx, func() { a.abortAfterGrace(context.Cause(ctx)) })
 	err := a.write(o)
 	if errors.Is(err, errNotSent) {
 		a.abort()
@@ -160,13 +160,20 @@
 // tenth of the half second after which no replica may still work for a client that has left.
 const abortGrace = 50 * time.Millisecond
 
-// abortAfterGrace closes the connection of a cancelled request.
-func (a *replicaResponse) abortAfterGrace() {
-	if a.headRead.Load() {
+// cutOffGrace is how long the connection of a response stays open as the gateway's stop ends: a replica that has sent
+// everything need not be at work any more.
+const cutOffGrace = 20 * time.Millisecond
+
+// abortAfterGrace closes the connection of a request that was cancelled for a cause.
+func (a *replicaResponse) abortAfterGrace(cause error) {
+	switch {
+	case !a.headRead.Load():
+		time.AfterFunc(abortGrace, func() { _ = a.conn.raw.Close() })
+	case errors.Is(cause, errCutOff):
+		time.AfterFunc(cutOffGrace, func() { _ = a.conn.raw.Close() })
+	default:
 		_ = a.conn.raw.Close()
-		return
 	}
-	time.AfterFunc(abortGrace, func() { _ = a.conn.raw.Close() })
 }
 
 func (a *replicaResponse) write(o *outgoingRequest) error {
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -5,11 +5,16 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // retryAfterStop is the value of Retry-After of a stopping gateway. Its clients' next requests reach others.
 const retryAfterStop = 50 * time.Millisecond
 
+// errCutOff is why the attempts of a request end by CutOff.
+var errCutOff = errors.New("the gateway has ended")
+
 // stopState is what a handler's requests need to know of its stop. It is safe for concurrent use.
 type stopState struct {
 	// last is set once the handler stops.
@@ -85,11 +90,13 @@
 // runContext returns the context of a request's attempts, which ends with that of the request, at its deadline
 // or by CutOff.
 func (c *call) runContext() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
-	stopWatch := context.AfterFunc(c.handler.stop.cut, cancel)
+	cuttable, cut := context.WithCancelCause(c.request.Context())
+	ctx, cancel := context.WithDeadline(cuttable, c.deadline)
+	stopWatch := context.AfterFunc(c.handler.stop.cut, func() { cut(errCutOff) })
 	return ctx, func() {
 		stopWatch()
 		cancel()
+		cut(nil)
 	}
 }
 
