Stop: with a short limit, requests in progress are cut off as long before it as with a long one

With a stop limit below 3 s a gateway that learned of its signal at once cut its requests off later than 0.5 s before the limit: with 1.2 s, at 1.0 s in place of 0.7 s. What is left is meant for the answers, the lines of the log and the end of the process, before the platform kills it.

The time that requests have at least once the process knows of its signal is a share of the whole limit, and exceeded what the margin leaves. It is no longer than that now.

--- a/src/fleet/stop.go
+++ b/src/fleet/stop.go
@@ -81,8 +81,9 @@
 	limit := stopLimit - stopMargin
 	lag = min(lag, limit/2)
 	end := signal.SentAfter.Add(limit)
-	if min := signal.Learned.Add(time.Duration(float64(stopLimit) * minStopShare)); min.After(end) {
-		end = min
+	shortest := min(limit, time.Duration(float64(stopLimit)*minStopShare))
+	if earliest := signal.Learned.Add(shortest); earliest.After(end) {
+		end = earliest
 	}
 	return stopTimes{
 		mark:           sendMark(signal.SentAfter, lag),
