--- a/src/fleet/stop.go
+++ b/src/fleet/stop.go
@@ -82,8 +82,8 @@
 	lag = min(lag, limit/2)
 	end := signal.SentAfter.Add(limit)
 	shortest := min(limit, time.Duration(float64(stopLimit)*minStopShare))
-	if earliest := signal.Learned.Add(shortest); earliest.After(end) {
-		end = earliest
+	if least := signal.Learned.Add(shortest); least.After(end) {
+		end = least
 	}
 	return stopTimes{
 		mark:           sendMark(signal.SentAfter, lag),
