--- a/src/fleet/signalled_test.go
+++ b/src/fleet/signalled_test.go
@@ -15,9 +15,11 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/placer"
 )
 
-// envSignalled holds the settings file of the gateway process that a test signals.
+// envSignalled holds the settings file of the process that a test signals.
 const envSignalled = "FLEET_TEST_SIGNALLED"
 
 // TestGatewayProcessToBeSignalled is no test: it is the gateway process of the tests that signal one.
@@ -32,6 +34,19 @@
 	}))
 }
 
+// TestControlProcessToBeSignalled is no test: it is the control process of the test that signals one.
+func TestControlProcessToBeSignalled(t *testing.T) {
+	file := os.Getenv(envSignalled)
+	if file == "" {
+		t.Skip("not started as a control process")
+	}
+	os.Exit(ControlMain([]string{"moorspool-fleet-control", "-c", file}, Interface{
+		Dial:   func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed },
+		Orders: func(*http.Client) placer.Calls { return placer.Calls{} },
+		Calls:  func(Calls) http.Handler { return http.NotFoundHandler() },
+	}))
+}
+
 // startSignalledGateway starts a gateway process that reaches no control node, and returns the lines of its log once it serves.
 func startSignalledGateway(t *testing.T) (*os.Process, <-chan string) {
 	t.Helper()
@@ -64,14 +79,19 @@
 
 func runSignalledGateway(t *testing.T, ports []int) (*os.Process, <-chan string) {
 	t.Helper()
-	file := filepath.Join(t.TempDir(), "settings.yaml")
-	settings := fmt.Sprintf("node: g\nzone: z\naddress: 127.0.0.1\nlisten: 127.0.0.1\npeerPort: %d\nadminPort: %d\nseeds: [\"127.0.0.1:%d\"]\nmemoryMB: 100\n"+
+	return runSignalled(t, "TestGatewayProcessToBeSignalled", fmt.Sprintf("node: g\nzone: z\naddress: 127.0.0.1\nlisten: 127.0.0.1\npeerPort: %d\nadminPort: %d\nseeds: [\"127.0.0.1:%d\"]\nmemoryMB: 100\n"+
 		"clients: 127.0.0.1:%d\nready: 127.0.0.1:%d\nforwardPort: %d\nstopLimit: 2s\nbalancerLag: 100ms\nretry: {ratio: 0.2, extra: 50, window: 10s}\ntrust: 3s\n"+
-		"quota: {window: 4s, overage: 0.1, slack: 5}\n", ports[0], ports[1], ports[2], ports[3], ports[4], ports[5])
+		"quota: {window: 4s, overage: 0.1, slack: 5}\n", ports[0], ports[1], ports[2], ports[3], ports[4], ports[5]))
+}
+
+// runSignalled runs a function of this file as a process, and returns the lines of its log.
+func runSignalled(t *testing.T, function, settings string) (*os.Process, <-chan string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	command := exec.Command(os.Args[0], "-test.run=^TestGatewayProcessToBeSignalled$")
+	command := exec.Command(os.Args[0], "-test.run=^"+function+"$")
 	command.Env = append(os.Environ(), envSignalled+"="+file)
 	reader, writer, err := os.Pipe()
 	if err != nil {
@@ -157,3 +177,18 @@
 	is.NoErr(err)
 	is.True(time.Duration(delay)*time.Millisecond >= pause)
 }
+
+// TestAControlProcessHandlesItsSignals: nothing else connects its watch of signals with what they do.
+func TestAControlProcessHandlesItsSignals(t *testing.T) {
+	is := is.New(t)
+	ports := freePorts(t, 3)
+	process, lines := runSignalled(t, "TestControlProcessToBeSignalled", fmt.Sprintf("node: c\nzone: z\naddress: 127.0.0.1\nlisten: 127.0.0.1\npeerPort: %d\nadminPort: %d\n"+
+		"seeds: [\"127.0.0.1:%d\"]\nmemoryMB: 100\ncalls: 127.0.0.1:%d\nfolder: %s\nfound: true\ntolerance: 1\nheartbeat: 500ms\nlease: 1s\n"+
+		"quota: {window: 4s, overage: 0.1, slack: 5}\n", ports[0], ports[1], ports[2], ports[2], t.TempDir()))
+	is.True(serves(fmt.Sprint("127.0.0.1:", ports[2])))
+	is.NoErr(process.Signal(syscall.SIGHUP))
+	is.True(awaitLine(lines, "event=105") != "") // SettingsReloaded
+	is.NoErr(process.Signal(syscall.SIGTERM))
+	is.True(awaitLine(lines, "event=107") != "") // StopSignalLearned
+	is.Equal(awaitLine(lines, "no such line"), "")
+}
