Log: the line of a broken answer begins with what broke it off

Ruled out: reading it from lines 717: a sample leaves lines out. Change: "status 0" is followed by the cause of line 717, and by "unframed" if the answer has neither a length nor chunks.

--- a/src/exchange/earlyend.go
+++ b/src/exchange/earlyend.go
@@ -185,6 +185,19 @@
 	return text + ", " + c.describeTimes(now)
 }
 
+// describeBreak tells what broke the client's response off, "" if nothing has: near the start of the request's line, for
+// those who have only that.
+func (c *call) describeBreak() string {
+	if c.status != 0 || c.early.cause == causeNone {
+		return ""
+	}
+	text := " " + c.early.cause.String()
+	if c.bodyEnd == endByClose {
+		text += " unframed"
+	}
+	return text
+}
+
 // describeStop tells when the request was sent on and ended after the signal to stop, "" if the gateway goes on.
 func (c *call) describeStop(now time.Time) string {
 	ended, stopping := c.handler.stop.sinceSignal(now)
--- a/src/exchange/response.go
+++ b/src/exchange/response.go
@@ -334,8 +334,8 @@
 	}
 	h.options.Ring.Add(event.Event{
 		Kind: kind, Request: c.requestInfo.ID, Model: modelName(c.requestInfo), Host: host,
-		Reason: fmt.Sprintf("status %d%s, route %s, service %s, account %q, configuration %d, sent to %d, last to software %q, may have run at %d, end %s, to the client %s, read after %d ms, sent on after %d ms, first byte %d ms, longest pause %s, took %d ms of %d ms%s; %s",
-			c.status, c.describeStop(now), route, service, c.accountName(), c.version, c.sends, software, c.possibleRuns, c.bodyEnd, c.framing, c.sinceStart(c.receivedAt).Milliseconds(), c.sinceStart(c.sentAt).Milliseconds(), c.sinceStart(c.firstByte).Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.startedAt).Milliseconds(), content, c.reason),
+		Reason: fmt.Sprintf("status %d%s%s, route %s, service %s, account %q, configuration %d, sent to %d, last to software %q, may have run at %d, end %s, to the client %s, read after %d ms, sent on after %d ms, first byte %d ms, longest pause %s, took %d ms of %d ms%s; %s",
+			c.status, c.describeBreak(), c.describeStop(now), route, service, c.accountName(), c.version, c.sends, software, c.possibleRuns, c.bodyEnd, c.framing, c.sinceStart(c.receivedAt).Milliseconds(), c.sinceStart(c.sentAt).Milliseconds(), c.sinceStart(c.firstByte).Milliseconds(), c.pauses.String(), took.Milliseconds(), c.deadline.Sub(c.startedAt).Milliseconds(), content, c.reason),
 	})
 }
 
--- a/src/exchange/unproven_test.go
+++ b/src/exchange/unproven_test.go
@@ -16,7 +16,7 @@
 		act  behaviour
 		want []string
 	}{
-		{"stream to the close", catalog.Streaming, unframed(200, twoEvents, false), []string{"event=715", "event=716", "level=info", `last event \"2\"`, "end by the close of the connection"}},
+		{"stream to the close", catalog.Streaming, unframed(200, twoEvents, false), []string{"event=715", "event=716", "level=info", `last event \"2\"`, "end by the close of the connection", `reason="status 0 server_closed unframed, `}},
 		{"body to the close", catalog.Safe, unframed(200, "the body", false), []string{"event=716", "level=info", "body_passed_on", "end by the close of the connection, to the client to the close"}},
 		{"length", catalog.Safe, whole, []string{"end by its length, to the client by its length"}},
 	} {
