LOST: a whole stream without a length or chunks is not broken off where a copy of its run shows its end

What callers saw: all events of a stream, then a broken connection, though its server had run it whole and ended it by closing the connection; around a planned stop of the gateway, after its start, and at any other time. Cause: no close proves an end (a faulty server, or the host of one that ended, closes between two events in the same way), and a route that may not be repeated has no second run that could prove it; one that may has one only while tries, budget and servers allow it. Evidence: the record's lines (716, 717, 702 and 715 fit their numbers, a gateway that was not stopping), servers of our own. Ruled out: passing the close on (short streams look whole: ORDER), the copy that X-Kv-Backup keeps (wanted before it is known that the response is unframed, so on each stream, and its absence does not tell an end from a lack of room), the tokens asked for (a bound of the route: 90 or 478 for streams of 11 to 86 events, so hardly ever reached). Change: as the first event of such a response is passed on its server is asked to copy the run to another one that holds the model. Once the connection has closed in order, the server is asked again with the order to stop the run: 404 or a handle show that it works on it no more, so does a proof of its loss. Then the other server goes on from the copy, which counts as the same run on any route: an empty rest with a length or chunks proves the end, missing events are passed on. Without a proof the stream breaks off as before. A copy that is not needed is freed. Why it holds: no second run of the request; no two servers at work on it; a short stream can't end as complete, since only framing ends one. Conclusion: what is unframed now and then ends as whole; a service that never frames does not.

--- a/src/catalog/document.go
+++ b/src/catalog/document.go
@@ -98,9 +98,11 @@
 	// Backups is set if a replica can keep a copy of another one's run, from which the run can
 	// continue.
 	Backups bool
-	HostMB  float64
-	DiskMB  float64
-	Models  []Model
+	// Moves is set if a replica can copy a run to another one when it is asked to.
+	Moves  bool
+	HostMB float64
+	DiskMB float64
+	Models []Model
 }
 
 // Model is a model of an engine. Its adapters are named a1, a2 and so on.
--- a/src/event/kind.go
+++ b/src/event/kind.go
@@ -88,6 +88,7 @@
 	EndUnproven        Kind = 716
 	AnswerEndedEarly   Kind = 717
 	RequestUnderWay    Kind = 718
+	RunCopied          Kind = 719
 	KeyRefused         Kind = 720
 	QuotaExceeded      Kind = 721
 	AdmissionUncertain Kind = 722
@@ -199,6 +200,7 @@
 	{EndUnproven, "end-unproven", "Nothing but the close of its connection shows the end of a backend server's response; what became of the client's response, and how the client knows its end, is given."},
 	{AnswerEndedEarly, "answer-ended-early", "A client's answer was broken off, or tells that the request may have run: what ended it, when it was sent on and ended after the signal of a stop, by which evidence, the last event, how long after the server's last byte and before the deadline, and how long ago the request's head and last byte were read and it was sent on."},
 	{RequestUnderWay, "request-under-way", "A request was sent to a backend server or another gateway and has no complete answer yet as the mark of a stop passes, or is sent after it: how long ago it was sent on, how long after the signal of the stop and before its deadline, how long ago its head and last byte were read, and whether its answer has begun."},
+	{RunCopied, "run-copied", "A run whose response has neither a length nor chunks was copied to another backend server, which shows its end; where, or why not, is given, and whether a copy that was not needed could not be freed."},
 	{KeyRefused, "key-refused", "A request had no API key, or one that belongs to no client account."},
 	{QuotaExceeded, "quota-spent", "A request was refused because its client account had used up its limit."},
 	{AdmissionUncertain, "admission-unsure", "A request with an API key was refused because no reachable control node could confirm that its client account was within its limit, or that the configuration was still the newest."},
--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -296,6 +296,9 @@
 	if choice.FromBackup {
 		attempt.ContinueFrom = peer.pool.address
 	}
+	if choice.Copy != nil {
+		attempt.ContinueFrom, attempt.CopyHandle = choice.Copy.source.pool.address, choice.Copy.handle
+	}
 	codec.EncodeRequest(header, c.requestInfo, attempt)
 	return &outgoingRequest{method: c.request.Method, target: c.request.RequestURI, host: c.request.Host, header: header, body: c.body}
 }
--- a/src/exchange/choice.go
+++ b/src/exchange/choice.go
@@ -97,6 +97,8 @@
 	Alternatives int
 	// FromBackup is set if the replica continues the run from the copy that it kept.
 	FromBackup bool
+	// Copy is the copy of the run from which the replica goes on, nil for none.
+	Copy *runCopy
 	// Backlog is the time that the replica needs for the prompts it was sent before.
 	Backlog time.Duration
 	// AcceptsIn is the time until the first of the replicas that accept nothing now accepts
--- a/src/exchange/codec.go
+++ b/src/exchange/codec.go
@@ -46,9 +46,10 @@
 	ResumeAfter string
 	// Backup is the address of the replica that keeps a copy of the run, "" for none.
 	Backup string
-	// ContinueFrom is the replica's own address if it is to continue the run from the copy that it
-	// kept, "" for a new run.
+	// ContinueFrom is the address of the replica that the copy of the run is named after if the run is to
+	// go on from it, "" for a new run. CopyHandle names the copy there, "" for one that was kept as the run went on.
 	ContinueFrom string
+	CopyHandle   string
 	// Account is the name of the client account, "" for requests without one.
 	Account string
 }
@@ -111,8 +112,9 @@
 	EncodeForwarded func(header http.Header, remaining time.Duration, resumeAfter string)
 	// Reply decodes the head of a replica's response.
 	Reply func(status int, header http.Header) Reply
-	// Start reads when a replica started.
+	// Start reads when a replica started, Copy has runs copied.
 	Start StartCodec
+	Copy  CopyCodec
 	// ReservedHeaders lists the client headers that are not passed on, in canonical form. Only the
 	// gateway may set them, and EncodeRequest sets those that an attempt needs.
 	ReservedHeaders []string
--- a/src/exchange/cuthead_test.go
+++ b/src/exchange/cuthead_test.go
@@ -148,6 +148,40 @@
 	}
 }
 
+func TestACutReplyTellsOfNoCopy(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	server := cuttest.NewServer(t)
+	b := newBench(t, route(catalog.Streaming, 1))
+	b.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{{Record: registry.Record{ID: "x", Service: "s", Address: server.Address, Slots: 1}}}})
+	copied := &runCopy{source: b.fleet.Peer("x"), target: b.fleet.Peer("x"), request: "one"}
+	ask := func(reply cuttest.Cut, wait time.Duration) (CopyReply, error) {
+		server.Set(reply)
+		return b.handler.askForCopy(context.Background(), copied, false, wait)
+	}
+	for _, status := range []string{"200 OK", "404 Not Found"} {
+		for _, whole := range cuttest.Answers(status, "", "handle") {
+			reply, err := ask(whole.Whole(), 5*time.Second)
+			is.Equal(err == nil && (reply.Made || reply.NoRun) && reply.Handle == "handle", !whole.ToTheClose)
+		}
+		for _, cut := range cuttest.Incomplete(status, "", "handle") {
+			if reply, err := ask(cut, time.Second); err == nil {
+				t.Errorf("%s was taken for %+v", cut, reply)
+			}
+		}
+		for _, cut := range cuttest.Held(status, "", "handle") {
+			if reply, err := ask(cut, 10*time.Millisecond); err == nil {
+				t.Errorf("%s was taken for %+v", cut, reply)
+			}
+		}
+		for _, cut := range cuttest.Mixed(status, "Content-Type: text/plain\r\n", "handle", otherAnswer) {
+			if reply, err := ask(cut, time.Second); err == nil {
+				t.Errorf("%s was taken for %+v", cut, reply)
+			}
+		}
+	}
+}
+
 // cutting answers with an answer that was cut off.
 func cutting(cut cuttest.Cut) behaviour {
 	return func(a arrival) bool { return cut.Send(a.conn) }
--- a/src/exchange/fake_test.go
+++ b/src/exchange/fake_test.go
@@ -43,6 +43,7 @@
 	testResumes    = "Goes-On-With"
 	testReport     = "/report"
 	testParts      = "Prompt-Parts"
+	testCopies     = "/copies/"
 )
 
 // testServices returns the only service of the tests. It limits the requests to cold replicas.
@@ -66,7 +67,7 @@
 				header.Set(testBackup, a.Backup)
 			}
 			if a.ContinueFrom != "" {
-				header.Set(testContinue, a.ContinueFrom)
+				header.Set(testContinue, strings.TrimSuffix(a.ContinueFrom+"/"+a.CopyHandle, "/"))
 			}
 			if a.Account != "" {
 				header.Set(testAccount, a.Account)
@@ -99,6 +100,19 @@
 				return ms, err == nil && status == http.StatusOK && ms > 0
 			},
 		},
+		Copy: CopyCodec{
+			EncodeCopy: func(header http.Header, replica, request, to string, stop bool) (string, []byte) {
+				header.Set(testReplica, replica)
+				return testCopies, fmt.Appendf(nil, "%s to %s, stop %t", request, to, stop)
+			},
+			ParseCopy: func(status int, body []byte) CopyReply {
+				return CopyReply{Handle: string(body), Made: status == http.StatusOK, NoRun: status == http.StatusNotFound}
+			},
+			EncodeDrop: func(header http.Header, replica, handle string) string {
+				header.Set(testReplica, replica)
+				return testCopies + handle
+			},
+		},
 		ReservedHeaders: []string{testReplica, testDeadline, testAfter, testKey, testAccount},
 	}
 }
@@ -129,6 +143,8 @@
 	mu       sync.Mutex
 	arrivals []arrival
 	act      behaviour
+	// copies responds to the questions for copies of runs.
+	copies behaviour
 	// early makes the replica respond before it has read the body.
 	early bool
 	gone  chan struct{}
@@ -182,6 +198,12 @@
 			a.answer(200, strconv.FormatInt(f.reportedStart(), 10))
 			continue
 		}
+		if strings.HasPrefix(request.URL.Path, testCopies) {
+			if !f.copies(a) {
+				return
+			}
+			continue
+		}
 		if only := request.Header.Get(testOnly); only != "" && only != f.id {
 			a.answer(http.StatusMisdirectedRequest, "elsewhere")
 			continue
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -192,7 +192,9 @@
 	tokensPerEvent int
 	// supportsBackups is set if the service's replicas can keep copies of runs.
 	supportsBackups bool
-	requestInfo     RequestInfo
+	// supportsMoves is set if the service's replicas copy runs to each other.
+	supportsMoves bool
+	requestInfo   RequestInfo
 	// account is the client account, nil for requests without one.
 	account      *catalog.Account
 	grant        grant
@@ -226,6 +228,8 @@
 	tried    []*Peer
 	// backup is the replica that keeps a copy of the current run, nil if there is none.
 	backup *Peer
+	// copied is the copy of the current run that shows its end, nil if there is none.
+	copied *runCopy
 	// sends counts the attempts, possibleArrivals those that may have reached a replica, and
 	// possibleRuns those that a replica may have run.
 	sends            int
@@ -330,6 +334,7 @@
 	// The slot must be released however the request ends.
 	defer c.release(dispatch.Failed)
 	defer c.releasePlace()
+	defer c.dropCopy()
 	if !c.maySend(r.Context()) {
 		return
 	}
@@ -389,10 +394,10 @@
 
 // selectService makes a service the one of the request.
 func (c *call) selectService(name string) {
-	c.service, c.engine, c.tokensPerEvent, c.supportsBackups = name, nil, 0, false
+	c.service, c.engine, c.tokensPerEvent, c.supportsBackups, c.supportsMoves = name, nil, 0, false, false
 	if service := c.table.Service(name); service != nil && service.Engine != nil {
 		c.engine = service.Engine
-		c.tokensPerEvent, c.supportsBackups = service.Engine.EventTokens, service.Engine.Backups
+		c.tokensPerEvent, c.supportsBackups, c.supportsMoves = service.Engine.EventTokens, service.Engine.Backups, service.Engine.Moves
 	}
 }
 
@@ -500,6 +505,9 @@
 			c.noteLostReplica(ctx, c.settled)
 		}
 		if ended == unknown {
+			if choice, chosen = c.resumeFromCopy(ctx); chosen {
+				continue
+			}
 			if choice, chosen = c.resumeAtBackup(ctx, c.settled); chosen {
 				continue
 			}
--- /dev/null
+++ b/src/exchange/runcopy.go
@@ -0,0 +1,266 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/moorspool/moorspool/src/event"
+)
+
+// Timeouts and limits of the copy of a run.
+const (
+	// copyTimeout bounds one question for the copy of a run. Moves between replicas go one after another.
+	copyTimeout = time.Second
+	// stopRunTimeout bounds the question that makes sure that a run has ended. The client waits for it at the end of
+	// its stream, as it does for the rest of a copy that is under way.
+	stopRunTimeout = 300 * time.Millisecond
+	// maxCopyTargets is how many replicas are offered the copy of a run.
+	maxCopyTargets = 2
+	// maxCopyReplyBytes is the longest reply to such a question that is read.
+	maxCopyReplyBytes = 4 << 10
+)
+
+// Reasons for which there is no copy of a run.
+var (
+	errNoCopyTarget = errors.New("no other replica can take one")
+	errNoSuchRun    = errors.New("the run had ended before")
+)
+
+// CopyCodec asks a replica to copy one of its runs to another replica, where the run can go on.
+type CopyCodec struct {
+	// EncodeCopy sets the headers of the question and returns its path and body. The replica at the address to gets
+	// the copy; with stop, the run ends before.
+	EncodeCopy func(header http.Header, replica, request, to string, stop bool) (target string, body []byte)
+	// ParseCopy returns the reply to it.
+	ParseCopy func(status int, body []byte) CopyReply
+	// EncodeDrop sets the headers of the request that frees a copy, and returns its path.
+	EncodeDrop func(header http.Header, replica, handle string) (target string)
+}
+
+// CopyReply is what a replica replies to the question for a copy of a run.
+type CopyReply struct {
+	// Handle names the copy, "" if there is none.
+	Handle string
+	// Made is set if the other replica has the copy, NoRun if the asked one runs no such request.
+	Made, NoRun bool
+}
+
+// runCopy is the copy of a run whose response has neither a length nor chunks.
+type runCopy struct {
+	source *Peer
+	// request is the ID of the request that the run is of.
+	request string
+	// ended is closed once the copy is made or can't be. Only then target, handle and err, which tells why there is none,
+	// may be read.
+	ended  chan struct{}
+	target *Peer
+	handle string
+	err    error
+}
+
+// String describes the copy for a log line.
+func (r *runCopy) String() string {
+	if r.err != nil {
+		return r.err.Error()
+	}
+	return "copied to " + r.target.ID() + " as " + shorten(r.handle)
+}
+
+// copyRun has the run of a response that ends with its connection copied to another replica. Once the connection is
+// closed, that replica shows whether something is missing: what it goes on with counts as the same run.
+func (c *call) copyRun(ctx context.Context, source *Peer) {
+	if !c.supportsMoves || c.stream.lastEventID == "" || c.copied != nil && c.copied.source == source {
+		return
+	}
+	c.dropCopy()
+	copied := &runCopy{source: source, request: c.requestInfo.ID, ended: make(chan struct{})}
+	c.copied = copied
+	targets := c.pickCopyTargets(c.handler.options.Now())
+	if len(targets) == 0 {
+		copied.err = errNoCopyTarget
+		close(copied.ended)
+		return
+	}
+	go func() {
+		defer close(copied.ended)
+		c.handler.makeCopy(ctx, copied, targets)
+	}()
+}
+
+// pickCopyTargets returns replicas that can take the copy of the current run, the best one first.
+func (c *call) pickCopyTargets(now time.Time) []*Peer {
+	want := c.requirements()
+	others := slices.Clone(c.tried)
+	var targets []*Peer
+	for len(targets) < maxCopyTargets {
+		target := c.handler.options.Fleet.backupWithRoom(now, want, others)
+		if target == nil {
+			break
+		}
+		targets, others = append(targets, target), append(others, target)
+	}
+	return targets
+}
+
+// makeCopy has a run copied to the first of the replicas that takes the copy.
+func (h *Handler) makeCopy(ctx context.Context, copied *runCopy, targets []*Peer) {
+	for _, copied.target = range targets {
+		reply, err := h.askForCopy(ctx, copied, false, copyTimeout)
+		copied.handle, copied.err = reply.Handle, err
+		switch {
+		case err != nil:
+		case reply.NoRun:
+			copied.err = errNoSuchRun
+		case !reply.Made:
+			copied.err = errors.New("its run was not copied to " + copied.target.ID())
+		}
+		h.options.Ring.Add(event.Event{Kind: event.RunCopied, Request: copied.request, Host: copied.source.ID(), Reason: copied.String()})
+		if copied.err == nil || errors.Is(copied.err, errNoSuchRun) || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// askForCopy asks the source of a copy to make it. With stop, the run ends before.
+func (h *Handler) askForCopy(ctx context.Context, copied *runCopy, stop bool, timeout time.Duration) (CopyReply, error) {
+	codec := &h.options.Codec.Copy
+	header := http.Header{}
+	target, body := codec.EncodeCopy(header, copied.source.name(), copied.request, copied.target.pool.address, stop)
+	question := &outgoingRequest{method: http.MethodPost, target: target, host: copied.source.pool.address, header: header, body: body}
+	status, reply, err := h.ask(ctx, copied.source, question, timeout)
+	if err != nil {
+		return CopyReply{}, errors.Wrap(err, "asking for a copy of its run")
+	}
+	return codec.ParseCopy(status, reply), nil
+}
+
+// ask sends a question of the gateway's own to a replica and returns the reply.
+func (h *Handler) ask(ctx context.Context, peer *Peer, question *outgoingRequest, timeout time.Duration) (status int, body []byte, err error) {
+	now := h.options.Now()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := peer.pool.get(ctx, dialAttempt, now)
+	if err != nil {
+		return 0, nil, err
+	}
+	stopWatch := context.AfterFunc(ctx, func() { _ = conn.raw.Close() })
+	defer stopWatch()
+	_ = conn.raw.SetDeadline(now.Add(timeout))
+	response, body, err := conn.ask(&h.options.Codec, question, maxCopyReplyBytes)
+	if err == nil && bodyEndOf(question.method, response) == endByClose {
+		err = errUnprovenEnd
+	}
+	if err != nil {
+		_ = conn.raw.Close()
+		return 0, nil, err
+	}
+	if !stopWatch() || response.Close {
+		_ = conn.raw.Close()
+		return response.StatusCode, body, nil
+	}
+	_ = conn.raw.SetDeadline(time.Time{})
+	peer.pool.put(h.options.Now(), conn, response.Header)
+	return response.StatusCode, body, nil
+}
+
+// ask sends a question of the gateway's own on the connection and reads the whole response. It must not be used any more
+// after an error.
+func (c *conn) ask(codec *Codec, question *outgoingRequest, maxBytes int64) (*http.Response, []byte, error) {
+	if _, err := c.raw.Write(append(question.encode(), question.body...)); err != nil {
+		return nil, nil, err
+	}
+	// A response with an ID is a late one to an earlier request.
+	own := func(response *http.Response) bool { return codec.Reply(response.StatusCode, response.Header).ID == "" }
+	response, err := c.reader.next(question.method, own)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "reading the response")
+	}
+	if int64(len(body)) > maxBytes {
+		return nil, nil, NewLimitError("bytes of a report", maxBytes, int64(len(body)))
+	}
+	return response, body, nil
+}
+
+// resumeFromCopy reports whether a stream goes on from the copy of its run, and chooses the replica that has it. The
+// run must have ended at its source.
+func (c *call) resumeFromCopy(ctx context.Context) (Choice, bool) {
+	copied := c.copied
+	if copied == nil || c.settled != copied.source || c.timeOver(ctx) || c.clientLeft() || c.stream == nil || c.stream.lastEventID == "" {
+		return Choice{}, false
+	}
+	if err := c.endAtSource(ctx, copied); err != nil {
+		c.reason += "; no copy of the run shows its end: " + err.Error()
+		return Choice{}, false
+	}
+	target, fleet := copied.target, c.handler.options.Fleet
+	if !c.mayWrite(target, target.writerOrigin()) {
+		return Choice{}, false
+	}
+	if _, accepted := fleet.acceptsIn(target); !accepted || !c.permitted(ctx, target, 0) {
+		c.reason += "; " + target.ID() + " has a copy of the run and takes no requests now"
+		return Choice{}, false
+	}
+	if !c.handler.budgets.get(c.service).Take(c.handler.options.Now(), c.handler.Gateways()) {
+		c.reason += "; the retry budget is spent"
+		return Choice{}, false
+	}
+	c.copied = nil
+	c.handler.options.Metrics.Continued.Inc(1)
+	return Choice{Peer: target, Verdict: Chosen, Copy: copied, Reason: c.reason + "; goes on from its copy at " + target.ID()}, true
+}
+
+// endAtSource returns an error unless there is a copy of a run and its source works on it no more.
+func (c *call) endAtSource(ctx context.Context, copied *runCopy) error {
+	ctx, cancel := context.WithTimeout(ctx, stopRunTimeout)
+	defer cancel()
+	select {
+	case <-copied.ended:
+	case <-ctx.Done():
+		return errors.New("the copy is still being made")
+	}
+	if copied.err != nil {
+		return copied.err
+	}
+	reply, err := c.handler.askForCopy(ctx, copied, true, stopRunTimeout)
+	if err != nil && proveLoss(ctx, copied.source, nil) == lossUnproven {
+		return err
+	}
+	if err == nil && !reply.NoRun && reply.Handle == "" {
+		return errors.New(copied.source.ID() + " may still be at work on it")
+	}
+	if reply.Made {
+		copied.handle = reply.Handle
+	}
+	return nil
+}
+
+// dropCopy frees the copy of a run that was not used.
+func (c *call) dropCopy() {
+	copied := c.copied
+	if copied == nil {
+		return
+	}
+	c.copied = nil
+	h := c.handler
+	go func() {
+		<-copied.ended
+		if copied.handle == "" {
+			return
+		}
+		header := http.Header{}
+		target := h.options.Codec.Copy.EncodeDrop(header, copied.source.name(), copied.handle)
+		question := &outgoingRequest{method: http.MethodDelete, target: target, host: copied.source.pool.address, header: header}
+		if _, _, err := h.ask(context.Background(), copied.source, question, copyTimeout); err != nil {
+			h.options.Ring.Add(event.Event{Kind: event.RunCopied, Request: copied.request, Host: copied.source.ID(), Reason: "not freed at " + copied.target.ID() + ": " + err.Error()})
+		}
+	}()
+}
--- a/src/exchange/startcheck.go
+++ b/src/exchange/startcheck.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -38,23 +37,11 @@
 	_ = c.raw.SetDeadline(deadline)
 	header := http.Header{}
 	codec.Start.Encode(header, peer.name())
-	question := outgoingRequest{method: http.MethodGet, target: codec.Start.Target, host: peer.pool.address, header: header}
-	if _, err := c.raw.Write(question.encode()); err != nil {
-		return 0, errors.Wrap(err, "asking for the start")
-	}
-	// A response with an ID is a late one to an earlier request.
-	report := func(response *http.Response) bool { return codec.Reply(response.StatusCode, response.Header).ID == "" }
-	response, err := c.reader.next(http.MethodGet, report)
+	question := &outgoingRequest{method: http.MethodGet, target: codec.Start.Target, host: peer.pool.address, header: header}
+	response, body, err := c.ask(codec, question, maxReportBytes)
 	if err != nil {
 		return 0, errors.Wrap(err, "asking for the start")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
-	if err != nil {
-		return 0, errors.Wrap(err, "reading a report")
-	}
-	if len(body) > maxReportBytes {
-		return 0, NewLimitError("bytes of a report", maxReportBytes, int64(len(body)))
-	}
 	startedMS, known := codec.Start.Parse(response.StatusCode, body)
 	if !known || response.Close {
 		return 0, errors.Errorf("a report without a start: %s", response.Status)
--- a/src/exchange/stream.go
+++ b/src/exchange/stream.go
@@ -78,6 +78,9 @@
 				return truncated
 			}
 			c.storeOrigin()
+			if a.end == endByClose {
+				c.copyRun(ctx, peer)
+			}
 		}
 		switch {
 		case err == io.EOF:
