Ask a server again for the rest of a stream that it closed

Cause: a stream that may be taken up and that its server ended by closing the connection has its end proven by a run asked for what follows the last event. Every server that was tried was excluded from that run, so where one server alone holds the model, or the others have no room, a whole stream was cut off with all its events.

Ruled out: that the second run is one server more than the route allows (it is the same one; the run still counts as an attempt and is taken from the retry budget). That a server which ended, started again, leaves or is no longer listed is taken for the same one: the connection has to confirm the start on the list, or its ID (421), as for any other server.

Change: a server that ended its run by closing the connection in order may be asked once more, if no other one can be, or none has room. One that broke off is not. An end is still proven by a length or a last chunk only.

Conclusion: streams of a model that one server holds end where that server frames its rest. One that never frames is asked once in vain, which costs a run and a repeat of the budget for each stream.

--- a/src/exchange/choose.go
+++ b/src/exchange/choose.go
@@ -26,7 +26,7 @@
 	for {
 		now := h.options.Now()
 		requirements.MaxPermitWait = c.maxPermitWait(now)
-		choice := h.options.Fleet.Pick(now, requirements, c.tried)
+		choice := c.pick(now, requirements)
 		if choice.Verdict == Chosen && c.mustQueue(now) {
 			choice = Choice{Verdict: NotAccepting, Slots: choice.Peer.slots(), AcceptsIn: time.Millisecond}
 		}
--- a/src/exchange/endtable_test.go
+++ b/src/exchange/endtable_test.go
@@ -180,7 +180,7 @@
 	case !c.repeatable, !c.framing.restProven, c.gateway.noRest:
 		return false
 	}
-	return c.several
+	return c.several || !c.gateway.noRestOfX
 }
 
 func (c *tableCell) name() string {
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -224,6 +224,8 @@
 	// deadline is when the client must have its response.
 	deadline time.Time
 	tried    []*Peer
+	// closedRuns are the replicas that ended a run of the request by closing its connection in order.
+	closedRuns []*Peer
 	// backup is the replica that keeps a copy of the current run, nil if there is none.
 	backup *Peer
 	// sends counts the attempts, possibleArrivals those that may have reached a replica, and
--- a/src/exchange/place.go
+++ b/src/exchange/place.go
@@ -137,7 +137,7 @@
 	h := c.handler
 	asked := h.options.Now()
 	batch := h.options.Fleet.newBatchWork(asked, want)
-	candidates := h.options.Fleet.placeCandidates(asked, want, &batch, c.tried)
+	candidates := h.options.Fleet.placeCandidates(asked, want, &batch, c.excluded())
 	if len(candidates) == 0 {
 		return choice, true
 	}
--- a/src/exchange/quarantine.go
+++ b/src/exchange/quarantine.go
@@ -96,6 +96,7 @@
 
 func (c *call) noteUnprovenRun(peer *Peer) {
 	h := c.handler
+	c.noteClosedRun(peer)
 	h.crashDetector.addSuspect(h.options.Now(), peer, c.quarantineRequest())
 	if !c.succeeded() {
 		return
