Let the rest of a stream wait for room as its gateway stops

Cause: a stopping gateway ends the waits of requests that have not been sent, so that their clients turn elsewhere in time.

Ruled out: that such a stream could be refused (it has begun), and that its wait outlasts the stop (what runs ends at the limit, and so does the wait: TestTheRestOfAStreamIsNotWaitedForBeyondTheStop).

Change: a request whose client has a part of its stream waits by the context of what runs. A request for a slot counts as ended with the wait that it belongs to.

TestWaitsEndAsAGatewayStops, for unsent requests, passes unchanged.

Conclusion: a stop takes no second run from a stream any more; refusals of unsent requests are as before.

--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -469,7 +469,7 @@
 			}
 		}
 		if !chosen {
-			choice = c.choose(waiting)
+			choice = c.choose(c.waitsBy(ctx, waiting))
 		}
 		if choice.Verdict != Chosen && c.next != nil {
 			c.dropNext(c.handler.options.Now())
--- a/src/exchange/slot.go
+++ b/src/exchange/slot.go
@@ -69,10 +69,10 @@
 	// A replica's backoff applies to this gateway only, so the assigning node does not know of it
 	// and has to be told with each request.
 	request.Tried = append(request.Tried, unavailable...)
-	ctx, cancel := context.WithTimeout(ctx, max(maxWait, 0)+slotReplyMargin)
+	waiting, cancel := context.WithTimeout(ctx, max(maxWait, 0)+slotReplyMargin)
 	defer cancel()
-	reply, err := h.options.Slots.Request(ctx, request)
-	if err != nil && h.waits.Err() != nil {
+	reply, err := h.options.Slots.Request(waiting, request)
+	if err != nil && ctx.Err() != nil {
 		return Choice{Verdict: NoFreeSlot}, true
 	}
 	if err != nil || !reply.Known {
--- a/src/exchange/stop.go
+++ b/src/exchange/stop.go
@@ -146,6 +146,15 @@
 	return true
 }
 
+// waitsBy returns the context of the request's next wait. A stream that its client has a part of can't be refused, so that
+// it waits for its rest for as long as what runs may go on.
+func (c *call) waitsBy(ctx, waiting context.Context) context.Context {
+	if c.stream != nil && c.stream.started {
+		return ctx
+	}
+	return waiting
+}
+
 // waitContext returns a context for the waits of a request, which ends with that of the request or by
 // EndWaits.
 func (h *Handler) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
