Log what ended a stream if no later attempt ran

Cause: an attempt that is begun forgets what ended the one before. If it was refused, or its server took no connection, event 717 said "other", without evidence, for a stream that its server had closed or broken off.

Ruled out: that an answer of a later attempt is logged with the cause of an earlier one: what is kept ends with an attempt that answers or that ends otherwise, and is dropped once the client has left.

Change: an attempt that was not run, or whose answer was not passed on, keeps what ended the one before.

Conclusion: lines 717 and answers_ended_early_total name the cause of the last run there was.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -84,7 +84,7 @@
 	peer := choice.Peer
 	now := h.options.Now()
 	c.tried = append(c.tried, peer)
-	c.brokenBy, c.early = nil, earlyEnd{}
+	c.brokenBy = nil
 	c.reason = choice.Reason
 	if c.permitWait > 0 {
 		c.reason += ", waited " + c.permitWait.String() + " for a permit"
@@ -139,6 +139,9 @@
 // undoSend handles an attempt of which nothing was sent.
 func (c *call) undoSend(ctx, dialing context.Context, s *sentAttempt, err error) outcome {
 	c.progress.noteNotRun(s.peer)
+	if c.clientLeft() {
+		c.early = earlyEnd{}
+	}
 	switch {
 	case errors.Is(err, errNotAccepted), ctx.Err() == nil && dialing.Err() != nil:
 		c.undoAttempt(s.grant)
--- a/src/exchange/forward.go
+++ b/src/exchange/forward.go
@@ -132,7 +132,6 @@
 // sendForward sends the request to a gateway, to which a connection must be established before dialing ends. It
 // returns an error if nothing was sent.
 func (c *call) sendForward(ctx, dialing context.Context, to *Peer, now time.Time) (*sentAttempt, error) {
-	c.early = earlyEnd{}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	s := &sentAttempt{peer: to, startedAt: now, cancel: cancel, forwarded: true}
 	s.watch = c.watchAttempt(attemptCtx, to, now, c.headDue(now), c.elsewhere(s), cancel)
--- a/src/exchange/secondattempt.go
+++ b/src/exchange/secondattempt.go
@@ -256,13 +256,23 @@
 	c.hold(s)
 	c.moveLast(s.peer)
 	c.settled = s.peer
+	before := c.early
 	c.brokenBy, c.early = nil, earlyEnd{}
+	var result attemptResult
 	if s.forwarded {
-		ended, err := c.finishAtGateway(ctx, s)
-		return attemptResult{ended: ended, err: err}
+		result.ended, result.err = c.finishAtGateway(ctx, s)
+	} else {
+		result.ended, result.failure = c.finishAtReplica(ctx, s)
+	}
+	c.keepEarlyEnd(before, result.ended)
+	return result
+}
+
+// keepEarlyEnd keeps what ended an earlier attempt if the last one was not run or not passed on.
+func (c *call) keepEarlyEnd(before earlyEnd, ended outcome) {
+	if (ended == notRun || ended == unknown) && c.early.cause == causeNone && !c.clientLeft() {
+		c.early = earlyEnd{cause: before.cause, evidence: before.evidence}
 	}
-	ended, failure := c.finishAtReplica(ctx, s)
-	return attemptResult{ended: ended, failure: failure}
 }
 
 // finishBeside ends an attempt that does not end the request, while another one is under way.
