Take a refused dial for no loss of a server off the list

Cause: a stream whose server says nothing for a second ends if a new connection to that server is refused, since a server takes connections for as long as it is at work, unless it has said that it leaves. A list may lose a server whose word of leaving it never had: no word for long, or control nodes that have just started. Its stream was cut off (proven_loss) while the server ran it whole, with any framing.

Ruled out by the design only (docs/design/silence.md), not played again: that a stream of a server that did end is held for longer, as its host resets the connection at the next keep-alive probe, a second after the last byte.

Change: a server that is not listed does not count as one that listens to its end. A copy of its run still goes on after a refused dial (proveLoss), as before.

Conclusion: one more end of a whole stream is gone.

--- a/src/exchange/loss.go
+++ b/src/exchange/loss.go
@@ -86,8 +86,8 @@
 func signOf(proof lossProof) silenceSign { return silenceSign{proof: proof, evidence: proof.String()} }
 
 // listensToItsEnd reports whether a peer takes new connections for as long as it is at work. A gateway or replica
-// that stops closes its listener first.
-func (p *Peer) listensToItsEnd() bool { return p.service != "" && !p.leaving() }
+// that stops closes its listener first, and one that is no longer listed may stop without having said so.
+func (p *Peer) listensToItsEnd() bool { return p.service != "" && !p.leaving() && !p.unlisted.Load() }
 
 // probe dials the peer. Requests that ask at the same time share a dial, so that they don't fill its queue of new
 // connections.
