--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -226,6 +226,8 @@
 	// deadline is when the client must have its response.
 	deadline time.Time
 	tried    []*Peer
+	// closedRuns are the replicas that ended a run of the request by closing its connection in order.
+	closedRuns []*Peer
 	// backup is the replica that keeps a copy of the current run, nil if there is none.
 	backup *Peer
 	// copied is the copy of the current run that shows its end, nil if there is none.
@@ -472,7 +474,7 @@
 			}
 		}
 		if !chosen {
-			choice = c.choose(waiting)
+			choice = c.choose(c.waitsBy(ctx, waiting))
 		}
 		if choice.Verdict != Chosen && c.next != nil {
 			c.dropNext(c.handler.options.Now())
