LOST: a stream without a length or chunks whose model one server alone holds goes on there with another response

What callers saw: all events and a broken connection, as with the servers that can be copied from, where no other server can take the copy: one alone holds the model or the adapter, or all others are full. Cause: the copy needs a server that can go on with the run. Ruled out: sending the request there again (a route that may not be repeated). Change: the run is stopped at its first event (the same question, with the order to stop; another server of the service is offered a copy, which it may refuse) and goes on at the server that runs it, which has kept its memory: the same run, with a new response that mostly has a length or chunks. At most once a request. A run that is not stopped goes on as before. Conclusion: what remains of streams that are unframed now and then are those of one event, whose run has ended as its first event is passed on.

--- a/src/exchange/attempt.go
+++ b/src/exchange/attempt.go
@@ -188,7 +188,11 @@
 	}
 	if c.route.Kind == catalog.Streaming {
 		c.timing = newTiming(&s.choice)
-		return c.relayStream(ctx, peer, a, &s.pendingPrefill, work.Prefill{Began: s.startedAt, Tokens: s.choice.PrefillTokens, Model: c.requestInfo.Model, Factor: s.choice.Factor}), nil
+		ended := c.relayStream(ctx, peer, a, &s.pendingPrefill, work.Prefill{Began: s.startedAt, Tokens: s.choice.PrefillTokens, Model: c.requestInfo.Model, Factor: s.choice.Factor})
+		if s.choice.Copy != nil && (ended == answered || a.end == endByClose) {
+			h.vainCopies.note(h.options.Now(), c.service, ended == answered)
+		}
+		return ended, nil
 	}
 	return c.relayBuffered(ctx, peer, a), nil
 }
--- a/src/exchange/handler.go
+++ b/src/exchange/handler.go
@@ -98,6 +98,7 @@
 	crashDetector *crashDetector
 	waitQueues    *waitQueues
 	placeQueues   *placeQueues
+	vainCopies    vainCopies
 	retention     retention
 	// gatewayList holds the gateways to which requests can be forwarded, nil if none are.
 	gatewayList *otherGateways
@@ -232,6 +233,8 @@
 	backup *Peer
 	// copied is the copy of the current run that shows its end, nil if there is none.
 	copied *runCopy
+	// restarted is set once a run was stopped to go on with another response.
+	restarted bool
 	// sends counts the attempts, possibleArrivals those that may have reached a replica, and
 	// possibleRuns those that a replica may have run.
 	sends            int
--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -19,8 +19,8 @@
 	// stopRunTimeout bounds the question that makes sure that a run has ended. The client waits for it at the end of
 	// its stream, as it does for the rest of a copy that is under way.
 	stopRunTimeout = 300 * time.Millisecond
-	// maxCopyTargets is how many replicas are offered the copy of a run.
-	maxCopyTargets = 2
+	// maxCopyTargets is how many replicas at most are offered the copy of a run.
+	maxCopyTargets = 3
 	// maxCopyReplyBytes is the longest reply to such a question that is read.
 	maxCopyReplyBytes = 4 << 10
 )
@@ -28,6 +28,7 @@
 // Reasons for which there is no copy of a run.
 var (
 	errNoCopyTarget = errors.New("no other replica can take one")
+	errVainCopies   = errors.New("copies of this service's runs prove nothing")
 	errNoSuchRun    = errors.New("the run had ended before")
 )
 
@@ -44,6 +45,8 @@
 
 // CopyReply is what a replica replies to the question for a copy of a run.
 type CopyReply struct {
+	// Status is the status of the reply.
+	Status int
 	// Handle names the copy, "" if there is none.
 	Handle string
 	// Made is set if the other replica has the copy, NoRun if the asked one runs no such request.
@@ -63,11 +66,20 @@
 	err    error
 }
 
+// fail ends the wait for a copy that is not made.
+func (r *runCopy) fail(reason error) {
+	r.err = reason
+	close(r.ended)
+}
+
 // String describes the copy for a log line.
 func (r *runCopy) String() string {
 	if r.err != nil {
 		return r.err.Error()
 	}
+	if r.target == r.source {
+		return "stopped, to go on there as " + shorten(r.handle)
+	}
 	return "copied to " + r.target.ID() + " as " + shorten(r.handle)
 }
 
@@ -78,17 +90,26 @@
 		return
 	}
 	c.dropCopy()
+	h := c.handler
+	now := h.options.Now()
 	copied := &runCopy{source: source, request: c.requestInfo.ID, ended: make(chan struct{})}
 	c.copied = copied
-	targets := c.pickCopyTargets(c.handler.options.Now())
-	if len(targets) == 0 {
-		copied.err = errNoCopyTarget
-		close(copied.ended)
+	if !h.vainCopies.mayCopy(now, c.service) {
+		copied.fail(errVainCopies)
+		return
+	}
+	secure, offered := h.makeCopy, c.pickCopyTargets(now)
+	if len(offered) == 0 && !c.restarted {
+		c.restarted = true
+		secure, offered = h.restartRun, c.otherReplicas(source)
+	}
+	if len(offered) == 0 {
+		copied.fail(errNoCopyTarget)
 		return
 	}
 	go func() {
 		defer close(copied.ended)
-		c.handler.makeCopy(ctx, copied, targets)
+		secure(ctx, copied, offered)
 	}()
 }
 
@@ -117,15 +138,55 @@
 		case reply.NoRun:
 			copied.err = errNoSuchRun
 		case !reply.Made:
-			copied.err = errors.New("its run was not copied to " + copied.target.ID())
+			copied.err = errors.Errorf("its run was not copied to %s: status %d", copied.target.ID(), reply.Status)
 		}
-		h.options.Ring.Add(event.Event{Kind: event.RunCopied, Request: copied.request, Host: copied.source.ID(), Reason: copied.String()})
+		h.logCopy(copied)
 		if copied.err == nil || errors.Is(copied.err, errNoSuchRun) || ctx.Err() != nil {
 			return
 		}
 	}
 }
 
+// otherReplicas returns replicas of the service other than the given one, those that hold the model first.
+func (c *call) otherReplicas(source *Peer) []*Peer {
+	index := &c.handler.options.Fleet.index
+	var others []*Peer
+	for _, held := range []copyKey{{model: c.requestInfo.Model, adapter: c.requestInfo.Adapter}, {model: c.requestInfo.Model}, {}} {
+		for _, candidate := range index.lookup(c.service, held) {
+			if candidate.peer != source && !slices.Contains(others, candidate.peer) && len(others) < maxCopyTargets {
+				others = append(others, candidate.peer)
+			}
+		}
+	}
+	return others
+}
+
+// restartRun stops a run that no other replica can take, so that it goes on at its source with another response. The
+// source keeps the memory of the run, whatever becomes of the copy that another replica is offered.
+func (h *Handler) restartRun(ctx context.Context, copied *runCopy, offered []*Peer) {
+	for _, copied.target = range offered {
+		reply, err := h.askForCopy(ctx, copied, true, copyTimeout)
+		copied.handle, copied.err = reply.Handle, err
+		switch {
+		case err != nil:
+		case reply.NoRun:
+			copied.err = errNoSuchRun
+		case reply.Handle == "":
+			copied.err = errors.Errorf("its run was not stopped: status %d", reply.Status)
+		default:
+			copied.target = copied.source
+		}
+		h.logCopy(copied)
+		if copied.target == copied.source || errors.Is(copied.err, errNoSuchRun) || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (h *Handler) logCopy(copied *runCopy) {
+	h.options.Ring.Add(event.Event{Kind: event.RunCopied, Request: copied.request, Host: copied.source.ID(), Reason: copied.String()})
+}
+
 // askForCopy asks the source of a copy to make it. With stop, the run ends before.
 func (h *Handler) askForCopy(ctx context.Context, copied *runCopy, stop bool, timeout time.Duration) (CopyReply, error) {
 	codec := &h.options.Codec.Copy
@@ -136,7 +197,9 @@
 	if err != nil {
 		return CopyReply{}, errors.Wrap(err, "asking for a copy of its run")
 	}
-	return codec.ParseCopy(status, reply), nil
+	parsed := codec.ParseCopy(status, reply)
+	parsed.Status = status
+	return parsed, nil
 }
 
 // ask sends a question of the gateway's own to a replica and returns the reply.
@@ -227,7 +290,7 @@
 	case <-ctx.Done():
 		return errors.New("the copy is still being made")
 	}
-	if copied.err != nil {
+	if copied.err != nil || copied.target == copied.source {
 		return copied.err
 	}
 	reply, err := c.handler.askForCopy(ctx, copied, true, stopRunTimeout)
--- a/src/exchange/runcopy_test.go
+++ b/src/exchange/runcopy_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/registry"
 )
 
 // copyEvents is the number of events of a whole stream, copyPause the pause between two.
@@ -215,6 +216,73 @@
 	is.Equal(s.taken(), []string{"run", "copy", "stop", "rest after 3 from h2"})
 }
 
+// askAlone sends a request for a model that only the first replica holds.
+func (s *copySite) askAlone() clientResponse {
+	s.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{
+		{Record: registry.Record{ID: "x", Service: "s", Address: s.replicas[0].listener.Addr().String(), Slots: 4, Models: []registry.Held{{Name: "m"}, {Name: "alone"}}}},
+	}})
+	got := s.do("POST", "one", "x", testModel+": alone")
+	s.awaitHandlers()
+	return got
+}
+
+// Where no other replica holds the model none can take a copy.
+func TestAWholeStreamWithoutFramingOfTheOnlyReplicaIsNotBrokenOff(t *testing.T) {
+	for name, status := range map[string]int{"moved": http.StatusOK, "no room elsewhere": http.StatusServiceUnavailable} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newCopySite(t, route(catalog.Streaming, 1))
+			stop := make(chan struct{})
+			s.source = func(a arrival) int {
+				n := writeEvents(a, 1, 2)
+				<-stop
+				return n
+			}
+			s.stopped = func(a arrival) bool {
+				a.answer(status, "h2")
+				close(stop)
+				return true
+			}
+			got := s.askAlone()
+			is.NoErr(got.err)
+			is.Equal(events(got.body), allEvents())
+			is.Equal(s.taken(), []string{"run", "stop", "rest after 2 from h2"})
+			is.Equal(s.replicas[1].count(), 0)
+		})
+	}
+}
+
+// A run is stopped once at most, however its next response is framed.
+func TestARunOfTheOnlyReplicaIsStoppedOnce(t *testing.T) {
+	is := is.New(t)
+	s := newCopySite(t, route(catalog.Streaming, 1))
+	stop := make(chan struct{})
+	s.source = func(a arrival) int {
+		n := writeEvents(a, 1, 2)
+		<-stop
+		return n
+	}
+	s.stopped = func(a arrival) bool {
+		a.answer(http.StatusOK, "h2")
+		close(stop)
+		return true
+	}
+	s.rest = unframed(200, "id: 3\ndata: 3\n\n", false)
+	got := s.askAlone()
+	is.True(got.err != nil) // the stream looks complete
+	is.Equal(events(got.body), []string{"1", "2", "3"})
+	is.Equal(s.taken(), []string{"run", "stop", "rest after 2 from h2"})
+}
+
+func TestARunThatIsNotStoppedGoesOn(t *testing.T) {
+	is := is.New(t)
+	s := newCopySite(t, route(catalog.Streaming, 1))
+	s.stopped = func(a arrival) bool { a.answer(http.StatusServiceUnavailable, ""); return true }
+	got := s.askAlone()
+	is.True(got.err != nil) // the stream looks complete
+	is.Equal(events(got.body), allEvents())
+}
+
 func TestACopyThatIsNotNeededIsFreed(t *testing.T) {
 	is := is.New(t)
 	s := newCopySite(t, route(catalog.Streaming, 1))
