Offer the memory of a run only to servers in the regions of its request

Cause: the order to stop a run names another server of the service that is offered its memory. All servers of the service were taken, also those in other regions than the route or the client account allows, in drained zones and of other software. A server with room copies the memory there: the prompt leaves its regions.

Ruled out: copies that are made without a stop (mayKeepCopy asks mayServe).

Change: such a server has to be one that may serve the request and is not closed. Without one the run is not stopped.

--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -147,14 +147,16 @@
 	}
 }
 
-// otherReplicas returns replicas of the service other than the given one, those that hold the model first.
+// otherReplicas returns replicas other than the given one that may have the request's data, those that hold the model
+// first.
 func (c *call) otherReplicas(source *Peer) []*Peer {
-	index := &c.handler.options.Fleet.index
+	fleet, want := c.handler.options.Fleet, c.requirements()
 	var others []*Peer
 	for _, held := range []copyKey{{model: c.requestInfo.Model, adapter: c.requestInfo.Adapter}, {model: c.requestInfo.Model}, {}} {
-		for _, candidate := range index.lookup(c.service, held) {
-			if candidate.peer != source && !slices.Contains(others, candidate.peer) && len(others) < maxCopyTargets {
-				others = append(others, candidate.peer)
+		for _, candidate := range fleet.index.lookup(c.service, held) {
+			peer := candidate.peer
+			if peer != source && len(others) < maxCopyTargets && !slices.Contains(others, peer) && !fleet.closed(peer) && fleet.mayServe(&want, candidate.zone, peer) {
+				others = append(others, peer)
 			}
 		}
 	}
--- a/src/exchange/runcopy_test.go
+++ b/src/exchange/runcopy_test.go
@@ -40,7 +40,10 @@
 	steps []string
 }
 
-func newCopySite(t *testing.T, r catalog.Route) *copySite {
+func newCopySite(t *testing.T, r catalog.Route) *copySite { return newCopySiteIn(t, r, "z", "z") }
+
+// newCopySiteIn returns a copySite whose replicas are in the given zones.
+func newCopySiteIn(t *testing.T, r catalog.Route, x, y string) *copySite {
 	s := &copySite{
 		source: func(a arrival) int { return writeEvents(a, 1, copyEvents) },
 		rest: func(a arrival) bool {
@@ -55,9 +58,9 @@
 		copied:  func(a arrival) bool { a.answer(http.StatusOK, "h1"); return true },
 		stopped: func(a arrival) bool { a.answer(http.StatusNotFound, ""); return true },
 	}
-	for _, id := range []string{"x", "y"} {
-		f := newReplica(t, id, s.serve)
-		f.copies = s.serveCopies
+	for i, zone := range []string{x, y} {
+		f := newReplica(t, []string{"x", "y"}[i], s.serve)
+		f.copies, f.zone = s.serveCopies, zone
 		s.replicas = append(s.replicas, f)
 	}
 	s.bench = newBench(t, r, s.replicas...)
--- /dev/null
+++ b/src/exchange/runcopyfaults_test.go
@@ -0,0 +1,86 @@
+package exchange
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/registry"
+)
+
+// newLoneSite has a replica that alone holds a model. The run there goes on until it is stopped, or ends by itself.
+func newLoneSite(t *testing.T, r catalog.Route, otherZone string) (s *copySite, stop chan struct{}) {
+	s = newCopySiteIn(t, r, "z", otherZone)
+	stop = make(chan struct{})
+	s.source = func(a arrival) int {
+		writeEvents(a, 1, 2)
+		select {
+		case <-stop:
+			return 2
+		case <-time.After(500 * time.Millisecond):
+			return writeEvents(a, 3, copyEvents)
+		}
+	}
+	s.stopped = func(a arrival) bool {
+		close(stop)
+		a.answer(http.StatusServiceUnavailable, "h2")
+		return true
+	}
+	s.listLone(false)
+	return s, stop
+}
+
+// listLone lists the first replica with a model that the other one does not hold.
+func (s *copySite) listLone(draining bool) {
+	s.fleet.SetReplicas(registry.Changes{Entries: []registry.Entry{
+		{Record: registry.Record{ID: "x", Service: "s", Address: s.replicas[0].listener.Addr().String(), Zone: "z", Slots: 4, SoftwareVersion: "v1", Draining: draining, Models: []registry.Held{{Name: "m"}, {Name: "alone"}}}},
+	}})
+}
+
+func (s *copySite) askLone() clientResponse {
+	got := s.do("POST", "one", "x", testModel+": alone")
+	s.awaitHandlers()
+	return got
+}
+
+func (s *copySite) count(step string) int {
+	n := 0
+	for _, taken := range s.taken() {
+		if taken == step {
+			n++
+		}
+	}
+	return n
+}
+
+// The memory of a run holds its prompt.
+func TestTheMemoryOfARunIsNotOfferedOutOfItsRegions(t *testing.T) {
+	is := is.New(t)
+	r := route(catalog.Streaming, 1)
+	r.Regions = []string{"here"}
+	s, _ := newLoneSite(t, r, "far")
+	s.fleet.SetRegions(map[string]string{"z": "here", "far": "there"})
+	got := s.askLone()
+	is.Equal(events(got.body), allEvents())
+	is.Equal(s.count("stop"), 0)
+}
+
+// A run is not offered to its own replica.
+func TestAnOrderToStopOffersTheRunToAReplicaOfItsService(t *testing.T) {
+	is := is.New(t)
+	s, stop := newLoneSite(t, route(catalog.Streaming, 1), "z")
+	var offered string
+	s.stopped = func(a arrival) bool {
+		offered = a.body
+		close(stop)
+		a.answer(http.StatusServiceUnavailable, "h2")
+		return true
+	}
+	got := s.askLone()
+	is.NoErr(got.err)
+	is.True(strings.Contains(offered, s.replicas[1].listener.Addr().String()))
+}
