Take the retry before a run is stopped to go on with another response

Cause: the run was stopped first, and the retry that going on takes was asked for after that. With the budget spent, a run that its server would have finished ended after the first events.

Ruled out: going on without a retry: what goes on is an arrival beyond the first.

Change: the retry is taken before the order to stop, and given back if the run was not stopped. Without one the run goes on.

--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -29,6 +29,7 @@
 var (
 	errNoCopyTarget = errors.New("no other replica can take one")
 	errVainCopies   = errors.New("copies of this service's runs prove nothing")
+	errNoRetry      = errors.New("no other replica can take one, and the retry budget is spent")
 	errNoSuchRun    = errors.New("the run had ended before")
 )
 
@@ -64,6 +65,9 @@
 	target *Peer
 	handle string
 	err    error
+	// paid is the budget from which the retry was taken, at takenAt, before the run was stopped; nil if none was.
+	paid    *Budget
+	takenAt time.Time
 }
 
 // fail ends the wait for a copy that is not made.
@@ -99,13 +103,13 @@
 		return
 	}
 	secure, offered := h.makeCopy, c.pickCopyTargets(now)
-	if len(offered) == 0 && !c.restarted {
-		c.restarted = true
-		secure, offered = h.restartRun, c.otherReplicas(source)
-	}
 	if len(offered) == 0 {
-		copied.fail(errNoCopyTarget)
-		return
+		var err error
+		if offered, err = c.beginRestart(now, copied); err != nil {
+			copied.fail(err)
+			return
+		}
+		secure = h.restartRun
 	}
 	go func() {
 		defer close(copied.ended)
@@ -147,6 +151,23 @@
 	}
 }
 
+// beginRestart takes the retry with which a run goes on that is stopped, and returns the replicas that are offered its copy.
+func (c *call) beginRestart(now time.Time, copied *runCopy) ([]*Peer, error) {
+	if c.restarted {
+		return nil, errNoCopyTarget
+	}
+	offered := c.otherReplicas(copied.source)
+	if len(offered) == 0 {
+		return nil, errNoCopyTarget
+	}
+	budget := c.handler.budgets.get(c.service)
+	if !budget.Take(now, c.handler.Gateways()) {
+		return nil, errNoRetry
+	}
+	c.restarted, copied.paid, copied.takenAt = true, budget, now
+	return offered, nil
+}
+
 // otherReplicas returns replicas other than the given one that may have the request's data, those that hold the model
 // first.
 func (c *call) otherReplicas(source *Peer) []*Peer {
@@ -166,6 +187,12 @@
 // restartRun stops a run that no other replica can take, so that it goes on at its source with another response. The
 // source keeps the memory of the run, whatever becomes of the copy that another replica is offered.
 func (h *Handler) restartRun(ctx context.Context, copied *runCopy, offered []*Peer) {
+	defer func() {
+		if copied.target != copied.source {
+			copied.paid.GiveBack(copied.takenAt)
+			copied.paid = nil
+		}
+	}()
 	for _, copied.target = range offered {
 		reply, err := h.askForCopy(ctx, copied, true, copyTimeout)
 		copied.handle, copied.err = reply.Handle, err
@@ -274,7 +301,7 @@
 		c.reason += "; " + target.ID() + " has a copy of the run and takes no requests now"
 		return Choice{}, false
 	}
-	if !c.handler.budgets.get(c.service).Take(c.handler.options.Now(), c.handler.Gateways()) {
+	if copied.paid == nil && !c.handler.budgets.get(c.service).Take(c.handler.options.Now(), c.handler.Gateways()) {
 		c.reason += "; the retry budget is spent"
 		return Choice{}, false
 	}
--- a/src/exchange/runcopyfaults_test.go
+++ b/src/exchange/runcopyfaults_test.go
@@ -69,6 +69,26 @@
 	is.Equal(s.count("stop"), 0)
 }
 
+// A run that was stopped can't go on once the retry budget is spent.
+func TestARunIsNotStoppedWithoutARetryToGoOn(t *testing.T) {
+	is := is.New(t)
+	s, _ := newLoneSite(t, route(catalog.Streaming, 1), "z")
+	for s.handler.budgets.get("s").Take(time.Now(), 1) {
+	}
+	got := s.askLone()
+	is.Equal(events(got.body), allEvents())
+	is.Equal(s.count("stop"), 0)
+}
+
+func TestARunThatIsNotStoppedTakesNoRetry(t *testing.T) {
+	is := is.New(t)
+	s, _ := newLoneSite(t, route(catalog.Streaming, 1), "z")
+	s.stopped = func(a arrival) bool { a.answer(http.StatusServiceUnavailable, ""); return true }
+	s.askLone()
+	is.Equal(s.count("stop"), 1)
+	is.Equal(total(s.handler.budgets.get("s").repeats[:]), 0.0)
+}
+
 // A run is not offered to its own replica.
 func TestAnOrderToStopOffersTheRunToAReplicaOfItsService(t *testing.T) {
 	is := is.New(t)
