Don't stop a run at a server that takes no requests

Cause: a run that is stopped goes on by a request to its own server.

Ruled out: sending the request there all the same (it would reach a leaving server later than it may).

Change: a run is stopped only at a server that takes requests and needs no permit.

Conclusion: a server that begins to leave between the order and the request still leaves the stream broken off.

--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -29,6 +29,7 @@
 var (
 	errNoCopyTarget = errors.New("no other replica can take one")
 	errVainCopies   = errors.New("copies of this service's runs prove nothing")
+	errNotAccepting = errors.New("no other replica can take one, and its own takes no requests now")
 	errNoRetry      = errors.New("no other replica can take one, and the retry budget is spent")
 	errNoSuchRun    = errors.New("the run had ended before")
 )
@@ -160,6 +161,9 @@
 	if len(offered) == 0 {
 		return nil, errNoCopyTarget
 	}
+	if !c.handler.options.Fleet.acceptsWithoutPermit(copied.source) {
+		return nil, errNotAccepting
+	}
 	budget := c.handler.budgets.get(c.service)
 	if !budget.Take(now, c.handler.Gateways()) {
 		return nil, errNoRetry
--- a/src/exchange/runcopyfaults_test.go
+++ b/src/exchange/runcopyfaults_test.go
@@ -89,6 +89,16 @@
 	is.Equal(total(s.handler.budgets.get("s").repeats[:]), 0.0)
 }
 
+// A replica that leaves takes no requests, so that a run that was stopped there could not go on.
+func TestARunIsNotStoppedAtAReplicaThatTakesNoRequests(t *testing.T) {
+	is := is.New(t)
+	s, _ := newLoneSite(t, route(catalog.Streaming, 1), "z")
+	s.replicas[0].setAct(func(a arrival) bool { s.listLone(true); return s.serve(a) })
+	got := s.askLone()
+	is.Equal(events(got.body), allEvents())
+	is.Equal(s.count("stop"), 0)
+}
+
 // A run is not offered to its own replica.
 func TestAnOrderToStopOffersTheRunToAReplicaOfItsService(t *testing.T) {
 	is := is.New(t)
