Wait for the reply to the order to stop a run, whose stream ends before

Cause: the run stops first, and the reply comes once its memory has been copied, after the moves before it. The gateway waited 0.3 s from the end of the stream, and 1 s for the reply in all, so that a run that it had stopped itself ended after its first events. After a timeout the order was given again with another server, though it may have been taken.

Ruled out: waiting as long for a copy that was made without a stop: its stream has ended by itself.

Change: 2 s for the order, and as long for its reply at the end of the stream. An order without a reply is not repeated.

Conclusion: a reply that is lost or later than 2 s still leaves the stream worse off than without the order. That an order is not repeated is guarded by no test.

--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -19,6 +19,9 @@
 	// stopRunTimeout bounds the question that makes sure that a run has ended. The client waits for it at the end of
 	// its stream, as it does for the rest of a copy that is under way.
 	stopRunTimeout = 300 * time.Millisecond
+	// restartTimeout bounds the order to stop a run that is to go on with another response. Its stream may end long before
+	// the reply, which waits for other moves; clients give a stream up after two seconds of silence at the earliest.
+	restartTimeout = 2 * time.Second
 	// maxCopyTargets is how many replicas at most are offered the copy of a run.
 	maxCopyTargets = 3
 	// maxCopyReplyBytes is the longest reply to such a question that is read.
@@ -66,11 +69,23 @@
 	target *Peer
 	handle string
 	err    error
+	// restart is set if the run is stopped to go on at its source.
+	restart bool
 	// paid is the budget from which the retry was taken, at takenAt, before the run was stopped; nil if none was.
 	paid    *Budget
 	takenAt time.Time
 }
 
+// await waits for the end of the question for a copy and reports whether it has ended.
+func (r *runCopy) await(ctx context.Context) bool {
+	select {
+	case <-r.ended:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // fail ends the wait for a copy that is not made.
 func (r *runCopy) fail(reason error) {
 	r.err = reason
@@ -110,7 +125,7 @@
 			copied.fail(err)
 			return
 		}
-		secure = h.restartRun
+		secure, copied.restart = h.restartRun, true
 	}
 	go func() {
 		defer close(copied.ended)
@@ -198,7 +213,7 @@
 		}
 	}()
 	for _, copied.target = range offered {
-		reply, err := h.askForCopy(ctx, copied, true, copyTimeout)
+		reply, err := h.askForCopy(ctx, copied, true, restartTimeout)
 		copied.handle, copied.err = reply.Handle, err
 		switch {
 		case err != nil:
@@ -210,7 +225,8 @@
 			copied.target = copied.source
 		}
 		h.logCopy(copied)
-		if copied.target == copied.source || errors.Is(copied.err, errNoSuchRun) || ctx.Err() != nil {
+		// An order without a reply may have been taken.
+		if copied.target == copied.source || err != nil || reply.NoRun || ctx.Err() != nil {
 			return
 		}
 	}
@@ -316,11 +332,13 @@
 
 // endAtSource returns an error unless there is a copy of a run and its source works on it no more.
 func (c *call) endAtSource(ctx context.Context, copied *runCopy) error {
-	ctx, cancel := context.WithTimeout(ctx, stopRunTimeout)
+	timeout := stopRunTimeout
+	if copied.restart {
+		timeout = restartTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	select {
-	case <-copied.ended:
-	case <-ctx.Done():
+	if !copied.await(ctx) {
 		return errors.New("the copy is still being made")
 	}
 	if copied.err != nil || copied.target == copied.source {
--- a/src/exchange/runcopyfaults_test.go
+++ b/src/exchange/runcopyfaults_test.go
@@ -99,6 +99,22 @@
 	is.Equal(s.count("stop"), 0)
 }
 
+// The reply to the order to stop waits for the moves before it, while the stream has ended.
+func TestARunWhoseOrderToStopIsAnsweredLateGoesOn(t *testing.T) {
+	is := is.New(t)
+	s, stop := newLoneSite(t, route(catalog.Streaming, 1), "z")
+	s.stopped = func(a arrival) bool {
+		close(stop)
+		time.Sleep(2*stopRunTimeout + 700*time.Millisecond)
+		a.answer(http.StatusOK, "h2")
+		return true
+	}
+	got := s.askLone()
+	is.NoErr(got.err)
+	is.Equal(events(got.body), allEvents())
+	is.Equal(s.count("stop"), 1)
+}
+
 // A run is not offered to its own replica.
 func TestAnOrderToStopOffersTheRunToAReplicaOfItsService(t *testing.T) {
 	is := is.New(t)
