Read the name of a copy that is made after its client has left

Cause: the question for a copy ended with the request. If the client left or the stream broke off before the reply, the copy was made all the same, its name was not read, and nobody freed it: it held memory and a slot of another server until that let go of it by itself.

Ruled out: that dropCopy does not run: it does, and found no name.

Change: a question that was asked is read to its reply or its timeout. Another server is not asked any more, as before.

Conclusion: a copy that takes longer than the timeout of 1 s still has no name.

--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -148,10 +148,11 @@
 	return targets
 }
 
-// makeCopy has a run copied to the first of the replicas that takes the copy.
+// makeCopy has a run copied to the first of the replicas that takes the copy. A question is not given up once it is asked:
+// its reply names the copy, which can't be freed otherwise.
 func (h *Handler) makeCopy(ctx context.Context, copied *runCopy, targets []*Peer) {
 	for _, copied.target = range targets {
-		reply, err := h.askForCopy(ctx, copied, false, copyTimeout)
+		reply, err := h.askForCopy(context.WithoutCancel(ctx), copied, false, copyTimeout)
 		copied.handle, copied.err = reply.Handle, err
 		switch {
 		case err != nil:
@@ -213,7 +214,7 @@
 		}
 	}()
 	for _, copied.target = range offered {
-		reply, err := h.askForCopy(ctx, copied, true, restartTimeout)
+		reply, err := h.askForCopy(context.WithoutCancel(ctx), copied, true, restartTimeout)
 		copied.handle, copied.err = reply.Handle, err
 		switch {
 		case err != nil:
--- a/src/exchange/runcopyfaults_test.go
+++ b/src/exchange/runcopyfaults_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -115,6 +116,33 @@
 	is.Equal(s.count("stop"), 1)
 }
 
+// Nobody could free a copy whose name was not read.
+func TestACopyThatIsMadeAfterItsClientHasLeftIsFreed(t *testing.T) {
+	is := is.New(t)
+	s := newCopySite(t, route(catalog.Streaming, 1))
+	hold := make(chan struct{})
+	s.source = func(a arrival) int {
+		writeEvents(a, 1, 1)
+		<-hold
+		return 1
+	}
+	s.copied = func(a arrival) bool {
+		time.Sleep(100 * time.Millisecond)
+		a.answer(http.StatusOK, "h1")
+		return true
+	}
+	ctx, leave := context.WithTimeout(context.Background(), time.Second)
+	defer leave()
+	go func() {
+		s.await("copy")
+		leave()
+	}()
+	s.doIn(ctx, "POST", "one", "x", testModel+": m")
+	close(hold)
+	s.awaitHandlers()
+	is.True(s.await("drop h1"))
+}
+
 // A run is not offered to its own replica.
 func TestAnOrderToStopOffersTheRunToAReplicaOfItsService(t *testing.T) {
 	is := is.New(t)
