Tests of copies that no change to the code made fail

Cause: 22 changes to the code of copies, one at a time, against its tests: among those that none noticed were a copy of framed streams too, one server that is offered a copy instead of three, no retry taken for the rest, and an order to stop that is repeated after a lost reply.

Ruled out: changes that another check makes up for (whether the server of a copy takes requests is asked again as the request is sent).

Change: three tests more; TestAFramedStreamIsNotCopied lasts as long as a question takes, so that it fails if one is sent.

Conclusion: not noticed still: another server's attempt having ended (settled), the check of the software at the server of a copy, deadlines left on a connection that is kept, a count of vain copies that other ends raise, a copy dropped for one of another run.

--- a/src/exchange/runcopy_test.go
+++ b/src/exchange/runcopy_test.go
@@ -43,7 +43,7 @@
 func newCopySite(t *testing.T, r catalog.Route) *copySite { return newCopySiteIn(t, r, "z", "z") }
 
 // newCopySiteIn returns a copySite whose replicas are in the given zones.
-func newCopySiteIn(t *testing.T, r catalog.Route, x, y string) *copySite {
+func newCopySiteIn(t *testing.T, r catalog.Route, zones ...string) *copySite {
 	s := &copySite{
 		source: func(a arrival) int { return writeEvents(a, 1, copyEvents) },
 		rest: func(a arrival) bool {
@@ -58,8 +58,8 @@
 		copied:  func(a arrival) bool { a.answer(http.StatusOK, "h1"); return true },
 		stopped: func(a arrival) bool { a.answer(http.StatusNotFound, ""); return true },
 	}
-	for i, zone := range []string{x, y} {
-		f := newReplica(t, []string{"x", "y"}[i], s.serve)
+	for i, zone := range zones {
+		f := newReplica(t, string(rune('x'+i)), s.serve)
 		f.copies, f.zone = s.serveCopies, zone
 		s.replicas = append(s.replicas, f)
 	}
@@ -315,6 +315,8 @@
 		f.setAct(func(a arrival) bool {
 			a.head()
 			a.event(1)
+			time.Sleep(5 * copyPause) // as long as a question takes
+			a.event(2)
 			a.endStream()
 			return true
 		})
--- a/src/exchange/runcopyfaults_test.go
+++ b/src/exchange/runcopyfaults_test.go
@@ -14,8 +14,8 @@
 )
 
 // newLoneSite has a replica that alone holds a model. The run there goes on until it is stopped, or ends by itself.
-func newLoneSite(t *testing.T, r catalog.Route, otherZone string) (s *copySite, stop chan struct{}) {
-	s = newCopySiteIn(t, r, "z", otherZone)
+func newLoneSite(t *testing.T, r catalog.Route, otherZones ...string) (s *copySite, stop chan struct{}) {
+	s = newCopySiteIn(t, r, append([]string{"z"}, otherZones...)...)
 	stop = make(chan struct{})
 	s.source = func(a arrival) int {
 		writeEvents(a, 1, 2)
@@ -158,3 +158,61 @@
 	is.NoErr(got.err)
 	is.True(strings.Contains(offered, s.replicas[1].listener.Addr().String()))
 }
+
+// An order whose reply is lost may have been taken.
+func TestAnOrderToStopWithoutAReplyIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	s, stop := newLoneSite(t, route(catalog.Streaming, 1), "z", "z")
+	s.stopped = func(arrival) bool { close(stop); return false }
+	is.True(s.askLone().err != nil) // the stream looks complete
+	is.Equal(s.count("stop"), 1)
+}
+
+// One replica without room broke off all streams without framing.
+func TestACopyThatOneReplicaRefusesIsOfferedToAnother(t *testing.T) {
+	is := is.New(t)
+	s := newCopySiteIn(t, route(catalog.Streaming, 1), "z", "z", "z")
+	refused := false
+	s.copied = func(a arrival) bool {
+		if !refused {
+			refused = true
+			a.answer(http.StatusServiceUnavailable, "")
+			return true
+		}
+		a.answer(http.StatusOK, "h1")
+		return true
+	}
+	got := s.ask("HTTP/1.1")
+	is.NoErr(got.err)
+	is.Equal(events(got.body), allEvents())
+	is.Equal(s.count("copy"), 2)
+}
+
+func TestARestIsNotAskedForBeyondTheRetryBudgetOrAtAReplicaThatLeaves(t *testing.T) {
+	for name, change := range map[string]func(s *copySite, source string){
+		"budget": func(s *copySite, _ string) {
+			for s.handler.budgets.get("s").Take(time.Now(), 1) {
+			}
+		},
+		"leaves": func(s *copySite, source string) {
+			for _, f := range s.replicas {
+				f.draining = f.id != source
+			}
+			s.register(s.replicas...)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newCopySite(t, route(catalog.Streaming, 1))
+			s.stopped = func(a arrival) bool {
+				change(s, a.replica)
+				a.answer(http.StatusNotFound, "")
+				return true
+			}
+			got := s.ask("HTTP/1.1")
+			is.True(got.err != nil) // the stream looks complete
+			is.True(s.await("drop h1"))
+			is.Equal(s.taken(), []string{"run", "copy", "stop", "drop h1"})
+		})
+	}
+}
