Bound how often a stream goes on from copies

Cause: a rest that ends with its connection has a copy of its own made, and so on: one request of a route with one attempt ran at all servers of its service but one, each time with a further copy and retry.

Ruled out: the count of vain copies (16 in a row, of all requests) and the retry budget, which do not bound one request.

Change: no copy is made for a request that was sent as often as one may be that no server runs (maxSends).

Conclusion: whether a copy counts for the attempts of a route is not settled by this.

--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -106,7 +106,7 @@
 // copyRun has the run of a response that ends with its connection copied to another replica. Once the connection is
 // closed, that replica shows whether something is missing: what it goes on with counts as the same run.
 func (c *call) copyRun(ctx context.Context, source *Peer) {
-	if !c.supportsMoves || c.stream.lastEventID == "" || c.copied != nil && c.copied.source == source {
+	if !c.supportsMoves || c.sends >= maxSends || c.stream.lastEventID == "" || c.copied != nil && c.copied.source == source {
 		return
 	}
 	c.dropCopy()
--- a/src/exchange/runcopyfaults_test.go
+++ b/src/exchange/runcopyfaults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -216,3 +218,21 @@
 		})
 	}
 }
+
+// Each replica of the service got a copy of a stream that none of them frames, and took a retry of the budget.
+func TestAStreamWithoutFramingDoesNotGoThroughAllReplicas(t *testing.T) {
+	is := is.New(t)
+	s := newCopySiteIn(t, route(catalog.Streaming, 1), "z", "z", "z", "z", "z", "z", "z", "z")
+	s.source = func(a arrival) int { return writeEvents(a, 1, 1) }
+	s.rest = func(a arrival) bool {
+		after, _ := strconv.Atoi(a.request.Header.Get(testAfter))
+		return unframed(http.StatusOK, fmt.Sprintf("id: %d\ndata: 1\n\n", after+1), false)(a)
+	}
+	is.True(s.ask("HTTP/1.1").err != nil) // the stream looks complete
+	arrivals := 0
+	for _, f := range s.replicas {
+		arrivals += f.count()
+	}
+	is.Equal(arrivals, maxSends)
+	is.Equal(s.count("copy"), maxSends-1)
+}
