--- a/src/endproof/doc.go
+++ b/bench/endproof/doc.go
@@ -19,5 +19,5 @@
 // end streams before one is checked. And streams of which every run at every server ends after the same event look like
 // whole ones to WeaklyWhole, in any number.
 //
-// No process uses it: docs/design/ends.md says why. The package has no clock and no I/O; the present time is an argument.
+// No process uses it: docs/design/close-evidence.md says why. The package has no clock and no I/O; the present time is an argument.
 package endproof
