Product's own gateway, planner: what backend servers send without end is cut off

Cause: bodies of plain answers, of refusals and of engines' reports were read to their end, however long, chunk sizes and trailers too. The HTTP library reads a body that ends with its connection whole before it returns it, and the rest of each body that is closed early. Events were limited by the line, not as a whole.

Ruled out: heads (cut off at 32 KB, 16 interim responses before as after); lines of an event (64 KB by the reader of events); the fleet's gateway and control node, which have limits in each place.

Change: a connection keeps at most 64 KB of what stands between and behind chunks, or the longest body that its client keeps whole (plain services 16 MB, reports and answers to orders 1 MB, streams 8 MB if they have neither a length nor chunks); an event with the comments before it takes at most 128 KB; the rest of a body is read up to 64 KB, then its connection is closed. The list of reads covers these packages now.

Conclusion: a server's bytes take bounded memory for each request here too. What all requests together keep is not limited here, other than by the slots of the servers; the platform's list of hosts has no limit.

--- a/src/dial/dialer.go
+++ b/src/dial/dialer.go
@@ -43,14 +43,15 @@
 	Conns int
 	// Reuse enables keep-alive connections.
 	Reuse bool
-	// Stream makes response bodies available while they are received.
-	Stream bool
+	// MaxBody is the longest body of a response that is kept whole.
+	MaxBody int
 }
 
 // Client is an HTTP client whose responses can be aborted. It is safe for concurrent use.
 type Client struct {
 	*client.Client
-	dialer *dialer
+	dialer  *dialer
+	maxBody int
 }
 
 // maxIdleTime is how long an unused connection is kept. It is shorter than the idle timeout of backend
@@ -59,7 +60,7 @@
 
 // New returns a client. cut simulates network partitions in tests and may be nil.
 func New(cut *fault.Cut, options Options) (*Client, error) {
-	d := &dialer{Dialer: cut.NewDialer(), conns: map[endpoints]*trackedConn{}}
+	d := &dialer{Dialer: cut.NewDialer(), maxBody: options.MaxBody, conns: map[endpoints]*trackedConn{}}
 	c, err := client.NewClient(
 		client.WithDialer(d),
 		client.WithDialTimeout(options.Dial),
@@ -68,13 +69,13 @@
 		client.WithMaxConnsPerHost(options.Conns),
 		client.WithMaxIdleConnDuration(maxIdleTime),
 		client.WithKeepAlive(options.Reuse),
-		client.WithResponseBodyStream(options.Stream),
+		client.WithResponseBodyStream(true),
 		client.WithNoDefaultUserAgentHeader(true),
 	)
 	if err != nil {
 		return nil, errors.Wrap(err, "creating an HTTP client")
 	}
-	return &Client{Client: c, dialer: d}, nil
+	return &Client{Client: c, dialer: d, maxBody: options.MaxBody}, nil
 }
 
 // Abort closes the connection of a response. Reading the response fails at once, and the
@@ -98,8 +99,9 @@
 
 type dialer struct {
 	network.Dialer
-	mu    sync.Mutex
-	conns map[endpoints]*trackedConn
+	maxBody int
+	mu      sync.Mutex
+	conns   map[endpoints]*trackedConn
 }
 
 // DialConnection connects and registers the connection by its endpoints.
@@ -109,7 +111,7 @@
 		return nil, &Error{address: address, cause: err}
 	}
 	ends := endpointsOf(conn.LocalAddr(), conn.RemoteAddr())
-	tracked := &trackedConn{Conn: conn, dialer: d, ends: ends}
+	tracked := &trackedConn{Conn: conn, dialer: d, ends: ends, maxKept: d.maxBody}
 	d.mu.Lock()
 	d.conns[ends] = tracked
 	d.mu.Unlock()
@@ -148,6 +150,8 @@
 	headPending bool
 	// readErr is the first error of a read since the last request.
 	readErr error
+	// kept is how many bytes were read since the last release of their memory, maxKept how many there may be.
+	kept, maxKept int
 }
 
 // Close closes the connection once.
@@ -170,6 +174,8 @@
 		return &Error{address: c.RemoteAddr().String(), cause: net.ErrClosed}
 	}
 	c.headPending, c.readErr = true, nil
+	// Hertz reads a body that ends with its connection whole before it returns the response.
+	c.kept, c.maxKept = 0, c.dialer.maxBody
 	return c.Conn.SetWriteTimeout(t)
 }
 
@@ -181,10 +187,25 @@
 		}
 		c.headPending = false
 	}
+	if n > c.Len() && c.kept+n > c.maxKept {
+		return nil, c.noteRead(errTooLong)
+	}
 	p, err := c.Conn.Peek(n)
 	return p, c.noteRead(err)
 }
 
+// Skip discards the next n bytes.
+func (c *trackedConn) Skip(n int) error {
+	c.kept += n
+	return c.Conn.Skip(n)
+}
+
+// Release releases the memory of the bytes that were read.
+func (c *trackedConn) Release() error {
+	c.kept = 0
+	return c.Conn.Release()
+}
+
 // Read reads bytes of a body.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -193,7 +214,11 @@
 
 // ReadByte reads one byte of a body.
 func (c *trackedConn) ReadByte() (byte, error) {
+	if c.kept >= c.maxKept {
+		return 0, c.noteRead(errTooLong)
+	}
 	p, err := c.Conn.ReadByte()
+	c.kept++
 	return p, c.noteRead(err)
 }
 
--- a/src/dial/response.go
+++ b/src/dial/response.go
@@ -18,12 +18,23 @@
 	maxInterimResponses = 16
 )
 
+// Limits of what a body is read from.
+const (
+	// maxKeptBytes limits what is kept of what stands between chunks and behind them. It is larger than a read.
+	maxKeptBytes = 64 << 10
+	// maxReadBytes limits a read: all that is asked for of a chunk is kept until it has arrived.
+	maxReadBytes = 16 << 10
+	// maxRestBytes limits what is read of a body to use its connection again.
+	maxRestBytes = 64 << 10
+)
+
 // lengthUntilClose is how Hertz marks a body that ends with its connection.
 const lengthUntilClose = -2
 
 var (
 	errHeadTooLong = errors.New("the head of the response is too long")
 	errFoldedField = errors.New("the head of the response has a folded field")
+	errTooLong     = errors.New("the response is too long")
 	errInterim     = errors.New("there are too many interim responses")
 )
 
@@ -45,6 +56,7 @@
 	if conn == nil {
 		return errors.New("the connection was closed")
 	}
+	conn.maxKept = maxKeptBytes
 	body := &body{stream: response.BodyStream(), conn: conn, endsByClose: EndsByClose(response)}
 	response.ConstructBodyStream(response.BodyBuffer(), body)
 	return nil
@@ -56,26 +68,65 @@
 	stream      io.Reader
 	conn        *trackedConn
 	endsByClose bool
+	// ended is set once the whole body was read.
+	ended bool
 }
 
 // Read returns io.EOF only at the end of the whole body.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.stream.Read(p)
+	n, err := b.stream.Read(p[:min(len(p), maxReadBytes)])
 	failed := b.conn.readErr
 	if err == io.EOF && failed != nil && !(b.endsByClose && failed == io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
+	b.ended = b.ended || err == io.EOF
 	return n, err
 }
 
-// Close releases the connection.
+// Close releases the connection, and closes it if the body is not about to end: Hertz would read the rest, however
+// long.
 func (b *body) Close() error {
+	if !b.ended && !b.conn.closed.Load() {
+		_, _ = io.Copy(io.Discard, io.LimitReader(b, maxRestBytes))
+	}
+	if !b.ended {
+		_ = b.conn.Close()
+	}
 	if closer, ok := b.stream.(io.Closer); ok {
 		return closer.Close()
 	}
 	return nil
 }
 
+// ReadBody reads the rest of the body of a response and closes it. It returns an error if it is longer than
+// Options.MaxBody.
+func (c *Client) ReadBody(response *protocol.Response) ([]byte, error) {
+	if !response.IsBodyStream() {
+		return response.Body(), nil
+	}
+	defer func() { _ = response.CloseBodyStream() }()
+	if b, found := response.BodyStream().(*body); found && errors.Is(b.conn.readErr, errTooLong) {
+		return nil, errTooLong
+	}
+	read, err := io.ReadAll(io.LimitReader(response.BodyStream(), int64(c.maxBody)+1))
+	if err == nil && len(read) > c.maxBody {
+		err = errTooLong
+	}
+	return read, err
+}
+
+// ReadStart returns up to n bytes of the body of a response and closes it.
+func ReadStart(response *protocol.Response, n int) []byte {
+	if !response.IsBodyStream() {
+		body := response.Body()
+		return body[:min(n, len(body))]
+	}
+	defer func() { _ = response.CloseBodyStream() }()
+	// What was read before an error tells as much.
+	start, _ := io.ReadAll(io.LimitReader(response.BodyStream(), int64(n)))
+	return start
+}
+
 // awaitHead waits for the head of a response and passes over interim ones. It returns an error for a head
 // that is incomplete or ambiguous, some of which Hertz accepts.
 func (c *trackedConn) awaitHead() error {
--- a/src/engine/client.go
+++ b/src/engine/client.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/pkg/errors"
 
+	"github.com/moorspool/moorspool/src/dial"
 	"github.com/moorspool/moorspool/src/fault"
 )
 
@@ -19,22 +19,24 @@
 	controlTimeout = time.Second
 )
 
+const (
+	// maxControlConns limits the control calls to one engine at a time.
+	maxControlConns = 512
+	// maxReportBytes limits a report, and an answer to an order. A report takes some hundred bytes for each copy.
+	maxReportBytes = 1 << 20
+)
+
 // ControlClient is a client of the engines' control interface: it fetches reports and
 // sends orders. It is safe for concurrent use.
 type ControlClient struct {
-	client *client.Client
+	client *dial.Client
 	count  func(in, out int)
 }
 
 // NewControlClient returns a client of the engines' control interface. It calls count
 // with the bytes received and sent in each exchange.
 func NewControlClient(cut *fault.Cut, count func(in, out int)) (*ControlClient, error) {
-	c, err := client.NewClient(
-		client.WithDialer(cut.NewDialer()),
-		client.WithDialTimeout(dialTimeout),
-		client.WithClientReadTimeout(controlTimeout),
-		client.WithWriteTimeout(controlTimeout),
-	)
+	c, err := dial.New(cut, dial.Options{Dial: dialTimeout, Read: controlTimeout, Write: controlTimeout, Conns: maxControlConns, Reuse: true, MaxBody: maxReportBytes})
 	if err != nil {
 		return nil, errors.Wrap(err, "creating the engine client")
 	}
@@ -80,9 +82,13 @@
 	if err := c.client.Do(ctx, request, response); err != nil {
 		return errors.Wrap(err, "calling an engine")
 	}
-	c.count(len(response.Header.Header())+len(response.Body()), len(request.Header.Header())+len(body))
+	answer, err := c.client.ReadBody(response)
+	if err != nil {
+		return errors.Wrap(err, "reading an engine's response")
+	}
+	c.count(len(response.Header.Header())+len(answer), len(request.Header.Header())+len(body))
 	if status := response.StatusCode(); status != consts.StatusOK {
 		return errors.Errorf("the engine answered %d", status)
 	}
-	return errors.Wrap(json.Unmarshal(response.Body(), reply), "decoding an engine's response")
+	return errors.Wrap(json.Unmarshal(answer, reply), "decoding an engine's response")
 }
--- a/src/engine/stream.go
+++ b/src/engine/stream.go
@@ -16,8 +16,14 @@
 	"github.com/moorspool/moorspool/src/fault"
 )
 
-// maxConns limits the connections to one engine.
-const maxConns = 4096
+const (
+	// maxConns limits the connections to one engine.
+	maxConns = 4096
+	// maxEventBytes limits an event with the comments before it. The reader of events limits each line to half of it.
+	maxEventBytes = 128 << 10
+	// maxUnframedBytes limits a stream with neither a length nor chunks, which the HTTP library reads to its end first.
+	maxUnframedBytes = 8 << 20
+)
 
 // Request is a completion request to an engine. Its body requests a stream.
 type Request struct {
@@ -74,6 +80,9 @@
 // eventError is the type of the event by which a server ends a stream early.
 const eventError = "error"
 
+// errEventTooLong means that an event, or the comments before it, exceed maxEventBytes.
+var errEventTooLong = errors.New("an event is too long")
+
 // ErrBroken means that a stream ended without its end mark.
 var ErrBroken = errors.New("the stream broke before its end")
 
@@ -86,12 +95,12 @@
 // in which an engine sends nothing.
 func NewStreamClient(cut *fault.Cut, tokenWait time.Duration) (*StreamClient, error) {
 	c, err := dial.New(cut, dial.Options{
-		Dial:   dialTimeout,
-		Read:   tokenWait,
-		Write:  controlTimeout,
-		Conns:  maxConns,
-		Reuse:  true,
-		Stream: true,
+		Dial:    dialTimeout,
+		Read:    tokenWait,
+		Write:   controlTimeout,
+		Conns:   maxConns,
+		Reuse:   true,
+		MaxBody: maxUnframedBytes,
 	})
 	return &StreamClient{client: c}, err
 }
@@ -102,6 +111,7 @@
 	client   *dial.Client
 	request  *protocol.Request
 	response *protocol.Response
+	body     *eventBody
 	reader   *sse.Reader
 	event    *sse.Event
 	load     Load
@@ -125,7 +135,8 @@
 		stream.Close()
 		return nil, failure
 	}
-	response.ConstructBodyStream(response.BodyBuffer(), &eventBody{stream: response.BodyStream()})
+	stream.body = &eventBody{stream: response.BodyStream()}
+	response.ConstructBodyStream(response.BodyBuffer(), stream.body)
 	reader, err := sse.NewReader(response)
 	if err != nil {
 		stream.Close()
@@ -138,11 +149,19 @@
 
 // eventBody is the body of a stream. At the end of a body the reader of events passes on an event that was
 // cut off there, so that end is an error: a stream ends with an event.
-type eventBody struct{ stream io.Reader }
+type eventBody struct {
+	stream io.Reader
+	// sinceEvent is how many bytes were read since the last event.
+	sinceEvent int
+}
 
 // Read never returns io.EOF.
 func (b *eventBody) Read(p []byte) (int, error) {
+	if b.sinceEvent > maxEventBytes {
+		return 0, errEventTooLong
+	}
 	n, err := b.stream.Read(p)
+	b.sinceEvent += n
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF
 	}
@@ -183,14 +202,14 @@
 func responseFailure(response *protocol.Response) *Failure {
 	status := response.StatusCode()
 	const maxErrorBody = 300
-	body := response.Body()
+	body := dial.ReadStart(response, maxErrorBody)
 	return &Failure{
 		NotRun:  response.Header.Get(HeaderNotRun) == "true",
 		Leaving: response.Header.Get(HeaderLeaving) == "true",
 		Missing: status == consts.StatusNotFound,
 		Busy:    status == consts.StatusTooManyRequests,
 		Status:  status,
-		cause:   errors.Errorf("the engine answered %d %s", status, body[:min(len(body), maxErrorBody)]),
+		cause:   errors.Errorf("the engine answered %d %s", status, body),
 	}
 }
 
@@ -227,6 +246,7 @@
 	if err := s.reader.Read(s.event); err != nil {
 		return Token{}, errors.Wrap(ErrBroken, err.Error())
 	}
+	s.body.sinceEvent = 0
 	if string(s.event.Data) == StreamEnd {
 		s.complete, s.ended = true, true
 		return Token{}, io.EOF
--- a/src/exchange/reads_test.go
+++ b/src/exchange/reads_test.go
@@ -32,15 +32,21 @@
 	"platform putConfiguration":      "an operator's body, maxBodyBytes",
 	"platform decodeHeartbeat":       "maxHeartbeatBytes: TestHeartbeatWithoutEndIsRefused",
 	"platform unknownFields":         "what decodeHeartbeat has read",
+	"src/dial awaitHead":             "maxHeadBytes, maxInterimResponses: TestPlainAnswersWithoutEndAreCutOff",
+	"src/dial Close":                 "maxRestBytes, maxKeptBytes: TestPlainAnswersWithoutEndAreCutOff",
+	"src/dial ReadBody":              "Options.MaxBody, maxKeptBytes: TestPlainAnswersWithoutEndAreCutOff, TestAnswersWithoutEndToControlNodesAreCutOff",
+	"src/dial ReadStart":             "its argument, maxKeptBytes: TestStreamsWithoutEndAreCutOff",
+	"src/engine Open":                "maxEventBytes: TestStreamsWithoutEndAreCutOff",
+	"src/discovery Read":             "none; the platform's list",
 }
 
 // readCall matches the calls by which bytes of a connection or a body are read.
-var readCall = regexp.MustCompile(`^(http\.ReadResponse|io\.(ReadAll|ReadFull|ReadAtLeast|Copy\w*)|json\.NewDecoder|bufio\.New\w+|.*\.Body\.Read)$`)
+var readCall = regexp.MustCompile(`^(http\.ReadResponse|io\.(ReadAll|ReadFull|ReadAtLeast|Copy\w*)|json\.NewDecoder|bufio\.New\w+|.*\.Body\.Read|response\.BodyE?|sse\.NewReader)$`)
 
 func TestEachReadOfWhatOthersSendHasALimit(t *testing.T) {
 	is := is.New(t)
 	found := map[string]bool{}
-	for _, folder := range []string{"src/exchange", "src/fleet", "src/placer", "platform"} {
+	for _, folder := range []string{"src/exchange", "src/fleet", "src/placer", "platform", "src/dial", "src/discovery", "src/engine", "src/gateway", "src/service"} {
 		for _, file := range sourceFiles(t, filepath.Join("../..", folder)) {
 			parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
 			is.NoErr(err)
--- a/src/gateway/relay_bench_test.go
+++ b/src/gateway/relay_bench_test.go
@@ -44,7 +44,7 @@
 func bareRelay(b *testGateway, target string) string {
 	ln := listen(b.t)
 	h := process.NewServer(ln, 1<<20)
-	client, err := dial.New(nil, dial.Options{Dial: time.Second, Read: time.Second, Write: time.Second, Conns: 4096, Reuse: true, Stream: true})
+	client, err := dial.New(nil, dial.Options{Dial: time.Second, Read: time.Second, Write: time.Second, Conns: 4096, Reuse: true, MaxBody: 1 << 20})
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/src/service/client.go
+++ b/src/service/client.go
@@ -18,6 +18,8 @@
 	dialTimeout  = 500 * time.Millisecond
 	writeTimeout = 2 * time.Second
 	maxConns     = 1024
+	// maxAnswerBytes is the longest answer: it is kept whole until it is passed on.
+	maxAnswerBytes = 16 << 20
 )
 
 // HeaderKey is the header of a call's idempotency key, after the IETF draft "The Idempotency-Key
@@ -74,7 +76,7 @@
 
 // New returns a client; wait bounds each read from a service.
 func New(cut *fault.Cut, wait time.Duration) (*Client, error) {
-	options := dial.Options{Dial: dialTimeout, Read: wait, Write: writeTimeout, Conns: maxConns, Reuse: true, Stream: true}
+	options := dial.Options{Dial: dialTimeout, Read: wait, Write: writeTimeout, Conns: maxConns, Reuse: true, MaxBody: maxAnswerBytes}
 	pooled, err := dial.New(cut, options)
 	if err != nil {
 		return nil, err
@@ -110,14 +112,14 @@
 		return Answer{}, &Failure{NotRun: true, Leaving: leaving, Status: status, cause: errors.Errorf("the service answered %d, not run", status)}
 	}
 	endsByClose := dial.EndsByClose(response)
-	body, err := response.BodyE()
+	body, err := client.ReadBody(response)
 	if err != nil {
 		return Answer{}, &Failure{cause: errors.Wrap(err, "the answer broke off")}
 	}
 	return Answer{
 		Status:      response.StatusCode(),
 		ContentType: string(response.Header.ContentType()),
-		Body:        append([]byte(nil), body...),
+		Body:        body,
 		EndsByClose: endsByClose,
 		Load:        engine.ResponseLoad(response),
 	}, nil
