LOST: an end that has arrived as a stop cuts its response off is read

Cause: at the end of a stop the connection to a server was closed 20 ms after the limit. A close drops what the kernel holds and ends a read that waits, so an end that had arrived, and whose reader had not run since, was lost: on a busy host a reader runs milliseconds late.

Ruled out: a read deadline in place of the close (it ends the read without looking what has arrived); a longer grace alone (the same race at its end); the way to the client (its connection stays open for 0.2 s).

Change: after the 20 ms the connection is shut for reading: its reader gets what has arrived and then an end, which is an error, since a response to the close must not be taken for whole. It closes 20 ms later at the latest.

Conclusion: what has arrived in time no longer depends on when its reader runs, up to 20 ms. What its server writes later is cut off, as decided.

--- a/src/exchange/conn.go
+++ b/src/exchange/conn.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +49,8 @@
 	answered bool
 	// saidLeaving is set once a response on it said that the replica is leaving.
 	saidLeaving bool
+	// readingEnded is set once endReading was called.
+	readingEnded atomic.Bool
 }
 
 // pool keeps idle connections to one incarnation of a replica. The most recently used one is taken
@@ -135,7 +139,27 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: newResponseReader(raw)}
+	c := &conn{raw: raw}
+	c.reader = newResponseReader(c)
+	return c
+}
+
+// Read reads from the connection. An end that endReading has made is an error, not the end of a response.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.raw.Read(p)
+	if err == io.EOF && c.readingEnded.Load() {
+		err = net.ErrClosed
+	}
+	return n, err
+}
+
+// endReading lets the reader of the connection read what has arrived and nothing else. A close would drop it.
+func (c *conn) endReading() {
+	c.readingEnded.Store(true)
+	half, found := c.raw.(interface{ CloseRead() error })
+	if !found || half.CloseRead() != nil {
+		_ = c.raw.Close()
+	}
 }
 
 // connect dials until a connection is established, one is refused, or the time is over.
--- a/src/exchange/send.go
+++ b/src/exchange/send.go
@@ -160,19 +160,28 @@
 // tenth of the half second after which no replica may still work for a client that has left.
 const abortGrace = 50 * time.Millisecond
 
-// cutOffGrace is how long the connection of a response stays open as the gateway's stop ends: a replica that has sent
-// everything need not be at work any more.
+// cutOffGrace is how long the connection of a response stays open as the gateway's stop ends, and then how long what has
+// arrived by then may take to be read: a replica that has sent everything need not be at work any more.
 const cutOffGrace = 20 * time.Millisecond
 
 // abortAfterGrace closes the connection of a request that was cancelled for a cause.
 func (a *replicaResponse) abortAfterGrace(cause error) {
+	closeConn := func() { _ = a.conn.raw.Close() }
+	end := closeConn
+	cutOff := errors.Is(cause, errCutOff)
+	if cutOff {
+		end = func() {
+			a.conn.endReading()
+			time.AfterFunc(cutOffGrace, closeConn)
+		}
+	}
 	switch {
 	case !a.headRead.Load():
-		time.AfterFunc(abortGrace, func() { _ = a.conn.raw.Close() })
-	case errors.Is(cause, errCutOff):
-		time.AfterFunc(cutOffGrace, func() { _ = a.conn.raw.Close() })
+		time.AfterFunc(abortGrace, end)
+	case cutOff:
+		time.AfterFunc(cutOffGrace, end)
 	default:
-		_ = a.conn.raw.Close()
+		closeConn()
 	}
 }
 
--- a/src/fault/links.go
+++ b/src/fault/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"sync"
@@ -95,6 +96,15 @@
 // SyscallConn lets callers look for bytes that have arrived.
 func (c *linkConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
 
+// CloseRead ends reading once what has arrived was read.
+func (c *linkConn) CloseRead() error {
+	half, found := c.Conn.(interface{ CloseRead() error })
+	if !found {
+		return errors.ErrUnsupported
+	}
+	return half.CloseRead()
+}
+
 // SetDeadline sets the deadline, which also ends reads while the link hangs.
 func (c *linkConn) SetDeadline(t time.Time) error {
 	c.deadline.Store(0)
