Events: what other processes send is kept up to 4 KB

Cause: the reason of an event holds the text of what a server sent as its head, quoted by the HTTP library: up to 128 KB for a line of 32 KB that is no answer. The latest 4,096 events of a process keep it, and each line of its log that waits.

Ruled out: heads of over 32 KB (their error has a place and a number), header lines, reason phrases, chunks (the test has each of them).

Change: a text of an event is cut at 4 KB, a name at 1 KB, as it is added.

Conclusion: short bytes that are no answer, sent often, take little memory too.

--- a/src/event/ring.go
+++ b/src/event/ring.go
@@ -2,12 +2,21 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 )
 
+// Limits of an event's texts, parts of which other processes send.
+const (
+	// maxReasonBytes is more than what the reasons of a request with several attempts take.
+	maxReasonBytes = 4 << 10
+	// maxNameBytes limits the names of what an event is about.
+	maxNameBytes = 1 << 10
+)
+
 // Event records one decision.
 type Event struct {
 	Seq      uint64    `json:"seq"`
@@ -88,11 +97,28 @@
 	})
 }
 
-// Add sets the event's number, time and process, stores and logs it, and returns the number.
+// shorten cuts the texts of an event. A part of a text would keep the whole of it in memory.
+func (e *Event) shorten() {
+	for _, text := range []*string{&e.Reason, &e.Rejected} {
+		cut(text, maxReasonBytes)
+	}
+	for _, text := range []*string{&e.Request, &e.Model, &e.Host, &e.Zone} {
+		cut(text, maxNameBytes)
+	}
+}
+
+func cut(text *string, limit int) {
+	if len(*text) > limit {
+		*text = strings.ToValidUTF8(strings.Clone((*text)[:limit]), "")
+	}
+}
+
+// Add sets the event's number, time and process, stores and logs it, and returns the number. Long texts are cut.
 func (r *Ring) Add(e Event) uint64 {
 	if r == nil {
 		return 0
 	}
+	e.shorten()
 	r.mu.Lock()
 	e.Seq = r.next
 	e.At = r.now()
--- a/src/exchange/endless_test.go
+++ b/src/exchange/endless_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/moorspool/moorspool/src/catalog"
+	"github.com/moorspool/moorspool/src/event"
 	"github.com/moorspool/moorspool/src/registry"
 )
 
@@ -333,3 +334,36 @@
 	meanwhile()
 	return response.StatusCode
 }
+
+// TestWhatReplicasSendTakesLittleMemoryInTheEvents: the latest events kept up to 128 KB of each head that was no answer.
+func TestWhatReplicasSendTakesLittleMemoryInTheEvents(t *testing.T) {
+	const events, maxHeld = 512, 8 << 20
+	long := strings.Repeat("\x01", 30_000)
+	for name, head := range map[string]string{
+		"status line":   long + "\r\n\r\n",
+		"header line":   "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"reason phrase": "HTTP/1.1 503 " + strings.Repeat("x", 30_000) + "\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"failure":       "HTTP/1.1 500 " + strings.Repeat("x", 30_000) + "\r\nContent-Length: 0\r\n\r\n",
+		"chunk":         "HTTP/1.1 200 OK\r\n" + chunkedBody + "\r\n" + strings.Repeat("x", 4000) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			x := newReplica(t, "x", func(a arrival) bool {
+				_, _ = io.WriteString(a.conn, head)
+				return false
+			})
+			b := newBench(t, route(catalog.Unsafe, 1), x)
+			ring := event.NewRing("g", events, nil, time.Now)
+			b.handler.options.Ring = ring
+			before := liveBytes()
+			for ring.Last() < events {
+				is.True(b.do("POST", "one", "x").status >= http.StatusInternalServerError)
+			}
+			b.awaitHandlers()
+			if held := int64(liveBytes()) - int64(before); held > maxHeld {
+				t.Errorf("%d events hold %d KB, %d are allowed", events, held>>10, maxHeld>>10)
+			}
+			runtime.KeepAlive(ring)
+		})
+	}
+}
