Product's own gateway: a collected answer has a limit

Cause: the tokens of an engine were collected for a client that asked for no stream for as long as the engine sent them.

Change: past 4 MB of text the attempt ends as a failed one.

--- a/src/gateway/answer.go
+++ b/src/gateway/answer.go
@@ -13,6 +13,9 @@
 	"github.com/moorspool/moorspool/src/engine"
 )
 
+// maxCollectedBytes limits the text that is collected for a client that asked for no stream: some million tokens.
+const maxCollectedBytes = 4 << 20
+
 // answerWriter writes the response to a completion request: an event stream, or
 // a single JSON object once the answer is complete.
 type answerWriter struct {
@@ -34,6 +37,9 @@
 // started reports whether anything was sent to the client.
 func (a *answerWriter) started() bool { return a.writer != nil }
 
+// full reports whether no more tokens may be collected.
+func (a *answerWriter) full() bool { return a.text.Len() > maxCollectedBytes }
+
 // token adds one token to the response.
 func (a *answerWriter) token(t engine.Token) error {
 	if !a.stream {
--- a/src/gateway/completion.go
+++ b/src/gateway/completion.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// errAnswerTooLong means that an engine went on with an answer that is collected.
+var errAnswerTooLong = errors.New("the answer is too long")
+
 // errClientGone means that the client disconnected before the answer was complete.
 var errClientGone = errors.New("the client has gone")
 
@@ -172,6 +175,9 @@
 		if token.ID != x.lastToken+1 {
 			return errors.Wrapf(engine.ErrBroken, "token %d follows %d", token.ID, x.lastToken)
 		}
+		if x.out.full() {
+			return errAnswerTooLong
+		}
 		x.recordToken()
 		if err := x.out.token(token); err != nil {
 			return errClientGone
--- a/src/gateway/endless_test.go
+++ b/src/gateway/endless_test.go
@@ -1,10 +1,20 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+	"github.com/matryer/is"
+
 	"github.com/moorspool/moorspool/src/cuttest"
 	"github.com/moorspool/moorspool/src/engine"
 	"github.com/moorspool/moorspool/src/wire"
@@ -94,3 +104,28 @@
 		}
 	}
 }
+
+// TestAnAnswerOfTokensWithoutEndIsCutOff: a client that asked for no stream had all tokens collected for it.
+func TestAnAnswerOfTokensWithoutEndIsCutOff(t *testing.T) {
+	is := is.New(t)
+	const maxTokens = 8192
+	data := fmt.Appendf(nil, `{"choices":[{"text":%q}]}`, strings.Repeat("w", 32<<10))
+	var sent atomic.Int64
+	b := newTestGateway(t)
+	b.fakeHost("endless", func(h *server.Hertz) {
+		h.POST(engine.PathCompletions, func(_ context.Context, c *app.RequestContext) {
+			from, _ := strconv.Atoi(string(c.GetHeader(engine.HeaderResumeFrom)))
+			w := sse.NewWriter(c)
+			for n := from + 1; n <= maxTokens; n++ {
+				if w.WriteEvent(strconv.Itoa(n), "", data) != nil {
+					return
+				}
+				sent.Add(int64(len(data)))
+			}
+		})
+	})
+	got := b.askRaw("HTTP/1.1", engine.PathCompletions, `{"model":"m","prompt":"p","max_tokens":2}`)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.True(sent.Load() < maxEndlessSent)
+}
