Product's own gateway: what may outlast its stop is refused unsent

Cause: a request whose last bytes came late in a stop, or that had waited, was passed on however little was left, and cut off without an answer at the drain limit.

Ruled out: kept connections (each response says Connection: close once the listener has closed, and they close after 0.5 s).

Conclusion: closes late requests. What runs at the drain limit is still cut off without an answer here.

--- a/src/gateway/admit.go
+++ b/src/gateway/admit.go
@@ -12,6 +12,8 @@
 // Timing of admission.
 const (
 	defaultRetryAfter = time.Second
+	// stopRetryAfter is sent as the gateway stops: the next request reaches another one.
+	stopRetryAfter = 50 * time.Millisecond
 	// queuePollInterval is how often a queued request looks for a free slot
 	// without being notified: requests of other gateways free slots as well.
 	queuePollInterval = 20 * time.Millisecond
@@ -34,9 +36,26 @@
 	if !r.deadline.IsZero() && s.now().After(r.deadline) {
 		return nil, r.refuse(consts.StatusGatewayTimeout, ReasonDeadline, DidNotRun, "the deadline has passed")
 	}
+	if s.mayOutlastStop(r) {
+		return nil, r.refuse(consts.StatusServiceUnavailable, ReasonStopping, DidNotRun, "the gateway stops before the request may end").retryAfter(stopRetryAfter)
+	}
 	return host, nil
 }
 
+// mayOutlastStop reports whether a request that has not been sent yet may still run as the stop ends. One without a
+// deadline counts as taking half of the drain limit.
+func (s *Server) mayOutlastStop(r *request) bool {
+	end := s.stopEnd.Load()
+	if end == nil || r.retries > 0 {
+		return false
+	}
+	latest := r.deadline
+	if latest.IsZero() {
+		latest = s.now().Add(s.settings.DrainLimit.Std() / 2)
+	}
+	return latest.After(*end)
+}
+
 // The outcomes of a wait, in addition to the verdicts of package route.
 const (
 	verdictQueueFull route.Verdict = 100 + iota
--- a/src/gateway/main.go
+++ b/src/gateway/main.go
@@ -129,9 +129,12 @@
 // stop shuts the gateway down gracefully. It reports itself unready, keeps
 // serving for as long as the load balancer takes to notice, then closes the
 // listener and waits for the end of all connections. Requests on connections
-// that are still open are served, and their connections closed.
+// that are still open are served unless they may outlast the drain limit, and their
+// connections closed.
 func (s *Server) stop(proc *process.Process) {
 	proc.SetLeaving()
+	end := s.now().Add(s.settings.BalancerLag.Std() + s.settings.DrainLimit.Std())
+	s.stopEnd.Store(&end)
 	s.leaving.Store(true)
 	time.Sleep(s.settings.BalancerLag.Std())
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.DrainLimit.Std())
--- a/src/gateway/refusal.go
+++ b/src/gateway/refusal.go
@@ -26,6 +26,7 @@
 	ReasonClaimed           Reason = "claimed-before"
 	ReasonNoControlNode     Reason = "no-control-node-in-reach"
 	ReasonOutcomeUnknown    Reason = "outcome-unknown"
+	ReasonStopping          Reason = "gateway-stops"
 )
 
 // NotRun says whether a refused request is known not to have run on a backend server.
--- a/src/gateway/server.go
+++ b/src/gateway/server.go
@@ -45,6 +45,8 @@
 	hertz    *server.Hertz
 	listener *graceful.Listener
 	leaving  atomic.Bool
+	// stopEnd is when the stop cuts off what still runs, nil before it begins.
+	stopEnd  atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	counts   counters
 	random   sync.Pool
