Exchange: long IDs of events count as buffered

Cause: a stream keeps the ID of its last event, up to 1 MB, for as long as it goes on; what all streams keep of incomplete events is limited, their IDs were not.

Change: an ID of over 1 KB counts like an incomplete event. Shorter ones do not: a stream needs nothing of what is limited.

Conclusion: the table of bodies has no uncounted place for streams that go on.

--- a/src/exchange/retention.go
+++ b/src/exchange/retention.go
@@ -67,10 +67,18 @@
 	return io.ReadAll(&retainingReader{call: c, from: io.LimitReader(body, maxBufferedBytes+1)})
 }
 
-// retainPending counts the incomplete event of the stream as buffered, in place of what was counted of it
-// before.
+// maxUncountedID is the longest ID of an event that is kept uncounted: a stream goes on while the gateway keeps as much as it
+// may, unless the stream takes more of it.
+const maxUncountedID = 1 << 10
+
+// retainPending counts the incomplete event of the stream, and a long ID of the last one, as buffered, in place of
+// what was counted of it before.
 func (c *call) retainPending() bool {
-	grown := int64(c.stream.pending.len()) - c.retainedPending
+	kept := c.stream.pending.len()
+	if id := len(c.stream.lastEventID); id > maxUncountedID {
+		kept += id
+	}
+	grown := int64(kept) - c.retainedPending
 	if grown > 0 && !c.retain(grown) {
 		return false
 	}
--- a/src/exchange/retention_test.go
+++ b/src/exchange/retention_test.go
@@ -205,3 +205,51 @@
 	is.True(!b.fleet.Peer("x").loadEstimate(time.Now()).ejected) // the replica has not failed
 	is.Equal(b.handler.retention.used.Load(), int64(0))
 }
+
+// TestLongIDsOfEventsAreCountedAsBuffered: each stream kept the ID of its last event, up to 1 MB, which nothing bounded
+// over all streams.
+func TestLongIDsOfEventsAreCountedAsBuffered(t *testing.T) {
+	const (
+		length = 160 << 10
+		limit  = 512 << 10
+	)
+	is := is.New(t)
+	release := make(chan struct{})
+	r := route(catalog.Streaming, 1)
+	r.Timeout = 5 * time.Second
+	x := newReplica(t, "x", func(a arrival) bool {
+		id := "1"
+		if a.name() != "short" {
+			id = strings.Repeat("x", length)
+		}
+		a.head()
+		a.chunk("id: " + id + "\ndata: x\n\n")
+		if a.name() != "short" {
+			select {
+			case <-release:
+			case <-time.After(r.Timeout):
+			}
+		}
+		a.endStream()
+		return true
+	})
+	b := newBench(t, r, x)
+	b.handler.retention.limit = limit
+	var all sync.WaitGroup
+	for i := range limit / length {
+		all.Go(func() {
+			if got := b.do("POST", fmt.Sprint("kept-", i), "x"); got.status != http.StatusOK || got.err != nil {
+				t.Errorf("request %d: status %d, %v", i, got.status, got.err)
+			}
+		})
+		b.awaitRetained((int64(i) + 1) * length)
+	}
+	got := b.do("POST", "cut-off", "x")
+	is.True(got.status != http.StatusOK || got.err != nil)
+	got = b.do("POST", "short", "x")
+	is.NoErr(got.err) // takes nothing that is counted
+	close(release)
+	all.Wait()
+	b.awaitHandlers()
+	is.Equal(b.handler.retention.used.Load(), int64(0))
+}
