--- a/src/dial/dialer.go
+++ b/src/dial/dialer.go
@@ -36,21 +36,24 @@
 // Options holds the timeouts and limits of a client.
 type Options struct {
 	Dial time.Duration
-	// Read is the timeout of each read, not of the whole response.
-	Read  time.Duration
-	Write time.Duration
+	// Read is the timeout of the head of a response, and then of each read of its body; with ReadWhole it is that of the whole
+	// response.
+	Read      time.Duration
+	ReadWhole bool
+	Write     time.Duration
 	// Conns is the maximum number of connections to one backend server.
 	Conns int
 	// Reuse enables keep-alive connections.
 	Reuse bool
-	// Stream makes response bodies available while they are received.
-	Stream bool
+	// MaxBody is the longest body of a response that is kept whole.
+	MaxBody int
 }
 
 // Client is an HTTP client whose responses can be aborted. It is safe for concurrent use.
 type Client struct {
 	*client.Client
-	dialer *dialer
+	dialer  *dialer
+	maxBody int
 }
 
 // maxIdleTime is how long an unused connection is kept. It is shorter than the idle timeout of backend
@@ -59,7 +62,7 @@
 
 // New returns a client. cut simulates network partitions in tests and may be nil.
 func New(cut *fault.Cut, options Options) (*Client, error) {
-	d := &dialer{Dialer: cut.NewDialer(), conns: map[endpoints]*trackedConn{}}
+	d := &dialer{Dialer: cut.NewDialer(), maxBody: options.MaxBody, readWhole: options.ReadWhole, conns: map[endpoints]*trackedConn{}}
 	c, err := client.NewClient(
 		client.WithDialer(d),
 		client.WithDialTimeout(options.Dial),
@@ -68,13 +71,13 @@
 		client.WithMaxConnsPerHost(options.Conns),
 		client.WithMaxIdleConnDuration(maxIdleTime),
 		client.WithKeepAlive(options.Reuse),
-		client.WithResponseBodyStream(options.Stream),
+		client.WithResponseBodyStream(true),
 		client.WithNoDefaultUserAgentHeader(true),
 	)
 	if err != nil {
 		return nil, errors.Wrap(err, "creating an HTTP client")
 	}
-	return &Client{Client: c, dialer: d}, nil
+	return &Client{Client: c, dialer: d, maxBody: options.MaxBody}, nil
 }
 
 // Abort closes the connection of a response. Reading the response fails at once, and the
@@ -98,8 +101,10 @@
 
 type dialer struct {
 	network.Dialer
-	mu    sync.Mutex
-	conns map[endpoints]*trackedConn
+	maxBody   int
+	readWhole bool
+	mu        sync.Mutex
+	conns     map[endpoints]*trackedConn
 }
 
 // DialConnection connects and registers the connection by its endpoints.
@@ -109,7 +114,7 @@
 		return nil, &Error{address: address, cause: err}
 	}
 	ends := endpointsOf(conn.LocalAddr(), conn.RemoteAddr())
-	tracked := &trackedConn{Conn: conn, dialer: d, ends: ends}
+	tracked := &trackedConn{Conn: conn, dialer: d, ends: ends, maxKept: d.maxBody}
 	d.mu.Lock()
 	d.conns[ends] = tracked
 	d.mu.Unlock()
@@ -148,6 +153,10 @@
 	headPending bool
 	// readErr is the first error of a read since the last request.
 	readErr error
+	// kept is how many bytes were read since the last release of their memory, maxKept how many there may be.
+	kept, maxKept int
+	// readTimeout is that of each read of a body.
+	readTimeout time.Duration
 }
 
 // Close closes the connection once.
@@ -160,8 +169,25 @@
 	return c.err
 }
 
-// SetReadTimeout sets the read timeout of the underlying connection.
-func (c *trackedConn) SetReadTimeout(t time.Duration) error { return c.Conn.SetReadTimeout(t) }
+// SetReadTimeout sets the timeout of the head of a response and of each later read.
+func (c *trackedConn) SetReadTimeout(t time.Duration) error {
+	c.readTimeout = t
+	return c.Conn.SetReadTimeout(t)
+}
+
+// await waits until n bytes can be read without waiting. Each wait for some of them has a timeout of its own: the
+// underlying connection would count it from the last call of SetReadTimeout.
+func (c *trackedConn) await(n int) error {
+	for !c.dialer.readWhole && c.Len() < n {
+		if err := c.Conn.SetReadTimeout(c.readTimeout); err != nil {
+			return err
+		}
+		if _, err := c.Conn.Peek(c.Len() + 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
 
 // SetWriteTimeout is called by Hertz before it writes a request. For a connection that was
 // aborted and is then reused, it returns an Error to report that nothing was sent.
@@ -170,6 +196,8 @@
 		return &Error{address: c.RemoteAddr().String(), cause: net.ErrClosed}
 	}
 	c.headPending, c.readErr = true, nil
+	// Hertz reads a body that ends with its connection whole before it returns the response.
+	c.kept, c.maxKept = 0, c.dialer.maxBody
 	return c.Conn.SetWriteTimeout(t)
 }
 
@@ -181,24 +209,55 @@
 		}
 		c.headPending = false
 	}
+	if n > c.Len() && c.kept+n > c.maxKept {
+		return nil, c.noteRead(errTooLong)
+	}
+	if err := c.await(n); err != nil {
+		return nil, c.noteRead(err)
+	}
 	p, err := c.Conn.Peek(n)
 	return p, c.noteRead(err)
 }
 
+// Skip discards the next n bytes.
+func (c *trackedConn) Skip(n int) error {
+	c.kept += n
+	return c.Conn.Skip(n)
+}
+
+// Release releases the memory of the bytes that were read.
+func (c *trackedConn) Release() error {
+	c.kept = 0
+	return c.Conn.Release()
+}
+
 // Read reads bytes of a body.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if err := c.await(min(len(p), 1)); err != nil {
+		return 0, c.noteRead(err)
+	}
 	n, err := c.Conn.Read(p)
 	return n, c.noteRead(err)
 }
 
 // ReadByte reads one byte of a body.
 func (c *trackedConn) ReadByte() (byte, error) {
+	if c.kept >= c.maxKept {
+		return 0, c.noteRead(errTooLong)
+	}
+	if err := c.await(1); err != nil {
+		return 0, c.noteRead(err)
+	}
 	p, err := c.Conn.ReadByte()
+	c.kept++
 	return p, c.noteRead(err)
 }
 
 // ReadBinary reads n bytes of a body.
 func (c *trackedConn) ReadBinary(n int) ([]byte, error) {
+	if err := c.await(n); err != nil {
+		return nil, c.noteRead(err)
+	}
 	p, err := c.Conn.ReadBinary(n)
 	return p, c.noteRead(err)
 }
--- a/src/exchange/reads_test.go
+++ b/src/exchange/reads_test.go
@@ -27,20 +27,25 @@
 	"src/exchange relayUnbuffered":   "passed on as it arrives: TestBodiesWithoutEndTakeLittleMemory",
 	"src/exchange relayStream":       "maxEventBytes, retention: TestIncompleteEventsAreCountedAsBuffered",
 	"src/exchange readBody":          "a client's body, by the configuration's limit and retention: TestSlowClientsKeepABoundedPartOfAGateway",
-	"platform readReport":            "maxOrderBodyBytes: TestResponsesToControlNodesAreLimited",
+	"platform decodeReport":          "maxOrderBodyBytes, maxObjects: TestResponsesToControlNodesAreLimited, TestManySmallObjectsTakeLittleMemory",
 	"platform discardBody":           "maxOrderBodyBytes: TestResponsesToControlNodesAreLimited",
 	"platform putConfiguration":      "an operator's body, maxBodyBytes",
-	"platform decodeHeartbeat":       "maxHeartbeatBytes: TestHeartbeatWithoutEndIsRefused",
+	"platform decodeHeartbeat":       "maxHeartbeatBytes, maxObjects: TestHeartbeatWithoutEndIsRefused, TestManySmallObjectsTakeLittleMemory",
 	"platform unknownFields":         "what decodeHeartbeat has read",
+	"src/dial awaitHead":             "maxHeadBytes, maxInterimResponses: TestPlainAnswersWithoutEndAreCutOff",
+	"src/dial Close":                 "maxRestBytes, maxKeptBytes: TestPlainAnswersWithoutEndAreCutOff",
+	"src/dial ReadBody":              "Options.MaxBody, maxKeptBytes: TestPlainAnswersWithoutEndAreCutOff, TestAnswersWithoutEndToControlNodesAreCutOff",
+	"src/dial ReadStart":             "its argument, maxKeptBytes: TestStreamsWithoutEndAreCutOff",
+	"src/engine Open":                "maxEventBytes: TestStreamsWithoutEndAreCutOff",
 }
 
 // readCall matches the calls by which bytes of a connection or a body are read.
-var readCall = regexp.MustCompile(`^(http\.ReadResponse|io\.(ReadAll|ReadFull|ReadAtLeast|Copy\w*)|json\.NewDecoder|bufio\.New\w+|.*\.Body\.Read)$`)
+var readCall = regexp.MustCompile(`^(http\.ReadResponse|io\.(ReadAll|ReadFull|ReadAtLeast|Copy\w*)|json\.NewDecoder|bufio\.New\w+|.*\.Body\.Read|response\.BodyE?|sse\.NewReader)$`)
 
 func TestEachReadOfWhatOthersSendHasALimit(t *testing.T) {
 	is := is.New(t)
 	found := map[string]bool{}
-	for _, folder := range []string{"src/exchange", "src/fleet", "src/placer", "platform"} {
+	for _, folder := range []string{"src/exchange", "src/fleet", "src/placer", "platform", "src/dial", "src/discovery", "src/engine", "src/gateway", "src/service"} {
 		for _, file := range sourceFiles(t, filepath.Join("../..", folder)) {
 			parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
 			is.NoErr(err)
