--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -19,6 +19,9 @@
 	// stopRunTimeout bounds the question that makes sure that a run has ended. The client waits for it at the end of
 	// its stream, as it does for the rest of a copy that is under way.
 	stopRunTimeout = 300 * time.Millisecond
+	// restartTimeout bounds the order to stop a run that is to go on with another response. Its stream may end long before
+	// the reply, which waits for other moves; clients give a stream up after two seconds of silence at the earliest.
+	restartTimeout = 2 * time.Second
 	// maxCopyTargets is how many replicas at most are offered the copy of a run.
 	maxCopyTargets = 3
 	// maxCopyReplyBytes is the longest reply to such a question that is read.
@@ -29,6 +32,8 @@
 var (
 	errNoCopyTarget = errors.New("no other replica can take one")
 	errVainCopies   = errors.New("copies of this service's runs prove nothing")
+	errNotAccepting = errors.New("no other replica can take one, and its own takes no requests now")
+	errNoRetry      = errors.New("no other replica can take one, and the retry budget is spent")
 	errNoSuchRun    = errors.New("the run had ended before")
 )
 
@@ -64,6 +69,21 @@
 	target *Peer
 	handle string
 	err    error
+	// restart is set if the run is stopped to go on at its source.
+	restart bool
+	// paid is the budget from which the retry was taken, at takenAt, before the run was stopped; nil if none was.
+	paid    *Budget
+	takenAt time.Time
+}
+
+// await waits for the end of the question for a copy and reports whether it has ended.
+func (r *runCopy) await(ctx context.Context) bool {
+	select {
+	case <-r.ended:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // fail ends the wait for a copy that is not made.
@@ -99,13 +119,13 @@
 		return
 	}
 	secure, offered := h.makeCopy, c.pickCopyTargets(now)
-	if len(offered) == 0 && !c.restarted {
-		c.restarted = true
-		secure, offered = h.restartRun, c.otherReplicas(source)
-	}
 	if len(offered) == 0 {
-		copied.fail(errNoCopyTarget)
-		return
+		var err error
+		if offered, err = c.beginRestart(now, copied); err != nil {
+			copied.fail(err)
+			return
+		}
+		secure, copied.restart = h.restartRun, true
 	}
 	go func() {
 		defer close(copied.ended)
@@ -128,10 +148,11 @@
 	return targets
 }
 
-// makeCopy has a run copied to the first of the replicas that takes the copy.
+// makeCopy has a run copied to the first of the replicas that takes the copy. A question is not given up once it is asked:
+// its reply names the copy, which can't be freed otherwise.
 func (h *Handler) makeCopy(ctx context.Context, copied *runCopy, targets []*Peer) {
 	for _, copied.target = range targets {
-		reply, err := h.askForCopy(ctx, copied, false, copyTimeout)
+		reply, err := h.askForCopy(context.WithoutCancel(ctx), copied, false, copyTimeout)
 		copied.handle, copied.err = reply.Handle, err
 		switch {
 		case err != nil:
@@ -147,14 +168,36 @@
 	}
 }
 
-// otherReplicas returns replicas of the service other than the given one, those that hold the model first.
+// beginRestart takes the retry with which a run goes on that is stopped, and returns the replicas that are offered its copy.
+func (c *call) beginRestart(now time.Time, copied *runCopy) ([]*Peer, error) {
+	if c.restarted {
+		return nil, errNoCopyTarget
+	}
+	offered := c.otherReplicas(copied.source)
+	if len(offered) == 0 {
+		return nil, errNoCopyTarget
+	}
+	if !c.handler.options.Fleet.acceptsWithoutPermit(copied.source) {
+		return nil, errNotAccepting
+	}
+	budget := c.handler.budgets.get(c.service)
+	if !budget.Take(now, c.handler.Gateways()) {
+		return nil, errNoRetry
+	}
+	c.restarted, copied.paid, copied.takenAt = true, budget, now
+	return offered, nil
+}
+
+// otherReplicas returns replicas other than the given one that may have the request's data, those that hold the model
+// first.
 func (c *call) otherReplicas(source *Peer) []*Peer {
-	index := &c.handler.options.Fleet.index
+	fleet, want := c.handler.options.Fleet, c.requirements()
 	var others []*Peer
 	for _, held := range []copyKey{{model: c.requestInfo.Model, adapter: c.requestInfo.Adapter}, {model: c.requestInfo.Model}, {}} {
-		for _, candidate := range index.lookup(c.service, held) {
-			if candidate.peer != source && !slices.Contains(others, candidate.peer) && len(others) < maxCopyTargets {
-				others = append(others, candidate.peer)
+		for _, candidate := range fleet.index.lookup(c.service, held) {
+			peer := candidate.peer
+			if peer != source && len(others) < maxCopyTargets && !slices.Contains(others, peer) && !fleet.closed(peer) && fleet.mayServe(&want, candidate.zone, peer) {
+				others = append(others, peer)
 			}
 		}
 	}
@@ -164,8 +207,14 @@
 // restartRun stops a run that no other replica can take, so that it goes on at its source with another response. The
 // source keeps the memory of the run, whatever becomes of the copy that another replica is offered.
 func (h *Handler) restartRun(ctx context.Context, copied *runCopy, offered []*Peer) {
+	defer func() {
+		if copied.target != copied.source {
+			copied.paid.GiveBack(copied.takenAt)
+			copied.paid = nil
+		}
+	}()
 	for _, copied.target = range offered {
-		reply, err := h.askForCopy(ctx, copied, true, copyTimeout)
+		reply, err := h.askForCopy(context.WithoutCancel(ctx), copied, true, restartTimeout)
 		copied.handle, copied.err = reply.Handle, err
 		switch {
 		case err != nil:
@@ -177,7 +226,8 @@
 			copied.target = copied.source
 		}
 		h.logCopy(copied)
-		if copied.target == copied.source || errors.Is(copied.err, errNoSuchRun) || ctx.Err() != nil {
+		// An order without a reply may have been taken.
+		if copied.target == copied.source || err != nil || reply.NoRun || ctx.Err() != nil {
 			return
 		}
 	}
@@ -272,7 +322,7 @@
 		c.reason += "; " + target.ID() + " has a copy of the run and takes no requests now"
 		return Choice{}, false
 	}
-	if !c.handler.budgets.get(c.service).Take(c.handler.options.Now(), c.handler.Gateways()) {
+	if copied.paid == nil && !c.handler.budgets.get(c.service).Take(c.handler.options.Now(), c.handler.Gateways()) {
 		c.reason += "; the retry budget is spent"
 		return Choice{}, false
 	}
@@ -283,11 +333,13 @@
 
 // endAtSource returns an error unless there is a copy of a run and its source works on it no more.
 func (c *call) endAtSource(ctx context.Context, copied *runCopy) error {
-	ctx, cancel := context.WithTimeout(ctx, stopRunTimeout)
+	timeout := stopRunTimeout
+	if copied.restart {
+		timeout = restartTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	select {
-	case <-copied.ended:
-	case <-ctx.Done():
+	if !copied.await(ctx) {
 		return errors.New("the copy is still being made")
 	}
 	if copied.err != nil || copied.target == copied.source {
