A run is not stopped if nothing may be added to its stream, or its server is off the list

What callers saw: a part of a stream and a broken connection, where they had all events before: the run was stopped at its only server, and could not go on. Cause: what a request that goes on is refused for was looked at after the stop only. Ruled out: going on all the same: two versions in one stream. Change: both are looked at before the order to stop, as the retry budget and the server's readiness are since. Conclusion: a stop is ordered only where the run can go on at once.

--- a/src/exchange/runcopy.go
+++ b/src/exchange/runcopy.go
@@ -33,8 +33,10 @@
 	errNoCopyTarget = errors.New("no other replica can take one")
 	errVainCopies   = errors.New("copies of this service's runs prove nothing")
 	errNotAccepting = errors.New("no other replica can take one, and its own takes no requests now")
-	errNoRetry      = errors.New("no other replica can take one, and the retry budget is spent")
-	errNoSuchRun    = errors.New("the run had ended before")
+	// errUnknownWriter means that no response may be added to the stream, since it is not known what began it.
+	errUnknownWriter = errors.New("no other replica can take one, and the software that began the stream is not known")
+	errNoRetry       = errors.New("no other replica can take one, and the retry budget is spent")
+	errNoSuchRun     = errors.New("the run had ended before")
 )
 
 // CopyCodec asks a replica to copy one of its runs to another replica, where the run can go on.
@@ -177,9 +179,12 @@
 	if len(offered) == 0 {
 		return nil, errNoCopyTarget
 	}
-	if !c.handler.options.Fleet.acceptsWithoutPermit(copied.source) {
+	if copied.source.unlisted.Load() || !c.handler.options.Fleet.acceptsWithoutPermit(copied.source) {
 		return nil, errNotAccepting
 	}
+	if c.revokeDoubted(); !c.origin.Allows(copied.source.writerOrigin()) {
+		return nil, errUnknownWriter
+	}
 	budget := c.handler.budgets.get(c.service)
 	if !budget.Take(now, c.handler.Gateways()) {
 		return nil, errNoRetry
--- a/src/exchange/runcopyfaults_test.go
+++ b/src/exchange/runcopyfaults_test.go
@@ -100,6 +100,30 @@
 	is.Equal(s.count("stop"), 0)
 }
 
+// Nothing may be added to a stream whose writer is not known, nor to one whose replica may be gone.
+func TestARunThatCouldNotGoOnIsNotStopped(t *testing.T) {
+	for name, prevent := range map[string]func(s *copySite){
+		"a later start may have written it": func(s *copySite) {
+			peer := s.fleet.Peer("x")
+			peer.mu.Lock()
+			defer peer.mu.Unlock()
+			peer.doubtedFrom = time.Unix(1, 0)
+		},
+		"its replica is not listed": func(s *copySite) {
+			s.fleet.SetReplicas(registry.Changes{Removed: []string{"x"}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newLoneSite(t, route(catalog.Streaming, 1), "z")
+			s.replicas[0].setAct(func(a arrival) bool { prevent(s); return s.serve(a) })
+			got := s.askLone()
+			is.Equal(events(got.body), allEvents())
+			is.Equal(s.count("stop"), 0)
+		})
+	}
+}
+
 // The reply to the order to stop waits for the moves before it, while the stream has ended.
 func TestARunWhoseOrderToStopIsAnsweredLateGoesOn(t *testing.T) {
 	is := is.New(t)
