Soak: measurement of streams that end with their connections around planned stops

Cause: the soak lets a whole stream without a length or chunks be cut off ("no proof of its end") and so has no figure for what the users count as LOST: sent on, run whole, no proper end at the client, up to 9 s after a SIGTERM of the gateway that took it. Nor could its servers copy runs.

Change: ends-stops stops three gateways one after the other beside steady streams of both kinds of routes, 12 events, 50 to 100 ms apart. Names say which share of the answers has neither a length nor chunks (all, 30 or 2 in 100), which share of these is broken off in order (0, 1, 10, 30), and whether servers can copy runs. Ends are counted by route and by the state of the gateway. The servers answer POST /-/kv-move without last, DELETE /-/kv-handle/ID and requests with Kv-From; a run from a copy is the same run unless the first is still under way.

--- /dev/null
+++ b/soak/endstops.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// What a measurement of ends of streams around planned stops does.
+const (
+	endStopsReplicas = 8
+	endStopsSlots    = 64
+	endStopsEvents   = 12
+	// endStopsWarmUp is how long clients send before the first stop, endStopsRound the time from one stop to the next.
+	// It is longer than plannedWorkTime, so that every second stream at least is at a gateway that goes on.
+	endStopsWarmUp = 2 * time.Second
+	endStopsRound  = 10 * time.Second
+	// endStopsPause is the pause between two streams of a class.
+	endStopsPause = time.Second / 23
+	// endStopsTimeout is the time for an answer, endStopsClientTimeout how long a client waits for it.
+	endStopsTimeout       = 5 * time.Second
+	endStopsClientTimeout = 6 * time.Second
+	// minEventPause and maxEventPause bound the pause between two events of a stream.
+	minEventPause = 50 * time.Millisecond
+	maxEventPause = 100 * time.Millisecond
+	// plannedWorkTime is how long after a SIGTERM an end counts at the gateway that got it, whichever process took the
+	// request: 1 s longer than the limit of the stop.
+	plannedWorkTime = 9 * time.Second
+	// endStopsModel is the model of all requests, maxOutputTokens the most tokens that most of them want: a stream has one
+	// token for each event and fewer events than that.
+	endStopsModel   = "m"
+	maxOutputTokens = 40
+)
+
+// endStopsClasses are the kinds of streams, by the first letter of their path.
+var endStopsClasses = []string{"e", "n"}
+
+// endStopsKind is what the replicas of a measurement do.
+type endStopsKind struct {
+	// unframed is the share of answers in percent that have neither a length nor chunks, broken that of those which
+	// their replica breaks off in order between two events.
+	unframed, broken int
+	// engine is set if replicas can copy runs.
+	engine bool
+	// framedRests is set if answers that go on after an event always have a length or chunks.
+	framedRests bool
+	// allTokens is set if requests ask for as many tokens as their streams have.
+	allTokens bool
+}
+
+// endStopsKindOf returns the kind with a name: "ends-stops", followed by "-mixed" (30 in 100 answers have neither a length
+// nor chunks) or "-few" (2 in 100) in place of all, "-breaks-" with a share of 1, 10 or 30 in 100 that are broken off,
+// "-plain" if replicas can't copy runs, "-rests" if answers that go on after an event are framed, and "-tokens" if all
+// tokens that are asked for come.
+func endStopsKindOf(name string) (endStopsKind, bool) {
+	rest, found := strings.CutPrefix(name, "ends-stops")
+	kind := endStopsKind{unframed: 100, engine: true}
+	for _, part := range []struct {
+		name  string
+		apply func()
+	}{
+		{"-mixed", func() { kind.unframed = 30 }},
+		{"-few", func() { kind.unframed = 2 }},
+		{"-breaks-10", func() { kind.broken = 10 }},
+		{"-breaks-1", func() { kind.broken = 1 }},
+		{"-breaks-30", func() { kind.broken = 30 }},
+		{"-plain", func() { kind.engine = false }},
+		{"-rests", func() { kind.framedRests = true }},
+		{"-tokens", func() { kind.allTokens = true }},
+	} {
+		if after, has := strings.CutPrefix(rest, part.name); has {
+			part.apply()
+			rest = after
+		}
+	}
+	return kind, found && rest == ""
+}
+
+// configuration returns the configuration of the installation.
+func (k endStopsKind) configuration() string {
+	const route = `{"name":"route-%s","hostname":"a.example","path_prefix":"/%s/","route_kind":"streaming","timeout_ms":%d,"target_latency_ms":500,"service":"s","max_attempts":%d,"resumable":%v,"target_gap_ms":400}`
+	var routes []string
+	for _, class := range endStopsClasses {
+		resumable := class == resumableKind
+		routes = append(routes, fmt.Sprintf(route, class, class, endStopsTimeout.Milliseconds(), 1+asNumber(resumable), resumable))
+	}
+	engine := ""
+	if k.engine {
+		engine = fmt.Sprintf(`,"engine":{"slots":%d,"kv_cache_tokens":100000,"kv_bytes":163840,"link_mbps":280000.0,"moves":true,"backups":true,"stride":1,"maximum":12,"host_mb":1000,"disk_mb":1000,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":%g,"models":[{"name":%q,"weights_mb":100.0,"load_s":1,"adapters":0,"adapter_mb":1,"warm_s":0.1,"disk_s":0.2}],"weights_mb":100.0,"adapter_slots":1,"loads_per_s":1}`, endStopsSlots, handleTime.Seconds(), endStopsModel)
+	}
+	return fmt.Sprintf(`{"version":1,"routes":[%s],"services":[{"name":"s","health_path":"/health"%s}],"limits":{"max_body_bytes":1048576,"idle_timeout_ms":15000}}`, strings.Join(routes, ","), engine)
+}
+
+// endStopsMeasurement counts how streams end whose answers have neither a length nor chunks, while gateways are stopped. It
+// is safe for concurrent use.
+type endStopsMeasurement struct {
+	in     *installation
+	kind   endStopsKind
+	random *rand.Rand
+	copies *runCopies
+	next   atomic.Uint64
+	log    *os.File
+
+	mu      sync.Mutex
+	runs    map[string][]*streamRun
+	results []*endStopsResult
+	// stops are the stops of each gateway, in order.
+	stops map[*member][]gatewayStop
+	kills int
+}
+
+// gatewayStop is a stop of a gateway: when it was told, and when it was started again, the zero time before.
+type gatewayStop struct {
+	signalAt, startedAt time.Time
+}
+
+// measureEndStops stops gateways one after the other while streams end with their connections, and prints how they ended.
+func measureEndStops(o options) error {
+	in, err := newInstallation(o, silenceStop)
+	if err != nil {
+		return err
+	}
+	defer in.shutDown()
+	go in.shutDownOnSignal()
+	kind, _ := endStopsKindOf(o.Measure)
+	m := &endStopsMeasurement{in: in, kind: kind, random: rand.New(rand.NewPCG(o.Seed, 24)), runs: map[string][]*streamRun{}, stops: map[*member][]gatewayStop{}}
+	if m.log, err = os.Create(in.options.Folder + "/requests"); err != nil {
+		return errors.Wrap(err, "log of requests")
+	}
+	defer m.log.Close()
+	plan := replicaPlan{count: endStopsReplicas, slots: endStopsSlots, backlog: defaultBacklog, software: "v1", handler: m.answer}
+	if kind.engine {
+		plan.model = endStopsModel
+	}
+	r, err := newReplicas(in, newChecker(), newZoneDrains(), plan)
+	if err != nil {
+		return err
+	}
+	defer r.close()
+	m.copies = newRunCopies(r.zoneAt)
+	if err := in.startAll(); err != nil {
+		return err
+	}
+	if err := m.configure(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.sendHeartbeats(ctx)
+	if err := m.waitUntilServing(); err != nil {
+		return err
+	}
+	m.play(ctx)
+	in.shutDown()
+	m.print()
+	return nil
+}
+
+// configure sends the configuration until it is acknowledged.
+func (m *endStopsMeasurement) configure() error {
+	operators := newOperators(m.in, newChecker(), newZoneDrains())
+	for turn := range 100 {
+		if status, _ := operators.call(http.MethodPut, turn%controlNodeCount, m.kind.configuration()); status == http.StatusOK {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.New("the configuration was never acknowledged")
+}
+
+// waitUntilServing waits until every gateway has passed events of a stream on.
+func (m *endStopsMeasurement) waitUntilServing() error {
+	for _, gateway := range m.in.gatewayNodes() {
+		served := false
+		for turn := 0; turn < 100 && !served; turn++ {
+			result := m.send(resumableKind, gateway)
+			served = strings.Contains(result.got.body, "\n\n")
+			time.Sleep(100 * time.Millisecond)
+		}
+		if !served {
+			return errors.Errorf("%s never served a request", gateway.name)
+		}
+	}
+	return nil
+}
+
+// play sends streams while each gateway is stopped and started again.
+func (m *endStopsMeasurement) play(ctx context.Context) {
+	sending, endSending := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	for i, class := range endStopsClasses {
+		work.Go(func() { m.sendAll(sending, class, i) })
+	}
+	time.Sleep(endStopsWarmUp)
+	gateways := m.in.gatewayNodes()
+	first := m.random.IntN(len(gateways))
+	for round := range gateways {
+		time.Sleep(time.Duration(m.random.Int64N(int64(maxSilenceShift))))
+		next := time.Now().Add(endStopsRound)
+		m.stop(gateways[(first+round)%len(gateways)])
+		time.Sleep(time.Until(next))
+	}
+	endSending()
+	work.Wait()
+}
+
+// stop stops a gateway as the platform does and starts it again.
+func (m *endStopsMeasurement) stop(gateway *member) {
+	killed := m.in.stopByPlatform(gateway, platformStop{limit: m.in.stop.limit}, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.stops[gateway] = append(m.stops[gateway], gatewayStop{signalAt: time.Now()})
+		m.note("%s is told to stop", gateway.name)
+	})
+	m.note("%s has stopped, killed %v", gateway.name, killed)
+	time.Sleep(silenceDowntime)
+	m.mu.Lock()
+	stops := m.stops[gateway]
+	stops[len(stops)-1].startedAt = time.Now()
+	m.kills += asNumber(killed)
+	m.mu.Unlock()
+	m.in.startAfter(gateway, 0)
+}
+
+// note writes a line into the log of requests.
+func (m *endStopsMeasurement) note(format string, arguments ...any) {
+	fmt.Fprintf(m.log, "%s soak: %s\n", time.Now().UTC().Format(time.RFC3339Nano), fmt.Sprintf(format, arguments...))
+}
--- /dev/null
+++ b/soak/endstopsreplica.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// unframedHeads are the first lines of answers with neither a length nor chunks, and the fields that each has besides.
+var unframedHeads = []struct{ status, fields string }{
+	{"HTTP/1.1 200 OK", ""},
+	{"HTTP/1.1 200 OK", "Connection: close\r\n"},
+	{"HTTP/1.0 200 OK", ""},
+}
+
+// drawnStream is how a replica writes a stream.
+type drawnStream struct {
+	unframed bool
+	// head is the place of the answer's head in unframedHeads.
+	head int
+	// brokenAfter is the event after which it is broken off, 0 if it is not.
+	brokenAfter int
+	pause       time.Duration
+}
+
+// draw draws how a replica writes the events of a stream after one.
+func (k endStopsKind) draw(random *rand.Rand, after int) drawnStream {
+	drawn := drawnStream{pause: drawBetween(random, minEventPause, maxEventPause), head: random.IntN(len(unframedHeads))}
+	drawn.unframed = random.IntN(100) < k.unframed && (after == 0 || !k.framedRests)
+	breaks, left := random.IntN(100) < k.broken, endStopsEvents-after
+	if drawn.unframed && breaks && left > 1 {
+		drawn.brokenAfter = after + 1 + random.IntN(left-1)
+	}
+	return drawn
+}
+
+// answer runs a stream at a replica and records the run.
+func (m *endStopsMeasurement) answer(rep *replica, w http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get(idHeader)
+	if id != "" {
+		w.Header().Set(idHeader, id)
+	}
+	if expected := request.Header.Get("X-Expected-Replica"); expected != "" && expected != rep.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch request.URL.Path {
+	case "/-/report":
+		m.report(rep, w)
+		return
+	case "/-/order":
+		answerOrder(w, request)
+		return
+	case "/health":
+		return
+	}
+	if m.kind.engine && m.copies.serve(rep.address, w, request) {
+		return
+	}
+	if !m.isStream(request.URL.Path) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if _, err := io.ReadAll(request.Body); err != nil {
+		return
+	}
+	run, drawn := m.begin(rep, request, id)
+	if run == nil {
+		refuse(w, 0)
+		return
+	}
+	w.Header().Set(stampHeader, stampOf(rep.id, id))
+	if drawn.unframed {
+		m.writeUnframed(rep, w, run, drawn)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	m.writeEvents(request.Context(), run, drawn, func(event string) error {
+		if _, err := io.WriteString(w, event); err != nil {
+			return err
+		}
+		return http.NewResponseController(w).Flush()
+	}, rep.software)
+}
+
+// isStream reports whether a path is one of a measured stream.
+func (m *endStopsMeasurement) isStream(path string) bool {
+	for _, class := range endStopsClasses {
+		if strings.HasPrefix(path, "/"+class+"/") {
+			return true
+		}
+	}
+	return false
+}
+
+// report tells the state of a replica.
+func (m *endStopsMeasurement) report(rep *replica, w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	models := "[]"
+	if m.kind.engine {
+		models = fmt.Sprintf(`[{"name":%q,"version":1,"adapters":[]}]`, endStopsModel)
+	}
+	_, _ = fmt.Fprintf(w, `{"born":%d,"stage":"both","models":%s,"busy":false,"sequence":0,"waiting":0,"running":0,"kv_cache_used":0,"kv_cache_total":100000,"handles":0}`, rep.startedMs, models)
+}
+
+// answerOrder answers an order: a replica holds the model that it may be told to load, and keeps it.
+func answerOrder(w http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(request.Body)
+	if strings.Contains(string(body), `"unload"`) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// begin records that a run of a stream begins; the run is nil if the request names a copy that is not there.
+func (m *endStopsMeasurement) begin(rep *replica, request *http.Request, id string) (*streamRun, drawnStream) {
+	now := time.Now()
+	after, _ := strconv.Atoi(request.Header.Get(headerLastEvent))
+	run := &streamRun{replica: rep.id, address: rep.address, zone: zoneOf(rep.host), id: id, begunAt: now, after: after, made: after}
+	if name := request.Header.Get(headerContinue); name != "" {
+		source := m.copies.take(name, rep.address, id, now)
+		if source == nil {
+			return nil, drawnStream{}
+		}
+		run.continued, run.overlaps = true, m.copies.isRunning(source)
+	}
+	m.copies.begin(run, request.Header.Get(headerBackup))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// The runs of a request are drawn from the seed and its number, whatever else runs.
+	number, _ := strconv.ParseUint(strings.TrimPrefix(id, "q"), 10, 64)
+	random := rand.New(rand.NewPCG(m.in.options.Seed, number<<8+uint64(len(m.runs[id]))))
+	drawn := m.kind.draw(random, after)
+	run.unframed = drawn.unframed
+	m.runs[id] = append(m.runs[id], run)
+	return run, drawn
+}
+
+// writeUnframed writes a stream with neither a length nor chunks.
+func (m *endStopsMeasurement) writeUnframed(rep *replica, w http.ResponseWriter, run *streamRun, drawn drawnStream) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		m.end(run, err)
+		return
+	}
+	defer conn.Close()
+	ctx, closed := context.WithCancel(context.Background())
+	defer closed()
+	go func() {
+		_, _ = io.Copy(io.Discard, buffered)
+		closed()
+	}()
+	head := unframedHeads[drawn.head]
+	_, _ = fmt.Fprintf(conn, "%s\r\n%s: %s\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\n\r\n", head.status, idHeader, run.id, stampHeader, stampOf(rep.id, run.id), head.fields)
+	m.writeEvents(ctx, run, drawn, func(event string) error {
+		_, err := io.WriteString(conn, event)
+		return err
+	}, rep.software)
+}
+
+// writeEvents writes the events of a run and records its end, which it has before its answer's.
+func (m *endStopsMeasurement) writeEvents(ctx context.Context, run *streamRun, drawn drawnStream, write func(event string) error, software string) {
+	for n := run.after + 1; n <= endStopsEvents; n++ {
+		if n > run.after+1 {
+			sleep(ctx, drawn.pause)
+		}
+		if drawn.brokenAfter > 0 && n > drawn.brokenAfter {
+			m.mu.Lock()
+			run.brokeOff = true
+			m.mu.Unlock()
+			break
+		}
+		if ctx.Err() != nil {
+			m.end(run, net.ErrClosed)
+			return
+		}
+		if err := write(streamEvent(run.id, n, software)); err != nil {
+			m.end(run, err)
+			return
+		}
+		m.copies.wrote(run, n)
+	}
+	m.end(run, nil)
+}
+
+// end records that a run has ended; err is what cut it off.
+func (m *endStopsMeasurement) end(run *streamRun, err error) {
+	m.mu.Lock()
+	now := time.Now()
+	run.endedAt, run.cut = now, err != nil
+	run.whole = err == nil && !run.brokeOff
+	m.mu.Unlock()
+	m.copies.end(run, now)
+}
--- a/soak/measure.go
+++ b/soak/measure.go
@@ -83,6 +83,9 @@
 	if _, found := begunKinds[kind]; found {
 		return measureBegun
 	}
+	if _, found := endStopsKindOf(kind); found {
+		return measureEndStops
+	}
 	return measure
 }
 
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -69,6 +69,8 @@
 	undated bool
 	// software is the version that all starts run, "" to draw it at each start.
 	software string
+	// model is the model that all hold, "" if they run none.
+	model string
 	// breakOff is the share of streams in percent that break off, 0 for breakOffPercent.
 	breakOff int
 	// handler answers requests in place of replicas.answer, unless it is nil.
@@ -276,6 +278,18 @@
 	_ = rep.server.Close()
 }
 
+// zoneAt returns the availability zone of the replica at an address, "" if there is none.
+func (r *replicas) zoneAt(address string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rep := range r.list {
+		if rep.address == address {
+			return zoneOf(rep.host)
+		}
+	}
+	return ""
+}
+
 // streamsUnframed returns how streams are written that end with their connection, nil if none are.
 func (r *replicas) streamsUnframed() *streamsWithoutFraming {
 	r.mu.Lock()
@@ -352,6 +366,9 @@
 	if r.plan.undated {
 		delete(told, "born")
 	}
+	if r.plan.model != "" {
+		told["stage"], told["models"] = "both", []any{map[string]any{"name": r.plan.model, "version": 1, "adapters": []string{}}}
+	}
 	body, err := json.Marshal(told)
 	if err != nil || !r.call(rep, http.MethodPut, body) {
 		return false
--- /dev/null
+++ b/soak/runcopies.go
@@ -0,0 +1,263 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The paths and headers of copies of runs.
+const (
+	pathMove       = "/-/kv-move"
+	pathHandle     = "/-/kv-handle/"
+	headerContinue = "Kv-From"
+	headerBackup   = "X-Kv-Backup"
+)
+
+const (
+	// handleTime is how long a copy is kept that nobody uses.
+	handleTime = 5 * time.Second
+	// moveTime is how long a copy takes, twice that between availability zones.
+	moveTime = 5 * time.Millisecond
+)
+
+// streamRun is one run of a stream at a replica.
+type streamRun struct {
+	replica, address, zone, id string
+	begunAt, endedAt           time.Time
+	// after is the event after which the run began, made the last one that it wrote.
+	after, made int
+	// continued is set if the run goes on from a copy of another one, overlaps if it began before that one ended.
+	continued, overlaps bool
+	// unframed is set if the answer has neither a length nor chunks.
+	unframed bool
+	// whole is set if the replica wrote all events, brokeOff if it broke its answer off in order, cut if the
+	// connection was closed before.
+	whole, brokeOff, cut bool
+	// moving is set while the run is copied.
+	moving bool
+	// kept names the copy that each other replica has.
+	kept map[string]string
+}
+
+// runCopy is a copy of a run at another replica.
+type runCopy struct {
+	run    *streamRun
+	target string
+	at     time.Time
+	// backup is set if the copy grows with the run.
+	backup bool
+}
+
+// runCopies are the runs under way at replicas, and the copies of runs that they keep. It is safe for concurrent use.
+type runCopies struct {
+	// zoneAt returns the availability zone of the replica at an address, "" if there is none.
+	zoneAt func(address string) string
+
+	mu      sync.Mutex
+	running map[string]*streamRun
+	copies  map[string]*runCopy
+	handles int
+	counts  copyCounts
+}
+
+// copyCounts counts the calls that concern copies, and the runs that went on from one.
+type copyCounts struct {
+	moved, ended, busy, nowhere, released, continued, absent int
+}
+
+// String describes the counts.
+func (c copyCounts) String() string {
+	return fmt.Sprintf("copies made %d, of runs that were not under way %d, while another call was %d, to nowhere %d; released %d; runs that went on from a copy %d, refused without one %d", c.moved, c.ended, c.busy, c.nowhere, c.released, c.continued, c.absent)
+}
+
+func newRunCopies(zoneAt func(address string) string) *runCopies {
+	return &runCopies{zoneAt: zoneAt, running: map[string]*streamRun{}, copies: map[string]*runCopy{}}
+}
+
+// copyName returns the name of a copy in headerContinue.
+func copyName(source, handle string) string { return source + "/" + handle }
+
+// begin records that a run begins; backup is the address of a replica that keeps a copy which grows, "" for none.
+func (c *runCopies) begin(run *streamRun, backup string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := copyName(run.address, run.id)
+	c.running[name] = run
+	if backup != "" && backup != run.address && c.zoneAt(backup) != "" {
+		c.copies[name] = &runCopy{run: run, target: backup, backup: true}
+	}
+}
+
+// end records that a run has ended. A copy that grew goes if it ended well.
+func (c *runCopies) end(run *streamRun, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := copyName(run.address, run.id)
+	if c.running[name] == run {
+		delete(c.running, name)
+	}
+	backup := c.copies[name]
+	if backup == nil || backup.run != run {
+		return
+	}
+	backup.at = now
+	if run.whole {
+		delete(c.copies, name)
+	}
+}
+
+// take uses the copy that a request names, at the replica with an address, and returns the run that it is a copy of. It
+// returns nil if there is none.
+func (c *runCopies) take(name, address, id string, now time.Time) *streamRun {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.copies[name]
+	if kept == nil || kept.target != address || kept.run.id != id || c.isOver(kept, now) {
+		c.counts.absent++
+		return nil
+	}
+	delete(c.copies, name)
+	c.counts.continued++
+	return kept.run
+}
+
+// isOver reports whether the time of a copy is over; the lock is held.
+func (c *runCopies) isOver(kept *runCopy, now time.Time) bool {
+	if kept.backup && c.running[copyName(kept.run.address, kept.run.id)] == kept.run {
+		return false
+	}
+	return now.Sub(kept.at) > handleTime
+}
+
+// isRunning reports whether a run is under way.
+func (c *runCopies) isRunning(run *streamRun) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running[copyName(run.address, run.id)] == run
+}
+
+// serve answers a call that concerns copies, at the replica with an address; it reports whether the request is one.
+func (c *runCopies) serve(address string, w http.ResponseWriter, request *http.Request) bool {
+	switch path := request.URL.Path; {
+	case path == pathMove && request.Method == http.MethodPost:
+		c.serveMove(address, w, request)
+	case strings.HasPrefix(path, pathHandle) && request.Method == http.MethodDelete:
+		w.WriteHeader(c.release(address, strings.TrimPrefix(path, pathHandle)))
+	default:
+		return false
+	}
+	return true
+}
+
+// moveBody is a call to copy a run.
+type moveBody struct {
+	ID     string `json:"replica_id"`
+	Target string `json:"target_version"`
+	Last   bool   `json:"last"`
+}
+
+func (c *runCopies) serveMove(address string, w http.ResponseWriter, request *http.Request) {
+	var asked moveBody
+	if err := json.NewDecoder(request.Body).Decode(&asked); err != nil || asked.ID == "" || asked.Last {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	run, status := c.beginMove(address, asked)
+	if run == nil {
+		w.WriteHeader(status)
+		return
+	}
+	time.Sleep(c.moveTime(run, asked.Target))
+	handle, made := c.endMove(run, asked.Target, time.Now())
+	if handle == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"handle":%q,"made":%d}`, handle, made)
+}
+
+// beginMove begins to copy a run; it returns nil and the status of the answer if that can't be done.
+func (c *runCopies) beginMove(address string, asked moveBody) (run *streamRun, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	run = c.running[copyName(address, asked.ID)]
+	switch {
+	case run == nil:
+		c.counts.ended++
+		return nil, http.StatusNotFound
+	case run.moving:
+		c.counts.busy++
+		return nil, http.StatusConflict
+	case asked.Target == address || c.zoneAt(asked.Target) == "":
+		c.counts.nowhere++
+		return nil, http.StatusServiceUnavailable
+	}
+	run.moving = true
+	return run, http.StatusOK
+}
+
+func (c *runCopies) moveTime(run *streamRun, target string) time.Duration {
+	if c.zoneAt(target) != run.zone {
+		return 2 * moveTime
+	}
+	return moveTime
+}
+
+// endMove ends the copying of a run; the handle is "" if the run has ended meanwhile.
+func (c *runCopies) endMove(run *streamRun, target string, now time.Time) (handle string, made int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	run.moving = false
+	if c.running[copyName(run.address, run.id)] != run {
+		c.counts.ended++
+		return "", 0
+	}
+	c.counts.moved++
+	handle = run.kept[target]
+	if handle == "" {
+		c.handles++
+		handle = fmt.Sprint("h", c.handles)
+		if run.kept == nil {
+			run.kept = map[string]string{}
+		}
+		run.kept[target] = handle
+	}
+	c.copies[copyName(run.address, handle)] = &runCopy{run: run, target: target, at: now}
+	return handle, run.made
+}
+
+// release releases a copy at its source or at its target, and returns the status of the answer.
+func (c *runCopies) release(address, handle string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, kept := range c.copies {
+		if !kept.backup && (name == copyName(address, handle) || kept.target == address && strings.HasSuffix(name, "/"+handle)) {
+			delete(c.copies, name)
+			c.counts.released++
+			return http.StatusOK
+		}
+	}
+	return http.StatusNotFound
+}
+
+// wrote records that a run has written an event.
+func (c *runCopies) wrote(run *streamRun, event int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	run.made = event
+}
+
+// total returns the counts and how many copies are left that are not over.
+func (c *runCopies) total(now time.Time) (counts copyCounts, left int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, kept := range c.copies {
+		left += asNumber(!c.isOver(kept, now))
+	}
+	return c.counts, left
+}
