Soak: spells in which servers never frame, with stops and breaks in order

Cause: the random soak has answers with neither a length nor chunks at all times, six in 100, and half of what it breaks off ends inside an event. No service or server of it is like those of the issue, which never frame, and the ends that the users count as LOST around a stop have no figure.

Change: spells in which one, half or all servers frame nothing and break off 0, 1, 10 or 30 in 100 streams in order, two in three with a stop and a start of a gateway. Counted at the end: whole streams to the close with and without an end at their client, and those without one up to 9 s after a SIGTERM of their gateway, whichever process took them, that no strike explains. --no-unframed leaves the spells out.

--- a/soak/lost.go
+++ b/soak/lost.go
@@ -18,6 +18,8 @@
 	resumableKind = "e"
 	// linkReadTime is how long a gateway may take to read that its links are up again.
 	linkReadTime = 200 * time.Millisecond
+	// causeNoProof is the cause of an early end if nothing proves that the run's answer was whole.
+	causeNoProof = "no proof of its end"
 )
 
 // endedAnswer is an answer that came without its whole body.
@@ -37,6 +39,7 @@
 
 // replicaRun is one run of a request at a replica.
 type replicaRun struct {
+	id  string
 	rep *replica
 	// sender is the gateway that sent the request to the replica, "" if that is not known.
 	sender string
@@ -72,18 +75,38 @@
 	// byStamp holds the last run of each request at each replica.
 	byStamp map[string]*replicaRun
 	reached map[string]arrival
-	answers []endedAnswer
+	// unframed holds the last run of each request whose answer has neither a length nor chunks.
+	unframed map[string]*replicaRun
+	answers  []endedAnswer
 	// causes counts the answers by what explains their ends.
 	causes map[string]int
 	lost   int
+	// toTheClose counts streams of which a run has neither a length nor chunks and was written whole.
+	toTheClose toTheCloseCount
 }
 
+// toTheCloseCount counts streams that their replica wrote whole, with neither a length nor chunks.
+type toTheCloseCount struct {
+	// whole counts those that ended as such at their client, cutOff the others, nearStop those of them that are lost by
+	// the users' rule, since the gateway had been told to stop less than plannedWorkTime before and nothing else explains the
+	// end.
+	whole, cutOff, nearStop int
+}
+
+// String describes the counts.
+func (c toTheCloseCount) String() string {
+	return fmt.Sprintf("streams to the close that their replica wrote whole: with an end %d, without one %d, %d of them around a stop alone", c.whole, c.cutOff, c.nearStop)
+}
+
+// isStreamKind reports whether answers of a kind are streams.
+func isStreamKind(kind string) bool { return kind == resumableKind || kind == "n" }
+
 // beginRun records that a replica runs a request. One that was paused may begin after a replica that the request
 // was sent to later.
 func (l *lostChecks) beginRun(id string, rep *replica, sender string, arrivedAt time.Time) *replicaRun {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	run := &replicaRun{rep: rep, sender: sender, arrivedAt: arrivedAt, begunAt: time.Now()}
+	run := &replicaRun{id: id, rep: rep, sender: sender, arrivedAt: arrivedAt, begunAt: time.Now()}
 	l.byStamp[stampOf(rep.id, id)] = run
 	if last := l.runs[id]; last == nil || !arrivedAt.Before(last.arrivedAt) {
 		l.runs[id] = run
@@ -142,6 +165,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	run.unframed = true
+	l.unframed[run.id] = run
 }
 
 // recordBrokenOff records that a replica breaks its answer off.
@@ -153,6 +177,7 @@
 
 // recordAnswer records an answer unless it came whole or says that the request has not run.
 func (l *lostChecks) recordAnswer(answer endedAnswer, whole bool) {
+	l.recordToTheClose(answer, whole)
 	switch {
 	case answer.status == http.StatusOK && whole, answer.status == http.StatusServiceUnavailable:
 		return
@@ -164,6 +189,25 @@
 	l.answers = append(l.answers, answer)
 }
 
+// recordToTheClose counts a whole stream whose run has neither a length nor chunks.
+func (l *lostChecks) recordToTheClose(answer endedAnswer, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run := l.unframed[answer.id]
+	l.toTheClose.whole += asNumber(whole && answer.status == http.StatusOK && isStreamKind(answer.kind) && run != nil && !run.brokeOff)
+}
+
+// addCutOff counts a stream that its replica wrote whole, with neither a length nor chunks, and that its client got without an
+// end; the lock is held.
+func (l *lostChecks) addCutOff(answer endedAnswer, strikes *strikeLog, stop plannedStop) {
+	if !isStreamKind(answer.kind) {
+		return
+	}
+	l.toTheClose.cutOff++
+	explained := strikes.explaining(answer.gateway, answer, false, stop) != "" || strikes.explaining(l.counted(answer).sender, answer, false, stop) != ""
+	l.toTheClose.nearStop += asNumber(!explained && strikes.stopped(answer.gateway, answer.endedAt))
+}
+
 // cause returns what explains that an answer ended without its whole body, "" if nothing does; the lock is
 // held.
 func (l *lostChecks) cause(answer endedAnswer, strikes *strikeLog, stop plannedStop) string {
@@ -180,7 +224,7 @@
 	case l.reachedLater(answer.id, run) && l.reached[answer.id].rep.goneBy(answer.endedAt):
 		return "end of a replica that had not begun"
 	case run.unframed && !run.cut && !run.endedAt.IsZero() && !run.endedAt.After(answer.endedAt):
-		return "no proof of its end"
+		return causeNoProof
 	}
 	for _, gateway := range []string{answer.gateway, run.sender} {
 		if name := strikes.explaining(gateway, answer, run.atWork(answer.endedAt), stop); name != "" {
@@ -215,6 +259,9 @@
 		cause := l.cause(answer, strikes, stop)
 		if cause != "" {
 			l.causes[cause]++
+			if cause == causeNoProof {
+				l.addCutOff(answer, strikes, stop)
+			}
 			if run := l.counted(answer); run != nil {
 				fmt.Fprintf(log, "soak: %s: %s\n", cause, answer.describe(run))
 			}
@@ -248,7 +295,7 @@
 func (l *lostChecks) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return fmt.Sprintf("answers that ended early %d, lost %d, the others by %v", len(l.answers), l.lost, l.causes)
+	return fmt.Sprintf("answers that ended early %d, lost %d, the others by %v; %s", len(l.answers), l.lost, l.causes, l.toTheClose)
 }
 
 // checkLost checks that no answer of a sound replica ended early.
--- a/soak/main.go
+++ b/soak/main.go
@@ -30,6 +30,7 @@
 	NoParts       bool          `long:"no-parts" description:"leave out the requests with parts of prompts that crash replicas, as in runs of earlier builds of this program"`
 	NoBodies      bool          `long:"no-bodies" description:"leave out the requests whose bodies are sent over time, as in runs of earlier builds of this program"`
 	NoLateSignals bool          `long:"no-late-signals" description:"leave out the stops beside the other faults, those that processes learn of late, the SIGHUPs around stops and the long lag of the balancer, as in runs of earlier builds of this program"`
+	NoUnframed    bool          `long:"no-unframed" description:"leave out the spells in which replicas give no answer a length or chunks, as in runs of earlier builds of this program"`
 	LaggingNode   string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
 	Port          int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
@@ -119,12 +120,14 @@
 	besideCtx, endBeside := context.WithCancel(ctx)
 	defer endBeside()
 	silences := replicas.startSilences(besideCtx, silenceRandom)
+	unframed := replicas.startUnframedSpells(besideCtx, rand.New(rand.NewPCG(o.Seed, 25)))
 	stops := in.startStops(besideCtx, rand.New(rand.NewPCG(o.Seed, 22)))
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
 	endSlowDisks()
 	disks.Wait()
 	endBeside()
 	silences.Wait()
+	unframed.Wait()
 	stops.Wait()
 	in.endAllFaults()
 	endFaults()
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -93,6 +93,7 @@
 	// notices is what the replica announces in its answers.
 	notices notices
 	cold    coldPeriod
+	framing framing
 	limit   announcedLimit
 	pause   *pause
 	// listener takes the replica's connections.
@@ -208,7 +209,7 @@
 		return
 	}
 	w.Header().Set(stampHeader, rep.id+"."+id)
-	w = drawFraming(w, func() { r.check.lost.recordBrokenOff(run) })
+	w = rep.framing.write(w, func() { r.check.lost.recordBrokenOff(run) })
 	if w.Header().Get("Transfer-Encoding") != "" {
 		r.check.lost.recordUnframed(run)
 	}
@@ -315,13 +316,20 @@
 func (r *replicas) stream(run *replicaRun, w http.ResponseWriter, request *http.Request, id string) {
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
-	brokenAfter := streamEvents
-	if rand.IntN(100) < r.plan.brokenPercent() {
+	brokenAfter, broken := streamEvents, r.plan.brokenPercent()
+	inOrder, brokenInSpell := run.rep.framing.isNever()
+	if inOrder {
+		broken = brokenInSpell
+	}
+	if rand.IntN(100) < broken {
 		brokenAfter = after + 1 + rand.IntN(streamEvents)
 	}
 	for n := after + 1; n <= streamEvents; n++ {
 		if n > brokenAfter {
 			r.check.lost.recordBrokenOff(run)
+			if inOrder {
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
 		_, err := io.WriteString(w, streamEvent(id, n, run.rep.software))
--- a/soak/strikes.go
+++ b/soak/strikes.go
@@ -75,3 +75,16 @@
 	}
 	return !answer.endedAt.Before(s.from) && (s.to.IsZero() || answer.firstByteAt.Before(s.to))
 }
+
+// stopped reports whether a gateway was told to stop less than plannedWorkTime before a time, whichever process took the
+// request that ended then.
+func (l *strikeLog) stopped(gateway string, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.byName[gateway] {
+		if s.planned && !at.Before(s.from) && at.Sub(s.from) < plannedWorkTime {
+			return true
+		}
+	}
+	return false
+}
