--- a/soak/disks.go
+++ b/soak/disks.go
@@ -110,7 +110,7 @@
 	var took []time.Duration
 	for version := uint64(2); ctx.Err() == nil; version++ {
 		began := time.Now()
-		c.check.recordSent(version, configurationOf(version))
+		c.check.recordSent(version, configurationOf(version, in.options.Copies))
 		for !o.putVersion(version, int(version)) && ctx.Err() == nil {
 			sleep(ctx, 50*time.Millisecond)
 		}
--- a/soak/endstops.go
+++ b/soak/endstops.go
@@ -145,7 +145,7 @@
 		return err
 	}
 	defer r.close()
-	m.copies = newRunCopies(r.zoneAt)
+	m.copies = newRunCopies(r.replicaAt)
 	if err := in.startAll(); err != nil {
 		return err
 	}
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -49,6 +49,8 @@
 	endedAt time.Time
 	// unframed is set if the answer has neither a length nor chunks, so that nothing proves its end.
 	unframed bool
+	// copied is the run where runs can be copied, else nil.
+	copied *streamRun
 	// cut is set if the connection ended before the replica had written its answer, brokeOff if the replica
 	// broke its answer off.
 	cut, brokeOff bool
--- a/soak/main.go
+++ b/soak/main.go
@@ -31,6 +31,7 @@
 	NoBodies      bool          `long:"no-bodies" description:"leave out the requests whose bodies are sent over time, as in runs of earlier builds of this program"`
 	NoLateSignals bool          `long:"no-late-signals" description:"leave out the stops beside the other faults, those that processes learn of late, the SIGHUPs around stops and the long lag of the balancer, as in runs of earlier builds of this program"`
 	NoUnframed    bool          `long:"no-unframed" description:"leave out the spells in which replicas give no answer a length or chunks, as in runs of earlier builds of this program"`
+	Copies        bool          `long:"copies" description:"let replicas copy runs to others, and go on from copies"`
 	LaggingNode   string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
 	Port          int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
@@ -86,6 +87,9 @@
 		return nil, err
 	}
 	defer replicas.close()
+	if o.Copies {
+		replicas.copies = newRunCopies(replicas.replicaAt)
+	}
 	if err := in.startAll(); err != nil {
 		return nil, err
 	}
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -30,8 +30,8 @@
 }
 
 // configurationOf returns the configuration of a version: the routes that every version has and one
-// that only this version has.
-func configurationOf(version uint64) string {
+// that only this version has. copies is set if replicas can copy runs.
+func configurationOf(version uint64, copies bool) string {
 	const route = `{"name":%q,"hostname":"a.example","path_prefix":%q,"route_kind":%q,"timeout_ms":4000,"target_latency_ms":500,"service":"s","max_attempts":2,"resumable":%v}`
 	const workRoute = `{"name":"work","hostname":"a.example","path_prefix":"/w/","route_kind":"unsafe","timeout_ms":%d,"target_latency_ms":%d,"service":"s","max_attempts":2,"resumable":false}`
 	routes := []string{
@@ -43,7 +43,15 @@
 		fmt.Sprintf(route, "events that may not be repeated", "/n/", "streaming", false),
 		fmt.Sprintf(route, "version", fmt.Sprintf("/v/%d/", version), "safe", false),
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health","cold_per_s":%d}],"limits":{"max_body_bytes":1048576},"tenants":[%s]}`, version, strings.Join(routes, ","), coldRate, accountsOf(version))
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s","health_path":"/health","cold_per_s":%d%s}],"limits":{"max_body_bytes":1048576},"tenants":[%s]}`, version, strings.Join(routes, ","), coldRate, copyingEngine(copies), accountsOf(version))
+}
+
+// copyingEngine returns the field of a service whose replicas can copy runs, if they can.
+func copyingEngine(copies bool) string {
+	if !copies {
+		return ""
+	}
+	return fmt.Sprintf(`,"engine":{"slots":%d,"kv_cache_tokens":100000,"moves":true,"backups":true,"stride":1,"handle_s":%g}`, replicaSlots, handleTime.Seconds())
 }
 
 // createConfiguration sends the first configuration until it is acknowledged.
@@ -60,13 +68,13 @@
 // put sends the next version to the control nodes in turn until one acknowledges it.
 func (o *operators) put(first int) bool {
 	version := o.version.Add(1)
-	o.check.recordSent(version, configurationOf(version))
+	o.check.recordSent(version, configurationOf(version, o.in.options.Copies))
 	return o.putVersion(version, first)
 }
 
 // putVersion sends a version to the control nodes in turn until one acknowledges it.
 func (o *operators) putVersion(version uint64, first int) bool {
-	body := configurationOf(version)
+	body := configurationOf(version, o.in.options.Copies)
 	for turn := first; turn < first+2*controlNodeCount; turn++ {
 		status, _ := o.call(http.MethodPut, turn%controlNodeCount, body)
 		if status == http.StatusOK {
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -54,6 +54,8 @@
 	// unframed makes streams end with their connection, unless it is nil.
 	unframed *streamsWithoutFraming
 	plan     replicaPlan
+	// copies are the copies of runs, nil if replicas can't copy any.
+	copies *runCopies
 	// quietUntil is until when no heartbeats are sent, in nanoseconds since 1970.
 	quietUntil atomic.Int64
 }
@@ -159,10 +161,13 @@
 		return
 	}
 	endless := drawEndless()
-	if request.URL.Path == "/-/report" && endless != nil {
+	if endless != nil && (request.URL.Path == "/-/report" || r.copies != nil && request.URL.Path == pathMove) {
 		endless.send(w, rep.id, id)
 		return
 	}
+	if r.copies != nil && r.copies.serve(rep.address, w, request) {
+		return
+	}
 	if request.URL.Path == "/-/report" {
 		_, _ = fmt.Fprintf(w, `{"born":%d}`, rep.startedMs)
 		return
@@ -182,8 +187,17 @@
 	if cut {
 		r.check.fail("mixed", "%s got request %s with %d of %s bytes", rep.id, id, len(body), request.Header.Get(bodySizeHeader))
 	}
+	copied, refused := r.beginCopied(rep, request, id)
+	if refused {
+		refuse(w, 0)
+		return
+	}
 	run := r.check.lost.beginRun(id, rep, r.check.links.senders[hostOf(request.RemoteAddr)], arrivalOf(request))
 	defer r.check.lost.endRun(run)
+	if copied != nil {
+		run.copied = copied
+		defer r.endCopied(run)
+	}
 	if string(body) == crashBody {
 		r.crashOnContent(rep, held)
 		panic(http.ErrAbortHandler)
@@ -221,7 +235,12 @@
 	case 'w':
 		r.check.recordRun(id, rep.id)
 		r.work(run, w, request, id+":"+echo)
-	case 'e', 'n':
+	case 'n':
+		if copied == nil || !copied.continued || copied.overlaps {
+			r.check.recordRun(id, rep.id)
+		}
+		r.stream(run, w, request, id)
+	case 'e':
 		r.stream(run, w, request, id)
 	case 'l':
 		if _, err := io.WriteString(w, longBody(id)); err != nil {
@@ -232,6 +251,32 @@
 	}
 }
 
+// beginCopied records that a stream begins to run where runs can be copied, else it returns nil. It reports whether the
+// request names a copy that is not there.
+func (r *replicas) beginCopied(rep *replica, request *http.Request, id string) (run *streamRun, refused bool) {
+	if r.copies == nil || !isStreamKind(request.URL.Path[1:2]) {
+		return nil, false
+	}
+	after, _ := strconv.Atoi(request.Header.Get(headerLastEvent))
+	run = &streamRun{replica: rep.id, address: rep.address, zone: zoneOf(rep.host), id: id, begunAt: time.Now(), after: after, made: after}
+	if name := request.Header.Get(headerContinue); name != "" {
+		source := r.copies.take(name, rep.address, id, run.begunAt)
+		if source == nil {
+			return nil, true
+		}
+		r.check.count("runs from copies")
+		run.continued, run.overlaps = true, r.copies.isRunning(source)
+	}
+	r.copies.begin(run, request.Header.Get(headerBackup))
+	return run, false
+}
+
+// endCopied records that a stream has ended where runs can be copied.
+func (r *replicas) endCopied(run *replicaRun) {
+	run.copied.whole = !run.brokeOff && !run.cut
+	r.copies.end(run.copied, time.Now())
+}
+
 // checkArrival checks that a replica gets a request when it may get one, and writes notices into the answer. It
 // reports whether the replica has refused the request.
 func (r *replicas) checkArrival(rep *replica, w http.ResponseWriter, request *http.Request, id string) bool {
@@ -279,16 +324,16 @@
 	_ = rep.server.Close()
 }
 
-// zoneAt returns the availability zone of the replica at an address, "" if there is none.
-func (r *replicas) zoneAt(address string) string {
+// replicaAt returns the start and the availability zone of the replica at an address, "" if there is none.
+func (r *replicas) replicaAt(address string) (start, zone string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, rep := range r.list {
 		if rep.address == address {
-			return zoneOf(rep.host)
+			return fmt.Sprintf("%s@%d", rep.id, rep.startedMs), zoneOf(rep.host)
 		}
 	}
-	return ""
+	return "", ""
 }
 
 // streamsUnframed returns how streams are written that end with their connection, nil if none are.
@@ -337,6 +382,9 @@
 			r.check.lost.recordCut(run)
 			return
 		}
+		if run.copied != nil {
+			r.copies.wrote(run.copied, n)
+		}
 		select {
 		case <-request.Context().Done():
 			r.check.lost.recordCut(run)
--- a/soak/runcopies.go
+++ b/soak/runcopies.go
@@ -47,15 +47,17 @@
 type runCopy struct {
 	run    *streamRun
 	target string
-	at     time.Time
+	// start names the start of the replica at target that keeps the copy.
+	start string
+	at    time.Time
 	// backup is set if the copy grows with the run.
 	backup bool
 }
 
 // runCopies are the runs under way at replicas, and the copies of runs that they keep. It is safe for concurrent use.
 type runCopies struct {
-	// zoneAt returns the availability zone of the replica at an address, "" if there is none.
-	zoneAt func(address string) string
+	// replicaAt returns the start and the availability zone of the replica at an address, "" if there is none.
+	replicaAt func(address string) (start, zone string)
 
 	mu      sync.Mutex
 	running map[string]*streamRun
@@ -74,8 +76,8 @@
 	return fmt.Sprintf("copies made %d, of runs that were not under way %d, while another call was %d, to nowhere %d; released %d; runs that went on from a copy %d, refused without one %d", c.moved, c.ended, c.busy, c.nowhere, c.released, c.continued, c.absent)
 }
 
-func newRunCopies(zoneAt func(address string) string) *runCopies {
-	return &runCopies{zoneAt: zoneAt, running: map[string]*streamRun{}, copies: map[string]*runCopy{}}
+func newRunCopies(replicaAt func(address string) (start, zone string)) *runCopies {
+	return &runCopies{replicaAt: replicaAt, running: map[string]*streamRun{}, copies: map[string]*runCopy{}}
 }
 
 // copyName returns the name of a copy in headerContinue.
@@ -87,8 +89,8 @@
 	defer c.mu.Unlock()
 	name := copyName(run.address, run.id)
 	c.running[name] = run
-	if backup != "" && backup != run.address && c.zoneAt(backup) != "" {
-		c.copies[name] = &runCopy{run: run, target: backup, backup: true}
+	if start, _ := c.replicaAt(backup); start != "" && backup != run.address {
+		c.copies[name] = &runCopy{run: run, target: backup, start: start, backup: true}
 	}
 }
 
@@ -116,7 +118,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.copies[name]
-	if kept == nil || kept.target != address || kept.run.id != id || c.isOver(kept, now) {
+	if kept == nil || kept.target != address || kept.run.id != id || c.isOver(kept, now) || !c.isKept(kept) {
 		c.counts.absent++
 		return nil
 	}
@@ -133,6 +135,12 @@
 	return now.Sub(kept.at) > handleTime
 }
 
+// isKept reports whether the replica that was given a copy has not ended since.
+func (c *runCopies) isKept(kept *runCopy) bool {
+	start, _ := c.replicaAt(kept.target)
+	return start == kept.start
+}
+
 // isRunning reports whether a run is under way.
 func (c *runCopies) isRunning(run *streamRun) bool {
 	c.mu.Lock()
@@ -193,7 +201,8 @@
 	case run.moving:
 		c.counts.busy++
 		return nil, http.StatusConflict
-	case asked.Target == address || c.zoneAt(asked.Target) == "":
+	}
+	if start, _ := c.replicaAt(asked.Target); start == "" || asked.Target == address {
 		c.counts.nowhere++
 		return nil, http.StatusServiceUnavailable
 	}
@@ -202,7 +211,7 @@
 }
 
 func (c *runCopies) moveTime(run *streamRun, target string) time.Duration {
-	if c.zoneAt(target) != run.zone {
+	if _, zone := c.replicaAt(target); zone != run.zone {
 		return 2 * moveTime
 	}
 	return moveTime
@@ -217,6 +226,7 @@
 		c.counts.ended++
 		return "", 0
 	}
+	start, _ := c.replicaAt(target)
 	c.counts.moved++
 	handle = run.kept[target]
 	if handle == "" {
@@ -227,7 +237,7 @@
 		}
 		run.kept[target] = handle
 	}
-	c.copies[copyName(run.address, handle)] = &runCopy{run: run, target: target, at: now}
+	c.copies[copyName(run.address, handle)] = &runCopy{run: run, target: target, start: start, at: now}
 	return handle, run.made
 }
 
--- a/soak/runcopies_test.go
+++ b/soak/runcopies_test.go
@@ -16,8 +16,9 @@
 )
 
 func testRunCopies() *runCopies {
-	return newRunCopies(func(address string) string {
-		return map[string]string{firstServer: "zone-1", secondServer: "zone-2"}[address]
+	return newRunCopies(func(address string) (start, zone string) {
+		zone = map[string]string{firstServer: "zone-1", secondServer: "zone-2"}[address]
+		return zone, zone
 	})
 }
 
@@ -76,6 +77,16 @@
 	is.Equal(c.take(copyName(firstServer, "h1"), secondServer, "q1", time.Now().Add(handleTime+time.Second)), nil)
 }
 
+func TestACopyEndsWithItsServer(t *testing.T) {
+	is := is.New(t)
+	starts := map[string]string{firstServer: "i-001", secondServer: "i-002"}
+	c := newRunCopies(func(address string) (start, zone string) { return starts[address], "zone-1" })
+	c.begin(testRun("q1"), "")
+	call(c, firstServer, http.MethodPost, pathMove, moveOfQ1)
+	starts[secondServer] = "i-003"
+	is.Equal(c.take(copyName(firstServer, "h1"), secondServer, "q1", time.Now()), nil)
+}
+
 func TestACopyIsReleasedAtEitherEnd(t *testing.T) {
 	for _, at := range []string{firstServer, secondServer} {
 		is := is.New(t)
