Soak: servers stop a run that is asked for with last

Cause: the gateway asks a server for a run a second time, with last, to be sure that it works on it no more; the soak's servers took such a call for one that is no call (400), so no stream could go on from a copy.

Ruled out: leaving last out, as the run has mostly ended by then: the answer 404 comes before anything else either way, and a run under way would be gone on with while its server is at work.

Change: with last the run stops, its stream is closed without its end, and it can go on from the copy at either end.

--- a/soak/endstopsreplica.go
+++ b/soak/endstopsreplica.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // unframedHeads are the first lines of answers with neither a length nor chunks, and the fields that each has besides.
@@ -81,12 +83,15 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	m.writeEvents(request.Context(), run, drawn, func(event string) error {
+	err := m.writeEvents(request.Context(), run, drawn, func(event string) error {
 		if _, err := io.WriteString(w, event); err != nil {
 			return err
 		}
 		return http.NewResponseController(w).Flush()
 	}, rep.software)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // isStream reports whether a path is one of a measured stream.
@@ -159,17 +164,18 @@
 	}()
 	head := unframedHeads[drawn.head]
 	_, _ = fmt.Fprintf(conn, "%s\r\n%s: %s\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\n\r\n", head.status, idHeader, run.id, stampHeader, stampOf(rep.id, run.id), head.fields)
-	m.writeEvents(ctx, run, drawn, func(event string) error {
+	_ = m.writeEvents(ctx, run, drawn, func(event string) error {
 		_, err := io.WriteString(conn, event)
 		return err
 	}, rep.software)
 }
 
-// writeEvents writes the events of a run and records its end, which it has before its answer's.
-func (m *endStopsMeasurement) writeEvents(ctx context.Context, run *streamRun, drawn drawnStream, write func(event string) error, software string) {
+// writeEvents writes the events of a run and records its end, which it has before its answer's. It returns what ended it early.
+func (m *endStopsMeasurement) writeEvents(ctx context.Context, run *streamRun, drawn drawnStream, write func(event string) error, software string) error {
 	for n := run.after + 1; n <= endStopsEvents; n++ {
-		if n > run.after+1 {
-			sleep(ctx, drawn.pause)
+		if n > run.after+1 && !waitForEvent(ctx, run, drawn.pause) {
+			m.end(run, errStopped)
+			return errStopped
 		}
 		if drawn.brokenAfter > 0 && n > drawn.brokenAfter {
 			m.mu.Lock()
@@ -179,15 +185,29 @@
 		}
 		if ctx.Err() != nil {
 			m.end(run, net.ErrClosed)
-			return
+			return net.ErrClosed
 		}
 		if err := write(streamEvent(run.id, n, software)); err != nil {
 			m.end(run, err)
-			return
+			return err
 		}
 		m.copies.wrote(run, n)
 	}
 	m.end(run, nil)
+	return nil
+}
+
+var errStopped = errors.New("the run was stopped")
+
+// waitForEvent waits for the next event of a run; it reports false once the run is stopped.
+func waitForEvent(ctx context.Context, run *streamRun, pause time.Duration) bool {
+	select {
+	case <-run.stop:
+		return false
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+	return true
 }
 
 // end records that a run has ended; err is what cut it off.
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -56,6 +56,14 @@
 	cut, brokeOff bool
 }
 
+// stop returns what is closed once a call stops the run, nil if there are no such calls.
+func (run *replicaRun) stop() <-chan struct{} {
+	if run.copied == nil {
+		return nil
+	}
+	return run.copied.stop
+}
+
 // atWork reports whether a replica was still at work on a run at a time, or until it was cut.
 func (run *replicaRun) atWork(at time.Time) bool {
 	return run.cut || run.endedAt.IsZero() || run.endedAt.After(at)
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -389,6 +389,9 @@
 		case <-request.Context().Done():
 			r.check.lost.recordCut(run)
 			return
+		case <-run.stop():
+			r.check.lost.recordCut(run)
+			panic(http.ErrAbortHandler)
 		case <-time.After(eventPause):
 		}
 	}
--- a/soak/runcopies.go
+++ b/soak/runcopies.go
@@ -37,8 +37,9 @@
 	// whole is set if the replica wrote all events, brokeOff if it broke its answer off in order, cut if the
 	// connection was closed before.
 	whole, brokeOff, cut bool
-	// moving is set while the run is copied.
-	moving bool
+	// moving is set while the run is copied, stopped once a call has stopped it, which closes stop.
+	moving, stopped bool
+	stop            chan struct{}
 	// kept names the copy that each other replica has.
 	kept map[string]string
 }
@@ -50,8 +51,8 @@
 	// start names the start of the replica at target that keeps the copy.
 	start string
 	at    time.Time
-	// backup is set if the copy grows with the run.
-	backup bool
+	// backup is set if the copy grows with the run, source if the run has stopped and can also go on where it ran.
+	backup, source bool
 }
 
 // runCopies are the runs under way at replicas, and the copies of runs that they keep. It is safe for concurrent use.
@@ -68,12 +69,12 @@
 
 // copyCounts counts the calls that concern copies, and the runs that went on from one.
 type copyCounts struct {
-	moved, ended, busy, nowhere, released, continued, absent int
+	moved, ended, busy, nowhere, released, continued, absent, stopped int
 }
 
 // String describes the counts.
 func (c copyCounts) String() string {
-	return fmt.Sprintf("copies made %d, of runs that were not under way %d, while another call was %d, to nowhere %d; released %d; runs that went on from a copy %d, refused without one %d", c.moved, c.ended, c.busy, c.nowhere, c.released, c.continued, c.absent)
+	return fmt.Sprintf("runs stopped %d; copies made %d, of runs that were not under way %d, while another call was %d, to nowhere %d; released %d; runs that went on from a copy %d, refused without one %d", c.stopped, c.moved, c.ended, c.busy, c.nowhere, c.released, c.continued, c.absent)
 }
 
 func newRunCopies(replicaAt func(address string) (start, zone string)) *runCopies {
@@ -88,6 +89,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	name := copyName(run.address, run.id)
+	run.stop = make(chan struct{})
 	c.running[name] = run
 	if start, _ := c.replicaAt(backup); start != "" && backup != run.address {
 		c.copies[name] = &runCopy{run: run, target: backup, start: start, backup: true}
@@ -118,7 +120,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.copies[name]
-	if kept == nil || kept.target != address || kept.run.id != id || c.isOver(kept, now) || !c.isKept(kept) {
+	if kept == nil || !kept.serves(address) || kept.run.id != id || c.isOver(kept, now) || !c.isKept(kept) {
 		c.counts.absent++
 		return nil
 	}
@@ -135,8 +137,16 @@
 	return now.Sub(kept.at) > handleTime
 }
 
+// serves reports whether the run can go on at the replica with an address.
+func (k *runCopy) serves(address string) bool {
+	return k.target == address || k.source && k.run.address == address
+}
+
 // isKept reports whether the replica that was given a copy has not ended since.
 func (c *runCopies) isKept(kept *runCopy) bool {
+	if kept.source {
+		return true
+	}
 	start, _ := c.replicaAt(kept.target)
 	return start == kept.start
 }
@@ -170,7 +180,7 @@
 
 func (c *runCopies) serveMove(address string, w http.ResponseWriter, request *http.Request) {
 	var asked moveBody
-	if err := json.NewDecoder(request.Body).Decode(&asked); err != nil || asked.ID == "" || asked.Last {
+	if err := json.NewDecoder(request.Body).Decode(&asked); err != nil || asked.ID == "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -207,6 +217,12 @@
 		return nil, http.StatusServiceUnavailable
 	}
 	run.moving = true
+	if asked.Last {
+		c.counts.stopped++
+		run.stopped = true
+		close(run.stop)
+		delete(c.running, copyName(address, asked.ID))
+	}
 	return run, http.StatusOK
 }
 
@@ -222,7 +238,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	run.moving = false
-	if c.running[copyName(run.address, run.id)] != run {
+	if c.running[copyName(run.address, run.id)] != run && !run.stopped {
 		c.counts.ended++
 		return "", 0
 	}
@@ -237,7 +253,7 @@
 		}
 		run.kept[target] = handle
 	}
-	c.copies[copyName(run.address, handle)] = &runCopy{run: run, target: target, start: start, at: now}
+	c.copies[copyName(run.address, handle)] = &runCopy{run: run, target: target, start: start, at: now, source: run.stopped}
 	return handle, run.made
 }
 
--- a/soak/runcopies_test.go
+++ b/soak/runcopies_test.go
@@ -77,6 +77,24 @@
 	is.Equal(c.take(copyName(firstServer, "h1"), secondServer, "q1", time.Now().Add(handleTime+time.Second)), nil)
 }
 
+func TestARunThatIsStoppedGoesOnAtEitherEnd(t *testing.T) {
+	for _, at := range []string{firstServer, secondServer} {
+		is := is.New(t)
+		c, run := testRunCopies(), testRun("q1")
+		c.begin(run, "")
+		c.wrote(run, 3)
+		status, answer := call(c, firstServer, http.MethodPost, pathMove, `{"replica_id":"q1","target_version":"`+secondServer+`","last":true}`)
+		is.Equal(status, http.StatusOK)
+		is.Equal(answer, `{"handle":"h1","made":3}`)
+		is.True(!c.isRunning(run))
+		<-run.stop
+		status, _ = call(c, firstServer, http.MethodPost, pathMove, moveOfQ1)
+		is.Equal(status, http.StatusNotFound)
+		is.Equal(c.take(copyName(firstServer, "h1"), at, "q1", time.Now()), run)
+		is.Equal(c.take(copyName(firstServer, "h1"), at, "q1", time.Now()), nil)
+	}
+}
+
 func TestACopyEndsWithItsServer(t *testing.T) {
 	is := is.New(t)
 	starts := map[string]string{firstServer: "i-001", secondServer: "i-002"}
