--- a/soak/endstops.go
+++ b/soak/endstops.go
@@ -52,13 +52,15 @@
 	engine bool
 	// framedRests is set if answers that go on after an event always have a length or chunks.
 	framedRests bool
+	// alone is set if one replica alone holds the model.
+	alone bool
 	// allTokens is set if requests ask for as many tokens as their streams have.
 	allTokens bool
 }
 
 // endStopsKindOf returns the kind with a name: "ends-stops", followed by "-mixed" (30 in 100 answers have neither a length
 // nor chunks) or "-few" (2 in 100) in place of all, "-breaks-" with a share of 1, 10 or 30 in 100 that are broken off,
-// "-plain" if replicas can't copy runs, "-rests" if answers that go on after an event are framed, and "-tokens" if all
+// "-plain" if replicas can't copy runs, "-alone" if one replica alone holds the model, "-rests" if answers that go on after an event are framed, and "-tokens" if all
 // tokens that are asked for come.
 func endStopsKindOf(name string) (endStopsKind, bool) {
 	rest, found := strings.CutPrefix(name, "ends-stops")
@@ -73,6 +75,7 @@
 		{"-breaks-1", func() { kind.broken = 1 }},
 		{"-breaks-30", func() { kind.broken = 30 }},
 		{"-plain", func() { kind.engine = false }},
+		{"-alone", func() { kind.alone = true }},
 		{"-rests", func() { kind.framedRests = true }},
 		{"-tokens", func() { kind.allTokens = true }},
 	} {
@@ -140,12 +143,16 @@
 	if kind.engine {
 		plan.model = endStopsModel
 	}
+	if kind.alone {
+		plan.modelHosts = 1
+	}
 	r, err := newReplicas(in, newChecker(), newZoneDrains(), plan)
 	if err != nil {
 		return err
 	}
 	defer r.close()
 	m.copies = newRunCopies(r.replicaAt)
+	m.copies.refuses = r.lacksModel
 	if err := in.startAll(); err != nil {
 		return err
 	}
--- a/soak/endstopscounts_test.go
+++ b/soak/endstopscounts_test.go
@@ -85,6 +85,7 @@
 		"ends-stops-breaks-1":              {unframed: 100, broken: 1, engine: true},
 		"ends-stops-mixed-breaks-10-plain": {unframed: 30, broken: 10},
 		"ends-stops-few-breaks-30":         {unframed: 2, broken: 30, engine: true},
+		"ends-stops-mixed-alone":           {unframed: 30, engine: true, alone: true},
 		"ends-stops-rests-tokens":          {unframed: 100, engine: true, framedRests: true, allTokens: true},
 	} {
 		got, found := endStopsKindOf(name)
--- a/soak/endstopsreplica.go
+++ b/soak/endstopsreplica.go
@@ -57,7 +57,7 @@
 		m.report(rep, w)
 		return
 	case "/-/order":
-		answerOrder(w, request)
+		m.answerOrder(rep, w, request)
 		return
 	case "/health":
 		return
@@ -69,6 +69,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if m.kind.alone && rep.host > 1 {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if _, err := io.ReadAll(request.Body); err != nil {
 		return
 	}
@@ -108,16 +112,16 @@
 func (m *endStopsMeasurement) report(rep *replica, w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	models := "[]"
-	if m.kind.engine {
+	if m.kind.engine && !(m.kind.alone && rep.host > 1) {
 		models = fmt.Sprintf(`[{"name":%q,"version":1,"adapters":[]}]`, endStopsModel)
 	}
 	_, _ = fmt.Fprintf(w, `{"born":%d,"stage":"both","models":%s,"busy":false,"sequence":0,"waiting":0,"running":0,"kv_cache_used":0,"kv_cache_total":100000,"handles":0}`, rep.startedMs, models)
 }
 
-// answerOrder answers an order: a replica holds the model that it may be told to load, and keeps it.
-func answerOrder(w http.ResponseWriter, request *http.Request) {
+// answerOrder answers an order: a replica that holds the model keeps it, one that does not takes no order to load it.
+func (m *endStopsMeasurement) answerOrder(rep *replica, w http.ResponseWriter, request *http.Request) {
 	body, _ := io.ReadAll(request.Body)
-	if strings.Contains(string(body), `"unload"`) {
+	if m.kind.alone && rep.host > 1 || strings.Contains(string(body), `"unload"`) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -73,6 +73,8 @@
 	software string
 	// model is the model that all hold, "" if they run none.
 	model string
+	// modelHosts is how many hosts have replicas that hold it, 0 for all.
+	modelHosts int
 	// breakOff is the share of streams in percent that break off, 0 for breakOffPercent.
 	breakOff int
 	// handler answers requests in place of replicas.answer, unless it is nil.
@@ -324,6 +326,33 @@
 	_ = rep.server.Close()
 }
 
+// heldModel is a model that a replica tells that it holds.
+type heldModel struct {
+	Name     string   `json:"name"`
+	Version  int      `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// models returns what a replica at a host holds.
+func (p replicaPlan) models(host int) []heldModel {
+	if p.model == "" || p.modelHosts > 0 && host > p.modelHosts {
+		return []heldModel{}
+	}
+	return []heldModel{{Name: p.model, Version: 1, Adapters: []string{}}}
+}
+
+// lacksModel reports whether the replica at an address does not hold the model.
+func (r *replicas) lacksModel(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rep := range r.list {
+		if rep.address == address {
+			return r.plan.model != "" && len(r.plan.models(rep.host)) == 0
+		}
+	}
+	return true
+}
+
 // replicaAt returns the start and the availability zone of the replica at an address, "" if there is none.
 func (r *replicas) replicaAt(address string) (start, zone string) {
 	r.mu.Lock()
@@ -426,7 +455,7 @@
 		delete(told, "born")
 	}
 	if r.plan.model != "" {
-		told["stage"], told["models"] = "both", []any{map[string]any{"name": r.plan.model, "version": 1, "adapters": []string{}}}
+		told["stage"], told["models"] = "both", r.plan.models(rep.host)
 	}
 	body, err := json.Marshal(told)
 	if err != nil || !r.call(rep, http.MethodPut, body) {
--- a/soak/runcopies.go
+++ b/soak/runcopies.go
@@ -59,6 +59,8 @@
 type runCopies struct {
 	// replicaAt returns the start and the availability zone of the replica at an address, "" if there is none.
 	replicaAt func(address string) (start, zone string)
+	// refuses reports whether the replica at an address has no room for copies, nil if all have.
+	refuses func(address string) bool
 
 	mu      sync.Mutex
 	running map[string]*streamRun
@@ -189,17 +191,21 @@
 		w.WriteHeader(status)
 		return
 	}
-	time.Sleep(c.moveTime(run, asked.Target))
+	if status == http.StatusOK {
+		time.Sleep(c.moveTime(run, asked.Target))
+	}
 	handle, made := c.endMove(run, asked.Target, time.Now())
 	if handle == "" {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	_, _ = fmt.Fprintf(w, `{"handle":%q,"made":%d}`, handle, made)
 }
 
-// beginMove begins to copy a run; it returns nil and the status of the answer if that can't be done.
+// beginMove begins to copy a run; it returns nil if that can't be done, and the status of the answer. A run that stops keeps
+// its memory where it ran, also if the other replica has no room.
 func (c *runCopies) beginMove(address string, asked moveBody) (run *streamRun, status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,18 +218,22 @@
 		c.counts.busy++
 		return nil, http.StatusConflict
 	}
-	if start, _ := c.replicaAt(asked.Target); start == "" || asked.Target == address {
+	status = http.StatusOK
+	if start, _ := c.replicaAt(asked.Target); start == "" || asked.Target == address || c.refuses != nil && c.refuses(asked.Target) {
 		c.counts.nowhere++
-		return nil, http.StatusServiceUnavailable
+		status = http.StatusServiceUnavailable
 	}
-	run.moving = true
-	if asked.Last {
+	switch {
+	case asked.Last:
 		c.counts.stopped++
 		run.stopped = true
 		close(run.stop)
 		delete(c.running, copyName(address, asked.ID))
+	case status != http.StatusOK:
+		return nil, status
 	}
-	return run, http.StatusOK
+	run.moving = true
+	return run, status
 }
 
 func (c *runCopies) moveTime(run *streamRun, target string) time.Duration {
@@ -243,7 +253,11 @@
 		return "", 0
 	}
 	start, _ := c.replicaAt(target)
-	c.counts.moved++
+	if c.refuses != nil && c.refuses(target) {
+		target, start = run.address, ""
+	} else {
+		c.counts.moved++
+	}
 	handle = run.kept[target]
 	if handle == "" {
 		c.handles++
--- a/soak/runcopies_test.go
+++ b/soak/runcopies_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+func TestARunThatIsStoppedIsKeptWhereItRanIfNobodyHasRoom(t *testing.T) {
+	is := is.New(t)
+	c, run := testRunCopies(), testRun("q1")
+	c.refuses = func(string) bool { return true }
+	c.begin(run, "")
+	status, answer := call(c, firstServer, http.MethodPost, pathMove, moveOfQ1)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(answer, "")
+	is.True(c.isRunning(run))
+	status, answer = call(c, firstServer, http.MethodPost, pathMove, `{"replica_id":"q1","target_version":"`+secondServer+`","last":true}`)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(answer, `{"handle":"h1","made":0}`)
+	is.True(!c.isRunning(run))
+	is.Equal(c.take(copyName(firstServer, "h1"), secondServer, "q1", time.Now()), nil)
+	is.Equal(c.take(copyName(firstServer, "h1"), firstServer, "q1", time.Now()), run)
+}
+
 func TestACopyEndsWithItsServer(t *testing.T) {
 	is := is.New(t)
 	starts := map[string]string{firstServer: "i-001", secondServer: "i-002"}
