--- a/soak/main.go
+++ b/soak/main.go
@@ -21,7 +21,7 @@
 	Bin           string        `long:"bin" description:"folder of the programs" default:"target"`
 	Folder        string        `long:"folder" description:"folder for settings, data and logs" default:"run/soak"`
 	NoBounds      bool          `long:"no-bounds" description:"leave out the checks that bound a time, for a machine whose speed is not known"`
-	Measure       string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, one-gateway, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, ends, ends-kills, rejoined, rejoined-all, rejoined-crash, stale-gateway, begun, begun-crash, begun-still, begun-still-two, begun-killed, begun-all, begun-quiet, begun-same, begun-headless, begun-place, begun-moved, begun-heard, begun-beats, begun-two, begun-one, begun-cold, begun-worst, upgrade, back, silence, silence-one, silence-long, silence-accept, silence-early, silence-forward, silence-alone, silence-none, bodies, bodies-slow-replicas, bodies-silence, bodies-at-once, late-signal, late-signal-short, late-signal-long, late-signal-after, late-signal-bodies, hup-then-term"`
+	Measure       string        `long:"measure" description:"instead of faults, run one kind of trouble beside a steady load and print what it met: none, deadly, part, part-losses, part-burst, parts-first, some-losses, one-gateway, losses, rest, rest-all, leaving, limit, limit-all, limit-kills, restarts, foreign, slow-disk, ends, ends-kills, ends-stops (with -mixed or -few, -breaks-1, -breaks-10 or -breaks-30, -plain, -alone, -rests and -tokens after it, in this order), rejoined, rejoined-all, rejoined-crash, stale-gateway, begun, begun-crash, begun-still, begun-still-two, begun-killed, begun-all, begun-quiet, begun-same, begun-headless, begun-place, begun-moved, begun-heard, begun-beats, begun-two, begun-one, begun-cold, begun-worst, upgrade, back, silence, silence-one, silence-long, silence-accept, silence-early, silence-forward, silence-alone, silence-none, bodies, bodies-slow-replicas, bodies-silence, bodies-at-once, late-signal, late-signal-short, late-signal-long, late-signal-after, late-signal-bodies, hup-then-term"`
 	Old           string        `long:"old" description:"commit of an earlier build: with --measure upgrade or back, what is replaced by this build, or what this build is replaced by"`
 	Order         string        `long:"order" description:"which processes are replaced first" choice:"controls" choice:"gateways" choice:"mixed" default:"controls"`
 	SyncWait      time.Duration `long:"sync-wait" description:"let each sync of each control node wait so long, for the whole run"`
@@ -30,6 +30,8 @@
 	NoParts       bool          `long:"no-parts" description:"leave out the requests with parts of prompts that crash replicas, as in runs of earlier builds of this program"`
 	NoBodies      bool          `long:"no-bodies" description:"leave out the requests whose bodies are sent over time, as in runs of earlier builds of this program"`
 	NoLateSignals bool          `long:"no-late-signals" description:"leave out the stops beside the other faults, those that processes learn of late, the SIGHUPs around stops and the long lag of the balancer, as in runs of earlier builds of this program"`
+	NoUnframed    bool          `long:"no-unframed" description:"leave out the spells in which replicas give no answer a length or chunks, as in runs of earlier builds of this program"`
+	Copies        bool          `long:"copies" description:"let replicas copy runs to others, and go on from copies"`
 	LaggingNode   string        `long:"lagging-node" description:"at the loss of power one control node lacks the last change, and those that have it come back late: with disks that hang, started late, or both as after syncs that are stuck in the kernel" choice:"hung-disks" choice:"late-start" choice:"stuck-syncs"`
 	Port          int           `long:"port" description:"first of the ports used on every address" default:"17400"`
 }
@@ -85,6 +87,9 @@
 		return nil, err
 	}
 	defer replicas.close()
+	if o.Copies {
+		replicas.copies = newRunCopies(replicas.replicaAt)
+	}
 	if err := in.startAll(); err != nil {
 		return nil, err
 	}
@@ -119,12 +124,14 @@
 	besideCtx, endBeside := context.WithCancel(ctx)
 	defer endBeside()
 	silences := replicas.startSilences(besideCtx, silenceRandom)
+	unframed := replicas.startUnframedSpells(besideCtx, rand.New(rand.NewPCG(o.Seed, 25)))
 	stops := in.startStops(besideCtx, rand.New(rand.NewPCG(o.Seed, 22)))
 	in.inject(time.Duration(o.Seconds)*time.Second, random)
 	endSlowDisks()
 	disks.Wait()
 	endBeside()
 	silences.Wait()
+	unframed.Wait()
 	stops.Wait()
 	in.endAllFaults()
 	endFaults()
--- a/soak/replicas.go
+++ b/soak/replicas.go
@@ -54,6 +54,8 @@
 	// unframed makes streams end with their connection, unless it is nil.
 	unframed *streamsWithoutFraming
 	plan     replicaPlan
+	// copies are the copies of runs, nil if replicas can't copy any.
+	copies *runCopies
 	// quietUntil is until when no heartbeats are sent, in nanoseconds since 1970.
 	quietUntil atomic.Int64
 }
@@ -69,6 +71,10 @@
 	undated bool
 	// software is the version that all starts run, "" to draw it at each start.
 	software string
+	// model is the model that all hold, "" if they run none.
+	model string
+	// modelHosts is how many hosts have replicas that hold it, 0 for all.
+	modelHosts int
 	// breakOff is the share of streams in percent that break off, 0 for breakOffPercent.
 	breakOff int
 	// handler answers requests in place of replicas.answer, unless it is nil.
@@ -91,6 +97,7 @@
 	// notices is what the replica announces in its answers.
 	notices notices
 	cold    coldPeriod
+	framing framing
 	limit   announcedLimit
 	pause   *pause
 	// listener takes the replica's connections.
@@ -156,10 +163,13 @@
 		return
 	}
 	endless := drawEndless()
-	if request.URL.Path == "/-/report" && endless != nil {
+	if endless != nil && (request.URL.Path == "/-/report" || r.copies != nil && request.URL.Path == pathMove) {
 		endless.send(w, rep.id, id)
 		return
 	}
+	if r.copies != nil && r.copies.serve(rep.address, w, request) {
+		return
+	}
 	if request.URL.Path == "/-/report" {
 		_, _ = fmt.Fprintf(w, `{"born":%d}`, rep.startedMs)
 		return
@@ -179,8 +189,17 @@
 	if cut {
 		r.check.fail("mixed", "%s got request %s with %d of %s bytes", rep.id, id, len(body), request.Header.Get(bodySizeHeader))
 	}
+	copied, refused := r.beginCopied(rep, request, id)
+	if refused {
+		refuse(w, 0)
+		return
+	}
 	run := r.check.lost.beginRun(id, rep, r.check.links.senders[hostOf(request.RemoteAddr)], arrivalOf(request))
 	defer r.check.lost.endRun(run)
+	if copied != nil {
+		run.copied = copied
+		defer r.endCopied(run)
+	}
 	if string(body) == crashBody {
 		r.crashOnContent(rep, held)
 		panic(http.ErrAbortHandler)
@@ -206,7 +225,7 @@
 		return
 	}
 	w.Header().Set(stampHeader, rep.id+"."+id)
-	w = drawFraming(w, func() { r.check.lost.recordBrokenOff(run) })
+	w = rep.framing.write(w, func() { r.check.lost.recordBrokenOff(run) })
 	if w.Header().Get("Transfer-Encoding") != "" {
 		r.check.lost.recordUnframed(run)
 	}
@@ -218,7 +237,12 @@
 	case 'w':
 		r.check.recordRun(id, rep.id)
 		r.work(run, w, request, id+":"+echo)
-	case 'e', 'n':
+	case 'n':
+		if copied == nil || !copied.continued || copied.overlaps {
+			r.check.recordRun(id, rep.id)
+		}
+		r.stream(run, w, request, id)
+	case 'e':
 		r.stream(run, w, request, id)
 	case 'l':
 		if _, err := io.WriteString(w, longBody(id)); err != nil {
@@ -229,6 +253,32 @@
 	}
 }
 
+// beginCopied records that a stream begins to run where runs can be copied, else it returns nil. It reports whether the
+// request names a copy that is not there.
+func (r *replicas) beginCopied(rep *replica, request *http.Request, id string) (run *streamRun, refused bool) {
+	if r.copies == nil || !isStreamKind(request.URL.Path[1:2]) {
+		return nil, false
+	}
+	after, _ := strconv.Atoi(request.Header.Get(headerLastEvent))
+	run = &streamRun{replica: rep.id, address: rep.address, zone: zoneOf(rep.host), id: id, begunAt: time.Now(), after: after, made: after}
+	if name := request.Header.Get(headerContinue); name != "" {
+		source := r.copies.take(name, rep.address, id, run.begunAt)
+		if source == nil {
+			return nil, true
+		}
+		r.check.count("runs from copies")
+		run.continued, run.overlaps = true, r.copies.isRunning(source)
+	}
+	r.copies.begin(run, request.Header.Get(headerBackup))
+	return run, false
+}
+
+// endCopied records that a stream has ended where runs can be copied.
+func (r *replicas) endCopied(run *replicaRun) {
+	run.copied.whole = !run.brokeOff && !run.cut
+	r.copies.end(run.copied, time.Now())
+}
+
 // checkArrival checks that a replica gets a request when it may get one, and writes notices into the answer. It
 // reports whether the replica has refused the request.
 func (r *replicas) checkArrival(rep *replica, w http.ResponseWriter, request *http.Request, id string) bool {
@@ -276,6 +326,45 @@
 	_ = rep.server.Close()
 }
 
+// heldModel is a model that a replica tells that it holds.
+type heldModel struct {
+	Name     string   `json:"name"`
+	Version  int      `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// models returns what a replica at a host holds.
+func (p replicaPlan) models(host int) []heldModel {
+	if p.model == "" || p.modelHosts > 0 && host > p.modelHosts {
+		return []heldModel{}
+	}
+	return []heldModel{{Name: p.model, Version: 1, Adapters: []string{}}}
+}
+
+// lacksModel reports whether the replica at an address does not hold the model.
+func (r *replicas) lacksModel(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rep := range r.list {
+		if rep.address == address {
+			return r.plan.model != "" && len(r.plan.models(rep.host)) == 0
+		}
+	}
+	return true
+}
+
+// replicaAt returns the start and the availability zone of the replica at an address, "" if there is none.
+func (r *replicas) replicaAt(address string) (start, zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rep := range r.list {
+		if rep.address == address {
+			return fmt.Sprintf("%s@%d", rep.id, rep.startedMs), zoneOf(rep.host)
+		}
+	}
+	return "", ""
+}
+
 // streamsUnframed returns how streams are written that end with their connection, nil if none are.
 func (r *replicas) streamsUnframed() *streamsWithoutFraming {
 	r.mu.Lock()
@@ -301,13 +390,20 @@
 func (r *replicas) stream(run *replicaRun, w http.ResponseWriter, request *http.Request, id string) {
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
-	brokenAfter := streamEvents
-	if rand.IntN(100) < r.plan.brokenPercent() {
+	brokenAfter, broken := streamEvents, r.plan.brokenPercent()
+	inOrder, brokenInSpell := run.rep.framing.isNever()
+	if inOrder {
+		broken = brokenInSpell
+	}
+	if rand.IntN(100) < broken {
 		brokenAfter = after + 1 + rand.IntN(streamEvents)
 	}
 	for n := after + 1; n <= streamEvents; n++ {
 		if n > brokenAfter {
 			r.check.lost.recordBrokenOff(run)
+			if inOrder {
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
 		_, err := io.WriteString(w, streamEvent(id, n, run.rep.software))
@@ -315,10 +411,16 @@
 			r.check.lost.recordCut(run)
 			return
 		}
+		if run.copied != nil {
+			r.copies.wrote(run.copied, n)
+		}
 		select {
 		case <-request.Context().Done():
 			r.check.lost.recordCut(run)
 			return
+		case <-run.stop():
+			r.check.lost.recordCut(run)
+			panic(http.ErrAbortHandler)
 		case <-time.After(eventPause):
 		}
 	}
@@ -352,6 +454,9 @@
 	if r.plan.undated {
 		delete(told, "born")
 	}
+	if r.plan.model != "" {
+		told["stage"], told["models"] = "both", r.plan.models(rep.host)
+	}
 	body, err := json.Marshal(told)
 	if err != nil || !r.call(rep, http.MethodPut, body) {
 		return false
