Test of the bound of copies: names that a header may have

Cause: one of eight servers of the test was named by a byte that no header may have, so that 1 in 8 plays found no server.

Change: other names.

--- a/src/exchange/runcopy_test.go
+++ b/src/exchange/runcopy_test.go
@@ -59,7 +59,7 @@
 		stopped: func(a arrival) bool { a.answer(http.StatusNotFound, ""); return true },
 	}
 	for i, zone := range zones {
-		f := newReplica(t, string(rune('x'+i)), s.serve)
+		f := newReplica(t, "xyzabcde"[i:i+1], s.serve)
 		f.copies, f.zone = s.serveCopies, zone
 		s.replicas = append(s.replicas, f)
 	}
